Lay out the slices, their contracts and the checks

Cause: nothing existed; the slices are to be written side by side and need agreed records before any of them can be.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of decisions and daemons; no part of the tests."""
--- /dev/null
+++ b/wigeonhitch/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned fleet documents: validation, approval, acceptance, distribution."""
--- /dev/null
+++ b/wigeonhitch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Slice `daemon`."""
--- /dev/null
+++ b/wigeonhitch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Slice `fleet`."""
--- /dev/null
+++ b/wigeonhitch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peers, duty leases with fencing, and confirmation of drains."""
--- /dev/null
+++ b/wigeonhitch/membership/lease.py
@@ -0,0 +1,52 @@
+"""Duty leases: what a duty's runner needs to know before it writes.
+
+A duty row ``duty/{name}`` names its holder and changes only at takeover; the
+holder proves that it lives by renewing its one daemon row. A takeover changes
+the duty row's version, so a transaction that carries `Lease.condition` fails
+for a holder that has been replaced, however long it was paused.
+"""
+
+from typing import NamedTuple, Protocol
+
+from wigeonhitch.platform import table
+
+__all__ = ["Lease", "Leases"]
+
+
+class Lease(NamedTuple):
+    """A duty held by this daemon.
+
+    Parameters
+    ----------
+    duty : str
+        Name of the duty.
+    fence : int
+        Fencing token: the version of the duty row at takeover.
+    expires : float
+        Seconds on the clock that counts suspension (``CLOCK_BOOTTIME``).
+    """
+
+    duty: str
+    fence: int
+    expires: float
+
+    @property
+    def condition(self) -> table.Condition:
+        """Return the condition to put into every transaction of the duty."""
+        return table.Condition(f"duty/{self.duty}", self.fence)
+
+
+class Leases(Protocol):
+    """The duties that this daemon holds."""
+
+    def current(self, duty: str) -> Lease | None:
+        """Return the lease if it is held and has not lapsed, else None."""
+        ...
+
+    def want(self, duty: str) -> None:
+        """Begin to compete for a duty."""
+        ...
+
+    def unwant(self, duty: str) -> None:
+        """Stop competing for a duty and release it."""
+        ...
--- /dev/null
+++ b/wigeonhitch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: their credentials, roles and the HTTP routes they use."""
--- /dev/null
+++ b/wigeonhitch/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Slice `routing`."""
--- /dev/null
+++ b/wigeonhitch/verdict.py
@@ -0,0 +1,83 @@
+"""What is known about whether a request ran.
+
+Every answer that leaves the daemon, and every answer that enters it from a
+worker or a peer, is reduced to one `Verdict`. Retries, idempotency records
+and the HTTP answer to the caller are all decided from it.
+"""
+
+import enum
+from typing import NamedTuple
+
+__all__ = ["Ran", "Reason", "Verdict", "may_have_run", "not_run", "ran"]
+
+
+class Ran(enum.Enum):
+    """Whether the request was executed by a worker."""
+
+    YES = "ran"
+    NO = "not run"
+    MAYBE = "may have run"
+
+
+class Reason(enum.Enum):
+    """Why the verdict is what it is; sentinels, in place of exceptions."""
+
+    ANSWERED = "answered"
+    QUEUE_FULL = "queue full"
+    DEADLINE = "deadline cannot be met"
+    NO_WORKER = "no worker available"
+    WORKER_REFUSED = "worker refused"
+    NOT_CONNECTED = "connection not made"
+    BROKEN_ANSWER = "connection lost before the whole answer"
+    TIMEOUT = "no answer in time"
+    STORE_UNAVAILABLE = "idempotency record cannot be written"
+    CLAIMED = "key is held by an earlier request"
+    KEY_REUSED = "key was used for a different request"
+    REPLAYED = "kept answer of an earlier request"
+    NOT_READY = "daemon is not ready"
+    STOPPING = "daemon is stopping"
+    SEND_RIGHT_LAPSED = "daemon is cut off"
+    RETRY_BUDGET = "retry budget is spent"
+    CANCELLED = "caller left"
+    UNKNOWN_SERVICE = "unknown service"
+    BAD_REQUEST = "bad request"
+
+
+class Verdict(NamedTuple):
+    """Whether a request ran, and the reason.
+
+    Parameters
+    ----------
+    ran : Ran
+        ``Ran.NO`` is a promise: no worker ever executed the request and none
+        will.
+    reason : Reason
+        The sentinel that explains it.
+    retry_after : float
+        Seconds after which the caller should come back; 0 when no time is
+        advised.
+    """
+
+    ran: Ran
+    reason: Reason
+    retry_after: float = 0.0
+
+    @property
+    def is_retriable(self) -> bool:
+        """Whether sending again cannot run the request twice."""
+        return self.ran is Ran.NO
+
+
+def ran(reason: Reason = Reason.ANSWERED) -> Verdict:
+    """Return the verdict of a request that ran once."""
+    return Verdict(Ran.YES, reason)
+
+
+def not_run(reason: Reason, retry_after: float = 0.0) -> Verdict:
+    """Return the verdict of a request that truly did not run."""
+    return Verdict(Ran.NO, reason, retry_after)
+
+
+def may_have_run(reason: Reason, retry_after: float = 0.0) -> Verdict:
+    """Return the verdict of a request whose fate is not known."""
+    return Verdict(Ran.MAYBE, reason, retry_after)
