Add the platform stand-in as a process

Everything that must last lives in the platform, so nothing can run or be proved before something plays its part. The engine (table, objects, lagging VM list, tasks under leases, faults) answers requests without I/O, so that the process and an in-process fake can share it; the process is plain ASGI under hypercorn's asyncio entry point.

Ruled out: running hypercorn's serve directly in the task group's host task; on SIGTERM its cancellation leaked out of the group and the process ended with status 1.

--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,211 @@
+"""Platform stand-in as a process: ``python -m standins.platform``.
+
+Serves `standins.platformengine` over HTTP on loopback, in process, and prints
+one line ``ready`` when it listens. SIGTERM ends it.
+"""
+
+import argparse
+import json
+import pathlib
+import signal
+import time
+from typing import Any
+
+import anyio
+import httpx
+import hypercorn.asyncio
+import hypercorn.config
+import yaml
+
+from standins import platformengine, platformfaults, platformfleet
+
+__all__ = ["run"]
+
+NOTICE_TIMEOUT = 2.0
+"""Seconds to tell a worker process to behave as rebooting."""
+HANG_SECONDS = 3600.0
+"""Seconds after which a hung request is dropped in any case."""
+TICK = 0.1
+"""Seconds between steps of VMs and tasks when no request comes."""
+
+
+class Application:
+    """ASGI application around one engine."""
+
+    def __init__(self, engine: platformengine.Engine, tasks: Any) -> None:
+        self._engine = engine
+        self._tasks = tasks
+
+    async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._serve(scope, receive, send)
+
+    async def _serve(self, scope: dict, receive: Any, send: Any) -> None:
+        call = await _read_call(scope, receive)
+        faults = self._engine.faults
+        fault = faults.decide(call.path, call.daemon, call.data_centre)
+        if fault.kind is platformfaults.Kind.DOWN:
+            await _send(send, platformengine.Answer(503, {"error": "down"}))
+            return
+        if fault.kind is platformfaults.Kind.HANG:
+            await _wait_for_leave(receive)
+            return
+        if fault.kind is platformfaults.Kind.LATE:
+            self._tasks.start_soon(self._apply_late, call, fault.delay)
+            return
+        if fault.delay:
+            await anyio.sleep(fault.delay)
+        answer = self._engine.handle(call, time.time())
+        if fault.kind is not platformfaults.Kind.LOSE:
+            await _send(send, answer)
+
+    async def _apply_late(self, call: platformengine.Call, delay: float) -> None:
+        await anyio.sleep(delay)
+        self._engine.handle(call, time.time())
+
+
+async def _serve_lifespan(receive: Any, send: Any) -> None:
+    while True:
+        event = await receive()
+        await send({"type": event["type"] + ".complete"})
+        if event["type"] == "lifespan.shutdown":
+            return
+
+
+async def _read_call(scope: dict, receive: Any) -> platformengine.Call:
+    chunks = []
+    more = True
+    while more:
+        event = await receive()
+        chunks.append(event.get("body", b""))
+        more = event.get("more_body", False)
+    data = b"".join(chunks)
+    headers = {key.lower(): value.decode() for key, value in scope["headers"]}
+    path = scope["path"]
+    body = data if path.startswith("/objects/") else json.loads(data or b"null")
+    return platformengine.Call(
+        scope["method"],
+        path,
+        body,
+        headers.get(b"wigeonhitch-purpose", ""),
+        headers.get(b"wigeonhitch-daemon", ""),
+        headers.get(b"wigeonhitch-data-centre", ""),
+    )
+
+
+async def _wait_for_leave(receive: Any) -> None:
+    with anyio.move_on_after(HANG_SECONDS):
+        while (await receive())["type"] != "http.disconnect":
+            pass
+
+
+async def _send(send: Any, answer: platformengine.Answer) -> None:
+    is_raw = isinstance(answer.body, bytes)
+    data = answer.body if is_raw else json.dumps(answer.body).encode()
+    kind = b"application/octet-stream" if is_raw else b"application/json"
+    headers = [
+        (b"content-type", kind),
+        (b"content-length", str(len(data)).encode()),
+    ]
+    start = {"type": "http.response.start", "status": answer.status}
+    await send(start | {"headers": headers})
+    await send({"type": "http.response.body", "body": data})
+
+
+async def _step(engine: platformengine.Engine) -> None:
+    """Advance VMs and tasks, and tell rebooting workers so."""
+    async with httpx.AsyncClient(timeout=NOTICE_TIMEOUT, trust_env=False) as client:
+        while True:
+            engine.advance(time.time())
+            while engine.fleet.notices:
+                notice = engine.fleet.notices.pop(0)
+                url = f"http://{notice.address}/standin/reboot"
+                try:
+                    await client.post(url, json={"seconds": notice.seconds})
+                except httpx.HTTPError:
+                    continue
+            await anyio.sleep(TICK)
+
+
+async def _announce(port: int) -> None:
+    """Print ``ready`` once the port accepts connections."""
+    while True:
+        try:
+            stream = await anyio.connect_tcp("127.0.0.1", port)
+        except OSError:
+            await anyio.sleep(0.02)
+            continue
+        await stream.aclose()
+        print("ready", flush=True)
+        return
+
+
+async def _await_signal(stopped: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            stopped.set()
+            return
+
+
+def build_engine(options: argparse.Namespace) -> platformengine.Engine:
+    """Return an engine with the VMs of the inventory file."""
+    inventory: dict = {}
+    if options.inventory:
+        text = pathlib.Path(options.inventory).read_text(encoding="utf-8")
+        inventory = yaml.safe_load(text) or {}
+    seconds = inventory.get("reboot_seconds", platformfleet.DEFAULT_REBOOT)
+    fleet = platformfleet.Fleet(
+        inventory.get("vms", ()),
+        lag=options.vm_lag,
+        reboot_seconds=float(seconds),
+        now=time.time(),
+    )
+    return platformengine.Engine(fleet, usage_lag=options.usage_lag)
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Serve until SIGTERM."""
+    engine = build_engine(options)
+    config = hypercorn.config.Config()
+    config.bind = [f"127.0.0.1:{options.port}"]
+    config.graceful_timeout = 0.2
+    config.errorlog = None
+    stopped = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_await_signal, stopped)
+        tasks.start_soon(_step, engine)
+        tasks.start_soon(_announce, options.port)
+        tasks.start_soon(_serve_http, engine, config, stopped, tasks)
+
+
+async def _serve_http(
+    engine: platformengine.Engine,
+    config: hypercorn.config.Config,
+    stopped: anyio.Event,
+    tasks: Any,
+) -> None:
+    """Serve until ``stopped``, then end all tasks.
+
+    This is a task of its own: hypercorn cancels the task it serves in when it
+    shuts down, which must not reach the task group.
+    """
+    application = Application(engine, tasks)
+    await hypercorn.asyncio.serve(application, config, shutdown_trigger=stopped.wait)
+    tasks.cancel_scope.cancel()
+
+
+def run() -> None:
+    """Read the options and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--inventory")
+    parser.add_argument("--vm-lag", type=float, default=0.0, help="seconds")
+    parser.add_argument("--usage-lag", type=float, default=0.0, help="seconds")
+    anyio.run(serve, parser.parse_args())
+
+
+if __name__ == "__main__":
+    run()
