--- /dev/null
+++ b/wigeonhitch/platform/transport.py
@@ -0,0 +1,120 @@
+"""One try of a platform call over HTTP, reduced to a `resolve.Reply`."""
+
+import contextlib
+import json
+from typing import Any, NamedTuple, Protocol
+
+import anyio
+import httpx
+
+from wigeonhitch.platform import resolve
+
+__all__ = ["HttpTransport", "Request", "Transport", "open_transport"]
+
+DOWN = 503
+MAX_CONNECTIONS = 16
+"""Connections of one daemon to the platform: its calls are short, and 200
+daemons at the target stay within a few thousand."""
+
+
+class Request(NamedTuple):
+    """One call; ``body`` is JSON data, or bytes for an object."""
+
+    method: str
+    path: str
+    body: Any
+    purpose: str
+
+
+class Transport(Protocol):
+    """What carries one try to the platform."""
+
+    async def send(self, request: Request, timeout: float) -> resolve.Reply:
+        """Send once and wait at most ``timeout`` seconds; never raises."""
+        ...
+
+
+class HttpTransport:
+    """Transport over an `httpx.AsyncClient` that somebody else closes.
+
+    Parameters
+    ----------
+    client : httpx.AsyncClient
+        Client with the platform's base address.
+    daemon, data_centre : str
+        Sent with each call, so that the platform can tell its callers apart.
+    """
+
+    def __init__(
+        self, client: httpx.AsyncClient, daemon: str = "", data_centre: str = ""
+    ) -> None:
+        self._client = client
+        self._headers = {
+            "Wigeonhitch-Daemon": daemon,
+            "Wigeonhitch-Data-Centre": data_centre,
+        }
+
+    async def send(self, request: Request, timeout: float) -> resolve.Reply:
+        """Send once and wait at most ``timeout`` seconds; never raises."""
+        lost = resolve.Reply(resolve.ReplyKind.LOST)
+        with anyio.move_on_after(timeout):
+            try:
+                return self._read(await self._post(request, timeout))
+            except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
+                return resolve.Reply(resolve.ReplyKind.REFUSED)
+            except (httpx.HTTPError, ValueError):
+                return lost
+        return lost
+
+    async def _post(self, request: Request, timeout: float) -> httpx.Response:
+        raw = isinstance(request.body, bytes)
+        content = request.body if raw else json.dumps(request.body).encode()
+        return await self._client.request(
+            request.method,
+            request.path,
+            content=content,
+            headers=self._headers | {"Wigeonhitch-Purpose": request.purpose},
+            timeout=timeout,
+        )
+
+    def _read(self, response: httpx.Response) -> resolve.Reply:
+        if response.headers.get("content-type") == "application/octet-stream":
+            body: Any = response.content
+        else:
+            body = response.json()
+        if response.status_code == DOWN and body == {"error": "down"}:
+            return resolve.Reply(resolve.ReplyKind.REFUSED, DOWN)
+        if response.status_code >= 500:
+            return resolve.Reply(resolve.ReplyKind.LOST, response.status_code)
+        return resolve.Reply(resolve.ReplyKind.ANSWERED, response.status_code, body)
+
+
+async def open_transport(
+    stack: contextlib.AsyncExitStack,
+    address: str,
+    *,
+    daemon: str = "",
+    data_centre: str = "",
+    verify: Any = True,
+) -> HttpTransport:
+    """Open a transport that ``stack`` closes.
+
+    Parameters
+    ----------
+    stack : contextlib.AsyncExitStack
+        Owner of the connections.
+    address : str
+        Base address such as ``"http://127.0.0.1:8500"``.
+    daemon, data_centre : str
+        Sent with each call.
+    verify : bool or ssl.SSLContext
+        As for `httpx.AsyncClient`.
+    """
+    limits = httpx.Limits(
+        max_connections=MAX_CONNECTIONS, max_keepalive_connections=MAX_CONNECTIONS
+    )
+    client = httpx.AsyncClient(
+        base_url=address, limits=limits, trust_env=False, verify=verify
+    )
+    await stack.enter_async_context(client)
+    return HttpTransport(client, daemon, data_centre)
