Add the decisions of waves and moves

From `rebooting` the only way back is a higher boot number, since a paused daemon may still send the reboot.

Moves go from pools above their intended size to pools below it, so their number is the sum of deficits. A pool without a spare VM borrows one from a buffer pool while a wave has VMs of it left.

Ruled out: one progress row per wave, which every stop of a wave would write.

--- /dev/null
+++ b/wigeonhitch/fleet/move.py
@@ -0,0 +1,241 @@
+"""Moves: which VMs change pools so that every pool has its intended size.
+
+Three kinds of change come from here. A VM of the list that no pool has yet is
+assigned to the pool with the largest deficit. A VM that has been gone from the
+list for long is released, so that its pool shows a deficit again. A VM of a
+pool with too many drains first and then arrives in a pool with too few.
+
+The number of moves is at its lower bound, the sum of the deficits that no
+unassigned VM can fill, because only pools above their intended size give and
+only pools below it receive: no VM moves twice and no pool does both.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from wigeonhitch.fleet import budget, change, state, wave
+
+__all__ = ["GONE_AFTER", "Imbalance", "find_lent", "measure", "pick_moves", "place"]
+__all__ += ["release"]
+
+VmState = state.VmState
+Step = change.Step
+
+# Seconds for which a VM must be missing from the platform's list before its
+# pool stops counting on it. Longer than a reboot, so that a VM which is only
+# restarting keeps its pool, and much longer than the lag of the list.
+GONE_AFTER = 900.0
+
+
+class Imbalance(NamedTuple):
+    """Deficits and surpluses of pools, in VMs; VMs on their way count as there."""
+
+    deficits: Mapping[str, int]
+    surpluses: Mapping[str, int]
+
+
+def measure(intended: Mapping[str, int], rows: Iterable[state.VmRow]) -> Imbalance:
+    """Return how far pools are from their intended sizes.
+
+    Examples
+    --------
+    >>> measure({"a": 1, "b": 1}, [state.VmRow("x", "a"), state.VmRow("y", "a")])
+    Imbalance(deficits={'b': 1}, surpluses={'a': 1})
+    """
+    sizes = dict.fromkeys(intended, 0)
+    for row in rows:
+        pool = row.target or row.pool
+        sizes[pool] = sizes.get(pool, 0) + 1
+    gaps = {pool: intended.get(pool, 0) - size for pool, size in sizes.items()}
+    return Imbalance(
+        {pool: gap for pool, gap in sorted(gaps.items()) if gap > 0},
+        {pool: -gap for pool, gap in sorted(gaps.items()) if gap < 0},
+    )
+
+
+def find_lent(scene: wave.Scene) -> dict[str, int]:
+    """Return the intended size of each pool, with what waves borrow.
+
+    Made for pools that have no spare VM of their own: while such a pool has
+    VMs left for a running wave, it borrows one VM of its kind from a shared
+    buffer, a pool that must keep none up. Borrowed VMs pass from one pool to
+    the next without returning to the buffer in between, which is one move per
+    pool, the lower bound. One borrowed VM per pool limits the harm: the buffer
+    stays available to other pools.
+    """
+    pools = {pool.name: pool for pool in scene.document.pools}
+    sizes = {name: pool.size for name, pool in pools.items()}
+    buffers = {
+        pool.kind: pool.name
+        for pool in pools.values()
+        if pool.size and not budget.required(pool)
+    }
+    for name in list_borrowers(scene):
+        buffer = buffers.get(pools[name].kind)
+        if buffer and buffer != name and sizes[buffer] > 0:
+            sizes[buffer] -= 1
+            sizes[name] += 1
+    return sizes
+
+
+def list_borrowers(scene: wave.Scene) -> list[str]:
+    """Return the pools without a spare that a running wave has VMs left of."""
+    pools = {pool.name: pool for pool in scene.document.pools}
+    found: list[str] = []
+    for item in scene.document.waves:
+        if wave.tell_closed(scene, item, scene.limits.stop_estimate):
+            continue
+        pending = {row.pool for row in wave.list_pending(scene, item)}
+        pending |= {
+            row.pool
+            for row in scene.view.vms.values()
+            if row.wave == item.name and row.state is not VmState.DOWN
+        }
+        for name in sorted(pending):
+            pool = pools.get(name)
+            if pool and pool.size <= budget.required(pool) and name not in found:
+                found.append(name)
+    return found
+
+
+def place(scene: wave.Scene) -> list[change.Change]:
+    """Assign VMs of the list that no pool has, spread over failure domains."""
+    pools = {pool.name: pool for pool in scene.document.pools}
+    seen = scene.observation
+    gaps = dict(measure(find_lent(scene), scene.view.vms.values()).deficits)
+    spread = count_domains(scene)
+    changes = []
+    free = [
+        machine
+        for name, machine in sorted(seen.machines.items())
+        if machine.role == "worker" and seen.is_live(name)
+        if name not in scene.view.vms
+    ]
+    for machine in free:
+        fits = [name for name in gaps if gaps[name] > 0]
+        fits = [name for name in fits if pools[name].kind == machine.kind]
+        if not fits:
+            continue
+
+        def crowd(name: str, machine=machine) -> tuple:
+            domain = getattr(machine, pools[name].spread)
+            return (spread[name].get(domain, 0), -gaps[name], name)
+
+        name = min(fits, key=crowd)
+        gaps[name] -= 1
+        domain = getattr(machine, pools[name].spread)
+        spread[name][domain] = spread[name].get(domain, 0) + 1
+        row = state.VmRow(machine.vm, name, since=seen.now)
+        changes.append(change.Change(Step.ASSIGN, row, "VM had no pool"))
+    return changes
+
+
+def count_domains(scene: wave.Scene) -> dict[str, dict[str, int]]:
+    """Return per pool how many of its VMs lie in each failure domain."""
+    counts: dict[str, dict[str, int]] = {}
+    tells = {}
+    for pool in scene.document.pools:
+        counts[pool.name] = {}
+        tells[pool.name] = budget.tell_domain(pool, scene.observation)
+    for row in scene.view.vms.values():
+        pool = row.target or row.pool
+        if pool in counts:
+            domain = tells[pool](row.vm)
+            counts[pool][domain] = counts[pool].get(domain, 0) + 1
+    return counts
+
+
+def release(scene: wave.Scene, missing: Mapping[str, float]) -> list[change.Change]:
+    """Release VMs that the platform has not listed for `GONE_AFTER` seconds.
+
+    Parameters
+    ----------
+    scene : Scene
+        What the decision is made from.
+    missing : mapping of str to float
+        Since when (``as_of``) each unlisted VM has been missing.
+    """
+    changes = []
+    for vm, since in sorted(missing.items()):
+        row = scene.view.vms.get(vm)
+        is_gone = scene.observation.as_of - since >= GONE_AFTER
+        if row and is_gone and vm not in scene.observation.machines:
+            gone = row._replace(since=scene.observation.now)
+            changes.append(change.Change(Step.RELEASE, gone, "gone from the list"))
+    return changes
+
+
+def pick_moves(scene: wave.Scene) -> wave.Picks:
+    """Return the moves that may begin now: take budget of the donor, drain.
+
+    Donors with the largest surplus give first; of its VMs a donor gives one
+    from its most crowded failure domain into the one where the receiver has
+    fewest, so that both become more evenly spread. A donor's budget counts as
+    for any planned stop, so a move waits for its donor, never overspends it.
+    """
+    pools = {pool.name: pool for pool in scene.document.pools}
+    budgets = scene.measure_budgets()
+    imbalance = measure(find_lent(scene), scene.view.vms.values())
+    deficits, surpluses = dict(imbalance.deficits), dict(imbalance.surpluses)
+    spread = count_domains(scene)
+    changes: list[change.Change] = []
+    waiting: dict[str, str] = {}
+    taken: set[str] = set()
+    for receiver in sorted(deficits, key=lambda name: (-deficits[name], name)):
+        for _ in range(deficits[receiver]):
+            best = choose_donor(scene, receiver, surpluses, spread, budgets, taken)
+            if isinstance(best, budget.Refusal):
+                waiting[f"move/{receiver}"] = best.reason
+                break
+            taken.add(best.vm)
+            surpluses[best.pool] -= 1
+            domain = budget.tell_domain(pools[receiver], scene.observation)(best.vm)
+            spread[receiver][domain] = spread[receiver].get(domain, 0) + 1
+            new = best._replace(
+                state=VmState.DRAINING, since=scene.observation.now, target=receiver
+            )
+            why = f"pool {receiver} is below its intended size"
+            changes.append(change.Change(Step.TAKE, new, why))
+    return wave.Picks(tuple(changes), waiting)
+
+
+def choose_donor(
+    scene: wave.Scene,
+    receiver: str,
+    surpluses: Mapping[str, int],
+    spread: Mapping[str, Mapping[str, int]],
+    budgets: dict[str, budget.Budget],
+    taken: set[str],
+) -> state.VmRow | budget.Refusal:
+    """Return the VM that should move to ``receiver``, or why none may now."""
+    pools = {pool.name: pool for pool in scene.document.pools}
+    refusal = budget.Refusal("no pool of this kind has a VM to give")
+    best: tuple[tuple, state.VmRow, str] | None = None
+    for row in scene.view.vms.values():
+        donor = row.pool
+        is_free = row.state is VmState.UP and row.vm not in taken
+        if not is_free or surpluses.get(donor, 0) < 1:
+            continue
+        machine = scene.observation.machines.get(row.vm)
+        if machine is None or machine.kind != pools[receiver].kind:
+            continue
+        if not scene.observation.is_serving(row.vm):
+            continue
+        domain = ""
+        if donor in pools:
+            domain = getattr(machine, pools[donor].spread)
+            answer = budgets[donor].check_take(row.vm, domain)
+            if answer.reason:
+                refusal = answer
+                continue
+        there = spread[receiver].get(getattr(machine, pools[receiver].spread), 0)
+        here = spread.get(donor, {}).get(domain, 0)
+        key = (there, -surpluses[donor], -here, row.vm)
+        if best is None or key < best[0]:
+            best = (key, row, domain)
+    if best is None:
+        return refusal
+    _, row, domain = best
+    if row.pool in pools:
+        budgets[row.pool] = budgets[row.pool].take(row.vm, domain)
+    return row
--- /dev/null
+++ b/wigeonhitch/fleet/wave.py
@@ -0,0 +1,316 @@
+"""Maintenance waves: which VM takes which step next.
+
+Each VM of a wave goes through take (its part of the budget is taken and the
+drain begins), reboot, check and return. The state stands in the VM's row
+alone, so whichever daemon holds the duty goes on from there:
+
+========== ============================================ =====================
+state      left when                                    to
+========== ============================================ =====================
+up         budget, window and status of the wave allow  draining
+draining   every daemon confirmed, budget still holds   rebooting
+draining   wave paused, window closed, VMs lost         up (given back)
+rebooting  the platform lists a higher boot number      checking
+checking   the health check passes                      up
+any other  not back in time                             down (reported)
+down       a higher boot number and a passed check      up
+========== ============================================ =====================
+
+Once ``rebooting`` is committed there is no way back to ``up`` but through a
+higher boot number: a paused daemon may still send the reboot, and until the
+boot number has moved it would cut off requests in progress.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from wigeonhitch.configuration import document
+from wigeonhitch.fleet import budget, change, confirmation, state
+
+__all__ = ["DEFAULT_LIMITS", "Limits", "Picks", "Scene", "advance", "is_finished"]
+__all__ += ["find_reboots", "pick_takes", "tell_closed"]
+
+VmState = state.VmState
+Step = change.Step
+
+
+class Limits(NamedTuple):
+    """Limits of planned stops, in seconds.
+
+    Parameters
+    ----------
+    stop_estimate : float
+        Drain, reboot and check of one VM as expected; no stop is begun closer
+        to the end of the window than this.
+    return_within : float
+        A VM that is not back this long after its reboot was committed is
+        reported as down and counts as an unplanned loss.
+    reboot_retry : float
+        A reboot that shows no effect is asked for again after this long.
+    """
+
+    stop_estimate: float = 300.0
+    return_within: float = 900.0
+    reboot_retry: float = 30.0
+
+
+DEFAULT_LIMITS = Limits()
+
+
+class Scene(NamedTuple):
+    """All that a decision of the fleet is made from."""
+
+    view: state.FleetView
+    document: document.Document
+    observation: state.Observation
+    daemons: tuple[confirmation.Daemon, ...] = ()
+    daemons_revision: int = 0
+    limits: Limits = DEFAULT_LIMITS
+    has_lapsed: confirmation.HasLapsed = confirmation.never_lapses
+
+    def measure_budgets(self) -> dict[str, budget.Budget]:
+        """Return the budget of every pool of the document."""
+        rows: dict[str, list[state.VmRow]] = {}
+        for row in self.view.vms.values():
+            rows.setdefault(row.pool, []).append(row)
+        return {
+            pool.name: budget.measure_budget(
+                pool, rows.get(pool.name, ()), self.observation
+            )
+            for pool in self.document.pools
+        }
+
+
+class Picks(NamedTuple):
+    """Stops to begin, and why the others of each wave or pool wait."""
+
+    changes: tuple[change.Change, ...]
+    waiting: Mapping[str, str]
+
+
+def tell_closed(scene: Scene, wave: document.Wave | None, margin: float = 0.0) -> str:
+    """Return why a wave may not stop VMs now; empty when it may."""
+    if wave is None:
+        return "wave is not in the accepted document"
+    row = scene.view.waves.get(wave.name)
+    if row is None:
+        return f"wave {wave.name} is not started"
+    if row.status is not state.WaveStatus.RUNNING:
+        return f"wave {wave.name} is {row.status.value}"
+    now = scene.observation.now
+    if now < wave.window.start:
+        return f"window of wave {wave.name} is not open yet"
+    if now + margin > wave.window.end:
+        return f"window of wave {wave.name} is closed"
+    return ""
+
+
+def set_state(
+    row: state.VmRow, to: VmState, scene: Scene, **fields: object
+) -> state.VmRow:
+    """Return ``row`` in another state from now on."""
+    return row._replace(state=to, since=scene.observation.now, **fields)
+
+
+def finish(row: state.VmRow, scene: Scene) -> tuple[str, ...]:
+    """Return the waves done with a VM, without those the document dropped."""
+    kept = {wave.name for wave in scene.document.waves}
+    done = {name for name in row.done if name in kept}
+    if row.boot != state.NO_BOOT:
+        done.add(row.wave)
+    return tuple(sorted(done))
+
+
+def advance(scene: Scene) -> tuple[list[change.Change], dict[str, str]]:
+    """Return the next step of every VM under a planned stop, and what waits.
+
+    Made for many stops at once while VMs fail: stops that have not begun are
+    given back until the pool is within its budget again, before any reboot of
+    that pool is allowed.
+    """
+    budgets = scene.measure_budgets()
+    waves = {wave.name: wave for wave in scene.document.waves}
+    changes = []
+    waiting = {}
+    rows = sorted(scene.view.vms.values(), key=lambda row: row.vm)
+    for row in rows:
+        if row.state is VmState.UP:
+            continue
+        if row.state is VmState.DRAINING:
+            step, why = advance_drain(scene, row, waves, budgets)
+        else:
+            step, why = advance_stopped(scene, row)
+        if step:
+            changes.append(step)
+        if why:
+            waiting[row.vm] = why
+    return changes, waiting
+
+
+def give_back(row: state.VmRow, scene: Scene, why: str) -> change.Change:
+    """Return the change that ends a drain and returns the budget."""
+    new = set_state(row, VmState.UP, scene, wave="", target="")
+    return change.Change(Step.GIVE_BACK, new, why)
+
+
+def advance_drain(
+    scene: Scene,
+    row: state.VmRow,
+    waves: Mapping[str, document.Wave],
+    budgets: dict[str, budget.Budget],
+) -> tuple[change.Change | None, str]:
+    """Decide about a VM whose drain has begun: give back, wait or stop it."""
+    seen = scene.observation
+    if row.vm not in seen.machines and seen.as_of > row.since:
+        return lose(scene, row, "left the platform's list while draining"), ""
+    closed = tell_closed(scene, waves.get(row.wave)) if row.wave else ""
+    if row.target and row.target not in budgets:
+        closed = f"pool {row.target} is not in the accepted document"
+    if closed:
+        return give_back(row, scene, closed), ""
+    pool = budgets.get(row.pool)
+    if pool and pool.spare < 0:
+        return advance_short(scene, row, pool, budgets)
+    silent = confirmation.waiting(row, scene.daemons, seen, scene.has_lapsed)
+    if scene.daemons_revision < row.version:
+        return None, "drain: daemons' rows not read since it began"
+    if silent:
+        return None, f"drain: not confirmed by {', '.join(silent)}"
+    if seen.as_of < row.since:
+        return None, "platform's VM list is older than the drain"
+    return stop_drained(scene, row), ""
+
+
+def advance_short(
+    scene: Scene,
+    row: state.VmRow,
+    pool: budget.Budget,
+    budgets: dict[str, budget.Budget],
+) -> tuple[change.Change | None, str]:
+    """Give a drained VM back to a pool that has fallen under its budget.
+
+    A VM that does not serve would not help the pool; its stop waits.
+    """
+    text = f"budget of pool {row.pool}: {len(pool.up)} up, {pool.required} must be up"
+    if not scene.observation.is_serving(row.vm):
+        return None, text
+    budgets[row.pool] = pool._replace(up=pool.up | {row.vm})
+    return give_back(row, scene, text), ""
+
+
+def stop_drained(scene: Scene, row: state.VmRow) -> change.Change:
+    """Return the change of a VM that no daemon uses any more."""
+    if row.target:
+        new = set_state(row, VmState.UP, scene, pool=row.target, target="")
+        return change.Change(Step.ARRIVE, new, f"moved from pool {row.pool}")
+    boot = scene.observation.machines[row.vm].boot
+    new = set_state(row, VmState.REBOOTING, scene, boot=boot)
+    return change.Change(Step.REBOOT, new, f"drained at {row.version}, boot {boot}")
+
+
+def lose(scene: Scene, row: state.VmRow, why: str) -> change.Change:
+    """Return the change that reports a VM as lost; the wave goes on without it."""
+    new = set_state(row, VmState.DOWN, scene, target="", done=finish(row, scene))
+    return change.Change(Step.LOSE, new, why)
+
+
+def advance_stopped(scene: Scene, row: state.VmRow) -> tuple[change.Change | None, str]:
+    """Decide about a VM that was told to reboot, or is down."""
+    seen = scene.observation
+    machine = seen.machines.get(row.vm)
+    has_booted = machine is not None and machine.boot > row.boot
+    if row.state is VmState.REBOOTING and has_booted and seen.is_live(row.vm):
+        new = set_state(row, VmState.CHECKING, scene)
+        return change.Change(Step.CHECK, new, f"boot {machine.boot}"), ""
+    is_asked = row.state is VmState.REBOOTING
+    if not is_asked and has_booted and seen.is_serving(row.vm):
+        done = finish(row, scene)
+        new = set_state(row, VmState.UP, scene, wave="", boot=state.NO_BOOT, done=done)
+        return change.Change(Step.RETURN, new, "health check passed"), ""
+    text = f"{row.state.value}: boot {row.boot} or health check not passed yet"
+    is_late = seen.now - row.since > scene.limits.return_within
+    if row.state is not VmState.DOWN and is_late:
+        return lose(scene, row, f"not back within {scene.limits.return_within} s"), ""
+    return None, text
+
+
+def find_reboots(scene: Scene) -> list[state.VmRow]:
+    """Return the VMs whose committed reboot shows no effect yet.
+
+    Asking again is harmless: the platform reboots only at this boot number.
+    """
+    stopped = (VmState.REBOOTING, VmState.DOWN)
+    found = []
+    for row in scene.view.vms.values():
+        machine = scene.observation.machines.get(row.vm)
+        if row.state in stopped and machine and machine.boot == row.boot:
+            found.append(row)
+    return found
+
+
+def list_pending(scene: Scene, wave: document.Wave) -> list[state.VmRow]:
+    """Return the VMs that a wave has still to stop, in order of failure domain.
+
+    One data centre and rack after the other, so that a change that harms what
+    it restarts has harmed one domain only when the operator pauses the wave.
+    VMs that do not serve go first: they cost no budget.
+    """
+    seen = scene.observation
+    rows = [
+        row
+        for row in scene.view.vms.values()
+        if row.pool in wave.pools
+        and row.state is VmState.UP
+        and wave.name not in row.done
+        and seen.is_live(row.vm)
+    ]
+
+    def order(row: state.VmRow) -> tuple:
+        machine = seen.machines[row.vm]
+        place = (machine.data_centre, machine.rack, row.vm)
+        return (row.vm in seen.healthy, *place)
+
+    return sorted(rows, key=order)
+
+
+def pick_takes(scene: Scene, waves: Iterable[document.Wave] | None = None) -> Picks:
+    """Return the stops that running waves may begin now.
+
+    The largest step that the budgets allow, VM by VM: each pick lowers the
+    budget that the next one sees. Waves of one pool share its budget in the
+    order of the document.
+    """
+    budgets = scene.measure_budgets()
+    pools = {pool.name: pool for pool in scene.document.pools}
+    changes: dict[str, change.Change] = {}
+    waiting: dict[str, str] = {}
+    for wave in scene.document.waves if waves is None else waves:
+        closed = tell_closed(scene, wave, scene.limits.stop_estimate)
+        if closed:
+            waiting[wave.name] = closed
+            continue
+        for row in list_pending(scene, wave):
+            if row.vm in changes or row.pool not in pools:
+                continue
+            domain = budget.tell_domain(pools[row.pool], scene.observation)(row.vm)
+            refusal = budgets[row.pool].check_take(row.vm, domain)
+            if refusal.reason:
+                waiting.setdefault(f"{wave.name}/{row.pool}", refusal.reason)
+                continue
+            budgets[row.pool] = budgets[row.pool].take(row.vm, domain)
+            new = set_state(row, VmState.DRAINING, scene, wave=wave.name)
+            why = f"wave {wave.name}: {wave.reason}"
+            changes[row.vm] = change.Change(Step.TAKE, new, why)
+    return Picks(tuple(changes.values()), waiting)
+
+
+def is_finished(scene: Scene, wave: document.Wave) -> bool:
+    """Tell whether a running wave has nothing left to stop or to wait for."""
+    row = scene.view.waves.get(wave.name)
+    if row is None or row.status is not state.WaveStatus.RUNNING:
+        return False
+    active = (VmState.DRAINING, VmState.REBOOTING, VmState.CHECKING)
+    is_active = any(
+        vm.wave == wave.name and vm.state in active for vm in scene.view.vms.values()
+    )
+    return not is_active and not list_pending(scene, wave)
