Run waves and moves under the duty lease

A round reads the signal row and the VM list, scans only what changed, checks the health of pools that something is about to happen to, decides and commits. Reboots are asked for after their commit and again until the boot number moves.

--- /dev/null
+++ b/wigeonhitch/fleet/observer.py
@@ -0,0 +1,198 @@
+"""Reading the fleet: table rows, VM list and health checks, made into a scene.
+
+An idle round costs one table read (the signal row) and one VM list, whatever
+the size of the fleet; a round after a change adds one scan per prefix, which
+returns only rows that changed; a round during a drain adds one scan of the
+daemons' rows. Health checks go to the workers of pools that something is
+about to happen to, and to no others.
+"""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import NamedTuple
+
+import anyio
+
+from wigeonhitch.configuration import document
+from wigeonhitch.fleet import confirmation, move, state, wave
+from wigeonhitch.platform import machines, table
+
+__all__ = ["HealthCheck", "Observer", "Platform", "list_watched"]
+
+# Health checks in flight at once; bounds sockets and the burst on the network.
+PARALLEL_CHECKS = 64
+# Seconds that a worker has to answer a health check.
+CHECK_TIMEOUT = 2.0
+# Seconds by which the VM list may lag before no planned stop is begun on it.
+LIST_LAG_LIMIT = 60.0
+
+HealthCheck = Callable[[str], Awaitable[bool]]
+
+
+class Platform(NamedTuple):
+    """What the fleet's tasks use of the platform and the workers.
+
+    Parameters
+    ----------
+    table : Table
+        The transactional table.
+    machines : Machines
+        VM list and reboot.
+    check_health : callable
+        ``async (address) -> bool`` asks one worker.
+    clock : callable
+        Seconds on the clock that counts suspension.
+    """
+
+    table: table.Table
+    machines: machines.Machines
+    check_health: HealthCheck
+    clock: Callable[[], float]
+
+
+class Observer:
+    """Keeps a view of the fleet and makes scenes for decisions from it.
+
+    Parameters
+    ----------
+    platform : Platform
+        Where to read.
+    limits : Limits
+        Limits of planned stops.
+    has_lapsed : callable
+        Whether a silent daemon can no longer hold requests.
+
+    Attributes
+    ----------
+    problem : str
+        Why the last refresh failed; empty when it did not.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        limits: wave.Limits = wave.DEFAULT_LIMITS,
+        has_lapsed: confirmation.HasLapsed = confirmation.never_lapses,
+    ) -> None:
+        self.platform = platform
+        self.limits = limits
+        self.has_lapsed = has_lapsed
+        self.view = state.FleetView()
+        self.missing: dict[str, float] = {}
+        self.problem = "not read yet"
+        self.seen_at = 0.0
+        self._signal = -1
+        self._daemons: tuple[confirmation.Daemon, ...] = ()
+        self._daemons_revision = 0
+        self._list = machines.VmList(table.Outcome.NOT_DONE)
+        self._time = 0.0
+
+    async def refresh(self) -> bool:
+        """Read what changed; return whether all of it could be read."""
+        self.seen_at = self.platform.clock()
+        self.problem = await self._read_rows() or await self._read_list()
+        return not self.problem
+
+    async def _read_rows(self) -> str:
+        answer = await self.platform.table.read([state.SIGNAL], purpose="fleet")
+        if answer.outcome is not table.Outcome.DONE:
+            return f"table: {answer.reason or answer.outcome.value}"
+        self._time = answer.time
+        signal = answer.rows[0].version
+        if signal != self._signal:
+            for prefix in state.PREFIXES:
+                since = self.view.revisions[prefix]
+                result = await self._scan(prefix, since)
+                if result.outcome is not table.Outcome.DONE:
+                    return f"table: {result.reason or result.outcome.value}"
+                self.view.apply_scan(prefix, result)
+            self._signal = signal
+        return await self._read_daemons()
+
+    async def _scan(self, prefix: str, since: int = 0) -> table.ReadResult:
+        return await self.platform.table.scan(prefix, purpose="fleet", since=since)
+
+    async def _read_daemons(self) -> str:
+        rows = self.view.vms.values()
+        if all(row.state is not state.VmState.DRAINING for row in rows):
+            return ""
+        result = await self._scan("daemon/")
+        if result.outcome is not table.Outcome.DONE:
+            return f"table: {result.reason or result.outcome.value}"
+        present = (row for row in result.rows if row.value is not None)
+        self._daemons = tuple(confirmation.parse_daemon(row) for row in present)
+        self._daemons_revision = result.revision
+        return ""
+
+    async def _read_list(self) -> str:
+        answer = await self.platform.machines.list_vms(purpose="fleet")
+        if answer.outcome is not table.Outcome.DONE:
+            return f"VM list: {answer.reason or answer.outcome.value}"
+        # A list older than one seen before would bring VMs back from the dead.
+        if answer.as_of >= self._list.as_of:
+            self._list = answer
+        if self._time - self._list.as_of > LIST_LAG_LIMIT:
+            return f"VM list is {self._time - self._list.as_of:.0f} s old"
+        listed = {machine.vm for machine in self._list.machines}
+        gone = [vm for vm in self.view.vms if vm not in listed]
+        as_of = self._list.as_of
+        self.missing = {vm: self.missing.get(vm, as_of) for vm in gone}
+        return ""
+
+    async def make_scene(self, accepted: document.Document) -> wave.Scene:
+        """Check the health of the workers that matter and return the scene."""
+        scene = self.compose(accepted, frozenset())
+        healthy = await self.check_health(list_watched(scene), scene)
+        return self.compose(accepted, healthy)
+
+    def compose(
+        self, accepted: document.Document, healthy: frozenset[str]
+    ) -> wave.Scene:
+        """Return the scene with the given VMs as the healthy ones."""
+        observation = state.Observation(
+            self._time,
+            {machine.vm: machine for machine in self._list.machines},
+            self._list.as_of,
+            healthy,
+        )
+        return wave.Scene(
+            self.view,
+            accepted,
+            observation,
+            self._daemons,
+            self._daemons_revision,
+            self.limits,
+            self.has_lapsed,
+        )
+
+    async def check_health(
+        self, vms: Iterable[str], scene: wave.Scene
+    ) -> frozenset[str]:
+        """Return which of the VMs pass their health check now."""
+        healthy: set[str] = set()
+        limiter = anyio.CapacityLimiter(PARALLEL_CHECKS)
+
+        async def check(vm: str, address: str) -> None:
+            async with limiter:
+                with anyio.move_on_after(CHECK_TIMEOUT):
+                    if await self.platform.check_health(address):
+                        healthy.add(vm)
+
+        async with anyio.create_task_group() as group:
+            for vm in vms:
+                if scene.observation.is_live(vm):
+                    machine = scene.observation.machines[vm]
+                    group.start_soon(check, vm, machine.address)
+        return frozenset(healthy)
+
+
+def list_watched(scene: wave.Scene) -> list[str]:
+    """Return the VMs of pools in which a stop is under way or may begin."""
+    rows = scene.view.vms.values()
+    pools = {row.pool for row in rows if row.state is not state.VmState.UP}
+    for item in scene.document.waves:
+        if not wave.tell_closed(scene, item):
+            pools.update(row.pool for row in wave.list_pending(scene, item))
+    imbalance = move.measure(move.find_lent(scene), rows)
+    if imbalance.deficits:
+        pools.update(imbalance.surpluses)
+    return sorted(row.vm for row in rows if row.pool in pools)
--- /dev/null
+++ b/wigeonhitch/fleet/tests/conftest.py
@@ -0,0 +1,176 @@
+import pytest
+
+from standins import fake
+from wigeonhitch.configuration import document
+from wigeonhitch.fleet import observer, runner, state, wave
+from wigeonhitch.membership import lease
+from wigeonhitch.platform import table
+
+LONG = 1e12
+
+
+class Killed(BaseException):
+    """The process of a runner ends here."""
+
+
+class Holder:
+    """Leases of one daemon, taken over in the table as membership does it."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.fence = 0
+        self.is_paused = False
+
+    def take(self):
+        store = self.world.fake.engine.store
+        old = store.read(["duty/fleet"])[0]
+        store.commit(
+            [table.Condition("duty/fleet", old.version)],
+            [table.Write("duty/fleet", {"holder": self.name})],
+            f"{self.name}-{old.version}",
+            self.world.fake.now,
+        )
+        self.fence = store.revision
+
+    def current(self, duty):
+        # A paused holder still believes that it holds the lease.
+        return lease.Lease(duty, self.fence, LONG) if self.fence else None
+
+    def want(self, duty):
+        pass
+
+    def unwant(self, duty):
+        self.fence = 0
+
+
+class Client:
+    """A daemon's client that counts effects and can be killed after one."""
+
+    def __init__(self, inner):
+        self.inner = inner
+        self.kill_after = None
+        self.kills = False
+        self.effects = 0
+        self.before = None
+
+    async def _count(self, call):
+        if self.before:
+            self.before()
+        result = await call
+        self.effects += 1
+        if self.effects == self.kill_after:
+            raise Killed
+        return result
+
+    async def commit(self, conditions, writes, *, purpose, timeout=2.0):
+        call = self.inner.commit(conditions, writes, purpose=purpose, timeout=timeout)
+        return await self._count(call)
+
+    async def reboot(self, vm, boot, *, purpose):
+        return await self._count(self.inner.reboot(vm, boot, purpose=purpose))
+
+    def __getattr__(self, name):
+        return getattr(self.inner, name)
+
+
+class World:
+    """Fake platform, a document, daemons that confirm, and runners."""
+
+    def __init__(self, accepted, vms, **options):
+        self.fake = fake.Fake(vms, **options)
+        self.accepted = accepted
+        self.sick = set()
+        self.limits = wave.Limits(stop_estimate=10.0, return_within=60.0)
+
+    @property
+    def store(self):
+        return self.fake.engine.store
+
+    def write(self, key, value):
+        old = self.store.read([key])[0]
+        self.store.commit(
+            [table.Condition(key, old.version)],
+            [table.Write(key, value)],
+            f"test-{self.store.revision}",
+            self.fake.now,
+        )
+
+    def start(self, name, status="running"):
+        self.write(f"wave/{name}", {"status": status})
+        self.write(state.SIGNAL, {})
+
+    def confirm(self, daemon, drain=None, busy=(), vm=""):
+        value = {
+            "vm": vm or f"entry-{daemon}",
+            "beat": self.fake.now,
+            "expires": self.fake.now + 10,
+            "drain": self.store.revision if drain is None else drain,
+            "busy": list(busy),
+        }
+        self.write(f"daemon/{daemon}", value)
+
+    async def check_health(self, address):
+        vm = address.partition(":")[0]
+        return vm in self.fake.engine.fleet.live and vm not in self.sick
+
+    def build(self, name="r1", *, takes=True):
+        holder = Holder(self, name)
+        client = Client(self.fake.build_client(name))
+        platform = observer.Platform(
+            client, client, self.check_health, lambda: self.fake.now
+        )
+        seen = observer.Observer(platform, self.limits)
+        made = runner.Runner(seen, holder, lambda: self.accepted)
+        if takes:
+            holder.take()
+        return made
+
+    def vms(self):
+        rows = self.store.scan("vm/", 0)
+        return {row.key.removeprefix("vm/"): state.parse_vm(row) for row in rows}
+
+
+def build_document(pools, waves, *, required, size, spread="rack"):
+    return document.Document(
+        fleet="test",
+        data_centres=(document.DataCentre("d0", "r"),),
+        kinds=(document.Kind("k", 16, 64),),
+        pools=tuple(
+            document.Pool(name, "k", size, document.Budget(number=required), spread)
+            for name in pools
+        ),
+        services=(),
+        urgencies=(),
+        waves=tuple(
+            document.Wave(name, tuple(of), document.Window(0, LONG), "kernel")
+            for name, of in waves.items()
+        ),
+    )
+
+
+def build_vms(count, entries=2):
+    entry = {"kind": "e", "address": "", "rack": "re", "data_centre": "d0"}
+    daemons = [
+        entry | {"vm": f"entry-d{number + 1}", "role": "entry"}
+        for number in range(entries)
+    ]
+    return daemons + [
+        {
+            "vm": f"v{number:03d}",
+            "kind": "k",
+            "address": f"v{number:03d}:80",
+            "rack": f"r{number // 4}",
+            "data_centre": f"d{number // 4 % 3}",
+        }
+        for number in range(count)
+    ]
+
+
+@pytest.fixture
+def world():
+    """Two pools of four VMs that must keep three up; waves w (both) and x (a)."""
+    accepted = build_document(
+        ("a", "b"), {"w": ("a", "b"), "x": ("a",)}, required=3, size=4
+    )
+    return World(accepted, build_vms(8))
--- /dev/null
+++ b/wigeonhitch/fleet/tests/test_runner.py
@@ -0,0 +1,133 @@
+import pytest
+
+from wigeonhitch.fleet import state
+from wigeonhitch.fleet.tests import conftest
+
+pytestmark = pytest.mark.anyio
+
+
+async def run_rounds(world, made, rounds=60, confirms=True):
+    for _ in range(rounds):
+        await made.step()
+        if confirms:
+            world.confirm("d1")
+        world.fake.advance(2.0)
+
+
+def count_boots(world):
+    live = world.fake.engine.fleet.live.values()
+    return {item.vm: item.boot for item in live if item.role == "worker"}
+
+
+async def test_wave_reboots_each_vm_once_and_finishes(world):
+    made = world.build()
+    await run_rounds(world, made, 2)
+    world.start("w")
+    await run_rounds(world, made)
+    assert set(count_boots(world).values()) == {1}
+    assert world.store.read(["wave/w"])[0].value["status"] == "done"
+    assert {row.state for row in world.vms().values()} == {state.VmState.UP}
+    assert world.store.read(["pool/a"])[0].value == {"taken": []}
+
+
+async def test_no_reboot_before_every_daemon_confirmed(world):
+    made = world.build()
+    await run_rounds(world, made, 2)
+    world.start("w")
+    world.confirm("d2")
+    await run_rounds(world, made, 10)
+    assert set(count_boots(world).values()) == {0}
+    draining = [vm for vm, row in world.vms().items() if row.state.value == "draining"]
+    assert len(draining) == 2
+    world.confirm("d2", busy=draining)
+    await run_rounds(world, made, 10)
+    assert set(count_boots(world).values()) == {0}
+    world.confirm("d2")
+    await run_rounds(world, made, 5)
+    assert max(count_boots(world).values()) == 1
+
+
+async def test_lost_vm_halts_the_wave_and_gives_the_drain_back(world):
+    made = world.build()
+    await run_rounds(world, made, 2)
+    world.start("x")
+    await made.step()
+    taken = [row for row in world.vms().values() if row.state.value == "draining"]
+    assert len(taken) == 1
+    lost = next(
+        vm for vm, row in world.vms().items() if row.pool == "a" and vm != taken[0].vm
+    )
+    world.sick.add(lost)
+    await run_rounds(world, made, 10)
+    boots = count_boots(world)
+    # The VM that does not serve may be rebooted: that costs the pool nothing.
+    assert {vm for vm, boot in boots.items() if boot} <= {lost}
+    assert world.vms()[taken[0].vm].state is state.VmState.UP
+    world.sick.clear()
+    await run_rounds(world, made)
+    assert world.store.read(["wave/x"])[0].value["status"] == "done"
+
+
+async def test_vm_that_stays_away_is_reported_and_the_wave_goes_on(world):
+    made = world.build()
+    await run_rounds(world, made, 2)
+    world.fake.change_fleet(never_back=["v000"])
+    world.accepted = conftest.build_document(
+        ("a", "b"), {"w": ("a", "b")}, required=2, size=4
+    )
+    world.start("w")
+    await run_rounds(world, made, 120)
+    rows = world.vms()
+    assert rows.pop("v000").state is state.VmState.DOWN
+    assert {row.state for row in rows.values()} == {state.VmState.UP}
+    assert world.store.read(["wave/w"])[0].value["status"] == "done"
+    assert world.store.read(["pool/a"])[0].value == {"taken": []}
+
+
+async def test_planned_stops_wait_while_the_store_is_down(world):
+    made = world.build()
+    await run_rounds(world, made, 2)
+    world.start("w")
+    await made.step()
+    world.confirm("d1")
+    world.fake.switch(down=True)
+    assert "table" in await made.step()
+    assert set(count_boots(world).values()) == {0}
+    world.fake.switch(down=False)
+    await run_rounds(world, made)
+    assert set(count_boots(world).values()) == {1}
+
+
+async def test_paused_wave_begins_no_stop(world):
+    made = world.build()
+    await run_rounds(world, made, 2)
+    world.start("w")
+    await made.step()
+    world.start("w", "paused")
+    await run_rounds(world, made, 10)
+    assert set(count_boots(world).values()) == {0}
+    assert world.store.read(["pool/a"])[0].value == {"taken": []}
+
+
+@pytest.mark.parametrize("loses", [False, True], ids=["killed", "answer lost"])
+async def test_wave_survives_death_at_every_step(world, loses):
+    for _ in range(400):
+        made = world.build()
+        client = made.seen.platform.table
+        client.kill_after = 1
+        if loses:
+            world.fake.switch(lose={"prefix": "/table/commit", "every": 2})
+        if not world.store.read(["wave/w"])[0].version and len(world.vms()) == 8:
+            world.start("w")
+        try:
+            for _ in range(3):
+                await made.step()
+                world.confirm("d1")
+                world.fake.advance(2.0)
+        except conftest.Killed:
+            continue
+        row = world.store.read(["wave/w"])[0]
+        if row.value and row.value["status"] == "done":
+            break
+    assert world.store.read(["wave/w"])[0].value["status"] == "done"
+    assert set(count_boots(world).values()) == {1}
