--- a/wigeonhitch/fleet/move.py
+++ b/wigeonhitch/fleet/move.py
@@ -10,6 +10,7 @@
 only pools below it receive: no VM moves twice and no pool does both.
 """
 
+import collections
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -54,14 +55,14 @@
 
 
 def find_lent(scene: wave.Scene) -> dict[str, int]:
-    """Return the intended size of each pool, with what waves borrow.
-
-    Made for pools that have no spare VM of their own: while such a pool has
-    VMs left for a running wave, it borrows one VM of its kind from a shared
-    buffer, a pool that must keep none up. Borrowed VMs pass from one pool to
-    the next without returning to the buffer in between, which is one move per
-    pool, the lower bound. One borrowed VM per pool limits the harm: the buffer
-    stays available to other pools.
+    """Return the intended size of each pool, with what the buffers lend.
+
+    A buffer is a pool that must keep none up. It lends first to pools that
+    have lost VMs and hold fewer than must be up, then to pools without a
+    spare VM of their own, one VM each while a running wave has VMs of them
+    left. A borrowed VM passes from one pool to the next without returning to
+    the buffer in between, which is one move per pool, the lower bound. One
+    VM per pool and wave keeps the buffer available to other pools.
     """
     pools = {pool.name: pool for pool in scene.document.pools}
     sizes = {name: pool.size for name, pool in pools.items()}
@@ -70,6 +71,14 @@
         for pool in pools.values()
         if pool.size and not budget.required(pool)
     }
+    held = collections.Counter(
+        row.target or row.pool for row in scene.view.vms.values()
+    )
+    for name, pool in pools.items():
+        buffer = buffers.get(pool.kind)
+        lost = budget.required(pool) - held[name]
+        if buffer and lost > 0:
+            sizes[buffer] -= min(lost, sizes[buffer])
     for name in list_borrowers(scene):
         buffer = buffers.get(pools[name].kind)
         if buffer and buffer != name and sizes[buffer] > 0:
