--- a/wigeonhitch/fleet/move.py
+++ b/wigeonhitch/fleet/move.py
@@ -14,7 +14,9 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from wigeonhitch.configuration import document
 from wigeonhitch.fleet import budget, change, state, wave
+from wigeonhitch.platform import machines
 
 __all__ = ["GONE_AFTER", "Imbalance", "find_lent", "measure", "pick_moves", "place"]
 __all__ += ["release"]
@@ -27,6 +29,9 @@
 # restarting keeps its pool, and much longer than the lag of the list.
 GONE_AFTER = 900.0
 
+# VMs assigned in one round; each costs a look at every free VM.
+PLACED_PER_ROUND = 100
+
 
 class Imbalance(NamedTuple):
     """Deficits and surpluses of pools, in VMs; VMs on their way count as there."""
@@ -108,30 +113,32 @@
 
 
 def place(scene: wave.Scene) -> list[change.Change]:
-    """Assign VMs of the list that no pool has, spread over failure domains."""
+    """Assign VMs of the list that no pool has, spread over failure domains.
+
+    The pool with the largest deficit chooses first, and takes a VM from the
+    failure domain in which it has fewest. At most `PLACED_PER_ROUND` VMs are
+    assigned at once, so that a whole new fleet does not hold up the round.
+    """
     pools = {pool.name: pool for pool in scene.document.pools}
     seen = scene.observation
     gaps = dict(measure(find_lent(scene), scene.view.vms.values()).deficits)
     spread = count_domains(scene)
-    changes = []
     free = [
         machine
         for name, machine in sorted(seen.machines.items())
         if machine.role == "worker" and seen.is_live(name)
         if name not in scene.view.vms
     ]
-    for machine in free:
-        fits = [name for name in gaps if gaps[name] > 0]
-        fits = [name for name in fits if pools[name].kind == machine.kind]
-        if not fits:
-            continue
-
-        def crowd(name: str, machine=machine) -> tuple:
-            domain = getattr(machine, pools[name].spread)
-            return (spread[name].get(domain, 0), -gaps[name], name)
-
-        name = min(fits, key=crowd)
+    changes: list[change.Change] = []
+    while gaps and free and len(changes) < PLACED_PER_ROUND:
+        name = max(sorted(gaps), key=lambda name: gaps[name])
+        machine = choose_free(pools[name], free, spread[name])
         gaps[name] -= 1
+        if machine is None or not gaps[name]:
+            del gaps[name]
+        if machine is None:
+            continue
+        free.remove(machine)
         domain = getattr(machine, pools[name].spread)
         spread[name][domain] = spread[name].get(domain, 0) + 1
         row = state.VmRow(machine.vm, name, since=seen.now)
@@ -139,6 +146,20 @@
     return changes
 
 
+def choose_free(
+    pool: document.Pool,
+    free: Iterable[machines.Machine],
+    spread: Mapping[str, int],
+) -> machines.Machine | None:
+    """Return the free VM of the pool's kind that spreads the pool best."""
+    fits = (machine for machine in free if machine.kind == pool.kind)
+    return min(
+        fits,
+        key=lambda item: (spread.get(getattr(item, pool.spread), 0), item.vm),
+        default=None,
+    )
+
+
 def count_domains(scene: wave.Scene) -> dict[str, dict[str, int]]:
     """Return per pool how many of its VMs lie in each failure domain."""
     counts: dict[str, dict[str, int]] = {}
--- a/wigeonhitch/fleet/tests/conftest.py
+++ b/wigeonhitch/fleet/tests/conftest.py
@@ -45,18 +45,27 @@
 
 
 class Client:
-    """A daemon's client that counts effects and can be killed after one."""
+    """A daemon's client that can be killed after an effect, or interrupted.
+
+    ``interrupt`` is awaited before call number ``trip``: what other processes
+    do while this one is paused there. It is told the name of the call.
+    """
 
     def __init__(self, inner):
         self.inner = inner
         self.kill_after = None
-        self.kills = False
         self.effects = 0
-        self.before = None
+        self.interrupt = None
+        self.trip = 0
+        self.observed = (0.0, 0)
+
+    async def _pause(self, name):
+        self.trip -= 1
+        if self.interrupt and self.trip < 0:
+            interrupt, self.interrupt = self.interrupt, None
+            await interrupt(name)
 
     async def _count(self, call):
-        if self.before:
-            self.before()
         result = await call
         self.effects += 1
         if self.effects == self.kill_after:
@@ -64,12 +73,22 @@
         return result
 
     async def commit(self, conditions, writes, *, purpose, timeout=2.0):
+        await self._pause("commit")
         call = self.inner.commit(conditions, writes, purpose=purpose, timeout=timeout)
         return await self._count(call)
 
     async def reboot(self, vm, boot, *, purpose):
+        await self._pause("reboot")
         return await self._count(self.inner.reboot(vm, boot, purpose=purpose))
 
+    async def scan(self, prefix, *, purpose, since=0, timeout=5.0):
+        await self._pause("scan")
+        return await self.inner.scan(prefix, purpose=purpose, since=since)
+
+    async def list_vms(self, *, purpose):
+        await self._pause("list")
+        return await self.inner.list_vms(purpose=purpose)
+
     def __getattr__(self, name):
         return getattr(self.inner, name)
 
@@ -81,6 +100,7 @@
         self.fake = fake.Fake(vms, **options)
         self.accepted = accepted
         self.sick = set()
+        self.failures = []
         self.limits = wave.Limits(stop_estimate=10.0, return_within=60.0)
 
     @property
@@ -110,15 +130,19 @@
         }
         self.write(f"daemon/{daemon}", value)
 
-    async def check_health(self, address):
-        vm = address.partition(":")[0]
+    def is_serving(self, vm):
         return vm in self.fake.engine.fleet.live and vm not in self.sick
 
     def build(self, name="r1", *, takes=True):
         holder = Holder(self, name)
         client = Client(self.fake.build_client(name))
+
+        async def check_health(address):
+            client.observed = (self.fake.now, len(self.failures))
+            return self.is_serving(address.partition(":")[0])
+
         platform = observer.Platform(
-            client, client, self.check_health, lambda: self.fake.now
+            client, client, check_health, lambda: self.fake.now
         )
         seen = observer.Observer(platform, self.limits)
         made = runner.Runner(seen, holder, lambda: self.accepted)
--- /dev/null
+++ b/wigeonhitch/fleet/tests/test_decisions.py
@@ -0,0 +1,178 @@
+import pytest
+
+from wigeonhitch.configuration import document
+from wigeonhitch.fleet import budget, change, confirmation, move, planner, state, wave
+from wigeonhitch.fleet.tests import conftest
+from wigeonhitch.platform import machines
+
+
+def build_scene(pools, rows, *, waves=(), sick=(), count=40, **fields):
+    """Return a scene of VMs v000.. of which ``rows`` says the pool."""
+    accepted = document.Document("f", (), (), tuple(pools), (), (), waves=waves)
+    listed = {
+        item["vm"]: machines.Machine(state=machines.MachineState.LIVE, **item)
+        for item in conftest.build_vms(count, entries=0)
+    }
+    view = state.FleetView()
+    view.vms = {row.vm: row for row in rows}
+    view.waves = {
+        w.name: state.WaveRow(w.name, state.WaveStatus.RUNNING) for w in waves
+    }
+    seen = state.Observation(100.0, listed, 100.0, frozenset(listed) - set(sick))
+    return wave.Scene(view, accepted, seen, **fields)
+
+
+def build_pool(name, size, required, spread="rack"):
+    return document.Pool(name, "k", size, document.Budget(number=required), spread)
+
+
+def build_rows(sizes):
+    numbers = iter(range(1000))
+    return [
+        state.VmRow(f"v{next(numbers):03d}", pool)
+        for pool, size in sizes.items()
+        for _ in range(size)
+    ]
+
+
+def build_wave(*pools, end=1e6):
+    return document.Wave("w", pools, document.Window(0.0, end), "kernel")
+
+
+def simulate_moves(scene, rounds=20):
+    """Drain and finish moves until none is left; return how many were made."""
+    made = 0
+    for _ in range(rounds):
+        budgets = scene.measure_budgets()
+        for pool in scene.document.pools:
+            assert budgets[pool.name].spare >= 0
+        for item in move.pick_moves(scene).changes:
+            scene.view.vms[item.row.vm] = item.row
+            made += 1
+        for item in wave.advance(scene)[0]:
+            assert item.step is change.Step.ARRIVE
+            scene.view.vms[item.row.vm] = item.row
+    return made
+
+
+def test_share_is_rounded_up_to_whole_vms():
+    pool = document.Pool("a", "k", 30, document.Budget(share=0.1))
+    assert budget.required(pool) == 3
+    pool = document.Pool("a", "k", 6, document.Budget(share=0.75))
+    assert budget.required(pool) == 5
+
+
+def test_stops_of_one_failure_domain_leave_as_much_budget_besides():
+    pool = build_pool("a", 12, 8, "data_centre")
+    scene = build_scene([pool], build_rows({"a": 12}), waves=(build_wave("a"),))
+    picks = wave.pick_takes(scene).changes
+    domains = [scene.observation.machines[item.row.vm].data_centre for item in picks]
+    # Four spare: after two in d0 two are left, a third there would leave one.
+    assert sorted(domains) == ["d0", "d0", "d1", "d2"]
+
+
+def test_cut_off_runner_takes_nothing():
+    rows = build_rows({"a": 6})
+    everything = [row.vm for row in rows]
+    scene = build_scene(
+        [build_pool("a", 6, 4)], rows, waves=(build_wave("a"),), sick=everything
+    )
+    assert not wave.pick_takes(scene).changes
+
+
+@pytest.mark.parametrize("end", [50.0, 150.0])
+def test_no_stop_begins_that_cannot_end_in_the_window(end):
+    item = build_wave("a", end=end)
+    scene = build_scene([build_pool("a", 6, 4)], build_rows({"a": 6}), waves=(item,))
+    assert "closed" in wave.pick_takes(scene).waiting["w"]
+
+
+def test_daemon_is_gone_only_by_a_list_newer_than_its_beat():
+    row = state.VmRow("v000", "a", state.VmState.DRAINING, version=7)
+    daemon = confirmation.Daemon("d", "e1", 90.0, 95.0, 6, frozenset(), {})
+    seen = build_scene([], []).observation
+    never = confirmation.never_lapses
+    assert confirmation.waiting(row, [daemon], seen, never) == ()
+    early = daemon._replace(beat=100.0)
+    assert confirmation.waiting(row, [early], seen, never) == ("d",)
+    assert confirmation.waiting(row, [early], seen, lambda *_: True) == ()
+    listed = daemon._replace(vm="v001")
+    assert confirmation.waiting(row, [listed], seen, never) == ("d",)
+
+
+def test_reboot_waits_for_a_list_newer_than_the_drain():
+    row = state.VmRow("v000", "a", state.VmState.DRAINING, "w", since=101.0, version=7)
+    rows = [row, *build_rows({"a": 6})[1:]]
+    scene = build_scene(
+        [build_pool("a", 6, 4)], rows, waves=(build_wave("a"),), daemons_revision=7
+    )
+    steps, waiting = wave.advance(scene)
+    assert not steps and "older than the drain" in waiting["v000"]
+
+
+def test_families_are_reshaped_with_the_fewest_moves():
+    # Four inherited lab families and billing; gas and breakdown need more.
+    held = {"gas": 4, "moisture": 9, "voltage": 4, "trend": 7, "billing": 6}
+    meant = {"gas": 8, "moisture": 5, "voltage": 6, "trend": 5, "billing": 6}
+    pools = [
+        build_pool(name, size, min(size, held[name]) - 1)
+        for name, size in meant.items()
+    ]
+    scene = build_scene(pools, build_rows(held))
+    assert simulate_moves(scene) == 6
+    sizes = {name: len(scene.view.members(name)) for name in meant}
+    assert sizes == meant
+
+
+def test_pools_without_a_spare_borrow_one_vm_after_the_other():
+    pools = [build_pool(name, 3, 3) for name in "abc"] + [build_pool("spare", 1, 0)]
+    item = build_wave("a", "b", "c", "spare")
+    scene = build_scene(
+        pools, build_rows({"a": 3, "b": 3, "c": 3, "spare": 1}), waves=(item,)
+    )
+    lent = move.find_lent(scene)
+    assert lent == {"a": 4, "b": 3, "c": 3, "spare": 0}
+    for row in scene.view.members("a"):
+        scene.view.vms[row.vm] = row._replace(done=("w",))
+    assert move.find_lent(scene)["b"] == 4
+
+
+def test_buffer_fills_the_place_of_a_lost_vm():
+    pools = [build_pool("a", 3, 3), build_pool("spare", 1, 0)]
+    rows = build_rows({"a": 2}) + [state.VmRow("v009", "spare")]
+    (item,) = move.pick_moves(build_scene(pools, rows)).changes
+    assert (item.row.vm, item.row.target) == ("v009", "a")
+
+
+def test_unassigned_vms_are_spread_over_failure_domains():
+    scene = build_scene([build_pool("a", 3, 2), build_pool("b", 3, 2)], [], count=12)
+    placed = move.place(scene)
+    for name in "ab":
+        racks = [
+            scene.observation.machines[item.row.vm].rack
+            for item in placed
+            if item.row.pool == name
+        ]
+        assert len(racks) == len(set(racks)) == 3
+
+
+def test_schedule_gives_every_pool_a_window_in_four_weeks():
+    works = {f"p{number}": 7 * 300.0 for number in range(128)}
+    windows = planner.schedule(
+        works, start=0.0, period=28 * planner.DAY, opens=7200.0, length=14400.0
+    )
+    assert len(windows) == 128
+    days = [int(window.start // planner.DAY) for window in windows.values()]
+    assert max(days.count(day) for day in range(28)) == 5
+    with pytest.raises(ValueError, match="longer window"):
+        planner.schedule({"a": 2.0}, start=0, period=planner.DAY, opens=0, length=1.0)
+
+
+def test_weights_decide_between_a_shared_and_an_own_buffer():
+    demands = [planner.Demand(f"p{number}", 5) for number in range(5)]
+    best = {
+        weights: planner.compare(demands, stop=300.0, drain=60.0, weights=weights)[0]
+        for weights in (document.Weights(5, 1, 1), document.Weights(1, 5, 5))
+    }
+    shared, own = best.values()
+    assert shared.name.startswith("shared") and own.name == "per pool"
--- a/wigeonhitch/fleet/tests/test_routes.py
+++ b/wigeonhitch/fleet/tests/test_routes.py
@@ -45,12 +45,12 @@
 async def test_racing_operators_get_one_winner(world, ask):
     await ask.runner.step()
 
-    def race():
-        client.before = None
+    async def race(_):
         world.start("w", "aborted")
 
     client = ask.runner.seen.platform.table
-    client.before = race
+    # The handler's own reads come first: list, then the commit.
+    client.interrupt, client.trip = race, 4
     answer = await ask("POST", "/waves/{wave}/start", wave="w")
     assert answer.status == 409
     assert "changed meanwhile" in answer.body["reason"]
