--- a/wigeonhitch/fleet/tests/test_runner.py
+++ b/wigeonhitch/fleet/tests/test_runner.py
@@ -131,3 +131,44 @@
             break
     assert world.store.read(["wave/w"])[0].value["status"] == "done"
     assert set(count_boots(world).values()) == {1}
+
+
+@pytest.mark.parametrize("moment", ["between scans", "after the round"])
+async def test_late_commit_of_the_same_holder_does_not_overspend(world, moment):
+    made = world.build()
+    await run_rounds(world, made, 2)
+    world.start("x")
+    world.fake.switch(late={"prefix": "/table/commit", "next": 100, "seconds": 30.0})
+    await made.step()
+    world.fake.switch(late=None)
+    pool = [vm for vm, row in world.vms().items() if row.pool == "a"]
+    # The stop that was asked for is that of the first VM; now the last fails
+    # and may be stopped instead, which costs nothing unless both are stopped.
+    world.sick.add(pool[-1])
+
+    async def land(_):
+        assert world.fake.land()
+
+    if moment == "between scans":
+        world.write(state.SIGNAL, {})
+        client = made.seen.platform.table
+        client.interrupt, client.trip = land, 1
+    await made.step()
+    assert moment == "between scans" or world.fake.land()
+    up = [vm for vm in pool if world.vms()[vm].state is state.VmState.UP]
+    assert len(up) == 3
+
+
+async def test_fleet_is_reshaped_when_the_document_changes(world):
+    made = world.build()
+    await run_rounds(world, made, 2)
+    pools = world.accepted.pools
+    sized = (pools[0]._replace(size=3), pools[1]._replace(size=5))
+    world.accepted = world.accepted._replace(pools=sized)
+    world.confirm("d1", drain=0)
+    await run_rounds(world, made, 3, confirms=False)
+    (moving,) = (row for row in world.vms().values() if row.target)
+    assert (moving.pool, moving.state) == ("a", state.VmState.DRAINING)
+    await run_rounds(world, made, 3)
+    assert sum(row.pool == "b" for row in world.vms().values()) == 5
+    assert set(count_boots(world).values()) == {0}
