Read the VM list seldom while nothing is under way

The list is the largest thing that a round reads, some 150 bytes a VM: 120 KB at 800 VMs, which every 2 s would be twelve times the control budget of 5 KB/s. It is now read every 30 s unless a stop is under way or may begin.

While a wave runs the one daemon that holds the duty still reads the list each round, above the budget; that needs a list that can be asked for changes.

--- a/wigeonhitch/fleet/observer.py
+++ b/wigeonhitch/fleet/observer.py
@@ -1,10 +1,10 @@
 """Reading the fleet: table rows, VM list and health checks, made into a scene.
 
-An idle round costs one table read (the signal row) and one VM list, whatever
-the size of the fleet; a round after a change adds one scan per prefix, which
-returns only rows that changed; a round during a drain adds one scan of the
-daemons' rows. Health checks go to the workers of pools that something is
-about to happen to, and to no others.
+An idle round costs one table read (the signal row), whatever the size of the
+fleet, and one VM list every `IDLE_LIST_INTERVAL` seconds. A round after a
+change adds one scan per prefix, which returns only rows that changed; a round
+during a drain adds one scan of the daemons' rows. Health checks go to the
+workers of pools that something is about to happen to, and to no others.
 """
 
 from collections.abc import Awaitable, Callable, Iterable
@@ -25,6 +25,10 @@
 # Seconds by which the VM list may lag before no planned stop is begun on it.
 LIST_LAG_LIMIT = 60.0
 
+# Seconds between VM lists while nothing is under way. The list is the largest
+# thing that a round reads: some 150 bytes a VM.
+IDLE_LIST_INTERVAL = 30.0
+
 HealthCheck = Callable[[str], Awaitable[bool]]
 
 
@@ -65,6 +69,8 @@
     ----------
     problem : str
         Why the last refresh failed; empty when it did not.
+    is_watching : bool
+        Whether a stop is under way or may begin, so that the list must be new.
     """
 
     def __init__(
@@ -80,6 +86,8 @@
         self.missing: dict[str, float] = {}
         self.problem = "not read yet"
         self.seen_at = 0.0
+        self.is_watching = True
+        self._listed_at = 0.0
         self._signal = -1
         self._daemons: tuple[confirmation.Daemon, ...] = ()
         self._daemons_revision = 0
@@ -106,6 +114,7 @@
                     return f"table: {result.reason or result.outcome.value}"
                 self.view.apply_scan(prefix, result)
             self._signal = signal
+            self.is_watching = True
         return await self._read_daemons()
 
     async def _scan(self, prefix: str, since: int = 0) -> table.ReadResult:
@@ -124,12 +133,15 @@
         return ""
 
     async def _read_list(self) -> str:
-        answer = await self.platform.machines.list_vms(purpose="fleet")
-        if answer.outcome is not table.Outcome.DONE:
-            return f"VM list: {answer.reason or answer.outcome.value}"
-        # A list older than one seen before would bring VMs back from the dead.
-        if answer.as_of >= self._list.as_of:
-            self._list = answer
+        now = self.platform.clock()
+        if self.is_watching or now - self._listed_at >= IDLE_LIST_INTERVAL:
+            answer = await self.platform.machines.list_vms(purpose="fleet")
+            if answer.outcome is not table.Outcome.DONE:
+                return f"VM list: {answer.reason or answer.outcome.value}"
+            self._listed_at = now
+            # A list older than one seen before would bring VMs back.
+            if answer.as_of >= self._list.as_of:
+                self._list = answer
         if self._time - self._list.as_of > LIST_LAG_LIMIT:
             return f"VM list is {self._time - self._list.as_of:.0f} s old"
         listed = {machine.vm for machine in self._list.machines}
@@ -141,7 +153,9 @@
     async def make_scene(self, accepted: document.Document) -> wave.Scene:
         """Check the health of the workers that matter and return the scene."""
         scene = self.compose(accepted, frozenset())
-        healthy = await self.check_health(list_watched(scene), scene)
+        watched = list_watched(scene)
+        self.is_watching = bool(watched)
+        healthy = await self.check_health(watched, scene)
         return self.compose(accepted, healthy)
 
     def compose(
