Add membership decisions, drain confirmation and peer frames

Cause: drains, slot counting and documents all need to know who the daemons are, which live, and when a silent one surely sends nothing more. Decided: beats over a fixed fan-out with a digest of the newest beats; a right to send that lapses without the store and without a majority; heartbeats count as of the beat they echo, so that those kept in a paused daemon's socket prove nothing.

--- /dev/null
+++ b/wigeonhitch/membership/tests/test_confirmation.py
@@ -0,0 +1,54 @@
+import pytest
+
+from wigeonhitch.membership import confirmation
+
+LIMITS = confirmation.Limits(send_right=10, longest_request=60, margin=2)
+
+
+def make_row(name, **fields):
+    value = {"expires": 115.0, "drain": 7, "vm": f"vm-{name}", "registered": 3}
+    return confirmation.read_row(f"daemon/{name}", {**value, **fields})
+
+
+def find(rows, now=100.0, gone=(), drained_at=90.0):
+    return confirmation.find_waiting(
+        "w1", 7, rows, now=now, drained_at=drained_at, gone_vms=gone, limits=LIMITS
+    )
+
+
+def test_stop_waits_for_each_daemon_that_has_not_applied_the_drain():
+    rows = [make_row("a"), make_row("b", drain=6), make_row("c", busy=["w1"])]
+    assert find(rows) == (
+        confirmation.Waiting("b", confirmation.Why.NOT_APPLIED),
+        confirmation.Waiting("c", confirmation.Why.BUSY),
+    )
+
+
+def test_a_daemon_that_the_platform_ended_is_not_waited_for():
+    assert find([make_row("a"), make_row("b", drain=6)], gone={"vm-b"}) == ()
+
+
+def test_confirmation_of_a_daemon_cut_off_from_the_store_comes_by_relay():
+    cut = make_row("b", drain=6, expires=95.0)
+    relay = make_row("a", relayed={"b": [7, []]})
+    assert find([relay, cut]) == ()
+    relay = make_row("a", relayed={"b": [7, ["w1"]]})
+    assert len(find([relay, cut])) == 1
+
+
+@pytest.mark.parametrize(
+    ("now", "silent", "released"),
+    [(160.0, 1, False), (173.0, 1, True), (1000.0, 2, False)],
+)
+def test_silent_daemon_lapses_after_the_bound_unless_half_are_silent(
+    now, silent, released
+):
+    rows = [
+        make_row(
+            name,
+            expires=100.0 if index < silent else now + 15,
+            drain=6 if index < silent else 7,
+        )
+        for index, name in enumerate("abc")
+    ]
+    assert (find(rows, now=now, drained_at=90.0) == ()) is released
--- a/wigeonhitch/wire/__init__.py
+++ b/wigeonhitch/wire/__init__.py
@@ -1,1 +1,5 @@
-"""Slice `wire`."""
+"""Frames between daemons: thrift structs in the compact protocol.
+
+Public names: `wigeonhitch.wire.codec.encode`, `wigeonhitch.wire.codec.decode`
+and `wigeonhitch.wire.codec.Registry`.
+"""
--- /dev/null
+++ b/wigeonhitch/wire/codec.py
@@ -0,0 +1,136 @@
+"""Encoding of typed records as thrift frames and back.
+
+Each slice states its peer messages as ``NamedTuple``. A struct of the same
+fields in ``peer.thrift`` carries it; this module copies the one to the other,
+so that no slice sees generated code.
+"""
+
+import struct
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from wigeonhitch.wire.generated.peer import ttypes
+
+__all__ = [
+    "FRAME_LIMIT",
+    "HEADER_SIZE",
+    "Problem",
+    "Received",
+    "Registry",
+    "decode",
+    "encode",
+    "read_size",
+]
+
+# A frame holds at most one fleet document; a larger frame is a broken or
+# hostile peer, and is refused before memory is spent on it.
+FRAME_LIMIT = 4 * 1024 * 1024  # bytes
+HEADER = struct.Struct(">I")
+HEADER_SIZE = HEADER.size
+
+# Fields of the envelope, in the order of peer.thrift.
+STRUCTS: Mapping[str, type] = {
+    name: getattr(ttypes, name)
+    for name in dir(ttypes)
+    if getattr(getattr(ttypes, name), "thrift_spec", None) is not None
+    and name != "Envelope"
+}
+
+
+class Registry(NamedTuple):
+    """Which record types travel in which envelope field.
+
+    Parameters
+    ----------
+    fields : mapping of str to type
+        Envelope field to ``NamedTuple`` type; the type's name is the struct's.
+    """
+
+    fields: Mapping[str, type]
+
+    def find_field(self, message: Any) -> str:
+        """Return the envelope field that carries ``message``."""
+        for field, record in self.fields.items():
+            if isinstance(message, record):
+                return field
+        raise TypeError(
+            f"message {type(message).__name__} is not registered; expected one of "
+            f"{sorted(record.__name__ for record in self.fields.values())}"
+        )
+
+
+class Received(NamedTuple):
+    """A decoded frame: who sent it and what."""
+
+    sender: str
+    message: Any
+
+
+class Problem(NamedTuple):
+    """Sentinel for a frame that could not be decoded."""
+
+    reason: str
+
+
+def encode(registry: Registry, sender: str, message: Any) -> bytes:
+    """Return the whole frame, its size first, that carries ``message``."""
+    envelope = ttypes.Envelope(sender=sender)
+    setattr(envelope, registry.find_field(message), _to_struct(message))
+    transport = TTransport.TMemoryBuffer()
+    envelope.write(TCompactProtocol.TCompactProtocol(transport))
+    body = transport.getvalue()
+    return HEADER.pack(len(body)) + body
+
+
+def read_size(header: bytes) -> int | Problem:
+    """Return the size in bytes of the frame body that follows ``header``."""
+    (size,) = HEADER.unpack(header)
+    if size > FRAME_LIMIT:
+        return Problem(f"frame of {size} bytes; expected at most {FRAME_LIMIT}")
+    return size
+
+
+def decode(registry: Registry, body: bytes) -> Received | Problem:
+    """Return the message in a frame body, or why it cannot be read."""
+    envelope = ttypes.Envelope()
+    try:
+        envelope.read(
+            TCompactProtocol.TCompactProtocol(
+                TTransport.TMemoryBuffer(body), string_length_limit=FRAME_LIMIT
+            )
+        )
+        for field, record in registry.fields.items():
+            struct_value = getattr(envelope, field)
+            if struct_value is not None:
+                return Received(envelope.sender or "", _to_record(record, struct_value))
+    except Exception as error:  # thrift raises many kinds on broken input
+        return Problem(f"undecodable frame: {type(error).__name__}: {error}")
+    return Problem("frame without a known message")
+
+
+def _to_struct(value: Any) -> Any:
+    if isinstance(value, tuple) and hasattr(value, "_fields"):
+        made = STRUCTS[type(value).__name__]()
+        for name in value._fields:
+            setattr(made, name, _to_struct(getattr(value, name)))
+        return made
+    if isinstance(value, tuple | list):
+        return [_to_struct(item) for item in value]
+    return value
+
+
+def _to_record(record: type, value: Any) -> Any:
+    nested = getattr(record, "NESTED", {})
+    fields = {}
+    for name in record._fields:
+        item = getattr(value, name)
+        if isinstance(item, list):
+            kind = nested.get(name)
+            item = tuple(_to_record(kind, part) if kind else part for part in item)
+        if item is None and name not in record._field_defaults:
+            raise ValueError(f"field {name} of {record.__name__} is missing")
+        fields[name] = record._field_defaults.get(name) if item is None else item
+    return record(**fields)
