--- /dev/null
+++ b/standins/demo/site.py
@@ -0,0 +1,263 @@
+"""One customer's system on loopback: platform, workers and daemons."""
+
+import contextlib
+import pathlib
+import time
+from typing import Any, NamedTuple
+
+import httpx
+import yaml
+
+from standins.demo import process
+from wigeonhitch.configuration import check, document
+from wigeonhitch.operators import credential
+
+__all__ = ["DaemonPorts", "Options", "Site", "open_site"]
+
+VMS_PER_RACK = 4
+READY_LIMIT = 30.0  # seconds for a daemon to be ready
+SECRET = "loopback-only"
+
+
+class Options(NamedTuple):
+    """How a site is made.
+
+    Parameters
+    ----------
+    daemons : int
+    reboot_seconds : float
+        Time that a worker's reboot takes.
+    vm_lag : float
+        Seconds by which the VM list lags.
+    spare : int
+        VMs beyond the pools' sizes.
+    """
+
+    daemons: int = 3
+    reboot_seconds: float = 1.0
+    vm_lag: float = 0.5
+    spare: int = 0
+
+
+class DaemonPorts(NamedTuple):
+    """Ports of one daemon."""
+
+    name: str
+    callers: int
+    operators: int
+    peers: int
+
+
+class Site:
+    """A running site; `open_site` makes it.
+
+    Attributes
+    ----------
+    platform_url : str
+    workers : dict of str to str
+        VM to ``host:port``.
+    daemons : dict of str to DaemonPorts
+    children : dict of str to process.Child
+    """
+
+    def __init__(
+        self,
+        stack: contextlib.ExitStack,
+        folder: pathlib.Path,
+        ports: process.Ports,
+        intended: document.Document,
+        options: Options,
+    ) -> None:
+        self.stack = stack
+        self.folder = folder
+        self.ports = ports
+        self.intended = intended
+        self.options = options
+        self.operators = tuple(
+            credential.make_operator(name, roles, SECRET)
+            for name, roles in (
+                ("ana", ("operator", "manager")),
+                ("ben", ("operator", "manager")),
+                ("eva", ("viewer",)),
+            )
+        )
+        self.platform_url = ""
+        self.workers: dict[str, str] = {}
+        self.daemons: dict[str, DaemonPorts] = {}
+        self.children: dict[str, process.Child] = {}
+
+    def start_platform(self) -> None:
+        """Start the workers' process and the platform stand-in."""
+        machines = list_machines(self.intended, self.options, self.ports)
+        self.workers = {one["vm"]: one["address"] for one in machines}
+        pairs = [f"{vm}={at.rpartition(':')[2]}" for vm, at in self.workers.items()]
+        self._start("workers", ["standins.worker", *pairs]).wait_for("ready")
+        entries = [
+            {
+                "vm": f"entry-{number}",
+                "kind": "entry",
+                "address": f"127.0.0.1:{self.ports.take()[0]}",
+                "rack": f"entry-rack-{number}",
+                "data_centre": self._centre(number),
+                "role": "entry",
+            }
+            for number in range(self.options.daemons)
+        ]
+        inventory = self.folder / "inventory.yaml"
+        inventory.write_text(
+            yaml.safe_dump(
+                {
+                    "vms": machines + entries,
+                    "reboot_seconds": self.options.reboot_seconds,
+                }
+            ),
+            encoding="utf-8",
+        )
+        port = self.ports.take()[0]
+        self.platform_url = f"http://127.0.0.1:{port}"
+        arguments = ["standins.platform", "--port", str(port)]
+        arguments += ["--inventory", str(inventory)]
+        arguments += ["--vm-lag", str(self.options.vm_lag)]
+        self._start("platform", arguments).wait_for("ready")
+
+    def start_daemon(self, number: int, suffix: str = "a") -> DaemonPorts:
+        """Start one daemon; a replaced one gets another suffix."""
+        name = f"entry-{number}-{suffix}"
+        callers, operators, peers = self.ports.take(3)
+        given = DaemonPorts(name, callers, operators, peers)
+        seeds = [
+            {"name": one.name, "address": f"127.0.0.1:{one.peers}"}
+            for one in self.daemons.values()
+        ]
+        settings = self.folder / f"{name}.yaml"
+        settings.write_text(
+            yaml.safe_dump(self._make_settings(given, number, seeds)), encoding="utf-8"
+        )
+        self._start(name, ["wigeonhitch.daemon.main", "--settings", str(settings)])
+        self.daemons[name] = given
+        return given
+
+    def wait_until_ready(self, name: str, limit: float = READY_LIMIT) -> float:
+        """Wait for a daemon's readiness path; return the seconds it took."""
+        began = time.monotonic()
+        url = f"http://127.0.0.1:{self.daemons[name].callers}/-/ready"
+        while time.monotonic() - began < limit:
+            with contextlib.suppress(httpx.HTTPError):
+                if httpx.get(url, timeout=1.0, trust_env=False).status_code == 200:
+                    return time.monotonic() - began
+            if self.children[name].running.poll() is not None:
+                break
+            time.sleep(0.05)
+        raise RuntimeError(f"{name} isn't ready:\n{self.children[name].read()}")
+
+    def ask(
+        self, method: str, path: str, body: Any = None, operator: str = "ana"
+    ) -> httpx.Response:
+        """Send an operator's request to the first daemon."""
+        daemon = next(iter(self.daemons.values()))
+        return httpx.request(
+            method,
+            f"http://127.0.0.1:{daemon.operators}/operator/v1{path}",
+            json=body,
+            headers={"Authorization": f"Bearer {operator}:{SECRET}"},
+            timeout=10.0,
+            trust_env=False,
+        )
+
+    def switch(self, **fields: Any) -> None:
+        """Set a switch of the platform stand-in."""
+        httpx.post(f"{self.platform_url}/switch", json=fields, trust_env=False)
+
+    def switch_worker(self, vm: str, **fields: Any) -> None:
+        """Set the switches of one worker."""
+        url = f"http://{self.workers[vm]}/standin/switch"
+        httpx.post(url, json=fields, trust_env=False)
+
+    def read_logs(self) -> list[dict[str, Any]]:
+        """Return what truly ran on all workers."""
+        runs: list[dict[str, Any]] = []
+        for address in self.workers.values():
+            url = f"http://{address}/standin/log"
+            runs.extend(httpx.get(url, trust_env=False).json()["log"])
+        return runs
+
+    def read_history(self) -> list[dict[str, Any]]:
+        """Return all commits of the platform's table."""
+        answer = httpx.get(f"{self.platform_url}/history", trust_env=False, timeout=30)
+        return answer.json()["history"]
+
+    def _start(self, name: str, arguments: list[str]) -> process.Child:
+        child = process.start(self.stack, self.folder, name, arguments)
+        self.children[name] = child
+        return child
+
+    def _centre(self, number: int) -> str:
+        centres = self.intended.data_centres
+        return centres[number % len(centres)].name
+
+    def _make_settings(
+        self, given: DaemonPorts, number: int, seeds: list[dict[str, str]]
+    ) -> dict[str, Any]:
+        credentials = [one._asdict() for one in self.operators]
+        for one in credentials:
+            one["roles"] = list(one["roles"])
+        return {
+            "daemon": {
+                "name": given.name,
+                "vm": f"entry-{number}",
+                "data_centre": self._centre(number),
+            },
+            "callers": {"bind": f"127.0.0.1:{given.callers}"},
+            "operators": {
+                "bind": f"127.0.0.1:{given.operators}",
+                "credentials": credentials,
+            },
+            "peers": {"bind": f"127.0.0.1:{given.peers}", "seeds": seeds},
+            "platform": {"url": self.platform_url},
+        }
+
+
+def list_machines(
+    intended: document.Document, options: Options, ports: process.Ports
+) -> list[dict[str, Any]]:
+    """Return VMs for all pools, in racks of four spread over data centres."""
+    kinds = [pool.kind for pool in intended.pools for _ in range(pool.size)]
+    kinds += [intended.kinds[0].name] * options.spare
+    centres = intended.data_centres
+    machines = []
+    for index, (kind, port) in enumerate(
+        zip(kinds, ports.take(len(kinds)), strict=True)
+    ):
+        rack = index // VMS_PER_RACK
+        machines.append(
+            {
+                "vm": f"worker-{index + 1:03}",
+                "kind": kind,
+                "address": f"127.0.0.1:{port}",
+                "rack": f"rack-{rack + 1:02}",
+                "data_centre": centres[rack % len(centres)].name,
+            }
+        )
+    return machines
+
+
+def open_site(
+    stack: contextlib.ExitStack,
+    folder: pathlib.Path,
+    ports: process.Ports,
+    example: pathlib.Path,
+    options: Options = Options(),  # noqa: B008 - an immutable tuple
+) -> Site:
+    """Start a whole site for the fleet document in ``example``.
+
+    The daemons run, but no document is in force yet.
+    """
+    checked = check.check_text(example.read_text(encoding="utf-8"))
+    if checked.intended is None:
+        raise ValueError(f"{example}: {checked.problems}; expected a valid document")
+    folder.mkdir(parents=True, exist_ok=True)
+    site = Site(stack, folder, ports, checked.intended, options)
+    site.start_platform()
+    for number in range(options.daemons):
+        site.start_daemon(number)
+    return site
--- a/wigeonhitch/daemon/__init__.py
+++ b/wigeonhitch/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""Slice `daemon`."""
+"""The daemon ``wigeonhitchd``: all slices in one process, owned by exit stacks."""
--- /dev/null
+++ b/wigeonhitch/daemon/server.py
@@ -0,0 +1,82 @@
+"""HTTP servers in this process, by hypercorn's asyncio entry point.
+
+The ``hypercorn`` command would fork a worker; serving in process does not.
+"""
+
+import ssl
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import hypercorn.asyncio
+import hypercorn.config
+
+from wigeonhitch.settings import schema
+
+__all__ = ["make_client_context", "make_peer_context", "serve"]
+
+# Seconds that an idle connection of a caller or of the balancer is kept.
+KEEP_ALIVE = 75.0
+
+# Connections that wait to be accepted; a burst of reconnecting callers after
+# the loss of another daemon arrives within one round trip.
+BACKLOG = 1024
+
+# Seconds that open connections get once nothing is held any more.
+GRACE = 1.0
+
+
+async def serve(
+    application: Any,
+    bind: str,
+    tls: schema.Tls | None,
+    wait_for_stop: Callable[[], Any],
+) -> None:
+    """Serve an ASGI application until ``wait_for_stop`` returns."""
+    config = hypercorn.config.Config()
+    config.bind = [bind]
+    config.backlog = BACKLOG
+    config.keep_alive_timeout = KEEP_ALIVE
+    config.graceful_timeout = GRACE
+    config.include_server_header = False
+    config.accesslog = None
+    config.errorlog = None
+    if tls is not None:
+        config.certfile = tls.certificate
+        config.keyfile = tls.key
+    await hypercorn.asyncio.serve(application, config, shutdown_trigger=wait_for_stop)
+
+
+async def wait_until_listening(bind: str) -> None:
+    """Return once connections to ``bind`` are accepted."""
+    host, _, port = bind.rpartition(":")
+    while True:
+        try:
+            stream = await anyio.connect_tcp(host.strip("[]"), int(port))
+        except OSError:
+            await anyio.sleep(0.02)
+            continue
+        await stream.aclose()
+        return
+
+
+def make_peer_context(tls: schema.Tls | None, purpose: ssl.Purpose) -> Any:
+    """Return the context of one side of mutual TLS between daemons, or None.
+
+    Peers are known by a certificate of the common authority, not by a host
+    name: they are replaced at any time and speak by address.
+    """
+    if tls is None:
+        return None
+    context = ssl.create_default_context(purpose, cafile=tls.authority)
+    context.load_cert_chain(tls.certificate, tls.key)
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def make_client_context(authority: str | None) -> ssl.SSLContext | None:
+    """Return the context that trusts one authority, or None for plain TCP."""
+    if authority is None:
+        return None
+    return ssl.create_default_context(cafile=authority)
--- /dev/null
+++ b/wigeonhitch/daemon/workers.py
@@ -0,0 +1,177 @@
+"""The workers as this daemon's request side sees them.
+
+Two sources are joined: the fleet's rows, read when the fleet signal moves, and
+what peers say of VMs that must get no new request. The second reaches a daemon
+that is cut off from the table, so that a planned stop needn't wait for it.
+"""
+
+from collections.abc import Callable, Mapping
+
+
+from wigeonhitch.configuration import document
+from wigeonhitch.fleet import state, view
+from wigeonhitch.membership import core, message
+from wigeonhitch.platform import machines, table
+from wigeonhitch.routing import event
+from wigeonhitch.telemetry import log
+
+__all__ = ["Workers", "find_list_period"]
+
+# Seconds between readings of the VM list in a small fleet, so that a leaving
+# VM is left alone within a few seconds.
+LIST_PERIOD = 2.0
+
+# Seconds between readings per VM: an entry takes some 120 bytes, so the list
+# costs at most 2.4 KB/s of the 5 KB/s that control may spend. The runner of
+# the fleet's duty reads it more often and marks leaving VMs in their rows.
+LIST_PERIOD_PER_VM = 0.05
+
+PURPOSE = "workers"
+
+
+def find_list_period(vms: int) -> float:
+    """Return the seconds between readings of the VM list.
+
+    Examples
+    --------
+    >>> find_list_period(30), find_list_period(800)
+    (2.0, 40.0)
+    """
+    return max(LIST_PERIOD, LIST_PERIOD_PER_VM * vms)
+
+
+class Workers:
+    """Keeps the workers of every pool and tells the routing decisions.
+
+    Parameters
+    ----------
+    follower : view.Follower
+        Reads the fleet's rows.
+    listing : machines.Machines
+        The platform's VM list.
+    find_document : callable
+        Returns the document in force, or None.
+    apply : callable
+        Takes an `event.ViewChanged`.
+    count_held : callable
+        Returns how many requests this daemon holds on a VM.
+    """
+
+    def __init__(
+        self,
+        follower: view.Follower,
+        listing: machines.Machines,
+        find_document: Callable[[], document.Document | None],
+        apply: Callable[[event.ViewChanged], None],
+        count_held: Callable[[str], int],
+    ) -> None:
+        self._follower = follower
+        self._listing = listing
+        self._find_document = find_document
+        self._apply = apply
+        self._count_held = count_held
+        self._machines: dict[str, machines.Machine] = {}
+        self._list_due = 0.0
+        self._unusable: frozenset[str] = frozenset()
+        self._told_revision = 0
+        self._applied = -1
+        self._pools: Mapping[str, tuple[event.Worker, ...]] = {}
+
+    @property
+    def has_view(self) -> bool:
+        """Whether the fleet's rows were read at least once."""
+        return self._applied >= 0
+
+    def find_address(self, vm: str) -> str | None:
+        """Return ``host:port`` of a VM, or None."""
+        machine = self._machines.get(vm)
+        return machine.address if machine else None
+
+    @property
+    def addresses(self) -> frozenset[str]:
+        """The addresses of all listed VMs."""
+        return frozenset(machine.address for machine in self._machines.values())
+
+    def describe(self) -> core.Versions:
+        """Return the part of a heartbeat that concerns the workers."""
+        unusable = tuple(sorted(self._find_unusable()))
+        return core.Versions(
+            fleet_revision=max(self._applied, 0),
+            unusable=unusable,
+            drain=max(self._applied, 0),
+            busy=tuple(vm for vm in unusable if self._count_held(vm)),
+        )
+
+    def hear(self, beat: message.Heartbeat) -> None:
+        """Take the unusable VMs of a peer that knows a newer revision."""
+        if beat.fleet_revision > max(self._applied, self._told_revision):
+            self._told_revision = beat.fleet_revision
+            self._unusable = frozenset(beat.unusable)
+            self.refresh()
+
+    async def read(self, now: float) -> None:
+        """Read what changed, and the VM list when it is due."""
+        await self._follower.refresh()
+        if now >= self._list_due:
+            await self._read_list(now)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Tell the routing decisions what is different, if anything is."""
+        accepted = self._find_document()
+        revision = self._follower.view.revisions["vm/"]
+        if accepted is None or (not revision and not self._told_revision):
+            return
+        pools = self._make_pools(accepted)
+        applied = max(revision, self._told_revision)
+        if pools != self._pools or applied > self._applied:
+            self._pools = pools
+            self._applied = max(applied, self._applied)
+            self._apply(event.ViewChanged(self._applied, pools))
+
+    async def _read_list(self, now: float) -> None:
+        answer = await self._listing.list_vms(purpose=PURPOSE)
+        if answer.outcome is not table.Outcome.DONE:
+            return
+        listed = {one.vm: one for one in answer.machines if one.role == "worker"}
+        if listed.keys() != self._machines.keys():
+            log.log_change("listed workers", count=len(listed))
+        self._machines = listed
+        self._list_due = now + find_list_period(len(listed))
+
+    def _find_unusable(self) -> frozenset[str]:
+        rows = self._follower.view
+        known = frozenset(
+            row.vm for row in rows.vms.values() if row.state is not state.VmState.UP
+        )
+        if self._told_revision > rows.revisions["vm/"]:
+            return known | self._unusable
+        return known
+
+    def _make_pools(
+        self, accepted: document.Document
+    ) -> dict[str, tuple[event.Worker, ...]]:
+        """Return all workers of all pools, the unusable ones marked.
+
+        During an outage of the VM list the last one is used: its VMs are most
+        likely still there, and one that is not is taken out by its errors.
+        """
+        kinds = {kind.name: kind for kind in accepted.kinds}
+        sizes = {pool.name: kinds[pool.kind] for pool in accepted.pools}
+        unusable = self._find_unusable()
+        pools: dict[str, list[event.Worker]] = {name: [] for name in sizes}
+        for row in sorted(self._follower.view.vms.values(), key=lambda one: one.vm):
+            machine = self._machines.get(row.vm)
+            if machine is None or row.pool not in pools:
+                continue
+            live = machine.state is machines.MachineState.LIVE
+            kind = sizes[row.pool]
+            pools[row.pool].append(
+                event.Worker(
+                    row.vm,
+                    kind.slots,
+                    kind.connections,
+                    live and row.vm not in unusable,
+                )
+            )
+        return {name: tuple(workers) for name, workers in pools.items()}
--- a/wigeonhitch/membership/message.py
+++ b/wigeonhitch/membership/message.py
@@ -70,8 +70,6 @@
     vm: str = ""
     data_centre: str = ""
 
-    NESTED = {"members": Member}
-
 
 class DocumentRequest(NamedTuple):
     """Asks a peer for the body of a document it has in force."""
--- /dev/null
+++ b/wigeonhitch/membership/slots.py
@@ -0,0 +1,63 @@
+"""Slot messages of the routing slice in frames between daemons.
+
+One frame carries all slot messages that one event caused for one peer.
+"""
+
+from typing import NamedTuple
+
+from wigeonhitch.routing import peer
+
+__all__ = ["Slots", "pack", "unpack"]
+
+
+class SlotMessage(NamedTuple):
+    """Exactly one of the messages of `wigeonhitch.routing.peer`."""
+
+    ask: peer.Ask | None = None
+    grant: peer.Grant | None = None
+    deny: peer.Deny | None = None
+    return_: peer.Return | None = None
+    cancel: peer.Cancel | None = None
+    report: peer.Report | None = None
+    welcome: peer.Welcome | None = None
+    pulse: peer.Pulse | None = None
+    leave: peer.Leave | None = None
+
+
+class Slots(NamedTuple):
+    """Slot messages in the order in which they were sent."""
+
+    messages: tuple[SlotMessage, ...]
+
+
+FIELDS = {
+    kind: name
+    for name, kind in zip(
+        SlotMessage._fields,
+        (
+            peer.Ask,
+            peer.Grant,
+            peer.Deny,
+            peer.Return,
+            peer.Cancel,
+            peer.Report,
+            peer.Welcome,
+            peer.Pulse,
+            peer.Leave,
+        ),
+        strict=True,
+    )
+}
+
+
+def pack(messages: tuple[peer.Message, ...]) -> Slots:
+    """Return the frame content for some slot messages."""
+    return Slots(tuple(SlotMessage(**{FIELDS[type(one)]: one}) for one in messages))
+
+
+def unpack(slots: Slots) -> tuple[peer.Message, ...]:
+    """Return the slot messages of a frame; unknown ones are left out."""
+    found = []
+    for one in slots.messages:
+        found.extend(part for part in one if part is not None)
+    return tuple(found)
--- a/wigeonhitch/settings/__init__.py
+++ b/wigeonhitch/settings/__init__.py
@@ -1,1 +1,1 @@
-"""Slice `settings`."""
+"""Settings of a daemon: YAML, checked whole before anything opens."""
--- /dev/null
+++ b/wigeonhitch/settings/load.py
@@ -0,0 +1,128 @@
+"""Reading and checking a settings file whole: every error at once."""
+
+import pathlib
+from typing import Any, NamedTuple
+
+import pydantic
+import yaml
+
+from wigeonhitch.configuration import check, problem
+from wigeonhitch.settings import schema
+
+__all__ = ["EXAMPLE", "Loaded", "check_settings", "load"]
+
+ADAPTER = pydantic.TypeAdapter(
+    schema.Settings, config=pydantic.ConfigDict(allow_inf_nan=False)
+)
+
+EXAMPLE = """\
+# Settings of one wigeonhitchd. Times are in seconds.
+daemon:
+  name: entry-1-a            # unique; a replaced daemon takes a new name
+  vm: entry-1                # as the platform's VM list names it
+  data_centre: dc1
+  stop_within: 75            # SIGTERM ends the process within this time
+callers:
+  bind: 127.0.0.1:8080
+operators:
+  bind: 127.0.0.1:8081
+  credentials: []            # wigeonhitch settings credential prints an entry
+peers:
+  bind: 127.0.0.1:8082
+  seeds:                     # peers to ask before the table has named any
+    - {name: entry-2-a, address: "127.0.0.1:8092"}
+platform:
+  url: http://127.0.0.1:8000
+traces:
+  exporter: none             # none, console or otlp
+  endpoint: http://127.0.0.1:4318/v1/traces
+log:
+  level: info
+"""
+
+
+class Loaded(NamedTuple):
+    """Checked settings, or every problem found; never both."""
+
+    settings: schema.Settings | None
+    problems: tuple[problem.Problem, ...] = ()
+
+
+def load(path: str | pathlib.Path) -> Loaded:
+    """Read and check a settings file."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return _refuse(str(path), f"a readable file: {error}")
+    return check_settings(text)
+
+
+def check_settings(text: str) -> Loaded:
+    """Check the text of a settings file.
+
+    Examples
+    --------
+    >>> check_settings(EXAMPLE).settings.daemon.vm
+    'entry-1'
+    >>> [one.place for one in check_settings("daemon: {name: 1}").problems][:2]
+    ['daemon.name', 'daemon.vm']
+    """
+    try:
+        data = yaml.load(text, Loader=check.UniqueKeyLoader)
+    except (yaml.YAMLError, RecursionError, ValueError) as error:
+        return _refuse("", f"well-formed YAML: {' '.join(str(error).split())}")
+    if not isinstance(data, dict):
+        return _refuse(data, "an object")
+    return _check_plain(data)
+
+
+def _check_plain(data: dict[str, Any]) -> Loaded:
+    try:
+        settings = ADAPTER.validate_python(data)
+    except pydantic.ValidationError as error:
+        return Loaded(
+            None, tuple(check.translate_error(detail) for detail in error.errors())
+        )
+    problems = _find_problems(settings)
+    return Loaded(None if problems else settings, problems)
+
+
+def _find_problems(settings: schema.Settings) -> tuple[problem.Problem, ...]:
+    """Check what one section must say about another."""
+    found = []
+    longest = settings.callers.limits.longest_request
+    if settings.daemon.stop_within < longest:
+        found.append(
+            problem.Problem(
+                "daemon.stop_within",
+                settings.daemon.stop_within,
+                f"at least callers.limits.longest_request, {longest}",
+                "seconds",
+            )
+        )
+    if settings.drains.longest_request < longest:
+        found.append(
+            problem.Problem(
+                "drains.longest_request",
+                settings.drains.longest_request,
+                f"at least callers.limits.longest_request, {longest}",
+                "seconds",
+            )
+        )
+    if settings.drains.send_right < settings.peers.limits.send_right:
+        found.append(
+            problem.Problem(
+                "drains.send_right",
+                settings.drains.send_right,
+                f"at least peers.limits.send_right, {settings.peers.limits.send_right}",
+                "seconds",
+            )
+        )
+    binds = [settings.callers.bind, settings.operators.bind, settings.peers.bind]
+    if len(set(binds)) < len(binds):
+        found.append(problem.Problem("", binds, "three different addresses"))
+    return tuple(found)
+
+
+def _refuse(value: Any, expected: str) -> Loaded:
+    return Loaded(None, (problem.Problem("", value, expected),))
--- /dev/null
+++ b/wigeonhitch/telemetry/log.py
@@ -0,0 +1,62 @@
+"""Structured log lines, written only when a state changes.
+
+What happens per request is counted in `wigeonhitch.telemetry.metric`; a line
+here says that something is now different, with its fields as JSON.
+"""
+
+import json
+import logging as standard
+import sys
+from typing import Any
+
+from absl import logging
+
+__all__ = ["Formatter", "log_change", "prepare"]
+
+LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+
+
+class Formatter(standard.Formatter):
+    """Formats each record as one line of JSON."""
+
+    def format(self, record: standard.LogRecord) -> str:
+        """Return the line for one record."""
+        line = {
+            "time": self.formatTime(record),
+            "level": record.levelname.lower(),
+            "change": record.getMessage(),
+        }
+        line.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            line["error"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+def prepare(level: str) -> None:
+    """Send absl's log lines to standard error as JSON, from ``level`` on.
+
+    Raises
+    ------
+    ValueError
+        If ``level`` is none of the known levels.
+    """
+    if level not in LEVELS:
+        raise ValueError(f"log level {level!r}; expected one of {sorted(LEVELS)}")
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = sys.stderr
+    handler.setFormatter(Formatter())
+    logging.set_verbosity(logging.converter.standard_to_absl(LEVELS[level]))
+
+
+def log_change(change: str, **fields: Any) -> None:
+    """Log that a state has changed.
+
+    Parameters
+    ----------
+    change : str
+        What changed, in a few fixed words.
+    **fields
+        Structured fields of the line.
+    """
+    logging.get_absl_logger().info(change, extra={"fields": fields})
--- a/wigeonhitch/wire/codec.py
+++ b/wigeonhitch/wire/codec.py
@@ -5,7 +5,10 @@
 so that no slice sees generated code.
 """
 
+import enum
+import functools
 import struct
+import typing
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
@@ -114,23 +117,62 @@
 def _to_struct(value: Any) -> Any:
     if isinstance(value, tuple) and hasattr(value, "_fields"):
         made = STRUCTS[type(value).__name__]()
-        for name in value._fields:
-            setattr(made, name, _to_struct(getattr(value, name)))
+        for name, item in zip(value._fields, value, strict=True):
+            setattr(made, name, _to_struct(item))
         return made
     if isinstance(value, tuple | list):
         return [_to_struct(item) for item in value]
+    if isinstance(value, enum.Enum):
+        return value.value
     return value
 
 
-def _to_record(record: type, value: Any) -> Any:
-    nested = getattr(record, "NESTED", {})
-    fields = {}
+class _Plan(NamedTuple):
+    """How to read one field back: record and enum types found in its hint."""
+
+    name: str
+    record: type | None
+    enumeration: type[enum.Enum] | None
+    default: Any
+
+
+@functools.cache
+def _make_plans(record: type) -> tuple[_Plan, ...]:
+    hints = typing.get_type_hints(record)
+    plans = []
     for name in record._fields:
-        item = getattr(value, name)
-        if isinstance(item, list):
-            kind = nested.get(name)
-            item = tuple(_to_record(kind, part) if kind else part for part in item)
-        if item is None and name not in record._field_defaults:
-            raise ValueError(f"field {name} of {record.__name__} is missing")
-        fields[name] = record._field_defaults.get(name) if item is None else item
-    return record(**fields)
+        hint = hints[name]
+        inner = (typing.get_args(hint) or (hint,))[0]
+        is_class = isinstance(inner, type)
+        plans.append(
+            _Plan(
+                name,
+                inner if is_class and hasattr(inner, "_fields") else None,
+                inner if is_class and issubclass(inner, enum.Enum) else None,
+                record._field_defaults.get(name, MISSING),
+            )
+        )
+    return tuple(plans)
+
+
+MISSING = object()
+
+
+def _to_record(record: type, value: Any) -> Any:
+    fields = []
+    for plan in _make_plans(record):
+        item = getattr(value, plan.name)
+        if item is None:
+            item = plan.default
+        elif isinstance(item, list):
+            item = tuple(
+                _to_record(plan.record, part) if plan.record else part for part in item
+            )
+        elif plan.record is not None:
+            item = _to_record(plan.record, item)
+        elif plan.enumeration is not None:
+            item = plan.enumeration(item)
+        if item is MISSING:
+            raise ValueError(f"field {plan.name} of {record.__name__} is missing")
+        fields.append(item)
+    return record(*fields)
--- a/wigeonhitch/wire/peer.thrift
+++ b/wigeonhitch/wire/peer.thrift
@@ -37,9 +37,91 @@
   2: string hash
 }
 
+// Messages about the slots of one pool; times are seconds.
+struct Ask {
+  1: string pool
+  2: i64 ask
+  3: i32 rank
+  4: string team
+  5: double age
+  6: double left
+  7: double lasts
+  8: bool again
+}
+
+struct Grant {
+  1: string pool
+  2: i64 ask
+  3: string vm
+}
+
+struct Deny {
+  1: string pool
+  2: i64 ask
+  3: string reason
+  4: double retry_after
+}
+
+struct Return {
+  1: string pool
+  2: i64 ask
+  3: i32 outcome
+  4: double seconds
+  5: i64 reused
+}
+
+struct Cancel {
+  1: string pool
+  2: i64 ask
+}
+
+struct Held {
+  1: i64 ask
+  2: string vm
+  3: double lasts
+}
+
+struct Report {
+  1: string pool
+  2: list<Held> held
+  3: bool join
+}
+
+struct Welcome {
+  1: string pool
+}
+
+struct Pulse {
+  1: string pool
+  2: i32 rank
+  3: string team
+  4: double age
+}
+
+struct Leave {
+  1: string pool
+}
+
+struct SlotMessage {
+  1: optional Ask ask
+  2: optional Grant grant
+  3: optional Deny deny
+  4: optional Return return_
+  5: optional Cancel cancel
+  6: optional Report report
+  7: optional Welcome welcome
+  8: optional Pulse pulse
+  9: optional Leave leave
+}
+
+struct Slots {
+  1: list<SlotMessage> messages
+}
+
 struct Envelope {
   1: string sender
   2: optional Heartbeat heartbeat
   3: optional DocumentRequest document_request
   4: optional Document document
+  5: optional Slots slots
 }
