Add the routing core: admission, slot counting, retries, evidence

Cause: requests need one place that decides, without input or output, who is sent where, who waits and who is refused. Decided: one object per daemon, events in and actions out. The slots of a pool are counted by one daemon (rendezvous hash); while it is silent the daemons try the second in rank and otherwise send by their own counts. Conclusion: usable; safety by interleavings, admission at overload and the faults of owners are tested next.

--- /dev/null
+++ b/benchmarks/routing_loop.py
@@ -0,0 +1,339 @@
+"""A seeded event loop that drives the routing cores of several daemons.
+
+It delays messages, runs requests in the slots of workers, and refuses when a
+worker is full; nothing else of a cluster is imitated. The decisions are those
+of `wigeonhitch.routing`.
+"""
+
+import collections
+import heapq
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from wigeonhitch import verdict
+from wigeonhitch.routing import action, borrower, core, event
+
+__all__ = ["HOP", "Done", "Loop", "Worker", "draw_work", "find_bound", "quantile"]
+
+# Seconds one way between any two processes.
+HOP = 0.001
+
+POOL = "lookup"
+
+
+class Done(NamedTuple):
+    """The final answer of one request, and when its work began (None: never)."""
+
+    arrived: float
+    answered: float
+    verdict: verdict.Verdict
+    began: float | None
+    urgency: str
+    team: str
+
+    @property
+    def wait(self) -> float:
+        """Seconds between arrival and the start of work, less the one way."""
+        return self.began - self.arrived - HOP
+
+
+class Worker:
+    """A worker: ``mode`` is one of ok, refuse, down, fail, frozen."""
+
+    def __init__(self, vm: str, slots: int = 8) -> None:
+        self.vm = vm
+        self.slots = slots
+        self.factor = 1.0
+        self.mode = "ok"
+        self.running = 0
+        self.most = 0
+        self.begun: list[float] = []
+
+
+class Loop:
+    """Daemons, workers and callers of one pool.
+
+    Parameters
+    ----------
+    daemons, workers : int
+        How many.
+    seed : int
+    policy : borrower.Policy
+    """
+
+    def __init__(
+        self,
+        daemons: int = 9,
+        workers: int = 6,
+        seed: int = 1,
+        policy: borrower.Policy = borrower.Policy.OWNER,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.workers = {f"vm{n}": Worker(f"vm{n}") for n in range(workers)}
+        self.cores = {f"d{n}": core.Core(f"d{n}", seed, policy) for n in range(daemons)}
+        self.names = list(self.cores)
+        self.paused: dict[str, list[event.Event]] = {}
+        self.killed: set[str] = set()
+        self.cut: set[str] = set()
+        self.done: dict[int, Done] = {}
+        self.runs: collections.Counter[int] = collections.Counter()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.on_message: Callable[[action.Tell], None] | None = None
+        self.on_action: Callable[[str, action.Action], None] | None = None
+        self._heap: list[tuple[float, int, Callable, tuple]] = []
+        self._count = 0
+        self._ticks: dict[str, float] = {}
+        self._arrivals: dict[int, tuple[event.Arrived, float, str]] = {}
+        self._work: dict[int, float] = {}
+        self._began: dict[int, float] = {}
+        self._open: dict[tuple[str, int], float] = {}
+        self.set_members(self.names)
+        self.set_view(1)
+
+    # The world around the daemons.
+
+    def at(self, when: float, do: Callable, *args: Any) -> None:
+        """Call ``do`` at a time."""
+        self._count += 1
+        heapq.heappush(self._heap, (when, self._count, do, args))
+
+    def run(self, until: float) -> None:
+        """Run until a time."""
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, do, args = heapq.heappop(self._heap)
+            do(*args)
+        self.now = until
+
+    def set_members(self, members: list[str]) -> None:
+        """Let all living daemons see these members."""
+        for name in self.cores:
+            self.give(name, event.MembersChanged(frozenset(members)))
+
+    def set_view(self, revision: int, draining: tuple[str, ...] = ()) -> None:
+        """Let all daemons see the workers."""
+        view = tuple(
+            event.Worker(worker.vm, worker.slots, usable=worker.vm not in draining)
+            for worker in self.workers.values()
+        )
+        for name in self.cores:
+            self.give(name, event.ViewChanged(revision, {POOL: view}))
+
+    def arrive(
+        self,
+        daemon: str,
+        work: float,
+        within: float = 60.0,
+        urgency: str = "urgent",
+        team: str = "clerks",
+        idempotent: bool = False,
+    ) -> int:
+        """Let a request arrive at a daemon now; returns its number."""
+        number = len(self._arrivals) + 1
+        arrival = event.Arrived(
+            number, "s", POOL, urgency, team, self.now + within, idempotent
+        )
+        self._arrivals[number] = (arrival, self.now, daemon)
+        self._work[number] = work
+        self.give(daemon, arrival)
+        return number
+
+    def offer(
+        self,
+        rate: float,
+        start: float,
+        end: float,
+        weights: list[float] | None = None,
+        work: Callable[[random.Random], float] | None = None,
+        **kind: Any,
+    ) -> None:
+        """Let requests arrive at random, ``rate`` a second, over the daemons."""
+        work = work or draw_work
+        rng = random.Random(self.rng.random())
+
+        def arrive_next() -> None:
+            names = [name for name in self.names if name not in self.killed]
+            chances = None
+            if weights is not None:
+                chances = [weights[self.names.index(name)] for name in names]
+            self.arrive(rng.choices(names, chances)[0], work(rng), **kind)
+            when = self.now + rng.expovariate(rate)
+            if when < end:
+                self.at(when, arrive_next)
+
+        self.at(start + rng.expovariate(rate), arrive_next)
+
+    def kill(self, daemon: str) -> None:
+        """End a daemon; callers of its requests get nothing."""
+        self.killed.add(daemon)
+
+    def pause(self, daemon: str) -> None:
+        """Stop a daemon; what is meant for it waits."""
+        self.paused[daemon] = []
+
+    def resume(self, daemon: str) -> None:
+        """Let a daemon go on."""
+        for what in self.paused.pop(daemon):
+            self.give(daemon, what)
+
+    def find_owner(self) -> str:
+        """Return the daemon that counts the slots."""
+        from wigeonhitch.routing import rendezvous
+
+        return rendezvous.rank(POOL, self.names)[0]
+
+    # Daemons.
+
+    def give(self, daemon: str, what: event.Event) -> None:
+        """Give an event to a daemon and do what it says."""
+        if daemon in self.killed:
+            return
+        if daemon in self.paused:
+            if not isinstance(what, event.Tick):
+                self.paused[daemon].append(what)
+            return
+        for act in self.cores[daemon].handle(what, self.now):
+            if self.on_action is not None:
+                self.on_action(daemon, act)
+            self._do(daemon, act)
+        when = self.cores[daemon].next_timer()
+        if when is not None and self._ticks.get(daemon, when + 1.0) != when:
+            self._ticks[daemon] = when
+            self.at(max(when, self.now), self._tick, daemon, when)
+
+    def _tick(self, daemon: str, when: float) -> None:
+        if self._ticks.get(daemon) == when:
+            del self._ticks[daemon]
+            if daemon in self.paused:
+                self.at(self.now + 0.01, self._tick, daemon, when)
+                self._ticks[daemon] = when
+                return
+            self.give(daemon, event.Tick())
+
+    def _do(self, daemon: str, act: action.Action) -> None:
+        if isinstance(act, action.Send):
+            self.counts["sends"] += 1
+            self._open[(daemon, act.attempt)] = self.now
+            self.at(self.now + HOP, self._reach, daemon, act)
+            late = verdict.may_have_run(verdict.Reason.TIMEOUT)
+            self.at(self.now + act.timeout, self._end, daemon, act, late, False)
+        elif isinstance(act, action.Answer):
+            self._answer(act)
+        elif isinstance(act, action.Abort):
+            gone = verdict.may_have_run(verdict.Reason.CANCELLED)
+            send = action.Send(act.request, act.attempt, "", 0.0)
+            self.at(self.now, self._end, daemon, send, gone, False)
+        else:
+            self.counts["frames"] += 1
+            self.counts["messages"] += len(act.messages)
+            if self.on_message is not None:
+                self.on_message(act)
+            if daemon not in self.cut and act.daemon not in self.cut:
+                what = event.Received(daemon, act.messages)
+                self.at(self.now + HOP, self.give, act.daemon, what)
+
+    def _answer(self, act: action.Answer) -> None:
+        assert act.request not in self.done, "answered twice"
+        arrival, arrived, _ = self._arrivals[act.request]
+        began = self._began.get(act.request)
+        self.done[act.request] = Done(
+            arrived, self.now, act.verdict, began, arrival.urgency, arrival.team
+        )
+
+    def _end(
+        self,
+        daemon: str,
+        send: action.Send,
+        result: verdict.Verdict,
+        failed: bool,
+    ) -> None:
+        """End an attempt once, by answer, timeout or abort."""
+        sent = self._open.pop((daemon, send.attempt), None)
+        if sent is not None:
+            seconds = self.now - sent
+            what = event.Answered(send.request, send.attempt, result, seconds, failed)
+            self.give(daemon, what)
+
+    # Workers.
+
+    def _reach(self, daemon: str, send: action.Send) -> None:
+        worker = self.workers[send.vm]
+        back = self.now + HOP
+        if worker.mode == "down":
+            result = verdict.not_run(verdict.Reason.NOT_CONNECTED)
+            self.at(back, self._end, daemon, send, result, False)
+            return
+        if worker.mode == "refuse" or worker.running >= worker.slots:
+            self.counts["refusals"] += 1
+            self.counts["needless"] += any(
+                other.running < other.slots for other in self.workers.values()
+            )
+            result = verdict.not_run(verdict.Reason.WORKER_REFUSED)
+            self.at(back, self._end, daemon, send, result, False)
+            return
+        self.runs[send.request] += 1
+        self._began[send.request] = self.now
+        worker.begun.append(self.now)
+        if worker.mode == "fail":
+            self.at(back, self._end, daemon, send, verdict.ran(), True)
+            return
+        worker.running += 1
+        if worker.mode == "ok":
+            seconds = self._work[send.request] * worker.factor
+            self.at(self.now + seconds, self._complete, worker, daemon, send)
+
+    def _complete(self, worker: Worker, daemon: str, send: action.Send) -> None:
+        worker.running -= 1
+        self.counts["completed"] += 1
+        self.at(self.now + HOP, self._end, daemon, send, verdict.ran(), False)
+
+
+def draw_work(rng: random.Random) -> float:
+    """Draw seconds of work: mean 0.05, one in ten eleven times as long."""
+    return 0.275 if rng.random() < 0.1 else 0.025
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return a quantile; 0 of nothing."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def find_bound(
+    arrivals: list[tuple[float, float]], factors: list[float], turn: float, slots: int
+) -> list[float]:
+    """Return the waits of one queue that sees every slot, without delays.
+
+    Parameters
+    ----------
+    arrivals : list of (float, float)
+        Time and work of each request, in order.
+    factors : list of float
+        How many times slower each worker is.
+    turn : float
+        Seconds that a slot is idle between two requests: 0 for the plain
+        bound, two ways for workers that hold no queue of their own.
+    slots : int
+        Of each worker.
+    """
+    free = [(0.0, factor) for factor in factors for _ in range(slots)]
+    heapq.heapify(free)
+    waits = []
+    for when, work in arrivals:
+        ready = []
+        while free and free[0][0] <= when:
+            ready.append(heapq.heappop(free))
+        if ready:
+            ready.sort(key=lambda item: item[1])
+            chosen = ready.pop(0)
+            for item in ready:
+                heapq.heappush(free, item)
+        else:
+            chosen = heapq.heappop(free)
+        begin = max(when, chosen[0])
+        waits.append(begin - when)
+        heapq.heappush(free, (begin + work * chosen[1] + turn, chosen[1]))
+    return waits
--- /dev/null
+++ b/wigeonhitch/routing/borrower.py
@@ -0,0 +1,484 @@
+"""Sending the waiting requests of one pool: the asking daemon's side.
+
+While the pool's owner answers, requests wait at the owner and are sent when a
+slot is granted. While it does not (lost, paused, cut off, not yet chosen), the
+daemon sends by its own counts: the better of two workers drawn at random, full
+workers refuse and are avoided for a moment. Made for the seconds between the
+loss of an owner and the members' agreeing on it: nobody waits for a daemon
+that is silent for longer than `SILENCE`.
+"""
+
+import enum
+import random
+from collections.abc import Iterable
+from typing import NamedTuple, Protocol
+
+from wigeonhitch import verdict
+from wigeonhitch.routing import event, evidence, peer, queue, retry
+
+__all__ = ["SILENCE", "Borrower", "Link", "Policy", "Port"]
+
+# Seconds without a sign of life, while asks wait or a report is unanswered,
+# after which an owner counts as lost: three pulses (`slot.PULSE`) and a
+# message's way. Requests of that moment wait this long once.
+SILENCE = 0.1
+
+# Seconds between tries to come back to the first owner.
+PROBE = 1.0
+
+# The daemons that are tried as owner, in rendezvous order, before a daemon
+# sends by its own counts alone. With two, the pause of one owner costs the
+# one-queue order for `SILENCE` plus `slot.REBUILD`, not until members agree.
+OWNERS = 2
+
+# A slot that becomes free is kept for an own request of the class and team
+# that is next at the owner, if that request is younger than the owner's next
+# by at most this many seconds. It saves the slot two messages' ways (2 to 3
+# ms of some 50) when slots are scarce, and bounds the disorder that it brings.
+REUSE_SLACK = 0.05
+
+# Seconds after which what a pulse said about the next ask is not relied on.
+HINT_AGE = 0.06
+
+# Bounds, in seconds and doublings, of avoiding a worker that refused.
+SHORTEST_AVOID = 0.002
+AVOID_DOUBLINGS = 4
+
+
+class Link(enum.Enum):
+    """State of the connection to the pool's owner."""
+
+    NONE = "none"
+    JOINING = "joining"
+    JOINED = "joined"
+    ALONE = "alone"
+
+
+class Policy(enum.Enum):
+    """Who counts the slots."""
+
+    OWNER = "owner"
+    OWN_COUNTS = "own counts"
+
+
+class Port(Protocol):
+    """What a borrower needs of the object that drives it."""
+
+    def number(self) -> int:
+        """Return a number that is unique in this daemon."""
+        ...
+
+    def tell(self, daemon: str, message: peer.Message) -> None:
+        """Send a message to a daemon (this one included)."""
+        ...
+
+    def limit(self, vm: str) -> int:
+        """Return how many connections to a worker this daemon may use."""
+        ...
+
+    def start(self, request: int, hold: int, vm: str) -> None:
+        """Send a request to a worker."""
+        ...
+
+    def refuse(self, request: int, reason: verdict.Reason, retry: float) -> None:
+        """Give up a request that waited."""
+        ...
+
+
+class _Hold(NamedTuple):
+    """A slot in use by this daemon; ``ends`` is the request's deadline."""
+
+    vm: str
+    ends: float
+
+
+class Borrower:
+    """Waiting requests of one pool in one daemon.
+
+    Parameters
+    ----------
+    pool : str
+    port : Port
+    rng : random.Random
+        Seeded.
+    policy : Policy
+    """
+
+    def __init__(
+        self, pool: str, port: Port, rng: random.Random, policy: Policy
+    ) -> None:
+        self.pool = pool
+        self.budget = retry.Budget()
+        self.evidence = evidence.Evidence(rng)
+        self.waiting = queue.Queue()
+        self.link = Link.NONE
+        self._port = port
+        self._rng = rng
+        self._policy = policy
+        self._slots: dict[str, int] = {}
+        self._caps: dict[str, int] = {}
+        self._owners: tuple[str, ...] = ()
+        self._members = 1
+        self._rank = 0
+        self._heard = 0.0
+        self._probe_at = 0.0
+        self._hint: peer.Pulse | None = None
+        self._hint_at = 0.0
+        self._asks: dict[int, int] = {}
+        self._requests: dict[int, int] = {}
+        self._deadlines: dict[int, float] = {}
+        self._parked: dict[int, tuple[queue.Entry, float]] = {}
+        self._holds: dict[int, _Hold] = {}
+        self._flying: dict[str, int] = {}
+        self._avoid: dict[str, tuple[float, int]] = {}
+
+    @property
+    def has_workers(self) -> bool:
+        """Whether any worker may get a send."""
+        return bool(self._slots)
+
+    # What is known of the pool and the daemons.
+
+    def set_workers(self, workers: Iterable[event.Worker]) -> None:
+        """Set the workers of the pool."""
+        workers = tuple(workers)
+        self._slots = {worker.vm: worker.slots for worker in workers if worker.usable}
+        self._caps = {}
+        self.evidence.set_workers(worker.vm for worker in workers)
+        known = {worker.vm for worker in workers}
+        self._avoid = {vm: avoid for vm, avoid in self._avoid.items() if vm in known}
+
+    def set_members(self, ranked: Iterable[str], members: int, now: float) -> None:
+        """Set the possible owners, best first, and the number of daemons."""
+        owners = tuple(ranked)[:OWNERS]
+        self._members = max(1, members)
+        self._caps = {}
+        if owners == self._owners:
+            return
+        before = self._owner()
+        self._owners = owners
+        if self.link is Link.NONE:
+            return
+        if self.link is Link.JOINED and before == self._owner() and not self._rank:
+            return
+        if before is not None and before in owners:
+            self._port.tell(before, peer.Report(self.pool, (), False))
+        self._join(0, now)
+
+    # Requests.
+
+    def submit(
+        self, entry: queue.Entry, deadline: float, now: float, again: bool = False
+    ) -> None:
+        """Queue a request (``entry.key``); it is sent, or refused at once.
+
+        ``again`` is for one that was sent in vain: it keeps its place.
+        """
+        self._deadlines[entry.key] = deadline
+        if self.link is Link.NONE:
+            self._join(0, now)
+        crowded = len(self.waiting) > 0
+        self.waiting.push(entry, front=again)
+        if self.link is Link.JOINED:
+            self._ask(entry, now, again)
+            return
+        if crowded and not again and not self._can_meet(entry, now):
+            wait = self.waiting.estimate_wait(entry.rank, entry.team, self._rate())
+            retry_after = queue.spread_return(wait, self._rng)
+            self._give_up(entry.key, verdict.Reason.QUEUE_FULL, retry_after)
+            return
+        self._send_alone(now)
+
+    def repeat(self, entry: queue.Entry, deadline: float, now: float) -> bool:
+        """Queue a request that a full worker refused; False if none may be.
+
+        It goes on at once if the budget allows. Else it waits for an answer
+        that is due, since that earns repeats; with none due it is an outage.
+        """
+        if self.budget.spend_refusal():
+            self.submit(entry, deadline, now, again=True)
+            return True
+        if not self._holds:
+            return False
+        self._parked[entry.key] = (entry, deadline)
+        return True
+
+    def _release_parked(self, now: float) -> None:
+        """Let parked requests go on as the budget allows."""
+        while self._parked and self.budget.spend_refusal():
+            entry, deadline = self._parked.pop(next(iter(self._parked)))
+            self.submit(entry, deadline, now, again=True)
+        if not self._holds:
+            for request in list(self._parked):
+                reason = verdict.Reason.RETRY_BUDGET
+                self._give_up(request, reason, self._retry_after())
+
+    def cancel(self, request: int) -> None:
+        """Take a request out of the queue, here and at the owner."""
+        self.waiting.remove(request)
+        self._parked.pop(request, None)
+        self._deadlines.pop(request, None)
+        ask = self._asks.pop(request, None)
+        if ask is not None:
+            del self._requests[ask]
+            self._tell_owner(peer.Cancel(self.pool, ask))
+
+    def end(self, hold: int, outcome: peer.Outcome, seconds: float, now: float) -> None:
+        """Count an attempt out; its slot is reused or returned."""
+        vm = self._holds.pop(hold).vm
+        self._flying[vm] -= 1
+        self.evidence.record(vm, outcome, seconds, now)
+        self._note(vm, outcome, now)
+        if self.link is Link.JOINED:
+            reused = self._reuse(hold, vm, outcome, now)
+            self._tell_owner(peer.Return(self.pool, hold, outcome, seconds, reused))
+        else:
+            self._send_alone(now)
+        if self._parked:
+            self._release_parked(now)
+
+    def receive(self, daemon: str, message: peer.Message, now: float) -> None:
+        """Handle a message of an owner."""
+        if isinstance(message, peer.Welcome):
+            self._take_welcome(daemon, now)
+            return
+        if daemon != self._owner():
+            if isinstance(message, peer.Grant):
+                unused = peer.Return(self.pool, message.ask, peer.Outcome.UNUSED, 0.0)
+                self._port.tell(daemon, unused)
+            return
+        self._heard = now
+        if isinstance(message, peer.Grant):
+            self._take_grant(message, now)
+        elif isinstance(message, peer.Deny):
+            request = self._requests.get(message.ask)
+            if request is not None:
+                self._give_up(request, message.reason, message.retry_after)
+        elif isinstance(message, peer.Pulse):
+            self._hint, self._hint_at = message, now
+        elif isinstance(message, peer.Leave):
+            self._lose(now)
+
+    def wake(self, now: float, late: float) -> None:
+        """Do what is due; ``late`` is how much after `next_time` it is (s).
+
+        A daemon that was itself paused does not take that for the owner's
+        silence.
+        """
+        for entry in self.waiting.overdue(now):
+            self._give_up(entry.key, verdict.Reason.DEADLINE, self._retry_after())
+        if late > SILENCE:
+            self._heard = now
+        if self._is_silent(now):
+            self._lose(now)
+        if self._rank and now >= self._probe_at and self._owners:
+            self._probe_at = now + PROBE
+            self._port.tell(self._owners[0], peer.Report(self.pool, (), True))
+        if self.link is not Link.JOINED:
+            self._send_alone(now)
+
+    def next_time(self, now: float) -> float | None:
+        """Return when to call `wake`, in seconds."""
+        times = []
+        overdue = self.waiting.next_overdue()
+        if overdue is not None:
+            times.append(overdue)
+        if self.link is Link.JOINING or (self.link is Link.JOINED and self._asks):
+            times.append(self._heard + SILENCE)
+        if self._rank and (len(self.waiting) or self._holds):
+            times.append(self._probe_at)
+        if self.link is not Link.JOINED and len(self.waiting):
+            avoided = [until for until, _ in self._avoid.values() if until > now]
+            times.append(min(avoided, default=now + SILENCE))
+        return min(times, default=None)
+
+    # The link to the owner.
+
+    def _owner(self) -> str | None:
+        if self.link in (Link.NONE, Link.ALONE) or self._rank >= len(self._owners):
+            return None
+        return self._owners[self._rank]
+
+    def _tell_owner(self, message: peer.Message) -> None:
+        owner = self._owner()
+        if owner is not None:
+            self._port.tell(owner, message)
+
+    def _join(self, rank: int, now: float) -> None:
+        """Begin with the owner of a rank; send by own counts until welcomed."""
+        self._forget_asks()
+        self._rank = rank
+        self._probe_at = now + PROBE
+        if self._policy is Policy.OWN_COUNTS or rank >= len(self._owners):
+            self.link = Link.ALONE
+        else:
+            self.link = Link.JOINING
+            self._heard = now
+            self._tell_owner(peer.Report(self.pool, (), True))
+
+    def _is_silent(self, now: float) -> bool:
+        waits = self.link is Link.JOINING or (self.link is Link.JOINED and self._asks)
+        return bool(waits) and now - self._heard >= SILENCE
+
+    def _lose(self, now: float) -> None:
+        """Go on without an owner that is silent or leaves."""
+        if self.link is Link.JOINED:
+            self._tell_owner(peer.Report(self.pool, (), False))
+        self._join(self._rank + 1, now)
+        self._send_alone(now)
+
+    def _take_welcome(self, daemon: str, now: float) -> None:
+        """Ask the owner from now on, and tell it what this daemon holds."""
+        first = bool(self._owners) and daemon == self._owners[0]
+        if daemon != self._owner():
+            if not first or self.link is Link.NONE:
+                return
+            if self.link is Link.JOINED:
+                self._tell_owner(peer.Report(self.pool, (), False))
+            self._rank = 0
+        elif self.link is Link.JOINED:
+            return
+        self._forget_asks()
+        self.link = Link.JOINED
+        self._heard = now
+        held = tuple(
+            peer.Held(hold, item.vm, max(0.0, item.ends - now))
+            for hold, item in self._holds.items()
+        )
+        self._tell_owner(peer.Report(self.pool, held, False))
+        for entry in self.waiting.entries():
+            self._ask(entry, now, True)
+
+    def _forget_asks(self) -> None:
+        self._asks.clear()
+        self._requests.clear()
+        self._hint = None
+
+    def _ask(self, entry: queue.Entry, now: float, again: bool) -> None:
+        if not self._asks:
+            self._heard = now
+        ask = self._port.number()
+        self._asks[entry.key] = ask
+        self._requests[ask] = entry.key
+        lasts = self._deadlines[entry.key] - now
+        age = now - entry.since
+        left = entry.latest - now
+        self._tell_owner(
+            peer.Ask(self.pool, ask, entry.rank, entry.team, age, left, lasts, again)
+        )
+
+    def _take_grant(self, grant: peer.Grant, now: float) -> None:
+        """Use a slot at once, unless nobody waits or the VM is draining here."""
+        request = self._requests.pop(grant.ask, None)
+        if request is None:
+            unused = peer.Return(self.pool, grant.ask, peer.Outcome.UNUSED, 0.0)
+            self._tell_owner(unused)
+            return
+        del self._asks[request]
+        if grant.vm not in self._slots:
+            refused = peer.Return(self.pool, grant.ask, peer.Outcome.REFUSED, 0.0)
+            self._tell_owner(refused)
+            entry = self.waiting.get(request)
+            if entry is not None:
+                self._ask(entry, now, True)
+            return
+        self.waiting.start(request)
+        self._start(request, grant.ask, grant.vm)
+
+    def _reuse(self, hold: int, vm: str, outcome: peer.Outcome, now: float) -> int:
+        """Send the next own request on a slot just freed; 0 if it is not next."""
+        hint = self._hint
+        if outcome is not peer.Outcome.OK or hint is None or vm not in self._slots:
+            return 0
+        since_hint = now - self._hint_at
+        if since_hint > HINT_AGE or not self.evidence.allows(vm, 0, now):
+            return 0
+        entry = self.waiting.peek(now)
+        if entry is None or entry.rank > hint.rank:
+            return 0
+        if entry.rank == hint.rank:
+            oldest = self._hint_at - hint.age
+            if entry.team != hint.team or entry.since > oldest + REUSE_SLACK:
+                return 0
+        ask = self._asks.pop(entry.key)
+        del self._requests[ask]
+        self.waiting.start(entry.key)
+        self._start(entry.key, hold, vm)
+        return ask
+
+    # Sending by own counts.
+
+    def _send_alone(self, now: float) -> None:
+        if self.link is Link.JOINED:
+            return
+        while len(self.waiting):
+            vm = self._choose(now)
+            if vm is None:
+                return
+            entry = self.waiting.take(now)
+            if entry is None:
+                return
+            self._start(entry.key, self._port.number(), vm)
+
+    def _choose(self, now: float) -> str | None:
+        """Return the better of two workers that may have room, or None."""
+        room = []
+        for vm in self._slots:
+            used = self._flying.get(vm, 0)
+            if used >= self._cap(vm):
+                continue
+            if vm in self._avoid and self._avoid[vm][0] > now:
+                continue
+            if self.evidence.allows(vm, used, now):
+                room.append(vm)
+        if len(room) > 2:
+            room = self._rng.sample(room, 2)
+        return min(room, key=self._weigh, default=None)
+
+    def _weigh(self, vm: str) -> float:
+        used = self._flying.get(vm, 0)
+        return self.evidence.weigh(vm, used, self._slots[vm])
+
+    def _cap(self, vm: str) -> int:
+        """Return how many requests this daemon may have at a worker."""
+        cap = self._caps.get(vm)
+        if cap is None:
+            cap = min(self._slots[vm], self._port.limit(vm))
+            self._caps[vm] = cap
+        return cap
+
+    def _note(self, vm: str, outcome: peer.Outcome, now: float) -> None:
+        """Avoid a worker that refused or failed, for about one slot's time."""
+        if outcome is peer.Outcome.OK:
+            self._avoid.pop(vm, None)
+            return
+        _, row = self._avoid.get(vm, (0.0, 0))
+        base = self.evidence.mean / self._slots.get(vm, 1)
+        length = max(SHORTEST_AVOID, base) * 2.0 ** min(row, AVOID_DOUBLINGS)
+        self._avoid[vm] = (now + length * (0.5 + self._rng.random()), row + 1)
+
+    def _can_meet(self, entry: queue.Entry, now: float) -> bool:
+        rate = self._rate()
+        return not rate or self.waiting.can_meet(entry, now, rate)
+
+    def _rate(self) -> float:
+        """Return this daemon's starts per second; 0 while unknown."""
+        mean = self.evidence.mean
+        if not mean:
+            return 0.0
+        slots = sum(self._slots.values())
+        return max(len(self._holds), slots / self._members) / mean
+
+    def _retry_after(self) -> float:
+        rate = self._rate()
+        wait = len(self.waiting) / rate if rate else 0.0
+        return queue.spread_return(wait, self._rng)
+
+    def _start(self, request: int, hold: int, vm: str) -> None:
+        self._holds[hold] = _Hold(vm, self._deadlines.pop(request))
+        self._flying[vm] = self._flying.get(vm, 0) + 1
+        self._port.start(request, hold, vm)
+
+    def _give_up(self, request: int, reason: verdict.Reason, retry: float) -> None:
+        self.cancel(request)
+        self._port.refuse(request, reason, retry)
--- /dev/null
+++ b/wigeonhitch/routing/tests/conftest.py
@@ -0,0 +1,9 @@
+import pytest
+
+from benchmarks import routing_loop
+
+
+@pytest.fixture
+def loop():
+    """Nine daemons and six workers of eight slots, owner counts the slots."""
+    return routing_loop.Loop()
--- /dev/null
+++ b/wigeonhitch/routing/tests/test_core.py
@@ -0,0 +1,41 @@
+from wigeonhitch import verdict
+from wigeonhitch.routing import action, event
+
+
+def test_requests_of_all_daemons_are_answered_without_refusals(loop):
+    loop.offer(700.0, 0.0, 3.0)
+    loop.run(10.0)
+    assert len(loop.done) > 1500
+    assert all(done.verdict == verdict.ran() for done in loop.done.values())
+    assert set(loop.runs.values()) == {1}
+    assert loop.counts["refusals"] < 0.01 * len(loop.done)
+
+
+def test_drained_worker_gets_no_send_once_the_view_is_applied(loop):
+    sends = []
+
+    def watch(daemon, act):
+        if isinstance(act, action.Send) and loop.now > 1.0:
+            sends.append(act.vm)
+
+    loop.on_action = watch
+    loop.offer(1500.0, 0.0, 3.0, within=0.5)
+    loop.at(1.0, loop.set_view, 2, ("vm0",))
+    loop.run(6.0)
+    assert sends
+    assert "vm0" not in sends
+    assert all(core.in_flight("vm0") == 0 for core in loop.cores.values())
+    assert all(core.revision == 2 for core in loop.cores.values())
+
+
+def test_send_right_lapsed_refuses_what_waits_and_what_arrives(loop):
+    loop.offer(1500.0, 0.0, 1.0)
+    loop.run(1.0)
+    core = loop.cores["d0"]
+    waiting = sum(core.count_waiting().values())
+    assert waiting
+    actions = core.handle(event.SendLapsed(), 1.0)
+    refused = [act for act in actions if isinstance(act, action.Answer)]
+    assert len(refused) == waiting
+    assert {act.verdict.ran for act in refused} == {verdict.Ran.NO}
+    assert not [act for act in actions if isinstance(act, action.Send)]
