--- /dev/null
+++ b/wigeonhitch/idempotency/tests/test_interleavings.py
@@ -0,0 +1,34 @@
+"""Search for a history in which a key runs twice or "not run" is untrue."""
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+
+from wigeonhitch.idempotency.tests import history
+
+
+def search(examples):
+    settings = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=40,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        report_multiple_bugs=False,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    stateful.run_state_machine_as_test(history.History, settings=settings)
+
+
+def test_a_key_runs_at_most_once_in_every_history():
+    search(600)
+
+
+@pytest.mark.parametrize(
+    "switch", ["ignore_conditions", "take_over_claims", "treat_unknown_as_free"]
+)
+def test_the_search_finds_a_second_run_without_the_mechanism(monkeypatch, switch):
+    history.SWITCHES[switch](monkeypatch)
+    with pytest.raises(AssertionError):
+        search(600)
