--- a/wigeonhitch/idempotency/core.py
+++ b/wigeonhitch/idempotency/core.py
@@ -32,7 +32,7 @@
 """Seconds that a kept answer waits to share a table write with claims; longer
 would widen the time in which a death loses the answer."""
 SETTLE_LIMIT = 120.0
-"""Seconds in which keeping an answer or a release is tried; afterwards the key
+"""Seconds in which writing the end of an attempt is tried; afterwards the key
 stays claimed, which is safe, and the memory is free."""
 MAX_ENTRIES = 2000
 """Requests in hand at once: forty times what 50 slots could serve, and some
@@ -91,13 +91,6 @@
             self._claim(item, 0)
         return ticket
 
-    def may_send(self, ticket: int, now: float) -> bool:
-        """Whether a granted ticket may (still) send; ask right before it."""
-        item = self._entries.get(ticket)
-        if item is None or item.phase is not entry.Phase.HELD:
-            return False
-        return now < item.submitted + SEND_WINDOW
-
     def settle(
         self,
         ticket: int,
@@ -128,12 +121,11 @@
         item = self._entries.get(ticket)
         if item is None:
             return
+        item.is_abandoned = True
         if item.phase is entry.Phase.HELD:
             self.settle(ticket, record.State.RELEASED, now)
         elif item.phase is entry.Phase.WAITING or self._queue.withdraw(ticket):
             del self._entries[ticket]
-        elif item.phase is entry.Phase.QUEUED:
-            item.is_abandoned = True
 
     def on_commit(self, number: int, result: table.CommitResult, now: float) -> None:
         """Take the result of a `batch.Commit`."""
@@ -169,8 +161,8 @@
 
     def step(self, now: float) -> list[decision.Action]:
         """Return the actions that are due."""
-        self._expire(now)
         actions: list[decision.Action] = []
+        self._expire(now)
         if not self._is_reading and now >= self._health.blocked_until:
             keys = self._pick_reads(now)
             if keys or self._health.needs_probe:
@@ -250,11 +242,11 @@
         item.held = claimed
         if item.is_abandoned:
             self.settle(item.ticket, record.State.RELEASED, now)
-        elif now >= item.deadline or not self.may_send(item.ticket, now):
+        elif now >= min(item.deadline, item.submitted + SEND_WINDOW):
             self._decisions.refuse(item.ticket, verdict.Reason.DEADLINE)
             self.settle(item.ticket, record.State.RELEASED, now)
         else:
-            self._decisions.grant(item.ticket)
+            self._decisions.grant(item.ticket, item.submitted + SEND_WINDOW)
 
     def _on_conflict(self, write: batch.Write, row: table.Row, now: float) -> None:
         if write.ticket in self._doubts:
@@ -317,7 +309,8 @@
             self._decisions.replay(item.ticket, found)
             del self._entries[item.ticket]
         elif seen is decision.Judgement.DOUBTFUL:
-            self._tell_claimed(item)
+            self._decisions.tell_claimed(item.ticket)
+            del self._entries[item.ticket]
         elif item.phase is not entry.Phase.WAITING:
             item.wait(now, min(item.deadline, now + WAIT_LIMIT))
 
@@ -334,7 +327,8 @@
     def _expire(self, now: float) -> None:
         for item in list(self._entries.values()):
             if item.phase is entry.Phase.WAITING and now >= item.wait_until:
-                self._tell_claimed(item)
+                self._decisions.tell_claimed(item.ticket)
+                del self._entries[item.ticket]
             elif item.phase is not entry.Phase.QUEUED or now < item.deadline:
                 continue
             elif self._queue.withdraw(item.ticket):
@@ -343,10 +337,6 @@
                 self._decisions.refuse(item.ticket, verdict.Reason.DEADLINE)
                 item.is_abandoned = True
 
-    def _tell_claimed(self, item: entry.Entry) -> None:
-        self._decisions.tell_claimed(item.ticket)
-        del self._entries[item.ticket]
-
     def _refuse(self, item: entry.Entry, reason: verdict.Reason) -> None:
         if not item.is_abandoned:
             self._decisions.refuse(item.ticket, reason)
--- a/wigeonhitch/idempotency/decision.py
+++ b/wigeonhitch/idempotency/decision.py
@@ -27,13 +27,15 @@
     """Action: answer a ticket.
 
     ``kept`` holds the kept answer when replayed; ``told`` is what the caller is
-    told unless granted.
+    told unless granted; a granted request may be sent until ``send_before``, in
+    seconds on the clock that counts suspension.
     """
 
     ticket: int
     kind: Kind
     told: verdict.Verdict | None = None
     kept: record.Record | None = None
+    send_before: float = 0.0
 
 
 class Read(NamedTuple):
@@ -111,9 +113,10 @@
         taken, self._waiting = self._waiting, []
         return taken
 
-    def grant(self, ticket: int) -> None:
-        """Let the request be sent."""
-        self._add(Decision(ticket, Kind.GRANTED), "granted")
+    def grant(self, ticket: int, send_before: float) -> None:
+        """Let the request be sent until ``send_before``, in seconds."""
+        made = Decision(ticket, Kind.GRANTED, send_before=send_before)
+        self._add(made, "granted")
 
     def replay(self, ticket: int, kept: record.Record) -> None:
         """Give the kept answer."""
--- a/wigeonhitch/idempotency/record.py
+++ b/wigeonhitch/idempotency/record.py
@@ -84,7 +84,7 @@
     Examples
     --------
     >>> build_key("pairing", "invoice-7")
-    'claim/pairing/6e48a9d41edfa8d8ef3c2ff43ac0cc9f'
+    'claim/pairing/61bf036ed8c6a6aa27f3bdeb850ad16c'
     """
     digest = hashlib.sha256(key.encode()).hexdigest()[:DIGEST_LENGTH]
     return f"{PREFIX}/{service}/{digest}"
