Wait for a look after a lost race for a duty

A takeover that met a conflict was sent again at every event until the next look showed why. Without the wait the new test sees a takeover per step and fails.

--- a/wigeonhitch/membership/duty.py
+++ b/wigeonhitch/membership/duty.py
@@ -100,6 +100,7 @@
         self._releasing: set[str] = set()
         self._vacant_since: dict[str, float] = {}
         self._inflight: set[Purpose] = set()
+        self._not_before: dict[Purpose, float] = {}
         self._is_looking = False
         self._is_leaving = False
         self._next_look = float("-inf")
@@ -176,6 +177,8 @@
         if purpose.verb is Verb.RENEW:
             self._on_renewal(result, sent, now)
         elif not is_done:
+            # The view is stale: look first, or each event would try again.
+            self._not_before[purpose] = now + 2 * self._limits.gap
             self._next_look = min(self._next_look, now + self._limits.gap)
         elif purpose.verb is Verb.TAKE:
             self._view.note_holder(purpose.name, self._daemon, result.revision)
@@ -203,6 +206,8 @@
             actions.append(Look(self._view.revision))
         if not self._view.time:
             return actions
+        waiting = self._not_before.items()
+        self._not_before = {item: time for item, time in waiting if time > now}
         if self._is_leaving:
             return [*actions, *self._release(), *self._delete_own()]
         actions.extend(self._renew(now))
@@ -320,7 +325,7 @@
         value: Mapping[str, Any] | None,
     ) -> list[Commit]:
         """Return the commit of ``value`` to the first condition's row."""
-        if purpose in self._inflight:
+        if purpose in self._inflight or purpose in self._not_before:
             return []
         self._inflight.add(purpose)
         write = table.Write(conditions[0].key, value)
--- a/wigeonhitch/membership/tests/test_duty.py
+++ b/wigeonhitch/membership/tests/test_duty.py
@@ -300,6 +300,29 @@
     assert find_holder(cluster) != leaving
 
 
+def test_a_lost_race_is_not_repeated_at_every_event(cluster):
+    leaving = find_holder(cluster)
+    cluster.nodes[leaving].duties.leave()
+    for _ in range(3):
+        cluster.nodes[leaving].step()
+    node = next(node for name, node in cluster.nodes.items() if name != leaving)
+    failed = table.CommitResult(table.Outcome.NOT_DONE, reason="conflict")
+    takes = []
+    for _ in range(100):
+        now = cluster.platform.now
+        for action in node.duties.step(now):
+            verb = getattr(action, "purpose", duty.Purpose(duty.Verb.RENEW)).verb
+            if verb is duty.Verb.TAKE:
+                takes.append(now)
+                node.duties.on_commit(action.purpose, failed, now, now)
+            else:
+                node.results.append((action, None, now))
+        node.deliver()
+        cluster.platform.advance(0.1)
+    assert takes
+    assert len(takes) <= 10
+
+
 def test_duties_spread_over_daemons_that_start_late():
     cluster = Cluster()
     duties = [f"pool-{index}" for index in range(12)]
