Keep the stand-in's table calls free of task steps

Every request advanced every task that ever ran, so a table read grew slower with the jobs of the run. Table and object calls no longer step tasks, ended tasks are no longer visited, and idle connections stay open a minute, longer than httpx keeps them, so that none is closed under a request.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -25,6 +25,9 @@
 """Seconds to tell a worker process to behave as rebooting."""
 HANG_SECONDS = 3600.0
 """Seconds after which a hung request is dropped in any case."""
+KEEP_ALIVE = 60.0
+"""Seconds that an idle connection stays open: longer than its clients keep
+it, so that none is closed under a request."""
 TICK = 0.1
 """Seconds between steps of VMs and tasks when no request comes."""
 
@@ -172,6 +175,7 @@
     config = hypercorn.config.Config()
     config.bind = [f"127.0.0.1:{options.port}"]
     config.graceful_timeout = 0.2
+    config.keep_alive_timeout = KEEP_ALIVE
     config.errorlog = None
     stopped = anyio.Event()
     async with anyio.create_task_group() as tasks:
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -15,6 +15,10 @@
 __all__ = ["Answer", "Call", "Engine"]
 
 
+TABLE_PATHS = ("/table/", "/objects/")
+"""Calls to these need no step of VMs and tasks."""
+
+
 class Call(NamedTuple):
     """One request; ``body`` is decoded JSON, or bytes for an object."""
 
@@ -68,7 +72,8 @@
 
     def handle(self, call: Call, now: float) -> Answer:
         """Answer one request; ``now`` in seconds since the Unix epoch."""
-        self.advance(now)
+        if not call.path.startswith(TABLE_PATHS):
+            self.advance(now)
         route = self._routes.get((call.method, call.path)) or self._match(call)
         if route is None:
             return Answer(404, {"error": f"no route {call.method} {call.path}"})
--- a/standins/platformtasks.py
+++ b/standins/platformtasks.py
@@ -72,6 +72,7 @@
     def __init__(self, *, lag: float = 0.0) -> None:
         self.lag = lag
         self.executions: dict[str, Execution] = {}
+        self._unended: dict[str, Execution] = {}
         self._fences: dict[str, int] = {}
 
     def start(self, spec: tasks.TaskSpec, live: Collection[str], now: float) -> str:
@@ -85,7 +86,7 @@
         if known is not None:
             known.fence = spec.fence
             return ""
-        self.executions[spec.task] = Execution(
+        execution = Execution(
             spec,
             spec.fence,
             now + spec.lease,
@@ -93,6 +94,7 @@
             progress=float(spec.work.get("progress", 0.0)),
             updated=now,
         )
+        self.executions[spec.task] = self._unended[spec.task] = execution
         return ""
 
     def renew(self, names: Sequence[str], fence: int, lease: float, now: float) -> str:
@@ -131,9 +133,8 @@
 
     def advance(self, now: float, live: Collection[str], failing: Collection[str]):
         """Bring all running tasks up to ``now``."""
-        for execution in self.executions.values():
-            if execution.ended is None:
-                self._advance(execution, now, live, failing)
+        for execution in list(self._unended.values()):
+            self._advance(execution, now, live, failing)
 
     def list_tasks(self, vms: Collection[str], now: float) -> list[tasks.Task]:
         """Return tasks with their usage as it was ``lag`` seconds ago."""
@@ -220,6 +221,7 @@
         execution.state = state
         execution.reason = reason
         execution.ended = now
+        del self._unended[execution.spec.task]
         self._sample(execution, now)
 
     def _report(self, execution: Execution, now: float) -> tasks.Task:
