Let a daemon that stops write its answers first

A daemon that ended with kept answers still waiting to be written left its keys as claimed, so repeats heard 'may have run' after every planned stop. Claims.flush waits for them within a bound.

--- a/wigeonhitch/idempotency/core.py
+++ b/wigeonhitch/idempotency/core.py
@@ -194,6 +194,13 @@
         """Whether the store failed last time; claims are refused meanwhile."""
         return self._health.is_failing
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether no record waits to be written."""
+        return not self._doubts and not any(
+            item.phase is entry.Phase.SETTLING for item in self._entries.values()
+        )
+
     def _find_read_times(self) -> list[float]:
         times = [
             max(item.poll_at, self._health.blocked_until)
--- a/wigeonhitch/idempotency/doubt.py
+++ b/wigeonhitch/idempotency/doubt.py
@@ -52,6 +52,10 @@
         """Whether the attempt of this ticket is in doubt."""
         return ticket in self._doubts
 
+    def __bool__(self) -> bool:
+        """Whether any attempt is in doubt."""
+        return bool(self._doubts)
+
     def add(self, write: batch.Write, now: float) -> None:
         """Take over the claim ``write``, whose attempt will never send."""
         if len(self._doubts) >= MAX_DOUBTS:
--- a/wigeonhitch/idempotency/store.py
+++ b/wigeonhitch/idempotency/store.py
@@ -17,7 +17,7 @@
 from absl import logging
 
 from wigeonhitch import verdict
-from wigeonhitch.idempotency import batch, core, decision, record
+from wigeonhitch.idempotency import batch, core, decision, message, record
 from wigeonhitch.platform import client, table
 
 __all__ = ["Acquired", "Claim", "Claims"]
@@ -34,6 +34,8 @@
 """Calls to store one large body, about a minute in all."""
 OBJECT_PAUSE = 2.0
 """Seconds before the first repeat of such a call; doubles."""
+FLUSH_PAUSE = 0.02
+"""Seconds between looks whether all is written."""
 LARGE_LIMIT = 16 * 1024 * 1024
 """Bytes of large bodies waiting for the object store; beyond it an answer is
 not kept and its key is marked as of unknown fate."""
@@ -67,47 +69,6 @@
     answer: record.KeptAnswer | None = None
 
 
-class Ask(NamedTuple):
-    """Message: a request wants to be sent."""
-
-    number: int
-    row: str
-    fingerprint: str
-    deadline: float
-    reply: anyio.abc.ObjectSendStream[decision.Decision]
-
-
-class Leave(NamedTuple):
-    """Message: the caller of a request has left."""
-
-    number: int
-
-
-class Settle(NamedTuple):
-    """Message: a claim has ended."""
-
-    ticket: int
-    state: record.State
-    answer: record.KeptAnswer | None = None
-    body_object: str = ""
-
-
-class Committed(NamedTuple):
-    """Message: result of a table write."""
-
-    batch: int
-    result: table.CommitResult
-
-
-class Looked(NamedTuple):
-    """Message: result of a read."""
-
-    result: table.ReadResult
-
-
-Message = Ask | Leave | Settle | Committed | Looked
-
-
 class Claims:
     """Claims of one daemon.
 
@@ -146,7 +107,9 @@
         self._clock = clock
         self._core = core.Core(daemon, rng=rng, limits=limits)
         # No bound on the buffer: the core bounds the requests in hand.
-        self._outbox, self._inbox = anyio.create_memory_object_stream[Message](math.inf)
+        self._outbox, self._inbox = anyio.create_memory_object_stream[message.Message](
+            math.inf
+        )
         self._numbers = itertools.count(1)
         self._tickets: dict[int, int] = {}
         self._replies: dict[int, anyio.abc.ObjectSendStream] = {}
@@ -166,12 +129,12 @@
         row = record.build_key(service, key)
         reply, answer = anyio.create_memory_object_stream[decision.Decision](1)
         deadline = self._clock() + timeout
-        self._outbox.send_nowait(Ask(number, row, fingerprint, deadline, reply))
+        self._outbox.send_nowait(message.Ask(number, row, fingerprint, deadline, reply))
         try:
             with answer:
                 made = await answer.receive()
         except BaseException:
-            self._outbox.send_nowait(Leave(number))
+            self._outbox.send_nowait(message.Leave(number))
             raise
         self._tickets.pop(number, None)
         return await self._translate(made, row)
@@ -192,6 +155,25 @@
         """Mark the key: the request was sent and its fate is unknown."""
         self._settle(claim, record.State.UNKNOWN)
 
+    async def flush(self, timeout: float) -> bool:
+        """Wait until the ends of all claims are written; for a daemon that stops.
+
+        Returns
+        -------
+        bool
+            Whether that was so within ``timeout`` seconds. If not, the keys
+            stay claimed, and repeats hear "may have run".
+        """
+        with anyio.move_on_after(timeout):
+            while self._inbox.statistics().current_buffer_used or self._is_busy:
+                await anyio.sleep(FLUSH_PAUSE)
+            return True
+        return False
+
+    @property
+    def _is_busy(self) -> bool:
+        return bool(self._large_bytes) or not self._core.has_ended
+
     async def run(
         self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
@@ -200,10 +182,10 @@
             task_status.started()
             while True:
                 self._carry_out(tasks)
-                message = await self._receive()
-                while message is not None:
-                    self._handle(message, tasks)
-                    message = self._receive_nowait()
+                event = await self._receive()
+                while event is not None:
+                    self._handle(event, tasks)
+                    event = self._receive_nowait()
 
     def _settle(
         self,
@@ -211,10 +193,12 @@
         state: record.State,
         answer: record.KeptAnswer | None = None,
     ) -> None:
-        self._outbox.send_nowait(Settle(claim.ticket, state, answer))
+        self._outbox.send_nowait(message.Settle(claim.ticket, state, answer))
 
-    async def _receive(self) -> Message | None:
+    async def _receive(self) -> message.Message | None:
         """Return the next message, or None when the core has to act."""
+        if (event := self._receive_nowait()) is not None:
+            return event
         now = self._clock()
         wake = self._core.wake(now)
         pause = math.inf if wake is None else max(0.0, wake - now)
@@ -222,28 +206,28 @@
             return await self._inbox.receive()
         return None
 
-    def _receive_nowait(self) -> Message | None:
+    def _receive_nowait(self) -> message.Message | None:
         try:
             return self._inbox.receive_nowait()
         except anyio.WouldBlock:
             return None
 
-    def _handle(self, message: Message, tasks: anyio.abc.TaskGroup) -> None:
+    def _handle(self, event: message.Message, tasks: anyio.abc.TaskGroup) -> None:
         now = self._clock()
-        if isinstance(message, Ask):
+        if isinstance(event, message.Ask):
             ticket = self._core.acquire(
-                message.row, message.fingerprint, now, message.deadline
+                event.row, event.fingerprint, now, event.deadline
             )
-            self._tickets[message.number] = ticket
-            self._replies[ticket] = message.reply
-        elif isinstance(message, Leave):
-            self._leave(message.number, now)
-        elif isinstance(message, Settle):
-            self._end(message, tasks, now)
-        elif isinstance(message, Committed):
-            self._core.on_commit(message.batch, message.result, now)
+            self._tickets[event.number] = ticket
+            self._replies[ticket] = event.reply
+        elif isinstance(event, message.Leave):
+            self._leave(event.number, now)
+        elif isinstance(event, message.Settle):
+            self._end(event, tasks, now)
+        elif isinstance(event, message.Committed):
+            self._core.on_commit(event.batch, event.result, now)
         else:
-            self._core.on_read(message.result, now)
+            self._core.on_read(event.result, now)
 
     def _leave(self, number: int, now: float) -> None:
         ticket = self._tickets.pop(number, None)
@@ -253,7 +237,7 @@
             reply.close()
         self._core.abandon(ticket, now)
 
-    def _end(self, end: Settle, tasks: anyio.abc.TaskGroup, now: float) -> None:
+    def _end(self, end: message.Settle, tasks: anyio.abc.TaskGroup, now: float) -> None:
         size = len(end.answer.body) if end.answer else 0
         if size <= INLINE_LIMIT or end.body_object:
             self._core.settle(end.ticket, end.state, now, end.answer, end.body_object)
@@ -292,15 +276,15 @@
         result = await self._store.commit(
             action.conditions, action.writes, purpose="claim", timeout=COMMIT_TIMEOUT
         )
-        self._outbox.send_nowait(Committed(action.batch, result))
+        self._outbox.send_nowait(message.Committed(action.batch, result))
 
     async def _read(self, action: decision.Read) -> None:
         result = await self._store.read(
             action.keys, purpose="claim", timeout=READ_TIMEOUT
         )
-        self._outbox.send_nowait(Looked(result))
+        self._outbox.send_nowait(message.Looked(result))
 
-    async def _keep_body(self, end: Settle) -> None:
+    async def _keep_body(self, end: message.Settle) -> None:
         """Store a large body, then settle the claim with its name."""
         assert end.answer is not None
         body = end.answer.body
@@ -315,7 +299,7 @@
             pause *= 2
         self._large_bytes -= len(body)
         if outcome is not table.Outcome.DONE:
-            self._outbox.send_nowait(Settle(end.ticket, record.State.UNKNOWN))
+            self._outbox.send_nowait(message.Settle(end.ticket, record.State.UNKNOWN))
             return
         bare = end.answer._replace(body=b"")
         self._outbox.send_nowait(end._replace(answer=bare, body_object=name))
--- a/wigeonhitch/idempotency/tests/test_store.py
+++ b/wigeonhitch/idempotency/tests/test_store.py
@@ -133,3 +133,24 @@
         await ask(first)
     await anyio.sleep(0.02)
     assert (await ask(second)).kind is decision.Kind.GRANTED
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("answer", [ANSWER, LARGE], ids=["small", "large"])
+async def test_a_daemon_that_stops_writes_its_answers_first(platform, daemons, answer):
+    first = daemons[0]
+    await first.complete((await ask(first)).claim, answer)
+    assert await first.flush(5.0)
+    (row,) = platform.engine.store.scan("claim/", 0)
+    assert row.value["state"] == "answered"
+
+
+@pytest.mark.anyio
+async def test_a_daemon_that_stops_does_not_wait_for_a_store_that_is_down(
+    platform, daemons
+):
+    first = daemons[0]
+    granted = await ask(first)
+    platform.switch(down=True)
+    await first.complete(granted.claim, ANSWER)
+    assert not await first.flush(0.2)
