--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -4,7 +4,8 @@
 clock that the benchmark sets and a table whose answers take a set time: the
 same seeded arrivals are claimed with the records of one moment in one table
 write, and with one record per write. Then three daemons' claims and duties
-against the platform stand-in as a process, over HTTP.
+against the platform stand-in as a process, over HTTP. Last, under a set clock, the time
+from a holder's death to the next holder's lease.
 """
 
 import contextlib
@@ -22,7 +23,7 @@
 
 from standins import platformtable
 from wigeonhitch.idempotency import batch, core, decision, record, store
-from wigeonhitch.membership import holder
+from wigeonhitch.membership import duty, holder
 from wigeonhitch.platform import client, table
 
 SECONDS = 20.0
@@ -179,8 +180,8 @@
             name = f"d{index}-{rng.random()}"
             platform = await client.open_client(stack, address, rng=rng, daemon=name)
             duties = holder.Holder(platform, name)
-            for duty in range(DUTIES):
-                duties.want(f"pool-{duty}")
+            for index in range(DUTIES):
+                duties.want(f"pool-{index}")
             claims = store.Claims(platform, platform, name, rng=rng, limits=limits)
             await tasks.start(duties.run)
             await tasks.start(claims.run)
@@ -242,6 +243,64 @@
             anyio.run(call, address, rate, limits)
 
 
+def step_duties(duties: duty.Duties, rows: platformtable.Store, now: float) -> None:
+    """Let one daemon act on its duties, without delay or loss."""
+    for action in duties.step(now):
+        if isinstance(action, duty.Look):
+            looks = [
+                table.ReadResult(
+                    table.Outcome.DONE,
+                    tuple(rows.scan(prefix, action.since)),
+                    rows.revision,
+                    now + 1.0,
+                )
+                for prefix in ("daemon/", "duty/")
+            ]
+            duties.on_look(*looks, now)
+            continue
+        conflicts = rows.commit(action.conditions, action.writes, "t", now)
+        outcome = table.Outcome.NOT_DONE if conflicts else table.Outcome.DONE
+        result = table.CommitResult(outcome, rows.revision, conflicts, "", now + 1.0)
+        duties.on_commit(action.purpose, result, now, now)
+
+
+def time_takeover(seed: int, leaves: bool) -> float:
+    """Return the seconds from the end of a holder to the next lease."""
+    rng = random.Random(seed)
+    rows = platformtable.Store()
+    names = [f"d{index}-{seed}" for index in range(9)]
+    started = {name: rng.uniform(0.0, 10.0) for name in names}
+    daemons = {name: duty.Duties(name) for name in names}
+    end = rng.uniform(100.0, 110.0)
+    ended = None
+    now = 0.0
+    for duties in daemons.values():
+        duties.want("fleet")
+    while True:
+        now += 0.1
+        for name, duties in list(daemons.items()):
+            if now >= started[name]:
+                step_duties(duties, rows, now)
+        held = [n for n, d in daemons.items() if d.current("fleet", now)]
+        if ended is not None and held:
+            return now - ended
+        if ended is None and now >= end and held:
+            ended = now
+            duties = daemons.pop(held[0])
+            if leaves:
+                duties.leave()
+                step_duties(duties, rows, now)
+
+
+def measure_takeovers() -> None:
+    """Print times from the end of a holder to the next lease."""
+    print("\nNine daemons, one duty, 100 ends of its holder each; seconds.")
+    for name, leaves in (("holder dies", False), ("holder leaves", True)):
+        times = sorted(time_takeover(seed, leaves) for seed in range(100))
+        print(f"  {name}: least {times[0]:.1f}, median {times[50]:.1f}, ", end="")
+        print(f"most {times[-1]:.1f}")
+
+
 def main() -> None:
     """Print the table."""
     print(
@@ -257,6 +316,7 @@
         compare(rate, 0.002)
     compare(50, 0.1)
     measure_calls()
+    measure_takeovers()
 
 
 if __name__ == "__main__":
