--- /dev/null
+++ b/wigeonhitch/placement/backlog.py
@@ -0,0 +1,59 @@
+"""Queued jobs by pool, class and team, the one with least slack first."""
+
+import bisect
+from collections.abc import Iterator
+
+from wigeonhitch.placement import job
+
+__all__ = ["Backlog"]
+
+
+class Backlog:
+    """Sorted queues; adding and removing one job costs O(log n) and a move.
+
+    A wave of cancellations is that many removals and nothing else.
+    """
+
+    def __init__(self):
+        self._queues: dict[tuple[str, bool], dict[str, list]] = {}
+
+    def add(self, item: job.Job) -> None:
+        """Queue a job, unless it is queued already."""
+        teams = self._queues.setdefault((item.asked.pool, item.is_urgent), {})
+        queue = teams.setdefault(item.asked.team, [])
+        entry = _entry(item)
+        place = bisect.bisect_left(queue, entry)
+        if place == len(queue) or queue[place] != entry:
+            queue.insert(place, entry)
+
+    def remove(self, item: job.Job) -> None:
+        """Remove a job, if it is queued."""
+        teams = self._queues.get((item.asked.pool, item.is_urgent), {})
+        queue = teams.get(item.asked.team, [])
+        entry = _entry(item)
+        place = bisect.bisect_left(queue, entry)
+        if place < len(queue) and queue[place] == entry:
+            del queue[place]
+        if not queue:
+            teams.pop(item.asked.team, None)
+
+    def pools(self) -> list[str]:
+        """Return the pools that have a job queued, in order of name."""
+        return sorted({pool for (pool, _), teams in self._queues.items() if teams})
+
+    def teams(self, pool: str, urgent: bool) -> list[str]:
+        """Return the teams with a job queued, in order of name."""
+        return sorted(self._queues.get((pool, urgent), ()))
+
+    def first(self, pool: str, urgent: bool, team: str, count: int) -> Iterator[str]:
+        """Return the names of a team's first ``count`` queued jobs."""
+        queue = self._queues.get((pool, urgent), {}).get(team, ())
+        return iter([entry[2] for entry in queue[:count]])
+
+    def slack(self, pool: str, team: str) -> float:
+        """Return the earliest latest-start time of a team's bulk jobs."""
+        return self._queues[(pool, False)][team][0][0]
+
+
+def _entry(item: job.Job) -> tuple[float, float, str]:
+    return (item.latest_start, item.submitted, item.name)
--- /dev/null
+++ b/wigeonhitch/placement/size.py
@@ -0,0 +1,87 @@
+"""Sizes of jobs, learned from the usage that workers report with a lag."""
+
+import collections
+import math
+from collections import OrderedDict, deque
+
+__all__ = ["Learner"]
+
+# Enough peaks that the 95th percentile is not just the highest; at 16 bytes a
+# peak and KINDS kinds the whole learner stays under 10 MB.
+PEAKS = 64
+KINDS = 4096
+# Below this the largest peak may still be far under the true quantile, so the
+# declared size stays the lower limit.
+ENOUGH = 8
+# One attempt in twenty meets a size above the estimate; what it does not cover
+# is caught by checkpointing bulk before the VM is out of memory.
+QUANTILE = 0.95
+# Usage is sampled seconds apart, so a true peak lies above the seen one.
+MARGIN = 1.15
+# Each worker killed for memory proves only that the reservation was too small.
+GROWTH = 2.0
+
+
+class Learner:
+    """High quantile of peak usage for each kind of job.
+
+    Load: declared sizes that are off by up to ten times both ways. Harm: too
+    small a reservation gets tasks killed for memory, too large a one leaves
+    workers idle while deadlines pass. The declared size is the prior only.
+
+    Parameters
+    ----------
+    enabled : bool
+        False returns declared sizes: the baseline of the benchmark.
+    """
+
+    def __init__(self, enabled: bool = True):
+        self._enabled = enabled
+        self._peaks: OrderedDict[str, deque] = collections.OrderedDict()
+
+    def add(self, kind: str, cores: float, memory: float) -> None:
+        """Add the peak usage of one ended attempt."""
+        if kind not in self._peaks:
+            self._peaks[kind] = collections.deque(maxlen=PEAKS)
+        self._peaks[kind].append((cores, memory))
+        self._peaks.move_to_end(kind)
+        if len(self._peaks) > KINDS:
+            self._peaks.popitem(last=False)
+
+    def is_sure(self, kind: str) -> bool:
+        """Whether enough peaks were seen to set the declared size aside."""
+        return self._enabled and len(self._peaks.get(kind, ())) >= ENOUGH
+
+    def estimate(self, kind: str, cores: float, memory: float) -> tuple[float, float]:
+        """Return the cores and memory to reserve for a job.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the job.
+        cores, memory : float
+            Declared size.
+
+        Examples
+        --------
+        >>> learner = Learner()
+        >>> learner.estimate("pairing", 8.0, 32.0)
+        (8.0, 32.0)
+        >>> for _ in range(8):
+        ...     learner.add("pairing", 1.0, 4.0)
+        >>> learner.estimate("pairing", 8.0, 32.0)
+        (1.15, 4.6)
+        """
+        peaks = self._peaks.get(kind)
+        if not self._enabled or not peaks:
+            return cores, memory
+        learned_cores = round(MARGIN * _quantile([peak[0] for peak in peaks]), 3)
+        learned_memory = round(MARGIN * _quantile([peak[1] for peak in peaks]), 3)
+        if len(peaks) >= ENOUGH:
+            return learned_cores, learned_memory
+        return max(cores, learned_cores), max(memory, learned_memory)
+
+
+def _quantile(values: list[float]) -> float:
+    values.sort()
+    return values[math.ceil(QUANTILE * len(values)) - 1]
