Add the decisions of placement as a core without I/O

Rows in, commits and task calls out. An attempt's number is raised only when the platform lists it as ended or its lease has lapsed under this holder's fencing token; a start whose fate is unknown is started again under the same name, which the platform runs once. Ruled out: deciding by a VM's boot number, since the view of the fleet lags and may show a boot newer than the task's. Two kinds of rows are added to the contracts: `quota/{team}`, since a team's jobs are placed by several holders at once, and `placing/{shard}/...`, so that a holder reads only the live jobs of its shard.

--- /dev/null
+++ b/wigeonhitch/placement/attempt.py
@@ -0,0 +1,168 @@
+"""What the present holder knows of one job's attempt, and when it is over.
+
+A task is named by job and attempt, and the platform runs a name once. So an
+attempt may be started again, by anybody and on any worker, as long as its
+number stays the same; the number is raised only when the attempt is certainly
+over: listed as ended, or its lease has lapsed and nobody can have extended it.
+"""
+
+import enum
+
+from wigeonhitch.placement import job
+from wigeonhitch.platform import tasks
+
+__all__ = ["ALIVE", "LEASE", "MARGIN", "Attempt", "End", "classify"]
+
+# A store outage or takeover shorter than this stops no task; a lost worker
+# that the platform doesn't list holds its job for this long plus MARGIN.
+LEASE = 60.0
+# Covers a renewal that is still on its way when its answer has timed out.
+MARGIN = 5.0
+# Between tries of a call whose answer was lost.
+RETRY = 0.5
+
+ALIVE = frozenset(
+    {
+        tasks.TaskState.RUNNING,
+        tasks.TaskState.THROTTLED,
+        tasks.TaskState.CHECKPOINTED,
+    }
+)
+
+
+class End(enum.Enum):
+    """How an attempt ended, as far as the job's future goes."""
+
+    FINISHED = "finished"
+    FAILED = "failed"
+    MEMORY = "killed for memory"
+    LOST = "lost with its worker or lease"
+
+
+def classify(task: tasks.Task) -> End | None:
+    """Return how a listed task ended, or None while it is alive."""
+    if task.state in ALIVE:
+        return None
+    if task.state is tasks.TaskState.FINISHED:
+        return End.FINISHED
+    if task.state is tasks.TaskState.STOPPED or "lost" in task.reason:
+        return End.LOST
+    return End.MEMORY if "memory" in task.reason else End.FAILED
+
+
+class Attempt:
+    """One live job as this holder of the duty sees it.
+
+    Attributes
+    ----------
+    job, version
+        The row as last read or committed.
+    calls : int
+        Start calls that this holder has made for the present attempt.
+    unsure : bool
+        A start call may still be on its way: its answer was lost, or an
+        earlier holder committed the start.
+    known : bool
+        The platform knows the task: a start was answered, or it was listed.
+    refused : bool
+        The last start call was certainly not done.
+    flying : bool
+        A call is on its way.
+    retry_at : float
+        No call before this time.
+    touched : float
+        No lease of ours reaches beyond this time plus LEASE.
+    sealed : bool
+        The platform has this holder's fencing token for the task, so no
+        earlier holder can start or renew it.
+    seen, seen_at
+        The task as last listed, and when that list was asked for.
+    unlisted : bool
+        The last list did not show the task.
+    acted_at : float
+        When a control call was last answered; older lists are out of date.
+    evict, pausing, throttle : bool
+        The task is to be stopped, checkpointed or throttle.
+    paused_at : float
+        When the platform confirmed the checkpoint; 0 when it has not.
+    wait, wait_at, told_at
+        Why the job waits, since when, and when its row was last told.
+    """
+
+    __slots__ = (
+        "acted_at",
+        "calls",
+        "evict",
+        "flying",
+        "job",
+        "known",
+        "paused_at",
+        "pausing",
+        "peak",
+        "refused",
+        "retry_at",
+        "sealed",
+        "seen",
+        "seen_at",
+        "throttle",
+        "told_at",
+        "touched",
+        "unlisted",
+        "unsure",
+        "version",
+        "wait",
+        "wait_at",
+    )
+
+    def __init__(self, item: job.Job, version: int, fence: int):
+        self.job = item
+        self.version = version
+        self.wait = ""
+        self.wait_at = item.since
+        self.told_at = 0.0
+        self.begin(unsure=item.state in job.HOLDING and item.fence != fence)
+
+    def begin(self, *, unsure: bool) -> None:
+        """Forget the earlier attempt."""
+        self.calls = 0
+        self.unsure = unsure
+        self.known = self.job.state is job.JobState.RUNNING
+        self.refused = False
+        self.flying = False
+        self.retry_at = 0.0
+        self.touched = 0.0
+        self.acted_at = 0.0
+        self.sealed = False
+        self.seen: tasks.Task | None = None
+        self.seen_at = 0.0
+        self.unlisted = False
+        self.evict = False
+        self.pausing = False
+        self.paused_at = 0.0
+        self.throttle = False
+        self.peak = (0.0, 0.0)
+
+    @property
+    def end(self) -> End | None:
+        """How the platform says the attempt ended, or None."""
+        return classify(self.seen) if self.seen is not None else None
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the last list showed the task alive."""
+        return self.seen is not None and self.seen.state in ALIVE
+
+    def has_lapsed(self, now: float) -> bool:
+        """Whether an unlisted task is over because its lease has lapsed.
+
+        Only for a task that the platform knew: a start that may still be on
+        its way is resolved by starting the same name again, never by time.
+        """
+        if not (self.unlisted and self.known and self.sealed):
+            return False
+        return not self.flying and now >= self.touched + LEASE + MARGIN
+
+    def was_never_sent(self, fence: int) -> bool:
+        """Whether no start call of this attempt can exist or come to exist."""
+        own = self.job.fence == fence and not self.unsure
+        return own and not self.known and (self.calls == 0 or self.refused)
--- /dev/null
+++ b/wigeonhitch/placement/calls.py
@@ -0,0 +1,274 @@
+"""Calls to the platform's task service, and what their answers mean."""
+
+from collections.abc import Collection, Sequence
+from typing import NamedTuple
+
+from wigeonhitch.placement import attempt, job, settle, state
+from wigeonhitch.platform import table, tasks
+
+__all__ = ["Call", "answer", "answer_renewal", "find_renewals", "next_calls", "see"]
+
+# A worker that refused a start is left alone for this long: the view of the
+# fleet lags behind the platform by some seconds.
+COOLING = 5.0
+# A stop is asked for again if the task is still listed alive after this.
+AGAIN = 10.0
+# Above these shares of a worker's memory and cores bulk is checkpointed or
+# throttled; the memory share leaves room for what grows between two reports.
+MEMORY_SHARE = 0.92
+CORES_SHARE = 1.0
+CALM_SHARE = 0.8
+
+S = job.JobState
+T = tasks.TaskState
+
+
+class Call(NamedTuple):
+    """One call to make for a job's attempt; ``spec`` for starts only."""
+
+    action: str
+    name: str
+    attempt: int
+    task: str
+    spec: tasks.TaskSpec | None = None
+
+
+def next_calls(shard: state.State, now: float, limit: int) -> list[Call]:
+    """Return up to ``limit`` calls; starts of urgent jobs come first."""
+    found: list[Call] = []
+    for name in sorted(shard.pending, key=lambda name: _rank(shard, name)):
+        if len(found) >= limit:
+            break
+        entry = shard.jobs.get(name)
+        action = _want(shard, entry) if entry is not None else ""
+        if not action:
+            shard.pending.discard(name)
+            continue
+        if entry.flying or entry.retry_at > now:
+            continue
+        entry.flying = True
+        found.append(_make_call(shard, entry, action))
+    return found
+
+
+def _rank(shard: state.State, name: str) -> tuple[bool, bool, str]:
+    entry = shard.jobs.get(name)
+    if entry is None:
+        return True, True, name
+    return entry.job.state is not S.STARTING, not entry.job.is_urgent, name
+
+
+def _make_call(shard: state.State, entry: attempt.Attempt, action: str) -> Call:
+    item = entry.job
+    if action != "start":
+        return Call(action, item.name, item.attempt, item.task)
+    entry.calls += 1
+    spec = tasks.TaskSpec(
+        task=item.task,
+        vm=item.vm,
+        cores=item.cores,
+        memory=item.memory,
+        work=dict(item.asked.work),
+        fence=shard.fence,
+        lease=attempt.LEASE,
+    )
+    return Call(action, item.name, item.attempt, item.task, spec)
+
+
+def _want(shard: state.State, entry: attempt.Attempt) -> str:
+    item = entry.job
+    if item.state is S.STARTING:
+        vm = shard.vms.get(item.vm)
+        ready = vm is not None and vm.usable
+        sealing = entry.unsure
+        if entry.known or entry.refused or not ready:
+            return ""
+        return "" if item.cancel and not sealing and entry.calls == 0 else "start"
+    if item.state is not S.RUNNING or entry.end is not None:
+        return ""
+    return _want_running(entry)
+
+
+def _want_running(entry: attempt.Attempt) -> str:
+    item = entry.job
+    if item.cancel or entry.evict:
+        return "stop"
+    present = entry.seen.state if entry.seen is not None else None
+    if entry.pausing and not entry.paused_at:
+        return "checkpoint"
+    if item.paused or entry.pausing:
+        return "checkpoint" if present in (T.RUNNING, T.THROTTLED) else ""
+    if present is T.CHECKPOINTED:
+        return "resume"
+    if entry.throttle and present is T.RUNNING:
+        return "throttle"
+    return "resume" if present is T.THROTTLED and not entry.throttle else ""
+
+
+def answer(
+    shard: state.State, call: Call, outcome: table.Outcome | None, now: float
+) -> None:
+    """Take the outcome of a call; None when it was not sent after all."""
+    entry = shard.jobs.get(call.name)
+    if entry is None or entry.job.attempt != call.attempt:
+        return
+    entry.flying = False
+    shard.pending.add(call.name)
+    if outcome is None:
+        entry.calls -= call.action == "start"
+        entry.retry_at = now + attempt.RETRY
+        return
+    entry.touched = max(entry.touched, now)
+    shard.unsettled.add(call.name)
+    entry.sealed = entry.sealed or outcome is table.Outcome.DONE
+    if call.action == "start":
+        _answer_start(shard, entry, call, outcome, now)
+        return
+    done = outcome is table.Outcome.DONE
+    entry.retry_at = now + attempt.RETRY
+    if not done:
+        return
+    entry.acted_at = now
+    if call.action == "stop":
+        entry.retry_at = now + AGAIN
+        return
+    if call.action == "checkpoint":
+        entry.paused_at = now
+    shown = {
+        "checkpoint": T.CHECKPOINTED,
+        "throttle": T.THROTTLED,
+        "resume": T.RUNNING,
+    }
+    if entry.is_alive:
+        entry.seen = entry.seen._replace(state=shown[call.action])
+
+
+def _answer_start(
+    shard: state.State,
+    entry: attempt.Attempt,
+    call: Call,
+    outcome: table.Outcome,
+    now: float,
+) -> None:
+    if outcome is table.Outcome.DONE:
+        entry.known = True
+        return
+    entry.retry_at = now + attempt.RETRY
+    if outcome is table.Outcome.UNKNOWN:
+        entry.unsure = True
+        return
+    entry.refused = True
+    shard.dirty.add(entry.job.asked.pool)
+    shard.cooling[call.spec.vm] = now + COOLING
+    shard.counters["refused_starts"] += 1
+
+
+def see(
+    shard: state.State, listed: Sequence[tasks.Task], vms: Collection[str], at: float
+) -> None:
+    """Take a list of the tasks of ``vms`` that was asked for at time ``at``."""
+    present = set()
+    for task in listed:
+        name, number = job.split_task(task.task)
+        entry = shard.jobs.get(name)
+        if entry is None or entry.job.attempt != number:
+            continue
+        present.add(name)
+        if at >= entry.seen_at:
+            _see_one(shard, entry, task, at)
+    for vm in vms:
+        for name in shard.on_vm.get(vm, ()):
+            entry = shard.jobs[name]
+            if name not in present and at >= entry.seen_at and entry.end is None:
+                entry.seen = None
+                entry.unlisted = True
+                shard.unsettled.add(name)
+    shard.measure(vms)
+    for vm in vms:
+        _relieve(shard, vm)
+
+
+def _see_one(
+    shard: state.State, entry: attempt.Attempt, task: tasks.Task, at: float
+) -> None:
+    ended = attempt.classify(task) is not None
+    if entry.end is not None or (not ended and at < entry.acted_at):
+        return
+    name = entry.job.name
+    entry.seen = task
+    entry.seen_at = at
+    entry.unlisted = False
+    entry.known = True
+    entry.peak = (
+        max(entry.peak[0], task.used_cores),
+        max(entry.peak[1], task.used_memory),
+    )
+    stray = task.vm != entry.job.vm
+    if ended or stray or entry.job.state is S.STARTING or entry.job.paused:
+        shard.unsettled.add(name)
+    if ended:
+        settle.learn(shard, entry, at)
+    elif _want(shard, entry):
+        shard.pending.add(name)
+
+
+def _relieve(shard: state.State, vm: str) -> None:
+    """Checkpoint or throttle bulk before it harms urgent work on its worker.
+
+    Load: bulk that uses several times what it declared. Harm: the worker runs
+    out of memory and kills any task, or starves urgent work of cores. The job
+    furthest above its reservation gives way, one for each report.
+    """
+    known = shard.vms.get(vm)
+    entries = [shard.jobs[name] for name in sorted(shard.on_vm.get(vm, ()))]
+    alive = [entry for entry in entries if entry.is_alive and entry.job.holds]
+    bulk = [entry for entry in alive if not entry.job.is_urgent and not entry.pausing]
+    if known is None or not bulk:
+        return
+    memory = sum(entry.seen.used_memory for entry in alive)
+    if memory > MEMORY_SHARE * known.memory and len(alive) > 1:
+        worst = max(bulk, key=lambda e: e.seen.used_memory - e.job.memory)
+        if worst.seen.used_memory > worst.job.memory:
+            worst.pausing = True
+            shard.counters["checkpoints"] += 1
+            shard.pending.add(worst.job.name)
+    cores = sum(entry.seen.used_cores for entry in alive)
+    if cores > CORES_SHARE * known.cores and len(bulk) < len(alive):
+        worst = max(bulk, key=lambda e: e.seen.used_cores - e.job.cores)
+        worst.throttle = True
+        shard.counters["throttles"] += 1
+        shard.pending.add(worst.job.name)
+    elif cores < CALM_SHARE * known.cores:
+        for entry in bulk:
+            if entry.throttle:
+                entry.throttle = False
+                shard.pending.add(entry.job.name)
+
+
+def find_renewals(shard: state.State) -> list[str]:
+    """Return the tasks to renew: those listed alive, or not yet looked for.
+
+    A task that is not listed is not renewed, so that its lease is sure to
+    lapse; one that is to be stopped is not either.
+    """
+    found = []
+    for entry in shard.jobs.values():
+        item = entry.job
+        if item.state is not S.RUNNING or entry.evict or item.cancel:
+            continue
+        if entry.is_alive or (entry.end is None and not entry.unlisted):
+            found.append(item.task)
+    return found
+
+
+def answer_renewal(
+    shard: state.State, renewed: Sequence[str], outcome: table.Outcome, now: float
+) -> None:
+    """Take the outcome of a renewal of tasks."""
+    for task in renewed:
+        name, number = job.split_task(task)
+        entry = shard.jobs.get(name)
+        if entry is not None and entry.job.attempt == number:
+            entry.touched = max(entry.touched, now)
+            entry.sealed = entry.sealed or outcome is table.Outcome.DONE
+            shard.unsettled.add(name)
--- /dev/null
+++ b/wigeonhitch/placement/core.py
@@ -0,0 +1,151 @@
+"""The decisions of one placement duty: events in, commits and calls out.
+
+No I/O, no clock: times are arguments, in seconds of the table's clock as the
+runner estimates it, which also counts while the process is suspended.
+"""
+
+from collections.abc import Collection, Iterable, Sequence
+
+from wigeonhitch.placement import (
+    calls,
+    job,
+    ledger,
+    place,
+    quarantine,
+    settle,
+    size,
+    state,
+    view,
+)
+from wigeonhitch.platform import table, tasks
+
+__all__ = ["Core"]
+
+# Changes in one commit: large enough that several hundred starts a second take
+# few commits, small enough that one takes some ten milliseconds. Endings get at
+# most half, so that placing goes on during a wave of cancellations.
+BATCH = 100
+ENDINGS = 50
+# Calls made at once: a wave of stops must not crowd out urgent starts, which
+# come first in each step.
+CALLS = 64
+# Settled again now and then, for what only time changes (leases, grace).
+SWEEP = 1.0
+
+
+class Core:
+    """State of one shard under one lease.
+
+    Parameters
+    ----------
+    shard : int
+        Number of the shard.
+    fence : int
+        Fencing token of the duty's lease.
+    learner, wary : optional
+        Learned sizes and quarantine, to be handed on or switched off.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        fence: int,
+        learner: size.Learner | None = None,
+        wary: quarantine.Quarantine | None = None,
+    ):
+        self.state = state.State(shard, fence, learner, wary)
+        self._swept = 0.0
+
+    def load(self, rows: Iterable[table.Row]) -> None:
+        """Take rows as read: jobs, reservations and quotas."""
+        for row in rows:
+            if row.key.startswith(job.PREFIX):
+                self._load_job(row)
+            elif row.key.startswith((ledger.RESERVATION, ledger.QUOTA)):
+                self.state.ledger.load(row)
+                self.state.dirty.update(self.state.pools)
+
+    def _load_job(self, row: table.Row) -> None:
+        if row.value is None:
+            self.state.drop(row.key.removeprefix(job.PREFIX))
+            return
+        item = job.decode(row.value)
+        if item.state in job.ENDED:
+            self.state.drop(item.name)
+        else:
+            self.state.put(item, row.version)
+
+    def see_fleet(self, vms: Iterable[view.Vm], now: float) -> None:
+        """Take the present view of the workers of the shard's pools."""
+        self.state.see_fleet(vms, now)
+
+    def see_policy(self, policy: view.Policy) -> None:
+        """Take the quotas, kinds and pools of the document in force."""
+        if policy != self.state.policy:
+            self.state.policy = policy
+            self.state.unsettled.update(self.state.jobs)
+            self.state.dirty.update(self.state.pools)
+
+    def see_tasks(
+        self, listed: Sequence[tasks.Task], vms: Collection[str], at: float
+    ) -> None:
+        """Take the tasks of ``vms``, asked for at time ``at``."""
+        calls.see(self.state, listed, vms, at)
+        self.state.dirty.update(self.state.pools)
+
+    def decide(self, now: float) -> ledger.Batch | None:
+        """Return the next commit, or None when nothing is to be changed.
+
+        The batch is applied here already: follow it by `confirm` or `undo`.
+        """
+        if now >= self._swept + SWEEP:
+            self._swept = now
+            self._sweep()
+        changed = settle.settle_all(self.state, now, ENDINGS)
+        place.place_all(self.state, now, BATCH - changed)
+        return self.state.seal()
+
+    def _sweep(self) -> None:
+        for name, entry in self.state.jobs.items():
+            item = entry.job
+            lost = item.state is job.JobState.RUNNING and entry.seen is None
+            young = item.state is job.JobState.QUEUED and item.attempt == 1
+            leaving = item.vm in self.state.left_at
+            starting = item.state is job.JobState.STARTING
+            if lost or leaving or starting or item.paused:
+                self.state.unsettled.add(name)
+            elif young and self.state.policy is not None:
+                known = item.asked.pool in self.state.policy.kinds
+                if not known or item.asked.team not in self.state.policy.teams:
+                    self.state.unsettled.add(name)
+
+    def confirm(self, batch: ledger.Batch, revision: int) -> None:
+        """Note that a commit took effect."""
+        self.state.confirm(batch, revision)
+
+    def undo(self, batch: ledger.Batch) -> None:
+        """Note that a commit did not, or may not have, taken effect.
+
+        Load the rows of the batch as they are now before the next `decide`.
+        """
+        self.state.undo(batch)
+
+    def next_calls(self, now: float) -> list[calls.Call]:
+        """Return the task calls to make now, all of committed rows."""
+        return calls.next_calls(self.state, now, CALLS)
+
+    def answer(
+        self, call: calls.Call, outcome: table.Outcome | None, now: float
+    ) -> None:
+        """Take the outcome of a call; None when it was not sent after all."""
+        calls.answer(self.state, call, outcome, now)
+
+    def find_renewals(self) -> list[str]:
+        """Return the names of the tasks whose platform leases to renew."""
+        return calls.find_renewals(self.state)
+
+    def answer_renewal(
+        self, names: Sequence[str], outcome: table.Outcome, now: float
+    ) -> None:
+        """Take the outcome of a renewal."""
+        calls.answer_renewal(self.state, names, outcome, now)
--- /dev/null
+++ b/wigeonhitch/placement/ledger.py
@@ -0,0 +1,162 @@
+"""Reservations and quotas in use, kept in step with the table's rows.
+
+Changes are applied here first and then committed, with the version of every
+row they touch as a condition; a failed commit is undone from the batch.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from wigeonhitch.placement import job
+from wigeonhitch.platform import table
+
+__all__ = ["MARKER", "QUOTA", "RESERVATION", "Batch", "Ledger", "marker_key"]
+
+RESERVATION = "reservation/"
+QUOTA = "quota/"
+MARKER = "placing/"
+DIGITS = 6
+NOTHING = (0.0, 0.0)
+
+
+class Batch(NamedTuple):
+    """One commit: its conditions and writes, and how to undo it."""
+
+    conditions: tuple[table.Condition, ...]
+    writes: tuple[table.Write, ...]
+    before: Mapping[str, job.Job]
+
+
+class Holding:
+    """One row: its version and the (cores, memory) held under each name."""
+
+    __slots__ = ("items", "total", "version")
+
+    def __init__(self):
+        self.version = 0
+        self.items: dict[str, tuple[float, float]] = {}
+        self.total = NOTHING
+
+    def put(self, name: str, size: tuple[float, float]) -> None:
+        """Set what is held under a name; nothing removes it."""
+        if size[0] <= 0 and size[1] <= 0:
+            self.items.pop(name, None)
+        else:
+            self.items[name] = size
+        self.total = _sum(self.items.values())
+
+    def load(self, value: Mapping, version: int) -> None:
+        """Replace all by a row's value."""
+        self.version = version
+        self.items = {name: (size[0], size[1]) for name, size in value.items()}
+        self.total = _sum(self.items.values())
+
+    def dump(self) -> dict[str, list[float]]:
+        """Return the row's value."""
+        return {name: list(size) for name, size in sorted(self.items.items())}
+
+
+def marker_key(shard: int, name: str) -> str:
+    """Return the key of the row by which a job's shard finds it."""
+    return f"{MARKER}{shard}/{name}"
+
+
+class Ledger:
+    """Reservations by worker, and use by team and pool."""
+
+    def __init__(self):
+        self.vms: dict[str, Holding] = {}
+        self.teams: dict[str, Holding] = {}
+
+    def load(self, row: table.Row) -> None:
+        """Take over a reservation or quota row as read."""
+        if row.key.startswith(RESERVATION):
+            holding = self.reservation(row.key.removeprefix(RESERVATION))
+            field = "jobs"
+        else:
+            holding = self.quota(row.key.removeprefix(QUOTA))
+            field = "pools"
+        if row.version >= holding.version or row.version == 0:
+            holding.load((row.value or {}).get(field, {}), _version(row))
+
+    def reservation(self, vm: str) -> Holding:
+        """Return what is reserved on a worker."""
+        return self.vms.setdefault(vm, Holding())
+
+    def quota(self, team: str) -> Holding:
+        """Return what a team uses, by pool."""
+        return self.teams.setdefault(team, Holding())
+
+    def move(self, old: job.Job, new: job.Job) -> None:
+        """Apply the change of one job."""
+        if old.holds:
+            self._add(old, -1)
+            self.reservation(old.vm).put(old.name, NOTHING)
+        if new.holds:
+            self._add(new, 1)
+            self.reservation(new.vm).put(new.name, (new.cores, new.memory))
+
+    def _add(self, item: job.Job, sign: int) -> None:
+        quota = self.quota(item.asked.team)
+        cores, memory = quota.items.get(item.asked.pool, NOTHING)
+        cores = round(max(0.0, cores + sign * item.cores), DIGITS)
+        memory = round(max(0.0, memory + sign * item.memory), DIGITS)
+        quota.put(item.asked.pool, (cores, memory))
+
+    def build(
+        self, changes: Iterable[tuple[job.Job, job.Job, int]], shard: int
+    ) -> Batch:
+        """Return the commit of changes ``(old, new, version)`` already applied."""
+        conditions: list[table.Condition] = []
+        writes: list[table.Write] = []
+        before: dict[str, job.Job] = {}
+        vms: set[str] = set()
+        teams: set[str] = set()
+        for old, new, version in changes:
+            before[old.name] = old
+            conditions.append(table.Condition(old.key, version))
+            writes.append(table.Write(old.key, job.encode(new)))
+            if new.state in job.ENDED:
+                writes.append(table.Write(marker_key(shard, new.name), None))
+            for item in (old, new):
+                if item.holds:
+                    vms.add(item.vm)
+                    teams.add(item.asked.team)
+        for vm in sorted(vms):
+            _add_row(RESERVATION + vm, "jobs", self.vms[vm], conditions, writes)
+        for team in sorted(teams):
+            _add_row(QUOTA + team, "pools", self.teams[team], conditions, writes)
+        return Batch(tuple(conditions), tuple(writes), before)
+
+    def confirm(self, batch: Batch, revision: int) -> None:
+        """Note the versions that a commit gave to its rows."""
+        for write in batch.writes:
+            version = revision if write.value is not None else 0
+            if write.key.startswith(RESERVATION):
+                self.reservation(write.key.removeprefix(RESERVATION)).version = version
+            elif write.key.startswith(QUOTA):
+                self.quota(write.key.removeprefix(QUOTA)).version = version
+
+
+def _add_row(
+    key: str,
+    field: str,
+    holding: Holding,
+    conditions: list[table.Condition],
+    writes: list[table.Write],
+) -> None:
+    conditions.append(table.Condition(key, holding.version))
+    value = {field: holding.dump()} if holding.items else None
+    writes.append(table.Write(key, value))
+
+
+def _sum(sizes: Iterable[tuple[float, float]]) -> tuple[float, float]:
+    cores = memory = 0.0
+    for size in sizes:
+        cores += size[0]
+        memory += size[1]
+    return round(cores, DIGITS), round(memory, DIGITS)
+
+
+def _version(row: table.Row) -> int:
+    return 0 if row.value is None else row.version
--- /dev/null
+++ b/wigeonhitch/placement/state.py
@@ -0,0 +1,237 @@
+"""Everything that one holder of a placement duty knows, and how it changes.
+
+Decisions change jobs only through `State.change`, which keeps the queues, the
+reservations and the quotas in step and remembers what to commit.
+"""
+
+import collections
+import math
+from collections.abc import Iterable, Mapping
+
+from wigeonhitch.placement import (
+    attempt,
+    backlog,
+    job,
+    ledger,
+    quarantine,
+    size,
+    view,
+)
+
+__all__ = ["State"]
+
+QUEUED = job.JobState.QUEUED
+
+
+class State:
+    """Live jobs, workers, rows and lessons of one shard.
+
+    Parameters
+    ----------
+    shard : int
+        Number of the shard.
+    fence : int
+        Fencing token of the duty lease.
+    learner, wary : optional
+        Learned sizes and quarantine.
+    """
+
+    def __init__(
+        self,
+        shard: int,
+        fence: int,
+        learner: size.Learner | None = None,
+        wary: quarantine.Quarantine | None = None,
+    ):
+        self.shard = shard
+        self.fence = fence
+        self.learner = learner or size.Learner()
+        self.quarantine = wary or quarantine.Quarantine()
+        self.jobs: dict[str, attempt.Attempt] = {}
+        self.ledger = ledger.Ledger()
+        self.backlog = backlog.Backlog()
+        self.policy: view.Policy | None = None
+        self.vms: dict[str, view.Vm] = {}
+        self.pools: dict[str, list[str]] = {}
+        self.left_at: dict[str, float] = {}
+        self.cooling: dict[str, float] = {}
+        self.overrun: dict[str, tuple[float, float]] = {}
+        self.on_vm: dict[str, set[str]] = collections.defaultdict(set)
+        self.groups: dict[tuple[str, str], set[str]] = collections.defaultdict(set)
+        self.unsettled: set[str] = set()
+        self.pending: set[str] = set()
+        self.dirty: set[str] = set()
+        self.retry_at: dict[str, float] = {}
+        self.turns: collections.Counter[str] = collections.Counter()
+        self.holds: dict[str, tuple[str, str]] = {}
+        self.claims: dict[str, float] = {}
+        self.counters: collections.Counter[str] = collections.Counter()
+        self._changed: dict[str, job.Job] = {}
+
+    def put(self, item: job.Job, version: int) -> None:
+        """Take over a job as read; the rows of the ledger come on their own."""
+        entry = self.jobs.get(item.name)
+        if entry is not None and version <= entry.version:
+            return
+        if entry is None:
+            if item.state not in job.ENDED:
+                self.jobs[item.name] = attempt.Attempt(item, version, self.fence)
+                self._index(item)
+            return
+        entry.version = version
+        self._replace(entry, item)
+
+    def drop(self, name: str) -> None:
+        """Forget a job whose row is gone."""
+        entry = self.jobs.pop(name, None)
+        if entry is not None:
+            self._unindex(entry.job)
+            self.dirty.add(entry.job.asked.pool)
+
+    def change(self, entry: attempt.Attempt, new: job.Job) -> None:
+        """Decide a change of a job: applied here now, committed next."""
+        old = entry.job
+        self._changed.setdefault(old.name, old)
+        self.ledger.move(old, new)
+        self._replace(entry, new)
+
+    def seal(self) -> ledger.Batch | None:
+        """Return the commit of all changes since the last one, or None."""
+        if not self._changed:
+            return None
+        changed, self._changed = self._changed, {}
+        entries = [self.jobs[name] for name in changed]
+        changes = [
+            (changed[entry.job.name], entry.job, entry.version) for entry in entries
+        ]
+        return self.ledger.build(changes, self.shard)
+
+    def confirm(self, batch: ledger.Batch, revision: int) -> None:
+        """Note that a commit took effect; ended jobs are forgotten."""
+        self.ledger.confirm(batch, revision)
+        for name in batch.before:
+            entry = self.jobs[name]
+            entry.version = revision
+            if entry.job.state in job.ENDED:
+                self.counters[entry.job.state.value] += 1
+                self.drop(name)
+            else:
+                self.pending.add(name)
+
+    def undo(self, batch: ledger.Batch) -> None:
+        """Take back a commit that did not take effect, or may not have."""
+        for name, old in batch.before.items():
+            entry = self.jobs[name]
+            self.ledger.move(entry.job, old)
+            self._replace(entry, old)
+
+    def _replace(self, entry: attempt.Attempt, new: job.Job) -> None:
+        old = entry.job
+        self._unindex(old)
+        if old.holds and not new.holds:
+            self.dirty.add(old.asked.pool)
+        entry.job = new
+        if (new.attempt, new.vm) != (old.attempt, old.vm) and (
+            new.attempt != old.attempt or old.state is QUEUED
+        ):
+            entry.begin(unsure=new.state in job.HOLDING and new.fence != self.fence)
+        self._index(new)
+
+    def _index(self, item: job.Job) -> None:
+        self.unsettled.add(item.name)
+        if item.state is QUEUED:
+            self.backlog.add(item)
+            self.dirty.add(item.asked.pool)
+        elif item.state in job.HOLDING:
+            self.on_vm[item.vm].add(item.name)
+            self.pending.add(item.name)
+            if item.asked.spread:
+                self.groups[(item.asked.pool, item.asked.spread)].add(item.name)
+
+    def _unindex(self, item: job.Job) -> None:
+        if item.state is QUEUED:
+            self.backlog.remove(item)
+        elif item.state in job.HOLDING:
+            self.on_vm[item.vm].discard(item.name)
+            group = (item.asked.pool, item.asked.spread)
+            if group in self.groups:
+                self.groups[group].discard(item.name)
+                if not self.groups[group]:
+                    del self.groups[group]
+
+    def see_fleet(self, vms: Iterable[view.Vm], now: float) -> None:
+        """Take the present view of the workers."""
+        seen = {vm.vm: vm for vm in vms}
+        if seen != self.vms:
+            self.dirty.update(vm.pool for vm in seen.values())
+        self.vms = seen
+        self.pools = {}
+        for vm in self.vms.values():
+            self.pools.setdefault(vm.pool, []).append(vm.vm)
+        usable = {vm.vm for vm in self.vms.values() if vm.usable}
+        gone = {vm for vm, names in self.on_vm.items() if names and vm not in usable}
+        self.left_at = {vm: self.left_at.get(vm, now) for vm in gone}
+        for vm in gone:
+            self.unsettled |= self.on_vm[vm]
+        self.quarantine.keep(self.vms)
+        for vm in [vm for vm, names in self.on_vm.items() if not names]:
+            del self.on_vm[vm]
+
+    def measure(self, vms: Iterable[str]) -> None:
+        """Work out by how much the tasks of workers exceed their reservations."""
+        for vm in vms:
+            cores = memory = 0.0
+            for name in self.on_vm.get(vm, ()):
+                entry = self.jobs[name]
+                if entry.job.holds and entry.is_alive:
+                    cores += max(0.0, entry.seen.used_cores - entry.job.cores)
+                    memory += max(0.0, entry.seen.used_memory - entry.job.memory)
+            self.overrun[vm] = (cores, memory)
+
+    def room(self, vm: str) -> tuple[float, float]:
+        """Return free cores and memory: neither reserved nor used beyond that."""
+        capacity = self.vms[vm]
+        held = self.ledger.reservation(vm).total
+        over = self.overrun.get(vm, (0.0, 0.0))
+        return (
+            capacity.cores - held[0] - over[0],
+            capacity.memory - held[1] - over[1],
+        )
+
+    def need(self, item: job.Job) -> tuple[float, float]:
+        """Return what to reserve for a job: learned, never above what can be had.
+
+        A learned size above the largest worker or the whole quota would hold
+        the job for ever, so it is cut to that; a task that is killed for
+        memory raises ``floor``.
+        """
+        asked = item.asked
+        cores, memory = self.learner.estimate(asked.kind, asked.cores, asked.memory)
+        memory = max(memory, item.floor)
+        limits = self.limits(item)
+        return min(cores, limits[0]), min(memory, limits[1])
+
+    def limits(self, item: job.Job) -> tuple[float, float]:
+        """Return the most that a job can ever be given."""
+        sizes = [
+            self.policy.kinds.get(item.asked.pool),
+            self.policy.teams.get(item.asked.team),
+        ]
+        known = [size for size in sizes if size is not None]
+        cores = min((size.cores for size in known), default=math.inf)
+        return cores, min((size.memory for size in known), default=math.inf)
+
+    def domain(self, vm: str) -> str:
+        """Return the failure domain of a worker, as its pool counts them."""
+        item = self.vms.get(vm)
+        if item is None:
+            return ""
+        spread = self.policy.spread.get(item.pool, "rack")
+        return item.rack if spread == "rack" else item.data_centre
+
+    def crowd(self, item: job.Job) -> Mapping[str, int]:
+        """Return how many jobs of the same spread group each domain has."""
+        names = self.groups.get((item.asked.pool, item.asked.spread), ())
+        return collections.Counter(
+            self.domain(self.jobs[name].job.vm) for name in names
+        )
