Run placement duties under leases and offer the job routes

One keeper for each shard of pools: it scans markers twice a second, commits in batches under the lease's condition and makes task calls beside itself, so that a slow call holds up no commit. Submission is one conditional commit under the submitter's id; a repeat finds the same job, another body gets 409.

--- /dev/null
+++ b/wigeonhitch/placement/keeper.py
@@ -0,0 +1,318 @@
+"""The duty `placement/{shard}`: owns one core, reads, commits and calls.
+
+One task holds the state of a shard. Calls to the task service run beside it
+and report through a memory object stream, so that a slow platform call never
+holds up the next commit.
+"""
+
+import collections
+import math
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+import anyio
+from absl import logging
+
+from wigeonhitch.configuration import document
+from wigeonhitch.membership import lease
+from wigeonhitch.placement import attempt, calls, core, job, ledger, message, view
+from wigeonhitch.platform import table
+
+__all__ = ["Keeper"]
+
+PURPOSE = "placement"
+# Urgent work is to start within 1.7 s: half a second to notice a job, and two
+# round trips for the commit and the start, leave a second for a checkpoint.
+POLL = 0.5
+# Usage lags by seconds anyway; 25 workers with four tasks each make 15 KB a
+# list, so 5 s keeps a shard near 3 KB a second.
+USAGE_PERIOD = 5.0
+LEDGER_PERIOD = 5.0
+# Four tries within one lease.
+RENEW_PERIOD = 15.0
+RENEW_CHUNK = 200
+READ_CHUNK = 500
+# Commits in one step, before new jobs and answers are looked at again.
+COMMITS = 4
+
+Spawn = Callable[..., None]
+
+
+class Keeper:
+    """Holder of one shard's duty.
+
+    Parameters
+    ----------
+    platform : message.Platform
+        Table, tasks, leases and views.
+    shard, shards : int
+        Number of this shard, and of all.
+    spawn : callable
+        Runs an async function beside the keeper, as a task group does.
+    counters : collections.Counter
+        Counts what was done, for telemetry.
+    """
+
+    def __init__(
+        self,
+        platform: message.Platform,
+        shard: int,
+        spawn: Spawn,
+        counters: collections.Counter[str],
+        shards: int = view.SHARDS,
+    ):
+        self._platform = platform
+        self.shard = shard
+        self._shards = shards
+        self._spawn = spawn
+        self._counters = counters
+        self.duty = view.duty_of(shard)
+        self.core: core.Core | None = None
+        self.fence = 0
+        self._since = 0
+        self._ledger_since = 0
+        self._offset = 0.0
+        self._due: dict[str, float] = {}
+        self._stale: set[str] = set()
+        self._document: document.Document | None = None
+        self._policy: view.Policy | None = None
+        self._send, self._receive = anyio.create_memory_object_stream[Any](math.inf)
+
+    def close(self) -> None:
+        """Close the stream of answers."""
+        self._send.close()
+        self._receive.close()
+
+    async def run(self) -> None:
+        """Step twice a second, and whenever a call was answered."""
+        try:
+            while True:
+                await self.step()
+                with anyio.move_on_after(POLL):
+                    self._take(await self._receive.receive())
+        finally:
+            self.close()
+
+    @property
+    def now(self) -> float:
+        """Return the table's time as estimated at takeover, in seconds.
+
+        It runs on a clock that counts suspension and never steps back.
+        """
+        return self._platform.clock() + self._offset
+
+    async def step(self) -> None:
+        """Take answers, read changes, decide, commit, and make calls."""
+        self._drain()
+        held = self._platform.leases.current(self.duty)
+        if self.core is None or (held is not None and held.fence != self.fence):
+            self.core = None
+            if held is None or not await self._take_over(held):
+                return
+        self._renew()
+        if held is None or not await self._refresh():
+            return
+        self._list()
+        for _ in range(COMMITS):
+            if not await self._commit(held):
+                break
+        if self.core is not None and not self._stale:
+            for call in self.core.next_calls(self.now):
+                self._counters[f"call_{call.action}"] += 1
+                self._spawn(self._call, self.fence, call)
+
+    def _drain(self) -> None:
+        while True:
+            try:
+                self._take(self._receive.receive_nowait())
+            except (anyio.WouldBlock, anyio.EndOfStream):
+                return
+
+    def _take(
+        self, answer: message.Answered | message.Renewed | message.Listed
+    ) -> None:
+        if self.core is None or answer.fence != self.fence:
+            return
+        if isinstance(answer, message.Answered):
+            self.core.answer(answer.call, answer.outcome, self.now)
+        elif isinstance(answer, message.Renewed):
+            self._take_renewal(answer)
+        elif answer.result.outcome is table.Outcome.DONE:
+            self.core.see_tasks(answer.result.tasks, answer.vms, answer.at)
+
+    def _take_renewal(self, answer: message.Renewed) -> None:
+        self.core.answer_renewal(answer.names, answer.outcome, self.now)
+        lapsed = self._platform.leases.current(self.duty) is None
+        if lapsed and answer.outcome is table.Outcome.NOT_DONE:
+            logging.info("%s: another holder renews the tasks", self.duty)
+            self.core = None
+
+    async def _take_over(self, held: lease.Lease) -> bool:
+        platform = self._platform
+        prefix = f"{ledger.MARKER}{self.shard}/"
+        found = await platform.table.scan(prefix, purpose=PURPOSE)
+        if found.outcome is not table.Outcome.DONE:
+            return False
+        fresh = core.Core(self.shard, held.fence)
+        for rows in (ledger.RESERVATION, ledger.QUOTA):
+            read = await platform.table.scan(rows, purpose=PURPOSE)
+            if read.outcome is not table.Outcome.DONE:
+                return False
+            fresh.load(read.rows)
+        keys = [_job_key(row.key) for row in found.rows]
+        if not await self._read_into(fresh, keys):
+            return False
+        self._offset = found.time - platform.clock()
+        self._since = self._ledger_since = found.revision
+        self._due = {"ledger": self.now + LEDGER_PERIOD}
+        self._stale = set()
+        self.core, self.fence = fresh, held.fence
+        self._counters["takeovers"] += 1
+        logging.info("%s: taken over with %d live jobs", self.duty, len(keys))
+        return True
+
+    async def _read_into(self, target: core.Core, keys: Sequence[str]) -> bool:
+        for start in range(0, len(keys), READ_CHUNK):
+            chunk = keys[start : start + READ_CHUNK]
+            read = await self._platform.table.read(chunk, purpose=PURPOSE)
+            if read.outcome is not table.Outcome.DONE:
+                return False
+            target.load(read.rows)
+        return True
+
+    async def _refresh(self) -> bool:
+        """Read what others changed; false when the table can't be read."""
+        if not await self._read_stale() or not await self._read_markers():
+            return False
+        if self._is_due("ledger", LEDGER_PERIOD) and not await self._read_ledger():
+            return False
+        source = self._platform.source()
+        if source is not None and source is not self._document:
+            self._document = source
+            self._policy = view.make_policy(source)
+        if self._policy is not None:
+            self.core.see_policy(self._policy)
+        vms = [vm for vm in self._platform.fleet() if self._is_mine(vm.pool)]
+        self.core.see_fleet(vms, self.now)
+        return True
+
+    def _is_mine(self, pool: str) -> bool:
+        return view.find_shard(pool, self._shards) == self.shard
+
+    def _is_due(self, what: str, period: float) -> bool:
+        if self.now < self._due.get(what, 0.0):
+            return False
+        self._due[what] = self.now + period
+        return True
+
+    async def _read_stale(self) -> bool:
+        """Read back the rows of a commit whose fate was not known."""
+        if self._stale and not await self._read_into(self.core, sorted(self._stale)):
+            return False
+        self._stale = set()
+        return True
+
+    async def _read_markers(self) -> bool:
+        prefix = f"{ledger.MARKER}{self.shard}/"
+        found = await self._platform.table.scan(
+            prefix, purpose=PURPOSE, since=self._since
+        )
+        if found.outcome is not table.Outcome.DONE:
+            return False
+        gone = [row for row in found.rows if row.value is None]
+        self.core.load(table.Row(_job_key(row.key), None, 0) for row in gone)
+        keys = [_job_key(row.key) for row in found.rows if row.value is not None]
+        if not await self._read_into(self.core, keys):
+            return False
+        self._since = max(self._since, found.revision)
+        return True
+
+    async def _read_ledger(self) -> bool:
+        revision = math.inf
+        for rows in (ledger.RESERVATION, ledger.QUOTA):
+            read = await self._platform.table.scan(
+                rows, purpose=PURPOSE, since=self._ledger_since
+            )
+            if read.outcome is not table.Outcome.DONE:
+                return False
+            self.core.load(read.rows)
+            revision = min(revision, read.revision)
+        self._ledger_since = max(self._ledger_since, int(revision))
+        return True
+
+    async def _commit(self, held: lease.Lease) -> bool:
+        """Commit one batch; false when there is none or it did not succeed."""
+        if self.core is None or self._platform.leases.current(self.duty) is None:
+            return False
+        batch = self.core.decide(self.now)
+        if batch is None:
+            return False
+        conditions = [held.condition, *batch.conditions]
+        result = await self._platform.table.commit(
+            conditions, batch.writes, purpose=PURPOSE
+        )
+        self._counters[f"commits_{result.outcome.name.lower()}"] += 1
+        if result.outcome is table.Outcome.DONE:
+            self._counters["changes"] += len(batch.before)
+            self.core.confirm(batch, result.revision)
+            return True
+        self.core.undo(batch)
+        if any(row.key == held.condition.key for row in result.conflicts):
+            logging.info("%s: replaced by another holder", self.duty)
+            self.core = None
+        elif result.outcome is table.Outcome.UNKNOWN:
+            self._stale = {condition.key for condition in batch.conditions}
+        else:
+            self.core.load(result.conflicts)
+        return False
+
+    def _renew(self) -> None:
+        """Renew task leases, also while the duty lease can't be renewed.
+
+        During an outage of the table nobody else can take the duty, and a
+        renewal starts nothing; the platform refuses it once a later holder
+        has shown its fencing token.
+        """
+        if not self._is_due("renew", RENEW_PERIOD):
+            return
+        names = self.core.find_renewals()
+        for start in range(0, len(names), RENEW_CHUNK):
+            chunk = tuple(names[start : start + RENEW_CHUNK])
+            self._spawn(self._call_renew, self.fence, chunk)
+
+    def _list(self) -> None:
+        if not self._is_due("usage", USAGE_PERIOD):
+            return
+        state = self.core.state
+        vms = tuple(sorted(set(state.vms) | set(state.on_vm)))
+        if vms:
+            self._spawn(self._call_list, self.fence, vms, self.now)
+
+    async def _call(self, fence: int, call: calls.Call) -> None:
+        """Make one call, after a last look at the lease."""
+        held = self._platform.leases.current(self.duty)
+        if held is None or held.fence != fence:
+            self._send.send_nowait(message.Answered(fence, call, None))
+            return
+        service = self._platform.tasks
+        answer: Awaitable[table.Outcome]
+        if call.spec is not None:
+            answer = service.start(call.spec, purpose=PURPOSE)
+        else:
+            answer = service.control(call.task, call.action, fence, purpose=PURPOSE)
+        self._send.send_nowait(message.Answered(fence, call, await answer))
+
+    async def _call_renew(self, fence: int, names: tuple[str, ...]) -> None:
+        outcome = await self._platform.tasks.renew(
+            names, fence, attempt.LEASE, purpose=PURPOSE
+        )
+        self._send.send_nowait(message.Renewed(fence, names, outcome))
+
+    async def _call_list(self, fence: int, vms: tuple[str, ...], at: float) -> None:
+        result = await self._platform.tasks.list_tasks(vms, purpose=PURPOSE)
+        self._send.send_nowait(message.Listed(fence, vms, at, result))
+
+
+def _job_key(marker: str) -> str:
+    """Return the key of the job that a marker row names."""
+    return job.PREFIX + marker.split("/", 2)[2]
--- /dev/null
+++ b/wigeonhitch/placement/routes.py
@@ -0,0 +1,224 @@
+"""Operator routes for jobs: submit, list, explain, cancel."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from wigeonhitch.operators import route
+from wigeonhitch.placement import job, ledger, view
+from wigeonhitch.platform import table
+
+__all__ = ["Jobs"]
+
+PURPOSE = "jobs"
+# Jobs cancelled by one request, and by one commit: a wave of thousands costs a
+# read and a few commits for each request instead of two calls for each job.
+CANCEL_REQUEST = 1000
+CANCEL_COMMIT = 100
+TRIES = 4
+LISTED = 1000
+
+S = job.JobState
+DONE = table.Outcome.DONE
+UNKNOWN = table.Outcome.UNKNOWN
+BUSY = route.Answer(503, {"error": "not done, the table is unreachable"})
+UNSURE = route.Answer(504, {"error": "unknown whether done: repeat with the same id"})
+
+
+class Jobs:
+    """Handlers of the job routes.
+
+    Parameters
+    ----------
+    store : table.Table
+        The platform's table.
+    shards : int
+        Number of placement shards, as given to `runner.Runner`.
+    """
+
+    def __init__(self, store: table.Table, shards: int = view.SHARDS):
+        self._table = store
+        self._shards = shards
+
+    def build_routes(self) -> list[route.Route]:
+        """Return the routes."""
+        return [
+            route.Route("POST", "/jobs", True, self.submit),
+            route.Route("GET", "/jobs", False, self.list_jobs),
+            route.Route("GET", "/jobs/{team}/{job}", False, self.show),
+            route.Route("POST", "/jobs/{team}/{job}/cancel", True, self.cancel),
+            route.Route("POST", "/jobs/{team}/cancel", True, self.cancel_many),
+        ]
+
+    async def submit(self, request: route.Request) -> route.Answer:
+        """Submit a job; a repeat with the same body finds the same job."""
+        asked = job.parse_submission(request.body)
+        if isinstance(asked, str):
+            return route.Answer(400, {"error": asked})
+        key = f"{job.PREFIX}{asked.team}/{asked.id}"
+        read = await self._table.read([key], purpose=PURPOSE)
+        if read.outcome is not DONE:
+            return BUSY
+        if read.rows[0].value is not None:
+            return _compare(asked, read.rows[0])
+        new = job.make_job(asked, read.time)
+        writes = [table.Write(key, job.encode(new)), self._mark(new)]
+        result = await self._table.commit(
+            [table.Condition(key, 0)], writes, purpose=PURPOSE
+        )
+        if result.outcome is DONE:
+            return route.Answer(202, describe(new))
+        for row in result.conflicts:
+            if row.value is not None:
+                return _compare(asked, row)
+        return UNSURE if result.outcome is UNKNOWN else BUSY
+
+    def _mark(self, item: job.Job, *, ended: bool = False) -> table.Write:
+        shard = view.find_shard(item.asked.pool, self._shards)
+        return table.Write(ledger.marker_key(shard, item.name), None if ended else {})
+
+    async def list_jobs(self, request: route.Request) -> route.Answer:
+        """List jobs, of one team if ``team`` is given; ``state`` filters."""
+        team = request.query.get("team", "")
+        prefix = f"{job.PREFIX}{team}/" if team else job.PREFIX
+        read = await self._table.scan(prefix, purpose=PURPOSE)
+        if read.outcome is not DONE:
+            return BUSY
+        wanted = request.query.get("state", "")
+        jobs = [job.decode(row.value) for row in read.rows if row.value is not None]
+        found = [item for item in jobs if wanted in ("", item.state.value)]
+        listed = [_summarize(item) for item in found[:LISTED]]
+        return route.Answer(200, {"jobs": listed, "count": len(found)})
+
+    async def show(self, request: route.Request) -> route.Answer:
+        """Show one job: where it stands, why it waits, and since when."""
+        read = await self._read(request.path["team"], [request.path["job"]])
+        if read.outcome is not DONE:
+            return BUSY
+        row = read.rows[0]
+        if row.value is None:
+            return route.Answer(404, {"error": f"no job {row.key!r}"})
+        return route.Answer(200, describe(job.decode(row.value)))
+
+    async def cancel(self, request: route.Request) -> route.Answer:
+        """Cancel one job: at once while queued, else by stopping its task."""
+        answer = await self._cancel(request.path["team"], [request.path["job"]])
+        if answer.status != 200:
+            return answer
+        (state,) = answer.body["jobs"].values()
+        if state == "unknown":
+            return route.Answer(404, {"error": f"no job {request.path['job']!r}"})
+        status = 202 if state == "stopping" else 200
+        return route.Answer(status, {"state": state})
+
+    async def cancel_many(self, request: route.Request) -> route.Answer:
+        """Cancel the jobs named in ``{"jobs": [...]}`` of one team."""
+        names = request.body.get("jobs") if isinstance(request.body, dict) else None
+        good = isinstance(names, list) and all(isinstance(n, str) for n in names)
+        if not good or len(names) > CANCEL_REQUEST:
+            text = f"expected jobs: a list of at most {CANCEL_REQUEST} job ids"
+            return route.Answer(400, {"error": text})
+        return await self._cancel(request.path["team"], sorted(set(names)))
+
+    async def _read(self, team: str, names: Sequence[str]) -> table.ReadResult:
+        keys = [f"{job.PREFIX}{team}/{name}" for name in names]
+        return await self._table.read(keys, purpose=PURPOSE)
+
+    async def _cancel(self, team: str, names: Sequence[str]) -> route.Answer:
+        states: dict[str, str] = {}
+        for start in range(0, len(names), CANCEL_COMMIT):
+            chunk = names[start : start + CANCEL_COMMIT]
+            failure = await self._cancel_chunk(team, chunk, states)
+            if failure is not None:
+                return route.Answer(failure.status, failure.body | {"jobs": states})
+        return route.Answer(200, {"jobs": states})
+
+    async def _cancel_chunk(
+        self, team: str, names: Sequence[str], states: dict[str, str]
+    ) -> route.Answer | None:
+        """Cancel in one commit; tried again when a job moved meanwhile."""
+        result = table.CommitResult(table.Outcome.NOT_DONE)
+        for _ in range(TRIES):
+            read = await self._read(team, names)
+            if read.outcome is not DONE:
+                return BUSY
+            conditions, writes = [], []
+            for name, row in zip(names, read.rows, strict=True):
+                states[name] = self._plan_cancel(row, read.time, conditions, writes)
+            if not writes:
+                return None
+            result = await self._table.commit(conditions, writes, purpose=PURPOSE)
+            if result.outcome is DONE:
+                return None
+            if result.outcome is UNKNOWN or not result.conflicts:
+                break
+        for name in names:
+            states.pop(name, None)
+        return UNSURE if result.outcome is UNKNOWN else BUSY
+
+    def _plan_cancel(
+        self,
+        row: table.Row,
+        now: float,
+        conditions: list[table.Condition],
+        writes: list[table.Write],
+    ) -> str:
+        """Add what cancels a job; return the state that it then has.
+
+        A queued job's attempt was never sent to the platform, so it can end
+        here; one that may have begun is ended by the holder of its shard.
+        """
+        if row.value is None:
+            return "unknown"
+        item = job.decode(row.value)
+        if item.state in job.ENDED:
+            return item.state.value
+        if item.cancel:
+            return "stopping"
+        queued = item.state is S.QUEUED
+        if queued:
+            new = item._replace(state=S.CANCELLED, reason="by request", since=now)
+        else:
+            new = item._replace(cancel=True)
+        conditions.append(table.Condition(row.key, row.version))
+        writes.append(table.Write(row.key, job.encode(new)))
+        writes.append(self._mark(item, ended=queued))
+        return "cancelled" if queued else "stopping"
+
+
+def _compare(asked: job.Submission, row: table.Row) -> route.Answer:
+    present = job.decode(row.value)
+    if present.asked == asked:
+        return route.Answer(200, describe(present))
+    text = f"job {present.name} was submitted before with another body"
+    return route.Answer(409, {"error": text, "job": describe(present)})
+
+
+def _summarize(item: job.Job) -> dict[str, Any]:
+    return {
+        "team": item.asked.team,
+        "id": item.asked.id,
+        "pool": item.asked.pool,
+        "state": item.state.value,
+        "reason": explain(item),
+        "since": item.since,
+    }
+
+
+def describe(item: job.Job) -> dict[str, Any]:
+    """Return what operators see of a job."""
+    shown = job.encode(item)
+    shown["task"] = item.task if item.vm else ""
+    return shown | _summarize(item) | {"due": item.due}
+
+
+def explain(item: job.Job) -> str:
+    """Return why a job stands where it stands."""
+    if item.reason:
+        return item.reason
+    if item.state is S.QUEUED:
+        return "waits behind earlier jobs of its team"
+    if item.paused:
+        return "checkpointed to make room for urgent work"
+    if item.cancel and item.state in job.HOLDING:
+        return "its task is being stopped"
+    return ""
--- /dev/null
+++ b/wigeonhitch/placement/tests/conftest.py
@@ -0,0 +1,170 @@
+import collections
+import inspect
+
+import pytest
+
+from standins import fake
+from wigeonhitch.configuration import document
+from wigeonhitch.membership import lease
+from wigeonhitch.operators import route
+from wigeonhitch.placement import job, keeper, message, routes, view
+from wigeonhitch.platform import table
+
+POOL = "batch"
+
+
+def make_document(quota, teams=("coffee", "cardamom")):
+    return document.Document(
+        fleet="altiplano",
+        data_centres=(document.DataCentre("a", "south"),),
+        kinds=(document.Kind("large", 32.0, 64.0),),
+        pools=(document.Pool(POOL, "large", 4, document.Budget(number=2)),),
+        services=(),
+        urgencies=(document.Urgency("urgent", 60.0, 1.7),),
+        teams=tuple(document.Team(name, *quota) for name in teams),
+    )
+
+
+def submission(name, team="coffee", **fields):
+    base = {"cores": 4.0, "memory": 8.0, "duration": 20.0, "deadline": 600.0}
+    base |= {"team": team, "id": name, "pool": POOL, "work": {"duration": 20.0}}
+    return base | fields
+
+
+class Leases:
+    """Leases of one daemon; ``frozen`` plays a holder that misses its lapse."""
+
+    def __init__(self, world, daemon):
+        self.world = world
+        self.daemon = daemon
+        self.held = {}
+
+    def want(self, duty):
+        """Competing is done by the test."""
+
+    def unwant(self, duty):
+        self.held.pop(duty, None)
+
+    def current(self, duty):
+        return self.held.get(duty)
+
+
+class World:
+    """Fake platform, one shard, and any number of daemons that keep it."""
+
+    def __init__(self, vms=4, quota=(64.0, 256.0), lag=1.0):
+        machines = [
+            {
+                "vm": f"w{number}",
+                "kind": "large",
+                "address": f"10.0.0.{number}:80",
+                "rack": f"r{number % 2}",
+                "data_centre": "a",
+            }
+            for number in range(vms)
+        ]
+        self.fake = fake.Fake(machines, usage_lag=lag)
+        self.plan = make_document(quota)
+        self.unusable = set()
+        self.keepers = {}
+        self.waiting = collections.defaultdict(list)
+        self.counters = collections.Counter()
+        self.jobs = routes.Jobs(self.fake.table, shards=1)
+
+    def fleet(self):
+        return [
+            view.Vm(vm, POOL, 32.0, 64.0, machine.rack, "a", vm not in self.unusable)
+            for vm, machine in self.fake.engine.fleet.live.items()
+        ]
+
+    def keep(self, daemon):
+        """Return the keeper of a daemon, made on first use."""
+        if daemon not in self.keepers:
+            client = self.fake.build_client(daemon)
+            platform = message.Platform(
+                client,
+                client,
+                Leases(self, daemon),
+                self.fleet,
+                lambda: self.plan,
+                lambda: self.fake.now,
+            )
+            queue = self.waiting[daemon]
+            self.keepers[daemon] = keeper.Keeper(
+                platform,
+                0,
+                lambda function, *args: queue.append((function, args)),
+                self.counters,
+                shards=1,
+            )
+        return self.keepers[daemon]
+
+    def take_duty(self, daemon, freeze_others=False):
+        """Let a daemon take the duty over; others notice unless frozen."""
+        duty = view.duty_of(0)
+        self.keep(daemon)
+        key = f"duty/{duty}"
+        (row,) = fake.run(self.fake.table.read([key], purpose="test")).rows
+        write = table.Write(key, {"holder": daemon})
+        condition = table.Condition(key, row.version)
+        result = fake.run(self.fake.table.commit([condition], [write], purpose="test"))
+        if result.outcome is not table.Outcome.DONE:
+            return
+        for name, each in self.keepers.items():
+            if name != daemon and not freeze_others:
+                each._platform.leases.held.clear()
+        fresh = lease.Lease(duty, result.revision, float("inf"))
+        self.keepers[daemon]._platform.leases.held[duty] = fresh
+
+    def step(self, daemon, calls=True):
+        """Let a daemon decide once, and make its calls unless it is paused."""
+        fake.run(self.keep(daemon).step())
+        if calls:
+            self.make_calls(daemon)
+
+    def make_calls(self, daemon):
+        waiting, self.waiting[daemon][:] = list(self.waiting[daemon]), []
+        for function, args in waiting:
+            fake.run(function(*args))
+
+    def play(self, daemon, seconds, step=0.5):
+        for _ in range(int(seconds / step)):
+            self.step(daemon)
+            self.fake.advance(step)
+
+    def ask(self, handler, body=None, **path):
+        assert inspect.iscoroutinefunction(handler)
+        request = route.Request("op", frozenset(), path, {}, body)
+        return fake.run(handler(request))
+
+    def submit(self, name, **fields):
+        return self.ask(self.jobs.submit, submission(name, **fields))
+
+    def read_job(self, name, team="coffee"):
+        key = f"{job.PREFIX}{team}/{name}"
+        (row,) = fake.run(self.fake.table.read([key], purpose="test")).rows
+        return job.decode(row.value)
+
+    def close(self):
+        for each in self.keepers.values():
+            each.close()
+
+
+@pytest.fixture
+def make_world():
+    made = []
+
+    def make(**fields):
+        made.append(World(**fields))
+        return made[-1]
+
+    yield make
+    for world in made:
+        world.close()
+
+
+@pytest.fixture
+def world(make_world):
+    made = make_world()
+    made.take_duty("d1")
+    return made
