Release a worker kept free once its job was placed

A hold lasted until the job it was for had ended, and small jobs that waited behind one got the next, so that a worker with 23 of 32 cores free stayed idle in a run of 150 jobs on two workers.

--- a/wigeonhitch/placement/place.py
+++ b/wigeonhitch/placement/place.py
@@ -10,9 +10,11 @@
 # While urgent work waits, one start in four goes to bulk that would miss its
 # deadline: a steady stream of urgent work must not hold the closing back.
 LATE_TURN = 4
-# A job that has waited so long for a whole worker gets one kept free of new
-# bulk; earlier, keeping room idle costs more than the wait.
+# A job that has waited so long and needs more than this share of a worker gets
+# one kept free of new bulk: small jobs would take each gap before it has grown.
+# Earlier, or for small jobs, keeping room idle costs more than the wait.
 HOLD_AFTER = 60.0
+HOLD_SHARE = 0.5
 # Time for the checkpoints that make room for one urgent job.
 CLAIM = 3.0
 # A pool in which nothing could be placed is looked at again after this.
@@ -41,6 +43,15 @@
         self.cores = sum(shard.vms[vm].cores for vm in self.spots) or 1.0
         self.memory = sum(shard.vms[vm].memory for vm in self.spots) or 1.0
         self.late = self._find_late()
+        self._end_hold()
+
+    def _end_hold(self) -> None:
+        """Drop the hold once its job was placed or its worker can't be used."""
+        name, vm = self.shard.holds.get(self.pool, ("", ""))
+        entry = self.shard.jobs.get(name)
+        queued = entry is not None and entry.job.state is job.JobState.QUEUED
+        if not queued or vm not in self.spots:
+            self.shard.holds.pop(self.pool, None)
 
     def _add_spot(self, vm: str) -> None:
         shard = self.shard
@@ -164,14 +175,14 @@
 
     def _hold(self, item: job.Job, need: tuple[float, float]) -> None:
         shard = self.shard
-        held = shard.holds.get(self.pool)
-        if held is not None and held[0] in shard.jobs and held[1] in self.spots:
+        if self.pool in shard.holds:
             return
-        large = [
-            vm
-            for vm in self.spots
-            if shard.vms[vm].cores >= need[0] and shard.vms[vm].memory >= need[1]
-        ]
+        large = []
+        for vm in self.spots:
+            size = shard.vms[vm]
+            share = max(need[0] / size.cores, need[1] / size.memory)
+            if HOLD_SHARE < share <= 1.0 + choose.EPSILON:
+                large.append(vm)
         if large:
             freest = min(large, key=lambda vm: shard.ledger.reservation(vm).total)
             shard.holds[self.pool] = (item.name, freest)
--- a/wigeonhitch/placement/tests/test_policy.py
+++ b/wigeonhitch/placement/tests/test_policy.py
@@ -152,6 +152,7 @@
         duration = 8.0 + 7 * number % 60
         work = {"duration": duration}
         world.submit(name, team="cardamom", cores=4.0, memory=4.0, work=work)
+    world.play("d1", 3)
     world.submit("whole", cores=32.0, kind="whole", deadline=5000.0)
     world.play("d1", 180)
     assert world.read_job("whole").state in (S.RUNNING, S.FINISHED)
