--- /dev/null
+++ b/wigeonhitch/configuration/check.py
@@ -0,0 +1,143 @@
+"""Check a fleet document whole: shape first, then what it refers to.
+
+The outcome is a checked `document.Document` or every problem found, never a
+part of a document. Text is YAML, of which JSON is a part.
+"""
+
+import json
+from typing import Any, NamedTuple
+
+import pydantic
+import yaml
+
+from wigeonhitch.configuration import document, problem, references, schema
+
+__all__ = ["LARGEST_TEXT", "Checked", "check_plain", "check_text", "load_canonical"]
+
+# Largest text that is parsed, bytes: 128 pools, 130 teams and a wave for each
+# pool take about 80 kB; the limit keeps one request from filling a daemon.
+LARGEST_TEXT = 1_000_000
+
+ADAPTER = pydantic.TypeAdapter(
+    document.Document,
+    config=pydantic.ConfigDict(strict=True, allow_inf_nan=False),
+)
+
+WORDING = {
+    "missing": "a value",
+    "missing_argument": "a value",
+    "extra_forbidden": "no such key",
+    "unexpected_keyword_argument": "no such key",
+    "named_tuple_type": "an object",
+    "arguments_type": "an object",
+}
+
+
+class Checked(NamedTuple):
+    """A checked document, or the problems that refused it.
+
+    Exactly one of the two is given: ``intended`` is None if and only if there
+    are problems.
+    """
+
+    intended: document.Document | None
+    problems: tuple[problem.Problem, ...] = ()
+
+
+class UniqueKeyLoader(yaml.SafeLoader):
+    """YAML loader that refuses a key given twice, which YAML would drop."""
+
+    def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict:
+        """Build one mapping from a node; its keys must differ."""
+        seen = set()
+        for key_node, _ in node.value:
+            key = self.construct_object(key_node, deep=True)
+            if not isinstance(key, str):
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key!r} is not text", key_node.start_mark
+                )
+            if key in seen:
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key!r} is given twice", key_node.start_mark
+                )
+            seen.add(key)
+        return super().construct_mapping(node, deep)
+
+    def compose_node(self, parent: Any, index: Any) -> Any:
+        """Refuse aliases: a few lines of them can expand without bound."""
+        if self.check_event(yaml.events.AliasEvent):
+            event = self.peek_event()
+            raise yaml.composer.ComposerError(
+                None, None, "aliases are not allowed", event.start_mark
+            )
+        return super().compose_node(parent, index)
+
+
+def check_text(text: str) -> Checked:
+    """Check the YAML or JSON text of a document.
+
+    Parameters
+    ----------
+    text : str
+        The whole text.
+
+    Returns
+    -------
+    Checked
+        The document, or all of its problems.
+    """
+    if len(text) > LARGEST_TEXT:
+        return refuse(f"at most {LARGEST_TEXT} characters", len(text))
+    try:
+        data = yaml.load(text, Loader=UniqueKeyLoader)
+    except (yaml.YAMLError, RecursionError, ValueError) as error:
+        return refuse("well-formed YAML or JSON", " ".join(str(error).split()))
+    return check_plain(data)
+
+
+def check_plain(data: Any) -> Checked:
+    """Check a decoded document (dicts, lists, text, numbers)."""
+    if not isinstance(data, dict):
+        return refuse("an object", data)
+    try:
+        text = json.dumps(data)
+    except (TypeError, ValueError, RecursionError) as error:
+        return refuse("only text, numbers, lists and objects", str(error))
+    problems = [
+        problem.Problem(problem.format_place(parts), "a list", "an object")
+        for parts in schema.find_lists(schema.build_schema(), data, ())
+    ]
+    try:
+        intended = ADAPTER.validate_json(text)
+    except pydantic.ValidationError as error:
+        problems += [translate_error(detail) for detail in error.errors()]
+        return Checked(None, tuple(problems))
+    problems += references.check_references(intended)
+    if problems:
+        return Checked(None, tuple(problems))
+    return Checked(intended)
+
+
+def load_canonical(data: bytes) -> document.Document | None:
+    """Return the document that canonical bytes hold, or None if unreadable."""
+    try:
+        return check_plain(json.loads(data)).intended
+    except (ValueError, RecursionError):
+        return None
+
+
+def refuse(expected: str, value: Any) -> Checked:
+    """Return the outcome of a text that is no document at all."""
+    return Checked(None, (problem.Problem("", value, expected),))
+
+
+def translate_error(detail: Any) -> problem.Problem:
+    """Return a problem for one error of the validation library."""
+    kind = detail["type"]
+    expected = WORDING.get(kind)
+    if expected is None:
+        expected = detail["msg"].removeprefix("Input should be ")
+    value = None if kind.startswith("missing") else detail["input"]
+    parts = detail["loc"]
+    place = problem.format_place(parts)
+    return problem.Problem(place, value, expected, problem.find_unit(parts))
--- /dev/null
+++ b/wigeonhitch/configuration/problem.py
@@ -0,0 +1,82 @@
+"""A fault found in a fleet document, with its place."""
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+__all__ = ["Problem", "format_place", "format_problem"]
+
+# Longest text of an offending value that is repeated in a message.
+SHOWN_VALUE = 80
+
+UNITS = {
+    "cores": "cores",
+    "memory": "GB",
+    "slots": "requests at once",
+    "connections": "connections",
+    "accelerators": "accelerators",
+    "deadline": "seconds",
+    "start_within": "seconds",
+    "start": "seconds since the Unix epoch, UTC",
+    "end": "seconds since the Unix epoch, UTC",
+    "share": "share between 0 and 1",
+    "number": "VMs",
+    "size": "VMs",
+    "approvals": "operators",
+}
+
+
+class Problem(NamedTuple):
+    """One fault of a document.
+
+    Parameters
+    ----------
+    place : str
+        Such as ``pools[2].must_be_up.share``; empty for the whole document.
+    value : object
+        The value found there; None when it is missing.
+    expected : str
+        What would have been right.
+    unit : str
+        Unit of the value; empty when it has none.
+    """
+
+    place: str
+    value: Any
+    expected: str
+    unit: str = ""
+
+
+def format_place(parts: Sequence[str | int]) -> str:
+    """Return the place of a value as text.
+
+    Examples
+    --------
+    >>> format_place(["pools", 2, "must_be_up", "share"])
+    'pools[2].must_be_up.share'
+    """
+    place = ""
+    for part in parts:
+        if isinstance(part, int):
+            place += f"[{part}]"
+        elif place:
+            place += f".{part}"
+        else:
+            place = part
+    return place
+
+
+def find_unit(parts: Sequence[str | int]) -> str:
+    """Return the unit of the value at a place; empty when it has none."""
+    if not parts or len(parts) == 1 or isinstance(parts[-1], int):
+        return ""
+    return UNITS.get(str(parts[-1]), "")
+
+
+def format_problem(problem: Problem) -> str:
+    """Return one line for people."""
+    value = repr(problem.value)
+    if len(value) > SHOWN_VALUE:
+        value = value[:SHOWN_VALUE] + "..."
+    unit = f" ({problem.unit})" if problem.unit else ""
+    place = problem.place or "document"
+    return f"{place}: {value}: expected {problem.expected}{unit}"
--- /dev/null
+++ b/wigeonhitch/configuration/references.py
@@ -0,0 +1,158 @@
+"""What a well-formed document must also satisfy: names, sizes and windows."""
+
+import math
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from wigeonhitch.configuration import document, problem
+
+__all__ = ["check_references", "required_up"]
+
+NAMED_SECTIONS = (
+    "data_centres",
+    "kinds",
+    "pools",
+    "services",
+    "urgencies",
+    "teams",
+    "waves",
+)
+
+
+def required_up(pool: document.Pool) -> int:
+    """Return how many VMs of a pool must be up; a share is rounded up.
+
+    Examples
+    --------
+    >>> budget = document.Budget(share=0.8)
+    >>> required_up(document.Pool("match", "large", 6, budget))
+    5
+    """
+    budget = pool.must_be_up
+    if budget.number is not None:
+        return budget.number
+    # The subtraction keeps 0.7 * 10 (7.000000000000001) from becoming 8.
+    return math.ceil((budget.share or 0.0) * pool.size - 1e-9)
+
+
+def check_references(intended: document.Document) -> list[problem.Problem]:
+    """Return every problem of a document whose shape is right."""
+    problems = list(check_names(intended))
+    problems += check_pools(intended)
+    problems += check_services(intended)
+    problems += check_waves(intended)
+    problems += check_approvals(intended)
+    problems += check_urgencies(intended)
+    return problems
+
+
+def check_names(intended: document.Document) -> Iterable[problem.Problem]:
+    """Find names given twice in a section, and sections that may not be empty."""
+    for section in NAMED_SECTIONS:
+        seen = set()
+        for index, item in enumerate(getattr(intended, section)):
+            if item.name in seen:
+                yield fault((section, index, "name"), item.name, "a name not used yet")
+            seen.add(item.name)
+    for section in ("data_centres", "kinds", "pools", "urgencies"):
+        if not getattr(intended, section):
+            yield fault((section,), [], "at least one entry")
+
+
+def check_pools(intended: document.Document) -> Iterable[problem.Problem]:
+    """Find unknown kinds and budgets that cannot be kept."""
+    kinds = [kind.name for kind in intended.kinds]
+    in_waves = {name for wave in intended.waves for name in wave.pools}
+    for index, pool in enumerate(intended.pools):
+        place = ("pools", index)
+        if pool.kind not in kinds:
+            yield fault((*place, "kind"), pool.kind, one_of(kinds))
+        yield from check_budget(pool, (*place, "must_be_up"), pool.name in in_waves)
+
+
+def check_budget(
+    pool: document.Pool, place: tuple, in_wave: bool
+) -> Iterable[problem.Problem]:
+    """Find a budget that is not one of number and share, or too large.
+
+    A pool that a wave visits must be able to spare one VM, else the wave
+    could never begin and would wait until its window had passed.
+    """
+    budget = pool.must_be_up
+    if (budget.number is None) == (budget.share is None):
+        given = {"number": budget.number, "share": budget.share}
+        yield fault(place, given, "exactly one of number and share")
+        return
+    required = required_up(pool)
+    part = "number" if budget.number is not None else "share"
+    value = getattr(budget, part)
+    if required > pool.size:
+        yield fault((*place, part), value, f"at most the pool's size {pool.size}")
+    elif in_wave and pool.size and required == pool.size:
+        expected = (
+            f"less than all {pool.size} VMs, since a wave visits pool {pool.name}"
+        )
+        yield fault((*place, part), value, expected)
+
+
+def check_services(intended: document.Document) -> Iterable[problem.Problem]:
+    """Find services on unknown pools or of unknown classes."""
+    pools = [pool.name for pool in intended.pools]
+    urgencies = [urgency.name for urgency in intended.urgencies]
+    for index, service in enumerate(intended.services):
+        place = ("services", index)
+        if service.pool not in pools:
+            yield fault((*place, "pool"), service.pool, one_of(pools))
+        if service.urgency not in urgencies:
+            yield fault((*place, "urgency"), service.urgency, one_of(urgencies))
+
+
+def check_waves(intended: document.Document) -> Iterable[problem.Problem]:
+    """Find waves on unknown pools, on no pool, or with an empty window."""
+    pools = [pool.name for pool in intended.pools]
+    for index, wave in enumerate(intended.waves):
+        place = ("waves", index)
+        if not wave.pools:
+            yield fault((*place, "pools"), [], "at least one pool")
+        for position, name in enumerate(wave.pools):
+            here = (*place, "pools", position)
+            if name not in pools:
+                yield fault(here, name, one_of(pools))
+            elif name in wave.pools[:position]:
+                yield fault(here, name, "a pool not named yet by this wave")
+        if wave.window.start >= wave.window.end:
+            expected = f"a time after the start {wave.window.start}"
+            yield fault((*place, "window", "end"), wave.window.end, expected)
+
+
+def check_approvals(intended: document.Document) -> Iterable[problem.Problem]:
+    """Find approval rules that nobody could satisfy or that change nothing."""
+    for index, rule in enumerate(intended.approvals):
+        place = ("approvals", index, "roles")
+        if rule.approvals > 0 and not rule.roles:
+            yield fault(place, [], "at least one role, since approvals are needed")
+        if "viewer" in rule.roles:
+            expected = "roles that may change something; a viewer may not approve"
+            yield fault(place, list(rule.roles), expected)
+
+
+def check_urgencies(intended: document.Document) -> Iterable[problem.Problem]:
+    """Find classes whose work would have to finish before it starts."""
+    for index, urgency in enumerate(intended.urgencies):
+        if urgency.start_within > urgency.deadline:
+            expected = f"at most the deadline {urgency.deadline}"
+            place = ("urgencies", index, "start_within")
+            yield fault(place, urgency.start_within, expected)
+
+
+def fault(parts: tuple, value: Any, expected: str) -> problem.Problem:
+    """Return the problem at a place."""
+    place = problem.format_place(parts)
+    return problem.Problem(place, value, expected, problem.find_unit(parts))
+
+
+def one_of(names: Sequence[str]) -> str:
+    """Return the wording for a choice among known names."""
+    if not names:
+        return "a known name, but none is defined"
+    return "one of " + ", ".join(names)
