Accept documents by one compare-and-set on the version in force

Decisions are functions of the rows as read and return a result or one commit to try; the store reads, commits and decides again. A commit always has a condition on the version in force and on the proposal's own row, so a commit repeated after a lost answer cannot take effect twice. Ruled out: reading back by the version number alone, which cannot tell whose submission won. Needs are stored with the proposal, since a base version never changes its rules.

--- /dev/null
+++ b/wigeonhitch/configuration/acceptance.py
@@ -0,0 +1,241 @@
+"""Decide how a submitted document becomes the version in force.
+
+Nothing here reads or writes. Each function takes the rows as they were read
+and returns either the result or one commit to try; `store` does the reading
+and committing and decides again after every commit that was not done.
+
+Load: some 520 changes a day, a handful of operators at once. Harm prevented:
+two versions from one submission, a version built on another than the one its
+author saw, a change without its approvals, a document in force that came from
+an approval of something else.
+
+Why each is prevented:
+
+- every commit has the condition that ``configuration/current`` is unchanged
+  since it was read, so of several racing submissions one wins and the others
+  learn the version to rebase on;
+- every commit has a condition on the proposal's own row, so a commit that is
+  tried again after a lost answer cannot take effect twice;
+- the version row, the current row, the proposal and the signal change in one
+  commit, so nobody sees a part of it.
+"""
+
+import enum
+from typing import NamedTuple
+
+from wigeonhitch.configuration import approval, proposal
+from wigeonhitch.platform import table
+
+__all__ = [
+    "Commit",
+    "Result",
+    "Status",
+    "decide_approval",
+    "decide_rejection",
+    "decide_submission",
+]
+
+
+class Status(enum.Enum):
+    """What became of an operator's request; sentinels, not exceptions."""
+
+    ACCEPTED = "accepted"
+    WAITING = "waiting for approval"
+    UNCHANGED = "already in force"
+    CONFLICT = "conflict: another version is in force"
+    REUSED = "submission id was used for something else"
+    OTHER_CONTENT = "the proposal holds other content"
+    OWN = "an author never approves their own change"
+    NO_ROLE = "none of the operator's roles is asked for"
+    REJECTED = "rejected"
+    MISSING = "no such proposal or version"
+    INVALID = "document is not valid"
+    STORE_DOWN = "not done: the platform's store cannot be reached"
+    UNKNOWN = "unknown: the store's answer was lost"
+
+
+class Result(NamedTuple):
+    """Answer to an operator's request.
+
+    Parameters
+    ----------
+    status : Status
+        What became of it.
+    version : int
+        The version now in force as far as is known: the new one when
+        accepted, the one to rebase on after a conflict.
+    known : proposal.Proposal or None
+        The proposal as it stands.
+    reason : str
+        Details for people.
+    """
+
+    status: Status
+    version: int = 0
+    known: proposal.Proposal | None = None
+    reason: str = ""
+
+
+class Commit(NamedTuple):
+    """One commit to try, and the result once it is done."""
+
+    conditions: tuple[table.Condition, ...]
+    writes: tuple[table.Write, ...]
+    result: Result
+
+
+def decide_submission(
+    current: proposal.Current,
+    known: proposal.Proposal | None,
+    submitted: proposal.Proposal,
+) -> Result | Commit:
+    """Decide about a submission.
+
+    Parameters
+    ----------
+    current : Current
+        The version in force.
+    known : Proposal or None
+        The row under the submission's id, if there is one: the submission was
+        made before and its answer was lost, or the id is being reused.
+    submitted : Proposal
+        The submission, with the needs that the rules in force ask for.
+    """
+    if known is not None:
+        return recall_submission(current, known, submitted)
+    if current.version != submitted.base:
+        return conflict(current, None)
+    if current.hash == submitted.hash:
+        return Result(Status.UNCHANGED, current.version)
+    if submitted.missing:
+        writes = (proposal.write_proposal(submitted),)
+        result = Result(Status.WAITING, current.version, submitted)
+        return Commit((submitted.condition, current.condition), writes, result)
+    return accept(current, submitted, submitted.author, submitted.submitted)
+
+
+def recall_submission(
+    current: proposal.Current,
+    known: proposal.Proposal,
+    submitted: proposal.Proposal,
+) -> Result:
+    """Return what became of a submission that is already stored."""
+    same = (known.base, known.hash, known.author)
+    if same != (submitted.base, submitted.hash, submitted.author):
+        reason = f"it holds {known.hash[:12]} by {known.author} on {known.base}"
+        return Result(Status.REUSED, current.version, known, reason)
+    return describe(current, known)
+
+
+def describe(current: proposal.Current, known: proposal.Proposal) -> Result:
+    """Return the result that a stored proposal stands for."""
+    if known.state is proposal.State.ACCEPTED:
+        return Result(Status.ACCEPTED, known.version, known)
+    if known.state is proposal.State.REJECTED:
+        reason = f"by {known.decider}: {known.reason}"
+        return Result(Status.REJECTED, current.version, known, reason)
+    if known.base != current.version:
+        return conflict(current, known)
+    return Result(Status.WAITING, current.version, known)
+
+
+def conflict(current: proposal.Current, known: proposal.Proposal | None) -> Result:
+    """Return the result that names the version to rebase on."""
+    reason = f"rebase on version {current.version} by {current.author or 'nobody'}"
+    return Result(Status.CONFLICT, current.version, known, reason)
+
+
+def decide_approval(
+    current: proposal.Current,
+    known: proposal.Proposal | None,
+    given: approval.Given,
+) -> Result | Commit:
+    """Decide about an approval that an operator gives.
+
+    Parameters
+    ----------
+    current : Current
+        The version in force.
+    known : Proposal or None
+        The proposal, None when there is none of that id.
+    given : approval.Given
+        Who approves, with which roles, and the content they saw.
+    """
+    if known is None:
+        return Result(Status.MISSING, current.version)
+    standing = describe(current, known)
+    if standing.status is not Status.WAITING:
+        return standing
+    if given.hash != known.hash:
+        reason = f"it holds {known.hash}"
+        return Result(Status.OTHER_CONTENT, current.version, known, reason)
+    if given.operator == known.author:
+        return Result(Status.OWN, current.version, known)
+    if any(one.operator == given.operator for one in known.given):
+        return standing
+    asked = {role for need in known.needs for role in need.roles}
+    if not asked & set(given.roles):
+        reason = "asked for: " + ", ".join(sorted(asked))
+        return Result(Status.NO_ROLE, current.version, known, reason)
+    approved = known._replace(given=(*known.given, given))
+    if not approved.missing:
+        return accept(current, approved, given.operator, given.time)
+    return Commit(
+        (known.condition, current.condition),
+        (proposal.write_proposal(approved),),
+        Result(Status.WAITING, current.version, approved),
+    )
+
+
+def decide_rejection(
+    current: proposal.Current,
+    known: proposal.Proposal | None,
+    operator: str,
+    reason: str,
+    time: float,
+) -> Result | Commit:
+    """Decide about a rejection; the author may withdraw in the same way."""
+    if known is None:
+        return Result(Status.MISSING, current.version)
+    if known.state is not proposal.State.WAITING:
+        return describe(current, known)
+    rejected = known._replace(
+        state=proposal.State.REJECTED, decider=operator, reason=reason, decided=time
+    )
+    writes = (proposal.write_proposal(rejected),)
+    return Commit((known.condition,), writes, describe(current, rejected))
+
+
+def accept(
+    current: proposal.Current, approved: proposal.Proposal, decider: str, time: float
+) -> Commit:
+    """Return the commit that puts a proposal in force as the next version."""
+    version = current.version + 1
+    accepted = approved._replace(
+        state=proposal.State.ACCEPTED, version=version, decider=decider, decided=time
+    )
+    head = {
+        "version": version,
+        "hash": accepted.hash,
+        "submission": accepted.id,
+        "author": accepted.author,
+    }
+    given = [one._asdict() | {"roles": list(one.roles)} for one in accepted.given]
+    record = head | {
+        "base": accepted.base,
+        "note": accepted.note,
+        "given": given,
+        "accepted": time,
+    }
+    conditions = (
+        accepted.condition,
+        current.condition,
+        table.Condition(proposal.name_version(version), 0),
+    )
+    writes = (
+        table.Write(proposal.CURRENT, head),
+        table.Write(proposal.name_version(version), record),
+        proposal.write_proposal(accepted),
+        table.Write(proposal.SIGNAL, {}),
+    )
+    return Commit(conditions, writes, Result(Status.ACCEPTED, version, accepted))
--- /dev/null
+++ b/wigeonhitch/configuration/proposal.py
@@ -0,0 +1,188 @@
+"""Rows of the platform's table that acceptance reads and writes.
+
+`Current` is the one row that decides which version is in force. A `Proposal`
+is one submission under its id, for good: the row is what makes asking again
+with the same id safe.
+"""
+
+import enum
+import re
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from wigeonhitch.configuration import approval, canonical
+from wigeonhitch.platform import table
+
+__all__ = [
+    "CURRENT",
+    "PROPOSALS",
+    "SIGNAL",
+    "Current",
+    "Proposal",
+    "State",
+    "is_submission_id",
+    "name_object",
+    "name_proposal",
+    "name_version",
+    "read_current",
+    "read_proposal",
+    "write_proposal",
+]
+
+CURRENT = "configuration/current"
+SIGNAL = "signal/configuration"
+PROPOSALS = "configuration/proposal/"
+ID_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9-]{0,63}")
+
+
+class State(enum.Enum):
+    """State of a proposal; only ``WAITING`` can change."""
+
+    WAITING = "waiting"
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+
+
+class Current(NamedTuple):
+    """The version in force; ``version`` 0 means that there is none yet.
+
+    ``row`` is the version of the table row, for conditions.
+    """
+
+    version: int = 0
+    hash: str = ""
+    submission: str = ""
+    author: str = ""
+    row: int = 0
+
+    @property
+    def condition(self) -> table.Condition:
+        """Return the condition that this version is still in force."""
+        return table.Condition(CURRENT, self.row)
+
+
+class Proposal(NamedTuple):
+    """One submission.
+
+    Parameters
+    ----------
+    id : str
+        Submission id, chosen by the operator's program.
+    base : int
+        Version in force that the document was written against.
+    hash : str
+        Content hash of the proposed document.
+    author : str
+        Operator who submitted it.
+    note : str
+        Why, for people.
+    needs : tuple of approval.Need
+        Approvals that the rules in force at ``base`` ask for.
+    given : tuple of approval.Given
+        Approvals so far.
+    state : State
+        What became of it.
+    version : int
+        Version that it became when accepted.
+    submitted, decided : float
+        In the table's clock, seconds since the Unix epoch.
+    decider, reason : str
+        Who accepted or rejected it, and why it was rejected.
+    row : int
+        Version of the table row; 0 before it is written.
+    """
+
+    id: str
+    base: int
+    hash: str
+    author: str
+    note: str = ""
+    needs: tuple[approval.Need, ...] = ()
+    given: tuple[approval.Given, ...] = ()
+    state: State = State.WAITING
+    version: int = 0
+    submitted: float = 0.0
+    decided: float = 0.0
+    decider: str = ""
+    reason: str = ""
+    row: int = 0
+
+    @property
+    def condition(self) -> table.Condition:
+        """Return the condition that nobody changed the proposal."""
+        return table.Condition(name_proposal(self.id), self.row)
+
+    @property
+    def missing(self) -> tuple[approval.Need, ...]:
+        """Return the approvals still missing."""
+        return approval.list_missing(
+            self.needs, self.given, self.author, self.hash, self.base
+        )
+
+
+def is_submission_id(text: str) -> bool:
+    """Return whether a text may be a submission id."""
+    return ID_PATTERN.fullmatch(text) is not None
+
+
+def name_object(content: str) -> str:
+    """Return the object name of a document by its content hash."""
+    return f"configuration/{content}"
+
+
+def name_proposal(submission: str) -> str:
+    """Return the row key of a proposal."""
+    return f"{PROPOSALS}{submission}"
+
+
+def name_version(version: int) -> str:
+    """Return the row key of an accepted version."""
+    return f"configuration/version/{version}"
+
+
+def read_current(row: table.Row) -> Current:
+    """Return the version in force from its row."""
+    if row.value is None:
+        return Current(row=row.version)
+    value = row.value
+    return Current(
+        value["version"],
+        value["hash"],
+        value["submission"],
+        value["author"],
+        row.version,
+    )
+
+
+def read_proposal(row: table.Row) -> Proposal | None:
+    """Return the proposal of a row, or None when the row is absent."""
+    if row.value is None:
+        return None
+    value = dict(row.value)
+    value["state"] = State(value["state"])
+    value["needs"] = tuple(read_need(need) for need in value["needs"])
+    value["given"] = tuple(read_given(given) for given in value["given"])
+    return Proposal(**value, row=row.version)
+
+
+def read_need(value: Mapping[str, Any]) -> approval.Need:
+    """Return a need from its plain form."""
+    return approval.Need(value["change"], value["approvals"], tuple(value["roles"]))
+
+
+def read_given(value: Mapping[str, Any]) -> approval.Given:
+    """Return an approval from its plain form."""
+    return approval.Given(
+        value["operator"],
+        tuple(value["roles"]),
+        value["hash"],
+        value["base"],
+        value["time"],
+    )
+
+
+def write_proposal(proposal: Proposal) -> table.Write:
+    """Return the write that stores a proposal."""
+    value = canonical.to_plain(proposal._replace(state=proposal.state.value))
+    del value["row"]
+    return table.Write(name_proposal(proposal.id), value)
