Add the wigeonhitch command

Commands are async functions; the shared options are written into signature, annotations and docstring, from which the command-line library builds its parsers. A URL list is one option with commas: the library's list options swallow the positional arguments that follow them. Another daemon is asked only if the first surely got nothing or the request may be made twice.

--- a/wigeonhitch/command/__init__.py
+++ b/wigeonhitch/command/__init__.py
@@ -1,1 +1,1 @@
-"""Slice `command`."""
+"""The `wigeonhitch` command line, a client of any daemon."""
--- /dev/null
+++ b/wigeonhitch/command/local.py
@@ -0,0 +1,80 @@
+"""Commands of the group ``settings``; they need no daemon."""
+
+import getpass
+import json
+import os
+import pathlib
+
+from wigeonhitch.command import options, report
+from wigeonhitch.operators import credential
+
+__all__ = ["GROUP"]
+
+# Shorter secrets are refused: they can be found by trying.
+SHORTEST_SECRET = 12
+
+
+async def check(file: str) -> report.Report:
+    """Check a daemon's settings; every problem is printed.
+
+    Parameters
+    ----------
+    file : str
+        YAML file.
+    """
+    from wigeonhitch import settings
+
+    try:
+        text = pathlib.Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise options.UsageError(f"{file}: {error}") from error
+    loaded = settings.load(text)
+    problems = [str(one) for one in getattr(loaded, "problems", ())]
+    if problems:
+        body = {"status": "INVALID", "problems": problems}
+        return report.Report(report.Exit.REFUSED, body, tuple(problems))
+    return report.Report(report.Exit.DONE, {"status": "VALID"}, ("valid",))
+
+
+async def example() -> report.Report:
+    """Print settings to start from."""
+    from wigeonhitch import settings
+
+    text = settings.example()
+    return report.Report(report.Exit.DONE, {"settings": text}, tuple(text.splitlines()))
+
+
+async def make_credential(name: str, roles: str) -> report.Report:
+    """Print the settings entry of an operator; only a hash of the secret.
+
+    The secret is taken from WIGEONHITCH_SECRET, else asked for.
+
+    Parameters
+    ----------
+    name : str
+        Name of the operator.
+    roles : str
+        Roles, separated by commas; ``viewer`` alone may change nothing.
+    """
+    secret = os.environ.get("WIGEONHITCH_SECRET") or getpass.getpass("Secret: ")
+    if len(secret) < SHORTEST_SECRET:
+        expected = f"at least {SHORTEST_SECRET} characters"
+        raise options.UsageError(
+            f"secret: {len(secret)} characters: expected {expected}"
+        )
+    if ":" in name or not name:
+        raise options.UsageError(f"name {name!r}: expected text without a colon")
+    split = tuple(role.strip() for role in roles.split(",") if role.strip())
+    if not split:
+        raise options.UsageError("roles: expected at least one")
+    entry = credential.make_operator(name, split, secret)
+    body = entry._asdict() | {"roles": list(entry.roles)}
+    # A JSON object is also a YAML list entry, ready to paste.
+    return report.Report(report.Exit.DONE, body, (f"- {json.dumps(body)}",))
+
+
+GROUP = {
+    "check": options.local(check),
+    "example": options.local(example),
+    "credential": options.local(make_credential),
+}
--- /dev/null
+++ b/wigeonhitch/command/main.py
@@ -0,0 +1,43 @@
+"""Entry point of the ``wigeonhitch`` command."""
+
+import sys
+from collections.abc import Sequence
+
+import defopt
+
+from wigeonhitch.command import documents, fleet, jobs, local
+
+__all__ = ["COMMANDS", "main", "run"]
+
+COMMANDS = {
+    "settings": local.GROUP,
+    "document": documents.GROUP,
+    "pool": fleet.POOLS,
+    "wave": fleet.WAVES,
+    "job": jobs.GROUP,
+    "status": fleet.STATUS,
+}
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code.
+
+    Parameters
+    ----------
+    arguments : sequence of str
+        Command line without the program's name; from the process by default.
+    """
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    return defopt.run(
+        COMMANDS,
+        argv=given or ["--help"],
+        short={},
+        no_negated_flags=True,
+        version=False,
+        argparse_kwargs={"prog": "wigeonhitch", "description": __doc__},
+    )
+
+
+def run() -> None:
+    """Run the command of this process."""
+    sys.exit(main())
--- /dev/null
+++ b/wigeonhitch/command/tests/conftest.py
@@ -0,0 +1,98 @@
+import contextlib
+import json
+import pathlib
+
+import httpx
+import pytest
+
+from standins import fake
+from wigeonhitch.command import client, main
+from wigeonhitch.configuration import routes, store
+from wigeonhitch.operators import credential, route, service
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+SECRET = "correct horse battery"
+DAEMON = "http://a:1"
+
+
+@pytest.fixture(scope="session")
+def operators():
+    roles = {
+        "ana": ("operations",),
+        "ben": ("operations", "owner"),
+        "vic": ("viewer",),
+    }
+    return tuple(
+        credential.make_operator(name, given, SECRET) for name, given in roles.items()
+    )
+
+
+@pytest.fixture
+def platform():
+    return fake.Fake(suspends=True)
+
+
+@pytest.fixture
+def answers():
+    """Answers of a wave, in turn; the last one stays."""
+    return [{"wave": "monthly", "status": "running", "done": 0}]
+
+
+@pytest.fixture
+def requests():
+    """What the daemons were asked: host, method, path."""
+    return []
+
+
+@pytest.fixture
+def faults():
+    """By host: an exception to raise before or after the daemon acts."""
+    return {}
+
+
+@pytest.fixture
+def run(platform, operators, answers, requests, faults, monkeypatch, capsys):
+    """Run one command; return its exit code and what it printed."""
+    documents = store.Store(platform.table, platform.objects)
+
+    async def show_wave(request):
+        return route.Answer(200, answers.pop(0) if len(answers) > 1 else answers[0])
+
+    offered = (
+        *routes.make_routes(documents),
+        route.Route("GET", "/waves/{wave}", False, show_wave),
+        route.Route("POST", "/waves/{wave}/start", True, show_wave),
+    )
+    app = service.make_app(offered, credential.Credentials(operators))
+    inner = httpx.ASGITransport(app)
+
+    async def carry(request):
+        requests.append((request.url.host, request.method, request.url.path))
+        before, after = faults.get(request.url.host, (None, None))
+        if before is not None:
+            raise before
+        answer = await inner.handle_async_request(request)
+        body = await answer.aread()
+        if after is not None:
+            raise after
+        return httpx.Response(answer.status_code, content=body)
+
+    @contextlib.asynccontextmanager
+    async def open_client(connection):
+        headers = {"Authorization": f"Bearer {connection.operator}:{connection.secret}"}
+        transport = httpx.MockTransport(carry)
+        async with httpx.AsyncClient(transport=transport, headers=headers) as http:
+            yield client.Client(connection.daemons, http)
+
+    monkeypatch.setattr(client, "open_client", open_client)
+    monkeypatch.setattr(store, "PAUSE", 0.0)
+    monkeypatch.setenv("WIGEONHITCH_SECRET", SECRET)
+    monkeypatch.setenv("WIGEONHITCH_DAEMON", DAEMON)
+
+    def run(*arguments, who="ana", as_json=False):
+        monkeypatch.setenv("WIGEONHITCH_OPERATOR", who)
+        code = main.main([*arguments, "--json"] if as_json else list(arguments))
+        printed = capsys.readouterr().out
+        return code, json.loads(printed) if as_json else printed
+
+    return run
