Take confirmations of drains from membership

The slice's own rule waited for a silent daemon until the VM list said that it was gone; membership's `find_waiting` also knows confirmations that peers relayed and when a silent daemon's right to send has lapsed, so the logic no longer stands twice. The silence is counted from the first sight of the drain, not from the time in the row: a commit whose answer was lost may take effect much later. A VM that was replaced may carry two daemons' rows; it is gone only when the list is newer than both. Tests of both fail with the earlier rule (`since` instead of first sight: 1 found where 0 may be; one row only: the new daemon is not waited for).

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -19,14 +19,15 @@
 
 from wigeonhitch.configuration import document
 from wigeonhitch.fleet import (
+    batch,
     budget,
     change,
-    confirmation,
     move,
     planner,
     state,
     wave,
 )
+from wigeonhitch.membership import confirmation
 from wigeonhitch.platform import machines
 
 DAY = 86_400.0
@@ -34,7 +35,7 @@
 RESTART = 120.0
 INTERVAL = 2.0
 LIMITS = wave.Limits(stop_estimate=300.0, return_within=900.0)
-Picker = Callable[[wave.Scene], wave.Picks]
+Picker = Callable[[wave.Scene], batch.Picks]
 
 
 class Layout(NamedTuple):
@@ -147,7 +148,7 @@
         healthy = frozenset(self.machines) - self.sick
         seen = state.Observation(self.now, self.machines, self.now, healthy)
         busy = frozenset(self.busy)
-        daemon = confirmation.Daemon("d", "v0000", self.now, 0.0, 10**9, busy, {})
+        daemon = confirmation.DaemonRow("d", "v0000", math.inf, 10**9, busy, 1, {})
         return wave.Scene(
             self.view, self.accepted, seen, (daemon,), 10**9, limits=LIMITS
         )
@@ -165,7 +166,7 @@
             self.check(scene, picked)
             self.apply(picked)
             count += len(picked)
-        self.is_done = wave.is_finished(scene, self.accepted.waves[0])
+        self.is_done = batch.is_finished(scene, self.accepted.waves[0])
         self.spent += time.process_time() - begin
         self.rounds += 1
         if count:
@@ -263,7 +264,7 @@
     head = "layout", "picker", "day", "VMs", "buffer", "bound", "roll-out"
     print(f"\n{name}: {seeds} seeds; roll-out and bound in minutes (mean)")
     print_row((*head, "bound", "mean", "worst", "moves", "bound"), widths)
-    pickers = {"fixed": planner.pick_batch, "largest": wave.pick_takes}
+    pickers = {"fixed": planner.pick_batch, "largest": batch.pick_takes}
     days = {"ordinary": {}, "14 and 86": {"failures": 14.0, "restarts": 86.0}}
     for layout, (day, rates) in itertools.product(layouts, days.items()):
         for label, pick in pickers.items():
--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -14,7 +14,7 @@
 
 from benchmarks import fleet
 from standins import fake
-from wigeonhitch.fleet import move, observer, runner, state, wave
+from wigeonhitch.fleet import batch, move, observer, runner, state
 from wigeonhitch.membership import lease
 from wigeonhitch.platform import table
 
@@ -26,7 +26,7 @@
     for pools in (32, 64, 128):
         layout = fleet.Layout("", (5,) * (pools * 3 // 4) + (6,) * (pools // 4), 1, 0)
         tracemalloc.start()
-        loop = fleet.Loop(layout, wave.pick_takes, 1)
+        loop = fleet.Loop(layout, batch.pick_takes, 1)
         used = tracemalloc.get_traced_memory()[0] / 1024
         tracemalloc.stop()
         loop.spent, loop.rounds = 0.0, 0
@@ -63,7 +63,7 @@
     fleet.print_row(("VMs", "round", "reads", "commits", "ms"), widths)
     for pools in (32, 64, 128):
         layout = fleet.Layout("", (5,) * (pools * 3 // 4) + (6,) * (pools // 4), 1, 0)
-        loop = fleet.Loop(layout, wave.pick_takes, 1)
+        loop = fleet.Loop(layout, batch.pick_takes, 1)
         fields = [one._asdict() for one in loop.machines.values()]
         for one in fields:
             del one["state"]
--- /dev/null
+++ b/wigeonhitch/fleet/batch.py
@@ -0,0 +1,89 @@
+"""Batches: which VMs running waves stop next, and when a wave has finished."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from wigeonhitch.configuration import document
+from wigeonhitch.fleet import budget, change, state, wave
+
+__all__ = ["Picks", "is_finished", "list_pending", "pick_takes"]
+
+VmState = state.VmState
+Step = change.Step
+
+
+class Picks(NamedTuple):
+    """Stops to begin, and why the others of each wave or pool wait."""
+
+    changes: tuple[change.Change, ...]
+    waiting: Mapping[str, str]
+
+
+def list_pending(scene: wave.Scene, item: document.Wave) -> list[state.VmRow]:
+    """Return the VMs that a wave has still to stop, in order of failure domain.
+
+    One data centre and rack after the other, so that a change that harms what
+    it restarts has harmed one domain only when the operator pauses the wave.
+    VMs that do not serve go first: they cost no budget.
+    """
+    seen = scene.observation
+    rows = [
+        row
+        for row in scene.view.vms.values()
+        if row.pool in item.pools
+        and row.state is VmState.UP
+        and item.name not in row.done
+        and seen.is_live(row.vm)
+    ]
+
+    def order(row: state.VmRow) -> tuple:
+        machine = seen.machines[row.vm]
+        place = (machine.data_centre, machine.rack, row.vm)
+        return (row.vm in seen.healthy, *place)
+
+    return sorted(rows, key=order)
+
+
+def pick_takes(
+    scene: wave.Scene, waves: Iterable[document.Wave] | None = None
+) -> Picks:
+    """Return the stops that running waves may begin now.
+
+    The largest step that the budgets allow, VM by VM: each pick lowers the
+    budget that the next one sees. Waves of one pool share its budget in the
+    order of the document.
+    """
+    budgets = scene.measure_budgets()
+    pools = {pool.name: pool for pool in scene.document.pools}
+    changes: dict[str, change.Change] = {}
+    waiting: dict[str, str] = {}
+    for item in scene.document.waves if waves is None else waves:
+        closed = wave.tell_closed(scene, item, scene.limits.stop_estimate)
+        if closed:
+            waiting[item.name] = closed
+            continue
+        for row in list_pending(scene, item):
+            if row.vm in changes or row.pool not in pools:
+                continue
+            domain = budget.tell_domain(pools[row.pool], scene.observation)(row.vm)
+            refusal = budgets[row.pool].check_take(row.vm, domain)
+            if refusal.reason:
+                waiting.setdefault(f"{item.name}/{row.pool}", refusal.reason)
+                continue
+            budgets[row.pool] = budgets[row.pool].take(row.vm, domain)
+            new = wave.set_state(row, VmState.DRAINING, scene, wave=item.name)
+            why = f"wave {item.name}: {item.reason}"
+            changes[row.vm] = change.Change(Step.TAKE, new, why)
+    return Picks(tuple(changes.values()), waiting)
+
+
+def is_finished(scene: wave.Scene, item: document.Wave) -> bool:
+    """Tell whether a running wave has nothing left to stop or to wait for."""
+    row = scene.view.waves.get(item.name)
+    if row is None or row.status is not state.WaveStatus.RUNNING:
+        return False
+    active = (VmState.DRAINING, VmState.REBOOTING, VmState.CHECKING)
+    is_active = any(
+        vm.wave == item.name and vm.state in active for vm in scene.view.vms.values()
+    )
+    return not is_active and not list_pending(scene, item)
--- a/wigeonhitch/fleet/move.py
+++ b/wigeonhitch/fleet/move.py
@@ -15,7 +15,7 @@
 from typing import NamedTuple
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import budget, change, state, wave
+from wigeonhitch.fleet import batch, budget, change, state, wave
 from wigeonhitch.platform import machines
 
 __all__ = ["GONE_AFTER", "Imbalance", "find_lent", "measure", "pick_moves", "place"]
@@ -106,7 +106,7 @@
     for item in scene.document.waves:
         if wave.tell_closed(scene, item, scene.limits.stop_estimate):
             continue
-        pending = {row.pool for row in wave.list_pending(scene, item)}
+        pending = {row.pool for row in batch.list_pending(scene, item)}
         pending |= {
             row.pool
             for row in scene.view.vms.values()
@@ -202,7 +202,7 @@
     return changes
 
 
-def pick_moves(scene: wave.Scene) -> wave.Picks:
+def pick_moves(scene: wave.Scene) -> batch.Picks:
     """Return the moves that may begin now: take budget of the donor, drain.
 
     Donors with the largest surplus give first; of its VMs a donor gives one
@@ -233,7 +233,7 @@
             )
             why = f"pool {receiver} is below its intended size"
             changes.append(change.Change(Step.TAKE, new, why))
-    return wave.Picks(tuple(changes), waiting)
+    return batch.Picks(tuple(changes), waiting)
 
 
 def choose_donor(
--- a/wigeonhitch/fleet/observer.py
+++ b/wigeonhitch/fleet/observer.py
@@ -13,7 +13,8 @@
 import anyio
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import confirmation, move, state, wave
+from wigeonhitch.fleet import batch, move, state, wave
+from wigeonhitch.membership import confirmation
 from wigeonhitch.platform import machines, table
 
 __all__ = ["HealthCheck", "Observer", "Platform", "list_watched"]
@@ -29,6 +30,8 @@
 # thing that a round reads: some 150 bytes a VM.
 IDLE_LIST_INTERVAL = 30.0
 
+DEFAULT_SILENCE = confirmation.Limits()
+
 HealthCheck = Callable[[str], Awaitable[bool]]
 
 
@@ -62,8 +65,8 @@
         Where to read.
     limits : Limits
         Limits of planned stops.
-    has_lapsed : callable
-        Whether a silent daemon can no longer hold requests.
+    silence : confirmation.Limits
+        When a silent daemon can no longer hold a request.
 
     Attributes
     ----------
@@ -77,11 +80,11 @@
         self,
         platform: Platform,
         limits: wave.Limits = wave.DEFAULT_LIMITS,
-        has_lapsed: confirmation.HasLapsed = confirmation.never_lapses,
+        silence: confirmation.Limits = DEFAULT_SILENCE,
     ) -> None:
         self.platform = platform
         self.limits = limits
-        self.has_lapsed = has_lapsed
+        self.silence = silence
         self.view = state.FleetView()
         self.missing: dict[str, float] = {}
         self.problem = "not read yet"
@@ -89,7 +92,8 @@
         self.is_watching = True
         self._listed_at = 0.0
         self._signal = -1
-        self._daemons: tuple[confirmation.Daemon, ...] = ()
+        self._daemons: tuple[confirmation.DaemonRow, ...] = ()
+        self._drained: dict[str, tuple[int, float]] = {}
         self._daemons_revision = 0
         self._list = machines.VmList(table.Outcome.NOT_DONE)
         self._time = 0.0
@@ -121,14 +125,23 @@
         return await self.platform.table.scan(prefix, purpose="fleet", since=since)
 
     async def _read_daemons(self) -> str:
-        rows = self.view.vms.values()
-        if all(row.state is not state.VmState.DRAINING for row in rows):
+        drained = {}
+        for row in self.view.vms.values():
+            if row.state is state.VmState.DRAINING:
+                number, at = self._drained.get(row.vm, (0, 0.0))
+                at = at if number == row.version else self._time
+                drained[row.vm] = (row.version, at)
+        self._drained = drained
+        if not drained:
             return ""
         result = await self._scan("daemon/")
         if result.outcome is not table.Outcome.DONE:
             return f"table: {result.reason or result.outcome.value}"
-        present = (row for row in result.rows if row.value is not None)
-        self._daemons = tuple(confirmation.parse_daemon(row) for row in present)
+        self._daemons = tuple(
+            confirmation.read_row(row.key, row.value)
+            for row in result.rows
+            if row.value is not None
+        )
         self._daemons_revision = result.revision
         return ""
 
@@ -174,8 +187,9 @@
             observation,
             self._daemons,
             self._daemons_revision,
+            {vm: at for vm, (_, at) in self._drained.items()},
             self.limits,
-            self.has_lapsed,
+            self.silence,
         )
 
     async def check_health(
@@ -205,7 +219,7 @@
     pools = {row.pool for row in rows if row.state is not state.VmState.UP}
     for item in scene.document.waves:
         if not wave.tell_closed(scene, item):
-            pools.update(row.pool for row in wave.list_pending(scene, item))
+            pools.update(row.pool for row in batch.list_pending(scene, item))
     imbalance = move.measure(move.find_lent(scene), rows)
     if imbalance.deficits:
         pools.update(imbalance.surpluses)
--- a/wigeonhitch/fleet/planner.py
+++ b/wigeonhitch/fleet/planner.py
@@ -17,7 +17,7 @@
 from typing import NamedTuple
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import budget, move, state, wave
+from wigeonhitch.fleet import batch, budget, move, state, wave
 
 __all__ = ["Demand", "Measures", "Option", "Plan", "PoolPlan", "bound_rollout"]
 __all__ += ["compare", "pick_batch", "plan_wave", "schedule"]
@@ -175,7 +175,7 @@
     """Return what a wave would do in each of its pools."""
     pools = {pool.name: pool for pool in scene.document.pools}
     pending: dict[str, list[str]] = {name: [] for name in item.pools if name in pools}
-    for row in wave.list_pending(scene, item):
+    for row in batch.list_pending(scene, item):
         if row.pool in pending:
             pending[row.pool].append(row.vm)
     plans = []
@@ -299,7 +299,7 @@
     return windows
 
 
-def pick_batch(scene: wave.Scene) -> wave.Picks:
+def pick_batch(scene: wave.Scene) -> batch.Picks:
     """Return the next fixed batch of each wave: the baseline of measurements.
 
     One VM of each pool at a time, and none before the whole batch is back.
@@ -309,7 +309,7 @@
         for row in scene.view.vms.values()
         if row.wave and row.state not in (state.VmState.UP, state.VmState.DOWN)
     }
-    picks = wave.pick_takes(scene)
+    picks = batch.pick_takes(scene)
     pools: set[tuple[str, str]] = set()
     changes = []
     for item in picks.changes:
@@ -318,4 +318,4 @@
             continue
         pools.add(place)
         changes.append(item)
-    return wave.Picks(tuple(changes), picks.waiting)
+    return batch.Picks(tuple(changes), picks.waiting)
--- a/wigeonhitch/fleet/routes.py
+++ b/wigeonhitch/fleet/routes.py
@@ -11,7 +11,16 @@
 import anyio
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import budget, change, move, observer, planner, state, wave
+from wigeonhitch.fleet import (
+    batch,
+    budget,
+    change,
+    move,
+    observer,
+    planner,
+    state,
+    wave,
+)
 from wigeonhitch.operators import route
 from wigeonhitch.platform import table
 
@@ -278,7 +287,7 @@
         if row.pool == pool or (item and row.wave == item.name):
             found.append({"what": f"vm {vm}", "why": why, "since": row.since})
     picks = dict(move.pick_moves(scene).waiting) if pool else {}
-    picks.update(wave.pick_takes(scene, (item,) if item else None).waiting)
+    picks.update(batch.pick_takes(scene, (item,) if item else None).waiting)
     for what, why in sorted(picks.items()):
         name = what.rpartition("/")[2]
         if item is None and pool not in (name, *running_pools(scene, name)):
--- a/wigeonhitch/fleet/runner.py
+++ b/wigeonhitch/fleet/runner.py
@@ -14,7 +14,7 @@
 from absl import logging
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import change, move, observer, state, wave
+from wigeonhitch.fleet import batch, change, move, observer, state, wave
 from wigeonhitch.membership import lease
 from wigeonhitch.platform import table
 
@@ -87,11 +87,11 @@
         others = move.release(scene, self.seen.missing) + move.place(scene)
         if not await self._commit_all(others):
             return "a step was not committed"
-        for pick in (move.pick_moves, wave.pick_takes):
+        for pick in (move.pick_moves, batch.pick_takes):
             if not await self._commit_all(pick(scene).changes):
                 return "a step was not committed"
         for item in scene.document.waves:
-            if wave.is_finished(scene, item) and not await self._finish(scene, item):
+            if batch.is_finished(scene, item) and not await self._finish(scene, item):
                 return "a step was not committed"
         return ""
 
--- a/wigeonhitch/fleet/tests/test_decisions.py
+++ b/wigeonhitch/fleet/tests/test_decisions.py
@@ -1,8 +1,9 @@
 import pytest
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import budget, change, confirmation, move, planner, state, wave
+from wigeonhitch.fleet import batch, budget, change, move, planner, state, wave
 from wigeonhitch.fleet.tests import conftest
+from wigeonhitch.membership import confirmation
 from wigeonhitch.platform import machines
 
 
@@ -65,7 +66,7 @@
 def test_stops_of_one_failure_domain_leave_as_much_budget_besides():
     pool = build_pool("a", 12, 8, "data_centre")
     scene = build_scene([pool], build_rows({"a": 12}), waves=(build_wave("a"),))
-    picks = wave.pick_takes(scene).changes
+    picks = batch.pick_takes(scene).changes
     domains = [scene.observation.machines[item.row.vm].data_centre for item in picks]
     # Four spare: after two in d0 two are left, a third there would leave one.
     assert sorted(domains) == ["d0", "d0", "d1", "d2"]
@@ -77,27 +78,40 @@
     scene = build_scene(
         [build_pool("a", 6, 4)], rows, waves=(build_wave("a"),), sick=everything
     )
-    assert not wave.pick_takes(scene).changes
+    assert not batch.pick_takes(scene).changes
 
 
 @pytest.mark.parametrize("end", [50.0, 150.0])
 def test_no_stop_begins_that_cannot_end_in_the_window(end):
     item = build_wave("a", end=end)
     scene = build_scene([build_pool("a", 6, 4)], build_rows({"a": 6}), waves=(item,))
-    assert "closed" in wave.pick_takes(scene).waiting["w"]
+    assert "closed" in batch.pick_takes(scene).waiting["w"]
 
 
-def test_daemon_is_gone_only_by_a_list_newer_than_its_beat():
+def test_daemon_is_gone_only_by_a_list_newer_than_its_validity():
     row = state.VmRow("v000", "a", state.VmState.DRAINING, version=7)
-    daemon = confirmation.Daemon("d", "e1", 90.0, 95.0, 6, frozenset(), {})
-    seen = build_scene([], []).observation
-    never = confirmation.never_lapses
-    assert confirmation.waiting(row, [daemon], seen, never) == ()
-    early = daemon._replace(beat=100.0)
-    assert confirmation.waiting(row, [early], seen, never) == ("d",)
-    assert confirmation.waiting(row, [early], seen, lambda *_: True) == ()
-    listed = daemon._replace(vm="v001")
-    assert confirmation.waiting(row, [listed], seen, never) == ("d",)
+
+    def ask(*daemons):
+        found = wave.find_unconfirmed(build_scene([], [], daemons=daemons), row)
+        return [item.daemon for item in found]
+
+    daemon = confirmation.DaemonRow("d", "e1", 95.0, 6, frozenset(), 1, {})
+    assert ask(daemon) == []
+    assert ask(daemon._replace(expires=100.0)) == ["d"]
+    assert ask(daemon._replace(vm="v001")) == ["d"]
+    # A new daemon on a VM that the list does not show yet, beside an old row.
+    assert ask(daemon, daemon._replace(daemon="n", expires=105.0)) == ["d", "n"]
+
+
+def test_silence_counts_from_the_first_sight_of_the_drain():
+    row = state.VmRow("v000", "a", state.VmState.DRAINING, version=7, since=10.0)
+    rows = [
+        confirmation.DaemonRow(name, "v001", expires, drain, frozenset(), 3, {})
+        for name, expires, drain in (("d", 20.0, 6), ("e", 110, 7), ("f", 110, 7))
+    ]
+    for seen_at, found in ((20.0, 0), (40.0, 1)):
+        scene = build_scene([], [], daemons=rows, drained={"v000": seen_at})
+        assert len(wave.find_unconfirmed(scene, row)) == found
 
 
 def test_reboot_waits_for_a_list_newer_than_the_drain():
--- a/wigeonhitch/fleet/tests/test_routes.py
+++ b/wigeonhitch/fleet/tests/test_routes.py
@@ -65,7 +65,7 @@
     assert len(body["taken"]) == 1
     assert (body["required"], len(body["up"]), body["spare"]) == (3, 3, 0)
     whys = " ".join(item["why"] for item in body["waiting"])
-    assert "not confirmed by d1" in whys
+    assert "daemon d1 has not applied the drain" in whys
     assert "budget of pool a: 3 up, 3 must be up" in whys
     assert all(item["since"] > 0 for item in body["waiting"])
     wave = (await ask("GET", "/waves/{wave}", wave="w")).body
--- a/wigeonhitch/fleet/wave.py
+++ b/wigeonhitch/fleet/wave.py
@@ -21,14 +21,16 @@
 boot number has moved it would cut off requests in progress.
 """
 
-from collections.abc import Iterable, Mapping
+import types
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import budget, change, confirmation, state
+from wigeonhitch.fleet import budget, change, state
+from wigeonhitch.membership import confirmation
 
-__all__ = ["DEFAULT_LIMITS", "Limits", "Picks", "Scene", "advance", "is_finished"]
-__all__ += ["find_reboots", "pick_takes", "tell_closed"]
+__all__ = ["DEFAULT_LIMITS", "Limits", "Scene", "advance", "find_reboots"]
+__all__ += ["find_unconfirmed", "set_state", "tell_closed"]
 
 VmState = state.VmState
 Step = change.Step
@@ -55,18 +57,40 @@
 
 
 DEFAULT_LIMITS = Limits()
+DEFAULT_SILENCE = confirmation.Limits()
 
 
 class Scene(NamedTuple):
-    """All that a decision of the fleet is made from."""
+    """All that a decision of the fleet is made from.
+
+    Parameters
+    ----------
+    view : FleetView
+        Rows of VMs, pools and waves.
+    document : Document
+        The accepted document.
+    observation : Observation
+        VM list and health checks.
+    daemons : tuple of DaemonRow
+        The daemons' rows as of table revision ``daemons_revision``.
+    drained : mapping of str to float
+        When the drain of each VM was first seen, seconds on the table's clock.
+        Not the row's ``since``: a commit whose answer was lost may take effect
+        long after the time that is written in it.
+    limits : Limits
+        Limits of planned stops.
+    silence : confirmation.Limits
+        When a silent daemon can no longer hold a request.
+    """
 
     view: state.FleetView
     document: document.Document
     observation: state.Observation
-    daemons: tuple[confirmation.Daemon, ...] = ()
+    daemons: tuple[confirmation.DaemonRow, ...] = ()
     daemons_revision: int = 0
+    drained: Mapping[str, float] = types.MappingProxyType({})
     limits: Limits = DEFAULT_LIMITS
-    has_lapsed: confirmation.HasLapsed = confirmation.never_lapses
+    silence: confirmation.Limits = DEFAULT_SILENCE
 
     def measure_budgets(self) -> dict[str, budget.Budget]:
         """Return the budget of every pool of the document."""
@@ -81,13 +105,6 @@
         }
 
 
-class Picks(NamedTuple):
-    """Stops to begin, and why the others of each wave or pool wait."""
-
-    changes: tuple[change.Change, ...]
-    waiting: Mapping[str, str]
-
-
 def tell_closed(scene: Scene, wave: document.Wave | None, margin: float = 0.0) -> str:
     """Return why a wave may not stop VMs now; empty when it may."""
     if wave is None:
@@ -171,16 +188,47 @@
     pool = budgets.get(row.pool)
     if pool and pool.spare < 0:
         return advance_short(scene, row, pool, budgets)
-    silent = confirmation.waiting(row, scene.daemons, seen, scene.has_lapsed)
+    unconfirmed = find_unconfirmed(scene, row)
     if scene.daemons_revision < row.version:
         return None, "drain: daemons' rows not read since it began"
-    if silent:
-        return None, f"drain: not confirmed by {', '.join(silent)}"
+    if unconfirmed:
+        names = (f"daemon {item.daemon} {item.why.value}" for item in unconfirmed)
+        return None, f"drain: {', '.join(names)}"
     if seen.as_of < row.since:
         return None, "platform's VM list is older than the drain"
     return stop_drained(scene, row), ""
 
 
+def find_unconfirmed(
+    scene: Scene, row: state.VmRow
+) -> tuple[confirmation.Waiting, ...]:
+    """Return the daemons that may still hold a request on a draining VM.
+
+    An entry VM counts as gone when a list that is newer than the validity of
+    every daemon row on it no longer names it: the list lags, so an older one
+    may be from before the VM was there.
+    """
+    seen = scene.observation
+    expires: dict[str, float] = {}
+    for daemon in scene.daemons:
+        last = expires.get(daemon.vm, daemon.expires)
+        expires[daemon.vm] = max(last, daemon.expires)
+    gone = {
+        vm
+        for vm, last in expires.items()
+        if vm not in seen.machines and seen.as_of > last
+    }
+    return confirmation.find_waiting(
+        row.vm,
+        row.version,
+        scene.daemons,
+        now=seen.now,
+        drained_at=scene.drained.get(row.vm, seen.now),
+        gone_vms=gone,
+        limits=scene.silence,
+    )
+
+
 def advance_short(
     scene: Scene,
     row: state.VmRow,
@@ -246,71 +294,3 @@
         if row.state in stopped and machine and machine.boot == row.boot:
             found.append(row)
     return found
-
-
-def list_pending(scene: Scene, wave: document.Wave) -> list[state.VmRow]:
-    """Return the VMs that a wave has still to stop, in order of failure domain.
-
-    One data centre and rack after the other, so that a change that harms what
-    it restarts has harmed one domain only when the operator pauses the wave.
-    VMs that do not serve go first: they cost no budget.
-    """
-    seen = scene.observation
-    rows = [
-        row
-        for row in scene.view.vms.values()
-        if row.pool in wave.pools
-        and row.state is VmState.UP
-        and wave.name not in row.done
-        and seen.is_live(row.vm)
-    ]
-
-    def order(row: state.VmRow) -> tuple:
-        machine = seen.machines[row.vm]
-        place = (machine.data_centre, machine.rack, row.vm)
-        return (row.vm in seen.healthy, *place)
-
-    return sorted(rows, key=order)
-
-
-def pick_takes(scene: Scene, waves: Iterable[document.Wave] | None = None) -> Picks:
-    """Return the stops that running waves may begin now.
-
-    The largest step that the budgets allow, VM by VM: each pick lowers the
-    budget that the next one sees. Waves of one pool share its budget in the
-    order of the document.
-    """
-    budgets = scene.measure_budgets()
-    pools = {pool.name: pool for pool in scene.document.pools}
-    changes: dict[str, change.Change] = {}
-    waiting: dict[str, str] = {}
-    for wave in scene.document.waves if waves is None else waves:
-        closed = tell_closed(scene, wave, scene.limits.stop_estimate)
-        if closed:
-            waiting[wave.name] = closed
-            continue
-        for row in list_pending(scene, wave):
-            if row.vm in changes or row.pool not in pools:
-                continue
-            domain = budget.tell_domain(pools[row.pool], scene.observation)(row.vm)
-            refusal = budgets[row.pool].check_take(row.vm, domain)
-            if refusal.reason:
-                waiting.setdefault(f"{wave.name}/{row.pool}", refusal.reason)
-                continue
-            budgets[row.pool] = budgets[row.pool].take(row.vm, domain)
-            new = set_state(row, VmState.DRAINING, scene, wave=wave.name)
-            why = f"wave {wave.name}: {wave.reason}"
-            changes[row.vm] = change.Change(Step.TAKE, new, why)
-    return Picks(tuple(changes.values()), waiting)
-
-
-def is_finished(scene: Scene, wave: document.Wave) -> bool:
-    """Tell whether a running wave has nothing left to stop or to wait for."""
-    row = scene.view.waves.get(wave.name)
-    if row is None or row.status is not state.WaveStatus.RUNNING:
-        return False
-    active = (VmState.DRAINING, VmState.REBOOTING, VmState.CHECKING)
-    is_active = any(
-        vm.wave == wave.name and vm.state in active for vm in scene.view.vms.values()
-    )
-    return not is_active and not list_pending(scene, wave)
