Take VMs out of use when the platform lists them as leaving

A leaving VM must get no new work within a few seconds, but most daemons read the VM list seldom (at 800 VMs every 40 s) and rely on the rows. For that it reads the list every 5 s when idle, not every 30 s: at 800 VMs some 24 KB/s for the one daemon that holds the duty, above the control budget, which only a list that can be asked for changes would mend. A VM that stays down no longer makes the runner read the list every round.

--- a/wigeonhitch/fleet/observer.py
+++ b/wigeonhitch/fleet/observer.py
@@ -27,8 +27,10 @@
 LIST_LAG_LIMIT = 60.0
 
 # Seconds between VM lists while nothing is under way. The list is the largest
-# thing that a round reads: some 150 bytes a VM.
-IDLE_LIST_INTERVAL = 30.0
+# thing that a round reads, some 150 bytes a VM, but it alone shows that a VM is
+# leaving, which must get no new work within seconds; other daemons read it more
+# seldom and rely on the rows.
+IDLE_LIST_INTERVAL = 5.0
 
 DEFAULT_SILENCE = confirmation.Limits()
 
@@ -216,7 +218,7 @@
 def list_watched(scene: wave.Scene) -> list[str]:
     """Return the VMs of pools in which a stop is under way or may begin."""
     rows = scene.view.vms.values()
-    pools = {row.pool for row in rows if row.state is not state.VmState.UP}
+    pools = {row.pool for row in rows if is_moving(row, scene.observation)}
     for item in scene.document.waves:
         if not wave.tell_closed(scene, item):
             pools.update(row.pool for row in batch.list_pending(scene, item))
@@ -224,3 +226,14 @@
     if imbalance.deficits:
         pools.update(imbalance.surpluses)
     return sorted(row.vm for row in rows if row.pool in pools)
+
+
+def is_moving(row: state.VmRow, observation: state.Observation) -> bool:
+    """Tell whether a VM's state may change soon.
+
+    A VM that is down may be so for days; it counts once it has come back.
+    """
+    if row.state is state.VmState.DOWN:
+        machine = observation.machines.get(row.vm)
+        return observation.is_live(row.vm) and machine.boot > row.boot
+    return row.state is not state.VmState.UP
--- a/wigeonhitch/fleet/tests/test_runner.py
+++ b/wigeonhitch/fleet/tests/test_runner.py
@@ -1,6 +1,6 @@
 import pytest
 
-from wigeonhitch.fleet import state
+from wigeonhitch.fleet import move, state, view
 from wigeonhitch.fleet.tests import conftest
 
 pytestmark = pytest.mark.anyio
@@ -172,3 +172,30 @@
     await run_rounds(world, made, 3)
     assert sum(row.pool == "b" for row in world.vms().values()) == 5
     assert set(count_boots(world).values()) == {0}
+
+
+async def test_leaving_vm_gets_no_new_work_within_seconds(world):
+    made = world.build()
+    await run_rounds(world, made, 5)
+    world.fake.change_fleet(leaving="v001")
+    await run_rounds(world, made, 4)
+    follower = view.Follower(world.fake.client)
+    assert await follower.refresh()
+    usable = view.list_usable(follower.view, world.fake.engine.fleet.live)
+    workers = [worker.vm for pool in usable.pools.values() for worker in pool]
+    assert len(workers) == 7 and "v001" in usable.drains
+
+
+async def test_vm_gone_for_long_is_replaced_in_its_pool(world):
+    made = world.build()
+    await run_rounds(world, made, 2)
+    gone = world.vms()["v001"]
+    world.fake.change_fleet(remove="v001")
+    new = conftest.build_vms(9)[-1]
+    world.fake.change_fleet(add=new)
+    await run_rounds(world, made, 5)
+    assert "v008" not in world.vms()
+    world.fake.advance(move.GONE_AFTER)
+    await run_rounds(world, made, 3)
+    assert "v001" not in world.vms()
+    assert world.vms()["v008"].pool == gone.pool
--- a/wigeonhitch/fleet/wave.py
+++ b/wigeonhitch/fleet/wave.py
@@ -8,11 +8,14 @@
 state      left when                                    to
 ========== ============================================ =====================
 up         budget, window and status of the wave allow  draining
+up         the platform lists the VM as leaving         down (reported)
 draining   every daemon confirmed, budget still holds   rebooting
 draining   wave paused, window closed, VMs lost         up (given back)
+draining   the VM is leaving or gone from the list      down (reported)
 rebooting  the platform lists a higher boot number      checking
+rebooting  not back in time                             down (reported)
 checking   the health check passes                      up
-any other  not back in time                             down (reported)
+checking   not passed in time                           down (reported)
 down       a higher boot number and a passed check      up
 ========== ============================================ =====================
 
@@ -28,6 +31,7 @@
 from wigeonhitch.configuration import document
 from wigeonhitch.fleet import budget, change, state
 from wigeonhitch.membership import confirmation
+from wigeonhitch.platform import machines
 
 __all__ = ["DEFAULT_LIMITS", "Limits", "Scene", "advance", "find_reboots"]
 __all__ += ["find_unconfirmed", "set_state", "tell_closed"]
@@ -151,9 +155,11 @@
     waiting = {}
     rows = sorted(scene.view.vms.values(), key=lambda row: row.vm)
     for row in rows:
-        if row.state is VmState.UP:
+        if is_leaving(scene, row):
+            step, why = lose(scene, row, "the platform lists it as leaving"), ""
+        elif row.state is VmState.UP:
             continue
-        if row.state is VmState.DRAINING:
+        elif row.state is VmState.DRAINING:
             step, why = advance_drain(scene, row, waves, budgets)
         else:
             step, why = advance_stopped(scene, row)
@@ -164,6 +170,18 @@
     return changes, waiting
 
 
+def is_leaving(scene: Scene, row: state.VmRow) -> bool:
+    """Tell whether a VM must be taken out because the platform removes it.
+
+    Its row then says ``down``, so every daemon stops sending to it within
+    seconds of the change, although most of them read the VM list seldom.
+    """
+    machine = scene.observation.machines.get(row.vm)
+    leaving = machines.MachineState.LEAVING
+    is_used = row.state in (VmState.UP, VmState.DRAINING)
+    return is_used and machine is not None and machine.state is leaving
+
+
 def give_back(row: state.VmRow, scene: Scene, why: str) -> change.Change:
     """Return the change that ends a drain and returns the budget."""
     new = set_state(row, VmState.UP, scene, wave="", target="")
