Ask only workers whose health a decision depends on

A wave over 800 VMs asked all of them for their health in every round. Now a pool is asked while a drain is under way in it or a stop could begin if all of it were healthy; while a VM reboots and nothing is spare, only VMs that are back.

The health check tells of a lost VM earlier than the list.

--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -83,7 +83,7 @@
         for _ in range(layout.vms // move.PLACED_PER_ROUND + 2):
             await made.step()
         rows = [("nothing changed", await run_round(made, platform))]
-        platform.now += observer.IDLE_LIST_INTERVAL
+        platform.now += observer.LIST_INTERVAL
         rows.append(("with the VM list", await run_round(made, platform)))
         small = loop.accepted.waves[0]._replace(pools=("p000",))
         loop.accepted = loop.accepted._replace(waves=(small,))
--- a/wigeonhitch/fleet/observer.py
+++ b/wigeonhitch/fleet/observer.py
@@ -1,12 +1,13 @@
 """Reading the fleet: table rows, VM list and health checks, made into a scene.
 
 An idle round costs one table read (the signal row), whatever the size of the
-fleet, and one VM list every `IDLE_LIST_INTERVAL` seconds. A round after a
+fleet, and one VM list every `LIST_INTERVAL` seconds. A round after a
 change adds one scan per prefix, which returns only rows that changed; a round
 during a drain adds one scan of the daemons' rows. Health checks go to the
 workers of pools that something is about to happen to, and to no others.
 """
 
+import math
 from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
 
@@ -26,11 +27,11 @@
 # Seconds by which the VM list may lag before no planned stop is begun on it.
 LIST_LAG_LIMIT = 60.0
 
-# Seconds between VM lists while nothing is under way. The list is the largest
-# thing that a round reads, some 150 bytes a VM, but it alone shows that a VM is
-# leaving, which must get no new work within seconds; other daemons read it more
-# seldom and rely on the rows.
-IDLE_LIST_INTERVAL = 5.0
+# Seconds between VM lists. The list is the largest thing that a round reads,
+# some 130 bytes a VM, but it alone shows that a VM is leaving, which must get no
+# new work within seconds; other daemons read it more seldom and rely on the
+# rows. Of a lost VM the health check tells earlier.
+LIST_INTERVAL = 5.0
 
 DEFAULT_SILENCE = confirmation.Limits()
 
@@ -74,8 +75,6 @@
     ----------
     problem : str
         Why the last refresh failed; empty when it did not.
-    is_watching : bool
-        Whether a stop is under way or may begin, so that the list must be new.
     """
 
     def __init__(
@@ -91,8 +90,7 @@
         self.missing: dict[str, float] = {}
         self.problem = "not read yet"
         self.seen_at = 0.0
-        self.is_watching = True
-        self._listed_at = 0.0
+        self._listed_at = -math.inf
         self._signal = -1
         self._daemons: tuple[confirmation.DaemonRow, ...] = ()
         self._drained: dict[str, tuple[int, float]] = {}
@@ -120,7 +118,6 @@
                     return f"table: {result.reason or result.outcome.value}"
                 self.view.apply_scan(prefix, result)
             self._signal = signal
-            self.is_watching = True
         return await self._read_daemons()
 
     async def _scan(self, prefix: str, since: int = 0) -> table.ReadResult:
@@ -149,7 +146,7 @@
 
     async def _read_list(self) -> str:
         now = self.platform.clock()
-        if self.is_watching or now - self._listed_at >= IDLE_LIST_INTERVAL:
+        if now - self._listed_at >= LIST_INTERVAL:
             answer = await self.platform.machines.list_vms(purpose="fleet")
             if answer.outcome is not table.Outcome.DONE:
                 return f"VM list: {answer.reason or answer.outcome.value}"
@@ -168,9 +165,7 @@
     async def make_scene(self, accepted: document.Document) -> wave.Scene:
         """Check the health of the workers that matter and return the scene."""
         scene = self.compose(accepted, frozenset())
-        watched = list_watched(scene)
-        self.is_watching = bool(watched)
-        healthy = await self.check_health(watched, scene)
+        healthy = await self.check_health(list_watched(scene), scene)
         return self.compose(accepted, healthy)
 
     def compose(
@@ -216,24 +211,30 @@
 
 
 def list_watched(scene: wave.Scene) -> list[str]:
-    """Return the VMs of pools in which a stop is under way or may begin."""
-    rows = scene.view.vms.values()
-    pools = {row.pool for row in rows if is_moving(row, scene.observation)}
-    for item in scene.document.waves:
-        if not wave.tell_closed(scene, item):
-            pools.update(row.pool for row in batch.list_pending(scene, item))
-    imbalance = move.measure(move.find_lent(scene), rows)
-    if imbalance.deficits:
-        pools.update(imbalance.surpluses)
-    return sorted(row.vm for row in rows if row.pool in pools)
-
-
-def is_moving(row: state.VmRow, observation: state.Observation) -> bool:
-    """Tell whether a VM's state may change soon.
-
-    A VM that is down may be so for days; it counts once it has come back.
+    """Return the VMs whose health the next decisions depend on.
+
+    All VMs of pools in which a drain is under way, or in which a stop could
+    begin if every listed VM were healthy; elsewhere only VMs that have come
+    back. Made for a wave over the whole fleet: while a VM reboots, which is
+    most of the time, the others of a pool without more spare are not asked.
     """
-    if row.state is state.VmState.DOWN:
-        machine = observation.machines.get(row.vm)
-        return observation.is_live(row.vm) and machine.boot > row.boot
-    return row.state is not state.VmState.UP
+    view = scene.view
+    listed = frozenset(scene.observation.machines)
+    hopeful = scene._replace(observation=scene.observation._replace(healthy=listed))
+    begins = (*move.pick_moves(hopeful).changes, *batch.pick_takes(hopeful).changes)
+    pools = {item.row.pool for item in begins}
+    draining = state.VmState.DRAINING
+    pools.update(row.pool for row in view.vms.values() if row.state is draining)
+    return sorted(
+        row.vm
+        for row in view.vms.values()
+        if row.pool in pools or has_returned(row, scene.observation)
+    )
+
+
+def has_returned(row: state.VmRow, observation: state.Observation) -> bool:
+    """Tell whether a stopped VM is back, but for its health check."""
+    stopped = (state.VmState.CHECKING, state.VmState.DOWN)
+    if row.state not in stopped or not observation.is_live(row.vm):
+        return False
+    return observation.machines[row.vm].boot > row.boot
--- a/wigeonhitch/fleet/routes.py
+++ b/wigeonhitch/fleet/routes.py
@@ -5,7 +5,7 @@
 duty will do with the same rows.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import anyio
@@ -82,22 +82,30 @@
         self._source = source
         self._lock = anyio.Lock()
 
-    async def _look(self, *, healthy: bool) -> wave.Scene | route.Answer:
-        """Return the fleet as it is now, with health checks if asked for."""
+    async def _look(self) -> wave.Scene | route.Answer:
+        """Return the fleet as the table and the VM list show it now."""
         accepted = self._source()
         if accepted is None:
             return refuse(503, "no accepted document is known")
         async with self._lock:
             if not await self._seen.refresh():
                 return refuse(503, self._seen.problem)
-            if healthy:
-                return await self._seen.make_scene(accepted)
             return self._seen.compose(accepted, frozenset())
 
+    async def _check(self, scene: wave.Scene, pools: Iterable[str]) -> wave.Scene:
+        """Return the scene with the health of all VMs that its answer names.
+
+        Those are the VMs of some pools, and whatever the runner asks itself.
+        """
+        vms = {row.vm for name in pools for row in scene.view.members(name)}
+        vms.update(observer.list_watched(scene))
+        healthy = await self._seen.check_health(vms, scene)
+        return scene._replace(observation=scene.observation._replace(healthy=healthy))
+
     async def list_pools(self, request: route.Request) -> route.Answer:
         """Answer all pools, without asking the workers."""
         del request
-        scene = await self._look(healthy=False)
+        scene = await self._look()
         if isinstance(scene, route.Answer):
             return scene
         listed = frozenset(scene.observation.machines)
@@ -108,18 +116,14 @@
 
     async def show_pool(self, request: route.Request) -> route.Answer:
         """Answer one pool: who is up, what is taken, what waits and why."""
-        scene = await self._look(healthy=True)
+        scene = await self._look()
         if isinstance(scene, route.Answer):
             return scene
         name = request.path["pool"]
         pools = {pool.name: pool for pool in scene.document.pools}
         if name not in pools:
             return refuse(404, f"no pool {name!r} in the accepted document")
-        members = [row.vm for row in scene.view.members(name)]
-        healthy = await self._seen.check_health(members, scene)
-        seen = scene.observation
-        known = seen._replace(healthy=seen.healthy | healthy)
-        scene = scene._replace(observation=known)
+        scene = await self._check(scene, (name,))
         shown = describe_pool(scene, pools[name], scene.measure_budgets())
         shown["vms"] = [describe_vm(scene, row) for row in scene.view.members(name)]
         shown["waiting"] = list_waiting(scene, pool=name)
@@ -128,7 +132,7 @@
     async def list_waves(self, request: route.Request) -> route.Answer:
         """Answer all waves of the document with their progress."""
         del request
-        scene = await self._look(healthy=False)
+        scene = await self._look()
         if isinstance(scene, route.Answer):
             return scene
         shown = [describe_wave(scene, item) for item in scene.document.waves]
@@ -136,12 +140,13 @@
 
     async def show_wave(self, request: route.Request) -> route.Answer:
         """Answer one wave: progress of each VM, what waits and why."""
-        scene = await self._look(healthy=True)
+        scene = await self._look()
         if isinstance(scene, route.Answer):
             return scene
         item = find_wave(scene.document, request.path["wave"])
         if item is None:
             return refuse(404, f"no wave {request.path['wave']!r} in the document")
+        scene = await self._check(scene, item.pools)
         shown = describe_wave(scene, item)
         rows = [row for row in scene.view.vms.values() if row.pool in item.pools]
         shown["vms"] = [
@@ -153,7 +158,7 @@
 
     async def show_plan(self, request: route.Request) -> route.Answer:
         """Answer what a wave would do: measures beside their lower bounds."""
-        scene = await self._look(healthy=False)
+        scene = await self._look()
         if isinstance(scene, route.Answer):
             return scene
         item = find_wave(scene.document, request.path["wave"])
@@ -170,7 +175,7 @@
         return handle
 
     async def _change(self, action: str, request: route.Request) -> route.Answer:
-        scene = await self._look(healthy=False)
+        scene = await self._look()
         if isinstance(scene, route.Answer):
             return scene
         name = request.path["wave"]
--- a/wigeonhitch/fleet/tests/test_decisions.py
+++ b/wigeonhitch/fleet/tests/test_decisions.py
@@ -1,7 +1,16 @@
 import pytest
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import batch, budget, change, move, planner, state, wave
+from wigeonhitch.fleet import (
+    batch,
+    budget,
+    change,
+    move,
+    observer,
+    planner,
+    state,
+    wave,
+)
 from wigeonhitch.fleet.tests import conftest
 from wigeonhitch.membership import confirmation
 from wigeonhitch.platform import machines
@@ -190,3 +199,20 @@
     }
     shared, own = best.values()
     assert shared.name.startswith("shared") and own.name == "per pool"
+
+
+def test_only_workers_that_a_decision_depends_on_are_asked():
+    rows = build_rows({"a": 3, "b": 3, "c": 3})
+    scene = build_scene(
+        [build_pool(name, 3, 2) for name in "abc"], rows, waves=(build_wave("a", "b"),)
+    )
+    names = [row.vm for row in rows]
+    assert observer.list_watched(scene) == names[:6]
+    rebooting = rows[0]._replace(state=state.VmState.REBOOTING, boot=0, wave="w")
+    scene.view.vms[names[0]] = rebooting
+    assert observer.list_watched(scene) == names[3:6]
+    draining = rows[0]._replace(state=state.VmState.DRAINING, wave="w")
+    scene.view.vms[names[0]] = draining
+    assert observer.list_watched(scene) == names[:6]
+    scene.view.vms[names[8]] = rows[8]._replace(state=state.VmState.CHECKING)
+    assert names[8] in observer.list_watched(scene)
