Test that an observation from before a pause begins nothing

Switching the limit on the age of an observation off was caught by no test; it is now: a runner that was paused 24 s between its health checks and its first commit begins no stop.

--- a/wigeonhitch/fleet/tests/test_runner.py
+++ b/wigeonhitch/fleet/tests/test_runner.py
@@ -199,3 +199,19 @@
     await run_rounds(world, made, 3)
     assert "v001" not in world.vms()
     assert world.vms()["v008"].pool == gone.pool
+
+
+async def test_observation_from_before_a_pause_begins_nothing(world):
+    made = world.build()
+    await run_rounds(world, made, 2)
+    world.start("w")
+    ask = made.seen.platform.check_health
+
+    async def ask_and_pause(address):
+        answer = await ask(address)
+        world.fake.advance(3.0)
+        return answer
+
+    made.seen.platform = made.seen.platform._replace(check_health=ask_and_pause)
+    await made.step()
+    assert {row.state for row in world.vms().values()} == {state.VmState.UP}
