Put the daemon together; a thin path runs as separate processes

Cause: the slices stood side by side, but no request had passed through them. Found on the way: a heartbeat that passes on an unknown member ended the daemon (test_member_that_is_only_passed_on_waits_for_its_row failed first); a fault in a peer message's handler now ends neither daemon nor connection unseen; httpx wrote a log line per call.

--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -76,8 +76,8 @@
         self.operators = tuple(
             credential.make_operator(name, roles, SECRET)
             for name, roles in (
-                ("ana", ("operator", "manager")),
-                ("ben", ("operator", "manager")),
+                ("ana", ("operations",)),
+                ("ben", ("operations", "owner")),
                 ("eva", ("viewer",)),
             )
         )
@@ -164,6 +164,23 @@
             trust_env=False,
         )
 
+    def submit(self, intended: dict[str, Any], base: int, name: str) -> None:
+        """Submit a document as one operator and approve it as another.
+
+        Raises
+        ------
+        RuntimeError
+            If it isn't accepted.
+        """
+        body = {"submission": name, "base": base, "document": intended}
+        answer = self.ask("POST", "/proposals", body)
+        if answer.status_code == 202:
+            content = answer.json()["proposal"]["hash"]
+            path = f"/proposals/{name}/approve"
+            answer = self.ask("POST", path, {"hash": content}, operator="ben")
+        if answer.status_code != 200:
+            raise RuntimeError(f"document {name}: {answer.text}; expected 200")
+
     def switch(self, **fields: Any) -> None:
         """Set a switch of the platform stand-in."""
         httpx.post(f"{self.platform_url}/switch", json=fields, trust_env=False)
--- a/wigeonhitch/command/local.py
+++ b/wigeonhitch/command/local.py
@@ -6,6 +6,7 @@
 import pathlib
 
 from wigeonhitch.command import options, report
+from wigeonhitch.configuration import problem
 from wigeonhitch.operators import credential
 
 __all__ = ["GROUP"]
@@ -22,14 +23,14 @@
     file : str
         YAML file.
     """
-    from wigeonhitch import settings
+    from wigeonhitch.settings import load
 
     try:
         text = pathlib.Path(file).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise options.UsageError(f"{file}: {error}") from error
-    loaded = settings.load(text)
-    problems = [str(one) for one in getattr(loaded, "problems", ())]
+    loaded = load.check_settings(text)
+    problems = [problem.format_problem(one) for one in loaded.problems]
     if problems:
         body = {"status": "INVALID", "problems": problems}
         return report.Report(report.Exit.REFUSED, body, tuple(problems))
@@ -38,9 +39,9 @@
 
 async def example() -> report.Report:
     """Print settings to start from."""
-    from wigeonhitch import settings
+    from wigeonhitch.settings import load
 
-    text = settings.example()
+    text = load.EXAMPLE
     return report.Report(report.Exit.DONE, {"settings": text}, tuple(text.splitlines()))
 
 
--- /dev/null
+++ b/wigeonhitch/daemon/assembly.py
@@ -0,0 +1,374 @@
+"""One daemon, put together from its slices.
+
+Nothing is decided here: slices are given what they need of each other as
+callables, and an exit stack owns whatever must be closed.
+"""
+
+import contextlib
+import random
+import ssl
+from typing import Any
+
+import anyio
+
+from wigeonhitch.configuration import (
+    distribution,
+    document,
+    routes,
+    store,
+    watcher,
+)
+from wigeonhitch.daemon import heard, server, status, workers
+from wigeonhitch.fleet import observer, runner, view
+from wigeonhitch.fleet import routes as fleet_routes
+from wigeonhitch.front import application, dispatcher, guard, sender
+from wigeonhitch.idempotency import store as claims
+from wigeonhitch.idempotency import sweeper
+from wigeonhitch.membership import (
+    core,
+    holder,
+    message,
+    slots,
+    task,
+    transport,
+)
+from wigeonhitch.placement import message as placement_message
+from wigeonhitch.placement import routes as placement_routes
+from wigeonhitch.placement import runner as placement_runner
+from wigeonhitch.platform import client
+from wigeonhitch.routing import action, event
+from wigeonhitch.routing import core as routing_core
+from wigeonhitch.settings import schema
+from wigeonhitch.telemetry import log, metric, trace
+from wigeonhitch.wire import codec
+
+__all__ = ["REGISTRY", "Daemon", "build"]
+
+REGISTRY = codec.Registry(
+    {
+        "heartbeat": message.Heartbeat,
+        "configuration": message.Configuration,
+        "slots": slots.Slots,
+    }
+)
+
+SWEEP_DUTY = "sweep"
+
+# Seconds between looks at the fleet's signal. With the scan that follows, a
+# drain is known to every daemon within about two of these.
+FLEET_PERIOD = 1.0
+
+
+class Daemon:
+    """All parts of one daemon; `build` makes it."""
+
+    def __init__(self, settings: schema.Settings, platform: client.Client) -> None:
+        self.settings = settings
+        self.clock = client.read_clock
+        self.instruments = metric.Instruments()
+        self.tracing = trace.Tracing(settings.traces, settings.daemon.name)
+        self.platform = platform
+        self.table = heard.HeardTable(platform, self.clock, self._hear_store)
+        self.document: document.Document | None = None
+        self.version = 0
+        self.catalogue: application.Catalogue | None = None
+        self.stopping = False
+        self.was_registered = False
+
+    def build_membership(self) -> None:
+        """Make the peers, the leases and the task that beats."""
+        settings = self.settings
+        address = settings.peers.advertise or settings.peers.bind
+        self.me = core.Peer(
+            settings.daemon.name,
+            address,
+            settings.daemon.vm,
+            settings.daemon.data_centre,
+        )
+        members = core.Members(
+            self.me, settings.peers.limits, random.getrandbits(32), self.clock()
+        )
+        seeds = [
+            core.Peer(one.name, one.address, "", "") for one in settings.peers.seeds
+        ]
+        members.learn_seeds(seeds, self.clock())
+        self.holder = holder.Holder(
+            self.table, settings.daemon.name, fields=self._describe, clock=self.clock
+        )
+        self.membership = task.Membership(
+            members,
+            self.holder,
+            self.clock,
+            lambda: self.workers.describe(),
+            self._change_members,
+            self._change_send_right,
+            lambda beat: self.workers.hear(beat),
+            self.instruments,
+        )
+        self.transport = transport.Transport(
+            settings.daemon.name,
+            REGISTRY,
+            self._receive,
+            self.instruments,
+            server_context=server.make_peer_context(
+                settings.peers.tls, ssl.Purpose.CLIENT_AUTH
+            ),
+            client_context=server.make_peer_context(
+                settings.peers.tls, ssl.Purpose.SERVER_AUTH
+            ),
+        )
+        self.membership.attach(self.transport)
+
+    def build_configuration(self) -> None:
+        """Make the documents' store and the task that follows them."""
+        self.documents = store.Store(self.table, self.platform)
+        self.watcher = watcher.Watcher(
+            distribution.Distribution(distribution.Limits(), random.Random()),
+            self.table,
+            self.platform,
+            _PeerDocuments(self),
+            self.clock,
+            install=self._install,
+        )
+
+    def build_requests(self, outlet: sender.Sender) -> None:
+        """Make the callers' side."""
+        settings = self.settings
+        self.outlet = outlet
+        self.routing = routing_core.Core(
+            settings.daemon.name, seed=random.getrandbits(32)
+        )
+        self.dispatch = dispatcher.Dispatcher(
+            self.routing,
+            outlet,
+            self.clock,
+            self._tell,
+            lambda vm: self.workers.find_address(vm),
+            self.membership.check_send_right,
+        )
+        self.workers = workers.Workers(
+            view.Follower(self.table),
+            self.platform,
+            lambda: self.document,
+            self.dispatch.apply,
+            self.routing.in_flight,
+        )
+        self.claims = claims.Claims(
+            self.table,
+            self.platform,
+            settings.daemon.name,
+            rng=random.Random(),
+            clock=self.clock,
+        )
+        self.front = application.Application(
+            self.dispatch,
+            guard.Guard(self.claims, self.dispatch, self.clock),
+            lambda: self.catalogue if self.is_ready() else None,
+            self.is_ready,
+            lambda: not self.stopping,
+            self.clock,
+            self.tracing,
+            self.instruments,
+            settings.callers.limits,
+        )
+
+    def build_duties(self) -> None:
+        """Make what this daemon does while it holds a duty."""
+        platform = observer.Platform(
+            self.table, self.platform, self.outlet.probe, self.clock
+        )
+        self.fleet = runner.Runner(
+            observer.Observer(platform),
+            self.holder,
+            lambda: self.document,
+        )
+        self.fleet_routes = fleet_routes.build_routes(
+            observer.Observer(platform), lambda: self.document
+        )
+        self.placement = placement_runner.Runner(
+            placement_message.Platform(
+                self.table,
+                self.platform,
+                self.holder,
+                lambda: self.workers.list_placeable(),
+                lambda: self.document,
+                self.clock,
+            )
+        )
+        self.sweeper = sweeper.Sweeper(
+            self.table, self._list_services, self._find_sweep_condition
+        )
+
+    def build_routes(self) -> list[Any]:
+        """Return all routes of the operators' interface."""
+        return [
+            *routes.make_routes(self.documents),
+            *self.fleet_routes,
+            *placement_routes.Jobs(self.table).build_routes(),
+            *status.build_routes(self),
+        ]
+
+    def is_ready(self) -> bool:
+        """Whether the balancer may send requests here.
+
+        A daemon without its row in the table is waited for by no planned stop,
+        so it serves nothing until it was registered once.
+        """
+        self.was_registered = self.was_registered or self.holder.is_live
+        return (
+            not self.stopping
+            and self.was_registered
+            and self.catalogue is not None
+            and self.workers.has_view
+            and self.watcher.readiness is distribution.Readiness.READY
+        )
+
+    async def run(self, group: Any) -> None:
+        """Start all tasks in ``group``; returns when peers can connect."""
+        await group.start(self.transport.run, self.settings.peers.bind)
+        await group.start(self.holder.run)
+        await group.start(self.claims.run)
+        for run in (
+            self.membership.run,
+            self.watcher.run,
+            self.dispatch.run_timer,
+            self._follow_fleet,
+            self.placement.run,
+            self._sweep,
+        ):
+            group.start_soon(run)
+        await group.start(runner.run, self.fleet)
+
+    async def stop(self) -> None:
+        """Finish what is held, then release duties and leave.
+
+        The order matters: the row goes last, since a planned stop waits only
+        for daemons that have one.
+        """
+        self.stopping = True
+        log.log_change("stopping", held=self.dispatch.held)
+        self.dispatch.apply(event.Stopping())
+        limit = self.settings.daemon.stop_within
+        with anyio.move_on_after(limit):
+            while self.dispatch.held:
+                await anyio.sleep(0.02)
+            await self.claims.flush(limit / 4)
+            await self.holder.leave(limit / 4)
+        log.log_change("stopped", held=self.dispatch.held)
+
+    def _hear_store(self, asked: float) -> None:
+        self.membership.hear_store(asked)
+
+    def _describe(self) -> dict[str, Any]:
+        drains = self.workers.describe()
+        return {
+            "address": self.me.address,
+            "http": self.settings.callers.bind,
+            "vm": self.me.vm,
+            "data_centre": self.me.data_centre,
+            "drain": drains.drain,
+            "busy": list(drains.busy),
+            "version": self.version,
+            **self.membership.describe(),
+        }
+
+    def _install(self, version: int, accepted: document.Document) -> None:
+        self.document, self.version = accepted, version
+        deadlines = {one.name: one.deadline for one in accepted.urgencies}
+        self.catalogue = application.Catalogue(
+            {
+                one.name: application.Entry(
+                    one.pool, one.urgency, deadlines[one.urgency]
+                )
+                for one in accepted.services
+            },
+            deadlines,
+        )
+        self.dispatch.apply(
+            event.UrgenciesChanged(
+                tuple(
+                    event.Urgency(one.name, one.start_within)
+                    for one in accepted.urgencies
+                )
+            )
+        )
+        weights = {team.name: team.weight for team in accepted.teams}
+        self.dispatch.apply(event.TeamsChanged(weights))
+        self.workers.refresh()
+        self.instruments.set("document_version", "Version in force.", version)
+
+    def _change_members(self, alive: frozenset[str]) -> None:
+        self.dispatch.apply(event.MembersChanged(alive))
+        self.watcher.set_peers(tuple(sorted(alive - {self.me.daemon})))
+
+    def _change_send_right(self, held: bool) -> None:
+        self.dispatch.apply(event.SendRestored() if held else event.SendLapsed())
+
+    def _tell(self, told: action.Tell) -> None:
+        self.membership.tell(told.daemon, slots.pack(told.messages), "slots")
+
+    def _receive(self, received: codec.Received) -> None:
+        if self.membership.hear(received):
+            return
+        if isinstance(received.message, slots.Slots):
+            messages = slots.unpack(received.message)
+            self.dispatch.apply(event.Received(received.sender, messages))
+        elif isinstance(received.message, message.Configuration):
+            self.watcher.receive(received.sender, received.message.data)
+
+    async def _follow_fleet(self) -> None:
+        while True:
+            before = self.workers.describe()
+            await self.workers.read(self.clock())
+            if self.workers.describe() != before:
+                self.holder.hurry()
+            await self.outlet.forget(self.workers.addresses)
+            await anyio.sleep(FLEET_PERIOD)
+
+    async def _sweep(self) -> None:
+        self.holder.want(SWEEP_DUTY)
+        await self.sweeper.run()
+
+    def _list_services(self) -> list[str]:
+        return list(self.catalogue.services) if self.catalogue else []
+
+    def _find_sweep_condition(self) -> Any:
+        held = self.holder.current(SWEEP_DUTY)
+        return held.condition if held else None
+
+
+class _PeerDocuments:
+    """Carries the configuration slice's messages to peers."""
+
+    def __init__(self, owner: Daemon) -> None:
+        self._owner = owner
+
+    async def send(self, peer: str, data: bytes) -> None:
+        """Send to one peer; a failure is not reported."""
+        self._owner.membership.tell(peer, message.Configuration(data), "configuration")
+
+
+async def build(stack: contextlib.AsyncExitStack, settings: schema.Settings) -> Daemon:
+    """Return a daemon whose resources ``stack`` closes."""
+    verify = server.make_client_context(settings.platform.authority) or True
+    platform = await client.open_client(
+        stack,
+        settings.platform.url,
+        rng=random.Random(),
+        daemon=settings.daemon.name,
+        data_centre=settings.daemon.data_centre,
+        verify=verify,
+    )
+    made = Daemon(settings, platform)
+    stack.callback(made.tracing.close)
+    made.build_membership()
+    made.build_configuration()
+    made.build_requests(
+        sender.Sender(
+            stack,
+            settings.workers.limits,
+            server.make_client_context(settings.workers.authority),
+        )
+    )
+    made.build_duties()
+    return made
--- /dev/null
+++ b/wigeonhitch/daemon/operator.py
@@ -0,0 +1,35 @@
+"""The operators' listener: their routes, health, readiness and ``/metrics``."""
+
+from typing import Any
+
+from wigeonhitch.front import application, reply
+from wigeonhitch.operators import credential, service
+
+__all__ = ["make_application"]
+
+
+def make_application(daemon: Any) -> Any:
+    """Return the ASGI application of an `assembly.Daemon`'s operator side."""
+    credentials = credential.Credentials(daemon.settings.operators.credentials)
+    routes = service.make_app(daemon.build_routes(), credentials)
+
+    async def serve(scope: dict, receive: Any, send: Any) -> None:
+        if scope["type"] == "lifespan":
+            await application.serve_lifespan(receive, send)
+        elif scope["type"] == "http" and scope["path"] == "/metrics":
+            await application.send_reply(send, _render(daemon, scope))
+        else:
+            await routes(scope, receive, send)
+
+    return serve
+
+
+def _render(daemon: Any, scope: dict) -> reply.Reply:
+    accept = tuple(
+        value.decode("latin-1")
+        for name, value in scope["headers"]
+        if name.lower() == b"accept"
+    )
+    body, headers = daemon.instruments.render(accept)
+    lowered = tuple((name.lower(), value) for name, value in headers.items())
+    return reply.Reply(200, lowered, body)
--- a/wigeonhitch/daemon/server.py
+++ b/wigeonhitch/daemon/server.py
@@ -3,6 +3,7 @@
 The ``hypercorn`` command would fork a worker; serving in process does not.
 """
 
+import logging
 import ssl
 from collections.abc import Callable
 from typing import Any
@@ -40,7 +41,7 @@
     config.graceful_timeout = GRACE
     config.include_server_header = False
     config.accesslog = None
-    config.errorlog = None
+    config.errorlog = logging.getLogger("hypercorn.error")
     if tls is not None:
         config.certfile = tls.certificate
         config.keyfile = tls.key
--- a/wigeonhitch/daemon/workers.py
+++ b/wigeonhitch/daemon/workers.py
@@ -7,10 +7,10 @@
 
 from collections.abc import Callable, Mapping
 
-
 from wigeonhitch.configuration import document
 from wigeonhitch.fleet import state, view
 from wigeonhitch.membership import core, message
+from wigeonhitch.placement import view as placement_view
 from wigeonhitch.platform import machines, table
 from wigeonhitch.routing import event
 from wigeonhitch.telemetry import log
@@ -79,8 +79,8 @@
 
     @property
     def has_view(self) -> bool:
-        """Whether the fleet's rows were read at least once."""
-        return self._applied >= 0
+        """Whether any worker is known; until the fleet's first rows none is."""
+        return any(self._pools.values())
 
     def find_address(self, vm: str) -> str | None:
         """Return ``host:port`` of a VM, or None."""
@@ -92,10 +92,38 @@
         """The addresses of all listed VMs."""
         return frozenset(machine.address for machine in self._machines.values())
 
-    def describe(self) -> core.Versions:
+    def list_placeable(self) -> list[placement_view.Vm]:
+        """Return the workers as placement sees them."""
+        accepted = self._find_document()
+        if accepted is None:
+            return []
+        kinds = {kind.name: kind for kind in accepted.kinds}
+        sizes = {pool.name: kinds[pool.kind] for pool in accepted.pools}
+        unusable = self._find_unusable()
+        found = []
+        for row in self._follower.view.vms.values():
+            machine = self._machines.get(row.vm)
+            if machine is None or row.pool not in sizes:
+                continue
+            kind = sizes[row.pool]
+            live = machine.state is machines.MachineState.LIVE
+            found.append(
+                placement_view.Vm(
+                    row.vm,
+                    row.pool,
+                    kind.cores,
+                    kind.memory,
+                    machine.rack,
+                    machine.data_centre,
+                    live and row.vm not in unusable,
+                )
+            )
+        return found
+
+    def describe(self) -> core.Drains:
         """Return the part of a heartbeat that concerns the workers."""
         unusable = tuple(sorted(self._find_unusable()))
-        return core.Versions(
+        return core.Drains(
             fleet_revision=max(self._applied, 0),
             unusable=unusable,
             drain=max(self._applied, 0),
--- a/wigeonhitch/front/application.py
+++ b/wigeonhitch/front/application.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 import anyio
+from absl import logging
 
 from wigeonhitch import verdict
 from wigeonhitch.front import dispatcher, guard, reply, sender
@@ -136,11 +137,22 @@
         )
         began = self._clock()
         with self._tracing.open_hop("receive", call.headers, service=service) as hop:
-            given, final = await self._route(call, hop, receive)
+            given, final = await self._route_safely(call, hop, receive)
             hop.span.set_attribute("verdict", given.ran.value)
         self._count(service, given, self._clock() - began)
         return final
 
+    async def _route_safely(
+        self, call: _Call, hop: trace.Hop, receive: Any
+    ) -> tuple[verdict.Verdict, reply.Reply]:
+        """Route, and answer truthfully after a fault of this program too."""
+        try:
+            return await self._route(call, hop, receive)
+        except Exception:
+            logging.exception("request of service %s failed", call.service)
+            given = verdict.may_have_run(verdict.Reason.FAULT)
+            return given, reply.make_refusal(given)
+
     async def _route(
         self, call: _Call, hop: trace.Hop, receive: Any
     ) -> tuple[verdict.Verdict, reply.Reply]:
@@ -157,9 +169,9 @@
             given = verdict.not_run(verdict.Reason.BAD_REQUEST)
             return given, reply.make_refusal(given)
         final = await self._serve(call, arrived, hop, receive)
-        if final.reply is None:
+        if final.answer is None:
             return final.verdict, reply.make_refusal(final.verdict)
-        return final.verdict, reply.mark(final.reply, final.verdict)
+        return final.verdict, reply.mark(final.answer, final.verdict)
 
     async def _serve(
         self, call: _Call, arrived: event.Arrived, hop: trace.Hop, receive: Any
--- a/wigeonhitch/front/dispatcher.py
+++ b/wigeonhitch/front/dispatcher.py
@@ -20,10 +20,10 @@
 
 
 class Final(NamedTuple):
-    """The final answer of one request; ``reply`` is None without a worker's."""
+    """The final answer of one request; ``answer`` is None without a worker's."""
 
     verdict: verdict.Verdict
-    reply: reply.Reply | None
+    answer: reply.Reply | None
 
 
 class Ticket:
@@ -65,6 +65,9 @@
         Sends an `action.Tell` to a peer; must not block.
     find_address : callable
         Returns the address of a VM, or None.
+    may_send : callable
+        Whether this daemon may send to workers at this very moment; asked
+        right before each attempt, since the process may have been paused.
     """
 
     def __init__(
@@ -74,12 +77,14 @@
         clock: Callable[[], float],
         tell: Callable[[action.Tell], None],
         find_address: Callable[[str], str | None],
+        may_send: Callable[[], bool],
     ) -> None:
         self._core = decisions
         self._outlet = outlet
         self._clock = clock
         self._tell = tell
         self._find_address = find_address
+        self._may_send = may_send
         self._pending: dict[int, Ticket] = {}
         self._number = 0
         self._timer_changed = anyio.Event()
@@ -173,7 +178,7 @@
                 result = await self._send(send, request, on_send)
         finally:
             pending.scope = None
-            replies[send.attempt] = result.reply
+            replies[send.attempt] = result.answer
             took = self._clock() - began
             self._handle(
                 event.Answered(
@@ -187,6 +192,9 @@
         address = self._find_address(send.vm)
         if address is None:
             return sender.Result(verdict.not_run(verdict.Reason.NOT_CONNECTED))
+        if not self._may_send():
+            lapsed = verdict.Reason.SEND_RIGHT_LAPSED
+            return sender.Result(verdict.not_run(lapsed))
         refusal = on_send() if on_send is not None else None
         if refusal is not None:
             return sender.Result(refusal)
--- a/wigeonhitch/front/sender.py
+++ b/wigeonhitch/front/sender.py
@@ -69,10 +69,10 @@
 
 
 class Result(NamedTuple):
-    """What came of an attempt; ``reply`` is None without a whole answer."""
+    """What came of an attempt; ``answer`` is None without a whole answer."""
 
     verdict: verdict.Verdict
-    reply: reply.Reply | None = None
+    answer: reply.Reply | None = None
     failed: bool = False
 
 
@@ -123,7 +123,7 @@
     async def probe(self, address: str) -> bool:
         """Whether the worker says that it is healthy."""
         result = await self.send(Attempt(address, "GET", "/health", (), b"", 1.0))
-        return result.reply is not None and result.reply.status == 200
+        return result.answer is not None and result.answer.status == 200
 
     async def _open(self, address: str) -> httpx.AsyncClient:
         scheme = "http" if self._context is None else "https"
--- a/wigeonhitch/membership/core.py
+++ b/wigeonhitch/membership/core.py
@@ -20,7 +20,7 @@
     "MembersChanged",
     "Peer",
     "SendHeartbeat",
-    "Versions",
+    "Drains",
 ]
 
 # One beat a second: a lost daemon is noticed within a few seconds, and at the
@@ -73,11 +73,9 @@
     data_centre: str
 
 
-class Versions(NamedTuple):
-    """What this daemon has in force, carried by its heartbeats."""
+class Drains(NamedTuple):
+    """The drains that this daemon has applied, carried by its heartbeats."""
 
-    configuration_version: int = 0
-    configuration_hash: str = ""
     fleet_revision: int = 0
     unusable: tuple[str, ...] = ()
     drain: int = 0
@@ -137,7 +135,7 @@
     def __init__(self, me: Peer, limits: Limits, seed: int, now: float) -> None:
         self.me = me
         self.limits = limits
-        self.versions = Versions()
+        self.drains = Drains()
         self._random = random.Random(seed)
         self._entries: dict[str, _Entry] = {}
         self._beat = 0
@@ -164,7 +162,7 @@
 
     def hear_store(self, now: float) -> None:
         """Note an answer of the platform's table."""
-        self._store_heard = now
+        self._store_heard = max(self._store_heard, now)
 
     def get_store_age(self, now: float) -> float:
         """Return the seconds since the table last answered."""
@@ -176,7 +174,7 @@
         A member that is not in the list stays known while its beats arrive: the
         table lags, and a daemon cut off from it alone still counts slots.
         """
-        self._store_heard = now
+        self.hear_store(now)
         listed = {peer.daemon: peer for peer in peers if peer.daemon != self.me.daemon}
         for daemon, entry in self._entries.items():
             entry.registered = daemon in listed
@@ -225,7 +223,7 @@
             address=self.me.address,
             vm=self.me.vm,
             data_centre=self.me.data_centre,
-            **self.versions._asdict(),
+            **self.drains._asdict(),
         )
         for peer in targets:
             echo = self._entries[peer.daemon].beat
@@ -308,8 +306,7 @@
         age = member.age_ms / 1000
         learned = now - age
         if entry is None:
-            peer = Peer(member.daemon, member.address, member.vm, member.data_centre)
-            entry = self._entries[member.daemon] = _Entry(peer, learned)
+            return  # its row in the table will name its address
         if member.beat > entry.beat:
             self._note(entry, member.beat, learned, proved - age)
 
--- a/wigeonhitch/membership/duty.py
+++ b/wigeonhitch/membership/duty.py
@@ -145,6 +145,17 @@
         """Rows of all daemons as seen last, by name."""
         return {name: row.value or {} for name, row in self._view.daemons.items()}
 
+    @property
+    def live(self) -> Mapping[str, Mapping[str, Any]]:
+        """Rows of the daemons that had not expired when last seen."""
+        rows = self._view.daemons
+        return {name: rows[name].value or {} for name in self._view.list_live()}
+
+    @property
+    def looked_at(self) -> float:
+        """When the rows seen last were asked for; 0 before the first look."""
+        return self._view.sent
+
     def current(self, duty: str, now: float) -> lease.Lease | None:
         """Return the lease if it is held and has not lapsed, else None."""
         fence = self._held.get(duty)
@@ -305,6 +316,9 @@
     def _forget(self) -> list[Commit]:
         """Delete one row that expired long ago, where this daemon ranks first."""
         live = self._list_live()
+        if len(live) * 2 < len(self._view.daemons):
+            # The silent majority may go on serving without the table.
+            return []
         for name, row in self._view.daemons.items():
             is_old = self._view.get_age(name) > self._limits.forget
             if is_old and view.rank(name, self._daemon, live) == 0:
--- a/wigeonhitch/membership/holder.py
+++ b/wigeonhitch/membership/holder.py
@@ -55,6 +55,16 @@
         """Rows of all daemons as seen last, by name."""
         return self._duties.daemons
 
+    @property
+    def live(self) -> Mapping[str, Mapping[str, Any]]:
+        """Rows of the daemons that lived when the rows were last read."""
+        return self._duties.live
+
+    @property
+    def looked_at(self) -> float:
+        """When that reading was asked for, on the clock that counts suspension."""
+        return self._duties.looked_at
+
     @property
     def is_live(self) -> bool:
         """Whether this daemon's row proves to others that it lives."""
--- a/wigeonhitch/membership/message.py
+++ b/wigeonhitch/membership/message.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["Document", "DocumentRequest", "Heartbeat", "Member"]
+__all__ = ["Configuration", "Heartbeat", "Member"]
 
 
 class Member(NamedTuple):
@@ -26,7 +26,7 @@
 
 
 class Heartbeat(NamedTuple):
-    """Sign of life, with the versions that the sender has in force.
+    """Sign of life, with the drains that the sender has applied.
 
     Parameters
     ----------
@@ -36,8 +36,6 @@
         Its counter.
     store_age_ms : int
         Milliseconds since the sender last heard the platform's table.
-    configuration_version, configuration_hash : int, str
-        The accepted document it has in force; 0 and empty if none.
     fleet_revision : int
         Revision of its fleet view.
     unusable : tuple of str
@@ -58,8 +56,6 @@
     daemon: str
     beat: int
     store_age_ms: int
-    configuration_version: int = 0
-    configuration_hash: str = ""
     fleet_revision: int = 0
     unusable: tuple[str, ...] = ()
     drain: int = 0
@@ -71,16 +67,7 @@
     data_centre: str = ""
 
 
-class DocumentRequest(NamedTuple):
-    """Asks a peer for the body of a document it has in force."""
+class Configuration(NamedTuple):
+    """A message of the configuration slice, in its own encoding."""
 
-    version: int
-    hash: str
-
-
-class Document(NamedTuple):
-    """A document body from a peer; ``body`` is empty when it has none."""
-
-    version: int
-    hash: str
-    body: str = ""
+    data: bytes
--- a/wigeonhitch/membership/task.py
+++ b/wigeonhitch/membership/task.py
@@ -1,55 +1,32 @@
-"""The task that keeps a daemon's membership: beats, rows, and peer messages."""
+"""The task that keeps a daemon's membership: beats, and what they say."""
 
-import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import anyio
 
-from wigeonhitch.membership import core, message, transport
-from wigeonhitch.platform import table
+from wigeonhitch.membership import core, holder, message, transport
 from wigeonhitch.telemetry import log, metric
 from wigeonhitch.wire import codec
 
-__all__ = ["Membership", "find_rows_period"]
-
-# Seconds between readings of the daemon rows in a small system.
-ROWS_PERIOD = 5.0
-
-# Seconds between readings per member: every row is renewed each few seconds, so
-# one reading returns all of them, some 200 bytes each. A quarter of a second a
-# member keeps this below 1 KB/s at any size; beats carry the news meanwhile.
-ROWS_PERIOD_PER_MEMBER = 0.25
-
-# Seconds between readings that an unknown sender may cause.
-UNKNOWN_PAUSE = 5.0
+__all__ = ["Membership"]
 
 PURPOSE = "membership"
 
 
-def find_rows_period(members: int) -> float:
-    """Return the seconds between readings of the daemon rows.
-
-    Examples
-    --------
-    >>> find_rows_period(9), find_rows_period(220)
-    (5.0, 55.0)
-    """
-    return max(ROWS_PERIOD, ROWS_PERIOD_PER_MEMBER * members)
-
-
 class Membership:
-    """Runs `core.Members` on a transport and the platform's table.
+    """Runs `core.Members` on a transport.
 
     Parameters
     ----------
     members : core.Members
         The decisions; only this task calls them.
-    store : table.Table
+    holder : holder.Holder
+        Reads the daemon rows.
     clock : callable
         Seconds on the clock that counts suspension.
-    find_versions : callable
-        Returns the `core.Versions` to announce.
+    find_drains : callable
+        Returns the `core.Drains` to announce.
     on_members, on_send_right, on_heartbeat : callable
         Called with the live members, with the right to send, and with each
         heartbeat received.
@@ -59,28 +36,25 @@
     def __init__(
         self,
         members: core.Members,
-        store: table.Table,
+        rows: holder.Holder,
         clock: Callable[[], float],
-        find_versions: Callable[[], core.Versions],
+        find_drains: Callable[[], core.Drains],
         on_members: Callable[[frozenset[str]], None],
         on_send_right: Callable[[bool], None],
         on_heartbeat: Callable[[message.Heartbeat], None],
         instruments: metric.Instruments,
     ) -> None:
         self._members = members
-        self._store = store
+        self._holder = rows
         self._clock = clock
-        self._find_versions = find_versions
+        self._find_drains = find_drains
         self._on_members = on_members
         self._on_send_right = on_send_right
         self._on_heartbeat = on_heartbeat
         self._instruments = instruments
         self._transport: transport.Transport | None = None
         self._has_right = True
-        self._rows_due = -math.inf
-        self._rows: dict[str, table.Row] = {}
-        self._revision = 0
-        self._table_read = -math.inf
+        self._looked_at = 0.0
 
     def attach(self, made: transport.Transport) -> None:
         """Take the transport that carries the beats."""
@@ -97,8 +71,6 @@
     def hear(self, received: codec.Received) -> bool:
         """Take a heartbeat; False if the message is of another kind."""
         if not isinstance(received.message, message.Heartbeat):
-            if self._members.find_peer(received.sender) is None:
-                self._ask_rows()
             return False
         self._act(self._members.hear(received.message, self._clock()))
         self._on_heartbeat(received.message)
@@ -114,19 +86,37 @@
         return has_right
 
     async def run(self) -> None:
-        """Beat and read rows until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._read_rows)
-            while True:
-                self._beat()
-                await anyio.sleep(core.BEAT_PERIOD)
+        """Beat until cancelled."""
+        while True:
+            self._learn_rows()
+            self._beat()
+            await anyio.sleep(core.BEAT_PERIOD)
 
     def hear_store(self, asked: float) -> None:
         """Note that the table answered a call made at ``asked``."""
         self._members.hear_store(asked)
 
+    def find_alive(self) -> frozenset[str]:
+        """Return the daemons heard lately, and this one."""
+        return self._members.find_alive(self._clock())
+
+    def describe(self) -> dict[str, Any]:
+        """Return what this daemon's row says about its peers.
+
+        Only peers whose own rows have expired are spoken for, so that the row
+        stays small.
+        """
+        relays = self._members.find_relays(self._clock())
+        live = self._holder.live
+        return {
+            "registered": self._members.registered_count,
+            "relayed": {
+                name: list(entry) for name, entry in relays.items() if name not in live
+            },
+        }
+
     def _beat(self) -> None:
-        self._members.versions = self._find_versions()
+        self._members.drains = self._find_drains()
         self._act(self._members.tick(self._clock()))
         self.check_send_right()
         self._instruments.set(
@@ -143,44 +133,13 @@
             elif self._transport is not None:
                 self._transport.send(one.peer.address, one.heartbeat, PURPOSE)
 
-    def _ask_rows(self) -> None:
-        self._rows_due = min(self._rows_due, self._table_read + UNKNOWN_PAUSE)
+    def _learn_rows(self) -> None:
+        if self._holder.looked_at == self._looked_at:
+            return
+        self._looked_at = self._holder.looked_at
+        peers = [_make_peer(name, row) for name, row in self._holder.live.items()]
+        self._act(self._members.learn_rows(peers, self._looked_at))
 
-    async def _read_rows(self) -> None:
-        while True:
-            if self._clock() >= self._rows_due:
-                await self._read_rows_once()
-            await anyio.sleep(core.BEAT_PERIOD)
 
-    async def _read_rows_once(self) -> None:
-        asked = self._clock()
-        result = await self._store.scan(
-            "daemon/", purpose=PURPOSE, since=self._revision
-        )
-        self._rows_due = self._clock() + ROWS_PERIOD
-        if result.outcome is not table.Outcome.DONE:
-            return
-        self._table_read = asked
-        self._revision = result.revision
-        for row in result.rows:
-            if row.value is None:
-                self._rows.pop(row.key, None)
-            else:
-                self._rows[row.key] = row
-        unexpired = [
-            _make_peer(row)
-            for row in self._rows.values()
-            if row.value["expires"] >= result.time
-        ]
-        self._act(self._members.learn_rows(unexpired, asked))
-        self._rows_due = self._clock() + find_rows_period(len(unexpired))
-
-
-def _make_peer(row: table.Row) -> core.Peer:
-    value = row.value
-    return core.Peer(
-        row.key.removeprefix("daemon/"),
-        value["address"],
-        value["vm"],
-        value["data_centre"],
-    )
+def _make_peer(name: str, row: Mapping[str, Any]) -> core.Peer:
+    return core.Peer(name, row["address"], row["vm"], row["data_centre"])
--- a/wigeonhitch/membership/tests/test_core.py
+++ b/wigeonhitch/membership/tests/test_core.py
@@ -1,6 +1,6 @@
 import pytest
 
-from wigeonhitch.membership import core
+from wigeonhitch.membership import core, message
 
 
 def make_peer(number):
@@ -95,3 +95,11 @@
                     receiver = next(m for m in members if m.me == action.peer)
                     receiver.hear(action.heartbeat, float(second))
     assert members[0].find_alive(19.0) == {"d0", "d1", "d2"}
+
+
+def test_member_that_is_only_passed_on_waits_for_its_row():
+    one, other = make_members(2)
+    beat = message.Heartbeat("d1", 5, 0, members=(message.Member("d7", 3, 10),))
+    one.hear(beat, 1.0)
+    assert one.find_peer("d7") is None
+    assert "d1" in one.find_alive(1.0)
--- a/wigeonhitch/membership/transport.py
+++ b/wigeonhitch/membership/transport.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 import anyio
+from absl import logging
 from anyio import abc
 from anyio.streams import buffered, tls
 
@@ -196,7 +197,7 @@
                     if isinstance(received, codec.Problem):
                         self._refuse(received)
                         return
-                    self._receive(received)
+                    self._take(received)
             except (
                 anyio.EndOfStream,
                 anyio.IncompleteRead,
@@ -206,6 +207,14 @@
             ):
                 return
 
+    def _take(self, received: codec.Received) -> None:
+        """Hand a message on; a fault in its handler must not end the daemon."""
+        try:
+            self._receive(received)
+        except Exception:
+            self._instruments.count("peer_failed_total", "Messages that failed here.")
+            logging.exception("message of peer %s failed", received.sender)
+
     def _refuse(self, problem: codec.Problem) -> None:
         self._instruments.count(
             "peer_refused_total", "Frames refused.", reason=problem.reason.split(":")[0]
--- a/wigeonhitch/telemetry/log.py
+++ b/wigeonhitch/telemetry/log.py
@@ -9,10 +9,13 @@
 import sys
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
 
 __all__ = ["Formatter", "log_change", "prepare"]
 
+# Libraries that write a line per request; what they say is counted instead.
+CHATTY = ("httpx", "httpcore", "hpack", "asyncio")
+
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
@@ -42,10 +45,13 @@
     """
     if level not in LEVELS:
         raise ValueError(f"log level {level!r}; expected one of {sorted(LEVELS)}")
+    flags.FLAGS.mark_as_parsed()  # absl warns on each line until it is told so
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.python_handler.stream = sys.stderr
     handler.setFormatter(Formatter())
+    for name in CHATTY:
+        standard.getLogger(name).setLevel(standard.WARNING)
     logging.set_verbosity(logging.converter.standard_to_absl(LEVELS[level]))
 
 
--- a/wigeonhitch/verdict.py
+++ b/wigeonhitch/verdict.py
@@ -41,6 +41,7 @@
     CANCELLED = "caller left"
     UNKNOWN_SERVICE = "unknown service"
     BAD_REQUEST = "bad request"
+    FAULT = "fault in the daemon"
 
 
 class Verdict(NamedTuple):
--- a/wigeonhitch/wire/peer.thrift
+++ b/wigeonhitch/wire/peer.thrift
@@ -9,32 +9,24 @@
   3: i32 age_ms
 }
 
-struct Document {
-  1: i64 version
-  2: string hash
-  3: optional string body
+// A message of the configuration slice, in its own encoding.
+struct Configuration {
+  1: binary data
 }
 
 struct Heartbeat {
   1: string daemon
   2: i64 beat
   3: i32 store_age_ms
-  4: i64 configuration_version
-  5: string configuration_hash
-  6: i64 fleet_revision
-  7: list<string> unusable
-  8: i64 drain
-  9: list<string> busy
-  10: list<Member> members
-  11: i64 echo
-  12: string address
-  13: string vm
-  14: string data_centre
-}
-
-struct DocumentRequest {
-  1: i64 version
-  2: string hash
+  4: i64 fleet_revision
+  5: list<string> unusable
+  6: i64 drain
+  7: list<string> busy
+  8: list<Member> members
+  9: i64 echo
+  10: string address
+  11: string vm
+  12: string data_centre
 }
 
 // Messages about the slots of one pool; times are seconds.
@@ -121,7 +113,6 @@
 struct Envelope {
   1: string sender
   2: optional Heartbeat heartbeat
-  3: optional DocumentRequest document_request
-  4: optional Document document
-  5: optional Slots slots
+  3: optional Configuration configuration
+  4: optional Slots slots
 }
--- a/wigeonhitch/wire/tests/test_codec.py
+++ b/wigeonhitch/wire/tests/test_codec.py
@@ -10,8 +10,7 @@
 REGISTRY = codec.Registry(
     {
         "heartbeat": message.Heartbeat,
-        "document_request": message.DocumentRequest,
-        "document": message.Document,
+        "configuration": message.Configuration,
         "slots": slots.Slots,
     }
 )
@@ -30,8 +29,6 @@
         "d1",
         3,
         12,
-        7,
-        "abc",
         99,
         ("w1",),
         98,
@@ -39,8 +36,7 @@
         (message.Member("d2", 5, 7),),
         4,
     ),
-    message.DocumentRequest(7, "abc"),
-    message.Document(7, "abc", "{}"),
+    message.Configuration(b"{}"),
     SLOTS,
 ]
 
