Do not call version 0 the revision of a commit that wrote

A later condition on version 0 means 'absent' and could hold by mistake. Such a commit now has revision -1, on which no condition holds.

--- a/wigeonhitch/platform/resolve.py
+++ b/wigeonhitch/platform/resolve.py
@@ -17,6 +17,7 @@
 from wigeonhitch.platform import table
 
 __all__ = [
+    "LOST_REVISION",
     "MAX_TRIES",
     "Reply",
     "ReplyKind",
@@ -39,6 +40,12 @@
 with each try, so that daemons do not return to a recovering store at once."""
 
 
+LOST_REVISION = -1
+"""Revision of a commit that took effect, but whose written rows others have
+changed since, so that only a deleted row proves it. No row has this version, so
+a later commit that is conditioned on it conflicts and reads anew."""
+
+
 class ReplyKind(enum.Enum):
     """What came back for one try."""
 
@@ -111,6 +118,8 @@
         self._can_apply = True
         self._step = Step.SEND
         self._result = table.CommitResult(table.Outcome.NOT_DONE, reason="timeout")
+        deletes_all = all(write.value is None for write in writes)
+        self._deleted_revision = 0 if deletes_all else LOST_REVISION
         guarded = {condition.key for condition in self._conditions}
         self._repeatable = not guarded.isdisjoint(self._written)
 
@@ -185,7 +194,9 @@
             row for row in rows if row.key in self._written and row.token == self._token
         ]
         if own:
-            self._finish(table.Outcome.DONE, now, max(row.version for row in own))
+            version = max(row.version for row in own)
+            revision = version or self._deleted_revision
+            self._finish(table.Outcome.DONE, now, revision)
         return bool(own)
 
     def _never_applied(self, rows: dict[str, table.Row]) -> bool:
--- a/wigeonhitch/platform/transport.py
+++ b/wigeonhitch/platform/transport.py
@@ -67,8 +67,9 @@
         return lost
 
     async def _post(self, request: Request, timeout: float) -> httpx.Response:
-        raw = isinstance(request.body, bytes)
-        content = request.body if raw else json.dumps(request.body).encode()
+        content = request.body
+        if content is not None and not isinstance(content, bytes):
+            content = json.dumps(content).encode()
         return await self._client.request(
             request.method,
             request.path,
