Keep the idempotency keys of different teams apart

Two teams that chose the same key in one service could have got each other's kept answer, if their requests were the same, or a refusal. The record's key is now built from team and key. Reading a large kept body also ends with the caller's deadline now; a body that cannot be read is told as 'may have run' with a time to come back, and is never a reason to send again.

--- a/wigeonhitch/idempotency/record.py
+++ b/wigeonhitch/idempotency/record.py
@@ -75,18 +75,22 @@
     body_object: str = ""
 
 
-def build_key(service: str, key: str) -> str:
-    """Return the row key of an idempotency key.
+def build_key(service: str, key: str, team: str = "") -> str:
+    """Return the row key of a team's idempotency key.
 
-    The caller's key is hashed: rows get a bounded length and spread evenly
-    over prefixes, so that the sweep can take the table in small pieces.
+    Keys of different teams never meet. They are hashed: rows get a bounded
+    length and spread evenly over prefixes, so that the sweep can take the table
+    in small pieces.
 
     Examples
     --------
-    >>> build_key("pairing", "invoice-7")
-    'claim/pairing/61bf036ed8c6a6aa27f3bdeb850ad16c'
+    >>> build_key("pairing", "invoice-7").startswith("claim/pairing/")
+    True
+    >>> build_key("pairing", "invoice-7") == build_key("pairing", "invoice-7", "a")
+    False
     """
-    digest = hashlib.sha256(key.encode()).hexdigest()[:DIGEST_LENGTH]
+    named = f"{len(team)}:{team}{key}".encode()
+    digest = hashlib.sha256(named).hexdigest()[:DIGEST_LENGTH]
     return f"{PREFIX}/{service}/{digest}"
 
 
--- a/wigeonhitch/idempotency/store.py
+++ b/wigeonhitch/idempotency/store.py
@@ -118,15 +118,30 @@
         self.counts = self._core.counts
 
     async def acquire(
-        self, service: str, key: str, fingerprint: str, *, timeout: float
+        self,
+        service: str,
+        key: str,
+        fingerprint: str,
+        *,
+        timeout: float,
+        team: str = "",
     ) -> Acquired:
         """Ask to send a keyed request; returns within ``timeout`` seconds.
 
         When this call is cancelled, the request counts as not sent and the key
         comes free again.
+
+        Parameters
+        ----------
+        service, key, team : str
+            A key belongs to one service and one team.
+        fingerprint : str
+            See `record.compute_fingerprint`.
+        timeout : float
+            Seconds, at most the time left to the caller's deadline.
         """
         number = next(self._numbers)
-        row = record.build_key(service, key)
+        row = record.build_key(service, key, team)
         reply, answer = anyio.create_memory_object_stream[decision.Decision](1)
         deadline = self._clock() + timeout
         self._outbox.send_nowait(message.Ask(number, row, fingerprint, deadline, reply))
@@ -137,7 +152,7 @@
             self._outbox.send_nowait(message.Leave(number))
             raise
         self._tickets.pop(number, None)
-        return await self._translate(made, row)
+        return await self._translate(made, row, deadline)
 
     def may_send(self, claim: Claim) -> bool:
         """Whether the claim still allows sending: ask right before each try."""
@@ -304,14 +319,18 @@
         bare = end.answer._replace(body=b"")
         self._outbox.send_nowait(end._replace(answer=bare, body_object=name))
 
-    async def _translate(self, made: decision.Decision, row: str) -> Acquired:
+    async def _translate(
+        self, made: decision.Decision, row: str, deadline: float
+    ) -> Acquired:
         if made.kind is decision.Kind.GRANTED:
             return Acquired(made.kind, claim=Claim(made.ticket, row, made.send_before))
         if made.kind is decision.Kind.REFUSED or made.kept is None:
             return Acquired(made.kind, made.told)
         answer = made.kept.answer
         if answer is not None and made.kept.body_object:
-            body = await self._objects.get(made.kept.body_object, purpose="claim")
+            body = None
+            with anyio.move_on_after(deadline - self._clock()):
+                body = await self._objects.get(made.kept.body_object, purpose="claim")
             answer = answer._replace(body=body) if body is not None else None
         if answer is None:
             lost = verdict.may_have_run(verdict.Reason.STORE_UNAVAILABLE, 1.0)
--- a/wigeonhitch/idempotency/sweeper.py
+++ b/wigeonhitch/idempotency/sweeper.py
@@ -8,7 +8,10 @@
 from wigeonhitch.idempotency import sweep
 from wigeonhitch.platform import table
 
-__all__ = ["Sweeper"]
+__all__ = ["DUTY", "Sweeper"]
+
+DUTY = "claims"
+"""Name of the duty that the sweep is run under."""
 
 
 class Sweeper:
--- a/wigeonhitch/idempotency/tests/test_store.py
+++ b/wigeonhitch/idempotency/tests/test_store.py
@@ -154,3 +154,22 @@
     platform.switch(down=True)
     await first.complete(granted.claim, ANSWER)
     assert not await first.flush(0.2)
+
+
+@pytest.mark.anyio
+async def test_a_key_of_one_team_is_free_for_another(daemons):
+    first, second = daemons
+    one = await first.acquire("s", "k", "print", timeout=3.0, team="a")
+    other = await second.acquire("s", "k", "print", timeout=3.0, team="b")
+    assert one.kind is other.kind is decision.Kind.GRANTED
+
+
+@pytest.mark.anyio
+async def test_a_kept_body_that_cannot_be_read_is_never_sent_again(platform, daemons):
+    first, second = daemons
+    await first.complete((await ask(first)).claim, LARGE)
+    assert await first.flush(5.0)
+    platform.engine.store.objects.clear()
+    refused = await ask(second)
+    assert refused.kind is decision.Kind.REFUSED
+    assert refused.told.ran is verdict.Ran.MAYBE
