--- a/benchmarks/platform.py
+++ b/benchmarks/platform.py
@@ -312,7 +312,7 @@
         f"{'req/s':>6} {'ms':>6}  {'way':32s}{'granted':>9}{'writes/s':>10}"
         f"{'records':>9}{'p50 ms':>9}{'p99 ms':>9}{'us/req':>9}"
     )
-    for rate in (5, 50, 200, 500):
+    for rate in (5, 20, 50, 200, 500):
         compare(rate, 0.002)
     compare(50, 0.1)
     measure_calls()
