--- a/wigeonhitch/fleet/observer.py
+++ b/wigeonhitch/fleet/observer.py
@@ -1,10 +1,10 @@
 """Reading the fleet: table rows, VM list and health checks, made into a scene.
 
-An idle round costs one table read (the signal row) and one VM list, whatever
-the size of the fleet; a round after a change adds one scan per prefix, which
-returns only rows that changed; a round during a drain adds one scan of the
-daemons' rows. Health checks go to the workers of pools that something is
-about to happen to, and to no others.
+An idle round costs one table read (the signal row), whatever the size of the
+fleet, and one VM list every `IDLE_LIST_INTERVAL` seconds. A round after a
+change adds one scan per prefix, which returns only rows that changed; a round
+during a drain adds one scan of the daemons' rows. Health checks go to the
+workers of pools that something is about to happen to, and to no others.
 """
 
 from collections.abc import Awaitable, Callable, Iterable
@@ -13,7 +13,8 @@
 import anyio
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import confirmation, move, state, wave
+from wigeonhitch.fleet import batch, move, state, wave
+from wigeonhitch.membership import confirmation
 from wigeonhitch.platform import machines, table
 
 __all__ = ["HealthCheck", "Observer", "Platform", "list_watched"]
@@ -25,6 +26,14 @@
 # Seconds by which the VM list may lag before no planned stop is begun on it.
 LIST_LAG_LIMIT = 60.0
 
+# Seconds between VM lists while nothing is under way. The list is the largest
+# thing that a round reads, some 150 bytes a VM, but it alone shows that a VM is
+# leaving, which must get no new work within seconds; other daemons read it more
+# seldom and rely on the rows.
+IDLE_LIST_INTERVAL = 5.0
+
+DEFAULT_SILENCE = confirmation.Limits()
+
 HealthCheck = Callable[[str], Awaitable[bool]]
 
 
@@ -58,30 +67,35 @@
         Where to read.
     limits : Limits
         Limits of planned stops.
-    has_lapsed : callable
-        Whether a silent daemon can no longer hold requests.
+    silence : confirmation.Limits
+        When a silent daemon can no longer hold a request.
 
     Attributes
     ----------
     problem : str
         Why the last refresh failed; empty when it did not.
+    is_watching : bool
+        Whether a stop is under way or may begin, so that the list must be new.
     """
 
     def __init__(
         self,
         platform: Platform,
         limits: wave.Limits = wave.DEFAULT_LIMITS,
-        has_lapsed: confirmation.HasLapsed = confirmation.never_lapses,
+        silence: confirmation.Limits = DEFAULT_SILENCE,
     ) -> None:
         self.platform = platform
         self.limits = limits
-        self.has_lapsed = has_lapsed
+        self.silence = silence
         self.view = state.FleetView()
         self.missing: dict[str, float] = {}
         self.problem = "not read yet"
         self.seen_at = 0.0
+        self.is_watching = True
+        self._listed_at = 0.0
         self._signal = -1
-        self._daemons: tuple[confirmation.Daemon, ...] = ()
+        self._daemons: tuple[confirmation.DaemonRow, ...] = ()
+        self._drained: dict[str, tuple[int, float]] = {}
         self._daemons_revision = 0
         self._list = machines.VmList(table.Outcome.NOT_DONE)
         self._time = 0.0
@@ -106,30 +120,43 @@
                     return f"table: {result.reason or result.outcome.value}"
                 self.view.apply_scan(prefix, result)
             self._signal = signal
+            self.is_watching = True
         return await self._read_daemons()
 
     async def _scan(self, prefix: str, since: int = 0) -> table.ReadResult:
         return await self.platform.table.scan(prefix, purpose="fleet", since=since)
 
     async def _read_daemons(self) -> str:
-        rows = self.view.vms.values()
-        if all(row.state is not state.VmState.DRAINING for row in rows):
+        drained = {}
+        for row in self.view.vms.values():
+            if row.state is state.VmState.DRAINING:
+                number, at = self._drained.get(row.vm, (0, 0.0))
+                at = at if number == row.version else self._time
+                drained[row.vm] = (row.version, at)
+        self._drained = drained
+        if not drained:
             return ""
         result = await self._scan("daemon/")
         if result.outcome is not table.Outcome.DONE:
             return f"table: {result.reason or result.outcome.value}"
-        present = (row for row in result.rows if row.value is not None)
-        self._daemons = tuple(confirmation.parse_daemon(row) for row in present)
+        self._daemons = tuple(
+            confirmation.read_row(row.key, row.value)
+            for row in result.rows
+            if row.value is not None
+        )
         self._daemons_revision = result.revision
         return ""
 
     async def _read_list(self) -> str:
-        answer = await self.platform.machines.list_vms(purpose="fleet")
-        if answer.outcome is not table.Outcome.DONE:
-            return f"VM list: {answer.reason or answer.outcome.value}"
-        # A list older than one seen before would bring VMs back from the dead.
-        if answer.as_of >= self._list.as_of:
-            self._list = answer
+        now = self.platform.clock()
+        if self.is_watching or now - self._listed_at >= IDLE_LIST_INTERVAL:
+            answer = await self.platform.machines.list_vms(purpose="fleet")
+            if answer.outcome is not table.Outcome.DONE:
+                return f"VM list: {answer.reason or answer.outcome.value}"
+            self._listed_at = now
+            # A list older than one seen before would bring VMs back.
+            if answer.as_of >= self._list.as_of:
+                self._list = answer
         if self._time - self._list.as_of > LIST_LAG_LIMIT:
             return f"VM list is {self._time - self._list.as_of:.0f} s old"
         listed = {machine.vm for machine in self._list.machines}
@@ -141,7 +168,9 @@
     async def make_scene(self, accepted: document.Document) -> wave.Scene:
         """Check the health of the workers that matter and return the scene."""
         scene = self.compose(accepted, frozenset())
-        healthy = await self.check_health(list_watched(scene), scene)
+        watched = list_watched(scene)
+        self.is_watching = bool(watched)
+        healthy = await self.check_health(watched, scene)
         return self.compose(accepted, healthy)
 
     def compose(
@@ -160,8 +189,9 @@
             observation,
             self._daemons,
             self._daemons_revision,
+            {vm: at for vm, (_, at) in self._drained.items()},
             self.limits,
-            self.has_lapsed,
+            self.silence,
         )
 
     async def check_health(
@@ -188,11 +218,22 @@
 def list_watched(scene: wave.Scene) -> list[str]:
     """Return the VMs of pools in which a stop is under way or may begin."""
     rows = scene.view.vms.values()
-    pools = {row.pool for row in rows if row.state is not state.VmState.UP}
+    pools = {row.pool for row in rows if is_moving(row, scene.observation)}
     for item in scene.document.waves:
         if not wave.tell_closed(scene, item):
-            pools.update(row.pool for row in wave.list_pending(scene, item))
+            pools.update(row.pool for row in batch.list_pending(scene, item))
     imbalance = move.measure(move.find_lent(scene), rows)
     if imbalance.deficits:
         pools.update(imbalance.surpluses)
     return sorted(row.vm for row in rows if row.pool in pools)
+
+
+def is_moving(row: state.VmRow, observation: state.Observation) -> bool:
+    """Tell whether a VM's state may change soon.
+
+    A VM that is down may be so for days; it counts once it has come back.
+    """
+    if row.state is state.VmState.DOWN:
+        machine = observation.machines.get(row.vm)
+        return observation.is_live(row.vm) and machine.boot > row.boot
+    return row.state is not state.VmState.UP
