Raise learned cores only while that makes the kind's jobs faster

Usage is capped by the reservation, so a job that fills its cores tells nothing about what it needs. Now each step of 1.5 times must make four jobs a tenth faster, or the step before is kept.

--- a/wigeonhitch/placement/settle.py
+++ b/wigeonhitch/placement/settle.py
@@ -19,10 +19,8 @@
 PAUSED_LIMIT = 120.0
 # Bulk that can end by itself soon is left to end when its worker drains.
 DRAIN_GRACE = 60.0
-# A job that filled its cores and took longer than expected could use more; one
-# that was done in time has enough, whatever it takes.
+# Lagging usage that fills the reservation says that more cores may help.
 FULL = 0.95
-CENSORED = 1.5
 MEMORY_GROWTH = 2.0
 
 S = job.JobState
@@ -207,14 +205,15 @@
     item = entry.job
     end = entry.end
     cores, memory = entry.peak
-    if cores >= FULL * item.cores and now - item.since > item.asked.duration:
-        cores *= CENSORED
     if end is attempt.End.MEMORY:
         shard.counters["memory_kills"] += 1
         memory = max(memory, MEMORY_GROWTH * item.memory)
         shard.learner.add(item.asked.kind, cores or item.asked.cores, memory)
     elif end is attempt.End.FINISHED:
         shard.quarantine.succeed(item.vm)
+        if cores >= FULL * item.cores:
+            ratio = (now - item.since) / item.asked.duration
+            cores = shard.learner.note_full(item.asked.kind, item.cores, ratio)
         if cores > 0 and memory > 0:
             shard.learner.add(item.asked.kind, cores, memory)
     elif end is attempt.End.FAILED:
--- a/wigeonhitch/placement/size.py
+++ b/wigeonhitch/placement/size.py
@@ -20,8 +20,12 @@
 # only: a job short of cores is slower, and one that takes all the cores it gets
 # would be given more and more of them.
 MARGIN = 1.15
-# Each worker killed for memory proves only that the reservation was too small.
-GROWTH = 2.0
+# Cores are raised step by step while that makes the kind's jobs faster by at
+# least a tenth: some use whatever they get and are done no sooner.
+GROWTH = 1.5
+FASTER = 0.9
+RUNS = 4
+LEVELS = 8
 
 
 class Learner:
@@ -40,6 +44,8 @@
     def __init__(self, enabled: bool = True):
         self._enabled = enabled
         self._peaks: OrderedDict[str, deque] = collections.OrderedDict()
+        self._runs: dict[str, dict[float, list[float]]] = {}
+        self._most: dict[str, float] = {}
 
     def add(self, kind: str, cores: float, memory: float) -> None:
         """Add the peak usage of one ended attempt."""
@@ -48,7 +54,34 @@
         self._peaks[kind].append((cores, memory))
         self._peaks.move_to_end(kind)
         if len(self._peaks) > KINDS:
-            self._peaks.popitem(last=False)
+            oldest, _ = self._peaks.popitem(last=False)
+            self._runs.pop(oldest, None)
+            self._most.pop(oldest, None)
+
+    def note_full(self, kind: str, cores: float, ratio: float) -> float:
+        """Note a job that used all its cores; return what to learn from it.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the job.
+        cores : float
+            Its reservation.
+        ratio : float
+            Its run time over the expected one.
+        """
+        runs = self._runs.setdefault(kind, {})
+        runs.setdefault(cores, []).append(ratio)
+        if len(runs) > LEVELS:
+            del runs[min(runs)]
+        known = {level: times for level, times in runs.items() if len(times) >= RUNS}
+        below = [level for level in known if level < cores]
+        if cores in known and below:
+            before = known[max(below)][-RUNS:]
+            if sum(runs[cores][-RUNS:]) > FASTER * sum(before):
+                self._most.setdefault(kind, max(below))
+        runs[cores] = runs[cores][-RUNS:]
+        return min(GROWTH * cores, self._most.get(kind, math.inf))
 
     def is_sure(self, kind: str) -> bool:
         """Whether enough peaks were seen to set the declared size aside."""
@@ -80,7 +113,8 @@
         learned_cores = round(_quantile([peak[0] for peak in peaks]), 3)
         learned_memory = round(MARGIN * _quantile([peak[1] for peak in peaks]), 3)
         if len(peaks) >= ENOUGH:
-            return learned_cores, learned_memory
+            most = self._most.get(kind, math.inf)
+            return min(learned_cores, most), learned_memory
         return max(cores, learned_cores), max(memory, learned_memory)
 
 
