--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -77,7 +77,7 @@
             credential.make_operator(name, roles, SECRET)
             for name, roles in (
                 ("ana", ("operations",)),
-                ("ben", ("operations", "owner")),
+                ("ben", ("operations", "owner", "quality")),
                 ("eva", ("viewer",)),
             )
         )
@@ -137,6 +137,17 @@
         self.daemons[name] = given
         return given
 
+    def wait_until_serving(self, limit: float = READY_LIMIT) -> None:
+        """Wait until every daemon listens to operators and is registered."""
+        deadline = time.monotonic() + limit
+        while time.monotonic() < deadline:
+            with contextlib.suppress(httpx.HTTPError):
+                answers = [self.ask("GET", "/status", at=name) for name in self.daemons]
+                if all(one.json().get("registered") for one in answers):
+                    return
+            time.sleep(0.05)
+        raise RuntimeError(f"daemons of {self.folder.name} don't serve operators")
+
     def wait_until_ready(self, name: str, limit: float = READY_LIMIT) -> float:
         """Wait for a daemon's readiness path; return the seconds it took."""
         began = time.monotonic()
@@ -151,10 +162,15 @@
         raise RuntimeError(f"{name} isn't ready:\n{self.children[name].read()}")
 
     def ask(
-        self, method: str, path: str, body: Any = None, operator: str = "ana"
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        operator: str = "ana",
+        at: str = "",
     ) -> httpx.Response:
-        """Send an operator's request to the first daemon."""
-        daemon = next(iter(self.daemons.values()))
+        """Send an operator's request to a daemon, the first one by default."""
+        daemon = self.daemons[at or next(iter(self.daemons))]
         return httpx.request(
             method,
             f"http://127.0.0.1:{daemon.operators}/operator/v1{path}",
