--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -76,8 +76,8 @@
         self.operators = tuple(
             credential.make_operator(name, roles, SECRET)
             for name, roles in (
-                ("ana", ("operator", "manager")),
-                ("ben", ("operator", "manager")),
+                ("ana", ("operations",)),
+                ("ben", ("operations", "owner", "quality")),
                 ("eva", ("viewer",)),
             )
         )
@@ -137,6 +137,17 @@
         self.daemons[name] = given
         return given
 
+    def wait_until_serving(self, limit: float = READY_LIMIT) -> None:
+        """Wait until every daemon listens to operators and is registered."""
+        deadline = time.monotonic() + limit
+        while time.monotonic() < deadline:
+            with contextlib.suppress(httpx.HTTPError):
+                answers = [self.ask("GET", "/status", at=name) for name in self.daemons]
+                if all(one.json().get("registered") for one in answers):
+                    return
+            time.sleep(0.05)
+        raise RuntimeError(f"daemons of {self.folder.name} don't serve operators")
+
     def wait_until_ready(self, name: str, limit: float = READY_LIMIT) -> float:
         """Wait for a daemon's readiness path; return the seconds it took."""
         began = time.monotonic()
@@ -151,10 +162,15 @@
         raise RuntimeError(f"{name} isn't ready:\n{self.children[name].read()}")
 
     def ask(
-        self, method: str, path: str, body: Any = None, operator: str = "ana"
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        operator: str = "ana",
+        at: str = "",
     ) -> httpx.Response:
-        """Send an operator's request to the first daemon."""
-        daemon = next(iter(self.daemons.values()))
+        """Send an operator's request to a daemon, the first one by default."""
+        daemon = self.daemons[at or next(iter(self.daemons))]
         return httpx.request(
             method,
             f"http://127.0.0.1:{daemon.operators}/operator/v1{path}",
@@ -164,6 +180,23 @@
             trust_env=False,
         )
 
+    def submit(self, intended: dict[str, Any], base: int, name: str) -> None:
+        """Submit a document as one operator and approve it as another.
+
+        Raises
+        ------
+        RuntimeError
+            If it isn't accepted.
+        """
+        body = {"submission": name, "base": base, "document": intended}
+        answer = self.ask("POST", "/proposals", body)
+        if answer.status_code == 202:
+            content = answer.json()["proposal"]["hash"]
+            path = f"/proposals/{name}/approve"
+            answer = self.ask("POST", path, {"hash": content}, operator="ben")
+        if answer.status_code != 200:
+            raise RuntimeError(f"document {name}: {answer.text}; expected 200")
+
     def switch(self, **fields: Any) -> None:
         """Set a switch of the platform stand-in."""
         httpx.post(f"{self.platform_url}/switch", json=fields, trust_env=False)
