Move the fixed batches out of the planner

The baseline of the measurements stood in the planner, where nothing that runs used it; it is now in benchmarks/fleet.py.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -23,7 +23,6 @@
     budget,
     change,
     move,
-    planner,
     state,
     wave,
 )
@@ -252,6 +251,28 @@
         return Result(rollout, bound, self.moves, borrowed, self.losses, self.is_done)
 
 
+def pick_batch(scene: wave.Scene) -> batch.Picks:
+    """Return the next fixed batch of each wave: the baseline of measurements.
+
+    One VM of each pool at a time, and none before the whole batch is back.
+    """
+    active = {
+        row.wave
+        for row in scene.view.vms.values()
+        if row.wave and row.state not in (state.VmState.UP, state.VmState.DOWN)
+    }
+    picks = batch.pick_takes(scene)
+    pools: set[tuple[str, str]] = set()
+    changes = []
+    for item in picks.changes:
+        place = (item.row.wave, item.row.pool)
+        if item.row.wave in active or place in pools:
+            continue
+        pools.add(place)
+        changes.append(item)
+    return batch.Picks(tuple(changes), picks.waiting)
+
+
 def print_row(cells: Sequence[object], widths: Sequence[int]) -> None:
     """Print one line of a table."""
     pairs = zip(cells, widths, strict=True)
@@ -264,7 +285,7 @@
     head = "layout", "picker", "day", "VMs", "buffer", "bound", "roll-out"
     print(f"\n{name}: {seeds} seeds; roll-out and bound in minutes (mean)")
     print_row((*head, "bound", "mean", "worst", "moves", "bound"), widths)
-    pickers = {"fixed": planner.pick_batch, "largest": batch.pick_takes}
+    pickers = {"fixed": pick_batch, "largest": batch.pick_takes}
     days = {"ordinary": {}, "14 and 86": {"failures": 14.0, "restarts": 86.0}}
     for layout, (day, rates) in itertools.product(layouts, days.items()):
         for label, pick in pickers.items():
--- a/wigeonhitch/fleet/planner.py
+++ b/wigeonhitch/fleet/planner.py
@@ -17,10 +17,10 @@
 from typing import NamedTuple
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import batch, budget, move, state, wave
+from wigeonhitch.fleet import batch, budget, move, wave
 
 __all__ = ["Demand", "Measures", "Option", "Plan", "PoolPlan", "bound_rollout"]
-__all__ += ["compare", "pick_batch", "plan_wave", "schedule"]
+__all__ += ["compare", "plan_wave", "schedule"]
 
 DAY = 86_400.0
 
@@ -297,25 +297,3 @@
         used[day] += work
         windows[pool] = document.Window(begin, begin + work)
     return windows
-
-
-def pick_batch(scene: wave.Scene) -> batch.Picks:
-    """Return the next fixed batch of each wave: the baseline of measurements.
-
-    One VM of each pool at a time, and none before the whole batch is back.
-    """
-    active = {
-        row.wave
-        for row in scene.view.vms.values()
-        if row.wave and row.state not in (state.VmState.UP, state.VmState.DOWN)
-    }
-    picks = batch.pick_takes(scene)
-    pools: set[tuple[str, str]] = set()
-    changes = []
-    for item in picks.changes:
-        place = (item.row.wave, item.row.pool)
-        if item.row.wave in active or place in pools:
-            continue
-        pools.add(place)
-        changes.append(item)
-    return batch.Picks(tuple(changes), picks.waiting)
