Measure a proxied hop against a bare pass-through

Cause: the aim is 1.3 times the processor time of a bare hop of the same libraries, and nothing measured it. Part of it is not the request: an idle daemon that holds all placement shards spends 16 % of a core reading 78 rows a second.

--- /dev/null
+++ b/benchmarks/passthrough.py
@@ -0,0 +1,79 @@
+"""Bare pass-through hop: hypercorn in, httpx out, nothing decided.
+
+The baseline for `benchmarks.hop`, run as a process of its own. One client for
+all workers, or with ``--clients`` one per worker.
+"""
+
+import argparse
+import itertools
+from typing import Any
+
+import anyio
+import httpx
+import hypercorn.asyncio
+import hypercorn.config
+
+__all__ = ["run"]
+
+HOP_HEADERS = {b"host", b"content-length", b"connection"}
+
+
+async def serve(port: int, workers: list[str], per_worker: bool) -> None:
+    """Pass requests on to the workers in turn, until cancelled."""
+    shared = httpx.AsyncClient(trust_env=False, timeout=60)
+    clients = {
+        one: httpx.AsyncClient(trust_env=False, timeout=60) if per_worker else shared
+        for one in workers
+    }
+    turn = itertools.cycle(workers)
+
+    async def application(scope: dict, receive: Any, send: Any) -> None:
+        if scope["type"] != "http":
+            return
+        body = b""
+        more = True
+        while more:
+            event = await receive()
+            body += event.get("body", b"")
+            more = event.get("more_body", False)
+        worker = next(turn)
+        headers = [item for item in scope["headers"] if item[0] not in HOP_HEADERS]
+        answer = await clients[worker].request(
+            scope["method"],
+            f"http://{worker}{scope['path']}?{scope['query_string'].decode()}",
+            headers=headers,
+            content=body,
+        )
+        kept = [
+            item for item in answer.headers.raw if item[0].lower() not in HOP_HEADERS
+        ]
+        size = str(len(answer.content)).encode()
+        await send(
+            {
+                "type": "http.response.start",
+                "status": answer.status_code,
+                "headers": [*kept, (b"content-length", size)],
+            }
+        )
+        await send({"type": "http.response.body", "body": answer.content})
+
+    config = hypercorn.config.Config()
+    config.bind = [f"127.0.0.1:{port}"]
+    config.accesslog = None
+    config.errorlog = None
+    print("ready", flush=True)
+    await hypercorn.asyncio.serve(application, config)
+
+
+def run() -> None:
+    """Serve as the command line says."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--clients", action="store_true")
+    parser.add_argument("workers", nargs="+")
+    options = parser.parse_args()
+    anyio.run(serve, options.port, options.workers, options.clients)
+
+
+if __name__ == "__main__":
+    run()
