--- a/wigeonhitch/daemon/assembly.py
+++ b/wigeonhitch/daemon/assembly.py
@@ -52,8 +52,6 @@
     }
 )
 
-SWEEP_DUTY = "sweep"
-
 # Seconds between looks at the fleet's signal. With the scan that follows, a
 # drain is known to every daemon within about two of these.
 FLEET_PERIOD = 1.0
@@ -162,7 +160,7 @@
         )
         self.front = application.Application(
             self.dispatch,
-            guard.Guard(self.claims, self.dispatch, self.clock),
+            guard.Guard(self.claims, self.dispatch, self.clock, self.tracing),
             lambda: self.catalogue if self.is_ready() else None,
             self.is_ready,
             lambda: not self.stopping,
@@ -326,14 +324,14 @@
             await anyio.sleep(FLEET_PERIOD)
 
     async def _sweep(self) -> None:
-        self.holder.want(SWEEP_DUTY)
+        self.holder.want(sweeper.DUTY)
         await self.sweeper.run()
 
     def _list_services(self) -> list[str]:
         return list(self.catalogue.services) if self.catalogue else []
 
     def _find_sweep_condition(self) -> Any:
-        held = self.holder.current(SWEEP_DUTY)
+        held = self.holder.current(sweeper.DUTY)
         return held.condition if held else None
 
 
@@ -368,6 +366,7 @@
             stack,
             settings.workers.limits,
             server.make_client_context(settings.workers.authority),
+            made.tracing,
         )
     )
     made.build_duties()
--- a/wigeonhitch/front/guard.py
+++ b/wigeonhitch/front/guard.py
@@ -8,6 +8,7 @@
 from wigeonhitch.front import dispatcher, reply, sender
 from wigeonhitch.idempotency import decision, record, store
 from wigeonhitch.routing import event
+from wigeonhitch.telemetry import trace
 
 __all__ = ["Guard"]
 
@@ -21,6 +22,7 @@
     dispatch : dispatcher.Dispatcher
     clock : callable
         Seconds on the clock that counts suspension.
+    tracing : trace.Tracing
     """
 
     def __init__(
@@ -28,10 +30,12 @@
         claims: store.Claims,
         dispatch: dispatcher.Dispatcher,
         clock: Callable[[], float],
+        tracing: trace.Tracing,
     ) -> None:
         self._claims = claims
         self._dispatch = dispatch
         self._clock = clock
+        self._tracing = tracing
 
     async def serve(
         self,
@@ -41,13 +45,15 @@
         ticket: dispatcher.Ticket,
     ) -> dispatcher.Final:
         """Serve one keyed request: claim, send, settle."""
-        acquired = await self._claims.acquire(
-            arrived.service,
-            key,
-            record.compute_fingerprint(request.method, request.path, request.body),
-            timeout=max(0.0, arrived.deadline - self._clock()),
-            team=arrived.team,
-        )
+        with self._tracing.open_hop("claim", dict(request.headers)) as hop:
+            acquired = await self._claims.acquire(
+                arrived.service,
+                key,
+                record.compute_fingerprint(request.method, request.path, request.body),
+                timeout=max(0.0, arrived.deadline - self._clock()),
+                team=arrived.team,
+            )
+            hop.span.set_attribute("claim", acquired.kind.value)
         if acquired.kind is not decision.Kind.GRANTED:
             return dispatcher.Final(acquired.told, _to_reply(acquired.answer))
         claim = acquired.claim
--- a/wigeonhitch/front/sender.py
+++ b/wigeonhitch/front/sender.py
@@ -10,6 +10,7 @@
 
 from wigeonhitch import verdict
 from wigeonhitch.front import reply
+from wigeonhitch.telemetry import trace
 
 __all__ = ["Attempt", "Limits", "Result", "Sender", "judge_error"]
 
@@ -88,7 +89,9 @@
         stack: contextlib.AsyncExitStack,
         limits: Limits = Limits(),  # noqa: B008 - an immutable tuple
         context: ssl.SSLContext | None = None,
+        tracing: trace.Tracing | None = None,
     ) -> None:
+        self._tracing = tracing or trace.Tracing(trace.Settings(), "")
         self._stack = stack
         self._limits = limits
         self._context = context
@@ -96,13 +99,21 @@
 
     async def send(self, attempt: Attempt) -> Result:
         """Send one attempt; the whole answer is read before it counts."""
+        headers = dict(attempt.headers)
+        with self._tracing.open_hop("send", headers, worker=attempt.address) as hop:
+            headers.update(hop.headers)
+            result = await self._exchange(attempt, headers)
+            hop.span.set_attribute("verdict", result.verdict.ran.value)
+        return result
+
+    async def _exchange(self, attempt: Attempt, headers: dict[str, str]) -> Result:
         client = self._clients.get(attempt.address)
         if client is None:
             client = await self._open(attempt.address)
         request = client.build_request(
             attempt.method,
             attempt.path,
-            headers=list(attempt.headers),
+            headers=headers,
             content=attempt.body,
         )
         try:
--- /dev/null
+++ b/wigeonhitch/front/tests/test_sender.py
@@ -0,0 +1,74 @@
+import contextlib
+
+import anyio
+import httpx
+import pytest
+
+from wigeonhitch import verdict
+from wigeonhitch.front import sender
+
+WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfull"
+PART = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nfull"
+REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nwigeonhitch-verdict: not run\r\ncontent-length: 0\r\n\r\n"
+)
+BARE_503 = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n"
+
+
+async def send_once(answer, timeout=1.0):
+    """Send one request to a listener that answers with the given bytes."""
+
+    async def serve(stream):
+        async with stream:
+            await stream.receive()
+            if answer is None:
+                await anyio.sleep_forever()
+            await stream.send(answer)
+
+    async with contextlib.AsyncExitStack() as stack:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        await stack.enter_async_context(listener)
+        group = await stack.enter_async_context(anyio.create_task_group())
+        group.start_soon(listener.serve, serve)
+        outlet = sender.Sender(stack)
+        attempt = sender.Attempt(f"127.0.0.1:{port}", "POST", "/x", (), b"", timeout)
+        result = await outlet.send(attempt)
+        group.cancel_scope.cancel()
+    return result
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("answer", "ran"),
+    [
+        (WHOLE, verdict.Ran.YES),
+        (PART, verdict.Ran.MAYBE),
+        (b"", verdict.Ran.MAYBE),
+        (b"garbage\r\n\r\n", verdict.Ran.MAYBE),
+        (REFUSAL, verdict.Ran.NO),
+        (BARE_503, verdict.Ran.YES),
+        (None, verdict.Ran.MAYBE),
+    ],
+    ids=["whole", "part", "closed", "garbage", "refusal", "bare 503", "silent"],
+)
+async def test_verdict_of_an_exchange(answer, ran):
+    result = await send_once(answer, timeout=0.2 if answer is None else 1.0)
+    assert result.verdict.ran is ran
+    assert (result.answer is not None) is (ran is verdict.Ran.YES)
+
+
+@pytest.mark.anyio
+async def test_worker_that_is_not_there_did_not_run_it():
+    async with contextlib.AsyncExitStack() as stack:
+        outlet = sender.Sender(stack)
+        attempt = sender.Attempt("127.0.0.1:1", "POST", "/x", (), b"", 1.0)
+        assert (await outlet.send(attempt)).verdict.ran is verdict.Ran.NO
+
+
+@pytest.mark.parametrize(
+    "error",
+    [httpx.ReadError("x"), httpx.WriteError("x"), httpx.RemoteProtocolError("x")],
+)
+def test_error_after_the_first_byte_never_means_not_run(error):
+    assert sender.judge_error(error).ran is verdict.Ran.MAYBE
--- /dev/null
+++ b/wigeonhitch/telemetry/tests/test_telemetry.py
@@ -0,0 +1,66 @@
+import json
+import logging
+
+import pytest
+from opentelemetry.sdk.trace import export
+from opentelemetry.sdk.trace.export import in_memory_span_exporter
+
+from wigeonhitch.telemetry import log, metric, trace
+
+CONTEXT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
+
+def test_instruments_count_and_render():
+    instruments = metric.Instruments()
+    instruments.count("asked_total", "Asked.", 2, kind="a")
+    instruments.count("asked_total", "Asked.", kind="a")
+    instruments.set("held", "Held.", 4)
+    instruments.observe("wait_seconds", "Waits.", 1.5, kind="a")
+    assert instruments.read("asked_total", {"kind": "a"}) == 3
+    assert instruments.read("asked_total", {"kind": "b"}) == 0
+    assert instruments.read("never", {}) == 0
+    text = instruments.render()[0].decode()
+    assert 'asked_total{kind="a"} 3' in text
+    assert 'wait_seconds_bucket{kind="a",le="1.7"} 1' in text
+    assert 'wait_seconds_bucket{kind="a",le="1.0"} 0' in text
+
+
+def test_two_daemons_in_one_program_keep_their_metrics_apart():
+    first, second = metric.Instruments(), metric.Instruments()
+    first.count("asked_total", "Asked.")
+    assert second.read("asked_total", {}) == 0
+
+
+def test_log_line_is_json_with_its_fields():
+    record = logging.LogRecord("x", logging.INFO, "f", 1, "duty taken", (), None)
+    record.fields = {"duty": "fleet"}
+    line = json.loads(log.Formatter().format(record))
+    assert (line["change"], line["duty"]) == ("duty taken", "fleet")
+
+
+def test_unknown_log_level_is_refused():
+    with pytest.raises(ValueError, match="expected one of"):
+        log.prepare("loud")
+
+
+def test_hops_are_spans_of_one_trace():
+    tracing = trace.Tracing(trace.Settings(exporter="console"), "d1")
+    spans = in_memory_span_exporter.InMemorySpanExporter()
+    tracing._provider._active_span_processor._span_processors = (
+        export.SimpleSpanProcessor(spans),
+    )
+    with (
+        tracing.open_hop("receive", {"traceparent": CONTEXT}) as outer,
+        tracing.open_hop("send", outer.headers, vm="w1") as inner,
+    ):
+        assert inner.headers["traceparent"] != CONTEXT
+    sent, received = spans.get_finished_spans()
+    assert sent.parent.span_id == received.context.span_id
+    assert received.context.trace_id == int(CONTEXT.split("-")[1], 16)
+    assert sent.attributes["vm"] == "w1"
+
+
+def test_without_an_exporter_the_callers_context_is_passed_on():
+    tracing = trace.Tracing(trace.Settings(), "d1")
+    with tracing.open_hop("receive", {"traceparent": CONTEXT, "other": "x"}) as hop:
+        assert hop.headers == {"traceparent": CONTEXT}
