--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import pathlib
+import ssl
 import time
 from typing import Any, NamedTuple
 
 import httpx
+import trustme
 import yaml
 
 from standins.demo import process
@@ -31,12 +33,16 @@
         Seconds by which the VM list lags.
     spare : int
         VMs beyond the pools' sizes.
+    tls : bool
+        Whether callers, operators and peers use TLS, by certificates made for
+        this run.
     """
 
     daemons: int = 3
     reboot_seconds: float = 1.0
     vm_lag: float = 0.5
     spare: int = 0
+    tls: bool = False
 
 
 class DaemonPorts(NamedTuple):
@@ -82,10 +88,23 @@
             )
         )
         self.platform_url = ""
+        self.certificates = make_certificates(folder) if options.tls else None
         self.workers: dict[str, str] = {}
         self.daemons: dict[str, DaemonPorts] = {}
         self.children: dict[str, process.Child] = {}
 
+    @property
+    def scheme(self) -> str:
+        """URL scheme of the daemons' listeners."""
+        return "http" if self.certificates is None else "https"
+
+    @property
+    def verify(self) -> Any:
+        """What httpx is to trust."""
+        if self.certificates is None:
+            return False
+        return ssl.create_default_context(cafile=self.certificates["authority"])
+
     def start_platform(self) -> None:
         """Start the workers' process and the platform stand-in."""
         machines = list_machines(self.intended, self.options, self.ports)
@@ -151,10 +170,13 @@
     def wait_until_ready(self, name: str, limit: float = READY_LIMIT) -> float:
         """Wait for a daemon's readiness path; return the seconds it took."""
         began = time.monotonic()
-        url = f"http://127.0.0.1:{self.daemons[name].callers}/-/ready"
+        url = f"{self.scheme}://127.0.0.1:{self.daemons[name].callers}/-/ready"
         while time.monotonic() - began < limit:
             with contextlib.suppress(httpx.HTTPError):
-                if httpx.get(url, timeout=1.0, trust_env=False).status_code == 200:
+                answer = httpx.get(
+                    url, timeout=1.0, trust_env=False, verify=self.verify
+                )
+                if answer.status_code == 200:
                     return time.monotonic() - began
             if self.children[name].running.poll() is not None:
                 break
@@ -173,11 +195,12 @@
         daemon = self.daemons[at or next(iter(self.daemons))]
         return httpx.request(
             method,
-            f"http://127.0.0.1:{daemon.operators}/operator/v1{path}",
+            f"{self.scheme}://127.0.0.1:{daemon.operators}/operator/v1{path}",
             json=body,
             headers={"Authorization": f"Bearer {operator}:{SECRET}"},
             timeout=10.0,
             trust_env=False,
+            verify=self.verify,
         )
 
     def submit(self, intended: dict[str, Any], base: int, name: str) -> None:
@@ -234,7 +257,7 @@
         credentials = [one._asdict() for one in self.operators]
         for one in credentials:
             one["roles"] = list(one["roles"])
-        return {
+        made = {
             "daemon": {
                 "name": given.name,
                 "vm": f"entry-{number}",
@@ -248,6 +271,23 @@
             "peers": {"bind": f"127.0.0.1:{given.peers}", "seeds": seeds},
             "platform": {"url": self.platform_url},
         }
+        if self.certificates is not None:
+            for section in ("callers", "operators", "peers"):
+                made[section]["tls"] = dict(self.certificates)
+        return made
+
+
+def make_certificates(folder: pathlib.Path) -> dict[str, str]:
+    """Write an authority and one certificate it signed; return their paths."""
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    paths = {
+        name: folder / f"{name}.pem" for name in ("certificate", "key", "authority")
+    }
+    certificate.private_key_and_cert_chain_pem.write_to_path(paths["certificate"])
+    certificate.private_key_pem.write_to_path(paths["key"])
+    authority.cert_pem.write_to_path(paths["authority"])
+    return {name: str(path) for name, path in paths.items()}
 
 
 def list_machines(
