Take a step of a wave as soon as the table allows; hand out safe ports

The rounds' pause of 2 s stands in each of a stop's four steps. A version accepted here is told to the watcher at once.

--- a/standins/demo/process.py
+++ b/standins/demo/process.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,24 +18,28 @@
 
 START_LIMIT = 20.0  # seconds for a stand-in to say that it is ready
 STOP_LIMIT = 15.0  # seconds from SIGTERM to SIGKILL
+FIRST_PORT, LAST_PORT = 10_000, 32_000
 
 
 class Ports:
-    """Hands out loopback ports that nothing listens on."""
+    """Hands out loopback ports that nothing listens on.
+
+    They lie below the range from which the kernel gives outgoing connections
+    their ports: one of those would take a port between its being handed out
+    and its being listened on.
+    """
 
     def __init__(self) -> None:
-        self._given: set[int] = set()
+        self._next = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
 
     def take(self, count: int = 1) -> list[int]:
         """Return ``count`` free ports, never the same twice."""
         found: list[int] = []
         while len(found) < count:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                port = probe.getsockname()[1]
-            if port not in self._given:
-                self._given.add(port)
-                found.append(port)
+            self._next = self._next + 1 if self._next < LAST_PORT else FIRST_PORT
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind(("127.0.0.1", self._next))
+                found.append(self._next)
         return found
 
 
--- a/wigeonhitch/daemon/assembly.py
+++ b/wigeonhitch/daemon/assembly.py
@@ -52,9 +52,12 @@
     }
 )
 
-# Seconds between looks at the fleet's signal. With the scan that follows, a
-# drain is known to every daemon within about two of these.
-FLEET_PERIOD = 1.0
+# Seconds between looks at the fleet's rows when the signal hasn't moved: only in
+# case its news was missed, and for the VM list.
+FLEET_PERIOD = 2.0
+
+# The same while VMs drain, since requests that end here must be told at once.
+DRAIN_PERIOD = 0.3
 
 
 class Daemon:
@@ -72,6 +75,7 @@
         self.catalogue: application.Catalogue | None = None
         self.stopping = False
         self.was_registered = False
+        self._fleet_moved = anyio.Event()
 
     def build_membership(self) -> None:
         """Make the peers, the leases and the task that beats."""
@@ -119,7 +123,11 @@
 
     def build_configuration(self) -> None:
         """Make the documents' store and the task that follows them."""
-        self.documents = store.Store(self.table, self.platform)
+        self.documents = store.Store(
+            self.table,
+            self.platform,
+            note_accepted=lambda *news: self.watcher.note_accepted(*news),
+        )
         self.watcher = watcher.Watcher(
             distribution.Distribution(distribution.Limits(), random.Random()),
             self.table,
@@ -127,6 +135,7 @@
             _PeerDocuments(self),
             self.clock,
             install=self._install,
+            note_fleet=self._note_fleet,
         )
 
     def build_requests(self, outlet: sender.Sender) -> None:
@@ -315,13 +324,21 @@
             self.watcher.receive(received.sender, received.message.data)
 
     async def _follow_fleet(self) -> None:
+        """Read the fleet's rows when the signal moves, and tell what changed."""
         while True:
+            self._fleet_moved = anyio.Event()
             before = self.workers.describe()
             await self.workers.read(self.clock())
-            if self.workers.describe() != before:
+            now = self.workers.describe()
+            if now != before:
                 self.holder.hurry()
             await self.outlet.forget(self.workers.addresses)
-            await anyio.sleep(FLEET_PERIOD)
+            with anyio.move_on_after(DRAIN_PERIOD if now.busy else FLEET_PERIOD):
+                await self._fleet_moved.wait()
+
+    def _note_fleet(self, version: int) -> None:
+        del version
+        self._fleet_moved.set()
 
     async def _sweep(self) -> None:
         self.holder.want(sweeper.DUTY)
--- a/wigeonhitch/fleet/observer.py
+++ b/wigeonhitch/fleet/observer.py
@@ -32,6 +32,11 @@
 # new work within seconds; other daemons read it more seldom and rely on the
 # rows. Of a lost VM the health check tells earlier.
 LIST_INTERVAL = 5.0
+# The same in a small fleet, where the list is small: seconds at least, and
+# seconds per VM, some 5 KB/s. A stop ends when the list shows the VM's new boot
+# number, so the wait for the list is part of every roll-out.
+LIST_INTERVAL_LEAST = 1.0
+LIST_INTERVAL_PER_VM = 0.025
 
 DEFAULT_SILENCE = confirmation.Limits()
 
@@ -146,7 +151,7 @@
 
     async def _read_list(self) -> str:
         now = self.platform.clock()
-        if now - self._listed_at >= LIST_INTERVAL:
+        if now - self._listed_at >= find_list_interval(len(self._list.machines)):
             answer = await self.platform.machines.list_vms(purpose="fleet")
             if answer.outcome is not table.Outcome.DONE:
                 return f"VM list: {answer.reason or answer.outcome.value}"
@@ -210,6 +215,18 @@
         return frozenset(healthy)
 
 
+def find_list_interval(vms: int) -> float:
+    """Return the seconds between VM lists in a fleet of that size.
+
+    Examples
+    --------
+    >>> find_list_interval(30), find_list_interval(100), find_list_interval(800)
+    (1.0, 2.5, 5.0)
+    """
+    scaled = max(LIST_INTERVAL_LEAST, LIST_INTERVAL_PER_VM * vms)
+    return min(LIST_INTERVAL, scaled)
+
+
 def list_watched(scene: wave.Scene) -> list[str]:
     """Return the VMs whose health the next decisions depend on.
 
--- a/wigeonhitch/fleet/runner.py
+++ b/wigeonhitch/fleet/runner.py
@@ -24,6 +24,10 @@
 
 # Seconds between rounds.
 INTERVAL = 2.0
+# Seconds between rounds while a stop is under way. Each stop takes four rounds,
+# so the pause between rounds is part of every roll-out; at 4 to 5 reads a round
+# this costs ten reads a second on one daemon, only while a wave or move runs.
+BUSY_INTERVAL = 0.5
 # Seconds after which an observation is too old to take VMs out of service on.
 OBSERVATION_AGE = 15.0
 
@@ -58,6 +62,15 @@
         self._asked: dict[tuple[str, int], float] = {}
         self._problem = ""
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a stop is under way on this daemon's duty."""
+        rows = self.seen.view.vms.values()
+        under_way = any(
+            row.state not in (state.VmState.UP, state.VmState.DOWN) for row in rows
+        )
+        return under_way and self.leases.current(DUTY) is not None
+
     async def step(self) -> str:
         """Run one round; return why it could not be run, else an empty text."""
         problem = await self._step()
@@ -168,6 +181,7 @@
     runner: Runner,
     *,
     interval: float = INTERVAL,
+    busy_interval: float = BUSY_INTERVAL,
     task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Compete for the duty and run rounds until cancelled.
@@ -176,11 +190,11 @@
     ----------
     runner : Runner
         What to run.
-    interval : float
-        Seconds between rounds.
+    interval, busy_interval : float
+        Seconds between rounds, without and with a stop under way.
     """
     runner.leases.want(DUTY)
     task_status.started()
     while True:
         await runner.step()
-        await anyio.sleep(interval)
+        await anyio.sleep(busy_interval if runner.is_busy else interval)
