Fetch from the peer that told while the store is silent

A change took up to 7.9 s on 220 daemons when the store answered in 1 to 3 s, since content was asked of the store first and of a peer a second later. Now peers come first while the store is silent, and a fetch is tried elsewhere after half a second.

--- a/wigeonhitch/configuration/distribution.py
+++ b/wigeonhitch/configuration/distribution.py
@@ -36,6 +36,10 @@
 
 __all__ = ["Distribution", "Limits", "Readiness"]
 
+# Whether a fetch goes to a peer, by the number of the fetch.
+PEER_TURNS = (True, False)
+PEER_TURNS_SILENT = (False, True, True, True)
+
 
 class Limits(NamedTuple):
     """Limits of distribution.
@@ -69,7 +73,7 @@
     cut_off: float = 6.0
     fan_out: int = 3
     answer: float = 1.0
-    retry: float = 1.0
+    retry: float = 0.5
     patience: float = 4.0
 
 
@@ -122,7 +126,8 @@
         self._next_poll = float("-inf")
         self._polling = False
         self._fetching_since = float("-inf")
-        self._fetch_peer = False
+        self._fetches = 0
+        self._asked_store = False
         self._hearing = hearing.Hearing(limits.cut_off, limits.answer)
         self._next_ask = float("-inf")
 
@@ -178,12 +183,17 @@
             spread = self.limits.poll * self.limits.jitter
             self._next_poll = now + self.limits.poll + self.rng.uniform(-spread, spread)
             actions.append(message.Poll())
-        # Past two periods without news the store is slow or down: ask peers.
-        silent = now - self._store_heard > 2 * self.limits.poll
-        if silent and now >= self._next_ask:
+        if self._is_silent(now) and now >= self._next_ask:
             self._next_ask = now + self.limits.poll
             actions += self._ask_peers(now)
-        return actions + self._fetch_again(now)
+        due = now - self._fetching_since >= self.limits.retry
+        if self._target > self.version and due:
+            actions += self._fetch(now)
+        return actions
+
+    def _is_silent(self, now: float) -> bool:
+        """Return whether the store is slow or down: two periods without news."""
+        return now - self._store_heard > 2 * self.limits.poll
 
     def _take_poll(self, event: message.Polled, now: float) -> list[message.Action]:
         if event.signal is None:
@@ -230,37 +240,34 @@
         self._target_seen = float("-inf")
         self._target_hash = content
         self._holder = holder
-        self._fetching_since = now
-        self._fetch_peer = False
-        return [message.FetchObject(content)]
+        self._fetches = 0
+        return self._fetch(now)
 
-    def _fetch_again(self, now: float) -> list[message.Action]:
-        """Try a fetch elsewhere: the store and a peer in turn."""
-        if self._target <= self.version:
-            return []
-        if now - self._fetching_since < self.limits.retry:
-            return []
-        return self._fetch_elsewhere(now)
+    def _fetch(self, now: float) -> list[message.Action]:
+        """Ask for the target's content: the store and peers by turns.
 
-    def _fetch_elsewhere(self, now: float) -> list[message.Action]:
+        The store comes first while it answers, so that a change does not cost
+        the daemons that tell it a document for each peer they tell. While it
+        is silent peers come first, and the store every fourth time.
+        """
         self._fetching_since = now
-        self._fetch_peer = not self._fetch_peer
-        if not self._fetch_peer:
-            return [message.FetchObject(self._target_hash)]
+        self._fetches += 1
+        turns = PEER_TURNS_SILENT if self._is_silent(now) else PEER_TURNS
         peer = self._holder
         if not peer and self.peers:
             peer = self.rng.choice(self.peers)
+        self._asked_store = not peer or not turns[self._fetches % len(turns)]
+        if self._asked_store:
+            return [message.FetchObject(self._target_hash)]
         # The next turn asks another peer, in case this one is gone.
         self._holder = ""
-        if not peer:
-            return []
         return [message.SendPeer(peer, message.Want(self._target_hash))]
 
     def _take_content(self, event: message.Fetched, now: float) -> list[message.Action]:
         if event.hash != self._target_hash or self._target <= self.version:
             return []
         if event.data is None:
-            return [] if self._fetch_peer else self._fetch_elsewhere(now)
+            return self._fetch(now) if self._asked_store else []
         if canonical.hash_bytes(event.data) != event.hash:
             self.counts["content does not match its hash"] += 1
             return []
--- a/wigeonhitch/configuration/tests/test_distribution.py
+++ b/wigeonhitch/configuration/tests/test_distribution.py
@@ -12,6 +12,7 @@
     canonical,
     check,
     distribution,
+    hearing,
     message,
     store,
     watcher,
@@ -300,6 +301,45 @@
     assert core.readiness(net.now) is Readiness.CUT_OFF
 
 
+def test_majority_is_needed_of_those_asked():
+    heard = hearing.Hearing(6.0, 1.0)
+    numbers = [heard.ask(peer, 0.0) for peer in "bcde"]
+    heard.note_answer(numbers[0], "b", True)
+    assert heard.hears_most(0.5)
+    assert not heard.hears_most(1.0)
+    heard.note_answer(numbers[1], "c", True)
+    assert heard.hears_most(1.0)
+    assert not heard.hears_most(6.1)
+
+
+def test_fetch_without_answer_is_tried_elsewhere(net):
+    core = net.cores["a"]
+    told = message.Received("b", message.Tell(2, HASHES[2]))
+    first = core.handle(told, net.now)
+    assert first == [message.FetchObject(HASHES[2])]
+    again = core.handle(message.Tick(), net.now + LIMITS.retry)
+    assert message.SendPeer("b", message.Want(HASHES[2])) in again
+
+
+def test_paused_daemon_does_not_take_an_old_poll_for_news(net):
+    net.now += 1.5
+    net.tick("a")
+    net.now += 30.0
+    net.carry_out(0)
+    assert net.cores["a"].readiness(net.now) is Readiness.CUT_OFF
+
+
+@pytest.mark.parametrize("silent", [set(), {"a"}])
+def test_daemon_that_cannot_fetch_a_version_stops(net, silent):
+    net.silent = silent
+    core = net.cores["a"]
+    core.handle(message.Received("b", message.Tell(2, "0" * 64)), net.now)
+    net.settle(4.0)
+    assert core.readiness(net.now) is Readiness.READY
+    net.settle(4.0)
+    assert core.readiness(net.now) is Readiness.BEHIND
+
+
 def test_content_that_does_not_match_is_not_taken(net):
     net.accept()
     core = net.cores["a"]
