--- a/wigeonhitch/membership/duty.py
+++ b/wigeonhitch/membership/duty.py
@@ -100,6 +100,7 @@
         self._releasing: set[str] = set()
         self._vacant_since: dict[str, float] = {}
         self._inflight: set[Purpose] = set()
+        self._not_before: dict[Purpose, float] = {}
         self._is_looking = False
         self._is_leaving = False
         self._next_look = float("-inf")
@@ -144,6 +145,17 @@
         """Rows of all daemons as seen last, by name."""
         return {name: row.value or {} for name, row in self._view.daemons.items()}
 
+    @property
+    def live(self) -> Mapping[str, Mapping[str, Any]]:
+        """Rows of the daemons that had not expired when last seen."""
+        rows = self._view.daemons
+        return {name: rows[name].value or {} for name in self._view.list_live()}
+
+    @property
+    def looked_at(self) -> float:
+        """When the rows seen last were asked for; 0 before the first look."""
+        return self._view.sent
+
     def current(self, duty: str, now: float) -> lease.Lease | None:
         """Return the lease if it is held and has not lapsed, else None."""
         fence = self._held.get(duty)
@@ -176,6 +188,8 @@
         if purpose.verb is Verb.RENEW:
             self._on_renewal(result, sent, now)
         elif not is_done:
+            # The view is stale: look first, or each event would try again.
+            self._not_before[purpose] = now + 2 * self._limits.gap
             self._next_look = min(self._next_look, now + self._limits.gap)
         elif purpose.verb is Verb.TAKE:
             self._view.note_holder(purpose.name, self._daemon, result.revision)
@@ -203,6 +217,8 @@
             actions.append(Look(self._view.revision))
         if not self._view.time:
             return actions
+        waiting = self._not_before.items()
+        self._not_before = {item: time for item, time in waiting if time > now}
         if self._is_leaving:
             return [*actions, *self._release(), *self._delete_own()]
         actions.extend(self._renew(now))
@@ -300,6 +316,9 @@
     def _forget(self) -> list[Commit]:
         """Delete one row that expired long ago, where this daemon ranks first."""
         live = self._list_live()
+        if len(live) * 2 < len(self._view.daemons):
+            # The silent majority may go on serving without the table.
+            return []
         for name, row in self._view.daemons.items():
             is_old = self._view.get_age(name) > self._limits.forget
             if is_old and view.rank(name, self._daemon, live) == 0:
@@ -320,7 +339,7 @@
         value: Mapping[str, Any] | None,
     ) -> list[Commit]:
         """Return the commit of ``value`` to the first condition's row."""
-        if purpose in self._inflight:
+        if purpose in self._inflight or purpose in self._not_before:
             return []
         self._inflight.add(purpose)
         write = table.Write(conditions[0].key, value)
