Test that the daemon that accepts a version learns it with its content

Without it a store that goes down right after an acceptance leaves nobody who knows the version. Submitting alone notes nothing while approvals are missing; the approval that completes them does, on the daemon that carried it out.

--- a/wigeonhitch/configuration/tests/test_store.py
+++ b/wigeonhitch/configuration/tests/test_store.py
@@ -101,3 +101,24 @@
     await accept(documents, altiplano, "s1", 0)
     found = await documents.read_document()
     assert canonical.hash_bytes(canonical.encode(found.intended)) == found.hash
+
+
+async def test_daemon_that_accepts_learns_it_with_the_content(platform, altiplano):
+    noted = []
+    documents = store.Store(
+        platform.table,
+        platform.objects,
+        note_accepted=lambda *news: noted.append(news),
+    )
+    await documents.submit(submission(altiplano))
+    assert noted == []
+    other = store.Store(
+        platform.table,
+        platform.objects,
+        note_accepted=lambda *news: noted.append(news),
+    )
+    data = canonical.encode(altiplano)
+    content = canonical.hash_bytes(data)
+    roles = frozenset({"operations", "owner"})
+    await other.approve("s1", "ben", roles, content)
+    assert noted == [(1, content, data)]
