Submit a job again elsewhere when its answer is lost

A job is kept under its team and id, and a repeat finds it, so asking another daemon is safe; before, a lost answer ended as unknown. Changes of waves stay unrepeated, since another operator may have changed the wave back meanwhile. Errors that come under "error" are shown, which were printed as failed.

--- a/wigeonhitch/command/jobs.py
+++ b/wigeonhitch/command/jobs.py
@@ -21,8 +21,8 @@
         body = yaml.safe_load(pathlib.Path(file).read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
         raise options.UsageError(f"{file}: {error}") from error
-    reply = await asking.post("/jobs", body)
-    again = "wigeonhitch job show TEAM JOB; submit again only if it is not found"
+    reply = await asking.post("/jobs", body, repeatable=True)
+    again = "the same command; the same job is found, not made twice"
     return fleet.report_body(reply, again)
 
 
--- a/wigeonhitch/command/report.py
+++ b/wigeonhitch/command/report.py
@@ -107,7 +107,8 @@
     """Return the reason and problems that an error body names."""
     if not isinstance(body, Mapping):
         return [str(body)]
-    lines = [str(body.get("reason", body.get("status", "failed")))]
+    found = body.get("reason") or body.get("error") or body.get("status", "failed")
+    lines = str(found).splitlines()
     lines += [f"  {problem}" for problem in body.get("problems", ())]
     return lines
 
--- a/wigeonhitch/command/tests/conftest.py
+++ b/wigeonhitch/command/tests/conftest.py
@@ -58,7 +58,13 @@
     async def show_wave(request):
         return route.Answer(200, answers.pop(0) if len(answers) > 1 else answers[0])
 
+    async def submit_job(request):
+        if request.body == {"team": "coffee"}:
+            return route.Answer(400, {"error": "id: Field required"})
+        return route.Answer(202, request.body)
+
     offered = (
+        route.Route("POST", "/jobs", True, submit_job),
         *routes.make_routes(documents),
         route.Route("GET", "/waves/{wave}", False, show_wave),
         route.Route("POST", "/waves/{wave}/start", True, show_wave),
--- a/wigeonhitch/command/tests/test_command.py
+++ b/wigeonhitch/command/tests/test_command.py
@@ -132,6 +132,21 @@
     assert "done: 30" in shown
 
 
+def test_job_is_submitted_again_elsewhere_when_an_answer_is_lost(
+    run, faults, requests, tmp_path
+):
+    file = tmp_path / "job.yaml"
+    file.write_text("{team: coffee, id: j1}")
+    faults["a"] = (None, httpx.ReadError("lost"))
+    code, shown = run("job", "submit", str(file), "--daemon", "http://a:1,http://b:1")
+    assert (code, [host for host, _, _ in requests]) == (Exit.DONE, ["a", "b"])
+    assert "id: j1" in shown
+    faults.clear()
+    file.write_text("team: coffee")
+    code, shown = run("job", "submit", str(file))
+    assert (code, shown) == (Exit.REFUSED, "id: Field required\n")
+
+
 def test_credential_prints_a_hash(run):
     code, body = run("settings", "credential", "ana", "operations,owner", as_json=True)
     assert code == Exit.DONE
