Give back what running jobs don't use, and make room for urgent work anew

Paused bulk resumes before new bulk starts (it was stopped after 120 s and lost its progress), and a worker kept free is the last choice for urgent work.

--- a/wigeonhitch/placement/attempt.py
+++ b/wigeonhitch/placement/attempt.py
@@ -77,6 +77,8 @@
         earlier holder can start or renew it.
     seen, seen_at
         The task as last listed, and when that list was asked for.
+    sampled_cores, sampled_memory : bool
+        The usage so far was learned from already.
     unlisted : bool
         The last list did not show the task.
     acted_at : float
@@ -102,6 +104,8 @@
         "refused",
         "retry_at",
         "sealed",
+        "sampled_cores",
+        "sampled_memory",
         "seen",
         "seen_at",
         "throttle",
@@ -136,6 +140,8 @@
         self.seen: tasks.Task | None = None
         self.seen_at = 0.0
         self.unlisted = False
+        self.sampled_cores = False
+        self.sampled_memory = False
         self.evict = False
         self.pausing = False
         self.paused_at = 0.0
--- a/wigeonhitch/placement/calls.py
+++ b/wigeonhitch/placement/calls.py
@@ -208,7 +208,11 @@
         shard.unsettled.add(name)
     if ended:
         settle.learn(shard, entry, at)
-    elif _want(shard, entry):
+        return
+    settle.sample(shard, entry, at)
+    if settle.shrink(entry) is not None:
+        shard.unsettled.add(name)
+    if _want(shard, entry):
         shard.pending.add(name)
 
 
--- a/wigeonhitch/placement/choose.py
+++ b/wigeonhitch/placement/choose.py
@@ -66,10 +66,11 @@
     left, as its true size may be above the estimate. A worker on trial gets one
     bulk job at a time that may be run again, and gets it before the others, so
     that a worker that was mended comes back soon. ``held`` is kept free of new
-    bulk for a job that has waited for a whole worker.
+    bulk for a job that has waited for a whole worker, and is the last choice for
+    urgent work, or short urgent jobs would keep it from ever being empty.
     """
     best = None
-    best_rank: tuple[int, bool, float] | None = None
+    best_rank: tuple[int, bool, bool, float] | None = None
     for spot in spots:
         if not fits(spot, *need) or spot.vm in avoid:
             continue
@@ -78,7 +79,9 @@
         ):
             continue
         left = spot.cores - need[0] + (spot.memory - need[1]) / 4
-        rank = (crowd.get(spot.domain, 0), not spot.trial, -left if urgent else left)
+        last = spot.vm == held
+        share = -left if urgent else left
+        rank = (crowd.get(spot.domain, 0), last, not spot.trial, share)
         if best_rank is None or rank < best_rank:
             best, best_rank = spot, rank
     return best
--- a/wigeonhitch/placement/place.py
+++ b/wigeonhitch/placement/place.py
@@ -1,6 +1,6 @@
 """Place queued jobs on workers: urgent first, fair among teams, within quotas."""
 
-from wigeonhitch.placement import attempt, choose, job, state
+from wigeonhitch.placement import attempt, choose, job, state, stray
 
 __all__ = ["place_all"]
 
@@ -37,6 +37,7 @@
         self.closed: set[tuple[str, bool]] = set()
         self.tried: list[attempt.Attempt] = []
         self.aside = 0
+        self.paused: list[attempt.Attempt] | None = None
         self.spots: dict[str, choose.Spot] = {}
         for vm in shard.pools.get(pool, ()):
             self._add_spot(vm)
@@ -76,12 +77,39 @@
     def place_one(self) -> bool:
         """Place or resume one job; false when nothing more fits."""
         backlog = self.shard.backlog
-        urgent = (True, backlog.teams(self.pool, True))
+        first = (True, backlog.teams(self.pool, True))
         late = (False, self.late)
-        order = [urgent, late, (False, backlog.teams(self.pool, False))]
+        order = [first, late, (False, backlog.teams(self.pool, False))]
         if self.shard.turns[self.pool] % LATE_TURN == LATE_TURN - 1:
-            order = [late, urgent, order[2]]
-        return any(self._place_from(teams, kind) for kind, teams in order)
+            order = [late, first, order[2]]
+        for urgent, teams in order:
+            if self._place_from(teams, urgent):
+                return True
+            if urgent and self._is_claimed():
+                return False
+            if urgent and self._resume_one():
+                return True
+        return False
+
+    def _is_claimed(self) -> bool:
+        """Whether room is being made for an urgent job; bulk would take it."""
+        backlog = self.shard.backlog
+        claims = self.shard.claims
+        return any(
+            name in claims and self._has_claim(name)
+            for team in backlog.teams(self.pool, True)
+            for name in backlog.first(self.pool, True, team, LOOKAHEAD)
+        )
+
+    def _has_claim(self, name: str) -> bool:
+        """Whether checkpoints for an urgent job are still on their way.
+
+        Another urgent job may have taken the room; then it is made anew.
+        """
+        until, victims = self.shard.claims.get(name, (0.0, []))
+        jobs = self.shard.jobs
+        pausing = any(jobs[each].pausing for each in victims if each in jobs)
+        return pausing and self.now < until
 
     def _place_from(self, teams: list[str], urgent: bool) -> bool:
         open_teams = [team for team in teams if (team, urgent) not in self.closed]
@@ -119,7 +147,7 @@
             self._miss(entry, need, urgent)
             return False
         spot.take(*need)
-        shard.change(entry, self._start(item, spot.vm, need))
+        shard.change(entry, self.start(item, spot.vm, need))
         shard.claims.pop(item.name, None)
         return True
 
@@ -146,7 +174,8 @@
             self.missed.append((need[0], need[1], urgent))
         return spot
 
-    def _start(self, item: job.Job, vm: str, need: tuple[float, float]) -> job.Job:
+    def start(self, item: job.Job, vm: str, need: tuple[float, float]) -> job.Job:
+        """Return the job as started on a worker."""
         return item._replace(
             state=job.JobState.STARTING,
             vm=vm,
@@ -190,13 +219,13 @@
     def _make_room(self, item: job.Job, need: tuple[float, float]) -> None:
         """Checkpoint the fewest bulk jobs that let an urgent job start."""
         shard = self.shard
-        if shard.claims.get(item.name, 0.0) > self.now:
+        if self._has_claim(item.name):
             return
         victims = {vm: self._find_victims(vm) for vm in self.spots}
         found = choose.pick_victims(self.spots.values(), victims, need, item.failed_on)
         if found is None:
             return
-        shard.claims[item.name] = self.now + CLAIM
+        shard.claims[item.name] = (self.now + CLAIM, found[1])
         for name in found[1]:
             shard.jobs[name].pausing = True
             shard.pending.add(name)
@@ -214,27 +243,38 @@
             found.append(choose.Victim(name, vm, item.cores, item.memory, slack))
         return sorted(found)
 
-    def resume(self) -> int:
-        """Resume paused jobs that have room again, once no urgent job waits."""
-        shard = self.shard
-        if shard.backlog.teams(self.pool, True):
-            return 0
-        count = 0
-        for vm, spot in self.spots.items():
-            for name in sorted(shard.on_vm.get(vm, ())):
-                entry = shard.jobs[name]
-                item = entry.job
-                size = (item.cores, item.memory)
-                stopping = entry.evict or item.cancel or entry.end
-                if not item.paused or stopping or not choose.fits(spot, *size):
-                    continue
-                if not self._has_quota(item):
-                    continue
-                spot.take(*size)
-                entry.paused_at = 0.0
-                shard.change(entry, item._replace(paused=False, since=self.now))
-                count += 1
-        return count
+    def _resume_one(self) -> bool:
+        """Resume one paused job that has room again.
+
+        Comes after urgent work and before any new bulk, which would take the
+        room again and again until the paused job has to start anew.
+        """
+        if self.paused is None:
+            self.paused = self._find_paused()
+        while self.paused:
+            entry = self.paused.pop()
+            item = entry.job
+            spot = self.spots[item.vm]
+            fits = choose.fits(spot, item.cores, item.memory)
+            if not fits or not self._has_quota(item):
+                continue
+            spot.take(item.cores, item.memory)
+            entry.paused_at = 0.0
+            self.shard.change(entry, item._replace(paused=False, since=self.now))
+            return True
+        return False
+
+    def _find_paused(self) -> list[attempt.Attempt]:
+        entries = [
+            self.shard.jobs[name]
+            for vm in self.spots
+            for name in sorted(self.shard.on_vm.get(vm, ()))
+        ]
+        return [
+            entry
+            for entry in entries
+            if entry.job.paused and not (entry.evict or entry.job.cancel or entry.end)
+        ]
 
     def _has_quota(self, item: job.Job) -> bool:
         team = self.shard.policy.teams.get(item.asked.team)
@@ -245,49 +285,6 @@
             and used[1] + item.memory <= team.memory + choose.EPSILON
         )
 
-    def rehome(self) -> int:
-        """Give starts whose fate is not known another worker, under one name.
-
-        The platform runs a task name once, so the same attempt may be started
-        elsewhere even if the first call still arrives.
-        """
-        shard = self.shard
-        count = 0
-        for name in _find_strays(shard, self.pool):
-            entry = shard.jobs[name]
-            item = entry.job
-            options = {"urgent": item.is_urgent, "rerun": item.asked.rerun}
-            options |= {"crowd": {}, "avoid": (item.vm,)}
-            spot = choose.pick(
-                self.spots.values(), (item.cores, item.memory), **options
-            )
-            if spot is None:
-                entry.refused = False
-                continue
-            spot.take(item.cores, item.memory)
-            entry.refused = False
-            entry.retry_at = 0.0
-            size = (item.cores, item.memory)
-            shard.change(entry, self._start(item, spot.vm, size))
-            count += 1
-        return count
-
-
-def _find_strays(shard: state.State, pool: str) -> list[str]:
-    found = []
-    for vm, names in shard.on_vm.items():
-        known = shard.vms.get(vm)
-        usable = known is not None and known.usable
-        for name in names:
-            entry = shard.jobs[name]
-            item = entry.job
-            if item.state is not job.JobState.STARTING or item.asked.pool != pool:
-                continue
-            waits = entry.refused or (not usable and not entry.flying)
-            if entry.unsure and not entry.known and waits:
-                found.append(name)
-    return sorted(found)
-
 
 def place_all(shard: state.State, now: float, limit: int) -> int:
     """Place up to ``limit`` jobs, one pool after the other in turn.
@@ -304,7 +301,7 @@
     for pool in pools:
         if pool in shard.dirty or shard.retry_at.get(pool, 0.0) <= now:
             rounds.append(Round(shard, pool, now))
-    changed = sum(each.rehome() + each.resume() for each in rounds)
+    changed = sum(stray.rehome(each) for each in rounds)
     going = list(rounds)
     while going and changed < limit:
         ahead = []
--- a/wigeonhitch/placement/settle.py
+++ b/wigeonhitch/placement/settle.py
@@ -21,6 +21,14 @@
 DRAIN_GRACE = 60.0
 # Lagging usage that fills the reservation says that more cores may help.
 FULL = 0.95
+# Usage of a task that is this far has shown what it takes: a kind declared ten
+# times too large would otherwise hold whole workers until its first jobs end.
+MEMORY_AT = 0.75
+CORES_AT = 0.1
+RECLAIM_AT = 0.5
+RECLAIM_MARGIN = 1.3
+# Below this the room gained is not worth a write.
+RECLAIM_SHARE = 1.5
 MEMORY_GROWTH = 2.0
 
 S = job.JobState
@@ -133,6 +141,8 @@
     if entry.paused_at and not item.paused and entry.pausing:
         entry.pausing = False
         return item._replace(paused=True, reason="made room", since=now)
+    if entry.is_alive and (smaller := shrink(entry)) is not None:
+        return smaller
     if entry.is_alive and entry.seen.vm != item.vm:
         entry.evict = item.asked.rerun
         shard.pending.add(item.name)
@@ -142,6 +152,47 @@
     return None
 
 
+def shrink(entry: attempt.Attempt) -> job.Job | None:
+    """Return the job with what it doesn't use given back, or None.
+
+    Load: sizes declared ten times too large. Harm: workers that are reserved in
+    full and idle. The platform's limit for the task stays as it was at the
+    start; what the job uses beyond its reservation is counted against the
+    worker's room, and bulk is checkpointed before memory runs out.
+    """
+    item = entry.job
+    if not item.holds or entry.seen.progress < RECLAIM_AT:
+        return None
+    used_cores, used_memory = entry.peak
+    if used_cores <= 0 or used_memory <= 0:
+        return None
+    cores, memory = item.cores, item.memory
+    if memory > RECLAIM_SHARE * RECLAIM_MARGIN * used_memory:
+        memory = round(RECLAIM_MARGIN * used_memory, 3)
+    if cores > RECLAIM_SHARE * used_cores:
+        cores = round(used_cores, 3)
+    if (cores, memory) == (item.cores, item.memory):
+        return None
+    return item._replace(cores=cores, memory=memory)
+
+
+def sample(shard: state.State, entry: attempt.Attempt, now: float) -> None:
+    """Learn from a task that is still running: its cores early, memory late."""
+    item = entry.job
+    done = entry.seen.progress
+    cores, memory = entry.peak
+    kind = item.asked.kind
+    if done >= CORES_AT and cores > 0 and not entry.sampled_cores:
+        entry.sampled_cores = True
+        if cores >= FULL * item.cores:
+            ratio = (now - item.since) / done / item.asked.duration
+            cores = shard.learner.note_full(kind, item.cores, ratio)
+        shard.learner.add_cores(kind, cores)
+    if done >= MEMORY_AT and memory > 0 and not entry.sampled_memory:
+        entry.sampled_memory = True
+        shard.learner.add_memory(kind, memory)
+
+
 def _is_stranded(shard: state.State, entry: attempt.Attempt, now: float) -> bool:
     """Whether the job had better start anew elsewhere."""
     item = entry.job
@@ -172,7 +223,8 @@
     if item.attempt >= ATTEMPTS:
         return _close(item, S.FAILED, f"gave up after {ATTEMPTS} attempts", now)
     if end is attempt.End.MEMORY:
-        return _end_for_memory(shard, item, reason, now)
+        most = max(item.memory, item.peak_memory)
+        return _end_for_memory(shard, item._replace(memory=most), reason, now)
     if end is attempt.End.FAILED:
         return _end_failed(shard, item, reason, now)
     return _requeue(item, item.attempt + 1, f"attempt {item.attempt}: {reason}", now)
@@ -204,18 +256,13 @@
     """Draw the lessons of an attempt that was just listed as ended."""
     item = entry.job
     end = entry.end
-    cores, memory = entry.peak
     if end is attempt.End.MEMORY:
         shard.counters["memory_kills"] += 1
-        memory = max(memory, MEMORY_GROWTH * item.memory)
-        shard.learner.add(item.asked.kind, cores or item.asked.cores, memory)
+        least = max(entry.peak[1], MEMORY_GROWTH * item.memory)
+        shard.learner.add_memory(item.asked.kind, least)
     elif end is attempt.End.FINISHED:
         shard.quarantine.succeed(item.vm)
-        if cores >= FULL * item.cores:
-            ratio = (now - item.since) / item.asked.duration
-            cores = shard.learner.note_full(item.asked.kind, item.cores, ratio)
-        if cores > 0 and memory > 0:
-            shard.learner.add(item.asked.kind, cores, memory)
+        sample(shard, entry, now)
     elif end is attempt.End.FAILED:
         shard.counters["failures"] += 1
         pool = shard.pools.get(item.asked.pool, [])
--- a/wigeonhitch/placement/size.py
+++ b/wigeonhitch/placement/size.py
@@ -3,6 +3,8 @@
 import collections
 import math
 from collections import OrderedDict, deque
+from collections.abc import Iterable
+from typing import NamedTuple
 
 __all__ = ["Learner"]
 
@@ -10,9 +12,11 @@
 # peak and KINDS kinds the whole learner stays under 10 MB.
 PEAKS = 64
 KINDS = 4096
-# Below this the largest peak may still be far under the true quantile, so the
-# declared size stays the lower limit.
-ENOUGH = 8
+# Below this the declared size stays the lower limit. A kind that is declared ten
+# times too large has few jobs running at once, so waiting for more peaks keeps
+# workers idle for long; FEW widens the margin for few peaks instead.
+ENOUGH = 4
+FEW = 0.6
 # One attempt in twenty meets a size above the estimate; what it does not cover
 # is caught by checkpointing bulk before the VM is out of memory.
 QUANTILE = 0.95
@@ -28,6 +32,13 @@
 LEVELS = 8
 
 
+class Peaks(NamedTuple):
+    """Last peaks of one kind."""
+
+    cores: deque
+    memory: deque
+
+
 class Learner:
     """High quantile of peak usage for each kind of job.
 
@@ -43,20 +54,27 @@
 
     def __init__(self, enabled: bool = True):
         self._enabled = enabled
-        self._peaks: OrderedDict[str, deque] = collections.OrderedDict()
+        self._peaks: OrderedDict[str, Peaks] = collections.OrderedDict()
         self._runs: dict[str, dict[float, list[float]]] = {}
         self._most: dict[str, float] = {}
 
-    def add(self, kind: str, cores: float, memory: float) -> None:
-        """Add the peak usage of one ended attempt."""
+    def add_cores(self, kind: str, cores: float) -> None:
+        """Add the cores that one attempt used or could have used."""
+        self._find(kind).cores.append(cores)
+
+    def add_memory(self, kind: str, memory: float) -> None:
+        """Add the peak memory of one attempt, GB."""
+        self._find(kind).memory.append(memory)
+
+    def _find(self, kind: str) -> "Peaks":
         if kind not in self._peaks:
-            self._peaks[kind] = collections.deque(maxlen=PEAKS)
-        self._peaks[kind].append((cores, memory))
+            self._peaks[kind] = Peaks(*(deque(maxlen=PEAKS) for _ in range(2)))
         self._peaks.move_to_end(kind)
         if len(self._peaks) > KINDS:
             oldest, _ = self._peaks.popitem(last=False)
             self._runs.pop(oldest, None)
             self._most.pop(oldest, None)
+        return self._peaks[kind]
 
     def note_full(self, kind: str, cores: float, ratio: float) -> float:
         """Note a job that used all its cores; return what to learn from it.
@@ -85,7 +103,10 @@
 
     def is_sure(self, kind: str) -> bool:
         """Whether enough peaks were seen to set the declared size aside."""
-        return self._enabled and len(self._peaks.get(kind, ())) >= ENOUGH
+        peaks = self._peaks.get(kind)
+        if not self._enabled or peaks is None:
+            return False
+        return min(len(peaks.cores), len(peaks.memory)) >= ENOUGH
 
     def estimate(self, kind: str, cores: float, memory: float) -> tuple[float, float]:
         """Return the cores and memory to reserve for a job.
@@ -103,21 +124,27 @@
         >>> learner.estimate("pairing", 8.0, 32.0)
         (8.0, 32.0)
         >>> for _ in range(8):
-        ...     learner.add("pairing", 1.0, 4.0)
+        ...     learner.add_cores("pairing", 1.0)
+        ...     learner.add_memory("pairing", 4.0)
         >>> learner.estimate("pairing", 8.0, 32.0)
-        (1.0, 4.6)
+        (1.0, 4.9)
         """
         peaks = self._peaks.get(kind)
-        if not self._enabled or not peaks:
+        if not self._enabled or peaks is None:
             return cores, memory
-        learned_cores = round(_quantile([peak[0] for peak in peaks]), 3)
-        learned_memory = round(MARGIN * _quantile([peak[1] for peak in peaks]), 3)
-        if len(peaks) >= ENOUGH:
-            most = self._most.get(kind, math.inf)
-            return min(learned_cores, most), learned_memory
-        return max(cores, learned_cores), max(memory, learned_memory)
-
-
-def _quantile(values: list[float]) -> float:
-    values.sort()
-    return values[math.ceil(QUANTILE * len(values)) - 1]
+        most = self._most.get(kind, math.inf)
+        learned = min(most, _quantile(peaks.cores)) if peaks.cores else cores
+        if len(peaks.cores) < ENOUGH:
+            learned = max(cores, learned)
+        if not peaks.memory:
+            return round(learned, 3), memory
+        margin = MARGIN + FEW / len(peaks.memory)
+        needed = margin * _quantile(peaks.memory)
+        if len(peaks.memory) < ENOUGH:
+            needed = max(memory, needed)
+        return round(learned, 3), round(needed, 3)
+
+
+def _quantile(values: Iterable[float]) -> float:
+    ordered = sorted(values)
+    return ordered[math.ceil(QUANTILE * len(ordered)) - 1]
--- a/wigeonhitch/placement/state.py
+++ b/wigeonhitch/placement/state.py
@@ -64,7 +64,7 @@
         self.retry_at: dict[str, float] = {}
         self.turns: collections.Counter[str] = collections.Counter()
         self.holds: dict[str, tuple[str, str]] = {}
-        self.claims: dict[str, float] = {}
+        self.claims: dict[str, tuple[float, list[str]]] = {}
         self.counters: collections.Counter[str] = collections.Counter()
         self._changed: dict[str, job.Job] = {}
 
--- a/wigeonhitch/placement/tests/test_policy.py
+++ b/wigeonhitch/placement/tests/test_policy.py
@@ -126,10 +126,41 @@
     assert 30.0 <= world.read_job("late").memory <= 64.0
 
 
+def test_a_running_job_gives_back_what_it_does_not_use(make_world):
+    world = make_world(quota=(256.0, 512.0))
+    world.take_duty("d1")
+    work = {"duration": 200.0, "cores": 2.0, "memory": 4.0}
+    for number in range(8):
+        world.submit(f"j{number}", cores=32.0, memory=56.0, work=work)
+    world.play("d1", 90)
+    assert states(world, [f"j{n}" for n in range(8)])[S.RUNNING] == 4
+    world.play("d1", 40)
+    assert states(world, [f"j{n}" for n in range(8)])[S.RUNNING] == 8
+
+
+def test_room_made_for_one_urgent_job_and_taken_by_another_is_made_again(make_world):
+    world = make_world(vms=1, quota=(256.0, 512.0))
+    world.take_duty("d1")
+    for number in range(8):
+        work = {"duration": 400.0}
+        world.submit(f"bulk{number}", memory=7.0, deadline=9000.0, work=work)
+    world.play("d1", 10)
+    start = world.fake.now
+    fields = {"urgency": "urgent", "kind": "lookup", "memory": 7.0}
+    world.submit("u1", deadline=60.0, **fields)
+    world.step("d1")
+    world.submit("u0", deadline=30.0, **fields)
+    world.fake.advance(0.5)
+    world.play("d1", 2)
+    runs = {run["task"]: run for run in world.fake.engine.tasks.log()}
+    assert runs["coffee/u0/1"]["started"] <= start + 1.7
+    assert runs["coffee/u1/1"]["started"] <= start + 1.7
+
+
 def test_the_learner_forgets_the_least_used_kinds():
     learner = size.Learner()
     for number in range(size.KINDS + 10):
-        learner.add(f"kind{number}", 1.0, 1.0)
+        learner.add_memory(f"kind{number}", 1.0)
     assert learner.estimate("kind0", 8.0, 8.0) == (8.0, 8.0)
     assert len(learner._peaks) == size.KINDS
 
@@ -161,10 +192,9 @@
 def test_a_large_job_gets_a_worker_kept_free_for_it(make_world):
     world = make_world(vms=2, quota=(64.0, 128.0))
     world.take_duty("d1")
-    names = [f"s{number}" for number in range(150)]
+    names = [f"s{number}" for number in range(220)]
     for number, name in enumerate(names):
-        duration = 8.0 + 7 * number % 60
-        work = {"duration": duration}
+        work = {"duration": 8.0 + 7 * number % 60, "cores": 3.0, "memory": 3.0}
         world.submit(name, team="cardamom", cores=4.0, memory=4.0, work=work)
     world.play("d1", 3)
     world.submit("whole", cores=32.0, kind="whole", deadline=5000.0)
