--- a/wigeonhitch/placement/state.py
+++ b/wigeonhitch/placement/state.py
@@ -20,6 +20,9 @@
 
 __all__ = ["State"]
 
+# Least cores and memory (GB) of a reservation: smaller ones gain next to nothing
+# in packing, and a job declared ten times too small would run for hours.
+LEAST = (0.5, 0.5)
 QUEUED = job.JobState.QUEUED
 
 
@@ -207,7 +210,8 @@
         """
         asked = item.asked
         cores, memory = self.learner.estimate(asked.kind, asked.cores, asked.memory)
-        memory = max(memory, item.floor)
+        cores = max(cores, LEAST[0])
+        memory = max(memory, item.floor, LEAST[1])
         limits = self.limits(item)
         return min(cores, limits[0]), min(memory, limits[1])
 
