--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -15,7 +15,7 @@
 import tracemalloc
 from typing import NamedTuple
 
-from standins import fake, platformtasks
+from standins import fake, platformtable, platformtasks
 from wigeonhitch.configuration import document
 from wigeonhitch.membership import lease
 from wigeonhitch.placement import (
@@ -501,6 +501,17 @@
         _measure_duty(workers, count)
 
 
+def _submit_all(store: platformtable.Store, count: int, now: float) -> None:
+    for number in range(count):
+        asked = job.Submission(
+            f"team{number % 10}", f"j{number}", POOL, 2.0, 4.0, 9e3, 9e4
+        )
+        new = job.make_job(asked._replace(work={"duration": 9e3}), now)
+        marker = table.Write(ledger.marker_key(0, new.name), {})
+        writes = [table.Write(new.key, job.encode(new)), marker]
+        store.commit([table.Condition(new.key, 0)], writes, "", now)
+
+
 def _measure_duty(workers: int, count: int, seconds: float = 60.0) -> None:
     plan = make_document(1, 10, workers)
     vms = make_vms(plan, workers)
@@ -514,14 +525,7 @@
     store.commit(
         [table.Condition("d", 0)], [table.Write(f"duty/{duty}", {})], "", platform.now
     )
-    for number in range(count):
-        asked = job.Submission(
-            f"team{number % 10}", f"j{number}", POOL, 2.0, 4.0, 9e3, 9e4
-        )
-        new = job.make_job(asked._replace(work={"duration": 9e3}), platform.now)
-        marker = table.Write(ledger.marker_key(0, new.name), {})
-        writes = [table.Write(new.key, job.encode(new)), marker]
-        store.commit([table.Condition(new.key, 0)], writes, "", platform.now)
+    _submit_all(store, count, platform.now)
     waiting: list = []
     sizes: collections.Counter[str] = collections.Counter()
     handle = platform.engine.handle
