--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -106,6 +106,7 @@
         at = site.open_site(stack, folder, ports, EXAMPLE, site.Options(daemons=1))
         at.wait_until_serving()
         at.submit(yaml.safe_load(EXAMPLE.read_text(encoding="utf-8")), 0, "first")
+        at.wait_until_assigned()
         (name,) = at.daemons
         at.wait_until_ready(name)
         workers = list(at.workers.values())[:6]
--- a/standins/demo/main.py
+++ b/standins/demo/main.py
@@ -78,6 +78,7 @@
     at.wait_until_serving()
     intended = yaml.safe_load((EXAMPLES / f"{user}.yaml").read_text(encoding="utf-8"))
     at.submit(intended, 0, "first")
+    at.wait_until_assigned()
     took = max(at.wait_until_ready(name) for name in at.daemons)
     print(
         f"{user}: document accepted; all daemons ready {took:.1f} s later", flush=True
--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -183,6 +183,19 @@
             time.sleep(0.05)
         raise RuntimeError(f"{name} isn't ready:\n{self.children[name].read()}")
 
+    def wait_until_assigned(self, limit: float = READY_LIMIT) -> None:
+        """Wait until every pool has its VMs, a few seconds after a document."""
+        sizes = {pool.name: pool.size for pool in self.intended.pools}
+        deadline = time.monotonic() + limit
+        while time.monotonic() < deadline:
+            answer = self.ask("GET", "/pools")
+            if answer.status_code == 200:
+                pools = answer.json()["pools"]
+                if all(one["members"] >= sizes[one["pool"]] for one in pools):
+                    return
+            time.sleep(0.1)
+        raise RuntimeError(f"pools of {self.folder.name} don't have their VMs")
+
     def ask(
         self,
         method: str,
--- a/wigeonhitch/daemon/main.py
+++ b/wigeonhitch/daemon/main.py
@@ -50,14 +50,14 @@
         async with anyio.create_task_group() as group:
             group.start_soon(_await_signal, stopped)
             await daemon.run(group)
-            group.start_soon(_serve_operators, daemon, closed)
-            group.start_soon(_serve_callers, daemon, closed)
-            await server.wait_until_listening(settings.callers.bind)
-            log.log_change("serving", daemon=settings.daemon.name)
-            await stopped.wait()
-            await daemon.stop()
-            closed.set()
-            await anyio.sleep(server.GRACE)
+            async with anyio.create_task_group() as servers:
+                servers.start_soon(_serve_operators, daemon, closed)
+                servers.start_soon(_serve_callers, daemon, closed)
+                await server.wait_until_listening(settings.callers.bind)
+                log.log_change("serving", daemon=settings.daemon.name)
+                await stopped.wait()
+                await daemon.stop()
+                closed.set()
             group.cancel_scope.cancel()
 
 
--- a/wigeonhitch/daemon/tests/test_tls.py
+++ b/wigeonhitch/daemon/tests/test_tls.py
@@ -21,6 +21,7 @@
         made = site.open_site(stack, folder, process.Ports(), EXAMPLE, options)
         made.wait_until_serving()
         made.submit(yaml.safe_load(EXAMPLE.read_text(encoding="utf-8")), 0, "first")
+        made.wait_until_assigned()
         for name in made.daemons:
             made.wait_until_ready(name)
         yield made
--- a/wigeonhitch/membership/transport.py
+++ b/wigeonhitch/membership/transport.py
@@ -21,6 +21,17 @@
 __all__ = ["Address", "Limits", "Transport", "parse_address"]
 
 
+# How a connection ends when its peer, or the way to it, is lost.
+CONNECTION_ERRORS = (
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    TimeoutError,
+    OSError,
+)
+
+
 class Address(NamedTuple):
     """``host:port`` taken apart."""
 
@@ -149,14 +160,14 @@
                 try:
                     with anyio.fail_after(self._limits.connect_timeout):
                         stream = await self._connect(address)
-                except (OSError, TimeoutError):
+                except CONNECTION_ERRORS:
                     self._instruments.count("peer_unconnected_total", "Not connected.")
                     self._drain(source)
                     await anyio.sleep(self._limits.retry_pause)
                     continue
                 try:
                     await self._pump(stream, frame, source)
-                except (OSError, TimeoutError, anyio.BrokenResourceError):
+                except CONNECTION_ERRORS:
                     self._instruments.count("peer_broken_total", "Connections broken.")
                 finally:
                     await anyio.aclose_forcefully(stream)
@@ -183,29 +194,29 @@
         self._instruments.count("peer_dropped_total", "Messages dropped.", dropped)
 
     async def _serve(self, stream: Any) -> None:
-        reader = buffered.BufferedByteReceiveStream(stream)
-        async with stream:
-            try:
-                while True:
-                    header = await reader.receive_exactly(codec.HEADER_SIZE)
-                    size = codec.read_size(header)
-                    if isinstance(size, codec.Problem):
-                        self._refuse(size)
-                        return
-                    body = await reader.receive_exactly(size)
-                    received = codec.decode(self._registry, body)
-                    if isinstance(received, codec.Problem):
-                        self._refuse(received)
-                        return
-                    self._take(received)
-            except (
-                anyio.EndOfStream,
-                anyio.IncompleteRead,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-                OSError,
-            ):
+        """Read one incoming connection until it ends, however it ends.
+
+        Closing can fail too, when the peer is gone without a farewell. Nothing
+        that one connection does may reach the listener's task group, which
+        would end the daemon.
+        """
+        with contextlib.suppress(*CONNECTION_ERRORS):
+            async with stream:
+                await self._read(buffered.BufferedByteReceiveStream(stream))
+
+    async def _read(self, reader: buffered.BufferedByteReceiveStream) -> None:
+        while True:
+            header = await reader.receive_exactly(codec.HEADER_SIZE)
+            size = codec.read_size(header)
+            if isinstance(size, codec.Problem):
+                self._refuse(size)
+                return
+            body = await reader.receive_exactly(size)
+            received = codec.decode(self._registry, body)
+            if isinstance(received, codec.Problem):
+                self._refuse(received)
                 return
+            self._take(received)
 
     def _take(self, received: codec.Received) -> None:
         """Hand a message on; a fault in its handler must not end the daemon."""
