Test what callers get, and any interleaving of two daemons

Cause: the core had no proof of its promises. Tests: a stateful test over two cores (lost messages, pauses, drains seen at different times, lapsed send right, cancellations), and outcomes under bursts, skew, a slow worker, twice the capacity, outages, and the owner's loss. Seen to fail with the mechanism off (by hand): memory of "may have run", idempotent check, send right check (two places), deadlines before events, double start. Not seen to fail in the stateful test: a grant for a worker that drains here; the drain test now lets the owner learn last for it. Found and mended: two timers that stayed due for ever (a rounding of heard + silence; refusals of full workers not cleared), which the stateful test's own limit of ticks had hidden; it now fails on it. A worker's mean began at its first sample, so that one long request kept it unused; it begins at the pool's mean. The first limit of the recovery test (1 s after the overload) was below the time that the backlog needs at all; it is now worked out.

--- a/wigeonhitch/routing/borrower.py
+++ b/wigeonhitch/routing/borrower.py
@@ -128,6 +128,7 @@
         self._requests: dict[int, int] = {}
         self._deadlines: dict[int, float] = {}
         self._parked: dict[int, tuple[queue.Entry, float]] = {}
+        self._refused: set[int] = set()
         self._holds: dict[int, _Hold] = {}
         self._flying: dict[str, int] = {}
         self._avoid: dict[str, tuple[float, int]] = {}
@@ -192,15 +193,21 @@
     def repeat(self, entry: queue.Entry, deadline: float, now: float) -> bool:
         """Queue a request that a full worker refused; False if none may be.
 
-        It goes on at once if the budget allows. Else it waits for an answer
-        that is due, since that earns repeats; with none due it is an outage.
+        It goes on once the budget allows. Answers that are due earn repeats;
+        with none due and nothing saved up it is an outage, not contention.
         """
-        if self.budget.spend_refusal():
-            self.submit(entry, deadline, now, again=True)
+        if self.link is Link.JOINED:
+            if self.budget.spend_refusal():
+                self.submit(entry, deadline, now, again=True)
+            elif self._holds:
+                self._parked[entry.key] = (entry, deadline)
+            else:
+                return False
             return True
-        if not self._holds:
+        if not self._holds and not self.budget.has_refusal():
             return False
-        self._parked[entry.key] = (entry, deadline)
+        self._refused.add(entry.key)
+        self.submit(entry, deadline, now, again=True)
         return True
 
     def _release_parked(self, now: float) -> None:
@@ -217,6 +224,7 @@
         """Take a request out of the queue, here and at the owner."""
         self.waiting.remove(request)
         self._parked.pop(request, None)
+        self._refused.discard(request)
         self._deadlines.pop(request, None)
         ask = self._asks.pop(request, None)
         if ask is not None:
@@ -318,7 +326,7 @@
 
     def _is_silent(self, now: float) -> bool:
         waits = self.link is Link.JOINING or (self.link is Link.JOINED and self._asks)
-        return bool(waits) and now - self._heard >= SILENCE
+        return bool(waits) and now >= self._heard + SILENCE
 
     def _lose(self, now: float) -> None:
         """Go on without an owner that is silent or leaves."""
@@ -394,30 +402,52 @@
         if since_hint > HINT_AGE or not self.evidence.allows(vm, 0, now):
             return 0
         entry = self.waiting.peek(now)
-        if entry is None or entry.rank > hint.rank:
+        if entry is None or not self._is_next(entry, hint):
             return 0
-        if entry.rank == hint.rank:
-            oldest = self._hint_at - hint.age
-            if entry.team != hint.team or entry.since > oldest + REUSE_SLACK:
-                return 0
         ask = self._asks.pop(entry.key)
         del self._requests[ask]
         self.waiting.start(entry.key)
         self._start(entry.key, hold, vm)
         return ask
 
+    def _is_next(self, entry: queue.Entry, hint: peer.Pulse) -> bool:
+        """Tell whether an own request is about as good as the owner's next.
+
+        Higher classes must have heads as fresh as the slack: they are served
+        at once, and wait for one slot more at most.
+        """
+        for head in hint.heads:
+            if head.rank < entry.rank and head.age > REUSE_SLACK:
+                return False
+            if head.rank == entry.rank:
+                oldest = self._hint_at - head.age
+                if entry.team != head.team or entry.since > oldest + REUSE_SLACK:
+                    return False
+        return True
+
     # Sending by own counts.
 
     def _send_alone(self, now: float) -> None:
+        """Send what waits while some worker may have room.
+
+        A request that was refused is next again; until the budget lets it go
+        on, the others wait behind it. So a full pool is left alone, but for
+        as many sends as this daemon gets answers.
+        """
         if self.link is Link.JOINED:
             return
         while len(self.waiting):
             vm = self._choose(now)
-            if vm is None:
-                return
-            entry = self.waiting.take(now)
-            if entry is None:
+            entry = self.waiting.peek(now) if vm is not None else None
+            if vm is None or entry is None:
                 return
+            if entry.key in self._refused and not self.budget.spend_refusal():
+                if self._holds:
+                    return
+                reason = verdict.Reason.RETRY_BUDGET
+                self._give_up(entry.key, reason, self._retry_after())
+                continue
+            self.waiting.start(entry.key)
             self._start(entry.key, self._port.number(), vm)
 
     def _choose(self, now: float) -> str | None:
@@ -475,6 +505,7 @@
         return queue.spread_return(wait, self._rng)
 
     def _start(self, request: int, hold: int, vm: str) -> None:
+        self._refused.discard(request)
         self._holds[hold] = _Hold(vm, self._deadlines.pop(request))
         self._flying[vm] = self._flying.get(vm, 0) + 1
         self._port.start(request, hold, vm)
--- a/wigeonhitch/routing/evidence.py
+++ b/wigeonhitch/routing/evidence.py
@@ -68,6 +68,7 @@
         "since",
         "state",
         "successes",
+        "trial",
         "until",
     )
 
@@ -85,6 +86,7 @@
         self.samples = 0
         self.row = 0
         self.successes = 0
+        self.trial = 0.0
 
 
 class Evidence:
@@ -122,7 +124,8 @@
         worker.failures += FAILURE_GAIN * ((1.0 if failed else 0.0) - worker.failures)
         worker.row = worker.row + 1 if failed else 0
         if not failed:
-            worker.mean = _blend(worker.mean, seconds, TIME_GAIN)
+            worker.mean = _blend(worker.mean or self._mean, seconds, TIME_GAIN)
+            worker.trial += seconds
             self._mean = _blend(self._mean, seconds, POOL_TIME_GAIN)
         if worker.state is State.IN:
             if self._is_bad(worker):
@@ -185,11 +188,11 @@
         worker.reset()
 
     def _judge_trial(self, worker: _Worker, failed: bool, now: float) -> None:
-        slow = worker.mean > SLOW_FACTOR * self._median() > 0.0
-        if failed or (slow and worker.successes + 1 >= TRIALS):
+        worker.successes += 1
+        slow = worker.trial > SLOW_FACTOR * self._median() * worker.successes > 0.0
+        if failed or (slow and worker.successes >= TRIALS):
             self._put_out(worker, now)
             return
-        worker.successes += 1
         if worker.successes >= TRIALS:
             worker.state = State.IN
             worker.since = now
--- a/wigeonhitch/routing/peer.py
+++ b/wigeonhitch/routing/peer.py
@@ -16,6 +16,7 @@
     "Cancel",
     "Deny",
     "Grant",
+    "Head",
     "Held",
     "Leave",
     "Message",
@@ -130,18 +131,21 @@
     pool: str
 
 
-class Pulse(NamedTuple):
-    """Owner to daemons with waiting asks: alive, and who is next.
-
-    ``rank``, ``team`` and ``age`` (s) are those of the ask that is next.
-    """
+class Head(NamedTuple):
+    """The ask that is next of its class; ``age`` in seconds."""
 
-    pool: str
     rank: int
     team: str
     age: float
 
 
+class Pulse(NamedTuple):
+    """Owner to daemons with waiting asks: alive, and who is next per class."""
+
+    pool: str
+    heads: tuple[Head, ...]
+
+
 class Leave(NamedTuple):
     """Owner to daemons: it stops counting this pool."""
 
--- a/wigeonhitch/routing/queue.py
+++ b/wigeonhitch/routing/queue.py
@@ -205,6 +205,11 @@
         """Return the entry that is next."""
         return self._find(now, None)
 
+    def heads(self) -> list[Entry]:
+        """Return the next entry of each class, highest class first."""
+        found = (level.find(self._live, None) for level in self._levels.values())
+        return [head for head in found if head is not None]
+
     def take(
         self, now: float, fits: Callable[[Entry], bool] | None = None
     ) -> Entry | None:
--- a/wigeonhitch/routing/retry.py
+++ b/wigeonhitch/routing/retry.py
@@ -8,17 +8,20 @@
 __all__ = ["Budget"]
 
 # Repeats earned by each first send. Even if every one is used, the load stays
-# under 1.05 times what callers sent; the aim is 1.1.
-EARNED_BY_SEND = 0.05
+# under 1.03 times what callers sent; with what was saved up the aim is 1.1.
+EARNED_BY_SEND = 0.03
 
 # Repeats after a worker's refusal that each whole answer earns. An answer
 # proves that slots become free, so a refusal then is contention between
 # daemons that know too little of each other, not an outage.
-EARNED_BY_ANSWER = 3.0
+EARNED_BY_ANSWER = 5.0
 
-# Most that can be saved up, for each of the two. An outage begins with at
-# most this many repeats by each daemon.
-MOST = 10.0
+# Most that can be saved up of each kind: what an outage begins with, for each
+# daemon. Contention comes in bursts: with 10 after refusals, several times as
+# many requests were refused for want of a repeat as with 30; with 30 an outage
+# of 12 s at half load was multiplied by 1.13.
+MOST_REPEATS = 5.0
+MOST_REFUSALS = 20.0
 
 
 class Budget:
@@ -28,20 +31,20 @@
     --------
     >>> budget = Budget()
     >>> sum(budget.spend() for _ in range(50))
-    10
+    5
     """
 
     def __init__(self) -> None:
-        self._repeats = MOST
-        self._refusals = MOST
+        self._repeats = MOST_REPEATS
+        self._refusals = MOST_REFUSALS
 
     def earn_by_send(self) -> None:
         """Count a first send."""
-        self._repeats = min(MOST, self._repeats + EARNED_BY_SEND)
+        self._repeats = min(MOST_REPEATS, self._repeats + EARNED_BY_SEND)
 
     def earn_by_answer(self) -> None:
         """Count a whole answer."""
-        self._refusals = min(MOST, self._refusals + EARNED_BY_ANSWER)
+        self._refusals = min(MOST_REFUSALS, self._refusals + EARNED_BY_ANSWER)
 
     def spend(self) -> bool:
         """Take one repeat after a failure, if there is one."""
@@ -50,6 +53,10 @@
         self._repeats -= 1.0
         return True
 
+    def has_refusal(self) -> bool:
+        """Tell whether a repeat after a refusal is left."""
+        return max(self._refusals, self._repeats) >= 1.0
+
     def spend_refusal(self) -> bool:
         """Take one repeat after a refusal, if there is one."""
         if self._refusals >= 1.0:
--- a/wigeonhitch/routing/slot.py
+++ b/wigeonhitch/routing/slot.py
@@ -144,6 +144,8 @@
             out += self._welcome_all()
         for key in self._ends.take_due(now):
             self._release(key)
+        for slots in self._workers.values():
+            slots.count_free(now)
         for entry in self._queue.overdue(now - ASK_MARGIN):
             self._lasts.pop(entry.key, None)
         out += self._grant(now)
@@ -279,10 +281,11 @@
         return sum(s.slots for s in self._workers.values() if s.usable) / mean
 
     def _pulse(self, now: float) -> Messages:
-        head = self._queue.peek(now)
-        if head is None:
-            return []
-        pulse = peer.Pulse(self.pool, head.rank, head.team, now - head.since)
+        heads = tuple(
+            peer.Head(head.rank, head.team, now - head.since)
+            for head in self._queue.heads()
+        )
+        pulse = peer.Pulse(self.pool, heads)
         daemons = {entry.key[0] for entry in self._queue.entries()}
         return [(daemon, pulse) for daemon in sorted(daemons)]
 
--- /dev/null
+++ b/wigeonhitch/routing/tests/test_outcomes.py
@@ -0,0 +1,179 @@
+"""What callers get, under the loads and failures that the decisions are for."""
+
+import collections
+
+import pytest
+
+from benchmarks import routing_loop
+from wigeonhitch import verdict
+from wigeonhitch.routing import borrower, event, evidence
+
+SLOTS = 48
+CAPACITY = SLOTS / 0.05
+CLASSES = (event.Urgency("urgent", 1.7), event.Urgency("bulk", 3600.0))
+
+
+def select(loop, urgency="urgent", ran=verdict.Ran.YES, since=0.0, until=1e9):
+    return [
+        done
+        for done in loop.done.values()
+        if done.urgency == urgency
+        and done.verdict.ran is ran
+        and since <= done.arrived < until
+    ]
+
+
+def find_p99(found):
+    return routing_loop.quantile([done.answered - done.arrived for done in found], 0.99)
+
+
+def find_wait(found):
+    return routing_loop.quantile([done.wait for done in found], 0.99)
+
+
+def offer_mixed(loop, load, end, urgent=0.2):
+    for name in loop.names:
+        loop.give(name, event.UrgenciesChanged(CLASSES))
+    rate = load * CAPACITY
+    loop.offer(urgent * rate, 0.0, end, within=2.0)
+    kind = {"urgency": "bulk", "team": "closing", "within": 5.0}
+    loop.offer((1.0 - urgent) * rate, 0.0, end, **kind)
+
+
+def test_twice_the_capacity_keeps_goodput_and_urgent_answers():
+    half, twice = routing_loop.Loop(), routing_loop.Loop()
+    offer_mixed(half, 0.5, 6.0)
+    half.run(20.0)
+    offer_mixed(twice, 2.0, 12.0)
+    twice.run(12.0)
+    busy = sum(worker.busy for worker in twice.workers.values())
+    twice.run(30.0)
+    assert busy > 0.95 * SLOTS * 12.0
+    assert find_p99(select(twice)) <= 2.0 * find_p99(select(half))
+    refused = select(twice, "bulk", verdict.Ran.NO)
+    assert refused
+    assert max(done.answered - done.arrived for done in refused) < 0.1
+    assert not select(twice, "bulk", verdict.Ran.MAYBE)
+    times = [done.verdict.retry_after for done in refused]
+    assert max(times) > 1.5 * min(times) > 0.0
+
+
+def test_bulk_is_not_starved_by_urgent_work_alone_above_capacity(loop):
+    offer_mixed(loop, 2.0, 8.0, urgent=0.75)
+    loop.run(20.0)
+    assert len(select(loop, "bulk")) > 0.05 * CAPACITY * 8.0
+
+
+def test_waits_are_normal_soon_after_a_burst(loop):
+    loop.offer(0.5 * CAPACITY, 0.0, 8.0)
+    loop.offer(5.0 * CAPACITY, 2.0, 2.2)
+    loop.run(20.0)
+    assert find_wait(select(loop, until=1.9)) < 0.02
+    assert find_wait(select(loop, since=2.0, until=2.2)) > 0.2
+    # The burst brings 1 s of work, half the capacity is free for it: 2 s.
+    assert find_wait(select(loop, since=4.7)) < 0.02
+    assert not select(loop, ran=verdict.Ran.NO)
+
+
+def test_recovers_after_full_saturation(loop):
+    loop.offer(0.5 * CAPACITY, 0.0, 12.0, within=1.0)
+    loop.offer(3.0 * CAPACITY, 1.0, 5.0, within=1.0)
+    loop.run(20.0)
+    assert select(loop, ran=verdict.Ran.NO, since=1.0, until=5.0)
+    # At 5 s some 0.5 s of work waits; half the capacity is free for it, so
+    # 1 s, and the last of it runs for 0.3 s.
+    assert find_wait(select(loop, since=6.3)) < 0.02
+    assert not select(loop, ran=verdict.Ran.NO, since=5.5)
+
+
+def test_skewed_demand_waits_no_longer(loop):
+    loop.offer(0.7 * CAPACITY, 0.0, 8.0, weights=[10.0] + [1.0] * 8)
+    loop.run(20.0)
+    assert find_wait(select(loop)) < 0.03
+    assert loop.counts["refusals"] == 0
+
+
+def test_one_slow_worker_is_used_last(loop):
+    loop.workers["vm0"].factor = 4.0
+    loop.offer(0.6 * CAPACITY, 0.0, 8.0)
+    loop.run(20.0)
+    begun = {vm: len(worker.begun) for vm, worker in loop.workers.items()}
+    assert begun["vm0"] < 0.25 * max(begun.values())
+    assert find_wait(select(loop)) < 0.03
+
+
+def test_team_with_many_requests_does_not_delay_the_others(loop):
+    loop.offer(2.0 * CAPACITY, 0.0, 6.0, team="many", within=3.0)
+    loop.offer(0.1 * CAPACITY, 0.0, 6.0, team="few", within=3.0)
+    loop.run(20.0)
+    few = [done for done in select(loop) if done.team == "few"]
+    many = [done for done in select(loop) if done.team == "many"]
+    assert not [d for d in select(loop, ran=verdict.Ran.NO) if d.team == "few"]
+    assert find_wait(few) < 0.2 * find_wait(many)
+
+
+@pytest.mark.parametrize("mode", ["down", "refuse"])
+@pytest.mark.parametrize("policy", list(borrower.Policy))
+def test_total_outage_is_not_multiplied(mode, policy):
+    loop = routing_loop.Loop(policy=policy)
+    loop.offer(0.5 * CAPACITY, 0.0, 14.0, idempotent=True, within=5.0)
+    loop.run(2.0)
+    for worker in loop.workers.values():
+        worker.mode = mode
+    before, arrived = loop.counts["sends"], loop.count_arrived()
+    loop.run(14.0)
+    assert loop.counts["sends"] - before < 1.1 * (loop.count_arrived() - arrived)
+    loop.run(30.0)
+    refused = select(loop, ran=verdict.Ran.NO, since=2.1)
+    assert len(refused) > 0.99 * 0.5 * CAPACITY * 11.0
+    assert find_p99(refused) < 0.5
+
+
+def test_worker_that_fails_everything_is_taken_out_and_let_back(loop):
+    bad = loop.workers["vm0"]
+    bad.mode = "fail"
+    loop.offer(0.5 * CAPACITY, 0.0, 20.0)
+    loop.run(10.0)
+    assert len(bad.begun) < 0.01 * sum(len(w.begun) for w in loop.workers.values())
+    bad.mode = "ok"
+    loop.run(20.0)
+    late = [when for when in bad.begun if when > 18.0]
+    assert len(late) > 100
+
+
+def test_evidence_takes_out_no_more_than_its_share(loop):
+    for worker in loop.workers.values():
+        worker.mode = "fail"
+    loop.offer(0.3 * CAPACITY, 0.0, 5.0)
+    loop.run(5.0)
+    used = [vm for vm, w in loop.workers.items() if any(t > 4.0 for t in w.begun)]
+    assert len(used) >= len(loop.workers) * (1.0 - evidence.MAX_OUT)
+
+
+@pytest.mark.parametrize("fault", ["kill", "pause", "cut"])
+def test_loss_of_the_owner_delays_nobody_for_long(loop, fault):
+    owner = loop.find_owner()
+    weights = [0.0 if name == owner else 1.0 for name in loop.names]
+    loop.offer(0.7 * CAPACITY, 0.0, 6.0, weights=weights)
+    loop.at(2.0, getattr(loop, fault) if fault != "cut" else loop.cut.add, owner)
+    loop.run(20.0)
+    assert len(loop.done) == loop.count_arrived()
+    assert not select(loop, ran=verdict.Ran.MAYBE)
+    lost = borrower.SILENCE + 0.1
+    assert find_wait(select(loop, since=2.0, until=2.3)) < 2.0 * lost
+    assert find_wait(select(loop, since=2.5)) < 0.05
+
+
+def test_caller_who_leaves_frees_its_place(loop):
+    numbers = [loop.arrive("d0", 1.0) for _ in range(200)]
+    loop.run(0.5)
+    waiting = sum(loop.cores["d0"].count_waiting().values())
+    assert waiting == 200 - SLOTS
+    for number in numbers:
+        loop.give("d0", event.Cancelled(number))
+    late = loop.arrive("d1", 0.01)
+    loop.run(1.2)
+    assert loop.done[late].verdict == verdict.ran()
+    ran = collections.Counter(done.verdict.ran for done in loop.done.values())
+    assert ran[verdict.Ran.NO] == waiting
+    assert sum(loop.runs.values()) == SLOTS + 1
