Measure waits, faults, overload and the time of decisions

Cause: the choice of who counts the slots needs figures that can be repeated. Found and mended: a daemon without a connection to any worker (220 daemons, 60 connections) could send nothing by its own counts; it now has one to its first in rank.

--- /dev/null
+++ b/benchmarks/routing.py
@@ -0,0 +1,165 @@
+"""Waits, refusals and messages of the ways to count slots, and decision times.
+
+Run as ``python -m benchmarks.routing`` for the tables of waits, or with
+``--decisions`` for the time and memory of the decisions alone.
+"""
+
+import sys
+
+from benchmarks import routing_decisions, routing_loop
+from wigeonhitch.routing import action, borrower, event
+
+# Seconds of arrivals of each run.
+LENGTH = 20.0
+
+SLOTS = 48
+
+SEEDS = (1, 2, 3)
+
+
+def compare_waits() -> None:
+    """Print waits of each policy beside the one-queue bound."""
+    print("p99 wait (ms), mean of seeds; bound+2: slots empty for two ways a request")
+    print("load  case    policy       wait  bound bound+2  refused/req msgs/req B/req")
+    for load in (0.7, 0.9):
+        for case in ("even", "slow", "skew"):
+            for policy in borrower.Policy:
+                rows = [_measure_waits(load, case, policy, seed) for seed in SEEDS]
+                mean = [sum(column) / len(rows) for column in zip(*rows, strict=True)]
+                print(
+                    f"{load:4.0%}  {case:6}  {policy.value:10}"
+                    f" {mean[0]:6.1f} {mean[1]:6.1f} {mean[2]:6.1f}"
+                    f"  {mean[3]:11.3f} {mean[4]:8.2f} {mean[5]:5.0f}"
+                )
+
+
+def _measure_waits(
+    load: float, case: str, policy: borrower.Policy, seed: int
+) -> tuple[float, ...]:
+    loop = routing_loop.Loop(seed=seed, policy=policy)
+    size = [0]
+
+    def weigh(tell: action.Tell) -> None:
+        size[0] += sum(routing_decisions.count_bytes(each) for each in tell.messages)
+
+    loop.on_message = weigh
+    if case == "slow":
+        loop.workers["vm0"].factor = 4.0
+    factors = [worker.factor for worker in loop.workers.values()]
+    rate = load * sum(8 / factor for factor in factors) / 0.05
+    weights = [5.0, 3.0] + [1.0] * 7 if case == "skew" else None
+    loop.offer(rate, 0.0, LENGTH, weights=weights)
+    loop.run(LENGTH + 40.0)
+    arrivals = loop.list_arrivals()
+    plain = routing_loop.find_bound(arrivals, factors, 0.0, 8)
+    turn = routing_loop.find_bound(arrivals, factors, 2 * routing_loop.HOP, 8)
+    waits = [done.wait for done in loop.done.values() if done.began is not None]
+    requests = len(arrivals)
+    return (
+        1e3 * routing_loop.quantile(waits, 0.99),
+        1e3 * routing_loop.quantile(plain, 0.99),
+        1e3 * routing_loop.quantile(turn, 0.99),
+        loop.counts["refusals"] / requests,
+        loop.counts["messages"] / requests,
+        size[0] / requests,
+    )
+
+
+def compare_faults() -> None:
+    """Print waits while the counting daemon is lost, for 5 s from 5 s on."""
+    print("\np99 wait (ms) at 90% of requests that arrive in the 5 s of a fault")
+    print("fault       policy      " + "".join(f"  seed {seed}" for seed in SEEDS))
+    owner, own = borrower.Policy.OWNER, borrower.Policy.OWN_COUNTS
+    for fault, policy in (
+        ("none", owner),
+        ("kill", owner),
+        ("pause", owner),
+        ("cut", owner),
+        ("none", own),
+    ):
+        waits = [_measure_fault(fault, policy, seed) for seed in SEEDS]
+        cells = "".join(f"{wait:8.1f}" for wait in waits)
+        print(f"{fault:10}  {policy.value:12}{cells}")
+
+
+def _measure_fault(fault: str, policy: borrower.Policy, seed: int) -> float:
+    loop = routing_loop.Loop(seed=seed, policy=policy)
+    owner = loop.find_owner()
+    weights = [0.0 if name == owner else 1.0 for name in loop.names]
+    loop.offer(0.9 * SLOTS / 0.05, 0.0, LENGTH, weights=weights)
+    if fault == "kill":
+        loop.at(5.0, loop.kill, owner)
+    elif fault == "pause":
+        loop.at(5.0, loop.pause, owner)
+        loop.at(10.0, loop.resume, owner)
+    elif fault == "cut":
+        loop.at(5.0, loop.cut.add, owner)
+        loop.at(10.0, loop.cut.discard, owner)
+    loop.run(LENGTH + 40.0)
+    return 1e3 * routing_loop.quantile(
+        [
+            done.wait
+            for done in loop.done.values()
+            if done.began is not None and 5.0 <= done.arrived < 10.0
+        ],
+        0.99,
+    )
+
+
+def compare_overload() -> None:
+    """Print what callers get at half and twice the capacity."""
+    print(
+        "\none fifth urgent (2 s), the rest bulk (5 s); goodput: in time, per capacity"
+    )
+    print("policy      load  busy  goodput  urgent p99 ms  urgent ok  refused after ms")
+    for policy in borrower.Policy:
+        for load in (0.5, 2.0):
+            _measure_overload(policy, load)
+
+
+def _measure_overload(policy: borrower.Policy, load: float) -> None:
+    loop = routing_loop.Loop(policy=policy)
+    classes = (event.Urgency("urgent", 1.7), event.Urgency("bulk", 3600.0))
+    for name in loop.names:
+        loop.give(name, event.UrgenciesChanged(classes))
+    rate = load * SLOTS / 0.05
+    loop.offer(0.2 * rate, 0.0, LENGTH, within=2.0)
+    bulk = {"urgency": "bulk", "team": "closing", "within": 5.0}
+    loop.offer(0.8 * rate, 0.0, LENGTH, **bulk)
+    loop.run(LENGTH)
+    busy = sum(worker.busy for worker in loop.workers.values()) / (SLOTS * LENGTH)
+    good = sum(
+        loop.work_of(number)
+        for number, done in loop.done.items()
+        if done.verdict.ran.name == "YES"
+    ) / (SLOTS * LENGTH)
+    loop.run(LENGTH + 20.0)
+    urgent = [done for done in loop.done.values() if done.urgency == "urgent"]
+    good_urgent = [done for done in urgent if done.verdict.ran.name == "YES"]
+    times = [done.answered - done.arrived for done in good_urgent]
+    refused = [
+        done.answered - done.arrived
+        for done in loop.done.values()
+        if done.verdict.ran.name == "NO"
+    ]
+    print(
+        f"{policy.value:10} {load:5.1f} {busy:5.1%} {good:8.1%}"
+        f" {1e3 * routing_loop.quantile(times, 0.99):14.1f}"
+        f" {len(good_urgent) / len(urgent):10.1%}"
+        f" {1e3 * routing_loop.quantile(refused, 0.99):17.1f}"
+    )
+
+
+def main() -> None:
+    """Print the tables that the arguments ask for."""
+    if "--decisions" in sys.argv[1:]:
+        routing_decisions.compare_sizes()
+        return
+    compare_waits()
+    compare_faults()
+    compare_overload()
+    routing_decisions.compare_connections()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/routing_decisions.py
@@ -0,0 +1,197 @@
+"""Processor time and memory of the routing decisions, by size of the fleet."""
+
+import time
+import tracemalloc
+from typing import Any
+
+from thrift import Thrift
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from wigeonhitch import verdict
+from wigeonhitch.routing import action, core, event, peer, rendezvous
+
+__all__ = ["compare_connections", "compare_sizes", "count_bytes"]
+
+# Workers, pools, daemons: today, a quarter, the target, and three off the line
+# so that the slopes can be told apart.
+SIZES = (
+    (30, 5, 9),
+    (200, 32, 60),
+    (800, 128, 220),
+    (800, 128, 9),
+    (30, 5, 220),
+    (800, 5, 9),
+)
+
+ROUNDS = 4000
+
+
+def count_bytes(message: Any) -> int:
+    """Return the bytes of a message as a thrift compact struct."""
+    buffer = TTransport.TMemoryBuffer()
+    _write(TCompactProtocol.TCompactProtocol(buffer), message)
+    return len(buffer.getvalue())
+
+
+def _write(out: TCompactProtocol.TCompactProtocol, record: tuple) -> None:
+    """Write a record as a struct: times in ms, tuples as lists of structs."""
+    out.writeStructBegin("")
+    for number, value in enumerate(record, 1):
+        if isinstance(value, str):
+            out.writeFieldBegin("", Thrift.TType.STRING, number)
+            out.writeString(value)
+        elif isinstance(value, tuple):
+            out.writeFieldBegin("", Thrift.TType.LIST, number)
+            out.writeListBegin(Thrift.TType.STRUCT, len(value))
+            for item in value:
+                _write(out, item)
+            out.writeListEnd()
+        else:
+            out.writeFieldBegin("", Thrift.TType.I64, number)
+            scaled = 1e3 * value if isinstance(value, float) else value
+            out.writeI64(0 if isinstance(value, verdict.Reason) else int(scaled))
+        out.writeFieldEnd()
+    out.writeFieldStop()
+    out.writeStructEnd()
+
+
+def compare_connections() -> None:
+    """Print the connections to a worker that all daemons may open at most."""
+    print("\nconnections to one worker of 60, over all daemons")
+    print("daemons  kept idle  with slots in use  by own counts")
+    for daemons in (9, 60, 220):
+        members = [f"d{n}" for n in range(daemons)]
+        kept = sum(
+            rendezvous.limit_connections("vm", own, members, 52) for own in members
+        )
+        own_counts = sum(
+            rendezvous.limit_connections("vm", own, members, 60) for own in members
+        )
+        print(f"{daemons:7} {kept:10} {kept + 8:18} {own_counts:14}")
+
+
+def compare_sizes() -> None:
+    """Print times per decision at several sizes, slopes, and memory."""
+    print("microseconds of processor time per decision")
+    print("workers pools daemons  arrive  grant answer |  ask return | KB/pool")
+    rows = []
+    for workers, pools, daemons in SIZES:
+        times = _measure_asker(workers, pools, daemons)
+        times += _measure_owner(workers, pools, daemons)
+        memory = _measure_memory(workers, pools, daemons)
+        rows.append((workers / pools, daemons, times))
+        cells = " ".join(f"{1e6 * each:6.1f}" for each in times)
+        print(f"{workers:7} {pools:5} {daemons:7}  {cells}   {memory:7.1f}")
+    print("slopes in µs: a + b·(workers of the pool) + c·daemons")
+    for index, name in enumerate(("arrive", "grant", "answer", "ask", "return")):
+        a, b, c = _fit([(w, d, 1e6 * times[index]) for w, d, times in rows])
+        print(f"  {name:7} {a:7.2f} + {b:7.3f}·workers + {c:7.4f}·daemons")
+
+
+def _make(own: str, workers: int, pools: int, daemons: int) -> core.Core:
+    made = core.Core(own, 1)
+    members = frozenset(f"d{n}" for n in range(daemons))
+    made.handle(event.MembersChanged(members), 0.0)
+    each = workers // pools
+    view = {
+        f"p{p}": tuple(event.Worker(f"vm{p}-{n}") for n in range(each))
+        for p in range(pools)
+    }
+    made.handle(event.ViewChanged(1, view), 0.0)
+    return made
+
+
+def _measure_asker(workers: int, pools: int, daemons: int) -> list[float]:
+    """Return times of an arrival, a grant and an answer, over all pools."""
+    members = [f"d{n}" for n in range(daemons)]
+    asker = _make("d0", workers, pools, daemons)
+    remote = {
+        pool: rank[0]
+        for pool in (f"p{n}" for n in range(pools))
+        if (rank := rendezvous.rank(pool, members))[0] != "d0"
+    }
+    names = sorted(remote)
+    spent = [0.0, 0.0, 0.0]
+    for number in range(1, ROUNDS + len(names) + 1):
+        now = number * 1e-4
+        pool = names[number % len(names)]
+        arrival = event.Arrived(number, "s", pool, "urgent", "t", now + 60.0, False)
+        begin = time.process_time()
+        actions = asker.handle(arrival, now)
+        spent[0] += time.process_time() - begin
+        told = [act for act in actions if isinstance(act, action.Tell)]
+        if isinstance(told[0].messages[0], peer.Report):
+            welcome = event.Received(remote[pool], (peer.Welcome(pool),))
+            asker.handle(welcome, now)
+        else:
+            ask = told[0].messages[0]
+            grant = peer.Grant(pool, ask.ask, f"vm{pool[1:]}-0")
+            begin = time.process_time()
+            actions = asker.handle(event.Received(remote[pool], (grant,)), now)
+            spent[1] += time.process_time() - begin
+        send = next(act for act in actions if isinstance(act, action.Send))
+        end = event.Answered(number, send.attempt, verdict.ran(), 0.05)
+        begin = time.process_time()
+        asker.handle(end, now)
+        spent[2] += time.process_time() - begin
+    return [each / ROUNDS for each in spent]
+
+
+def _measure_owner(workers: int, pools: int, daemons: int) -> list[float]:
+    """Return times of an ask and a return, with the pool's slots half used."""
+    owner = _make("d0", workers, pools, daemons)
+    others = [f"d{n}" for n in range(1, daemons)]
+    for other in others:
+        joins = tuple(peer.Report(f"p{n}", (), True) for n in range(pools))
+        owner.handle(event.Received(other, joins), 0.0)
+    held: list[tuple[str, str, int]] = []
+    spent = [0.0, 0.0]
+    half = workers * 8 // 2
+    for number in range(1, ROUNDS + half + 1):
+        now = 1.0 + number * 1e-4
+        pool = f"p{number % pools}"
+        daemon = others[number % len(others)]
+        ask = peer.Ask(pool, number, 0, f"t{number % 130}", 0.0, 2.0, 60.0)
+        begin = time.process_time()
+        owner.handle(event.Received(daemon, (ask,)), now)
+        spent[0] += time.process_time() - begin
+        held.append((daemon, pool, number))
+        if number > half:
+            daemon, pool, old = held[number - half - 1]
+            back = peer.Return(pool, old, peer.Outcome.OK, 0.05)
+            begin = time.process_time()
+            owner.handle(event.Received(daemon, (back,)), now)
+            spent[1] += time.process_time() - begin
+    return [spent[0] / (ROUNDS + half), spent[1] / ROUNDS]
+
+
+def _measure_memory(workers: int, pools: int, daemons: int) -> float:
+    """Return KB per pool of a daemon that uses and counts every pool."""
+    tracemalloc.start()
+    begin = tracemalloc.get_traced_memory()[0]
+    made = _make("d0", workers, pools, daemons)
+    for number in range(pools):
+        join = peer.Report(f"p{number}", (), True)
+        made.handle(event.Received("d1", (join,)), 0.0)
+        pool = f"p{number}"
+        arrival = event.Arrived(number + 1, "s", pool, "urgent", "t", 60.0, False)
+        made.handle(arrival, 0.0)
+    size = tracemalloc.get_traced_memory()[0] - begin
+    tracemalloc.stop()
+    return size / 1024.0 / pools
+
+
+def _fit(points: list[tuple[float, float, float]]) -> list[float]:
+    """Return a, b, c of least squares for z = a + b·x + c·y."""
+    rows = [[1.0, x, y, z] for x, y, z in points]
+    table = [[sum(row[i] * row[j] for row in rows) for j in range(4)] for i in range(3)]
+    for i in range(3):
+        pivot = table[i][i]
+        table[i] = [cell / pivot for cell in table[i]]
+        for k in range(3):
+            if k != i:
+                factor = table[k][i]
+                pairs = zip(table[k], table[i], strict=True)
+                table[k] = [cell - factor * other for cell, other in pairs]
+    return [row[3] for row in table]
--- a/benchmarks/routing_loop.py
+++ b/benchmarks/routing_loop.py
@@ -174,6 +174,10 @@
         """Return how many requests have arrived."""
         return len(self._arrivals)
 
+    def work_of(self, number: int) -> float:
+        """Return the seconds of work of a request."""
+        return self._work[number]
+
     def list_arrivals(self) -> list[tuple[float, float]]:
         """Return time and work of each request, in order."""
         return [(when, self._work[n]) for n, (_, when, _) in self._arrivals.items()]
--- a/wigeonhitch/routing/borrower.py
+++ b/wigeonhitch/routing/borrower.py
@@ -72,8 +72,8 @@
         """Send a message to a daemon (this one included)."""
         ...
 
-    def limit(self, vm: str) -> int:
-        """Return how many connections to a worker this daemon may use."""
+    def limit(self, vms: Iterable[str]) -> dict[str, int]:
+        """Return how many connections to each worker this daemon may use."""
         ...
 
     def start(self, request: int, hold: int, vm: str) -> None:
@@ -471,11 +471,9 @@
 
     def _cap(self, vm: str) -> int:
         """Return how many requests this daemon may have at a worker."""
-        cap = self._caps.get(vm)
-        if cap is None:
-            cap = min(self._slots[vm], self._port.limit(vm))
-            self._caps[vm] = cap
-        return cap
+        if not self._caps:
+            self._caps = self._port.limit(self._slots)
+        return min(self._slots[vm], self._caps[vm])
 
     def _note(self, vm: str, outcome: peer.Outcome, now: float) -> None:
         """Avoid a worker that refused or failed, for about one slot's time."""
--- a/wigeonhitch/routing/core.py
+++ b/wigeonhitch/routing/core.py
@@ -7,7 +7,7 @@
 
 import collections
 import random
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from wigeonhitch import verdict
 from wigeonhitch.routing import (
@@ -183,10 +183,21 @@
         else:
             self._outbox.setdefault(daemon, []).append(message)
 
-    def limit(self, vm: str) -> int:
-        """Return how many connections this daemon may use by its own counts."""
-        most = self._workers[vm].connections
-        return rendezvous.limit_connections(vm, self._own, self._members, most)
+    def limit(self, vms: Iterable[str]) -> dict[str, int]:
+        """Return how many connections this daemon may use by its own counts.
+
+        With more daemons than connections each daemon has a stable subset of
+        the workers; one of them at least, since no request may be stranded.
+        """
+        limits = {
+            vm: rendezvous.limit_connections(
+                vm, self._own, self._members, self._workers[vm].connections
+            )
+            for vm in vms
+        }
+        if limits and not any(limits.values()):
+            limits[rendezvous.rank(self._own, limits)[0]] = 1
+        return limits
 
     def start(self, number: int, hold: int, vm: str) -> None:
         """Send a waiting request to a worker."""
--- a/wigeonhitch/routing/timer.py
+++ b/wigeonhitch/routing/timer.py
@@ -30,6 +30,8 @@
 
     def set(self, key: Any, when: float) -> None:
         """Set or move the due time of ``key``."""
+        if self._live.get(key) == when:
+            return
         self._live[key] = when
         self._count += 1
         heapq.heappush(self._heap, (when, self._count, key))
