--- a/wigeonhitch/routing/borrower.py
+++ b/wigeonhitch/routing/borrower.py
@@ -11,12 +11,12 @@
 import enum
 import random
 from collections.abc import Iterable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from wigeonhitch import verdict
-from wigeonhitch.routing import event, evidence, peer, queue, retry
+from wigeonhitch.routing import choice, event, evidence, peer, port, queue, retry
 
-__all__ = ["SILENCE", "Borrower", "Link", "Policy", "Port"]
+__all__ = ["SILENCE", "Borrower", "Link", "Policy"]
 
 # Seconds without a sign of life, while asks wait or a report is unanswered,
 # after which an owner counts as lost: three pulses (`slot.PULSE`) and a
@@ -40,10 +40,6 @@
 # Seconds after which what a pulse said about the next ask is not relied on.
 HINT_AGE = 0.06
 
-# Bounds, in seconds and doublings, of avoiding a worker that refused.
-SHORTEST_AVOID = 0.002
-AVOID_DOUBLINGS = 4
-
 
 class Link(enum.Enum):
     """State of the connection to the pool's owner."""
@@ -61,30 +57,6 @@
     OWN_COUNTS = "own counts"
 
 
-class Port(Protocol):
-    """What a borrower needs of the object that drives it."""
-
-    def number(self) -> int:
-        """Return a number that is unique in this daemon."""
-        ...
-
-    def tell(self, daemon: str, message: peer.Message) -> None:
-        """Send a message to a daemon (this one included)."""
-        ...
-
-    def limit(self, vms: Iterable[str]) -> dict[str, int]:
-        """Return how many connections to each worker this daemon may use."""
-        ...
-
-    def start(self, request: int, hold: int, vm: str) -> None:
-        """Send a request to a worker."""
-        ...
-
-    def refuse(self, request: int, reason: verdict.Reason, retry: float) -> None:
-        """Give up a request that waited."""
-        ...
-
-
 class _Hold(NamedTuple):
     """A slot in use by this daemon; ``ends`` is the request's deadline."""
 
@@ -98,25 +70,24 @@
     Parameters
     ----------
     pool : str
-    port : Port
+    driver : port.Port
     rng : random.Random
         Seeded.
     policy : Policy
     """
 
     def __init__(
-        self, pool: str, port: Port, rng: random.Random, policy: Policy
+        self, pool: str, driver: port.Port, rng: random.Random, policy: Policy
     ) -> None:
         self.pool = pool
         self.budget = retry.Budget()
         self.evidence = evidence.Evidence(rng)
         self.waiting = queue.Queue()
         self.link = Link.NONE
-        self._port = port
+        self._port = driver
         self._rng = rng
         self._policy = policy
-        self._slots: dict[str, int] = {}
-        self._caps: dict[str, int] = {}
+        self._choice = choice.Choice(driver, self.evidence, rng)
         self._owners: tuple[str, ...] = ()
         self._members = 1
         self._rank = 0
@@ -130,30 +101,25 @@
         self._parked: dict[int, tuple[queue.Entry, float]] = {}
         self._refused: set[int] = set()
         self._holds: dict[int, _Hold] = {}
-        self._flying: dict[str, int] = {}
-        self._avoid: dict[str, tuple[float, int]] = {}
 
     @property
     def has_workers(self) -> bool:
         """Whether any worker may get a send."""
-        return bool(self._slots)
+        return self._choice.slots > 0
 
     # What is known of the pool and the daemons.
 
     def set_workers(self, workers: Iterable[event.Worker]) -> None:
         """Set the workers of the pool."""
         workers = tuple(workers)
-        self._slots = {worker.vm: worker.slots for worker in workers if worker.usable}
-        self._caps = {}
+        self._choice.set_workers(workers)
         self.evidence.set_workers(worker.vm for worker in workers)
-        known = {worker.vm for worker in workers}
-        self._avoid = {vm: avoid for vm, avoid in self._avoid.items() if vm in known}
 
     def set_members(self, ranked: Iterable[str], members: int, now: float) -> None:
         """Set the possible owners, best first, and the number of daemons."""
         owners = tuple(ranked)[:OWNERS]
         self._members = max(1, members)
-        self._caps = {}
+        self._choice.forget_limits()
         if owners == self._owners:
             return
         before = self._owner()
@@ -234,9 +200,8 @@
     def end(self, hold: int, outcome: peer.Outcome, seconds: float, now: float) -> None:
         """Count an attempt out; its slot is reused or returned."""
         vm = self._holds.pop(hold).vm
-        self._flying[vm] -= 1
         self.evidence.record(vm, outcome, seconds, now)
-        self._note(vm, outcome, now)
+        self._choice.end(vm, outcome, now)
         if self.link is Link.JOINED:
             reused = self._reuse(hold, vm, outcome, now)
             self._tell_owner(peer.Return(self.pool, hold, outcome, seconds, reused))
@@ -296,8 +261,7 @@
         if self._rank and (len(self.waiting) or self._holds):
             times.append(self._probe_at)
         if self.link is not Link.JOINED and len(self.waiting):
-            avoided = [until for until, _ in self._avoid.values() if until > now]
-            times.append(min(avoided, default=now + SILENCE))
+            times.append(self._choice.next_time(now) or now + SILENCE)
         return min(times, default=None)
 
     # The link to the owner.
@@ -383,7 +347,7 @@
             self._tell_owner(unused)
             return
         del self._asks[request]
-        if grant.vm not in self._slots:
+        if grant.vm not in self._choice:
             refused = peer.Return(self.pool, grant.ask, peer.Outcome.REFUSED, 0.0)
             self._tell_owner(refused)
             entry = self.waiting.get(request)
@@ -396,7 +360,7 @@
     def _reuse(self, hold: int, vm: str, outcome: peer.Outcome, now: float) -> int:
         """Send the next own request on a slot just freed; 0 if it is not next."""
         hint = self._hint
-        if outcome is not peer.Outcome.OK or hint is None or vm not in self._slots:
+        if outcome is not peer.Outcome.OK or hint is None or vm not in self._choice:
             return 0
         since_hint = now - self._hint_at
         if since_hint > HINT_AGE or not self.evidence.allows(vm, 0, now):
@@ -437,7 +401,7 @@
         if self.link is Link.JOINED:
             return
         while len(self.waiting):
-            vm = self._choose(now)
+            vm = self._choice.choose(now)
             entry = self.waiting.peek(now) if vm is not None else None
             if vm is None or entry is None:
                 return
@@ -450,41 +414,6 @@
             self.waiting.start(entry.key)
             self._start(entry.key, self._port.number(), vm)
 
-    def _choose(self, now: float) -> str | None:
-        """Return the better of two workers that may have room, or None."""
-        room = []
-        for vm in self._slots:
-            used = self._flying.get(vm, 0)
-            if used >= self._cap(vm):
-                continue
-            if vm in self._avoid and self._avoid[vm][0] > now:
-                continue
-            if self.evidence.allows(vm, used, now):
-                room.append(vm)
-        if len(room) > 2:
-            room = self._rng.sample(room, 2)
-        return min(room, key=self._weigh, default=None)
-
-    def _weigh(self, vm: str) -> float:
-        used = self._flying.get(vm, 0)
-        return self.evidence.weigh(vm, used, self._slots[vm])
-
-    def _cap(self, vm: str) -> int:
-        """Return how many requests this daemon may have at a worker."""
-        if not self._caps:
-            self._caps = self._port.limit(self._slots)
-        return min(self._slots[vm], self._caps[vm])
-
-    def _note(self, vm: str, outcome: peer.Outcome, now: float) -> None:
-        """Avoid a worker that refused or failed, for about one slot's time."""
-        if outcome is peer.Outcome.OK:
-            self._avoid.pop(vm, None)
-            return
-        _, row = self._avoid.get(vm, (0.0, 0))
-        base = self.evidence.mean / self._slots.get(vm, 1)
-        length = max(SHORTEST_AVOID, base) * 2.0 ** min(row, AVOID_DOUBLINGS)
-        self._avoid[vm] = (now + length * (0.5 + self._rng.random()), row + 1)
-
     def _can_meet(self, entry: queue.Entry, now: float) -> bool:
         rate = self._rate()
         return not rate or self.waiting.can_meet(entry, now, rate)
@@ -494,8 +423,7 @@
         mean = self.evidence.mean
         if not mean:
             return 0.0
-        slots = sum(self._slots.values())
-        return max(len(self._holds), slots / self._members) / mean
+        return max(len(self._holds), self._choice.slots / self._members) / mean
 
     def _retry_after(self) -> float:
         rate = self._rate()
@@ -505,7 +433,7 @@
     def _start(self, request: int, hold: int, vm: str) -> None:
         self._refused.discard(request)
         self._holds[hold] = _Hold(vm, self._deadlines.pop(request))
-        self._flying[vm] = self._flying.get(vm, 0) + 1
+        self._choice.start(vm)
         self._port.start(request, hold, vm)
 
     def _give_up(self, request: int, reason: verdict.Reason, retry: float) -> None:
