--- a/wigeonhitch/routing/core.py
+++ b/wigeonhitch/routing/core.py
@@ -13,6 +13,7 @@
 from wigeonhitch.routing import (
     action,
     borrower,
+    counting,
     event,
     peer,
     queue,
@@ -87,10 +88,10 @@
         self._attempts: dict[int, request.Attempt] = {}
         self._in_flight: collections.Counter[str] = collections.Counter()
         self._borrowers: dict[str, borrower.Borrower] = {}
-        self._owners: dict[str, slot.Owner] = {}
+        self._counting = counting.Counting(self._rng)
+        self._counting.set_members([own], 0.0)
         self._deadlines = timer.Timers()
         self._borrower_timers = timer.Timers()
-        self._owner_timers = timer.Timers()
         self._touched: set[str] = set()
         self._inbox: collections.deque[peer.Message] = collections.deque()
         self._outbox: dict[str, list[peer.Message]] = {}
@@ -135,7 +136,7 @@
         times = [
             self._deadlines.next(),
             self._borrower_timers.next(),
-            self._owner_timers.next(),
+            self._counting.next_time(),
         ]
         return min((time for time in times if time is not None), default=None)
 
@@ -356,24 +357,7 @@
         ):
             self._borrower(pool).receive(daemon, message, self._now)
             return
-        owner = self._owners.get(pool)
-        if owner is None and isinstance(message, peer.Report) and message.join:
-            owner = self._open_owner(pool)
-        if owner is not None:
-            self._tell_all(owner.receive(daemon, message, self._now))
-        elif isinstance(message, peer.Ask) or (
-            isinstance(message, peer.Report) and message.join
-        ):
-            self.tell(daemon, peer.Leave(pool))
-
-    def _open_owner(self, pool: str) -> slot.Owner | None:
-        if self._stopping:
-            return None
-        owner = slot.Owner(pool, self._now, self._members, self._rng)
-        owner.set_weights(self._weights)
-        owner.set_workers(self._view.get(pool, ()), self._now)
-        self._owners[pool] = owner
-        return owner
+        self._tell_all(self._counting.receive(daemon, message, self._now))
 
     def _tell_all(self, messages: slot.Messages) -> None:
         for daemon, message in messages:
@@ -405,9 +389,7 @@
         for pool, lender in self._borrowers.items():
             lender.set_workers(what.pools.get(pool, ()))
             self._touched.add(pool)
-        for pool, owner in self._owners.items():
-            self._tell_all(owner.set_workers(what.pools.get(pool, ()), self._now))
-            self._touched.add(pool)
+        self._tell_all(self._counting.set_view(what.pools, self._now))
 
     def _change_members(self, what: event.MembersChanged) -> None:
         self._members = sorted(what.members | {self._own})
@@ -415,10 +397,7 @@
             ranked = rendezvous.rank(pool, self._members)
             lender.set_members(ranked, len(self._members), self._now)
             self._touched.add(pool)
-        members = frozenset(self._members)
-        for pool, owner in self._owners.items():
-            self._tell_all(owner.set_members(members, self._now))
-            self._touched.add(pool)
+        self._tell_all(self._counting.set_members(self._members, self._now))
 
     def _change_urgencies(self, what: event.UrgenciesChanged) -> None:
         ordered = sorted(
@@ -432,15 +411,12 @@
         self._weights = what.weights
         for lender in self._borrowers.values():
             lender.waiting.set_weights(what.weights)
-        for owner in self._owners.values():
-            owner.set_weights(what.weights)
+        self._counting.set_weights(what.weights)
 
     def _stop(self, what: event.Stopping) -> None:
         """Begin a planned stop: pass on what is counted here, finish the rest."""
         self._stopping = True
-        for owner in self._owners.values():
-            self._tell_all(owner.leave())
-        self._owners.clear()
+        self._tell_all(self._counting.stop())
 
     def _lapse(self, what: event.SendLapsed) -> None:
         self._may_send = False
@@ -464,29 +440,20 @@
             self._give_up(entry, reason, probe=True)
         for pool in self._borrower_timers.take_due(self._now):
             self._borrower(pool).wake(self._now, late)
-        for pool in self._owner_timers.take_due(self._now):
-            self._touched.add(pool)
-            if pool in self._owners:
-                self._tell_all(self._owners[pool].wake(self._now))
+        self._tell_all(self._counting.wake(self._now))
 
     def _settle(self) -> None:
         """Deliver messages to itself, renew timers, pass on other messages."""
         while self._inbox:
             self._dispatch(self._own, self._inbox.popleft())
         for pool in self._touched:
-            if pool in self._borrowers:
-                when = self._borrowers[pool].next_time(self._now)
-                _renew(self._borrower_timers, pool, when)
-            if pool in self._owners:
-                _renew(self._owner_timers, pool, self._owners[pool].next_time())
+            lender = self._borrowers.get(pool)
+            when = lender.next_time(self._now) if lender is not None else None
+            if when is None:
+                self._borrower_timers.discard(pool)
+            else:
+                self._borrower_timers.set(pool, when)
         self._touched.clear()
         for daemon, messages in self._outbox.items():
             self._actions.append(action.Tell(daemon, tuple(messages)))
         self._outbox = {}
-
-
-def _renew(timers: timer.Timers, key: str, when: float | None) -> None:
-    if when is None:
-        timers.discard(key)
-    else:
-        timers.set(key, when)
