Make five outcome tests able to fail

Cause: with the mechanism switched off by hand they still passed. The bulk test counted starts after the overload; the failing worker was left alone at half load by its weight; the teams' names sorted in the right order by chance; a cancelled ask cost grants that nobody counted; the grace of short deadlines had no test.

--- a/wigeonhitch/routing/tests/test_outcomes.py
+++ b/wigeonhitch/routing/tests/test_outcomes.py
@@ -6,7 +6,7 @@
 
 from benchmarks import routing_loop
 from wigeonhitch import verdict
-from wigeonhitch.routing import borrower, event, evidence
+from wigeonhitch.routing import borrower, event, evidence, peer
 
 SLOTS = 48
 CAPACITY = SLOTS / 0.05
@@ -61,7 +61,8 @@
 def test_bulk_is_not_starved_by_urgent_work_alone_above_capacity(loop):
     offer_mixed(loop, 2.0, 8.0, urgent=0.75)
     loop.run(20.0)
-    assert len(select(loop, "bulk")) > 0.05 * CAPACITY * 8.0
+    begun = [done.began for done in select(loop, "bulk") if 3.0 < done.began < 8.0]
+    assert len(begun) > 0.05 * CAPACITY * 5.0
 
 
 def test_waits_are_normal_soon_after_a_burst(loop):
@@ -103,11 +104,11 @@
 
 
 def test_team_with_many_requests_does_not_delay_the_others(loop):
-    loop.offer(2.0 * CAPACITY, 0.0, 6.0, team="many", within=3.0)
+    loop.offer(2.0 * CAPACITY, 0.0, 6.0, team="a-many", within=3.0)
     loop.offer(0.1 * CAPACITY, 0.0, 6.0, team="few", within=3.0)
     loop.run(20.0)
     few = [done for done in select(loop) if done.team == "few"]
-    many = [done for done in select(loop) if done.team == "many"]
+    many = [done for done in select(loop) if done.team == "a-many"]
     assert not [d for d in select(loop, ran=verdict.Ran.NO) if d.team == "few"]
     assert find_wait(few) < 0.2 * find_wait(many)
 
@@ -132,7 +133,7 @@
 def test_worker_that_fails_everything_is_taken_out_and_let_back(loop):
     bad = loop.workers["vm0"]
     bad.mode = "fail"
-    loop.offer(0.5 * CAPACITY, 0.0, 20.0)
+    loop.offer(0.75 * CAPACITY, 0.0, 20.0)
     loop.run(10.0)
     assert len(bad.begun) < 0.01 * sum(len(w.begun) for w in loop.workers.values())
     bad.mode = "ok"
@@ -165,15 +166,32 @@
 
 
 def test_caller_who_leaves_frees_its_place(loop):
-    numbers = [loop.arrive("d0", 1.0) for _ in range(200)]
+    asker = next(name for name in loop.names if name != loop.find_owner())
+    numbers = [loop.arrive(asker, 1.0) for _ in range(200)]
     loop.run(0.5)
-    waiting = sum(loop.cores["d0"].count_waiting().values())
+    waiting = sum(loop.cores[asker].count_waiting().values())
     assert waiting == 200 - SLOTS
+    grants = []
+
+    def watch(tell):
+        grants.extend(m for m in tell.messages if isinstance(m, peer.Grant))
+
+    loop.on_message = watch
     for number in numbers:
-        loop.give("d0", event.Cancelled(number))
-    late = loop.arrive("d1", 0.01)
+        loop.give(asker, event.Cancelled(number))
+    late = loop.arrive(asker, 0.01)
     loop.run(1.2)
     assert loop.done[late].verdict == verdict.ran()
+    assert len(grants) == 1
     ran = collections.Counter(done.verdict.ran for done in loop.done.values())
     assert ran[verdict.Ran.NO] == waiting
     assert sum(loop.runs.values()) == SLOTS + 1
+
+
+def test_requests_shorter_than_the_mean_are_still_tried(loop):
+    for _ in range(20):
+        loop.arrive("d0", 3.0)
+    loop.run(4.0)
+    numbers = [loop.arrive("d0", 0.02, within=1.0) for _ in range(20)]
+    loop.run(6.0)
+    assert {loop.done[number].verdict for number in numbers} == {verdict.ran()}
