--- a/wigeonhitch/routing/slot.py
+++ b/wigeonhitch/routing/slot.py
@@ -88,15 +88,6 @@
         self._ready_at = now + REBUILD
         self._pulse_at = now
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether nothing is held or waits."""
-        return not self._held and not len(self._queue)
-
-    def count_used(self) -> dict[str, int]:
-        """Return the slots in use per worker, as counted."""
-        return {vm: slots.used for vm, slots in self._workers.items()}
-
     def set_weights(self, weights: Mapping[str, float]) -> None:
         """Set the weights of teams."""
         self._queue.set_weights(weights)
