--- a/wigeonhitch/routing/borrower.py
+++ b/wigeonhitch/routing/borrower.py
@@ -14,7 +14,16 @@
 from typing import NamedTuple
 
 from wigeonhitch import verdict
-from wigeonhitch.routing import choice, event, evidence, peer, port, queue, retry
+from wigeonhitch.routing import (
+    choice,
+    event,
+    evidence,
+    hint,
+    peer,
+    port,
+    queue,
+    retry,
+)
 
 __all__ = ["SILENCE", "Borrower", "Link", "Policy"]
 
@@ -31,15 +40,6 @@
 # one-queue order for `SILENCE` plus `slot.REBUILD`, not until members agree.
 OWNERS = 2
 
-# A slot that becomes free is kept for an own request of the class and team
-# that is next at the owner, if that request is younger than the owner's next
-# by at most this many seconds. It saves the slot two messages' ways (2 to 3
-# ms of some 50) when slots are scarce, and bounds the disorder that it brings.
-REUSE_SLACK = 0.05
-
-# Seconds after which what a pulse said about the next ask is not relied on.
-HINT_AGE = 0.06
-
 
 class Link(enum.Enum):
     """State of the connection to the pool's owner."""
@@ -93,8 +93,7 @@
         self._rank = 0
         self._heard = 0.0
         self._probe_at = 0.0
-        self._hint: peer.Pulse | None = None
-        self._hint_at = 0.0
+        self._hint = hint.Hint()
         self._asks: dict[int, int] = {}
         self._requests: dict[int, int] = {}
         self._deadlines: dict[int, float] = {}
@@ -228,7 +227,7 @@
             if request is not None:
                 self._give_up(request, message.reason, message.retry_after)
         elif isinstance(message, peer.Pulse):
-            self._hint, self._hint_at = message, now
+            self._hint.note(message, now)
         elif isinstance(message, peer.Leave):
             self._lose(now)
 
@@ -324,7 +323,7 @@
     def _forget_asks(self) -> None:
         self._asks.clear()
         self._requests.clear()
-        self._hint = None
+        self._hint.clear()
 
     def _ask(self, entry: queue.Entry, now: float, again: bool) -> None:
         if not self._asks:
@@ -359,14 +358,12 @@
 
     def _reuse(self, hold: int, vm: str, outcome: peer.Outcome, now: float) -> int:
         """Send the next own request on a slot just freed; 0 if it is not next."""
-        hint = self._hint
-        if outcome is not peer.Outcome.OK or hint is None or vm not in self._choice:
+        if outcome is not peer.Outcome.OK or vm not in self._choice:
             return 0
-        since_hint = now - self._hint_at
-        if since_hint > HINT_AGE or not self.evidence.allows(vm, 0, now):
+        if not self._hint.is_fresh(now) or not self.evidence.allows(vm, 0, now):
             return 0
         entry = self.waiting.peek(now)
-        if entry is None or not self._is_next(entry, hint):
+        if entry is None or not self._hint.allows(entry):
             return 0
         ask = self._asks.pop(entry.key)
         del self._requests[ask]
@@ -374,21 +371,6 @@
         self._start(entry.key, hold, vm)
         return ask
 
-    def _is_next(self, entry: queue.Entry, hint: peer.Pulse) -> bool:
-        """Tell whether an own request is about as good as the owner's next.
-
-        Higher classes must have heads as fresh as the slack: they are served
-        at once, and wait for one slot more at most.
-        """
-        for head in hint.heads:
-            if head.rank < entry.rank and head.age > REUSE_SLACK:
-                return False
-            if head.rank == entry.rank:
-                oldest = self._hint_at - head.age
-                if entry.team != head.team or entry.since > oldest + REUSE_SLACK:
-                    return False
-        return True
-
     # Sending by own counts.
 
     def _send_alone(self, now: float) -> None:
