Share a worker's idle connections out over the daemons

Cause: every daemon kept up to 8 idle connections to each worker: 72 of a worker's 60 with nine daemons. The routing decisions know each daemon's share; the sender did not ask them. Ruled out: one fixed small limit (opens a connection per request where few daemons run). An unused client is made anew when its share changes.

--- a/wigeonhitch/daemon/assembly.py
+++ b/wigeonhitch/daemon/assembly.py
@@ -257,7 +257,7 @@
         self.dispatch.apply(event.Stopping())
         limit = self.settings.daemon.stop_within
         with anyio.move_on_after(limit):
-            while self.dispatch.held:
+            while self.dispatch.held or not self.routing.is_idle:
                 await anyio.sleep(0.02)
             await self.claims.flush(limit / 4)
             await self.holder.leave(limit / 4)
--- a/wigeonhitch/front/dispatcher.py
+++ b/wigeonhitch/front/dispatcher.py
@@ -86,6 +86,7 @@
         self._find_address = find_address
         self._may_send = may_send
         self._pending: dict[int, Ticket] = {}
+        self._kept: dict[str, int] = {}
         self._number = 0
         self._timer_changed = anyio.Event()
         self._due = math.inf
@@ -97,6 +98,8 @@
 
     def apply(self, given: Any) -> None:
         """Feed an event that belongs to no request of this daemon's callers."""
+        if isinstance(given, event.MembersChanged | event.ViewChanged):
+            self._kept.clear()
         self._handle(given)
 
     async def serve(
@@ -199,9 +202,17 @@
         if refusal is not None:
             return sender.Result(refusal)
         return await self._outlet.send(
-            request._replace(address=address, timeout=send.timeout)
+            request._replace(
+                address=address, timeout=send.timeout, kept=self._count_kept(send.vm)
+            )
         )
 
+    def _count_kept(self, vm: str) -> int:
+        kept = self._kept.get(vm)
+        if kept is None:
+            kept = self._kept[vm] = self._core.keep_connections(vm)
+        return kept
+
     def _end_unsent(self, number: int, send: action.Send) -> None:
         unsent = verdict.not_run(verdict.Reason.CANCELLED)
         self._handle(event.Answered(number, send.attempt, unsent, 0.0))
--- a/wigeonhitch/front/sender.py
+++ b/wigeonhitch/front/sender.py
@@ -34,6 +34,9 @@
 
 FAILED_STATUS = 500
 
+# Seconds that a worker has to say that it is healthy.
+PROBE_TIMEOUT = 1.0
+
 
 class Limits(NamedTuple):
     """Limits of the connections to one worker.
@@ -41,8 +44,7 @@
     Parameters
     ----------
     connections : int
-        Connections of this daemon to one worker. Slots bound the requests at
-        once; the rest of the worker's 60 is left to the other daemons.
+        Connections of this daemon to one worker in use at once: its slots.
     idle : float
         Seconds after which an idle connection is closed: below the workers'
         own limit, so that a request doesn't meet a connection just closed.
@@ -59,7 +61,10 @@
 
 
 class Attempt(NamedTuple):
-    """One request as it goes to a worker."""
+    """One request as it goes to a worker.
+
+    ``kept`` is how many idle connections to the worker may be kept open.
+    """
 
     address: str
     method: str
@@ -67,6 +72,16 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     timeout: float
+    kept: int = 1
+
+
+class _Outlet:
+    """The client of one worker, how many idle connections it keeps, and its use."""
+
+    def __init__(self, client: httpx.AsyncClient, kept: int) -> None:
+        self.client = client
+        self.kept = kept
+        self.in_use = 0
 
 
 class Result(NamedTuple):
@@ -91,11 +106,11 @@
         context: ssl.SSLContext | None = None,
         tracing: trace.Tracing | None = None,
     ) -> None:
+        stack.push_async_callback(self.close)
         self._tracing = tracing or trace.Tracing(trace.Settings(), "")
-        self._stack = stack
         self._limits = limits
         self._context = context
-        self._clients: dict[str, httpx.AsyncClient] = {}
+        self._outlets: dict[str, _Outlet] = {}
 
     async def send(self, attempt: Attempt) -> Result:
         """Send one attempt; the whole answer is read before it counts."""
@@ -107,50 +122,74 @@
         return result
 
     async def _exchange(self, attempt: Attempt, headers: dict[str, str]) -> Result:
-        client = self._clients.get(attempt.address)
-        if client is None:
-            client = await self._open(attempt.address)
-        request = client.build_request(
+        outlet = await self._find_outlet(attempt)
+        request = outlet.client.build_request(
             attempt.method,
             attempt.path,
             headers=headers,
             content=attempt.body,
         )
+        outlet.in_use += 1
         try:
             with anyio.fail_after(attempt.timeout):
-                response = await client.send(request)
+                response = await outlet.client.send(request)
         except TimeoutError:
             return Result(verdict.may_have_run(verdict.Reason.TIMEOUT))
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             return Result(judge_error(error))
+        finally:
+            outlet.in_use -= 1
         return _judge_response(response)
 
+    async def _find_outlet(self, attempt: Attempt) -> _Outlet:
+        """Return the worker's client; an unused one follows a changed limit.
+
+        The worker's connections are shared out over the daemons, so the limit
+        changes with their number.
+        """
+        outlet = self._outlets.get(attempt.address)
+        if outlet is not None and outlet.kept != attempt.kept and not outlet.in_use:
+            del self._outlets[attempt.address]
+            await outlet.client.aclose()
+            outlet = self._outlets.get(attempt.address)
+        if outlet is None:
+            client = self._make_client(attempt.address, attempt.kept)
+            outlet = self._outlets[attempt.address] = _Outlet(client, attempt.kept)
+        return outlet
+
     async def forget(self, addresses: frozenset[str]) -> None:
-        """Close the idle clients of workers that are no longer listed."""
-        for address in list(self._clients):
-            if address not in addresses:
-                await self._clients.pop(address).aclose()
+        """Close the unused clients of workers that are no longer listed."""
+        for address, outlet in list(self._outlets.items()):
+            if address not in addresses and not outlet.in_use:
+                del self._outlets[address]
+                await outlet.client.aclose()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for outlet in self._outlets.values():
+            await outlet.client.aclose()
 
     async def probe(self, address: str) -> bool:
         """Whether the worker says that it is healthy."""
-        result = await self.send(Attempt(address, "GET", "/health", (), b"", 1.0))
+        outlet = self._outlets.get(address)
+        kept = outlet.kept if outlet is not None else 1
+        attempt = Attempt(address, "GET", "/health", (), b"", PROBE_TIMEOUT, kept)
+        result = await self.send(attempt)
         return result.answer is not None and result.answer.status == 200
 
-    async def _open(self, address: str) -> httpx.AsyncClient:
+    def _make_client(self, address: str, kept: int) -> httpx.AsyncClient:
         scheme = "http" if self._context is None else "https"
-        client = httpx.AsyncClient(
+        return httpx.AsyncClient(
             base_url=f"{scheme}://{address}",
             verify=self._context if self._context is not None else False,
             trust_env=False,
             timeout=httpx.Timeout(None, connect=self._limits.connect_timeout),
             limits=httpx.Limits(
                 max_connections=self._limits.connections,
-                max_keepalive_connections=self._limits.connections,
+                max_keepalive_connections=kept,
                 keepalive_expiry=self._limits.idle,
             ),
         )
-        self._clients[address] = client
-        return await self._stack.enter_async_context(client)
 
 
 def judge_error(error: Exception) -> verdict.Verdict:
--- a/wigeonhitch/front/tests/test_sender.py
+++ b/wigeonhitch/front/tests/test_sender.py
@@ -72,3 +72,34 @@
 )
 def test_error_after_the_first_byte_never_means_not_run(error):
     assert sender.judge_error(error).ran is verdict.Ran.MAYBE
+
+
+@pytest.mark.anyio
+async def test_idle_connections_follow_the_limit_and_probes_dont_change_it():
+    opened = []
+
+    async def serve(stream):
+        opened.append(stream)
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream):
+                while await stream.receive():
+                    await stream.send(WHOLE)
+
+    async with contextlib.AsyncExitStack() as stack:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        await stack.enter_async_context(listener)
+        group = await stack.enter_async_context(anyio.create_task_group())
+        group.start_soon(listener.serve, serve)
+        outlet = sender.Sender(stack)
+        address = f"127.0.0.1:{port}"
+        attempt = sender.Attempt(address, "GET", "/x", (), b"", 1.0, kept=1)
+        for _ in range(3):
+            await outlet.send(attempt)
+            await outlet.probe(address)
+        assert len(opened) == 1
+        for _ in range(3):
+            await outlet.send(attempt._replace(kept=0))
+        assert len(opened) == 4
+        await outlet.close()
+        group.cancel_scope.cancel()
--- a/wigeonhitch/wire/peer.thrift
+++ b/wigeonhitch/wire/peer.thrift
@@ -83,11 +83,15 @@
   1: string pool
 }
 
+struct Head {
+  1: i32 rank
+  2: string team
+  3: double age
+}
+
 struct Pulse {
   1: string pool
-  2: i32 rank
-  3: string team
-  4: double age
+  2: list<Head> heads
 }
 
 struct Leave {
--- a/wigeonhitch/wire/tests/test_codec.py
+++ b/wigeonhitch/wire/tests/test_codec.py
@@ -1,3 +1,5 @@
+import typing
+
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -50,6 +52,31 @@
     assert received == codec.Received("d1", given)
 
 
+@pytest.mark.parametrize(
+    "given",
+    [
+        peer.Ask("pairing", 7, 0, "north", 0.5, 1.0, 9.0, True),
+        peer.Grant("pairing", 7, "w1"),
+        peer.Deny("pairing", 8, verdict.Reason.QUEUE_FULL, 1.5),
+        peer.Return("pairing", 6, peer.Outcome.REFUSED, 0.25, 7),
+        peer.Cancel("pairing", 6),
+        peer.Report("pairing", (peer.Held(3, "w1", 2.0),), True),
+        peer.Welcome("pairing"),
+        peer.Pulse("pairing", (peer.Head(0, "north", 0.25),)),
+        peer.Leave("pairing"),
+    ],
+    ids=lambda one: type(one).__name__,
+)
+def test_every_slot_message_travels(given):
+    frame = codec.encode(REGISTRY, "d1", slots.pack((given,)))
+    received = codec.decode(REGISTRY, frame[codec.HEADER_SIZE :])
+    assert slots.unpack(received.message) == (given,)
+
+
+def test_no_slot_message_is_left_out():
+    assert set(slots.FIELDS) == set(typing.get_args(peer.Message))
+
+
 def test_slot_messages_keep_their_order():
     assert [type(one) for one in slots.unpack(SLOTS)] == [
         peer.Ask,
