Serve both stand-ins by one module

Cause: listener, readiness line and end by SIGTERM stood twice, and differed: the worker stand-in served in its group's own task, which hypercorn cancels.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,17 +7,15 @@
 import argparse
 import json
 import pathlib
-import signal
 import time
 from typing import Any
 
 import anyio
+import anyio.abc
 import httpx
-import hypercorn.asyncio
-import hypercorn.config
 import yaml
 
-from standins import platformengine, platformfaults, platformfleet
+from standins import platformengine, platformfaults, platformfleet, serving
 
 __all__ = ["run"]
 
@@ -25,9 +23,6 @@
 """Seconds to tell a worker process to behave as rebooting."""
 HANG_SECONDS = 3600.0
 """Seconds after which a hung request is dropped in any case."""
-KEEP_ALIVE = 60.0
-"""Seconds that an idle connection stays open: longer than its clients keep
-it, so that none is closed under a request."""
 TICK = 0.1
 """Seconds between steps of VMs and tasks when no request comes."""
 
@@ -35,14 +30,14 @@
 class Application:
     """ASGI application around one engine."""
 
-    def __init__(self, engine: platformengine.Engine, tasks: Any) -> None:
+    def __init__(self, engine: platformengine.Engine) -> None:
         self._engine = engine
-        self._tasks = tasks
+        self.group: anyio.abc.TaskGroup | None = None
 
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
         """Serve one ASGI scope."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await serving.serve_lifespan(receive, send)
         elif scope["type"] == "http":
             await self._serve(scope, receive, send)
 
@@ -57,7 +52,7 @@
             await _wait_for_leave(receive)
             return
         if fault.kind is platformfaults.Kind.LATE:
-            self._tasks.start_soon(self._apply_late, call, fault.delay)
+            self.group.start_soon(self._apply_late, call, fault.delay)
             return
         if fault.delay:
             await anyio.sleep(fault.delay)
@@ -70,14 +65,6 @@
         self._engine.handle(call, time.time())
 
 
-async def _serve_lifespan(receive: Any, send: Any) -> None:
-    while True:
-        event = await receive()
-        await send({"type": event["type"] + ".complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
-
-
 async def _read_call(scope: dict, receive: Any) -> platformengine.Call:
     chunks = []
     more = True
@@ -133,26 +120,6 @@
             await anyio.sleep(TICK)
 
 
-async def _announce(port: int) -> None:
-    """Print ``ready`` once the port accepts connections."""
-    while True:
-        try:
-            stream = await anyio.connect_tcp("127.0.0.1", port)
-        except OSError:
-            await anyio.sleep(0.02)
-            continue
-        await stream.aclose()
-        print("ready", flush=True)
-        return
-
-
-async def _await_signal(stopped: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            stopped.set()
-            return
-
-
 def build_engine(options: argparse.Namespace) -> platformengine.Engine:
     """Return an engine with the VMs of the inventory file."""
     inventory: dict = {}
@@ -172,33 +139,13 @@
 async def serve(options: argparse.Namespace) -> None:
     """Serve until SIGTERM."""
     engine = build_engine(options)
-    config = hypercorn.config.Config()
-    config.bind = [f"127.0.0.1:{options.port}"]
-    config.graceful_timeout = 0.2
-    config.keep_alive_timeout = KEEP_ALIVE
-    config.errorlog = None
-    stopped = anyio.Event()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_await_signal, stopped)
-        tasks.start_soon(_step, engine)
-        tasks.start_soon(_announce, options.port)
-        tasks.start_soon(_serve_http, engine, config, stopped, tasks)
-
-
-async def _serve_http(
-    engine: platformengine.Engine,
-    config: hypercorn.config.Config,
-    stopped: anyio.Event,
-    tasks: Any,
-) -> None:
-    """Serve until ``stopped``, then end all tasks.
-
-    This is a task of its own: hypercorn cancels the task it serves in when it
-    shuts down, which must not reach the task group.
-    """
-    application = Application(engine, tasks)
-    await hypercorn.asyncio.serve(application, config, shutdown_trigger=stopped.wait)
-    tasks.cancel_scope.cancel()
+    application = Application(engine)
+
+    def start(group: anyio.abc.TaskGroup) -> None:
+        application.group = group
+        group.start_soon(_step, engine)
+
+    await serving.serve(application, [options.port], start)
 
 
 def run() -> None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -7,14 +7,13 @@
 
 import argparse
 import json
-import signal
 import time
 import urllib.parse
 from typing import Any, NamedTuple
 
 import anyio
-import hypercorn.asyncio
-import hypercorn.config
+
+from standins import serving
 
 __all__ = ["Application", "Switches", "Worker", "run"]
 
@@ -111,11 +110,7 @@
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
         """Serve one ASGI scope."""
         if scope["type"] == "lifespan":
-            while True:
-                event = await receive()
-                await send({"type": event["type"] + ".complete"})
-                if event["type"] == "lifespan.shutdown":
-                    return
+            await serving.serve_lifespan(receive, send)
         if scope["type"] != "http":
             return
         worker = self._workers[scope["server"][1]]
@@ -217,43 +212,6 @@
     raise ConnectionAbortedError("broken on purpose in the middle of an answer")
 
 
-async def _announce(port: int) -> None:
-    while True:
-        try:
-            stream = await anyio.connect_tcp("127.0.0.1", port)
-        except OSError:
-            await anyio.sleep(0.02)
-            continue
-        await stream.aclose()
-        print("ready", flush=True)
-        return
-
-
-async def _await_signal(stopped: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            stopped.set()
-            return
-
-
-async def serve(workers: dict[int, Worker]) -> None:
-    """Serve the workers, by port, until SIGTERM."""
-    config = hypercorn.config.Config()
-    config.bind = [f"127.0.0.1:{port}" for port in workers]
-    config.errorlog = None
-    config.accesslog = None
-    config.graceful_timeout = 0.2
-    config.keep_alive_timeout = 300
-    stopped = anyio.Event()
-    async with anyio.create_task_group() as group:
-        group.start_soon(_await_signal, stopped)
-        group.start_soon(_announce, next(iter(workers)))
-        await hypercorn.asyncio.serve(
-            Application(workers), config, shutdown_trigger=stopped.wait
-        )
-        group.cancel_scope.cancel()
-
-
 def run() -> None:
     """Run the workers named as ``NAME=PORT`` on the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -264,7 +222,7 @@
     for text in parsed.worker:
         name, port = text.split("=")
         workers[int(port)] = Worker(name, parsed.slots)
-    anyio.run(serve, workers)
+    anyio.run(serving.serve, Application(workers), list(workers))
 
 
 if __name__ == "__main__":
