--- a/standins/demo/caller.py
+++ b/standins/demo/caller.py
@@ -109,7 +109,6 @@
     """Send requests at the load's rate until ``stopped``; return all outcomes."""
     rng = random.Random(load.seed)
     services = [one.name for one in at.intended.services]
-    urls = [f"http://127.0.0.1:{one.callers}" for one in at.daemons.values()]
     outcomes: list[Outcome] = []
 
     async def run(client: httpx.AsyncClient, url: str, request: _Request) -> None:
@@ -128,6 +127,7 @@
                 rng.random() < load.share_keyed,
                 rng.expovariate(1 / load.work),
             )
+            urls = [f"http://127.0.0.1:{one.callers}" for one in at.daemons.values()]
             group.start_soon(run, client, rng.choice(urls), request)
             if request.keyed and rng.random() < load.share_repeated:
                 group.start_soon(run, client, rng.choice(urls), request)
--- a/standins/demo/main.py
+++ b/standins/demo/main.py
@@ -17,7 +17,7 @@
 import anyio
 import yaml
 
-from standins.demo import audit, caller, process, site
+from standins.demo import audit, caller, fault, process, site
 
 __all__ = ["run"]
 
@@ -44,11 +44,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rate", type=float, default=30.0, help="requests/s per user")
     parser.add_argument("--keep", help="folder for settings and logs; kept")
+    parser.add_argument("--faults", action="store_true", help="bring faults about")
+    parser.add_argument("--seed", type=int, default=1, help="of traffic and faults")
     options = parser.parse_args()
     try:
         with contextlib.ExitStack() as stack:
             folder = options.keep or stack.enter_context(tempfile.TemporaryDirectory())
-            results = run_users(stack, pathlib.Path(folder), options.rate)
+            results = run_users(stack, pathlib.Path(folder), options)
             print_table(results)
     except KeyboardInterrupt:
         print("interrupted; everything that was started is ended", file=sys.stderr)
@@ -58,7 +60,7 @@
 
 
 def run_users(
-    stack: contextlib.ExitStack, folder: pathlib.Path, rate: float
+    stack: contextlib.ExitStack, folder: pathlib.Path, options: argparse.Namespace
 ) -> list[Result]:
     """Start both sites, run them side by side and audit them."""
     ports = process.Ports()
@@ -69,7 +71,7 @@
         sites[user] = site.open_site(stack, folder / user, ports, example)
     for user, at in sites.items():
         put_in_force(user, at)
-    finished = anyio.run(run_traffic, sites, rate)
+    finished = anyio.run(run_traffic, sites, options)
     return [make_result(user, sites[user], *finished[user]) for user in USERS]
 
 
@@ -85,13 +87,16 @@
     )
 
 
-async def run_traffic(sites: dict[str, site.Site], rate: float) -> dict[str, Any]:
+async def run_traffic(
+    sites: dict[str, site.Site], options: argparse.Namespace
+) -> dict[str, Any]:
     """Send load to all sites while each site's wave runs."""
     finished: dict[str, Any] = {}
 
     async def run_one(user: str, at: site.Site) -> None:
         stopped = anyio.Event()
-        load = caller.Load(rate=rate, seed=USERS.index(user) + 1)
+        seed = options.seed * len(USERS) + USERS.index(user)
+        load = caller.Load(rate=options.rate, seed=seed)
         outcomes: list[caller.Outcome] = []
 
         async def send() -> None:
@@ -99,6 +104,8 @@
 
         async with anyio.create_task_group() as group:
             group.start_soon(send)
+            if options.faults:
+                group.start_soon(bring_about, user, at, seed, stopped)
             await anyio.sleep(SETTLE)
             plan, status = await anyio.to_thread.run_sync(run_wave, user, at)
             await anyio.sleep(SETTLE)
@@ -111,6 +118,18 @@
     return finished
 
 
+async def bring_about(
+    user: str, at: site.Site, seed: int, stopped: anyio.Event
+) -> None:
+    """Bring faults about until the run is over."""
+    await anyio.to_thread.run_sync(
+        fault.run_steps,
+        fault.make_steps(at, seed),
+        lambda name: print(f"{user}: {name}", flush=True),
+        stopped.is_set,
+    )
+
+
 def run_wave(user: str, at: site.Site) -> tuple[dict[str, Any], str]:
     """Start the document's first wave and follow it; return plan and status."""
     name = at.intended.waves[0].name
@@ -119,7 +138,7 @@
     deadline = time.monotonic() + WAVE_LIMIT
     shown = -1
     while time.monotonic() < deadline:
-        wave = at.ask("GET", f"/waves/{name}").json()
+        wave = at.ask_any("GET", f"/waves/{name}")
         done, count = wave.get("done", 0), len(wave.get("vms", ()))
         if done != shown:
             print(f"{user}: wave {name}: {done} of {count} workers", flush=True)
--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -216,6 +216,15 @@
             verify=self.verify,
         )
 
+    def ask_any(self, method: str, path: str) -> dict[str, Any]:
+        """Ask each daemon in turn; return the first good answer, or nothing."""
+        for name in list(self.daemons):
+            with contextlib.suppress(httpx.HTTPError):
+                answer = self.ask(method, path, at=name)
+                if answer.status_code == 200:
+                    return answer.json()
+        return {}
+
     def submit(self, intended: dict[str, Any], base: int, name: str) -> None:
         """Submit a document as one operator and approve it as another.
 
