Run the command as a module too

python -m wigeonhitch.command.main printed nothing and exited 0 for every command: the module defined run() and never called it, so a script that used this form took each refused or failed request for done. The installed console script was not affected.

--- a/wigeonhitch/command/main.py
+++ b/wigeonhitch/command/main.py
@@ -41,3 +41,7 @@
 def run() -> None:
     """Run the command of this process."""
     sys.exit(main())
+
+
+if __name__ == "__main__":
+    run()
