Write times, lengths and waiting reasons for people

Against real daemons the tables read badly: SINCE was 1796251542.5937371, a wave that never started was since 0.0, a plan's roll-out was 1800.0 without a unit, each VM that is up widened the pool table to 150 columns, flags were True and False, an empty cell could not be told from a missing one, and wave show printed 'done: 0' without the total, since the list of VMs replaces their number. wave watch repeated the window each time and printed what waits as Python dictionaries. Drawing moved from fleet to text, where times are known by the field's name; asking the daemons for formatted text was ruled out, since programs read the same body.

--- a/wigeonhitch/command/documents.py
+++ b/wigeonhitch/command/documents.py
@@ -1,12 +1,11 @@
 """Commands of the group ``document``."""
 
-import datetime
 import json as codec
 import pathlib
 import uuid
 from typing import Any
 
-from wigeonhitch.command import client, options, report
+from wigeonhitch.command import client, options, report, text
 from wigeonhitch.configuration import (
     approval,
     canonical,
@@ -214,7 +213,7 @@
         return report.report_reply(reply)
     body = reply.body
     if proposal:
-        lines = [f"{key}: {body[key]}" for key in body if key != "document"]
+        lines = text.draw({key: body[key] for key in body if key != "document"})
         return report.Report(report.Exit.DONE, body, tuple(lines))
     lines = [f"version {body['version']}", f"hash {body['hash']}"]
     lines += codec.dumps(body["document"], indent=2).splitlines()
@@ -239,7 +238,7 @@
             row["hash"][:12],
             row["author"],
             ",".join(one["operator"] for one in row["given"]) or "-",
-            format_time(row["accepted"]),
+            text.format_time(row["accepted"]),
             row["note"],
         )
         for row in reply.body["versions"]
@@ -267,7 +266,7 @@
             one["base"],
             one["hash"][:12],
             one["author"],
-            format_time(one["submitted"]),
+            text.format_time(one["submitted"]),
             "; ".join(one["missing"]) if one["state"] == "waiting" else "-",
         )
         for one in reply.body["proposals"]
@@ -275,18 +274,6 @@
     return report.report_reply(reply, report.draw_table(headers, rows))
 
 
-def format_time(seconds: float) -> str:
-    """Return a time of the table's clock in UTC.
-
-    Examples
-    --------
-    >>> format_time(0.0)
-    '1970-01-01T00:00:00Z'
-    """
-    when = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
-    return when.strftime("%Y-%m-%dT%H:%M:%SZ")
-
-
 GROUP = {
     "schema": options.local(print_schema),
     "check": options.local(check_file),
--- a/wigeonhitch/command/fleet.py
+++ b/wigeonhitch/command/fleet.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from wigeonhitch.command import client, options, report
+from wigeonhitch.command import client, options, report, text
 
 __all__ = ["POOLS", "STATUS", "WAVES"]
 
@@ -15,54 +15,25 @@
 WATCH_PERIOD = 2.0
 FINISHED = ("done", "aborted")
 
-
-def draw(value: Any, indent: str = "") -> list[str]:
-    """Return any JSON body as lines: lists of objects as tables.
-
-    Examples
-    --------
-    >>> draw({"wave": "november", "pools": [{"name": "match", "up": 6}]})
-    ['wave: november', 'pools:', '  NAME   UP', '  match  6']
-    """
-    if isinstance(value, list) and value and all(isinstance(v, dict) for v in value):
-        keys = list(dict.fromkeys(key for item in value for key in item))
-        headers = [key.replace("_", " ").upper() for key in keys]
-        rows = [[shorten(item.get(key, "-")) for key in keys] for item in value]
-        return [indent + line for line in report.draw_table(headers, rows)]
-    if isinstance(value, list):
-        return [f"{indent}{shorten(item)}" for item in value]
-    if not isinstance(value, Mapping):
-        return [f"{indent}{value}"]
-    lines = []
-    for key, item in value.items():
-        if isinstance(item, list | dict) and item:
-            lines.append(f"{indent}{key}:")
-            lines += draw(item, indent + "  ")
-        else:
-            lines.append(f"{indent}{key}: {shorten(item)}")
-    return lines
-
-
-def shorten(value: Any) -> str:
-    """Return a value for one cell."""
-    if value is None or value == [] or value == {}:
-        return "-"
-    if isinstance(value, dict):
-        return ", ".join(f"{key}={item}" for key, item in value.items())
-    if isinstance(value, list):
-        return ",".join(map(str, value))
-    return str(value)
+UNCHECKED = (
+    "UP is what the table and the VM list say; `pool show` asks the workers too."
+)
 
 
 def report_body(reply: client.Reply | client.Lost, again: str = "") -> report.Report:
     """Return the report of an answer whose body is shown whole."""
-    lines = [] if isinstance(reply, client.Lost) else draw(reply.body)
+    lines = [] if isinstance(reply, client.Lost) else text.draw(reply.body)
     return report.report_reply(reply, lines, again)
 
 
 async def list_pools(asking: client.Client) -> report.Report:
     """List the pools with their budget and what is up now."""
-    return report_body(await asking.get("/pools"))
+    reply = await asking.get("/pools")
+    if report.find_exit(reply) is not report.Exit.DONE:
+        return report.report_reply(reply)
+    rows = [pool | {"up": len(pool["up"])} for pool in reply.body["pools"]]
+    lines = [*text.draw(rows), UNCHECKED]
+    return report.report_reply(reply, lines)
 
 
 async def show_pool(asking: client.Client, pool: str) -> report.Report:
@@ -78,7 +49,10 @@
 
 async def list_waves(asking: client.Client) -> report.Report:
     """List the waves."""
-    return report_body(await asking.get("/waves"))
+    reply = await asking.get("/waves")
+    if report.find_exit(reply) is not report.Exit.DONE:
+        return report.report_reply(reply)
+    return report.report_reply(reply, text.draw(reply.body["waves"]) or ["no wave"])
 
 
 async def show_wave(asking: client.Client, wave: str) -> report.Report:
@@ -89,7 +63,7 @@
     wave : str
         Name of the wave.
     """
-    return report_body(await asking.get(f"/waves/{wave}"))
+    return report_wave(await asking.get(f"/waves/{wave}"))
 
 
 async def plan_wave(asking: client.Client, wave: str) -> report.Report:
@@ -200,7 +174,7 @@
         if code is report.Exit.DONE:
             line = format_progress(reply.body)
             if reply.body.get("status") in FINISHED:
-                return report_body(reply)
+                return report_wave(reply)
         else:
             # A wave goes on without its watcher; an outage is waited out.
             line = f"{wave}: no answer, trying again"
@@ -210,15 +184,60 @@
         await anyio.sleep(period)
 
 
+def report_wave(reply: client.Reply | client.Lost) -> report.Report:
+    """Return the report of a wave: why it waits first, then its VMs."""
+    if report.find_exit(reply) is not report.Exit.DONE:
+        return report.report_reply(reply)
+    body = dict(reply.body)
+    vms = body.pop("vms", [])
+    body["done"] = count_done(reply.body)
+    lines = text.draw(body)
+    if vms:
+        lines += ["vms:", *text.draw(vms, "  ")]
+    return report.report_reply(reply, lines)
+
+
+def count_done(body: Mapping[str, Any]) -> str:
+    """Return how many VMs a wave has finished with, of how many."""
+    vms = body.get("vms", [])
+    total = len(vms) if isinstance(vms, list) else vms
+    done = body.get("done", 0)
+    return f"{done} of {total}" if total else str(done)
+
+
 def format_progress(body: Mapping[str, Any]) -> str:
-    """Return a wave's state in one line."""
-    parts = [f"{key} {shorten(body[key])}" for key in body if key != "vms"]
-    return ", ".join(parts)
+    """Return a wave's state in one line.
+
+    Examples
+    --------
+    >>> why = {"what": "vm w1", "why": "drain: busy", "since": 1.0}
+    >>> format_progress({"wave": "may", "status": "running", "waiting": [why]})
+    'may: running, 0 done; vm w1: drain: busy (since 1970-01-01T00:00:01Z)'
+    """
+    parts = [f"{body.get('wave')}: {body.get('status')}, {count_done(body)} done"]
+    for key in ("active", "down"):
+        if body.get(key):
+            parts[0] += f", {key} {text.shorten(body[key])}"
+    for one in body.get("waiting", ()):
+        since = text.format_time(one["since"])
+        parts.append(f"{one['what']}: {one['why']} (since {since})")
+    return "; ".join(parts)
 
 
 async def show_status(asking: client.Client) -> report.Report:
     """Show the daemons, the version in force and what is under way."""
-    return report_body(await asking.get("/status"))
+    reply = await asking.get("/status")
+    if report.find_exit(reply) is not report.Exit.DONE:
+        return report.report_reply(reply)
+    body = dict(reply.body)
+    alive = set(body.pop("alive", ()))
+    listed = body.pop("daemons", {})
+    rows = [
+        {"daemon": name, "alive": name in alive, **listed.get(name, {})}
+        for name in sorted(alive | set(listed))
+    ]
+    lines = [*text.draw(body), "daemons:", *text.draw(rows, "  ")]
+    return report.report_reply(reply, lines)
 
 
 POOLS = {"list": options.remote(list_pools), "show": options.remote(show_pool)}
--- a/wigeonhitch/command/jobs.py
+++ b/wigeonhitch/command/jobs.py
@@ -4,7 +4,7 @@
 
 import yaml
 
-from wigeonhitch.command import client, fleet, options, report
+from wigeonhitch.command import client, fleet, options, report, text
 
 __all__ = ["GROUP"]
 
@@ -34,9 +34,14 @@
     team : str
         Only this team's.
     """
-    return fleet.report_body(
-        await asking.get("/jobs", {"team": team} if team else None)
-    )
+    reply = await asking.get("/jobs", {"team": team} if team else None)
+    if report.find_exit(reply) is not report.Exit.DONE:
+        return report.report_reply(reply)
+    jobs, count = reply.body["jobs"], reply.body["count"]
+    lines = text.draw(jobs) if jobs else ["no job"]
+    if count > len(jobs):
+        lines.append(f"{len(jobs)} of {count} shown; name a team with --team")
+    return report.report_reply(reply, lines)
 
 
 async def show(asking: client.Client, team: str, job: str) -> report.Report:
