Test the command as a process against real daemons

The command's tests answered from thin routes in process, so neither a missing entry point nor the shape of the real bodies could fail them. Seven tests now run the command as its own process against two daemons and the platform stand-in: submit, refusal of an author and of a viewer, approval, two operators in conflict, history, a whole wave with pause and resume, jobs, pools, status, unreachable daemon, wrong credential, store down, settings.

--- /dev/null
+++ b/wigeonhitch/daemon/tests/test_command.py
@@ -0,0 +1,201 @@
+"""The command as a process of its own against daemons and stand-ins."""
+
+import contextlib
+import json
+import os
+import pathlib
+import subprocess
+import sys
+from typing import NamedTuple
+
+import pytest
+import yaml
+
+from standins.demo import process, site
+from wigeonhitch.command import report
+
+pytestmark = pytest.mark.processes
+
+Exit = report.Exit
+EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "altiplano.yaml"
+LIMIT = 60.0  # seconds for one command, a whole wave included
+
+
+class Ended(NamedTuple):
+    """What one command left."""
+
+    exit: int
+    output: str
+    errors: str
+
+
+def write_small(folder, name, **changes):
+    """Write the example with pools of two VMs, and other fields of a team."""
+    small = yaml.safe_load(EXAMPLE.read_text(encoding="utf-8"))
+    for pool in small["pools"]:
+        pool.update(size=2, must_be_up={"number": 1})
+    small["teams"][0].update(changes)
+    path = folder / name
+    path.write_text(yaml.safe_dump(small), encoding="utf-8")
+    return path
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    """File of a small fleet, so that a whole wave takes two rounds."""
+    return write_small(tmp_path_factory.mktemp("fleet"), "fleet.yaml")
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory, fleet):
+    """A site of two daemons without a document."""
+    with contextlib.ExitStack() as stack:
+        folder = tmp_path_factory.mktemp("command")
+        options = site.Options(daemons=2, reboot_seconds=0.2, vm_lag=0.1)
+        made = site.open_site(stack, folder, process.Ports(), fleet, options)
+        made.wait_until_serving()
+        yield made
+
+
+@pytest.fixture(scope="module")
+def run(running):
+    """Run the command; return its exit code and output."""
+    urls = [f"http://127.0.0.1:{one.operators}" for one in running.daemons.values()]
+
+    def run(*arguments, who="ana", daemon=""):
+        given = {
+            "WIGEONHITCH_DAEMON": daemon or ",".join(urls),
+            "WIGEONHITCH_OPERATOR": who,
+            "WIGEONHITCH_SECRET": site.SECRET,
+        }
+        ended = subprocess.run(
+            [sys.executable, "-m", "wigeonhitch.command.main", *arguments],
+            env=os.environ | given,
+            capture_output=True,
+            text=True,
+            timeout=LIMIT,
+        )
+        assert "Traceback" not in ended.stderr, ended.stderr
+        return Ended(ended.returncode, ended.stdout, ended.stderr)
+
+    return run
+
+
+@pytest.fixture(scope="module")
+def in_force(running, run, fleet):
+    """Put the example in force by the command alone."""
+    ended = run("document", "submit", str(fleet), "--submission", "first")
+    assert ended.exit == Exit.WAITING
+    assert "needs approval: 1 of owner for approvals" in ended.output
+    assert run("document", "approve", "first").exit == Exit.REFUSED
+    assert run("document", "approve", "first", who="eva").exit == Exit.REFUSED
+    ended = run("document", "approve", "first", who="ben")
+    assert ended == (Exit.DONE, "accepted: version 1\n", "")
+    for name in running.daemons:
+        running.wait_until_ready(name)
+
+
+def test_without_arguments_it_says_how_to_use_it(run):
+    assert "usage: wigeonhitch" in run().output
+
+
+def test_two_operators_conflict_and_the_loser_learns_the_version(
+    run, in_force, tmp_path
+):
+    ours = str(write_small(tmp_path, "ours.yaml", cores=80))
+    theirs = str(write_small(tmp_path, "theirs.yaml", cores=72))
+    ended = run("document", "diff", ours)
+    assert (ended.exit, "teams coffee" in ended.output) == (Exit.DONE, True)
+    for name, file in (("ours", ours), ("theirs", theirs)):
+        ended = run("document", "submit", file, "--base", "1", "--submission", name)
+        assert ended.exit == Exit.WAITING
+    assert run("document", "approve", "ours", who="ben").exit == Exit.DONE
+    ended = run("document", "approve", "theirs", who="ben")
+    assert (ended.exit, "version 2" in ended.output) == (Exit.CONFLICT, True)
+    ended = run("document", "history", "--json")
+    assert [one["version"] for one in json.loads(ended.output)["versions"]] == [2, 1]
+    ended = run("document", "show", "--proposal", "theirs")
+    assert (ended.exit, "submitted: 20" in ended.output) == (Exit.DONE, True)
+
+
+def test_wave_is_planned_paused_resumed_watched_and_ends(run, in_force):
+    ended = run("wave", "plan", "monthly")
+    assert (ended.exit, "10m" in ended.output) == (Exit.DONE, True)
+    assert run("wave", "start", "monthly", who="eva").exit == Exit.REFUSED
+    assert run("wave", "start", "no-such").exit == Exit.NOT_FOUND
+    assert run("wave", "start", "monthly").exit == Exit.DONE
+    assert run("wave", "pause", "monthly").exit == Exit.DONE
+    ended = run("wave", "show", "monthly")
+    assert "status: paused" in ended.output
+    assert "wave monthly is paused" in ended.output
+    assert run("wave", "resume", "monthly").exit == Exit.DONE
+    ended = run("wave", "watch", "monthly", "--period", "0.2")
+    assert (ended.exit, "done: 10 of 10" in ended.output) == (Exit.DONE, True)
+    assert "of 10 done, active worker-" in ended.errors
+    ended = run("wave", "abort", "monthly")
+    assert (ended.exit, "cannot abort" in ended.output) == (Exit.CONFLICT, True)
+
+
+def test_pools_and_status_are_readable(run, in_force):
+    listed = run("pool", "list").output
+    row = next(line for line in listed.splitlines() if "order-lookup" in line)
+    assert row.split()[:4] == ["order-lookup", "worker", "2", "2"]
+    shown = run("pool", "show", "order-lookup").output
+    assert "since" not in listed and ".0" not in shown
+    assert "T" in shown and "Z" in shown and "True" not in shown
+    assert run("pool", "show", "no-such").exit == Exit.NOT_FOUND
+    status = run("status").output
+    assert "ready: yes" in status and "entry-1-a" in status
+    assert json.loads(run("status", "--json").output)["ready"] is True
+
+
+def test_job_is_submitted_shown_and_cancelled(run, in_force, tmp_path):
+    file = tmp_path / "job.yaml"
+    body = {"team": "coffee", "id": "j1", "pool": "batch-pairing"}
+    file.write_text(yaml.safe_dump(body), encoding="utf-8")
+    ended = run("job", "submit", str(file))
+    assert (ended.exit, "cores: Field required" in ended.output) == (3, True)
+    body |= {"cores": 1000, "memory": 1, "duration": 5, "deadline": 600}
+    file.write_text(yaml.safe_dump(body), encoding="utf-8")
+    for _ in range(2):
+        assert run("job", "submit", str(file)).exit == Exit.DONE
+    body["cores"] = 1
+    file.write_text(yaml.safe_dump(body), encoding="utf-8")
+    assert run("job", "submit", str(file)).exit == Exit.CONFLICT
+    listed = run("job", "list", "--team", "coffee").output
+    assert "coffee" in listed and "SINCE" in listed
+    shown = run("job", "show", "coffee", "j1").output
+    assert "since: 20" in shown and "reason: -" not in shown
+    assert run("job", "cancel", "coffee", "j1").exit == Exit.DONE
+    assert run("job", "show", "coffee", "no-such").exit == Exit.NOT_FOUND
+
+
+def test_unreachable_unknown_operator_and_store_down(running, run, in_force):
+    nobody = f"http://127.0.0.1:{running.ports.take()[0]}"
+    ended = run("status", daemon=nobody)
+    assert (ended.exit, "nothing was done" in ended.output) == (6, True)
+    assert run("status", who="mallory").exit == Exit.REFUSED
+    running.switch(down=True)
+    try:
+        assert run("pool", "list").exit == Exit.UNREACHABLE
+        assert run("job", "list").exit == Exit.UNREACHABLE
+        assert run("status").exit == Exit.DONE
+    finally:
+        running.switch(down=False)
+
+
+def test_settings_are_checked_and_a_credential_is_made(running, run, tmp_path):
+    example = tmp_path / "settings.yaml"
+    example.write_text(run("settings", "example").output, encoding="utf-8")
+    assert run("settings", "check", str(example)).exit == Exit.DONE
+    for name in running.daemons:
+        file = str(running.folder / f"{name}.yaml")
+        assert run("settings", "check", file).exit == Exit.DONE
+    example.write_text("daemon: {name: A, speed: 3}\n", encoding="utf-8")
+    ended = run("settings", "check", str(example))
+    assert ended.exit == Exit.REFUSED
+    for place in ("daemon.name", "daemon.speed", "callers", "platform"):
+        assert place in ended.output
+    entry = run("settings", "credential", "ana", "operations").output
+    assert yaml.safe_load(entry)[0]["name"] == "ana"
+    assert site.SECRET not in entry
