Name the public modules of each subpackage

What another program may rely on stood nowhere: fleet's docstring named a module confirmation that lies in membership, and most packages named none. Importing them there was ruled out: import wigeonhitch.membership would load the platform's HTTP client for a program that only wants the decisions.

--- a/wigeonhitch/wire/__init__.py
+++ b/wigeonhitch/wire/__init__.py
@@ -3,3 +3,5 @@
 Public names: `wigeonhitch.wire.codec.encode`, `wigeonhitch.wire.codec.decode`
 and `wigeonhitch.wire.codec.Registry`.
 """
+
+__all__ = ["codec"]
