Show an outside program that embeds leases and claims

The parts could be imported without the daemon, but nothing showed how, and no test would have noticed a part that pulls the daemon in. The example runs two copies of a reporter on the fake platform: one dispatches two reports and is cut off, the other takes the duty over and dispatches the third; the first one's later write fails at its fence.

--- /dev/null
+++ b/examples/library/reporter.py
@@ -0,0 +1,205 @@
+"""A program of its own that embeds two coordination parts of wigeonhitch.
+
+Several copies of a reporter run. The one that holds the duty ``reports``
+dispatches reports, and each report is claimed first, so that it goes out at
+most once whichever copy dies or is paused. It uses no daemon: only
+`wigeonhitch.membership.holder` (duty leases with fencing) and
+`wigeonhitch.idempotency.store` (claims), on any `table.Table` and
+`table.ObjectStore`. Run it as ``python examples/library/reporter.py``.
+"""
+
+import enum
+import random
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+import anyio
+
+from standins import fake
+from wigeonhitch.idempotency import decision, record, store
+from wigeonhitch.membership import duty, holder, lease
+from wigeonhitch.platform import table
+
+__all__ = ["Outlet", "Reporter", "Sent", "demonstrate", "main"]
+
+DUTY = "reports"
+PROGRESS = "reports/progress"
+
+# Seconds. Real programs keep the defaults of `duty.Limits`; these are short so
+# that the example ends soon.
+LIMITS = duty.Limits(lease=0.6, margin=0.1, rank_delay=0.02, gap=0.02)
+CLAIM_TIMEOUT = 2.0
+TICK = 0.01
+PATIENCE = 10.0
+
+NAMES = ("gas-17", "moisture-17", "gas-18")
+
+
+class Outlet(Protocol):
+    """Where reports go; supplied by the program."""
+
+    async def send(self, name: str) -> bytes | None:
+        """Dispatch a report; None when its fate is unknown."""
+        ...
+
+
+class Sent(enum.Enum):
+    """What became of one report in this round."""
+
+    NOW = "sent"
+    BEFORE = "was sent before"
+    UNKNOWN = "may have been sent; nobody sends it again"
+    NOT_SENT = "not sent; a later round may send it"
+
+
+class Reporter:
+    """Dispatches reports while it holds the duty.
+
+    Parameters
+    ----------
+    leases : lease.Leases
+        The duties of this process.
+    claims : store.Claims
+        Its claims; their task must run.
+    rows : table.Table
+        Where progress is written.
+    outlet : Outlet
+    """
+
+    def __init__(
+        self,
+        leases: lease.Leases,
+        claims: store.Claims,
+        rows: table.Table,
+        outlet: Outlet,
+    ) -> None:
+        self._leases = leases
+        self._claims = claims
+        self._rows = rows
+        self._outlet = outlet
+
+    async def dispatch(self, names: Sequence[str]) -> dict[str, Sent] | None:
+        """Dispatch what was not yet; None without the duty."""
+        if self._leases.current(DUTY) is None:
+            return None
+        results = {name: await self._dispatch_one(name) for name in names}
+        await self._claims.flush(CLAIM_TIMEOUT)
+        return results
+
+    async def _dispatch_one(self, name: str) -> Sent:
+        fingerprint = record.compute_fingerprint("SEND", name, b"")
+        acquired = await self._claims.acquire(
+            DUTY, name, fingerprint, timeout=CLAIM_TIMEOUT
+        )
+        if acquired.kind is decision.Kind.REPLAYED:
+            return Sent.BEFORE
+        if acquired.claim is None:
+            is_retriable = acquired.told is not None and acquired.told.is_retriable
+            return Sent.NOT_SENT if is_retriable else Sent.UNKNOWN
+        # Asked right before the step that can't be taken back: the process may
+        # have been paused since the claim.
+        if self._leases.current(DUTY) is None or not self._claims.may_send(
+            acquired.claim
+        ):
+            await self._claims.release(acquired.claim)
+            return Sent.NOT_SENT
+        receipt = await self._outlet.send(name)
+        if receipt is None:
+            await self._claims.doubt(acquired.claim)
+            return Sent.UNKNOWN
+        await self._claims.complete(acquired.claim, record.KeptAnswer(200, (), receipt))
+        return Sent.NOW
+
+    async def note_progress(self, held: lease.Lease, count: int) -> table.CommitResult:
+        """Write progress under the fence of a lease.
+
+        A holder that was replaced fails at ``held.condition``, however long it
+        was paused and whatever it believes.
+        """
+        return await self._rows.commit(
+            [held.condition], [table.Write(PROGRESS, {"count": count})], purpose=DUTY
+        )
+
+
+class Printer:
+    """An outlet that prints, and remembers what truly went out."""
+
+    def __init__(self) -> None:
+        self.sent: list[str] = []
+
+    async def send(self, name: str) -> bytes | None:
+        """Print the report's name."""
+        self.sent.append(name)
+        print(f"report {name} goes out")
+        return b"received"
+
+
+class Outcome(NamedTuple):
+    """What the demonstration saw."""
+
+    first: dict[str, Sent] | None
+    second: dict[str, Sent] | None
+    late_write: table.CommitResult
+    sent: tuple[str, ...]
+
+
+async def demonstrate() -> Outcome:
+    """Let one copy dispatch, be cut off and be replaced by another."""
+    platform = fake.Fake(suspends=True)
+    outlet = Printer()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_run_clock, platform)
+        one, one_leases = await _start(tasks, platform, "copy-1", outlet)
+        held = await _wait_for_duty(one_leases)
+        first = await one.dispatch(NAMES[:2])
+        platform.switch(cut=["copy-1"])
+        two, two_leases = await _start(tasks, platform, "copy-2", outlet)
+        await _wait_for_duty(two_leases)
+        second = await two.dispatch(NAMES)
+        platform.switch(cut=[])
+        late_write = await one.note_progress(held, 99)
+        tasks.cancel_scope.cancel()
+    return Outcome(first, second, late_write, tuple(outlet.sent))
+
+
+async def _start(
+    tasks: anyio.abc.TaskGroup, platform: fake.Fake, name: str, outlet: Outlet
+) -> tuple[Reporter, holder.Holder]:
+    rows = platform.build_client(name)
+
+    def clock() -> float:
+        return platform.now
+
+    leases = holder.Holder(rows, name, clock=clock, limits=LIMITS)
+    claims = store.Claims(rows, rows, name, rng=random.Random(1), clock=clock)
+    leases.want(DUTY)
+    await tasks.start(leases.run)
+    await tasks.start(claims.run)
+    return Reporter(leases, claims, rows, outlet), leases
+
+
+async def _run_clock(platform: fake.Fake) -> None:
+    while True:
+        await anyio.sleep(TICK)
+        platform.advance(TICK)
+
+
+async def _wait_for_duty(leases: lease.Leases) -> lease.Lease:
+    with anyio.fail_after(PATIENCE):
+        while (held := leases.current(DUTY)) is None:
+            await anyio.sleep(TICK)
+    return held
+
+
+def main() -> Outcome:
+    """Run the demonstration and print what it shows."""
+    seen = anyio.run(demonstrate)
+    for title, results in (("copy-1", seen.first), ("copy-2", seen.second)):
+        for name, result in (results or {}).items():
+            print(f"{title}: {name} {result.value}")
+    print(f"late write of copy-1: {seen.late_write.outcome.value}")
+    return seen
+
+
+if __name__ == "__main__":
+    main()
