Stop asking further daemons after 20 seconds

With a platform that accepts calls and never answers, document submit took 45.7 s against three daemons: each held the request for the full 15 s, and the command asked all of them in turn, since a submission may safely be made twice. With nine daemons it would have been 135 s, to hear 'unknown' again. Once an answer was lost and 20 s are over no further daemon is asked, so at most two are tried. A shorter time per daemon was ruled out: it would turn slow answers into unknown ones. The new test fails without the limit.

--- a/wigeonhitch/command/client.py
+++ b/wigeonhitch/command/client.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator, Mapping
 from typing import Any, NamedTuple
 
+import anyio
 import httpx
 
 __all__ = ["Client", "Connection", "Lost", "Reply", "open_client"]
@@ -22,6 +23,11 @@
 CONNECT_TIMEOUT = 3.0
 ANSWER_TIMEOUT = 15.0
 
+# Seconds after which no further daemon is asked. A platform that hangs holds up
+# every daemon alike: asking nine of them in turn would keep an operator waiting
+# for over two minutes, only to hear "unknown" again.
+ASKING_LIMIT = 20.0
+
 # Failures before anything was sent.
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
@@ -100,7 +106,10 @@
         """
         last: Reply | Lost = Lost.NOT_SENT
         lost = False
+        began = anyio.current_time()
         for daemon in self.daemons:
+            if lost and anyio.current_time() - began > ASKING_LIMIT:
+                break
             reply = await self.ask_one(daemon, method, path, body, query)
             if reply is Lost.NOT_SENT:
                 continue
--- a/wigeonhitch/command/tests/test_command.py
+++ b/wigeonhitch/command/tests/test_command.py
@@ -3,7 +3,7 @@
 import httpx
 import pytest
 
-from wigeonhitch.command import main, report
+from wigeonhitch.command import client, main, report
 
 Exit = report.Exit
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
@@ -107,6 +107,17 @@
     assert code == Exit.UNKNOWN
 
 
+def test_no_further_daemon_is_asked_once_the_time_for_asking_is_over(
+    run, faults, requests, monkeypatch
+):
+    three = ("--daemon", "http://a:1,http://b:1,http://c:1")
+    faults["a"] = (httpx.ConnectError("refused"), None)
+    faults["b"] = (None, httpx.ReadTimeout("lost"))
+    monkeypatch.setattr(client, "ASKING_LIMIT", -1.0)
+    code, _ = run("document", "submit", ALTIPLANO, *three)
+    assert (code, [host for host, _, _ in requests]) == (Exit.UNKNOWN, ["a", "b"])
+
+
 def test_unreachable_and_store_down(run, faults, platform):
     platform.switch(down=True)
     assert run("document", "show")[0] == Exit.UNREACHABLE
