Drop the wave commands' submission id, which nothing read

Repeating is safe in another way: a wave that already has the state asked for is answered as done, and a pause that somebody has undone since must be looked at first. The message now says that: look with wave show, then the same command.

--- a/wigeonhitch/command/fleet.py
+++ b/wigeonhitch/command/fleet.py
@@ -1,7 +1,6 @@
 """Commands of the groups ``pool`` and ``wave``, and ``status``."""
 
 import sys
-import uuid
 from collections.abc import Mapping
 from typing import Any
 
@@ -77,78 +76,55 @@
     return report_body(await asking.get(f"/waves/{wave}/plan"))
 
 
-async def change_wave(
-    asking: client.Client, wave: str, action: str, submission: str
-) -> report.Report:
+async def change_wave(asking: client.Client, wave: str, action: str) -> report.Report:
     """Start, pause, resume or abort a wave."""
-    used = submission or str(uuid.uuid4())
-    path = f"/waves/{wave}/{action}"
-    reply = await asking.post(path, {"submission": used})
-    again = (
-        f"wigeonhitch wave show {wave}; then, if it was not done, "
-        f"the same command with --submission {used}"
-    )
+    reply = await asking.post(f"/waves/{wave}/{action}")
+    again = f"wigeonhitch wave show {wave}; then, if it was not done, the same command"
     return report_body(reply, again)
 
 
-async def start_wave(
-    asking: client.Client, wave: str, *, submission: str = ""
-) -> report.Report:
+async def start_wave(asking: client.Client, wave: str) -> report.Report:
     """Start a wave of the document in force.
 
     Parameters
     ----------
     wave : str
         Name of the wave.
-    submission : str
-        Id of an earlier try whose answer was lost.
     """
-    return await change_wave(asking, wave, "start", submission)
+    return await change_wave(asking, wave, "start")
 
 
-async def pause_wave(
-    asking: client.Client, wave: str, *, submission: str = ""
-) -> report.Report:
+async def pause_wave(asking: client.Client, wave: str) -> report.Report:
     """Pause a wave: VMs under way finish, no other is stopped.
 
     Parameters
     ----------
     wave : str
         Name of the wave.
-    submission : str
-        Id of an earlier try whose answer was lost.
     """
-    return await change_wave(asking, wave, "pause", submission)
+    return await change_wave(asking, wave, "pause")
 
 
-async def resume_wave(
-    asking: client.Client, wave: str, *, submission: str = ""
-) -> report.Report:
+async def resume_wave(asking: client.Client, wave: str) -> report.Report:
     """Resume a paused wave.
 
     Parameters
     ----------
     wave : str
         Name of the wave.
-    submission : str
-        Id of an earlier try whose answer was lost.
     """
-    return await change_wave(asking, wave, "resume", submission)
+    return await change_wave(asking, wave, "resume")
 
 
-async def abort_wave(
-    asking: client.Client, wave: str, *, submission: str = ""
-) -> report.Report:
+async def abort_wave(asking: client.Client, wave: str) -> report.Report:
     """Abort a wave for good: VMs under way finish.
 
     Parameters
     ----------
     wave : str
         Name of the wave.
-    submission : str
-        Id of an earlier try whose answer was lost.
     """
-    return await change_wave(asking, wave, "abort", submission)
+    return await change_wave(asking, wave, "abort")
 
 
 async def watch_wave(
