Let a group named alone list its commands

'wigeonhitch document' ended with 'too few arguments' and named no command; the top page described itself as 'Entry point of the wigeonhitch command'. A group alone now prints its help like the program alone does, and the description says what the command is for. Checked by hand for the program and two groups; the new test fails without the change (code 2).

--- a/wigeonhitch/command/main.py
+++ b/wigeonhitch/command/main.py
@@ -9,6 +9,11 @@
 
 __all__ = ["COMMANDS", "main", "run"]
 
+DESCRIPTION = (
+    "Check settings, put fleet documents in force, follow pools, waves and jobs, "
+    "through any daemon. Name a group to see its commands."
+)
+
 COMMANDS = {
     "settings": local.GROUP,
     "document": documents.GROUP,
@@ -28,13 +33,15 @@
         Command line without the program's name; from the process by default.
     """
     given = list(sys.argv[1:] if arguments is None else arguments)
+    if not given or (len(given) == 1 and isinstance(COMMANDS.get(given[0]), dict)):
+        given.append("--help")
     return defopt.run(
         COMMANDS,
-        argv=given or ["--help"],
+        argv=given,
         short={},
         no_negated_flags=True,
         version=False,
-        argparse_kwargs={"prog": "wigeonhitch", "description": __doc__},
+        argparse_kwargs={"prog": "wigeonhitch", "description": DESCRIPTION},
     )
 
 
--- a/wigeonhitch/command/tests/test_command.py
+++ b/wigeonhitch/command/tests/test_command.py
@@ -133,6 +133,13 @@
     assert stopped.value.code == Exit.USAGE
 
 
+def test_group_alone_lists_its_commands(capsys):
+    with pytest.raises(SystemExit) as stopped:
+        main.main(["wave"])
+    assert stopped.value.code == 0
+    assert "Resume a paused wave." in capsys.readouterr().out
+
+
 def test_watch_ends_with_the_wave(run, answers, capsys):
     answers[:] = [
         {"wave": "monthly", "status": "running", "done": 3},
