--- a/wigeonhitch/daemon/assembly.py
+++ b/wigeonhitch/daemon/assembly.py
@@ -52,11 +52,12 @@
     }
 )
 
-SWEEP_DUTY = "sweep"
+# Seconds between looks at the fleet's rows when the signal hasn't moved: only in
+# case its news was missed, and for the VM list.
+FLEET_PERIOD = 2.0
 
-# Seconds between looks at the fleet's signal. With the scan that follows, a
-# drain is known to every daemon within about two of these.
-FLEET_PERIOD = 1.0
+# The same while VMs drain, since requests that end here must be told at once.
+DRAIN_PERIOD = 0.3
 
 
 class Daemon:
@@ -74,6 +75,7 @@
         self.catalogue: application.Catalogue | None = None
         self.stopping = False
         self.was_registered = False
+        self._fleet_moved = anyio.Event()
 
     def build_membership(self) -> None:
         """Make the peers, the leases and the task that beats."""
@@ -121,7 +123,11 @@
 
     def build_configuration(self) -> None:
         """Make the documents' store and the task that follows them."""
-        self.documents = store.Store(self.table, self.platform)
+        self.documents = store.Store(
+            self.table,
+            self.platform,
+            note_accepted=lambda *news: self.watcher.note_accepted(*news),
+        )
         self.watcher = watcher.Watcher(
             distribution.Distribution(distribution.Limits(), random.Random()),
             self.table,
@@ -129,6 +135,7 @@
             _PeerDocuments(self),
             self.clock,
             install=self._install,
+            note_fleet=self._note_fleet,
         )
 
     def build_requests(self, outlet: sender.Sender) -> None:
@@ -162,7 +169,7 @@
         )
         self.front = application.Application(
             self.dispatch,
-            guard.Guard(self.claims, self.dispatch, self.clock),
+            guard.Guard(self.claims, self.dispatch, self.clock, self.tracing),
             lambda: self.catalogue if self.is_ready() else None,
             self.is_ready,
             lambda: not self.stopping,
@@ -317,23 +324,31 @@
             self.watcher.receive(received.sender, received.message.data)
 
     async def _follow_fleet(self) -> None:
+        """Read the fleet's rows when the signal moves, and tell what changed."""
         while True:
+            self._fleet_moved = anyio.Event()
             before = self.workers.describe()
             await self.workers.read(self.clock())
-            if self.workers.describe() != before:
+            now = self.workers.describe()
+            if now != before:
                 self.holder.hurry()
             await self.outlet.forget(self.workers.addresses)
-            await anyio.sleep(FLEET_PERIOD)
+            with anyio.move_on_after(DRAIN_PERIOD if now.busy else FLEET_PERIOD):
+                await self._fleet_moved.wait()
+
+    def _note_fleet(self, version: int) -> None:
+        del version
+        self._fleet_moved.set()
 
     async def _sweep(self) -> None:
-        self.holder.want(SWEEP_DUTY)
+        self.holder.want(sweeper.DUTY)
         await self.sweeper.run()
 
     def _list_services(self) -> list[str]:
         return list(self.catalogue.services) if self.catalogue else []
 
     def _find_sweep_condition(self) -> Any:
-        held = self.holder.current(SWEEP_DUTY)
+        held = self.holder.current(sweeper.DUTY)
         return held.condition if held else None
 
 
@@ -368,6 +383,7 @@
             stack,
             settings.workers.limits,
             server.make_client_context(settings.workers.authority),
+            made.tracing,
         )
     )
     made.build_duties()
