Find the first daemon for a duty with one hash for each

Whoever holds a duty asked at each step which daemon ranks first for it, by comparing ranks: hashes grew with the square of the daemons. All daemons' hashes are weighed alike, so who is first does not change (doctest, and the test that duties spread by rank).

--- a/wigeonhitch/membership/duty.py
+++ b/wigeonhitch/membership/duty.py
@@ -288,7 +288,7 @@
             return
         live = self._list_live()
         for duty in sorted(self._held):
-            first = min(live, key=lambda name: view.rank(duty, name, live))
+            first = view.find_first(duty, live)
             if first != self._daemon and self._handed.get(duty) != first:
                 self._handed[duty] = first
                 self._next_handover = now + self._limits.lease
--- a/wigeonhitch/membership/view.py
+++ b/wigeonhitch/membership/view.py
@@ -6,7 +6,7 @@
 
 from wigeonhitch.platform import table
 
-__all__ = ["DAEMON", "DUTY", "View", "rank"]
+__all__ = ["DAEMON", "DUTY", "View", "find_first", "rank"]
 
 DAEMON, DUTY = "daemon/", "duty/"
 """Prefixes of the rows."""
@@ -27,6 +27,18 @@
     return sum(_weigh(duty, other) > own for other in daemons)
 
 
+def find_first(duty: str, daemons: Iterable[str]) -> str:
+    """Return the daemon of rank 0; one hash for each, not one for each pair.
+
+    Examples
+    --------
+    >>> first = find_first("fleet", ["a", "b", "c"])
+    >>> rank("fleet", first, ["a", "b", "c"])
+    0
+    """
+    return max(daemons, key=lambda name: _weigh(duty, name))
+
+
 @dataclasses.dataclass
 class View:
     """The rows by name, and the table's clock.
