Divide the claims' table writes among the live daemons

Each daemon might write 25 times a second for claims: 5500 at 220 daemons, of the several hundred that the table carries. A burst of 5 stays at any share, so a lone caller's claim goes out at once.

Ruled out: a larger burst (220 daemons x 5 are already 1100 writes after a quiet time).

Tests: rates at 9, 30 and 220 daemons keep to the total; without a share 220 daemons exceed it ten times, which a test shows.

--- a/wigeonhitch/daemon/assembly.py
+++ b/wigeonhitch/daemon/assembly.py
@@ -306,6 +306,7 @@
 
     def _change_members(self, alive: frozenset[str]) -> None:
         self.dispatch.apply(event.MembersChanged(alive))
+        self.claims.share(len(alive))
         self.watcher.set_peers(tuple(sorted(alive - {self.me.daemon})))
 
     def _change_send_right(self, held: bool) -> None:
--- a/wigeonhitch/idempotency/batch.py
+++ b/wigeonhitch/idempotency/batch.py
@@ -11,35 +11,13 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from wigeonhitch.idempotency import record
+from wigeonhitch.idempotency import budget, record
 from wigeonhitch.platform import table
 
 __all__ = ["DEFAULT_LIMITS", "Commit", "Limits", "Queue", "Write"]
 
-
-class Limits(NamedTuple):
-    """Limits of one daemon's record writes.
-
-    Parameters
-    ----------
-    rate : float
-        Table writes a second on average. Nine daemons at 25 take 225 of the
-        several hundred that the table carries for everything.
-    burst : float
-        Table writes that may follow at once after a quiet time.
-    size : int
-        Rows per table write; bounds what one conflict sends round again.
-    inflight : int
-        Table writes under way together; two hide one slow answer.
-    """
-
-    rate: float = 25.0
-    burst: float = 5.0
-    size: int = 64
-    inflight: int = 2
-
-
-DEFAULT_LIMITS = Limits()
+Limits = budget.Limits
+DEFAULT_LIMITS = budget.DEFAULT_LIMITS
 
 
 class Write(NamedTuple):
@@ -72,15 +50,18 @@
     ----------
     limits : Limits
         Rates and sizes.
+
+    Attributes
+    ----------
+    budget : budget.Budget
+        How many table writes may go out.
     """
 
     def __init__(self, limits: Limits = DEFAULT_LIMITS) -> None:
-        self._limits = limits
+        self.budget = budget.Budget(limits)
         self._waiting: list[Write] = []
         self._inflight: dict[int, tuple[Write, ...]] = {}
         self._numbers = itertools.count(1)
-        self._allowance = limits.burst
-        self._counted_at: float | None = None
 
     @property
     def inflight(self) -> int:
@@ -118,12 +99,12 @@
         at : float
             The table's clock as known now, for records that begin here.
         """
-        self._refill(now)
+        self.budget.refill(now)
         ready = any(write.ready <= now for write in self._find_free())
-        if not ready or self.inflight >= self._limits.inflight or self._allowance < 1:
+        if not ready or not self.budget.has_room(self.inflight):
             return None
         chosen = tuple(_stamp(write, at) for write in self._choose())
-        self._allowance -= 1
+        self.budget.spend()
         number = next(self._numbers)
         self._inflight[number] = chosen
         return Commit(
@@ -143,18 +124,10 @@
     def wake(self, now: float) -> float | None:
         """Return when `take` may have something, or None until an event."""
         free = self._find_free()
-        if not free or self.inflight >= self._limits.inflight:
+        allowed = self.budget.wake(now, self.inflight)
+        if not free or allowed is None:
             return None
-        ready = min(write.ready for write in free)
-        missing = max(0.0, 1 - self._allowance)
-        counted = self._counted_at if self._counted_at is not None else now
-        return max(now, ready, counted + missing / self._limits.rate)
-
-    def _refill(self, now: float) -> None:
-        if self._counted_at is not None:
-            gained = (now - self._counted_at) * self._limits.rate
-            self._allowance = min(self._limits.burst, self._allowance + gained)
-        self._counted_at = now
+        return max(now, allowed, min(write.ready for write in free))
 
     def _find_free(self) -> list[Write]:
         """Return the waiting writes whose row is not in flight."""
@@ -165,7 +138,7 @@
         """Take writes of different rows, none of them in flight already."""
         chosen: dict[str, Write] = {}
         for write in self._find_free():
-            if len(chosen) < self._limits.size:
+            if len(chosen) < self.budget.size:
                 chosen.setdefault(write.row, write)
         taken = {id(write) for write in chosen.values()}
         self._waiting = [write for write in self._waiting if id(write) not in taken]
--- a/wigeonhitch/idempotency/core.py
+++ b/wigeonhitch/idempotency/core.py
@@ -58,6 +58,8 @@
     ----------
     counts : collections.Counter
         Outcomes by name.
+    budget : budget.Budget
+        How many table writes may go out.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         self._tickets = itertools.count(1)
         self._entries: dict[int, entry.Entry] = {}
         self._queue = batch.Queue(limits)
+        self.budget = self._queue.budget
         self._doubts = doubt.Doubts()
         self._decisions = decision.Decisions(rng)
         self._is_reading = False
--- a/wigeonhitch/idempotency/message.py
+++ b/wigeonhitch/idempotency/message.py
@@ -7,7 +7,7 @@
 from wigeonhitch.idempotency import decision, record
 from wigeonhitch.platform import table
 
-__all__ = ["Ask", "Committed", "Leave", "Looked", "Message", "Settle"]
+__all__ = ["Ask", "Committed", "Leave", "Looked", "Message", "Settle", "Share"]
 
 
 class Ask(NamedTuple):
@@ -48,4 +48,10 @@
     result: table.ReadResult
 
 
-Message = Ask | Leave | Settle | Committed | Looked
+class Share(NamedTuple):
+    """Message: how many daemons share the table."""
+
+    daemons: int
+
+
+Message = Ask | Leave | Settle | Committed | Looked | Share
--- a/wigeonhitch/idempotency/store.py
+++ b/wigeonhitch/idempotency/store.py
@@ -170,6 +170,16 @@
         """Mark the key: the request was sent and its fate is unknown."""
         self._settle(claim, record.State.UNKNOWN)
 
+    def share(self, daemons: int) -> None:
+        """Take an equal share of all daemons' table writes.
+
+        Parameters
+        ----------
+        daemons : int
+            How many live, this one included.
+        """
+        self._outbox.send_nowait(message.Share(daemons))
+
     async def flush(self, timeout: float) -> bool:
         """Wait until the ends of all claims are written; for a daemon that stops.
 
@@ -241,6 +251,8 @@
             self._end(event, tasks, now)
         elif isinstance(event, message.Committed):
             self._core.on_commit(event.batch, event.result, now)
+        elif isinstance(event, message.Share):
+            self._core.budget.share(event.daemons)
         else:
             self._core.on_read(event.result, now)
 
--- a/wigeonhitch/idempotency/tests/test_core.py
+++ b/wigeonhitch/idempotency/tests/test_core.py
@@ -78,3 +78,46 @@
     commits = sweep.pick(rows, sweep.RETENTION + 5.0)
     assert [len(writes) for _, writes in commits] == [sweep.MAX_DELETES, 1]
     assert commits[0][0][0] == table.Condition("claim/s/1", 1)
+
+
+def count_writes(daemons, share=True):
+    """Return the table writes a second of one daemon under a constant load."""
+    claims = core.Core("d1", rng=random.Random(1))
+    claims.step(0.0)
+    claims.on_read(UP, 0.0)
+    if share:
+        claims.budget.share(daemons)
+    written = records = 0
+    for index in range(20 * 100):
+        now = index * 0.01
+        claims.acquire(f"claim/s/{index}", "print", now, now + 9.0)
+        for commit in find_commits(claims.step(now)):
+            written += 1
+            records += len(commit.writes)
+            done = table.CommitResult(table.Outcome.DONE, index + 1, time=1000.0)
+            claims.on_commit(commit.batch, done, now)
+    assert records > 0.9 * 2000
+    return written / 20.0
+
+
+@pytest.mark.parametrize("daemons", [9, 30, 220])
+def test_all_daemons_together_keep_to_the_total_of_table_writes(daemons):
+    burst = batch.DEFAULT_LIMITS.burst / 20.0
+    written = daemons * (count_writes(daemons) - burst)
+    assert written <= batch.DEFAULT_LIMITS.total
+
+
+def test_without_a_share_many_daemons_exceed_the_total():
+    assert 220 * count_writes(220, share=False) > 10 * batch.DEFAULT_LIMITS.total
+
+
+def test_a_lone_callers_claims_go_out_at_once_also_at_a_small_share():
+    claims = core.Core("d1", rng=random.Random(1))
+    claims.step(0.0)
+    claims.on_read(UP, 0.0)
+    claims.budget.share(220)
+    for now in (0.01, 0.04, 0.07, 0.1):
+        claims.acquire(f"claim/s/{now}", "print", now, now + 9.0)
+        (commit,) = find_commits(claims.step(now))
+        done = table.CommitResult(table.Outcome.DONE, 1, time=1000.0)
+        claims.on_commit(commit.batch, done, now)
