--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -183,6 +183,19 @@
             time.sleep(0.05)
         raise RuntimeError(f"{name} isn't ready:\n{self.children[name].read()}")
 
+    def wait_until_assigned(self, limit: float = READY_LIMIT) -> None:
+        """Wait until every pool has its VMs, a few seconds after a document."""
+        sizes = {pool.name: pool.size for pool in self.intended.pools}
+        deadline = time.monotonic() + limit
+        while time.monotonic() < deadline:
+            answer = self.ask("GET", "/pools")
+            if answer.status_code == 200:
+                pools = answer.json()["pools"]
+                if all(one["members"] >= sizes[one["pool"]] for one in pools):
+                    return
+            time.sleep(0.1)
+        raise RuntimeError(f"pools of {self.folder.name} don't have their VMs")
+
     def ask(
         self,
         method: str,
@@ -203,6 +216,15 @@
             verify=self.verify,
         )
 
+    def ask_any(self, method: str, path: str) -> dict[str, Any]:
+        """Ask each daemon in turn; return the first good answer, or nothing."""
+        for name in list(self.daemons):
+            with contextlib.suppress(httpx.HTTPError):
+                answer = self.ask(method, path, at=name)
+                if answer.status_code == 200:
+                    return answer.json()
+        return {}
+
     def submit(self, intended: dict[str, Any], base: int, name: str) -> None:
         """Submit a document as one operator and approve it as another.
 
