--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -106,6 +106,7 @@
         "workers": workers,
         "cpu_mean": statistics.mean(busy),
         "cpu_most": max(busy),
+        "cpu_median": statistics.median(busy),
         "resident_mb": max(after["resident"].values()),
         "peer_bytes": {
             purpose: (sent - before["peers"].get(purpose, 0.0)) / per_daemon
@@ -198,7 +199,7 @@
     """Print one run."""
     print(f"\n{result['daemons']} daemons, {result['workers']} workers, no requests")
     print(f"  processor, % of a core     mean {result['cpu_mean']:.2f}", end="")
-    print(f"  most {result['cpu_most']:.2f}")
+    print(f"  median {result['cpu_median']:.2f}  most {result['cpu_most']:.2f}")
     print(f"  resident, most             {result['resident_mb']:.0f} MB")
     print(f"  store, all daemons         {result['reads']:.1f} reads/s", end="")
     print(f"  {result['writes']:.2f} writes/s")
