--- a/wigeonhitch/membership/duty.py
+++ b/wigeonhitch/membership/duty.py
@@ -4,79 +4,23 @@
 holder and changes only when the holder changes. Made for some ten daemons and
 a hundred duties today, with pauses, deaths and lost answers at any time. The
 harm it prevents: two daemons that both act on one duty, and a duty that nobody
-carries. The cost per daemon is one small write and two small reads every
-third of the lease, whatever the number of duties.
+carries. The cost per daemon is one small write every third of the lease, a
+reading of each holder's row about once a lease, and one of all daemons' rows in
+a time that grows with their number.
 """
 
-import enum
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any
 
-from wigeonhitch.membership import lease, view
+from wigeonhitch.membership import action, lease, view
 from wigeonhitch.platform import table
 
-__all__ = ["Commit", "Duties", "Limits", "Look", "Purpose", "Verb"]
+__all__ = ["Commit", "Duties", "Glance", "Limits", "Look", "Purpose", "Verb"]
 
 
-class Limits(NamedTuple):
-    """Times in seconds.
-
-    Parameters
-    ----------
-    lease : float
-        After this time without renewal others take over. Fifteen seconds
-        outlast a short outage of the store and a pause of some seconds.
-    margin : float
-        The holder stops this much before the lease ends: room for drift of
-        clocks and for an action begun just before.
-    rank_delay : float
-        A vacant duty is taken by the daemon that ranks first at once, by the
-        next ones this much later each, so that they do not collide.
-    gap : float
-        Shortest time between renewals, also when hurried.
-    forget : float
-        A daemon row that expired this long ago is deleted: longer than any
-        request, so that its absence proves that nothing is in flight.
-    """
-
-    lease: float = 15.0
-    margin: float = 3.0
-    rank_delay: float = 1.0
-    gap: float = 0.5
-    forget: float = 600.0
-
-
-DEFAULT_LIMITS = Limits()
-
-
-class Verb(enum.Enum):
-    """What a commit is for."""
-
-    RENEW = "renew the own daemon row"
-    TAKE = "take a duty over"
-    RELEASE = "release a duty"
-    FORGET = "delete a daemon row"
-
-
-class Purpose(NamedTuple):
-    """What a commit is for, and the duty or daemon it names."""
-
-    verb: Verb
-    name: str = ""
-
-
-class Commit(NamedTuple):
-    """Action: commit, then report by `Duties.on_commit`."""
-
-    purpose: Purpose
-    conditions: tuple[table.Condition, ...]
-    writes: tuple[table.Write, ...]
-
-
-class Look(NamedTuple):
-    """Action: scan daemons and duties since a revision, then `on_look`."""
-
-    since: int
+Limits, DEFAULT_LIMITS = action.Limits, action.DEFAULT_LIMITS
+Verb, Purpose = action.Verb, action.Purpose
+Commit, Look, Glance = action.Commit, action.Look, action.Glance
 
 
 class Duties:
@@ -104,6 +48,7 @@
         self._is_looking = False
         self._is_leaving = False
         self._next_look = float("-inf")
+        self._next_whole = float("-inf")
         self._next_renewal = float("-inf")
         self._last_renewal = float("-inf")
         self._next_handover = float("-inf")
@@ -153,8 +98,8 @@
 
     @property
     def looked_at(self) -> float:
-        """When the rows seen last were asked for; 0 before the first look."""
-        return self._view.sent
+        """When all rows were asked for last; 0 before the first look."""
+        return self._view.listed
 
     def current(self, duty: str, now: float) -> lease.Lease | None:
         """Return the lease if it is held and has not lapsed, else None."""
@@ -170,8 +115,23 @@
         self._is_looking = False
         done = table.Outcome.DONE
         if daemons.outcome is not done or duties.outcome is not done:
+            self._next_whole = sent
             return
         self._view.merge(daemons, duties, sent)
+        self._note_holders(sent)
+
+    def on_glance(
+        self, holders: table.ReadResult, duties: table.ReadResult, sent: float
+    ) -> None:
+        """Take the result of a `Glance` that `step` gave at ``sent``."""
+        self._is_looking = False
+        done = table.Outcome.DONE
+        if holders.outcome is not done or duties.outcome is not done:
+            return
+        self._view.merge_holders(holders, duties, sent)
+        self._note_holders(sent)
+
+    def _note_holders(self, sent: float) -> None:
         for duty in self._wanted:
             if self._view.get_holder(duty) != self._daemon:
                 self._held.pop(duty, None)
@@ -191,6 +151,8 @@
             # The view is stale: look first, or each event would try again.
             self._not_before[purpose] = now + 2 * self._limits.gap
             self._next_look = min(self._next_look, now + self._limits.gap)
+            if purpose.verb is Verb.FORGET:
+                self._next_whole = self._next_look
         elif purpose.verb is Verb.TAKE:
             self._view.note_holder(purpose.name, self._daemon, result.revision)
             is_kept = purpose.name in self._wanted - self._releasing
@@ -205,16 +167,14 @@
         if purpose == Purpose(Verb.FORGET, self._daemon):
             self._version = result.conflicts[0].version if result.conflicts else 0
 
-    def step(self, now: float) -> list[Commit | Look]:
+    def step(self, now: float) -> list[Commit | Look | Glance]:
         """Return the actions that are due."""
         if not self.is_live(now):
             # Somebody may have taken over; a look after a renewal tells.
             self._held.clear()
-        actions: list[Commit | Look] = []
+        actions: list[Commit | Look | Glance] = []
         if not self._is_looking and now >= self._next_look:
-            self._is_looking = True
-            self._next_look = now + self._limits.lease / 3
-            actions.append(Look(self._view.revision))
+            actions.append(self._look(now))
         if not self._view.time:
             return actions
         waiting = self._not_before.items()
@@ -236,6 +196,28 @@
             times.append(self._next_renewal)
         return max(now, min(times))
 
+    def _look(self, now: float) -> Look | Glance:
+        """Return the reading that is due.
+
+        Made for hundreds of daemons, whose rows all change within a look. Only
+        a holder's row decides a takeover, and one that was read holds until its
+        end: the first look after that reads it again, so a lost holder is
+        replaced as soon as in a small system. The list of all is needed for
+        ranks, which only order the takers: one that is late costs
+        `Limits.rank_delay` for each daemon on it that is gone.
+        """
+        self._is_looking = True
+        third = self._limits.lease / 3
+        self._next_look = now + third
+        if now < self._next_whole:
+            holders = self._view.list_doubtful(self._wanted, now) - {self._daemon}
+            return Glance(self._view.duties_revision, tuple(sorted(holders)))
+        # Less half a look, so that the look nearest to the period is taken and
+        # not the next one, when it comes a moment early.
+        period = max(third, self._limits.look * len(self._view.daemons))
+        self._next_whole = now + period - third / 2
+        return Look(self._view.revision)
+
     def _on_renewal(self, result: table.CommitResult, sent: float, now: float) -> None:
         if result.outcome is not table.Outcome.DONE:
             self._next_renewal = now + self._limits.gap
@@ -288,7 +270,7 @@
             return
         live = self._list_live()
         for duty in sorted(self._held):
-            first = min(live, key=lambda name: view.rank(duty, name, live))
+            first = view.find_first(duty, live)
             if first != self._daemon and self._handed.get(duty) != first:
                 self._handed[duty] = first
                 self._next_handover = now + self._limits.lease
