Let placement shards without jobs read nothing

Now each submission and cancellation writes signal/placement/{shard} in its own commit, one incremental scan reads the signals for all shards of a daemon, and a shard steps only with live jobs, a signal or a duty to take over. The workers are sorted by shard once a poll rather than by each shard.

Ruled out: one scan of all markers, which hands every holder the changes of all shards. The new test fails with the wake condition off (the shard reads reservations) and without the signal (the second job is never seen).

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,21 +1,29 @@
 """Placement against first fit on declared sizes, and the cost of a decision.
 
-Run as ``python -m benchmarks.placement [mix|cost|duty|all]``. A seeded loop drives
-the real core (`wigeonhitch.placement.core`) with the task scheduler of the
+Run as ``python -m benchmarks.placement [mix|cost|duty|site|all]``. A seeded loop
+drives the real core (`wigeonhitch.placement.core`) with the task scheduler of the
 platform stand-in; commits always succeed. It is no model of a cluster: each
 step of 0.25 s hands the core what it would have read, and takes its commits
-and calls.
+and calls. ``site`` measures three real daemons that have no jobs.
 """
 
 import collections
+import contextlib
 import json
+import pathlib
 import random
 import sys
+import tempfile
 import time
 import tracemalloc
 from typing import NamedTuple
 
+import httpx
+import yaml
+
+from benchmarks import hop
 from standins import fake, platformtable, platformtasks
+from standins.demo import process, site
 from wigeonhitch.configuration import document
 from wigeonhitch.membership import lease
 from wigeonhitch.placement import (
@@ -25,6 +33,8 @@
     ledger,
     message,
     quarantine,
+    runner,
+    signal,
     size,
     view,
 )
@@ -45,6 +55,7 @@
 POOL = "batch"
 WAVE_AT, CANCEL_AT, WAVE = 600.0, 900.0, 3000
 DONE = table.Outcome.DONE
+EXAMPLE = pathlib.Path(__file__).parents[1] / "examples" / "altiplano.yaml"
 
 
 class Mix(NamedTuple):
@@ -541,20 +552,23 @@
     context = message.Platform(
         client, client, OneLease(), lambda: vms, lambda: plan, lambda: platform.now
     )
+    reader = signal.Reader(context, 1)
     holder = keeper.Keeper(
-        context, 0, lambda *call: waiting.append(call), collections.Counter(), 1
+        context, reader, 0, lambda *call: waiting.append(call), collections.Counter()
     )
 
     def play(length: float) -> float:
         spent = 0.0
-        for _ in range(int(length / keeper.POLL)):
+        for _ in range(int(length / runner.POLL)):
             begin = time.process_time()
+            fake.run(reader.read())
+            reader.forget()
             fake.run(holder.step())
             spent += time.process_time() - begin
             for function, *args in waiting:
                 fake.run(function(*args))
             waiting.clear()
-            platform.advance(keeper.POLL)
+            platform.advance(runner.POLL)
         return spent
 
     play(20.0)
@@ -570,6 +584,48 @@
     print(f"{sizes['table'] / seconds / 1e3:11.2f}")
 
 
+def measure_site(seconds: float = 30.0) -> None:
+    """Print what placement costs three real daemons that have no jobs."""
+    with contextlib.ExitStack() as stack:
+        folder = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        at = site.open_site(stack, folder, process.Ports(), EXAMPLE)
+        at.wait_until_serving()
+        at.submit(yaml.safe_load(EXAMPLE.read_text(encoding="utf-8")), 0, "first")
+        for name in at.daemons:
+            at.wait_until_ready(name)
+        time.sleep(10.0)
+        before = _read_site(at)
+        time.sleep(seconds)
+        after = _read_site(at)
+    print(f"{'daemon':>12}{'duties':>8}{'core %':>8}")
+    for name, (used, duties) in after[0].items():
+        spent = used - before[0][name][0]
+        print(f"{name:>12}{duties:8}{100 * spent / seconds:8.2f}")
+    print(f"{'reads/s by purpose':>24}")
+    for purpose, count in sorted(after[1].items()):
+        print(f"{purpose:>24}{(count - before[1].get(purpose, 0)) / seconds:8.2f}")
+
+
+def _read_site(at: site.Site) -> tuple[dict[str, tuple[float, int]], dict[str, int]]:
+    """Return processor seconds and placement duties by daemon, and all reads."""
+    held = collections.Counter(
+        row.value["holder"] for row in _read_duties(at) if row.value is not None
+    )
+    used = {
+        name: (hop.read_processor(at.children[name].running.pid), held[name])
+        for name in at.daemons
+    }
+    answer = httpx.get(f"{at.platform_url}/counters", trust_env=False)
+    return used, answer.json()["reads"]
+
+
+def _read_duties(at: site.Site) -> list[table.Row]:
+    body = {"prefix": "duty/placement/"}
+    url = f"{at.platform_url}/table/scan"
+    answer = httpx.post(url, json=body, trust_env=False)
+    return [table.Row(*row) for row in answer.json()["rows"]]
+
+
 def main() -> None:
     """Run what the command line names."""
     what = sys.argv[1] if len(sys.argv) > 1 else "all"
@@ -579,6 +635,8 @@
         measure_cost()
     if what in ("duty", "all"):
         measure_duty()
+    if what in ("site", "all"):
+        measure_site()
 
 
 if __name__ == "__main__":
--- a/wigeonhitch/placement/keeper.py
+++ b/wigeonhitch/placement/keeper.py
@@ -2,7 +2,8 @@
 
 One task holds the state of a shard. Calls to the task service run beside it
 and report through a memory object stream, so that a slow platform call never
-holds up the next commit.
+holds up the next commit. A shard without live jobs reads nothing: the daemon's
+`signal.Reader` says when its markers are to be read.
 """
 
 import collections
@@ -15,15 +16,21 @@
 
 from wigeonhitch.configuration import document
 from wigeonhitch.membership import lease
-from wigeonhitch.placement import attempt, calls, core, job, ledger, message, view
+from wigeonhitch.placement import (
+    attempt,
+    calls,
+    core,
+    job,
+    ledger,
+    message,
+    signal,
+    view,
+)
 from wigeonhitch.platform import table
 
 __all__ = ["Keeper"]
 
 PURPOSE = "placement"
-# Urgent work is to start within 1.7 s: half a second to notice a job, and two
-# round trips for the commit and the start, leave a second for a checkpoint.
-POLL = 0.5
 # Usage lags by seconds anyway; 25 workers with four tasks each make 15 KB a
 # list, so 5 s keeps a shard near 3 KB a second.
 USAGE_PERIOD = 5.0
@@ -45,8 +52,10 @@
     ----------
     platform : message.Platform
         Table, tasks, leases and views.
-    shard, shards : int
-        Number of this shard, and of all.
+    reader : signal.Reader
+        What all shards of the daemon read together.
+    shard : int
+        Number of this shard.
     spawn : callable
         Runs an async function beside the keeper, as a task group does.
     counters : collections.Counter
@@ -56,14 +65,14 @@
     def __init__(
         self,
         platform: message.Platform,
+        reader: signal.Reader,
         shard: int,
         spawn: Spawn,
         counters: collections.Counter[str],
-        shards: int = view.SHARDS,
     ):
         self._platform = platform
+        self._reader = reader
         self.shard = shard
-        self._shards = shards
         self._spawn = spawn
         self._counters = counters
         self.duty = view.duty_of(shard)
@@ -84,15 +93,33 @@
         self._receive.close()
 
     async def run(self) -> None:
-        """Step twice a second, and whenever a call was answered."""
+        """Step whenever woken or answered."""
         try:
             while True:
+                self._take(await self._receive.receive())
                 await self.step()
-                with anyio.move_on_after(POLL):
-                    self._take(await self._receive.receive())
         finally:
             self.close()
 
+    def wake(self) -> None:
+        """Let the keeper step if it has anything to do.
+
+        That is: to take the duty over, jobs that are not ended, or a signal.
+        """
+        if self._has_work() and not self._receive.statistics().current_buffer_used:
+            self._send.send_nowait(message.Wake())
+
+    def _has_work(self) -> bool:
+        held = self._platform.leases.current(self.duty)
+        if held is not None and (self.core is None or held.fence != self.fence):
+            return True
+        if self.core is None:
+            return False
+        return bool(self.core.state.jobs or self._stale) or self._is_signalled()
+
+    def _is_signalled(self) -> bool:
+        return self._reader.moved.get(self.shard, 0) > self._since
+
     @property
     def now(self) -> float:
         """Return the table's time as estimated at takeover, in seconds.
@@ -129,8 +156,11 @@
                 return
 
     def _take(
-        self, answer: message.Answered | message.Renewed | message.Listed
+        self,
+        answer: message.Answered | message.Renewed | message.Listed | message.Wake,
     ) -> None:
+        if isinstance(answer, message.Wake):
+            return
         if self.core is None or answer.fence != self.fence:
             return
         if isinstance(answer, message.Answered):
@@ -182,7 +212,9 @@
 
     async def _refresh(self) -> bool:
         """Read what others changed; false when the table can't be read."""
-        if not await self._read_stale() or not await self._read_markers():
+        if not await self._read_stale():
+            return False
+        if self._is_signalled() and not await self._read_markers():
             return False
         if self._is_due("ledger", LEDGER_PERIOD) and not await self._read_ledger():
             return False
@@ -192,13 +224,9 @@
             self._policy = view.make_policy(source)
         if self._policy is not None:
             self.core.see_policy(self._policy)
-        vms = [vm for vm in self._platform.fleet() if self._is_mine(vm.pool)]
-        self.core.see_fleet(vms, self.now)
+        self.core.see_fleet(self._reader.list_vms(self.shard), self.now)
         return True
 
-    def _is_mine(self, pool: str) -> bool:
-        return view.find_shard(pool, self._shards) == self.shard
-
     def _is_due(self, what: str, period: float) -> bool:
         if self.now < self._due.get(what, 0.0):
             return False
@@ -281,9 +309,9 @@
             self._spawn(self._call_renew, self.fence, chunk)
 
     def _list(self) -> None:
-        if not self._is_due("usage", USAGE_PERIOD):
-            return
         state = self.core.state
+        if not any(state.on_vm.values()) or not self._is_due("usage", USAGE_PERIOD):
+            return
         vms = tuple(sorted(set(state.vms) | set(state.on_vm)))
         if vms:
             self._spawn(self._call_list, self.fence, vms, self.now)
--- a/wigeonhitch/placement/message.py
+++ b/wigeonhitch/placement/message.py
@@ -8,7 +8,7 @@
 from wigeonhitch.placement import calls, view
 from wigeonhitch.platform import table, tasks
 
-__all__ = ["Answered", "Listed", "Platform", "Renewed"]
+__all__ = ["Answered", "Listed", "Platform", "Renewed", "Wake"]
 
 Fleet = Callable[[], Sequence[view.Vm]]
 Source = Callable[[], document.Document | None]
@@ -39,6 +39,10 @@
     result: tasks.TaskList
 
 
+class Wake(NamedTuple):
+    """There may be something to do."""
+
+
 class Platform(NamedTuple):
     """What a keeper talks to; ``fleet`` and ``source`` are views in memory."""
 
--- a/wigeonhitch/placement/routes.py
+++ b/wigeonhitch/placement/routes.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from wigeonhitch.operators import route
-from wigeonhitch.placement import job, ledger, view
+from wigeonhitch.placement import job, ledger, signal, view
 from wigeonhitch.platform import table
 
 __all__ = ["Jobs"]
@@ -61,7 +61,7 @@
         if read.rows[0].value is not None:
             return _compare(asked, read.rows[0])
         new = job.make_job(asked, read.time)
-        writes = [table.Write(key, job.encode(new)), self._mark(new)]
+        writes = [table.Write(key, job.encode(new)), *self._mark(new)]
         result = await self._table.commit(
             [table.Condition(key, 0)], writes, purpose=PURPOSE
         )
@@ -72,9 +72,12 @@
                 return _compare(asked, row)
         return UNSURE if result.outcome is UNKNOWN else BUSY
 
-    def _mark(self, item: job.Job, *, ended: bool = False) -> table.Write:
+    def _mark(self, item: job.Job, *, ended: bool = False) -> list[table.Write]:
+        """Return the writes that tell the shard of a job of its change."""
         shard = view.find_shard(item.asked.pool, self._shards)
-        return table.Write(ledger.marker_key(shard, item.name), None if ended else {})
+        value = None if ended else {}
+        marker = table.Write(ledger.marker_key(shard, item.name), value)
+        return [marker, signal.make_write(shard)]
 
     async def list_jobs(self, request: route.Request) -> route.Answer:
         """List jobs, of one team if ``team`` is given; ``state`` filters."""
@@ -181,7 +184,7 @@
             new = item._replace(cancel=True)
         conditions.append(table.Condition(row.key, row.version))
         writes.append(table.Write(row.key, job.encode(new)))
-        writes.append(self._mark(item, ended=queued))
+        writes.extend(self._mark(item, ended=queued))
         return "cancelled" if queued else "stopping"
 
 
--- a/wigeonhitch/placement/runner.py
+++ b/wigeonhitch/placement/runner.py
@@ -1,13 +1,18 @@
 """The placement duties of one daemon: one keeper for each shard."""
 
 import collections
+from collections.abc import Sequence
 
 import anyio
 
-from wigeonhitch.placement import keeper, message, view
+from wigeonhitch.placement import keeper, message, signal, view
 
 __all__ = ["Runner"]
 
+# Urgent work is to start within 1.7 s: half a second to notice a job, and two
+# round trips for the commit and the start, leave a second for a checkpoint.
+POLL = 0.5
+
 
 class Runner:
     """All shards of one daemon: competes for each duty and keeps those it holds.
@@ -37,15 +42,40 @@
             self._platform.leases.want(duty)
         try:
             async with anyio.create_task_group() as group:
+                reader = signal.Reader(self._platform, self._shards)
+                keepers = []
                 for shard in range(self._shards):
                     holder = keeper.Keeper(
                         self._platform,
+                        reader,
                         shard,
                         group.start_soon,
                         self.counters,
-                        self._shards,
                     )
+                    keepers.append(holder)
                     group.start_soon(holder.run)
+                group.start_soon(self._read, reader, keepers)
+                await _wake(reader, keepers)
         finally:
             for duty in duties:
                 self._platform.leases.unwant(duty)
+
+    async def _read(
+        self, reader: signal.Reader, keepers: Sequence[keeper.Keeper]
+    ) -> None:
+        """Read signals while any duty is held."""
+        leases = self._platform.leases
+        while True:
+            if any(leases.current(each.duty) for each in keepers):
+                for shard in await reader.read():
+                    keepers[shard].wake()
+            await anyio.sleep(POLL)
+
+
+async def _wake(reader: signal.Reader, keepers: Sequence[keeper.Keeper]) -> None:
+    """Wake the keepers; apart from reading, as the table may be slow or down."""
+    while True:
+        reader.forget()
+        for each in keepers:
+            each.wake()
+        await anyio.sleep(POLL)
--- a/wigeonhitch/placement/state.py
+++ b/wigeonhitch/placement/state.py
@@ -179,6 +179,7 @@
         self.quarantine.keep(self.vms)
         for vm in [vm for vm, names in self.on_vm.items() if not names]:
             del self.on_vm[vm]
+            self.overrun.pop(vm, None)
 
     def measure(self, vms: Iterable[str]) -> None:
         """Work out by how much the tasks of workers exceed their reservations."""
--- a/wigeonhitch/placement/tests/conftest.py
+++ b/wigeonhitch/placement/tests/conftest.py
@@ -7,7 +7,7 @@
 from wigeonhitch.configuration import document
 from wigeonhitch.membership import lease
 from wigeonhitch.operators import route
-from wigeonhitch.placement import job, keeper, message, routes, view
+from wigeonhitch.placement import job, keeper, message, routes, signal, view
 from wigeonhitch.platform import table
 
 POOL = "batch"
@@ -68,6 +68,7 @@
         self.unusable = set()
         self.stale_view = None
         self.keepers = {}
+        self.readers = {}
         self.waiting = collections.defaultdict(list)
         self.counters = collections.Counter()
         self.jobs = routes.Jobs(self.fake.table, shards=1)
@@ -93,12 +94,13 @@
                 lambda: self.fake.now,
             )
             queue = self.waiting[daemon]
+            self.readers[daemon] = signal.Reader(platform, shards=1)
             self.keepers[daemon] = keeper.Keeper(
                 platform,
+                self.readers[daemon],
                 0,
                 lambda function, *args: queue.append((function, args)),
                 self.counters,
-                shards=1,
             )
         return self.keepers[daemon]
 
@@ -120,7 +122,10 @@
 
     def step(self, daemon, calls=True):
         """Let a daemon decide once, and make its calls unless it is paused."""
-        fake.run(self.keep(daemon).step())
+        subject = self.keep(daemon)
+        fake.run(self.readers[daemon].read())
+        self.readers[daemon].forget()
+        fake.run(subject.step())
         if calls:
             self.make_calls(daemon)
 
--- a/wigeonhitch/placement/tests/test_runner.py
+++ b/wigeonhitch/placement/tests/test_runner.py
@@ -1,12 +1,12 @@
 import anyio
 import pytest
 
-from wigeonhitch.placement import job, runner
+from wigeonhitch.placement import job, runner, signal
 
 
 @pytest.mark.anyio
 async def test_the_runner_keeps_its_duties_and_releases_them(world, monkeypatch):
-    monkeypatch.setattr("wigeonhitch.placement.keeper.POLL", 0.001)
+    monkeypatch.setattr("wigeonhitch.placement.runner.POLL", 0.001)
     platform = world.keep("d1")._platform
     world.submit("one")
     subject = runner.Runner(platform, shards=1)
@@ -19,3 +19,36 @@
             group.cancel_scope.cancel()
     assert platform.leases.held == {}
     assert subject.counters["takeovers"] == 1
+
+
+@pytest.mark.anyio
+async def test_an_idle_shard_reads_signals_alone_until_a_job_comes(world, monkeypatch):
+    monkeypatch.setattr("wigeonhitch.placement.runner.POLL", 0.001)
+    platform = world.keep("d1")._platform
+    subject = runner.Runner(platform, shards=1)
+    scan = platform.table.scan
+    scanned = []
+
+    async def record(prefix, **fields):
+        scanned.append(prefix)
+        return await scan(prefix, **fields)
+
+    async def run_job(name):
+        world.submit(name)
+        while world.read_job(name).state is not job.JobState.FINISHED:
+            world.fake.advance(0.5)
+            await anyio.sleep(0.002)
+
+    monkeypatch.setattr(platform.table, "scan", record)
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as group:
+            group.start_soon(subject.run)
+            await run_job("one")
+            await anyio.sleep(0.01)
+            scanned.clear()
+            while len(scanned) < 20:
+                world.fake.advance(0.5)
+                await anyio.sleep(0.002)
+            assert set(scanned) == {signal.PREFIX}
+            await run_job("two")
+            group.cancel_scope.cancel()
