Test placing with three real daemons, through death and outage

Jobs of several teams at any daemon, a refused one, urgent work during a wave, SIGKILL of the shard's holder with tasks running and starts in flight (calls that arrive 20 s late), 150 jobs cancelled in one request, and lost answers followed by an outage. The platform stand-in's task log is the ground truth: each job ran once.

--- /dev/null
+++ b/wigeonhitch/daemon/tests/test_jobs.py
@@ -0,0 +1,182 @@
+import contextlib
+import itertools
+import pathlib
+import random
+import signal
+import time
+
+import httpx
+import pytest
+import yaml
+
+from standins.demo import process, site
+from wigeonhitch.placement import view
+
+EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "altiplano.yaml"
+POOL = "batch-pairing"
+ENDED = ("finished", "failed", "refused", "cancelled")
+LIMIT = 60.0  # seconds for jobs to end
+NEVER = 900.0  # seconds that a job runs that is to be cancelled
+URGENT = {"urgency": "urgent", "seconds": 1.0}
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+def jobs(tmp_path):
+    with contextlib.ExitStack() as stack:
+        made = site.open_site(stack, tmp_path, process.Ports(), EXAMPLE)
+        made.wait_until_serving()
+        made.submit(yaml.safe_load(EXAMPLE.read_text(encoding="utf-8")), 0, "first")
+        for name in made.daemons:
+            made.wait_until_ready(name)
+        yield Jobs(made)
+
+
+class Jobs:
+    """Submitter at a site; remembers what it submitted and when."""
+
+    def __init__(self, at):
+        self.at = at
+        self.daemons = list(at.daemons)
+        self.turns = itertools.count()
+        self.submitted = {}
+
+    def submit(self, name, team="coffee", seconds=2.0, **fields):
+        body = {"team": team, "id": name, "pool": POOL, "cores": 4.0, "memory": 8.0}
+        body |= {"duration": seconds, "deadline": 600.0, "work": {"duration": seconds}}
+        daemon = self.daemons[next(self.turns) % len(self.daemons)]
+        self.submitted[f"{team}/{name}"] = time.time()
+        answer = self.at.ask("POST", "/jobs", body | fields, at=daemon)
+        assert answer.status_code == 202, answer.text
+
+    def show(self, name):
+        answer = self.at.ask("GET", f"/jobs/{name}", at=self.daemons[0])
+        return answer.json()
+
+    def list_states(self):
+        answer = self.at.ask("GET", "/jobs", at=self.daemons[0])
+        found = answer.json().get("jobs", ())
+        return {f"{each['team']}/{each['id']}": each["state"] for each in found}
+
+    def wait(self, names, states=ENDED, limit=LIMIT):
+        """Wait until all named jobs have one of the states; return their states."""
+        deadline = time.monotonic() + limit
+        while True:
+            found = {name: self.list_states().get(name) for name in names}
+            if all(state in states for state in found.values()):
+                return found
+            assert time.monotonic() < deadline, found
+            time.sleep(0.2)
+
+    def read_log(self):
+        answer = httpx.get(f"{self.at.platform_url}/tasks/log", trust_env=False)
+        return answer.json()
+
+    def check_ran_once(self, names):
+        """Every job finished in its first attempt, which ran once."""
+        assert set(self.wait(names).values()) == {"finished"}
+        ran = sorted(run["task"] for run in self.read_log())
+        assert ran == sorted(f"{name}/1" for name in names)
+        assert {run["state"] for run in self.read_log()} == {"finished"}
+
+    def find_holder(self):
+        key = f"duty/{view.duty_of(view.find_shard(POOL))}"
+        url = f"{self.at.platform_url}/table/read"
+        answer = httpx.post(url, json={"keys": [key]}, trust_env=False)
+        return answer.json()["rows"][0][1]["holder"]
+
+
+def test_jobs_of_several_teams_submitted_at_any_daemon_run_once(jobs):
+    rng = random.Random(5)
+    pools = [pool.name for pool in jobs.at.intended.pools]
+    for number in range(24):
+        team = rng.choice(("coffee", "cardamom", "textile"))
+        jobs.submit(f"j{number}", team, pool=rng.choice(pools))
+    jobs.check_ran_once(jobs.submitted)
+
+
+def test_a_job_larger_than_any_worker_is_refused_and_holds_nothing_up(jobs):
+    jobs.submit("impossible", cores=33.0)
+    jobs.submit("possible")
+    found = jobs.wait(jobs.submitted)
+    assert found == {"coffee/impossible": "refused", "coffee/possible": "finished"}
+    assert "33" in jobs.show("coffee/impossible")["reason"]
+    assert [run["task"] for run in jobs.read_log()] == ["coffee/possible/1"]
+
+
+def test_urgent_jobs_start_while_a_wave_drains_workers(jobs):
+    rng = random.Random(6)
+    wave = jobs.at.intended.waves[0].name
+    jobs.at.ask("POST", f"/waves/{wave}/start").raise_for_status()
+    deadline = time.monotonic() + LIMIT
+    urgent = []
+    done = 0
+    for number in itertools.count():
+        jobs.submit(f"bulk{number}", "month-end", seconds=6.0, cores=16.0)
+        jobs.submit(f"urgent{number}", rng.choice(("coffee", "textile")), **URGENT)
+        urgent.append(list(jobs.submitted)[-1])
+        done = jobs.at.ask("GET", f"/waves/{wave}").json().get("done", 0)
+        if (done >= 10 and number >= 40) or time.monotonic() > deadline:
+            break
+        time.sleep(0.4)
+    assert done >= 10
+    assert set(jobs.wait(urgent).values()) == {"finished"}
+    log = {run["task"]: run for run in jobs.read_log()}
+    waits = sorted(log[f"{n}/1"]["started"] - jobs.submitted[n] for n in urgent)
+    text = f"p50 {waits[len(waits) // 2]:.2f} s, longest {waits[-1]:.2f} s"
+    print(f"{len(waits)} urgent jobs, {done} workers rebooted: {text} to start")
+
+
+def test_tasks_and_starts_in_flight_survive_the_holder_of_their_shard(jobs):
+    for number in range(6):
+        jobs.submit(f"running{number}", seconds=25.0)
+    jobs.wait(jobs.submitted, ("running",))
+    jobs.at.switch(late={"prefix": "/tasks", "next": 20, "seconds": 20.0})
+    for number in range(3):
+        jobs.submit(f"starting{number}", "textile")
+    starting = [name for name in jobs.submitted if "starting" in name]
+    jobs.wait(starting, ("starting",))
+    holder = jobs.find_holder()
+    jobs.at.children[holder].signal(signal.SIGKILL)
+    killed = time.time()
+    jobs.daemons.remove(holder)
+    jobs.at.switch(late=None)
+    jobs.check_ran_once(jobs.submitted)
+    assert jobs.find_holder() != holder
+    begun = {run["task"]: run["started"] for run in jobs.read_log()}
+    waits = [begun[f"{name}/1"] - killed for name in starting]
+    print(f"starts in flight began {max(waits):.1f} s after the kill at the latest")
+
+
+def test_many_jobs_are_cancelled_at_once_and_free_their_quota(jobs):
+    names = [f"many{number}" for number in range(150)]
+    for name in names:
+        jobs.submit(name, "cardamom", seconds=NEVER)
+    deadline = time.monotonic() + LIMIT
+    while sum(s == "running" for s in jobs.list_states().values()) < 16:
+        assert time.monotonic() < deadline
+        time.sleep(0.2)
+    path = "/jobs/cardamom/cancel"
+    told = jobs.at.ask("POST", path, {"jobs": names}, at=jobs.daemons[1]).json()
+    assert set(told["jobs"].values()) == {"cancelled", "stopping"}
+    cancelled = list(jobs.submitted)
+    assert set(jobs.wait(cancelled).values()) == {"cancelled"}
+    assert len(jobs.read_log()) == 16
+    assert {run["state"] for run in jobs.read_log()} == {"stopped"}
+    jobs.submit("after", "cardamom", cores=32.0)
+    assert jobs.wait(["cardamom/after"]) == {"cardamom/after": "finished"}
+
+
+def test_starts_survive_lost_answers_and_an_outage_of_the_platform(jobs):
+    jobs.at.switch(lose={"prefix": "/tasks", "next": 8})
+    for number in range(8):
+        jobs.submit(f"j{number}", seconds=8.0)
+    deadline = time.monotonic() + LIMIT
+    while not jobs.read_log():
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
+    jobs.at.switch(down=True)
+    time.sleep(6.0)
+    jobs.at.switch(down=False, lose=None)
+    jobs.check_ran_once(jobs.submitted)
