Keep urgent jobs from bulk's learned sizes and from unseen endings

Urgent jobs of 4 cores without a kind reserved the 24 learned from bulk and waited for their team's quota, and an ended task held room and quota until the next list, up to 5 s. Without a kind only jobs of one team, urgency and declared size now learn from each other; while urgent work waits tasks are listed every second.

Each new test fails with its mechanism off (shared name, period of 5 s).

--- a/wigeonhitch/placement/backlog.py
+++ b/wigeonhitch/placement/backlog.py
@@ -41,6 +41,10 @@
         """Return the pools that have a job queued, in order of name."""
         return sorted({pool for (pool, _), teams in self._queues.items() if teams})
 
+    def has_urgent(self) -> bool:
+        """Whether any urgent job is queued."""
+        return any(urgent and teams for (_, urgent), teams in self._queues.items())
+
     def teams(self, pool: str, urgent: bool) -> list[str]:
         """Return the teams with a job queued, in order of name."""
         return sorted(self._queues.get((pool, urgent), ()))
--- a/wigeonhitch/placement/job.py
+++ b/wigeonhitch/placement/job.py
@@ -27,6 +27,7 @@
 
 PREFIX = "job/"
 URGENT = "urgent"
+UNNAMED = "default"
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 JobId = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$")]
 Positive = Annotated[float, Field(gt=0, allow_inf_nan=False)]
@@ -85,11 +86,23 @@
     duration: Positive
     deadline: Positive
     urgency: Name = "bulk"
-    kind: Name = "default"
+    kind: Name = UNNAMED
     spread: str = ""
     rerun: bool = True
     work: dict[str, Any] = {}
 
+    @property
+    def family(self) -> str:
+        """Return the name under which sizes are learned.
+
+        Load: submitters that name no kind. Harm: small urgent jobs would be
+        given the size of another team's bulk and use up their quota waiting
+        for it. Without a kind only jobs alike in all that is stated share.
+        """
+        if self.kind != UNNAMED:
+            return self.kind
+        return f"{self.team}/{self.urgency}/{self.cores:g}/{self.memory:g}"
+
 
 class Job(NamedTuple):
     """One job: its submission, and where it stands.
--- a/wigeonhitch/placement/keeper.py
+++ b/wigeonhitch/placement/keeper.py
@@ -34,6 +34,9 @@
 # Usage lags by seconds anyway; 25 workers with four tasks each make 15 KB a
 # list, so 5 s keeps a shard near 3 KB a second.
 USAGE_PERIOD = 5.0
+# While urgent work waits for room or quota, ended tasks are looked for at this
+# period instead: they hold both until they are seen to have ended.
+WAITING_PERIOD = 1.0
 LEDGER_PERIOD = 5.0
 # Four tries within one lease.
 RENEW_PERIOD = 15.0
@@ -81,7 +84,7 @@
         self._since = 0
         self._ledger_since = 0
         self._offset = 0.0
-        self._due: dict[str, float] = {}
+        self._done: dict[str, float] = {}
         self._stale: set[str] = set()
         self._document: document.Document | None = None
         self._policy: view.Policy | None = None
@@ -194,7 +197,7 @@
             return False
         self._offset = found.time - platform.clock()
         self._since = self._ledger_since = found.revision
-        self._due = {"ledger": self.now + LEDGER_PERIOD}
+        self._done = {"ledger": self.now}
         self._stale = set()
         self.core, self.fence = fresh, held.fence
         self._counters["takeovers"] += 1
@@ -228,9 +231,9 @@
         return True
 
     def _is_due(self, what: str, period: float) -> bool:
-        if self.now < self._due.get(what, 0.0):
+        if self.now < self._done.get(what, -math.inf) + period:
             return False
-        self._due[what] = self.now + period
+        self._done[what] = self.now
         return True
 
     async def _read_stale(self) -> bool:
@@ -310,7 +313,10 @@
 
     def _list(self) -> None:
         state = self.core.state
-        if not any(state.on_vm.values()) or not self._is_due("usage", USAGE_PERIOD):
+        if not any(state.on_vm.values()):
+            return
+        waits = state.backlog.has_urgent()
+        if not self._is_due("usage", WAITING_PERIOD if waits else USAGE_PERIOD):
             return
         vms = tuple(sorted(set(state.vms) | set(state.on_vm)))
         if vms:
--- a/wigeonhitch/placement/settle.py
+++ b/wigeonhitch/placement/settle.py
@@ -102,7 +102,7 @@
         if name not in known:
             young = now - item.submitted < POLICY_GRACE
             return "" if young else f"no {what} {name!r} in the fleet document"
-    if shard.learner.is_sure(asked.kind):
+    if shard.learner.is_sure(asked.family):
         return ""
     kind, team = policy.kinds[asked.pool], policy.teams[asked.team]
     for amount, most, unit, place in (
@@ -181,7 +181,7 @@
     item = entry.job
     done = entry.seen.progress
     cores, memory = entry.peak
-    kind = item.asked.kind
+    kind = item.asked.family
     if done >= CORES_AT and cores > 0 and not entry.sampled_cores:
         entry.sampled_cores = True
         if cores >= FULL * item.cores:
@@ -259,7 +259,7 @@
     if end is attempt.End.MEMORY:
         shard.counters["memory_kills"] += 1
         least = max(entry.peak[1], MEMORY_GROWTH * item.memory)
-        shard.learner.add_memory(item.asked.kind, least)
+        shard.learner.add_memory(item.asked.family, least)
     elif end is attempt.End.FINISHED:
         shard.quarantine.succeed(item.vm)
         sample(shard, entry, now)
--- a/wigeonhitch/placement/state.py
+++ b/wigeonhitch/placement/state.py
@@ -210,7 +210,8 @@
         memory raises ``floor``.
         """
         asked = item.asked
-        cores, memory = self.learner.estimate(asked.kind, asked.cores, asked.memory)
+        family = asked.family
+        cores, memory = self.learner.estimate(family, asked.cores, asked.memory)
         cores = max(cores, LEAST[0])
         memory = max(memory, item.floor, LEAST[1])
         limits = self.limits(item)
--- a/wigeonhitch/placement/tests/test_keeper.py
+++ b/wigeonhitch/placement/tests/test_keeper.py
@@ -182,6 +182,25 @@
     assert world.read_job("one").state is S.RUNNING
 
 
+def test_sizes_of_bulk_are_not_learned_for_urgent_jobs_without_a_kind(world):
+    for number in range(5):
+        world.submit(f"bulk{number}", cores=16.0)
+    world.play("d1", 120)
+    assert world.read_job("bulk4").state is S.FINISHED
+    world.submit("urgent", urgency="urgent")
+    world.play("d1", 2)
+    assert world.read_job("urgent").cores == 4.0
+
+
+def test_ended_tasks_free_their_quota_for_urgent_work_within_a_second(world):
+    world.submit("first", cores=32.0, work={"duration": 6.0})
+    world.submit("second", cores=32.0, work={"duration": 6.0})
+    world.play("d1", 5)
+    world.submit("urgent", urgency="urgent")
+    world.play("d1", 3)
+    assert world.read_job("urgent").state is S.RUNNING
+
+
 def test_a_job_that_must_not_run_twice_ends_with_its_lost_worker(world):
     world.submit("one", rerun=False, work={"duration": 500.0})
     world.submit("two", work={"duration": 500.0})
