Say which job holds up a drain; test relief of memory and cores

A draining worker with a job of rerun false waits without limit and nobody could see for what. Stopping it ends it as 'may have run'; a checkpoint keeps it on its worker, as the platform moves no task; so the drain goes on waiting and, after the 60 s that other jobs have, the job's reason names the wait until its worker is usable again. Each new test fails with its mechanism switched off, as do the two on checkpointing at 92% of a worker's memory and on throttling, which had no test of their own.

--- a/wigeonhitch/placement/settle.py
+++ b/wigeonhitch/placement/settle.py
@@ -21,6 +21,7 @@
 DRAIN_GRACE = 60.0
 # Lagging usage that fills the reservation says that more cores may help.
 FULL = 0.95
+HOLDS_UP = "its worker drains and waits for it, as it must not run again"
 # Usage of a task that is this far has shown what it takes: a kind declared ten
 # times too large would otherwise hold whole workers until its first jobs end.
 MEMORY_AT = 0.75
@@ -149,7 +150,22 @@
     if item.asked.rerun and _is_stranded(shard, entry, now):
         entry.evict = True
         shard.pending.add(item.name)
-    return None
+    return _note_drain(shard, item, now)
+
+
+def _note_drain(shard: state.State, item: job.Job, now: float) -> job.Job | None:
+    """Return the job with a reason that says whether it holds up a drain.
+
+    Load: a wave reaches the worker of a job that must not run twice. Harm: to
+    stop it would leave it failed, "may have run", for a stop that can wait; so
+    the drain waits, without limit, and operators see for which job.
+    """
+    left = shard.left_at.get(item.vm)
+    waits = left is not None and now >= left + DRAIN_GRACE
+    waits = waits and not item.asked.rerun
+    if waits == (item.reason == HOLDS_UP):
+        return None
+    return item._replace(reason=HOLDS_UP if waits else "")
 
 
 def shrink(entry: attempt.Attempt) -> job.Job | None:
--- a/wigeonhitch/placement/tests/test_keeper.py
+++ b/wigeonhitch/placement/tests/test_keeper.py
@@ -1,6 +1,8 @@
 """One scenario for each mechanism that keeps a task from running twice."""
 
-from wigeonhitch.placement import attempt, job
+import pytest
+
+from wigeonhitch.placement import attempt, calls, job, settle
 from wigeonhitch.platform import table
 
 S = job.JobState
@@ -213,6 +215,61 @@
     assert world.read_job("two").attempt == 2
 
 
+def test_a_job_that_must_not_run_twice_holds_up_a_drain_and_says_so(world):
+    world.submit("one", rerun=False, work={"duration": 500.0})
+    world.submit("two", work={"duration": 500.0})
+    world.play("d1", 10)
+    world.unusable = {world.read_job(name).vm for name in ("one", "two")}
+    world.play("d1", settle.DRAIN_GRACE + 20)
+    assert (world.read_job("one").state, world.read_job("one").attempt) == (
+        S.RUNNING,
+        1,
+    )
+    assert world.read_job("one").reason == settle.HOLDS_UP
+    assert world.read_job("two").attempt == 2
+    world.unusable = set()
+    world.play("d1", 20)
+    assert world.read_job("one").reason == ""
+
+
+def relieve(world, usage):
+    """Report the usage of running tasks by job; return the calls that follow."""
+    core = world.keep("d1").core
+    listed = []
+    for name, (cores, memory) in usage.items():
+        seen = core.state.jobs[f"coffee/{name}"].seen
+        listed.append(seen._replace(used_cores=cores, used_memory=memory))
+    core.see_tasks(listed, ["w0"], world.fake.now)
+    return {(call.action, call.name) for call in core.next_calls(world.fake.now)}
+
+
+@pytest.fixture
+def shared(make_world):
+    """One worker that runs an urgent job, a bulk one and a greedy bulk one."""
+    made = make_world(vms=1)
+    made.take_duty("d1")
+    for name, urgency in (("urgent", "urgent"), ("bulk", "bulk"), ("greedy", "bulk")):
+        made.submit(name, urgency=urgency, work={"duration": 500.0})
+    made.play("d1", 10)
+    return made
+
+
+def test_bulk_is_checkpointed_before_a_worker_is_out_of_memory(shared):
+    full = 64.0 * calls.MEMORY_SHARE
+    below = {"urgent": (4, 8), "bulk": (4, 8), "greedy": (4, full - 17)}
+    assert relieve(shared, below) == set()
+    above = below | {"greedy": (4, full - 15)}
+    assert relieve(shared, above) == {("checkpoint", "coffee/greedy")}
+
+
+def test_bulk_is_throttled_while_it_takes_cores_from_urgent_work(shared):
+    assert (
+        relieve(shared, {"urgent": (4, 8), "bulk": (4, 8), "greedy": (23, 8)}) == set()
+    )
+    busy = {"urgent": (4, 8), "bulk": (4, 8), "greedy": (25, 8)}
+    assert relieve(shared, busy) == {("throttle", "coffee/greedy")}
+
+
 def test_cancelling_during_the_start_says_what_is_true(world):
     world.submit("one", work={"duration": 500.0})
     world.step("d1", calls=False)
