--- a/wigeonhitch/placement/keeper.py
+++ b/wigeonhitch/placement/keeper.py
@@ -20,9 +20,10 @@
     attempt,
     calls,
     core,
-    job,
     ledger,
     message,
+    retention,
+    rows,
     signal,
     view,
 )
@@ -41,7 +42,6 @@
 # Four tries within one lease.
 RENEW_PERIOD = 15.0
 RENEW_CHUNK = 200
-READ_CHUNK = 500
 # Commits in one step, before new jobs and answers are looked at again.
 COMMITS = 4
 
@@ -88,6 +88,7 @@
         self._stale: set[str] = set()
         self._document: document.Document | None = None
         self._policy: view.Policy | None = None
+        self._retention = retention.Retention(platform.table, shard)
         self._send, self._receive = anyio.create_memory_object_stream[Any](math.inf)
 
     def close(self) -> None:
@@ -118,7 +119,9 @@
             return True
         if self.core is None:
             return False
-        return bool(self.core.state.jobs or self._stale) or self._is_signalled()
+        if self.core.state.jobs or self._stale or self._is_signalled():
+            return True
+        return held is not None and self._retention.is_due(self.now)
 
     def _is_signalled(self) -> bool:
         return self._reader.moved.get(self.shard, 0) > self._since
@@ -150,6 +153,7 @@
             for call in self.core.next_calls(self.now):
                 self._counters[f"call_{call.action}"] += 1
                 self._spawn(self._call, self.fence, call)
+        self._counters["deleted"] += await self._retention.sweep(held, self.now)
 
     def _drain(self) -> None:
         while True:
@@ -187,13 +191,10 @@
         if found.outcome is not table.Outcome.DONE:
             return False
         fresh = core.Core(self.shard, held.fence)
-        for rows in (ledger.RESERVATION, ledger.QUOTA):
-            read = await platform.table.scan(rows, purpose=PURPOSE)
-            if read.outcome is not table.Outcome.DONE:
-                return False
-            fresh.load(read.rows)
-        keys = [_job_key(row.key) for row in found.rows]
-        if not await self._read_into(fresh, keys):
+        if await rows.read_ledger(platform.table, fresh, 0) is None:
+            return False
+        keys = [rows.find_job(row.key) for row in found.rows]
+        if not await rows.read_jobs(platform.table, fresh, keys):
             return False
         self._offset = found.time - platform.clock()
         self._since = self._ledger_since = found.revision
@@ -204,15 +205,6 @@
         logging.info("%s: taken over with %d live jobs", self.duty, len(keys))
         return True
 
-    async def _read_into(self, target: core.Core, keys: Sequence[str]) -> bool:
-        for start in range(0, len(keys), READ_CHUNK):
-            chunk = keys[start : start + READ_CHUNK]
-            read = await self._platform.table.read(chunk, purpose=PURPOSE)
-            if read.outcome is not table.Outcome.DONE:
-                return False
-            target.load(read.rows)
-        return True
-
     async def _refresh(self) -> bool:
         """Read what others changed; false when the table can't be read."""
         if not await self._read_stale():
@@ -238,11 +230,14 @@
 
     async def _read_stale(self) -> bool:
         """Read back the rows of a commit whose fate was not known."""
-        if self._stale and not await self._read_into(self.core, sorted(self._stale)):
+        if self._stale and not await self._read_jobs(sorted(self._stale)):
             return False
         self._stale = set()
         return True
 
+    async def _read_jobs(self, keys: Sequence[str]) -> bool:
+        return await rows.read_jobs(self._platform.table, self.core, keys)
+
     async def _read_markers(self) -> bool:
         prefix = f"{ledger.MARKER}{self.shard}/"
         found = await self._platform.table.scan(
@@ -251,24 +246,19 @@
         if found.outcome is not table.Outcome.DONE:
             return False
         gone = [row for row in found.rows if row.value is None]
-        self.core.load(table.Row(_job_key(row.key), None, 0) for row in gone)
-        keys = [_job_key(row.key) for row in found.rows if row.value is not None]
-        if not await self._read_into(self.core, keys):
+        self.core.load(table.Row(rows.find_job(row.key), None, 0) for row in gone)
+        keys = [rows.find_job(row.key) for row in found.rows if row.value is not None]
+        if not await self._read_jobs(keys):
             return False
         self._since = max(self._since, found.revision)
         return True
 
     async def _read_ledger(self) -> bool:
-        revision = math.inf
-        for rows in (ledger.RESERVATION, ledger.QUOTA):
-            read = await self._platform.table.scan(
-                rows, purpose=PURPOSE, since=self._ledger_since
-            )
-            if read.outcome is not table.Outcome.DONE:
-                return False
-            self.core.load(read.rows)
-            revision = min(revision, read.revision)
-        self._ledger_since = max(self._ledger_since, int(revision))
+        store = self._platform.table
+        revision = await rows.read_ledger(store, self.core, self._ledger_since)
+        if revision is None:
+            return False
+        self._ledger_since = revision
         return True
 
     async def _commit(self, held: lease.Lease) -> bool:
@@ -345,8 +335,3 @@
     async def _call_list(self, fence: int, vms: tuple[str, ...], at: float) -> None:
         result = await self._platform.tasks.list_tasks(vms, purpose=PURPOSE)
         self._send.send_nowait(message.Listed(fence, vms, at, result))
-
-
-def _job_key(marker: str) -> str:
-    """Return the key of the job that a marker row names."""
-    return job.PREFIX + marker.split("/", 2)[2]
--- a/wigeonhitch/placement/ledger.py
+++ b/wigeonhitch/placement/ledger.py
@@ -10,11 +10,23 @@
 from wigeonhitch.placement import job
 from wigeonhitch.platform import table
 
-__all__ = ["MARKER", "QUOTA", "RESERVATION", "Batch", "Ledger", "marker_key"]
+__all__ = [
+    "DAY",
+    "ENDED",
+    "MARKER",
+    "QUOTA",
+    "RESERVATION",
+    "Batch",
+    "Ledger",
+    "ended_key",
+    "marker_key",
+]
 
 RESERVATION = "reservation/"
 QUOTA = "quota/"
 MARKER = "placing/"
+ENDED = "ended/"
+DAY = 86_400  # seconds
 DIGITS = 6
 NOTHING = (0.0, 0.0)
 
@@ -61,6 +73,11 @@
     return f"{MARKER}{shard}/{name}"
 
 
+def ended_key(shard: int, item: job.Job) -> str:
+    """Return the key of the row by which an ended job is found for deletion."""
+    return f"{ENDED}{shard}/{int(item.since // DAY)}/{item.name}"
+
+
 class Ledger:
     """Reservations by worker, and use by team and pool."""
 
@@ -118,6 +135,7 @@
             writes.append(table.Write(old.key, job.encode(new)))
             if new.state in job.ENDED:
                 writes.append(table.Write(marker_key(shard, new.name), None))
+                writes.append(table.Write(ended_key(shard, new), {}))
             for item in (old, new):
                 if item.holds:
                     vms.add(item.vm)
--- /dev/null
+++ b/wigeonhitch/placement/retention.py
@@ -0,0 +1,86 @@
+"""Deletes the rows of jobs that ended long ago, under the shard's duty."""
+
+from wigeonhitch.membership import lease
+from wigeonhitch.placement import job, ledger
+from wigeonhitch.platform import table
+
+__all__ = ["BATCH", "DAY", "RETENTION", "Retention"]
+
+PURPOSE = "retention"
+DAY = ledger.DAY
+# Long enough for submitters to read an outcome after a week's holiday closing;
+# until then a repeated submission finds its job.
+RETENTION = 7 * DAY
+# Each look reads the markers of one day, so that none reads those of the days
+# that are still kept; all days of the last fortnight have their turn in 14 h.
+PERIOD = 3600.0
+LOOK_BACK = 14
+# A new holder has its live jobs to see to first.
+FIRST = 60.0
+# Jobs in one commit, one commit a step: placing goes on in between.
+BATCH = 100
+
+
+class Retention:
+    """Looks for ended jobs to delete, and deletes them batch by batch.
+
+    Parameters
+    ----------
+    store : table.Table
+        The platform's table.
+    shard : int
+        Number of the shard.
+    """
+
+    def __init__(self, store: table.Table, shard: int):
+        self._table = store
+        self._shard = shard
+        self._due: float | None = None
+        self._markers: list[str] = []
+
+    def is_due(self, now: float) -> bool:
+        """Whether there is anything to look for or to delete."""
+        if self._due is None:
+            self._due = now + FIRST
+        return bool(self._markers) or now >= self._due
+
+    async def sweep(self, held: lease.Lease, now: float) -> int:
+        """Look for ended jobs, or delete a batch; return how many were deleted.
+
+        A commit that fails is left to a later look: deleting is never urgent.
+        """
+        if not self.is_due(now):
+            return 0
+        if not self._markers:
+            await self._look(now)
+            return 0
+        batch, self._markers = self._markers[:BATCH], self._markers[BATCH:]
+        deleted = await self._delete(held, batch)
+        if deleted is None:
+            self._markers = []
+        return deleted or 0
+
+    async def _look(self, now: float) -> None:
+        self._due = now + PERIOD
+        newest = int((now - RETENTION) // DAY) - 1
+        day = newest - int(now // PERIOD) % LOOK_BACK
+        prefix = f"{ledger.ENDED}{self._shard}/{day}/"
+        found = await self._table.scan(prefix, purpose=PURPOSE)
+        self._markers = [row.key for row in found.rows]
+
+    async def _delete(self, held: lease.Lease, markers: list[str]) -> int | None:
+        keys = [job.PREFIX + marker.split("/", 3)[3] for marker in markers]
+        read = await self._table.read(keys, purpose=PURPOSE)
+        if read.outcome is not table.Outcome.DONE:
+            return None
+        conditions = [held.condition]
+        writes = [table.Write(marker, None) for marker in markers]
+        for row in read.rows:
+            if row.value is None or job.decode(row.value).state not in job.ENDED:
+                continue
+            conditions.append(table.Condition(row.key, row.version))
+            writes.append(table.Write(row.key, None))
+        result = await self._table.commit(conditions, writes, purpose=PURPOSE)
+        if result.outcome is not table.Outcome.DONE:
+            return None
+        return len(conditions) - 1
--- a/wigeonhitch/placement/routes.py
+++ b/wigeonhitch/placement/routes.py
@@ -77,7 +77,10 @@
         shard = view.find_shard(item.asked.pool, self._shards)
         value = None if ended else {}
         marker = table.Write(ledger.marker_key(shard, item.name), value)
-        return [marker, signal.make_write(shard)]
+        writes = [marker, signal.make_write(shard)]
+        if ended:
+            writes.append(table.Write(ledger.ended_key(shard, item), {}))
+        return writes
 
     async def list_jobs(self, request: route.Request) -> route.Answer:
         """List jobs, of one team if ``team`` is given; ``state`` filters."""
@@ -184,7 +187,7 @@
             new = item._replace(cancel=True)
         conditions.append(table.Condition(row.key, row.version))
         writes.append(table.Write(row.key, job.encode(new)))
-        writes.extend(self._mark(item, ended=queued))
+        writes.extend(self._mark(new, ended=queued))
         return "cancelled" if queued else "stopping"
 
 
