--- a/wigeonhitch/placement/keeper.py
+++ b/wigeonhitch/placement/keeper.py
@@ -2,7 +2,8 @@
 
 One task holds the state of a shard. Calls to the task service run beside it
 and report through a memory object stream, so that a slow platform call never
-holds up the next commit.
+holds up the next commit. A shard without live jobs reads nothing: the daemon's
+`signal.Reader` says when its markers are to be read.
 """
 
 import collections
@@ -15,23 +16,32 @@
 
 from wigeonhitch.configuration import document
 from wigeonhitch.membership import lease
-from wigeonhitch.placement import attempt, calls, core, job, ledger, message, view
+from wigeonhitch.placement import (
+    attempt,
+    calls,
+    core,
+    ledger,
+    message,
+    retention,
+    rows,
+    signal,
+    view,
+)
 from wigeonhitch.platform import table
 
 __all__ = ["Keeper"]
 
 PURPOSE = "placement"
-# Urgent work is to start within 1.7 s: half a second to notice a job, and two
-# round trips for the commit and the start, leave a second for a checkpoint.
-POLL = 0.5
 # Usage lags by seconds anyway; 25 workers with four tasks each make 15 KB a
 # list, so 5 s keeps a shard near 3 KB a second.
 USAGE_PERIOD = 5.0
+# While urgent work waits for room or quota, ended tasks are looked for at this
+# period instead: they hold both until they are seen to have ended.
+WAITING_PERIOD = 1.0
 LEDGER_PERIOD = 5.0
 # Four tries within one lease.
 RENEW_PERIOD = 15.0
 RENEW_CHUNK = 200
-READ_CHUNK = 500
 # Commits in one step, before new jobs and answers are looked at again.
 COMMITS = 4
 
@@ -45,8 +55,10 @@
     ----------
     platform : message.Platform
         Table, tasks, leases and views.
-    shard, shards : int
-        Number of this shard, and of all.
+    reader : signal.Reader
+        What all shards of the daemon read together.
+    shard : int
+        Number of this shard.
     spawn : callable
         Runs an async function beside the keeper, as a task group does.
     counters : collections.Counter
@@ -56,14 +68,14 @@
     def __init__(
         self,
         platform: message.Platform,
+        reader: signal.Reader,
         shard: int,
         spawn: Spawn,
         counters: collections.Counter[str],
-        shards: int = view.SHARDS,
     ):
         self._platform = platform
+        self._reader = reader
         self.shard = shard
-        self._shards = shards
         self._spawn = spawn
         self._counters = counters
         self.duty = view.duty_of(shard)
@@ -72,10 +84,11 @@
         self._since = 0
         self._ledger_since = 0
         self._offset = 0.0
-        self._due: dict[str, float] = {}
+        self._done: dict[str, float] = {}
         self._stale: set[str] = set()
         self._document: document.Document | None = None
         self._policy: view.Policy | None = None
+        self._retention = retention.Retention(platform.table, shard)
         self._send, self._receive = anyio.create_memory_object_stream[Any](math.inf)
 
     def close(self) -> None:
@@ -84,15 +97,35 @@
         self._receive.close()
 
     async def run(self) -> None:
-        """Step twice a second, and whenever a call was answered."""
+        """Step whenever woken or answered."""
         try:
             while True:
+                self._take(await self._receive.receive())
                 await self.step()
-                with anyio.move_on_after(POLL):
-                    self._take(await self._receive.receive())
         finally:
             self.close()
 
+    def wake(self) -> None:
+        """Let the keeper step if it has anything to do.
+
+        That is: to take the duty over, jobs that are not ended, or a signal.
+        """
+        if self._has_work() and not self._receive.statistics().current_buffer_used:
+            self._send.send_nowait(message.Wake())
+
+    def _has_work(self) -> bool:
+        held = self._platform.leases.current(self.duty)
+        if held is not None and (self.core is None or held.fence != self.fence):
+            return True
+        if self.core is None:
+            return False
+        if self.core.state.jobs or self._stale or self._is_signalled():
+            return True
+        return held is not None and self._retention.is_due(self.now)
+
+    def _is_signalled(self) -> bool:
+        return self._reader.moved.get(self.shard, 0) > self._since
+
     @property
     def now(self) -> float:
         """Return the table's time as estimated at takeover, in seconds.
@@ -120,6 +153,7 @@
             for call in self.core.next_calls(self.now):
                 self._counters[f"call_{call.action}"] += 1
                 self._spawn(self._call, self.fence, call)
+        self._counters["deleted"] += await self._retention.sweep(held, self.now)
 
     def _drain(self) -> None:
         while True:
@@ -129,8 +163,11 @@
                 return
 
     def _take(
-        self, answer: message.Answered | message.Renewed | message.Listed
+        self,
+        answer: message.Answered | message.Renewed | message.Listed | message.Wake,
     ) -> None:
+        if isinstance(answer, message.Wake):
+            return
         if self.core is None or answer.fence != self.fence:
             return
         if isinstance(answer, message.Answered):
@@ -154,35 +191,25 @@
         if found.outcome is not table.Outcome.DONE:
             return False
         fresh = core.Core(self.shard, held.fence)
-        for rows in (ledger.RESERVATION, ledger.QUOTA):
-            read = await platform.table.scan(rows, purpose=PURPOSE)
-            if read.outcome is not table.Outcome.DONE:
-                return False
-            fresh.load(read.rows)
-        keys = [_job_key(row.key) for row in found.rows]
-        if not await self._read_into(fresh, keys):
+        if await rows.read_ledger(platform.table, fresh, 0) is None:
+            return False
+        keys = [rows.find_job(row.key) for row in found.rows]
+        if not await rows.read_jobs(platform.table, fresh, keys):
             return False
         self._offset = found.time - platform.clock()
         self._since = self._ledger_since = found.revision
-        self._due = {"ledger": self.now + LEDGER_PERIOD}
+        self._done = {"ledger": self.now}
         self._stale = set()
         self.core, self.fence = fresh, held.fence
         self._counters["takeovers"] += 1
         logging.info("%s: taken over with %d live jobs", self.duty, len(keys))
         return True
 
-    async def _read_into(self, target: core.Core, keys: Sequence[str]) -> bool:
-        for start in range(0, len(keys), READ_CHUNK):
-            chunk = keys[start : start + READ_CHUNK]
-            read = await self._platform.table.read(chunk, purpose=PURPOSE)
-            if read.outcome is not table.Outcome.DONE:
-                return False
-            target.load(read.rows)
-        return True
-
     async def _refresh(self) -> bool:
         """Read what others changed; false when the table can't be read."""
-        if not await self._read_stale() or not await self._read_markers():
+        if not await self._read_stale():
+            return False
+        if self._is_signalled() and not await self._read_markers():
             return False
         if self._is_due("ledger", LEDGER_PERIOD) and not await self._read_ledger():
             return False
@@ -192,26 +219,25 @@
             self._policy = view.make_policy(source)
         if self._policy is not None:
             self.core.see_policy(self._policy)
-        vms = [vm for vm in self._platform.fleet() if self._is_mine(vm.pool)]
-        self.core.see_fleet(vms, self.now)
+        self.core.see_fleet(self._reader.list_vms(self.shard), self.now)
         return True
 
-    def _is_mine(self, pool: str) -> bool:
-        return view.find_shard(pool, self._shards) == self.shard
-
     def _is_due(self, what: str, period: float) -> bool:
-        if self.now < self._due.get(what, 0.0):
+        if self.now < self._done.get(what, -math.inf) + period:
             return False
-        self._due[what] = self.now + period
+        self._done[what] = self.now
         return True
 
     async def _read_stale(self) -> bool:
         """Read back the rows of a commit whose fate was not known."""
-        if self._stale and not await self._read_into(self.core, sorted(self._stale)):
+        if self._stale and not await self._read_jobs(sorted(self._stale)):
             return False
         self._stale = set()
         return True
 
+    async def _read_jobs(self, keys: Sequence[str]) -> bool:
+        return await rows.read_jobs(self._platform.table, self.core, keys)
+
     async def _read_markers(self) -> bool:
         prefix = f"{ledger.MARKER}{self.shard}/"
         found = await self._platform.table.scan(
@@ -220,24 +246,19 @@
         if found.outcome is not table.Outcome.DONE:
             return False
         gone = [row for row in found.rows if row.value is None]
-        self.core.load(table.Row(_job_key(row.key), None, 0) for row in gone)
-        keys = [_job_key(row.key) for row in found.rows if row.value is not None]
-        if not await self._read_into(self.core, keys):
+        self.core.load(table.Row(rows.find_job(row.key), None, 0) for row in gone)
+        keys = [rows.find_job(row.key) for row in found.rows if row.value is not None]
+        if not await self._read_jobs(keys):
             return False
         self._since = max(self._since, found.revision)
         return True
 
     async def _read_ledger(self) -> bool:
-        revision = math.inf
-        for rows in (ledger.RESERVATION, ledger.QUOTA):
-            read = await self._platform.table.scan(
-                rows, purpose=PURPOSE, since=self._ledger_since
-            )
-            if read.outcome is not table.Outcome.DONE:
-                return False
-            self.core.load(read.rows)
-            revision = min(revision, read.revision)
-        self._ledger_since = max(self._ledger_since, int(revision))
+        store = self._platform.table
+        revision = await rows.read_ledger(store, self.core, self._ledger_since)
+        if revision is None:
+            return False
+        self._ledger_since = revision
         return True
 
     async def _commit(self, held: lease.Lease) -> bool:
@@ -281,9 +302,12 @@
             self._spawn(self._call_renew, self.fence, chunk)
 
     def _list(self) -> None:
-        if not self._is_due("usage", USAGE_PERIOD):
-            return
         state = self.core.state
+        if not any(state.on_vm.values()):
+            return
+        waits = state.backlog.has_urgent()
+        if not self._is_due("usage", WAITING_PERIOD if waits else USAGE_PERIOD):
+            return
         vms = tuple(sorted(set(state.vms) | set(state.on_vm)))
         if vms:
             self._spawn(self._call_list, self.fence, vms, self.now)
@@ -311,8 +335,3 @@
     async def _call_list(self, fence: int, vms: tuple[str, ...], at: float) -> None:
         result = await self._platform.tasks.list_tasks(vms, purpose=PURPOSE)
         self._send.send_nowait(message.Listed(fence, vms, at, result))
-
-
-def _job_key(marker: str) -> str:
-    """Return the key of the job that a marker row names."""
-    return job.PREFIX + marker.split("/", 2)[2]
--- a/wigeonhitch/placement/state.py
+++ b/wigeonhitch/placement/state.py
@@ -179,6 +179,7 @@
         self.quarantine.keep(self.vms)
         for vm in [vm for vm, names in self.on_vm.items() if not names]:
             del self.on_vm[vm]
+            self.overrun.pop(vm, None)
 
     def measure(self, vms: Iterable[str]) -> None:
         """Work out by how much the tasks of workers exceed their reservations."""
@@ -209,7 +210,8 @@
         memory raises ``floor``.
         """
         asked = item.asked
-        cores, memory = self.learner.estimate(asked.kind, asked.cores, asked.memory)
+        family = asked.family
+        cores, memory = self.learner.estimate(family, asked.cores, asked.memory)
         cores = max(cores, LEAST[0])
         memory = max(memory, item.floor, LEAST[1])
         limits = self.limits(item)
