Prove requests and drains with real processes; wire the drains' limits

The settings' section `drains` was checked but never handed to the fleet's observers: a changed longest request or right to send left planned stops on the default times. The assembly now passes it on.

Seeded traffic over all daemons is compared with the workers' logs; a relay between daemons cuts or freezes single links.

--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -1,8 +1,11 @@
 """One customer's system on loopback: platform, workers and daemons."""
 
 import contextlib
+import json
 import pathlib
+import socket
 import time
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import httpx
@@ -31,12 +34,21 @@
         Seconds by which the VM list lags.
     spare : int
         VMs beyond the pools' sizes.
+    settings : mapping
+        Sections of the daemons' settings that differ from the usual.
+    relayed : bool
+        Whether peers talk through `standins.relay`, see `Site.switch_link`.
+    without : str
+        A mechanism of `standins.demo.without` that the daemons lack.
     """
 
     daemons: int = 3
     reboot_seconds: float = 1.0
     vm_lag: float = 0.5
     spare: int = 0
+    settings: Mapping[str, Mapping[str, Any]] = {}
+    relayed: bool = False
+    without: str = ""
 
 
 class DaemonPorts(NamedTuple):
@@ -46,6 +58,12 @@
     callers: int
     operators: int
     peers: int
+    relay: int = 0
+
+    @property
+    def advertised(self) -> str:
+        """The address at which peers reach it."""
+        return f"127.0.0.1:{self.relay or self.peers}"
 
 
 class Site:
@@ -125,15 +143,21 @@
         name = f"entry-{number}-{suffix}"
         callers, operators, peers = self.ports.take(3)
         given = DaemonPorts(name, callers, operators, peers)
+        if self.options.relayed:
+            given = given._replace(relay=self.ports.take()[0])
+            self._tell_relay(add=[name, given.relay, peers])
         seeds = [
-            {"name": one.name, "address": f"127.0.0.1:{one.peers}"}
+            {"name": one.name, "address": one.advertised}
             for one in self.daemons.values()
         ]
         settings = self.folder / f"{name}.yaml"
         settings.write_text(
             yaml.safe_dump(self._make_settings(given, number, seeds)), encoding="utf-8"
         )
-        self._start(name, ["wigeonhitch.daemon.main", "--settings", str(settings)])
+        program = ["wigeonhitch.daemon.main"]
+        if self.options.without:
+            program = ["standins.demo.without", self.options.without]
+        self._start(name, [*program, "--settings", str(settings)])
         self.daemons[name] = given
         return given
 
@@ -150,17 +174,33 @@
             time.sleep(0.05)
         raise RuntimeError(f"{name} isn't ready:\n{self.children[name].read()}")
 
+    def wait_for_operators(self, limit: float = READY_LIMIT) -> None:
+        """Wait until every daemon answers operators."""
+        for one in self.daemons.values():
+            self.children[one.name].wait_for("serving", limit)
+
     def ask(
         self, method: str, path: str, body: Any = None, operator: str = "ana"
     ) -> httpx.Response:
         """Send an operator's request to the first daemon."""
-        daemon = next(iter(self.daemons.values()))
+        return self.ask_one(next(iter(self.daemons)), method, path, body, operator)
+
+    def ask_one(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        operator: str = "ana",
+        limit: float = 10.0,
+    ) -> httpx.Response:
+        """Send an operator's request to one daemon; ``limit`` in seconds."""
         return httpx.request(
             method,
-            f"http://127.0.0.1:{daemon.operators}/operator/v1{path}",
+            f"http://127.0.0.1:{self.daemons[name].operators}/operator/v1{path}",
             json=body,
             headers={"Authorization": f"Bearer {operator}:{SECRET}"},
-            timeout=10.0,
+            timeout=limit,
             trust_env=False,
         )
 
@@ -181,6 +221,14 @@
         if answer.status_code != 200:
             raise RuntimeError(f"document {name}: {answer.text}; expected 200")
 
+    def list_members(self, pool: str) -> list[str]:
+        """Return the VMs that are in a pool now."""
+        return [one["vm"] for one in self.ask("GET", f"/pools/{pool}").json()["vms"]]
+
+    def change_fleet(self, **fields: Any) -> None:
+        """Change the platform's VMs, as `platformfleet.Fleet.change` does."""
+        httpx.post(f"{self.platform_url}/fleet", json=fields, trust_env=False)
+
     def switch(self, **fields: Any) -> None:
         """Set a switch of the platform stand-in."""
         httpx.post(f"{self.platform_url}/switch", json=fields, trust_env=False)
@@ -190,6 +238,17 @@
         url = f"http://{self.workers[vm]}/standin/switch"
         httpx.post(url, json=fields, trust_env=False)
 
+    def switch_link(self, sender: str, receiver: str, state: str) -> None:
+        """Cut, freeze or open the link from one daemon to another."""
+        self._tell_relay(link=[sender, receiver, state])
+
+    def isolate(self, name: str, state: str) -> None:
+        """Switch all links from and to one daemon."""
+        for other in self.daemons:
+            if other != name:
+                self.switch_link(name, other, state)
+                self.switch_link(other, name, state)
+
     def read_logs(self) -> list[dict[str, Any]]:
         """Return what truly ran on all workers."""
         runs: list[dict[str, Any]] = []
@@ -203,6 +262,18 @@
         answer = httpx.get(f"{self.platform_url}/history", trust_env=False, timeout=30)
         return answer.json()["history"]
 
+    def start_relay(self) -> None:
+        """Start the relay between daemons."""
+        self._control = self.ports.take()[0]
+        arguments = ["standins.relay", "--control", str(self._control)]
+        self._start("relay", arguments).wait_for("ready")
+
+    def _tell_relay(self, **command: Any) -> None:
+        with socket.create_connection(("127.0.0.1", self._control), 5.0) as link:
+            link.sendall(json.dumps(command).encode() + b"\n")
+            if link.recv(16) != b"done\n":
+                raise RuntimeError(f"relay: {command} is not done")
+
     def _start(self, name: str, arguments: list[str]) -> process.Child:
         child = process.start(self.stack, self.folder, name, arguments)
         self.children[name] = child
@@ -218,7 +289,7 @@
         credentials = [one._asdict() for one in self.operators]
         for one in credentials:
             one["roles"] = list(one["roles"])
-        return {
+        made: dict[str, Any] = {
             "daemon": {
                 "name": given.name,
                 "vm": f"entry-{number}",
@@ -229,9 +300,16 @@
                 "bind": f"127.0.0.1:{given.operators}",
                 "credentials": credentials,
             },
-            "peers": {"bind": f"127.0.0.1:{given.peers}", "seeds": seeds},
+            "peers": {
+                "bind": f"127.0.0.1:{given.peers}",
+                "advertise": given.advertised,
+                "seeds": seeds,
+            },
             "platform": {"url": self.platform_url},
         }
+        for section, fields in self.options.settings.items():
+            made[section] = made.get(section, {}) | dict(fields)
+        return made
 
 
 def list_machines(
@@ -275,6 +353,8 @@
     folder.mkdir(parents=True, exist_ok=True)
     site = Site(stack, folder, ports, checked.intended, options)
     site.start_platform()
+    if options.relayed:
+        site.start_relay()
     for number in range(options.daemons):
         site.start_daemon(number)
     return site
--- /dev/null
+++ b/standins/demo/without.py
@@ -0,0 +1,100 @@
+"""A daemon with one mechanism off: ``python -m standins.demo.without NAME ...``.
+
+A proof that cannot fail proves nothing. Each entry of `MECHANISMS` takes one
+mechanism out of the daemon; the proof of its property must then fail. Used by
+the tests of processes with the environment variable ``WITHOUT`` set to a name.
+"""
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from wigeonhitch import verdict
+from wigeonhitch.configuration import distribution
+from wigeonhitch.daemon import assembly, main, workers
+from wigeonhitch.fleet import wave
+from wigeonhitch.front import guard, sender
+from wigeonhitch.idempotency import store
+from wigeonhitch.membership import duty
+
+__all__ = ["MECHANISMS", "run"]
+
+
+def skip_claims() -> None:
+    """Send keyed requests without a claim."""
+
+    async def serve(self: Any, key: str, *given: Any) -> Any:
+        del key
+        return await self._dispatch.serve(*given)
+
+    guard.Guard.serve = serve
+
+
+def skip_send_window() -> None:
+    """Send whenever, however old the claim is."""
+    store.Claims.may_send = lambda self, claim: True
+
+
+def call_breaks_not_run() -> None:
+    """Take every failed exchange with a worker for "not run"."""
+    refused = verdict.not_run(verdict.Reason.NOT_CONNECTED)
+    sender.judge_error = lambda error: refused
+
+
+def skip_confirmation() -> None:
+    """Stop a drained VM without waiting for any daemon."""
+    wave.find_unconfirmed = lambda scene, row: ()
+
+
+def ignore_drains() -> None:
+    """Send to VMs that are draining, and confirm the drain."""
+    workers.Workers._find_unusable = lambda self: frozenset()
+
+
+def skip_finish() -> None:
+    """Stop without finishing what is held."""
+
+    async def stop(self: Any) -> None:
+        self.stopping = True
+
+    assembly.Daemon.stop = stop
+
+
+def keep_duties() -> None:
+    """Never take a lost daemon's duties over."""
+    duty.DEFAULT_LIMITS = duty.DEFAULT_LIMITS._replace(lease=3600.0)
+
+
+def trust_old_documents() -> None:
+    """Be ready whatever is known of the version in force."""
+
+    def read(self: Any) -> Any:
+        del self
+        return distribution.Readiness.READY
+
+    assembly.watcher.Watcher.readiness = property(read)
+
+
+MECHANISMS: dict[str, Callable[[], None]] = {
+    one.__name__: one
+    for one in (
+        skip_claims,
+        skip_send_window,
+        call_breaks_not_run,
+        skip_confirmation,
+        ignore_drains,
+        skip_finish,
+        keep_duties,
+        trust_old_documents,
+    )
+}
+
+
+def run() -> None:
+    """Take the named mechanism out and run the daemon."""
+    MECHANISMS[sys.argv.pop(1)]()
+    main.run()
+
+
+if __name__ == "__main__":
+    run()
--- a/wigeonhitch/daemon/assembly.py
+++ b/wigeonhitch/daemon/assembly.py
@@ -174,16 +174,18 @@
 
     def build_duties(self) -> None:
         """Make what this daemon does while it holds a duty."""
+        settings = self.settings
         platform = observer.Platform(
             self.table, self.platform, self.outlet.probe, self.clock
         )
+        silence = settings.drains
         self.fleet = runner.Runner(
-            observer.Observer(platform),
+            observer.Observer(platform, silence=silence),
             self.holder,
             lambda: self.document,
         )
         self.fleet_routes = fleet_routes.build_routes(
-            observer.Observer(platform), lambda: self.document
+            observer.Observer(platform, silence=silence), lambda: self.document
         )
         self.placement = placement_runner.Runner(
             placement_message.Platform(
