Prove daemons' comings and goings and documents with real processes

A daemon that is stopping refuses with the reason "daemon is stopping"; it said "daemon is not ready", since readiness ends first. Ruled out: serving new requests longer, which would delay the end of those already held.

--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -91,6 +91,7 @@
         self.ports = ports
         self.intended = intended
         self.options = options
+        self.example = pathlib.Path()
         self.operators = tuple(
             credential.make_operator(name, roles, SECRET)
             for name, roles in (
@@ -352,6 +353,7 @@
         raise ValueError(f"{example}: {checked.problems}; expected a valid document")
     folder.mkdir(parents=True, exist_ok=True)
     site = Site(stack, folder, ports, checked.intended, options)
+    site.example = example
     site.start_platform()
     if options.relayed:
         site.start_relay()
--- a/standins/demo/without.py
+++ b/standins/demo/without.py
@@ -10,12 +10,11 @@
 from typing import Any
 
 from wigeonhitch import verdict
-from wigeonhitch.configuration import distribution
 from wigeonhitch.daemon import assembly, main, workers
 from wigeonhitch.fleet import wave
 from wigeonhitch.front import guard, sender
 from wigeonhitch.idempotency import store
-from wigeonhitch.membership import duty
+from wigeonhitch.membership import duty, holder
 
 __all__ = ["MECHANISMS", "run"]
 
@@ -62,17 +61,17 @@
 
 def keep_duties() -> None:
     """Never take a lost daemon's duties over."""
-    duty.DEFAULT_LIMITS = duty.DEFAULT_LIMITS._replace(lease=3600.0)
+    original = duty.Duties
 
+    def make(daemon: str, limits: duty.Limits) -> duty.Duties:
+        return original(daemon, limits._replace(lease=3600.0))
 
-def trust_old_documents() -> None:
-    """Be ready whatever is known of the version in force."""
+    holder.duty.Duties = make
 
-    def read(self: Any) -> Any:
-        del self
-        return distribution.Readiness.READY
 
-    assembly.watcher.Watcher.readiness = property(read)
+def skip_readiness() -> None:
+    """Be ready whatever is known of the version in force."""
+    assembly.Daemon.is_ready = lambda self: not self.stopping
 
 
 MECHANISMS: dict[str, Callable[[], None]] = {
@@ -85,7 +84,7 @@
         ignore_drains,
         skip_finish,
         keep_duties,
-        trust_old_documents,
+        skip_readiness,
     )
 }
 
--- /dev/null
+++ b/standins/tests/test_demohistory.py
@@ -0,0 +1,91 @@
+"""Each checker of a run finds the breach that it is for, and no other."""
+
+import pytest
+
+from standins.demo import history, traffic
+
+
+def make_outcome(name="r/0", **fields):
+    request, _, attempt = name.rpartition("/")
+    sent = traffic.Attempt(request, int(attempt), "d1", "POST", "s")
+    answer = {"echo": sent.body, "caller": name}
+    seen = {"status": 200, "verdict": "ran", "reason": "answered", "answer": answer}
+    return traffic.Outcome(sent, traffic.ANSWERED, 0.0, 0.1, **{**seen, **fields})
+
+
+def make_run(key="r/0", worker="w1", started=1.0, outcome="done"):
+    return {"key": key, "worker": worker, "started": started, "outcome": outcome}
+
+
+REFUSED = {"verdict": "not run", "status": 503, "answer": {}}
+KEPT = "kept answer of an earlier request"
+
+
+def test_a_run_without_breach_passes():
+    outcomes = [
+        make_outcome(),
+        make_outcome("r/1", reason=KEPT, answer=make_outcome().answer),
+        make_outcome("q/0", **REFUSED),
+    ]
+    runs = [make_run()]
+    assert history.find_wrong_answers(outcomes) == []
+    assert history.find_silent_ends(outcomes) == []
+    assert history.find_dishonest_refusals(outcomes, runs) == []
+    assert history.find_second_runs(outcomes, runs) == []
+    assert history.find_cut_requests(runs) == []
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {},
+        {"echo": "body of q", "caller": "r/0"},
+        {"echo": "body of r", "caller": "q/0"},
+        {"echo": "body of", "caller": "r/0"},
+    ],
+)
+def test_another_callers_answer_and_half_an_answer_are_found(answer):
+    assert history.find_wrong_answers([make_outcome(answer=answer)])
+    assert history.find_wrong_answers([make_outcome(answer=answer, reason=KEPT)])
+
+
+def test_a_broken_connection_and_a_missing_verdict_are_found():
+    broken = make_outcome()._replace(ended=traffic.BROKEN, verdict="")
+    assert history.find_silent_ends([broken])
+    assert history.find_silent_ends([broken], {"d1"}) == []
+    assert history.find_silent_ends([make_outcome(verdict="")])
+
+
+def test_a_refused_attempt_that_ran_is_found():
+    outcomes = [make_outcome(**REFUSED)]
+    assert history.find_dishonest_refusals(outcomes, [make_run()])
+    assert history.find_dishonest_refusals(outcomes, [make_run("r/1")]) == []
+
+
+def test_a_second_run_of_another_attempt_is_found():
+    outcomes = [make_outcome(), make_outcome("r/1")]
+    assert history.find_second_runs(outcomes, [make_run(), make_run("r/1", "w2")])
+
+
+def test_work_after_a_drain_and_a_cut_request_are_found():
+    def entry(state, time):
+        return {"time": time, "writes": [["vm/w1", {"state": state}]]}
+
+    drains = history.find_drains(
+        [entry("up", 1.0), entry("draining", 5.0), entry("rebooting", 30.0)]
+    )
+    assert drains == [history.Drain("w1", 5.0, 30.0)]
+    runs = [make_run(started=at) for at in (4.0, 6.0, 20.0, 40.0)]
+    latest, late = history.find_late_work(drains, runs, limit=5.0)
+    assert latest == 15.0
+    assert len(late) == 1
+    assert history.find_cut_requests([make_run(outcome="cut off")])
+
+
+def test_a_ready_daemon_that_goes_back_is_found():
+    samples = [
+        history.Sample(time, "d1", is_ready, version)
+        for time, is_ready, version in ((1.0, True, 3), (2.0, False, 0), (3.0, True, 2))
+    ]
+    assert history.find_reverts(samples) == ["d1 went back to 2"]
+    assert history.find_reverts(samples[:2]) == []
--- /dev/null
+++ b/wigeonhitch/daemon/tests/test_daemons.py
@@ -0,0 +1,80 @@
+"""Daemons come, go and are killed under traffic."""
+
+import signal
+import time
+
+import pytest
+
+from standins.demo import history, traffic
+
+SERVICES = ("order-lookup", "invoice-pairing", "member-portal")
+TAKEOVER_LIMIT = 60.0  # seconds
+STOP_LIMIT = 10.0  # seconds: `daemon.stop_within` of the settings
+
+
+@pytest.fixture(scope="module")
+def site(open_site):
+    return open_site()
+
+
+def find_holders(site):
+    """Return the holder of every duty, from the table's history."""
+    holders = {}
+    for entry in site.read_history():
+        for key, value in entry["writes"]:
+            if key.startswith("duty/"):
+                holders[key] = value and value.get("holder")
+    return holders
+
+
+def check(site, outcomes, excused=()):
+    runs = site.read_logs()
+    breaches = [
+        *history.find_wrong_answers(outcomes),
+        *history.find_silent_ends(outcomes, excused),
+        *history.find_dishonest_refusals(outcomes, runs),
+        *history.find_second_runs(outcomes, runs),
+    ]
+    assert breaches == []
+
+
+@pytest.mark.processes
+def test_daemon_that_ends_under_traffic_breaks_no_answer(site, open_traffic):
+    calls = open_traffic(site, seed=51)
+    leaving = list(site.daemons)[0]
+    calls.start(12, traffic.Mix(SERVICES, (0.01, 0.3, 2.0), leave=0.0, patience=9.0))
+    calls.wait_for(40, lambda one: one.verdict == "ran")
+    began = time.monotonic()
+    child = site.children[leaving]
+    child.signal(signal.SIGTERM)
+    status = child.running.wait(STOP_LIMIT * 3)
+    took = time.monotonic() - began
+    site.daemons.pop(leaving)
+    outcomes = calls.stop()
+    print(f"ended {took:.2f} s after SIGTERM with status {status}")
+    refused = [one for one in outcomes if one.reason == "daemon is stopping"]
+    assert all(one.verdict == "not run" for one in refused)
+    assert any(one.sent.daemon == leaving and one.took > 1.0 for one in outcomes)
+    check(site, outcomes)
+    assert status == 0
+
+
+@pytest.mark.processes
+def test_replaced_daemon_joins_and_takes_duties_over(site, open_traffic):
+    calls = open_traffic(site, seed=52)
+    calls.start(6, traffic.Mix(SERVICES, pause=0.2))
+    killed = find_holders(site)["duty/fleet"]
+    held = [key for key, holder in find_holders(site).items() if holder == killed]
+    began = time.monotonic()
+    site.children[killed].signal(signal.SIGKILL)
+    number = int(killed.split("-")[1])
+    site.daemons.pop(killed)
+    joined = site.start_daemon(number, "b").name
+    print(f"{joined} ready after {site.wait_until_ready(joined):.1f} s")
+    calls.wait_for(3, lambda one: one.sent.daemon == joined and one.verdict == "ran")
+    while any(find_holders(site)[key] == killed for key in held):
+        assert time.monotonic() - began < TAKEOVER_LIMIT, find_holders(site)
+        time.sleep(0.2)
+    print(f"{held} taken over after {time.monotonic() - began:.1f} s")
+    assert held
+    check(site, calls.stop(), {killed})
--- a/wigeonhitch/front/application.py
+++ b/wigeonhitch/front/application.py
@@ -162,6 +162,8 @@
             reason = verdict.Reason.UNKNOWN_SERVICE
             if catalogue is None:
                 reason = verdict.Reason.NOT_READY
+                if not self._is_alive():
+                    reason = verdict.Reason.STOPPING
             given = verdict.not_run(reason, 0.0 if catalogue else 1.0)
             return given, reply.make_refusal(given)
         arrived = self._make_event(call, entry, catalogue)
