--- a/standins/demo/without.py
+++ b/standins/demo/without.py
@@ -35,9 +35,15 @@
 
 
 def call_breaks_not_run() -> None:
-    """Take every failed exchange with a worker for "not run"."""
-    refused = verdict.not_run(verdict.Reason.NOT_CONNECTED)
-    sender.judge_error = lambda error: refused
+    """Take every exchange of unknown fate with a worker for "not run"."""
+    original = sender.Sender.send
+    refused = sender.Result(verdict.not_run(verdict.Reason.NOT_CONNECTED))
+
+    async def send(self: Any, attempt: sender.Attempt) -> sender.Result:
+        result = await original(self, attempt)
+        return refused if result.verdict.ran is verdict.Ran.MAYBE else result
+
+    sender.Sender.send = send
 
 
 def skip_confirmation() -> None:
