--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -4,11 +4,13 @@
 import json
 import pathlib
 import socket
+import ssl
 import time
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import httpx
+import trustme
 import yaml
 
 from standins.demo import process
@@ -40,6 +42,9 @@
         Whether peers talk through `standins.relay`, see `Site.switch_link`.
     without : str
         A mechanism of `standins.demo.without` that the daemons lack.
+    tls : bool
+        Whether callers, operators and peers use TLS, by certificates made for
+        this run.
     """
 
     daemons: int = 3
@@ -49,6 +54,7 @@
     settings: Mapping[str, Mapping[str, Any]] = {}
     relayed: bool = False
     without: str = ""
+    tls: bool = False
 
 
 class DaemonPorts(NamedTuple):
@@ -96,15 +102,28 @@
             credential.make_operator(name, roles, SECRET)
             for name, roles in (
                 ("ana", ("operations",)),
-                ("ben", ("operations", "owner")),
+                ("ben", ("operations", "owner", "quality")),
                 ("eva", ("viewer",)),
             )
         )
         self.platform_url = ""
+        self.certificates = make_certificates(folder) if options.tls else None
         self.workers: dict[str, str] = {}
         self.daemons: dict[str, DaemonPorts] = {}
         self.children: dict[str, process.Child] = {}
 
+    @property
+    def scheme(self) -> str:
+        """URL scheme of the daemons' listeners."""
+        return "http" if self.certificates is None else "https"
+
+    @property
+    def verify(self) -> Any:
+        """What httpx is to trust."""
+        if self.certificates is None:
+            return False
+        return ssl.create_default_context(cafile=self.certificates["authority"])
+
     def start_platform(self) -> None:
         """Start the workers' process and the platform stand-in."""
         machines = list_machines(self.intended, self.options, self.ports)
@@ -162,13 +181,27 @@
         self.daemons[name] = given
         return given
 
+    def wait_until_serving(self, limit: float = READY_LIMIT) -> None:
+        """Wait until every daemon listens to operators and is registered."""
+        deadline = time.monotonic() + limit
+        while time.monotonic() < deadline:
+            with contextlib.suppress(httpx.HTTPError):
+                answers = [self.ask("GET", "/status", at=name) for name in self.daemons]
+                if all(one.json().get("registered") for one in answers):
+                    return
+            time.sleep(0.05)
+        raise RuntimeError(f"daemons of {self.folder.name} don't serve operators")
+
     def wait_until_ready(self, name: str, limit: float = READY_LIMIT) -> float:
         """Wait for a daemon's readiness path; return the seconds it took."""
         began = time.monotonic()
-        url = f"http://127.0.0.1:{self.daemons[name].callers}/-/ready"
+        url = f"{self.scheme}://127.0.0.1:{self.daemons[name].callers}/-/ready"
         while time.monotonic() - began < limit:
             with contextlib.suppress(httpx.HTTPError):
-                if httpx.get(url, timeout=1.0, trust_env=False).status_code == 200:
+                answer = httpx.get(
+                    url, timeout=1.0, trust_env=False, verify=self.verify
+                )
+                if answer.status_code == 200:
                     return time.monotonic() - began
             if self.children[name].running.poll() is not None:
                 break
@@ -180,29 +213,38 @@
         for one in self.daemons.values():
             self.children[one.name].wait_for("serving", limit)
 
-    def ask(
-        self, method: str, path: str, body: Any = None, operator: str = "ana"
-    ) -> httpx.Response:
-        """Send an operator's request to the first daemon."""
-        return self.ask_one(next(iter(self.daemons)), method, path, body, operator)
+    def wait_until_assigned(self, limit: float = READY_LIMIT) -> None:
+        """Wait until every pool has its VMs, a few seconds after a document."""
+        sizes = {pool.name: pool.size for pool in self.intended.pools}
+        deadline = time.monotonic() + limit
+        while time.monotonic() < deadline:
+            answer = self.ask("GET", "/pools")
+            if answer.status_code == 200:
+                pools = answer.json()["pools"]
+                if all(one["members"] >= sizes[one["pool"]] for one in pools):
+                    return
+            time.sleep(0.1)
+        raise RuntimeError(f"pools of {self.folder.name} don't have their VMs")
 
-    def ask_one(
+    def ask(
         self,
-        name: str,
         method: str,
         path: str,
         body: Any = None,
         operator: str = "ana",
+        at: str = "",
         limit: float = 10.0,
     ) -> httpx.Response:
-        """Send an operator's request to one daemon; ``limit`` in seconds."""
+        """Send an operator's request to a daemon, the first one by default."""
+        daemon = self.daemons[at or next(iter(self.daemons))]
         return httpx.request(
             method,
-            f"http://127.0.0.1:{self.daemons[name].operators}/operator/v1{path}",
+            f"{self.scheme}://127.0.0.1:{daemon.operators}/operator/v1{path}",
             json=body,
             headers={"Authorization": f"Bearer {operator}:{SECRET}"},
             timeout=limit,
             trust_env=False,
+            verify=self.verify,
         )
 
     def submit(self, intended: dict[str, Any], base: int, name: str) -> None:
@@ -310,9 +352,25 @@
         }
         for section, fields in self.options.settings.items():
             made[section] = made.get(section, {}) | dict(fields)
+        if self.certificates is not None:
+            for section in ("callers", "operators", "peers"):
+                made[section]["tls"] = dict(self.certificates)
         return made
 
 
+def make_certificates(folder: pathlib.Path) -> dict[str, str]:
+    """Write an authority and one certificate it signed; return their paths."""
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    paths = {
+        name: folder / f"{name}.pem" for name in ("certificate", "key", "authority")
+    }
+    certificate.private_key_and_cert_chain_pem.write_to_path(paths["certificate"])
+    certificate.private_key_pem.write_to_path(paths["key"])
+    authority.cert_pem.write_to_path(paths["authority"])
+    return {name: str(path) for name, path in paths.items()}
+
+
 def list_machines(
     intended: document.Document, options: Options, ports: process.Ports
 ) -> list[dict[str, Any]]:
--- a/wigeonhitch/daemon/tests/conftest.py
+++ b/wigeonhitch/daemon/tests/conftest.py
@@ -43,6 +43,7 @@
             intended = yaml.safe_load(EXAMPLE.read_text(encoding="utf-8"))
             made.wait_for_operators()
             made.submit(intended, 0, "first")
+            made.wait_until_assigned()
             for name in made.daemons:
                 made.wait_until_ready(name)
             return made
--- a/wigeonhitch/daemon/tests/test_documents.py
+++ b/wigeonhitch/daemon/tests/test_documents.py
@@ -32,7 +32,7 @@
 def read_status(site, name):
     """Return a daemon's status, or None while it doesn't answer."""
     with contextlib.suppress(httpx.HTTPError):
-        answer = site.ask_one(name, "GET", "/status", limit=0.5)
+        answer = site.ask("GET", "/status", at=name, limit=0.5)
         if answer.status_code == 200:
             return answer.json()
     return None
@@ -94,12 +94,12 @@
 def propose(site, daemon, weight, base, name):
     body = {"submission": name, "base": base}
     body["document"] = change_document(site, weight)
-    return site.ask_one(daemon, "POST", "/proposals", body)
+    return site.ask("POST", "/proposals", body, at=daemon)
 
 
 def approve(site, daemon, name, content):
     path = f"/proposals/{name}/approve"
-    return site.ask_one(daemon, "POST", path, {"hash": content}, "ben")
+    return site.ask("POST", path, {"hash": content}, "ben", at=daemon)
 
 
 def read_version(site):
--- a/wigeonhitch/daemon/tests/test_drains.py
+++ b/wigeonhitch/daemon/tests/test_drains.py
@@ -26,7 +26,7 @@
 def read_wave(site):
     for name in site.daemons:
         try:
-            answer = site.ask_one(name, "GET", "/waves/monthly")
+            answer = site.ask("GET", "/waves/monthly", at=name)
         except httpx.HTTPError:
             continue
         if answer.status_code == 200:
--- a/wigeonhitch/fleet/tests/test_decisions.py
+++ b/wigeonhitch/fleet/tests/test_decisions.py
@@ -1,7 +1,16 @@
 import pytest
 
 from wigeonhitch.configuration import document
-from wigeonhitch.fleet import batch, budget, change, move, planner, state, wave
+from wigeonhitch.fleet import (
+    batch,
+    budget,
+    change,
+    move,
+    observer,
+    planner,
+    state,
+    wave,
+)
 from wigeonhitch.fleet.tests import conftest
 from wigeonhitch.membership import confirmation
 from wigeonhitch.platform import machines
@@ -190,3 +199,31 @@
     }
     shared, own = best.values()
     assert shared.name.startswith("shared") and own.name == "per pool"
+
+
+def test_only_workers_that_a_decision_depends_on_are_asked():
+    rows = build_rows({"a": 3, "b": 3, "c": 3})
+    scene = build_scene(
+        [build_pool(name, 3, 2) for name in "abc"], rows, waves=(build_wave("a", "b"),)
+    )
+    names = [row.vm for row in rows]
+    assert observer.list_watched(scene) == names[:6]
+    rebooting = rows[0]._replace(state=state.VmState.REBOOTING, boot=0, wave="w")
+    scene.view.vms[names[0]] = rebooting
+    assert observer.list_watched(scene) == names[3:6]
+    draining = rows[0]._replace(state=state.VmState.DRAINING, wave="w")
+    scene.view.vms[names[0]] = draining
+    assert observer.list_watched(scene) == names[:6]
+    scene.view.vms[names[8]] = rows[8]._replace(state=state.VmState.CHECKING)
+    assert names[8] in observer.list_watched(scene)
+
+
+@pytest.mark.parametrize("name", ["REBOOTING", "CHECKING", "DOWN"])
+def test_stopped_vm_returns_only_by_a_higher_boot_number(name):
+    # A late reboot of this boot number may still come and cut requests off.
+    row = state.VmRow("v000", "a", state.VmState[name], "w", since=99.0, boot=0)
+    for boot, count in ((0, 0), (1, 1)):
+        scene = build_scene([build_pool("a", 1, 0)], [row])
+        seen = scene.observation.machines
+        seen["v000"] = seen["v000"]._replace(boot=boot)
+        assert len(wave.advance(scene)[0]) == count
