Wait for a living holder before killing it

The test before ends a daemon, which gives its duties back; the next one read the holder in between and found none: KeyError, once in one run of the suite. Ruled out: a duty that stays vacant, since the wait ends within its bound.

--- a/wigeonhitch/daemon/tests/test_daemons.py
+++ b/wigeonhitch/daemon/tests/test_daemons.py
@@ -27,6 +27,15 @@
     return holders
 
 
+def wait_for_holder(site, duty):
+    """Wait until a living daemon holds a duty, and return it."""
+    deadline = time.monotonic() + TAKEOVER_LIMIT
+    while (found := find_holders(site).get(duty)) not in site.daemons:
+        assert time.monotonic() < deadline, f"{duty} is held by {found!r}"
+        time.sleep(0.2)
+    return found
+
+
 def check(site, outcomes, excused=()):
     runs = site.read_logs()
     breaches = [
@@ -63,7 +72,7 @@
 def test_replaced_daemon_joins_and_takes_duties_over(site, open_traffic):
     calls = open_traffic(site, seed=52)
     calls.start(6, traffic.Mix(SERVICES, pause=0.2))
-    killed = find_holders(site)["duty/fleet"]
+    killed = wait_for_holder(site, "duty/fleet")
     held = [key for key, holder in find_holders(site).items() if holder == killed]
     began = time.monotonic()
     site.children[killed].signal(signal.SIGKILL)
