Say what failed when TLS or a read fails

Now the certificate is named (6), a missing PEM file is wrong use (2), and a read without an answer changed nothing (6). Changes keep code 5 when an answer is lost.

--- a/wigeonhitch/command/client.py
+++ b/wigeonhitch/command/client.py
@@ -31,6 +31,9 @@
 # Failures before anything was sent.
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
+# How the TLS library names a certificate that is not trusted.
+REFUSED_TRUST = "CERTIFICATE_VERIFY_FAILED"
+
 STORE_DOWN = 503
 OUTCOME_UNKNOWN = 504
 
@@ -39,6 +42,10 @@
     """Why there is no answer."""
 
     NOT_SENT = "no daemon could be reached; nothing was done"
+    UNTRUSTED = (
+        "no daemon could be reached whose certificate --cafile signed; nothing was done"
+    )
+    NOT_READ = "no daemon answered; nothing was changed, since this only reads"
     NO_ANSWER = "the answer was lost; unknown whether it was done"
 
 
@@ -81,8 +88,9 @@
     async def get(
         self, path: str, query: Mapping[str, str] | None = None
     ) -> Reply | Lost:
-        """Read; any daemon will do."""
-        return await self.ask("GET", path, query=query, repeatable=True)
+        """Read; any daemon will do, and a lost answer has changed nothing."""
+        reply = await self.ask("GET", path, query=query, repeatable=True)
+        return Lost.NOT_READ if reply is Lost.NO_ANSWER else reply
 
     async def post(
         self, path: str, body: Any = None, *, repeatable: bool = False
@@ -111,7 +119,8 @@
             if lost and anyio.current_time() - began > ASKING_LIMIT:
                 break
             reply = await self.ask_one(daemon, method, path, body, query)
-            if reply is Lost.NOT_SENT:
+            if reply in (Lost.NOT_SENT, Lost.UNTRUSTED):
+                last = reply if last is Lost.NOT_SENT else last
                 continue
             unsettled = reply is Lost.NO_ANSWER or reply.status == OUTCOME_UNKNOWN
             if not unsettled and reply.status != STORE_DOWN:
@@ -135,8 +144,8 @@
         url = f"{daemon.rstrip('/')}{PREFIX}{path}"
         try:
             answer = await self.http.request(method, url, json=body, params=query)
-        except NOT_SENT:
-            return Lost.NOT_SENT
+        except NOT_SENT as error:
+            return Lost.UNTRUSTED if REFUSED_TRUST in str(error) else Lost.NOT_SENT
         except httpx.HTTPError:
             return Lost.NO_ANSWER
         try:
--- a/wigeonhitch/command/options.py
+++ b/wigeonhitch/command/options.py
@@ -140,6 +140,9 @@
         raise UsageError("name the operator: --operator NAME or WIGEONHITCH_OPERATOR")
     secret = read_secret(given["secret_file"], environment)
     files = (given["cafile"], given["certfile"], given["keyfile"])
+    for file in filter(None, files):
+        if not pathlib.Path(file).is_file():
+            raise UsageError(f"file {file}: expected a PEM file")
     return client.Connection(named, operator, secret, *files)
 
 
--- a/wigeonhitch/command/report.py
+++ b/wigeonhitch/command/report.py
@@ -67,10 +67,10 @@
 
 def find_exit(reply: client.Reply | client.Lost) -> Exit:
     """Return the exit code that an answer, or its lack, stands for."""
-    if reply is client.Lost.NOT_SENT:
-        return Exit.UNREACHABLE
     if reply is client.Lost.NO_ANSWER:
         return Exit.UNKNOWN
+    if isinstance(reply, client.Lost):
+        return Exit.UNREACHABLE
     return EXITS.get(reply.status, Exit.FAILED)
 
 
--- a/wigeonhitch/command/tests/test_command.py
+++ b/wigeonhitch/command/tests/test_command.py
@@ -125,7 +125,21 @@
     assert run("document", "show")[0] == Exit.UNREACHABLE
 
 
+def test_lost_answer_to_a_read_has_changed_nothing(run, faults):
+    faults["a"] = (None, httpx.ReadError("lost"))
+    code, shown = run("document", "show")
+    assert (code, "nothing was changed" in shown) == (Exit.UNREACHABLE, True)
+
+
+def test_certificate_that_is_not_trusted_is_named(run, faults):
+    refused = httpx.ConnectError("[SSL: CERTIFICATE_VERIFY_FAILED] self-signed")
+    faults["a"] = (refused, None)
+    code, shown = run("wave", "start", "monthly")
+    assert (code, "--cafile" in shown) == (Exit.UNREACHABLE, True)
+
+
 def test_usage(run, monkeypatch):
+    assert run("document", "show", "--cafile", "no-such.pem")[0] == Exit.USAGE
     assert run("document", "submit")[0] == Exit.USAGE
     assert run("document", "show", "--daemon", "a:1")[0] == Exit.USAGE
     with pytest.raises(SystemExit) as stopped:
