Hold settings, answers and headers to what they say; show slices' counters

Cause, found while the command was tried against real daemons: senseless limits and missing certificate files passed the settings check; workers.limits.body was not enforced; the slices' counters did not reach /metrics; nothing said that TLS is off; a key in use gave no time to come back; the HTTP library's own accept-encoding spoke for callers who can't read compressed answers. The stand-in's frozen worker never went on after it thawed, so its given-up requests ran for an hour; a process that is continued goes on.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -18,7 +18,6 @@
 __all__ = ["Application", "Switches", "Worker", "run"]
 
 SLOTS = 8  # requests that a worker runs at once
-FROZEN_SECONDS = 3600.0  # a frozen worker answers after this, so never
 NOT_RUN = (b"wigeonhitch-verdict", b"not run")
 
 
@@ -30,7 +29,8 @@
     slow : float
         Factor on the seconds of work.
     frozen : bool
-        Requests start and never end.
+        Requests start and go on only once this is switched off, as in a process
+        that is stopped and continued.
     fail : bool
         Requests run and answer 500.
     late : float
@@ -67,6 +67,7 @@
     def __init__(self, name: str, slots: int = SLOTS) -> None:
         self.name = name
         self.switches = Switches()
+        self.thawed = anyio.Event()
         self.slots = anyio.CapacityLimiter(slots)
         self.log: list[Run] = []
         self.scopes: dict[int, anyio.CancelScope] = {}
@@ -74,6 +75,13 @@
         self.refused = 0
         self.connections: dict[Any, float] = {}
 
+    def switch(self, switches: Switches) -> None:
+        """Set the faults; what was frozen goes on when it no longer is."""
+        self.switches = switches
+        if not switches.frozen:
+            self.thawed.set()
+            self.thawed = anyio.Event()
+
     @property
     def is_rebooting(self) -> bool:
         """Whether the VM is not up now."""
@@ -139,7 +147,7 @@
         with anyio.CancelScope() as cancel:
             worker.scopes[number] = cancel
             try:
-                await _work(switches, scope["query_string"])
+                await _work(worker, scope["query_string"])
             except anyio.get_cancelled_exc_class():
                 worker.end(number, "left")
                 raise
@@ -160,16 +168,17 @@
     await _answer_json(send, 500 if switches.fail else 200, answer)
 
 
-async def _work(switches: Switches, query: bytes) -> None:
+async def _work(worker: Worker, query: bytes) -> None:
     fields = urllib.parse.parse_qs(query.decode())
-    seconds = float(fields.get("work", ["0"])[0]) * switches.slow
-    await anyio.sleep(FROZEN_SECONDS if switches.frozen else seconds)
+    while worker.switches.frozen:
+        await worker.thawed.wait()
+    await anyio.sleep(float(fields.get("work", ["0"])[0]) * worker.switches.slow)
 
 
 def _control(worker: Worker, path: str, body: bytes) -> Any:
     fields = json.loads(body or b"{}")
     if path == "/standin/switch":
-        worker.switches = Switches(**fields)
+        worker.switch(Switches(**fields))
     elif path == "/standin/reboot":
         return {"cut": worker.reboot(float(fields.get("seconds", 1.0)))}
     elif path == "/standin/log":
--- a/wigeonhitch/daemon/assembly.py
+++ b/wigeonhitch/daemon/assembly.py
@@ -4,6 +4,7 @@
 callables, and an exit stack owns whatever must be closed.
 """
 
+import collections
 import contextlib
 import random
 import ssl
@@ -217,6 +218,18 @@
             *status.build_routes(self),
         ]
 
+    def list_counters(self) -> dict[str, collections.Counter]:
+        """Return the counters that the slices keep, by slice."""
+        return {
+            "claims": self.claims.counts,
+            "fleet": self.fleet.counters,
+            "placement": self.placement.counters,
+            "configuration": self.watcher.core.counts,
+            "platform_reads": self.platform.reads,
+            "platform_writes": self.platform.writes,
+            "platform_unknown": self.platform.unknown,
+        }
+
     def is_ready(self) -> bool:
         """Whether the balancer may send requests here.
 
--- a/wigeonhitch/daemon/main.py
+++ b/wigeonhitch/daemon/main.py
@@ -37,6 +37,9 @@
             print(f"{settings}: {problem.format_problem(one)}", file=sys.stderr)
         return EXIT_SETTINGS
     log.prepare(loaded.settings.log.level)
+    for name in ("callers", "operators", "peers"):
+        if getattr(loaded.settings, name).tls is None:
+            log.log_change("TLS is off", listener=name)
     anyio.run(serve, loaded.settings)
     return 0
 
--- a/wigeonhitch/daemon/operator.py
+++ b/wigeonhitch/daemon/operator.py
@@ -30,6 +30,15 @@
         for name, value in scope["headers"]
         if name.lower() == b"accept"
     )
+    for name, counter in daemon.list_counters().items():
+        for event, value in counter.items():
+            daemon.instruments.set(
+                "slice_events",
+                "Events since the start.",
+                value,
+                slice=name,
+                event=str(event),
+            )
     body, headers = daemon.instruments.render(accept)
     lowered = tuple((name.lower(), value) for name, value in headers.items())
     return reply.Reply(200, lowered, body)
--- a/wigeonhitch/front/sender.py
+++ b/wigeonhitch/front/sender.py
@@ -132,14 +132,30 @@
         outlet.in_use += 1
         try:
             with anyio.fail_after(attempt.timeout):
-                response = await outlet.client.send(request)
+                return await self._receive(outlet.client, request)
         except TimeoutError:
             return Result(verdict.may_have_run(verdict.Reason.TIMEOUT))
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             return Result(judge_error(error))
         finally:
             outlet.in_use -= 1
-        return _judge_response(response)
+
+    async def _receive(
+        self, client: httpx.AsyncClient, request: httpx.Request
+    ) -> Result:
+        """Read the whole answer, up to the limit; a longer one is given up."""
+        response = await client.send(request, stream=True)
+        try:
+            parts = []
+            size = 0
+            async for part in response.aiter_raw():
+                size += len(part)
+                if size > self._limits.body:
+                    return Result(verdict.may_have_run(verdict.Reason.ANSWER_TOO_LARGE))
+                parts.append(part)
+        finally:
+            await response.aclose()
+        return _judge_response(response, b"".join(parts))
 
     async def _find_outlet(self, attempt: Attempt) -> _Outlet:
         """Return the worker's client; an unused one follows a changed limit.
@@ -179,7 +195,7 @@
 
     def _make_client(self, address: str, kept: int) -> httpx.AsyncClient:
         scheme = "http" if self._context is None else "https"
-        return httpx.AsyncClient(
+        client = httpx.AsyncClient(
             base_url=f"{scheme}://{address}",
             verify=self._context if self._context is not None else False,
             trust_env=False,
@@ -190,6 +206,11 @@
                 keepalive_expiry=self._limits.idle,
             ),
         )
+        # The library's own headers would speak for the caller: a worker could
+        # compress an answer for a caller who can't read that.
+        for name in list(client.headers):
+            del client.headers[name]
+        return client
 
 
 def judge_error(error: Exception) -> verdict.Verdict:
@@ -216,7 +237,7 @@
     return tuple(item for item in headers.items() if item[0] not in HOP_HEADERS)
 
 
-def _judge_response(response: httpx.Response) -> Result:
+def _judge_response(response: httpx.Response, body: bytes) -> Result:
     refused = (
         response.status_code == reply.STATUS_NOT_RUN
         and response.headers.get(reply.VERDICT_HEADER) == verdict.Ran.NO.value
@@ -224,5 +245,5 @@
     if refused:
         return Result(verdict.not_run(verdict.Reason.WORKER_REFUSED))
     headers = select_headers(response.headers)
-    made = reply.Reply(response.status_code, headers, response.content)
+    made = reply.Reply(response.status_code, headers, body)
     return Result(verdict.ran(), made, response.status_code >= FAILED_STATUS)
--- a/wigeonhitch/front/tests/test_sender.py
+++ b/wigeonhitch/front/tests/test_sender.py
@@ -12,6 +12,7 @@
 REFUSAL = (
     b"HTTP/1.1 503 Busy\r\nwigeonhitch-verdict: not run\r\ncontent-length: 0\r\n\r\n"
 )
+LARGE = b"HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n" + b"x" * 101
 BARE_503 = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n"
 
 
@@ -31,7 +32,7 @@
         await stack.enter_async_context(listener)
         group = await stack.enter_async_context(anyio.create_task_group())
         group.start_soon(listener.serve, serve)
-        outlet = sender.Sender(stack)
+        outlet = sender.Sender(stack, sender.Limits(body=100))
         attempt = sender.Attempt(f"127.0.0.1:{port}", "POST", "/x", (), b"", timeout)
         result = await outlet.send(attempt)
         group.cancel_scope.cancel()
@@ -48,9 +49,13 @@
         (b"garbage\r\n\r\n", verdict.Ran.MAYBE),
         (REFUSAL, verdict.Ran.NO),
         (BARE_503, verdict.Ran.YES),
+        (LARGE, verdict.Ran.MAYBE),
         (None, verdict.Ran.MAYBE),
     ],
-    ids=["whole", "part", "closed", "garbage", "refusal", "bare 503", "silent"],
+    ids=[
+        *("whole", "part", "closed", "garbage"),
+        *("refusal", "bare 503", "large", "silent"),
+    ],
 )
 async def test_verdict_of_an_exchange(answer, ran):
     result = await send_once(answer, timeout=0.2 if answer is None else 1.0)
@@ -103,3 +108,27 @@
         assert len(opened) == 4
         await outlet.close()
         group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_worker_sees_the_callers_headers_and_no_others():
+    got = []
+
+    async def serve(stream):
+        async with stream:
+            got.append(await stream.receive())
+            await stream.send(WHOLE)
+
+    async with contextlib.AsyncExitStack() as stack:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        await stack.enter_async_context(listener)
+        group = await stack.enter_async_context(anyio.create_task_group())
+        group.start_soon(listener.serve, serve)
+        outlet = sender.Sender(stack)
+        headers = (("x-mine", "1"),)
+        attempt = sender.Attempt(f"127.0.0.1:{port}", "GET", "/x", headers, b"", 1.0)
+        await outlet.send(attempt)
+        group.cancel_scope.cancel()
+    names = {line.split(b":")[0].lower() for line in got[0].splitlines()[1:] if line}
+    assert names == {b"host", b"x-mine"}
--- a/wigeonhitch/idempotency/decision.py
+++ b/wigeonhitch/idempotency/decision.py
@@ -125,7 +125,8 @@
 
     def tell_claimed(self, ticket: int) -> None:
         """Say that an earlier attempt may have run."""
-        told = verdict.may_have_run(verdict.Reason.CLAIMED)
+        retry_after = self._rng.uniform(RETURN_FROM, RETURN_UNTIL)
+        told = verdict.may_have_run(verdict.Reason.CLAIMED, retry_after)
         self._add(Decision(ticket, Kind.REFUSED, told), "may have run")
 
     def refuse(self, ticket: int, reason: verdict.Reason) -> None:
--- a/wigeonhitch/settings/load.py
+++ b/wigeonhitch/settings/load.py
@@ -1,6 +1,8 @@
 """Reading and checking a settings file whole: every error at once."""
 
+import os
 import pathlib
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 import pydantic
@@ -118,11 +120,47 @@
                 "seconds",
             )
         )
+    found.extend(_find_bad_numbers(settings, ()))
+    found.extend(_find_missing_files(settings))
     binds = [settings.callers.bind, settings.operators.bind, settings.peers.bind]
     if len(set(binds)) < len(binds):
         found.append(problem.Problem("", binds, "three different addresses"))
     return tuple(found)
 
 
+def _find_bad_numbers(
+    value: Any, parts: tuple[str | int, ...]
+) -> Iterator[problem.Problem]:
+    """Find limits that can't be meant: every number here is a count or a time."""
+    if isinstance(value, tuple):
+        names = getattr(value, "_fields", range(len(value)))
+        for name, item in zip(names, value, strict=True):
+            yield from _find_bad_numbers(item, (*parts, name))
+    elif isinstance(value, bool) or not isinstance(value, int | float):
+        return
+    elif parts[-1] == "share":
+        if not 0 <= value <= 1:
+            place = problem.format_place(parts)
+            yield problem.Problem(place, value, "a share between 0 and 1")
+    elif value <= 0:
+        yield problem.Problem(problem.format_place(parts), value, "more than 0")
+
+
+def _find_missing_files(settings: schema.Settings) -> Iterator[problem.Problem]:
+    """Find certificate files that can't be read: better now than at the bind."""
+    named = {
+        "platform.authority": settings.platform.authority,
+        "workers.authority": settings.workers.authority,
+    }
+    for section in ("callers", "operators", "peers"):
+        tls = getattr(settings, section).tls
+        if tls is not None:
+            for name, path in tls._asdict().items():
+                named[f"{section}.tls.{name}"] = path
+    for place, path in named.items():
+        if path is not None and not os.access(path, os.R_OK):
+            yield problem.Problem(place, path, "a file that can be read")
+
+
 def _refuse(value: Any, expected: str) -> Loaded:
     return Loaded(None, (problem.Problem("", value, expected),))
--- a/wigeonhitch/verdict.py
+++ b/wigeonhitch/verdict.py
@@ -30,6 +30,7 @@
     NOT_CONNECTED = "connection not made"
     BROKEN_ANSWER = "connection lost before the whole answer"
     TIMEOUT = "no answer in time"
+    ANSWER_TOO_LARGE = "answer is larger than the limit"
     STORE_UNAVAILABLE = "idempotency record cannot be written"
     CLAIMED = "key is held by an earlier request"
     KEY_REUSED = "key was used for a different request"
