--- a/standins/demo/without.py
+++ b/standins/demo/without.py
@@ -12,7 +12,7 @@
 from wigeonhitch import verdict
 from wigeonhitch.daemon import assembly, main, workers
 from wigeonhitch.fleet import wave
-from wigeonhitch.front import guard, sender
+from wigeonhitch.front import dispatcher, guard, sender
 from wigeonhitch.idempotency import store
 from wigeonhitch.membership import duty, holder
 
@@ -46,6 +46,20 @@
     sender.Sender.send = send
 
 
+def tell_unknown_not_run() -> None:
+    """Tell callers "not run" for every request of unknown fate."""
+    original = dispatcher.Dispatcher.serve
+    refused = verdict.not_run(verdict.Reason.DEADLINE)
+
+    async def serve(self: Any, *given: Any) -> dispatcher.Final:
+        final = await original(self, *given)
+        if final.verdict.ran is verdict.Ran.MAYBE:
+            return dispatcher.Final(refused, None)
+        return final
+
+    dispatcher.Dispatcher.serve = serve
+
+
 def skip_confirmation() -> None:
     """Stop a drained VM without waiting for any daemon."""
     wave.find_unconfirmed = lambda scene, row: ()
@@ -86,6 +100,7 @@
         skip_claims,
         skip_send_window,
         call_breaks_not_run,
+        tell_unknown_not_run,
         skip_confirmation,
         ignore_drains,
         skip_finish,
