Wait for the last requests of a daemon that the platform ended

Cause: a stop went on as soon as the VM list no longer named a killed daemon's VM, while a request that it had sent could run on the worker for as long as the longest request may; suspected while drains were proved, not seen to cut one off. Also, a daemon whose row was deleted after long silence was waited for by nobody, though peers may still hear it. Before: four new cases of test_confirmation failed. Two tests said that an ended daemon is not waited for at all. That was wrong; they now say from when on it is not, and that it is until then. A message that can't be encoded now costs itself and not the daemon: found when a build lacked a message's struct and daemons ended on it.

--- a/wigeonhitch/fleet/tests/test_decisions.py
+++ b/wigeonhitch/fleet/tests/test_decisions.py
@@ -104,8 +104,10 @@
         found = wave.find_unconfirmed(build_scene([], [], daemons=daemons), row)
         return [item.daemon for item in found]
 
-    daemon = confirmation.DaemonRow("d", "e1", 95.0, 6, frozenset(), 1, {})
+    daemon = confirmation.DaemonRow("d", "e1", 30.0, 6, frozenset(), 1, {})
     assert ask(daemon) == []
+    # Its last requests may take 60 s more than its validity.
+    assert ask(daemon._replace(expires=95.0)) == ["d"]
     assert ask(daemon._replace(expires=100.0)) == ["d"]
     assert ask(daemon._replace(vm="v001")) == ["d"]
     # A new daemon on a VM that the list does not show yet, beside an old row.
--- a/wigeonhitch/membership/confirmation.py
+++ b/wigeonhitch/membership/confirmation.py
@@ -19,6 +19,7 @@
 
     NOT_APPLIED = "has not applied the drain"
     BUSY = "still holds requests"
+    ENDED = "was ended, and its last requests may still run"
     SILENT = "is silent, and its right to send has not lapsed"
 
 
@@ -100,7 +101,8 @@
     now, drained_at : float
         Table's clock, seconds: at the reading, and when the drain was committed.
     gone_vms : collection of str
-        Entry VMs that the platform certainly ended.
+        Entry VMs that the platform certainly ended. What their daemons sent
+        before may still run on a worker, for as long as the longest request.
     limits : Limits
 
     Returns
@@ -125,16 +127,23 @@
     }
     waiting = []
     for row in rows:
-        if row.vm in gone_vms:
-            continue
         why = _find_reason(vm, number, row, relayed)
         if why is None:
             continue
-        if row.expires < now:
+        if row.vm in gone_vms:
+            if now - row.expires > limits.longest_request + limits.margin:
+                continue
+            why = Why.ENDED
+        elif row.expires < now:
             if _has_lapsed(row, len(silent), now, drained_at, limits):
                 continue
             why = Why.SILENT
         waiting.append(Waiting(row.daemon, why))
+    known = {row.daemon for row in rows}
+    for name, (drain, busy) in sorted(relayed.items()):
+        # Its row was deleted, since it lost the table long ago; it still sends.
+        if name not in known and (drain < number or vm in busy):
+            waiting.append(Waiting(name, Why.NOT_APPLIED))
     return tuple(waiting)
 
 
--- a/wigeonhitch/membership/tests/test_confirmation.py
+++ b/wigeonhitch/membership/tests/test_confirmation.py
@@ -24,8 +24,29 @@
     )
 
 
-def test_a_daemon_that_the_platform_ended_is_not_waited_for():
-    assert find([make_row("a"), make_row("b", drain=6)], gone={"vm-b"}) == ()
+@pytest.mark.parametrize(
+    ("now", "fields", "waits"),
+    [
+        (100.0, {"drain": 6}, True),
+        (176.0, {"drain": 6}, True),
+        (178.0, {"drain": 6}, False),
+        (176.0, {"drain": 7, "busy": ["w1"]}, True),
+        (100.0, {"drain": 7}, False),
+    ],
+)
+def test_requests_of_a_daemon_that_the_platform_ended_are_waited_for(
+    now, fields, waits
+):
+    """Its row ran out at 115 at the latest; the longest request takes 60 s."""
+    rows = [make_row("a", expires=1000.0), make_row("b", **fields)]
+    assert (find(rows, now=now, gone={"vm-b"}) != ()) is waits
+
+
+def test_daemon_whose_row_was_deleted_is_waited_for_while_it_is_heard():
+    relay = make_row("a", relayed={"b": [6, []]})
+    assert [one.daemon for one in find([relay])] == ["b"]
+    relay = make_row("a", relayed={"b": [7, []]})
+    assert find([relay]) == ()
 
 
 def test_confirmation_of_a_daemon_cut_off_from_the_store_comes_by_relay():
--- a/wigeonhitch/membership/tests/test_transport.py
+++ b/wigeonhitch/membership/tests/test_transport.py
@@ -90,6 +90,13 @@
         group.cancel_scope.cancel()
 
 
+async def test_message_that_cannot_be_encoded_costs_only_itself():
+    sender = make_transport("a", lambda received: None)
+    sender.send("127.0.0.1:1", BEAT._replace(beat="text"), "t")
+    sender.send("127.0.0.1:1", message.Configuration(b""), "t")
+    assert sender._instruments.read("peer_failed_total", {}) == 2
+
+
 async def test_peer_that_is_not_there_costs_dropped_frames_only(address):
     sender = make_transport("a", lambda received: None)
     async with anyio.create_task_group() as group:
--- a/wigeonhitch/membership/transport.py
+++ b/wigeonhitch/membership/transport.py
@@ -132,8 +132,18 @@
             await listener.serve(self._serve)
 
     def send(self, address: str, message: Any, purpose: str) -> None:
-        """Queue a message for a peer; it is dropped if the queue is full."""
-        frame = codec.encode(self._registry, self._daemon, message)
+        """Queue a message for a peer; it is dropped if the queue is full.
+
+        A message that can't be encoded is a fault of this program. It costs
+        that message and is logged; it must not end the daemon, whose callers
+        and drains don't depend on any single message.
+        """
+        try:
+            frame = codec.encode(self._registry, self._daemon, message)
+        except Exception:
+            self._instruments.count("peer_failed_total", "Messages that failed here.")
+            logging.exception("message %s can't be encoded", type(message).__name__)
+            return
         self._instruments.count(
             "peer_sent_bytes_total", "Bytes to peers.", len(frame), purpose=purpose
         )
