End a run's processes on SIGTERM too

Cause: a benchmark that was ended by SIGTERM left its five processes behind, which then disturbed the next run; only Ctrl-C ran the exit stacks.

--- a/standins/demo/process.py
+++ b/standins/demo/process.py
@@ -11,10 +11,11 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Sequence
 
-__all__ = ["Child", "Ports", "start"]
+__all__ = ["Child", "Ports", "end_on_signal", "start"]
 
 START_LIMIT = 20.0  # seconds for a stand-in to say that it is ready
 STOP_LIMIT = 15.0  # seconds from SIGTERM to SIGKILL
@@ -43,6 +44,17 @@
         return found
 
 
+def end_on_signal() -> None:
+    """Let SIGTERM end this program as Ctrl-C does: its exit stacks are run."""
+
+    def leave(number: int, frame: object) -> None:
+        del frame
+        sys.exit(128 + number)
+
+    if threading.current_thread() is threading.main_thread():
+        signal.signal(signal.SIGTERM, leave)
+
+
 class Child:
     """A process that was started, with its output in a file."""
 
--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -418,6 +418,7 @@
     checked = check.check_text(example.read_text(encoding="utf-8"))
     if checked.intended is None:
         raise ValueError(f"{example}: {checked.problems}; expected a valid document")
+    process.end_on_signal()
     folder.mkdir(parents=True, exist_ok=True)
     site = Site(stack, folder, ports, checked.intended, options)
     site.example = example
