Shorten the assembly, the confirmation rule and the site's module

The catalogue is made beside its records, forgotten daemons have a function of their own, VMs and certificates of a site a module of theirs. No behaviour changes.

--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -10,16 +10,14 @@
 from typing import Any, NamedTuple
 
 import httpx
-import trustme
 import yaml
 
-from standins.demo import process
+from standins.demo import inventory, process
 from wigeonhitch.configuration import check, document
 from wigeonhitch.operators import credential
 
 __all__ = ["DaemonPorts", "Options", "Site", "open_site"]
 
-VMS_PER_RACK = 4
 READY_LIMIT = 30.0  # seconds for a daemon to be ready
 SECRET = "loopback-only"
 
@@ -107,7 +105,7 @@
             )
         )
         self.platform_url = ""
-        self.certificates = make_certificates(folder) if options.tls else None
+        self.certificates = inventory.make_certificates(folder) if options.tls else None
         self.workers: dict[str, str] = {}
         self.daemons: dict[str, DaemonPorts] = {}
         self.children: dict[str, process.Child] = {}
@@ -126,7 +124,9 @@
 
     def start_platform(self) -> None:
         """Start the workers' process and the platform stand-in."""
-        machines = list_machines(self.intended, self.options, self.ports)
+        machines = inventory.list_machines(
+            self.intended, self.options.spare, self.ports
+        )
         self.workers = {one["vm"]: one["address"] for one in machines}
         pairs = [f"{vm}={at.rpartition(':')[2]}" for vm, at in self.workers.items()]
         self._start("workers", ["standins.worker", *pairs]).wait_for("ready")
@@ -141,8 +141,8 @@
             }
             for number in range(self.options.daemons)
         ]
-        inventory = self.folder / "inventory.yaml"
-        inventory.write_text(
+        listed = self.folder / "inventory.yaml"
+        listed.write_text(
             yaml.safe_dump(
                 {
                     "vms": machines + entries,
@@ -154,7 +154,7 @@
         port = self.ports.take()[0]
         self.platform_url = f"http://127.0.0.1:{port}"
         arguments = ["standins.platform", "--port", str(port)]
-        arguments += ["--inventory", str(inventory)]
+        arguments += ["--inventory", str(listed)]
         arguments += ["--vm-lag", str(self.options.vm_lag)]
         self._start("platform", arguments).wait_for("ready")
 
@@ -367,43 +367,6 @@
         return made
 
 
-def make_certificates(folder: pathlib.Path) -> dict[str, str]:
-    """Write an authority and one certificate it signed; return their paths."""
-    authority = trustme.CA()
-    certificate = authority.issue_cert("127.0.0.1")
-    paths = {
-        name: folder / f"{name}.pem" for name in ("certificate", "key", "authority")
-    }
-    certificate.private_key_and_cert_chain_pem.write_to_path(paths["certificate"])
-    certificate.private_key_pem.write_to_path(paths["key"])
-    authority.cert_pem.write_to_path(paths["authority"])
-    return {name: str(path) for name, path in paths.items()}
-
-
-def list_machines(
-    intended: document.Document, options: Options, ports: process.Ports
-) -> list[dict[str, Any]]:
-    """Return VMs for all pools, in racks of four spread over data centres."""
-    kinds = [pool.kind for pool in intended.pools for _ in range(pool.size)]
-    kinds += [intended.kinds[0].name] * options.spare
-    centres = intended.data_centres
-    machines = []
-    for index, (kind, port) in enumerate(
-        zip(kinds, ports.take(len(kinds)), strict=True)
-    ):
-        rack = index // VMS_PER_RACK
-        machines.append(
-            {
-                "vm": f"worker-{index + 1:03}",
-                "kind": kind,
-                "address": f"127.0.0.1:{port}",
-                "rack": f"rack-{rack + 1:02}",
-                "data_centre": centres[rack % len(centres)].name,
-            }
-        )
-    return machines
-
-
 def open_site(
     stack: contextlib.ExitStack,
     folder: pathlib.Path,
--- a/wigeonhitch/daemon/assembly.py
+++ b/wigeonhitch/daemon/assembly.py
@@ -295,16 +295,7 @@
 
     def _install(self, version: int, accepted: document.Document) -> None:
         self.document, self.version = accepted, version
-        deadlines = {one.name: one.deadline for one in accepted.urgencies}
-        self.catalogue = application.Catalogue(
-            {
-                one.name: application.Entry(
-                    one.pool, one.urgency, deadlines[one.urgency]
-                )
-                for one in accepted.services
-            },
-            deadlines,
-        )
+        self.catalogue = application.make_catalogue(accepted)
         self.dispatch.apply(
             event.UrgenciesChanged(
                 tuple(
--- a/wigeonhitch/front/application.py
+++ b/wigeonhitch/front/application.py
@@ -12,11 +12,12 @@
 from absl import logging
 
 from wigeonhitch import verdict
+from wigeonhitch.configuration import document
 from wigeonhitch.front import dispatcher, guard, reply, sender
 from wigeonhitch.routing import event
 from wigeonhitch.telemetry import metric, trace
 
-__all__ = ["Application", "Catalogue", "Entry", "Limits"]
+__all__ = ["Application", "Catalogue", "Entry", "Limits", "make_catalogue"]
 
 KEY_HEADER = "idempotency-key"
 DEADLINE_HEADER = "wigeonhitch-deadline"
@@ -56,6 +57,16 @@
     deadlines: Mapping[str, float]
 
 
+def make_catalogue(accepted: document.Document) -> Catalogue:
+    """Return what callers may ask for under a fleet document."""
+    deadlines = {one.name: one.deadline for one in accepted.urgencies}
+    services = {
+        one.name: Entry(one.pool, one.urgency, deadlines[one.urgency])
+        for one in accepted.services
+    }
+    return Catalogue(services, deadlines)
+
+
 class _Call(NamedTuple):
     """A caller's request, taken apart."""
 
--- a/wigeonhitch/membership/confirmation.py
+++ b/wigeonhitch/membership/confirmation.py
@@ -140,11 +140,25 @@
             why = Why.SILENT
         waiting.append(Waiting(row.daemon, why))
     known = {row.daemon for row in rows}
+    waiting.extend(_find_forgotten(vm, number, known, relayed))
+    return tuple(waiting)
+
+
+def _find_forgotten(
+    vm: str,
+    number: int,
+    known: Collection[str],
+    relayed: Mapping[str, tuple[int, tuple[str, ...]]],
+) -> list[Waiting]:
+    """Return the daemons that are heard and have no row.
+
+    Their rows were deleted, since they lost the table long ago; they still send.
+    """
+    found = []
     for name, (drain, busy) in sorted(relayed.items()):
-        # Its row was deleted, since it lost the table long ago; it still sends.
         if name not in known and (drain < number or vm in busy):
-            waiting.append(Waiting(name, Why.NOT_APPLIED))
-    return tuple(waiting)
+            found.append(Waiting(name, Why.NOT_APPLIED))
+    return found
 
 
 def _find_reason(
