Carry the trace context to the daemon that counts the slots

Cause: every hop of a request had a span but the one to a peer: slot messages carried no context. Ruled out: a field in each ask, which the routing decisions would have to carry along; a frame names the contexts of the requests that its asks are for. Requests without a context cost nothing more on the wire.

--- a/wigeonhitch/daemon/assembly.py
+++ b/wigeonhitch/daemon/assembly.py
@@ -317,18 +317,26 @@
     def _change_send_right(self, held: bool) -> None:
         self.dispatch.apply(event.SendRestored() if held else event.SendLapsed())
 
-    def _tell(self, told: action.Tell) -> None:
-        self.membership.tell(told.daemon, slots.pack(told.messages), "slots")
+    def _tell(self, told: action.Tell, traces: tuple[str, ...]) -> None:
+        self.membership.tell(told.daemon, slots.pack(told.messages, traces), "slots")
 
     def _receive(self, received: codec.Received) -> None:
         if self.membership.hear(received):
             return
         if isinstance(received.message, slots.Slots):
-            messages = slots.unpack(received.message)
-            self.dispatch.apply(event.Received(received.sender, messages))
+            self._receive_slots(received.sender, received.message)
         elif isinstance(received.message, message.Configuration):
             self.watcher.receive(received.sender, received.message.data)
 
+    def _receive_slots(self, sender_name: str, given: slots.Slots) -> None:
+        """Take slot messages, with a span for each traced request among them."""
+        with contextlib.ExitStack() as hops:
+            for context in given.traces:
+                carrier = {"traceparent": context}
+                hops.enter_context(self.tracing.open_hop("slots", carrier))
+            messages = slots.unpack(given)
+            self.dispatch.apply(event.Received(sender_name, messages))
+
     async def _follow_fleet(self) -> None:
         """Read the fleet's rows when the signal moves, and tell what changed."""
         while True:
--- a/wigeonhitch/front/application.py
+++ b/wigeonhitch/front/application.py
@@ -191,7 +191,8 @@
     ) -> dispatcher.Final:
         key = call.headers.get(KEY_HEADER, "")
         is_keyed = bool(key) and not arrived.idempotent
-        ticket = dispatcher.Ticket(keep_sent=is_keyed)
+        context = hop.headers.get("traceparent", "")
+        ticket = dispatcher.Ticket(keep_sent=is_keyed, trace=context)
         headers = (*sender.select_headers(call.headers), *hop.headers.items())
         request = sender.Attempt(
             "", call.method, call.target, dict(headers).items(), call.body, 0.0
--- a/wigeonhitch/front/dispatcher.py
+++ b/wigeonhitch/front/dispatcher.py
@@ -14,7 +14,7 @@
 
 from wigeonhitch import verdict
 from wigeonhitch.front import reply, sender
-from wigeonhitch.routing import action, core, event
+from wigeonhitch.routing import action, core, event, peer
 
 __all__ = ["Dispatcher", "Final", "Ticket"]
 
@@ -34,10 +34,13 @@
     keep_sent : bool
         Whether an attempt goes on when the caller leaves: the answer to a
         request with an idempotency key is wanted by the caller's repeat.
+    trace : str
+        W3C trace context of the request, empty without one.
     """
 
-    def __init__(self, keep_sent: bool = False) -> None:
+    def __init__(self, keep_sent: bool = False, trace: str = "") -> None:
         self.keep_sent = keep_sent
+        self.trace = trace
         self.number = 0
         self.sends: collections.deque[action.Send] = collections.deque()
         self.changed = anyio.Event()
@@ -62,7 +65,8 @@
     clock : callable
         Seconds on the clock that counts suspension.
     tell : callable
-        Sends an `action.Tell` to a peer; must not block.
+        Sends an `action.Tell` to a peer, with the trace contexts of the
+        requests it asks for; must not block.
     find_address : callable
         Returns the address of a VM, or None.
     may_send : callable
@@ -75,7 +79,7 @@
         decisions: core.Core,
         outlet: sender.Sender,
         clock: Callable[[], float],
-        tell: Callable[[action.Tell], None],
+        tell: Callable[[action.Tell, tuple[str, ...]], None],
         find_address: Callable[[str], str | None],
         may_send: Callable[[], bool],
     ) -> None:
@@ -220,12 +224,22 @@
     def _handle(self, given: event.Event) -> None:
         for one in self._core.handle(given, self._clock()):
             if isinstance(one, action.Tell):
-                self._tell(one)
+                self._tell(one, self._find_traces(one))
             elif (pending := self._pending.get(one.request)) is not None:
                 self._pass_on(one, pending)
         if self._find_due() < self._due:
             self._timer_changed.set()
 
+    def _find_traces(self, told: action.Tell) -> tuple[str, ...]:
+        found = []
+        for one in told.messages:
+            if isinstance(one, peer.Ask):
+                request = self._core.find_request(one.pool, one.ask)
+                ticket = self._pending.get(request) if request is not None else None
+                if ticket is not None and ticket.trace:
+                    found.append(ticket.trace)
+        return tuple(found)
+
     def _pass_on(self, one: action.Action, pending: Ticket) -> None:
         if isinstance(one, action.Send):
             pending.sends.append(one)
--- a/wigeonhitch/front/tests/conftest.py
+++ b/wigeonhitch/front/tests/conftest.py
@@ -46,7 +46,7 @@
             core.Core("d1", seed=1),
             self.outlet,
             client.read_clock,
-            lambda told: None,
+            lambda told, traces: None,
             lambda vm: f"{vm}:80",
             lambda: self.may_send,
         )
--- a/wigeonhitch/membership/slots.py
+++ b/wigeonhitch/membership/slots.py
@@ -25,9 +25,14 @@
 
 
 class Slots(NamedTuple):
-    """Slot messages in the order in which they were sent."""
+    """Slot messages in the order in which they were sent.
+
+    ``traces`` are the W3C trace contexts of the requests that the asks among
+    them are for; requests without one leave none.
+    """
 
     messages: tuple[SlotMessage, ...]
+    traces: tuple[str, ...] = ()
 
 
 FIELDS = {
@@ -50,9 +55,10 @@
 }
 
 
-def pack(messages: tuple[peer.Message, ...]) -> Slots:
+def pack(messages: tuple[peer.Message, ...], traces: tuple[str, ...] = ()) -> Slots:
     """Return the frame content for some slot messages."""
-    return Slots(tuple(SlotMessage(**{FIELDS[type(one)]: one}) for one in messages))
+    packed = tuple(SlotMessage(**{FIELDS[type(one)]: one}) for one in messages)
+    return Slots(packed, traces)
 
 
 def unpack(slots: Slots) -> tuple[peer.Message, ...]:
--- a/wigeonhitch/routing/borrower.py
+++ b/wigeonhitch/routing/borrower.py
@@ -325,6 +325,10 @@
         self._requests.clear()
         self._hint.clear()
 
+    def find_request(self, ask: int) -> int | None:
+        """Return the request that an ask is for, while it is wanted."""
+        return self._requests.get(ask)
+
     def _ask(self, entry: queue.Entry, now: float, again: bool) -> None:
         if not self._asks:
             self._heard = now
--- a/wigeonhitch/routing/core.py
+++ b/wigeonhitch/routing/core.py
@@ -150,6 +150,11 @@
         """Whether no request waits and no attempt is in flight."""
         return not self._requests and not self._attempts
 
+    def find_request(self, pool: str, ask: int) -> int | None:
+        """Return the request that an ask of this daemon is for."""
+        known = self._borrowers.get(pool)
+        return known.find_request(ask) if known is not None else None
+
     def in_flight(self, vm: str) -> int:
         """Return how many attempts to a worker have not ended."""
         return self._in_flight[vm]
--- a/wigeonhitch/wire/peer.thrift
+++ b/wigeonhitch/wire/peer.thrift
@@ -112,6 +112,7 @@
 
 struct Slots {
   1: list<SlotMessage> messages
+  2: list<string> traces
 }
 
 struct Envelope {
--- a/wigeonhitch/wire/tests/test_codec.py
+++ b/wigeonhitch/wire/tests/test_codec.py
@@ -23,7 +23,8 @@
         peer.Deny("pairing", 8, verdict.Reason.QUEUE_FULL, 1.5),
         peer.Return("pairing", 6, peer.Outcome.REFUSED, 0.25, 7),
         peer.Report("pairing", (peer.Held(3, "w1", 2.0),), True),
-    )
+    ),
+    ("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",),
 )
 
 MESSAGES = [
