Show that spans reach an OTLP collector

Cause: the exporter could be set to otlp, and nothing had sent a span by it. The test's listener, in the collector's place, decodes what arrives. It fails with the exporter set to none: nothing arrives.

--- a/wigeonhitch/telemetry/tests/test_telemetry.py
+++ b/wigeonhitch/telemetry/tests/test_telemetry.py
@@ -1,7 +1,10 @@
 import json
 import logging
+import threading
+from http import server
 
 import pytest
+from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
 from opentelemetry.sdk.trace import export
 from opentelemetry.sdk.trace.export import in_memory_span_exporter
 
@@ -64,3 +67,40 @@
     tracing = trace.Tracing(trace.Settings(), "d1")
     with tracing.open_hop("receive", {"traceparent": CONTEXT, "other": "x"}) as hop:
         assert hop.headers == {"traceparent": CONTEXT}
+
+
+@pytest.fixture
+def collector():
+    """A listener that keeps what is posted to it, in the place of a collector."""
+    bodies = []
+
+    class Handler(server.BaseHTTPRequestHandler):
+        def do_POST(self):  # noqa: N802 - the library's name
+            size = int(self.headers["content-length"])
+            bodies.append((self.path, self.rfile.read(size)))
+            self.send_response(200)
+            self.end_headers()
+
+        def log_message(self, *ignored):
+            pass
+
+    made = server.HTTPServer(("127.0.0.1", 0), Handler)
+    thread = threading.Thread(target=made.serve_forever)
+    thread.start()
+    yield f"http://127.0.0.1:{made.server_port}/v1/traces", bodies
+    made.shutdown()
+    thread.join()
+    made.server_close()
+
+
+def test_spans_reach_an_otlp_collector(collector):
+    endpoint, bodies = collector
+    tracing = trace.Tracing(trace.Settings(exporter="otlp", endpoint=endpoint), "d1")
+    with tracing.open_hop("receive", {"traceparent": CONTEXT}, service="match"):
+        pass
+    tracing.close()
+    ((path, body),) = bodies
+    sent = trace_service_pb2.ExportTraceServiceRequest.FromString(body)
+    (span,) = sent.resource_spans[0].scope_spans[0].spans
+    assert path == "/v1/traces"
+    assert (span.name, span.trace_id.hex()) == ("receive", CONTEXT.split("-")[1])
