Write every log line with its fields

Cause: nine lines held their values in the text, so a program that reads the JSON lines had to take them apart; faults were logged the same way. They go through log_change, log_problem and log_fault now.

--- a/wigeonhitch/configuration/watcher.py
+++ b/wigeonhitch/configuration/watcher.py
@@ -9,7 +9,6 @@
 
 import anyio
 import anyio.abc
-from absl import logging
 
 from wigeonhitch.configuration import (
     distribution,
@@ -18,6 +17,7 @@
     proposal,
 )
 from wigeonhitch.platform import table
+from wigeonhitch.telemetry import log
 
 __all__ = ["FLEET_SIGNAL", "Peers", "Watcher"]
 
@@ -147,10 +147,8 @@
                 data = message.encode(action.message)
                 tasks.start_soon(self.peers.send, action.peer, data)
             case message.Install():
-                logging.info(
-                    "configuration version=%d hash=%s in force",
-                    action.version,
-                    action.hash,
+                log.log_change(
+                    "document in force", version=action.version, hash=action.hash
                 )
                 self.install(action.version, action.intended)
 
@@ -188,5 +186,5 @@
         """Log a change of readiness, once."""
         found = self.readiness
         if found is not self._readiness:
-            logging.info("configuration readiness=%s", found.name)
+            log.log_change("document state", state=found.value)
             self._readiness = found
--- a/wigeonhitch/fleet/runner.py
+++ b/wigeonhitch/fleet/runner.py
@@ -11,12 +11,12 @@
 from collections.abc import Callable, Iterable
 
 import anyio
-from absl import logging
 
 from wigeonhitch.configuration import document
 from wigeonhitch.fleet import batch, change, move, observer, state, wave
 from wigeonhitch.membership import lease
 from wigeonhitch.platform import table
+from wigeonhitch.telemetry import log
 
 __all__ = ["DUTY", "Runner", "run"]
 
@@ -76,7 +76,7 @@
         problem = await self._step()
         self.counters[f"round: {'run' if not problem else 'not run'}"] += 1
         if problem != self._problem:
-            logging.info("fleet: %s", problem or "runs")
+            log.log_change("fleet rounds", state=problem or "run")
             self._problem = problem
         return problem
 
@@ -124,7 +124,7 @@
         if not await self._write(transaction, item.step.value):
             return False
         if item.step is change.Step.LOSE:
-            logging.warning("fleet: VM %s is down: %s", item.row.vm, item.why)
+            log.log_problem("VM is down", vm=item.row.vm, why=item.why)
         if item.step is change.Step.REBOOT:
             await self._ask_reboot(self.seen.view.vms[item.row.vm])
         return True
--- a/wigeonhitch/front/application.py
+++ b/wigeonhitch/front/application.py
@@ -9,13 +9,12 @@
 from typing import Any, NamedTuple
 
 import anyio
-from absl import logging
 
 from wigeonhitch import verdict
 from wigeonhitch.configuration import document
 from wigeonhitch.front import dispatcher, guard, reply, sender
 from wigeonhitch.routing import event
-from wigeonhitch.telemetry import metric, trace
+from wigeonhitch.telemetry import log, metric, trace
 
 __all__ = ["Application", "Catalogue", "Entry", "Limits", "make_catalogue"]
 
@@ -160,7 +159,7 @@
         try:
             return await self._route(call, hop, receive)
         except Exception:
-            logging.exception("request of service %s failed", call.service)
+            log.log_fault("a request failed", service=call.service)
             given = verdict.may_have_run(verdict.Reason.FAULT)
             return given, reply.make_refusal(given)
 
--- a/wigeonhitch/idempotency/store.py
+++ b/wigeonhitch/idempotency/store.py
@@ -14,11 +14,11 @@
 
 import anyio
 import anyio.abc
-from absl import logging
 
 from wigeonhitch import verdict
 from wigeonhitch.idempotency import batch, core, decision, message, record
 from wigeonhitch.platform import client, table
+from wigeonhitch.telemetry import log
 
 __all__ = ["Acquired", "Claim", "Claims"]
 
@@ -286,7 +286,7 @@
         if self._core.is_failing != self._was_failing:
             self._was_failing = self._core.is_failing
             state = "cannot be written" if self._was_failing else "can be written again"
-            logging.warning("idempotency records %s", state)
+            log.log_problem("idempotency records", state=state)
 
     def _answer(self, made: decision.Decision) -> None:
         reply = self._replies.pop(made.ticket, None)
--- a/wigeonhitch/membership/holder.py
+++ b/wigeonhitch/membership/holder.py
@@ -5,10 +5,10 @@
 
 import anyio
 import anyio.abc
-from absl import logging
 
 from wigeonhitch.membership import duty, lease, view
 from wigeonhitch.platform import client, table
+from wigeonhitch.telemetry import log
 
 __all__ = ["Holder"]
 
@@ -161,6 +161,5 @@
         is_live = self._duties.is_live(self._clock())
         if is_live != self._was_live:
             self._was_live = is_live
-            logging.warning(
-                "membership: own row is %s", "live" if is_live else "lapsed"
-            )
+            state = "live" if is_live else "lapsed"
+            log.log_problem("own daemon row", state=state)
--- a/wigeonhitch/membership/transport.py
+++ b/wigeonhitch/membership/transport.py
@@ -11,11 +11,10 @@
 from typing import Any, NamedTuple
 
 import anyio
-from absl import logging
 from anyio import abc
 from anyio.streams import buffered, tls
 
-from wigeonhitch.telemetry import metric
+from wigeonhitch.telemetry import log, metric
 from wigeonhitch.wire import codec
 
 __all__ = ["Address", "Limits", "Transport", "parse_address"]
@@ -142,7 +141,7 @@
             frame = codec.encode(self._registry, self._daemon, message)
         except Exception:
             self._instruments.count("peer_failed_total", "Messages that failed here.")
-            logging.exception("message %s can't be encoded", type(message).__name__)
+            log.log_fault("a message can't be encoded", kind=type(message).__name__)
             return
         self._instruments.count(
             "peer_sent_bytes_total", "Bytes to peers.", len(frame), purpose=purpose
@@ -234,7 +233,7 @@
             self._receive(received)
         except Exception:
             self._instruments.count("peer_failed_total", "Messages that failed here.")
-            logging.exception("message of peer %s failed", received.sender)
+            log.log_fault("a peer's message failed here", peer=received.sender)
 
     def _refuse(self, problem: codec.Problem) -> None:
         self._instruments.count(
--- a/wigeonhitch/operators/service.py
+++ b/wigeonhitch/operators/service.py
@@ -15,9 +15,9 @@
 
 import anyio
 import anyio.to_thread
-from absl import logging
 
 from wigeonhitch.operators import credential, route
+from wigeonhitch.telemetry import log
 
 __all__ = ["LARGEST_BODY", "PREFIX", "OperatorService", "make_app"]
 
@@ -149,7 +149,7 @@
     try:
         return await wanted.handler(request)
     except Exception:
-        logging.exception("operator route %s %s failed", wanted.method, wanted.path)
+        log.log_fault("a route failed", method=wanted.method, path=wanted.path)
         if wanted.changes:
             return fail(504, "the daemon failed; unknown whether anything was done")
         return fail(500, "the daemon failed")
--- a/wigeonhitch/placement/keeper.py
+++ b/wigeonhitch/placement/keeper.py
@@ -12,7 +12,6 @@
 from typing import Any
 
 import anyio
-from absl import logging
 
 from wigeonhitch.configuration import document
 from wigeonhitch.membership import lease
@@ -28,6 +27,7 @@
     view,
 )
 from wigeonhitch.platform import table
+from wigeonhitch.telemetry import log
 
 __all__ = ["Keeper"]
 
@@ -181,7 +181,7 @@
         self.core.answer_renewal(answer.names, answer.outcome, self.now)
         lapsed = self._platform.leases.current(self.duty) is None
         if lapsed and answer.outcome is table.Outcome.NOT_DONE:
-            logging.info("%s: another holder renews the tasks", self.duty)
+            log.log_change("another holder renews the tasks", duty=self.duty)
             self.core = None
 
     async def _take_over(self, held: lease.Lease) -> bool:
@@ -202,7 +202,7 @@
         self._stale = set()
         self.core, self.fence = fresh, held.fence
         self._counters["takeovers"] += 1
-        logging.info("%s: taken over with %d live jobs", self.duty, len(keys))
+        log.log_change("placement taken over", duty=self.duty, jobs=len(keys))
         return True
 
     async def _refresh(self) -> bool:
@@ -279,7 +279,7 @@
             return True
         self.core.undo(batch)
         if any(row.key == held.condition.key for row in result.conflicts):
-            logging.info("%s: replaced by another holder", self.duty)
+            log.log_change("replaced by another holder", duty=self.duty)
             self.core = None
         elif result.outcome is table.Outcome.UNKNOWN:
             self._stale = {condition.key for condition in batch.conditions}
--- a/wigeonhitch/telemetry/log.py
+++ b/wigeonhitch/telemetry/log.py
@@ -11,7 +11,7 @@
 
 from absl import flags, logging
 
-__all__ = ["Formatter", "log_change", "prepare"]
+__all__ = ["Formatter", "log_change", "log_fault", "log_problem", "prepare"]
 
 # Libraries that write a line per request; what they say is counted instead.
 CHATTY = ("httpx", "httpcore", "hpack", "asyncio")
@@ -66,3 +66,13 @@
         Structured fields of the line.
     """
     logging.get_absl_logger().info(change, extra={"fields": fields})
+
+
+def log_problem(change: str, **fields: Any) -> None:
+    """Log a change that an operator should look at, as a warning."""
+    logging.get_absl_logger().warning(change, extra={"fields": fields})
+
+
+def log_fault(change: str, **fields: Any) -> None:
+    """Log the exception being handled, a fault of this program, as an error."""
+    logging.get_absl_logger().exception(change, extra={"fields": fields})
