Open the sender tests' listener in one place

Cause: the same five lines that serve a listener stood in three tests. They are a function now; every assertion is as it was.

--- a/wigeonhitch/front/tests/test_sender.py
+++ b/wigeonhitch/front/tests/test_sender.py
@@ -16,6 +16,16 @@
 BARE_503 = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n"
 
 
+async def listen(stack, serve):
+    """Serve connections until the group is cancelled; return it and the port."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    await stack.enter_async_context(listener)
+    group = await stack.enter_async_context(anyio.create_task_group())
+    group.start_soon(listener.serve, serve)
+    return group, port
+
+
 async def send_once(answer, timeout=1.0):
     """Send one request to a listener that answers with the given bytes."""
 
@@ -27,11 +37,7 @@
             await stream.send(answer)
 
     async with contextlib.AsyncExitStack() as stack:
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        await stack.enter_async_context(listener)
-        group = await stack.enter_async_context(anyio.create_task_group())
-        group.start_soon(listener.serve, serve)
+        group, port = await listen(stack, serve)
         outlet = sender.Sender(stack, sender.Limits(body=100))
         attempt = sender.Attempt(f"127.0.0.1:{port}", "POST", "/x", (), b"", timeout)
         result = await outlet.send(attempt)
@@ -91,11 +97,7 @@
                     await stream.send(WHOLE)
 
     async with contextlib.AsyncExitStack() as stack:
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        await stack.enter_async_context(listener)
-        group = await stack.enter_async_context(anyio.create_task_group())
-        group.start_soon(listener.serve, serve)
+        group, port = await listen(stack, serve)
         outlet = sender.Sender(stack)
         address = f"127.0.0.1:{port}"
         attempt = sender.Attempt(address, "GET", "/x", (), b"", 1.0, kept=1)
@@ -120,11 +122,7 @@
             await stream.send(WHOLE)
 
     async with contextlib.AsyncExitStack() as stack:
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        await stack.enter_async_context(listener)
-        group = await stack.enter_async_context(anyio.create_task_group())
-        group.start_soon(listener.serve, serve)
+        group, port = await listen(stack, serve)
         outlet = sender.Sender(stack)
         headers = (("x-mine", "1"),)
         attempt = sender.Attempt(f"127.0.0.1:{port}", "GET", "/x", headers, b"", 1.0)
