--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -86,6 +86,7 @@
         self.until = 0.0
         self.leaving = False
         self._vacancies: dict[str, _Vacancy] = {}
+        self._members_version = 0
 
     def plan_renewal(self, now: float) -> record.Member:
         """Return the member row to write."""
@@ -97,8 +98,9 @@
         self.until = max(self.until, member.until)
         self.members[self.name] = member
 
-    def on_members(self, members: list[record.Member]) -> None:
-        """Take the members as read."""
+    def on_members(self, members: list[record.Member], version: int) -> None:
+        """Take the members as read when the store was at ``version``."""
+        self._members_version = version
         self.members = {one.name: one for one in members}
 
     def on_owner(self, owner: record.Owner) -> None:
@@ -170,6 +172,8 @@
         owner = self.owners.get(pool)
         if owner is None or not owner.name:
             return True
+        if owner.version > self._members_version:
+            return False  # its leader may have joined since the members were read
         return not self.is_alive(owner.name, owner.life, now)
 
     def _note_vacancy(self, pool: str, now: float) -> float:
--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -152,7 +152,7 @@
             if row.key == self.leadership.name and not self._version:
                 self._version = row.version
             members.append(record.read_member(row.key, row.value or b""))
-        self.leadership.on_members(members)
+        self.leadership.on_members(members, read.version)
 
     async def _follow_owners(self) -> None:
         after = 0
@@ -212,9 +212,11 @@
             for pool in [one for one in pools if one not in self._read]:
                 await self._read_owner(pool)
             known = [one for one in pools if one in self._read]
-            for pool in self.leadership.list_claims(known, http.read_clock()):
-                await self._claim(pool)
-            await anyio.sleep(CLAIM_PERIOD)
+            claims = self.leadership.list_claims(known, http.read_clock())
+            if claims:  # one at a time: news may come while it is written
+                await self._claim(claims[0])
+            else:
+                await anyio.sleep(CLAIM_PERIOD)
 
     async def _claim(self, pool: str) -> None:
         claim = self.leadership.make_claim(pool)
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -110,12 +110,13 @@
         if state.settled:
             self.pool.forget_job(id)
             return
-        if state.final is None and not self.pool.may_have_run(state):
-            state.final = model.JobState.CANCELLED
-        if state.final is None:
+        if state.final is not None:
+            return
+        if self.pool.may_have_run(state):
             self.pool.changed.add(id)
-        else:
-            self.pool.ledger.mark(id)
+            return
+        state.final = model.JobState.CANCELLED
+        self.pool.ledger.mark(id)
 
     # -- stops
 
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -387,7 +387,7 @@
             self._take_job(row)
         if not result.done:
             self._tell("commit not done", reason=change.reason, jobs=len(batch.jobs))
-            return False
+            return change.reason == "conflict"
         for id in batch.vms:
             if id in self.pool.vms:
                 self.pool.vms[id].recorded = True
