--- a/wigeonhitch/maintenance/record.py
+++ b/wigeonhitch/maintenance/record.py
@@ -35,11 +35,27 @@
 class WaveRecord(NamedTuple):
     """How far a wave is: VMs that are through, and those that were ordered.
 
-    ``ordered`` maps a VM to the life of its worker at the order.
+    ``ordered`` maps a VM to the life of its worker at the order; of these,
+    ``confirmed`` are the ones whose order was answered as carried out. Others
+    may be under way, or may yet go down.
     """
 
     done: frozenset[str] = frozenset()
     ordered: dict[str, str] = {}
+    confirmed: frozenset[str] = frozenset()
+
+    def order(self, vm: str, worker: str) -> "WaveRecord":
+        """Return the record with an order that is about to be given."""
+        return self._replace(ordered={**self.ordered, vm: worker})
+
+    def confirm(self, vm: str) -> "WaveRecord":
+        """Return the record with an order that was carried out."""
+        return self._replace(confirmed=self.confirmed | {vm})
+
+    def finish(self, vms: set[str]) -> "WaveRecord":
+        """Return the record with VMs that are through."""
+        ordered = {vm: one for vm, one in self.ordered.items() if vm not in vms}
+        return WaveRecord(self.done | vms, ordered, self.confirmed - vms)
 
 
 def write_closing(closing: Closing) -> bytes:
@@ -54,10 +70,13 @@
 
 def write_wave(wave: WaveRecord) -> bytes:
     """Return a wave's row."""
-    return orjson.dumps({"done": sorted(wave.done), "ordered": wave.ordered})
+    row = {"done": sorted(wave.done), "ordered": wave.ordered}
+    row["confirmed"] = sorted(wave.confirmed)
+    return orjson.dumps(row)
 
 
 def read_wave(value: bytes) -> WaveRecord:
     """Read a wave's row."""
     row = orjson.loads(value)
-    return WaveRecord(frozenset(row["done"]), row["ordered"])
+    confirmed = frozenset(row.get("confirmed", ()))
+    return WaveRecord(frozenset(row["done"]), row["ordered"], confirmed)
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -188,9 +188,7 @@
     async def _maintain(self, order: core.Maintain) -> None:
         """Order an upkeep, after noting durably that it may be under way."""
         before = self.state.progress[order.wave]
-        ordered = {**before.ordered, order.vm: order.worker}
-        noted = record.WaveRecord(before.done, ordered)
-        if not await self._save_wave(order.wave, noted):
+        if not await self._save_wave(order.wave, before.order(order.vm, order.worker)):
             return
         self.state.ordered_at[order.vm] = http.read_clock()
         if not self.around.may_order():
@@ -203,11 +201,23 @@
             timeout=TIMEOUT,
         )
         log.log_change("upkeep ordered", **order._asdict(), outcome=outcome.value)
+        await self._note_outcome(order, before, outcome)
+
+    async def _note_outcome(
+        self,
+        order: core.Maintain,
+        before: record.WaveRecord,
+        outcome: fleet.OrderOutcome,
+    ) -> None:
+        now = self.state.progress[order.wave]
         if outcome is fleet.OrderOutcome.FENCED:
             self.deposed = True
+        elif outcome is fleet.OrderOutcome.DONE:
+            await self._save_wave(order.wave, now.confirm(order.vm))
         elif outcome in (fleet.OrderOutcome.WRONG_WAVE, fleet.OrderOutcome.REFUSED):
-            through = record.WaveRecord(before.done | {order.vm}, before.ordered)
-            await self._save_wave(order.wave, through)
+            await self._save_wave(order.wave, now.finish({order.vm}))
+        elif order.vm in before.ordered:
+            return  # an earlier order may still be carried out
         elif outcome in (fleet.OrderOutcome.BUSY, fleet.OrderOutcome.NOT_DONE):
             await self._save_wave(order.wave, before)
 
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -59,7 +59,9 @@
         if free > 0 and _is_ready(state, one):
             actions.append(core.Maintain(one.id, wave.number, one.worker))
             free -= 1
-    actions.extend(_plan_closings(state, wave, waiting, down, now))
+    # One whose order got no answer may have a new life that isn't vacated yet.
+    unsure = [state.vms[vm] for vm in down if vm not in progress.confirmed]
+    actions.extend(_plan_closings(state, wave, waiting + unsure, down, now))
     return actions
 
 
@@ -72,35 +74,39 @@
 def _note_through(
     state: core.Fleet, wave: entries.WaveOrder, now: float, upkeep: float
 ) -> record.WaveRecord:
-    """Move VMs that are back from their upkeep to those that are through."""
+    """Move VMs that are back from their upkeep to those that are through.
+
+    Only an order that was answered as carried out counts: a new life of a
+    worker alone may come from a crash.
+    """
     progress = state.progress[wave.number]
     back = set()
-    for vm, worker in progress.ordered.items():
+    for vm in progress.confirmed:
         one = state.vms.get(vm)
         since = state.ordered_at.get(vm, state.taken_over)
         if one is None or one.state is not fleet.VmState.UP:
             continue
         if state.listed_at < since + SETTLE:
             continue
-        changed = one.worker != worker
-        if changed or (not worker and now > since + upkeep + SETTLE):
+        changed = one.worker != progress.ordered.get(vm, "")
+        if changed or state.listed_at > since + upkeep + SETTLE:
             back.add(vm)
     if back:
-        ordered = {k: v for k, v in progress.ordered.items() if k not in back}
-        progress = record.WaveRecord(progress.done | back, ordered)
-        state.progress[wave.number] = progress
+        progress = state.progress[wave.number] = progress.finish(back)
     return progress
 
 
 def _order_again(
     state: core.Fleet, wave: entries.WaveOrder, down: list[str], now: float
 ) -> list[core.Maintain]:
-    """Give an order again that seems not to have come through."""
+    """Give an order again whose answer was lost; a second one does no harm."""
     again = []
     for vm in down:
+        if vm in state.progress[wave.number].confirmed:
+            continue
         one = state.vms[vm]
         late = now > state.ordered_at.get(vm, state.taken_over) + ORDER_AGAIN
-        if late and one.state is fleet.VmState.UP and _is_ready(state, one):
+        if late and _is_ready(state, one):
             again.append(core.Maintain(vm, wave.number, one.worker))
     return again
 
--- a/wigeonhitch/site/directory.py
+++ b/wigeonhitch/site/directory.py
@@ -16,6 +16,10 @@
 SLACK = 0.5
 """Seconds beyond the wait after which the call counts as lost."""
 
+PAUSE = 0.25
+"""Seconds between two calls: every worker writes each 1.5 s, and a call for
+each of these is paid for; a leaving worker has 2 s."""
+
 RETRY = 0.1
 """Seconds between tries of a call that failed."""
 
@@ -86,6 +90,7 @@
             return after
         for row in feed.rows:
             self._take(row)
+        await anyio.sleep(PAUSE)
         return max(after, feed.version)
 
     def _take(self, row: rows.Row) -> None:
