--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -59,6 +59,7 @@
         self._on_led = on_led
         self._on_lost = on_lost
         self._version = 0
+        self._renewals = log.Dependency("renewal of the lease")
         self._read: set[str] = set()
 
     def may_order(self) -> bool:
@@ -119,8 +120,9 @@
         if change.reason == "conflict":
             self._version = _find_version(change.conflicts, name)
             return False
-        if change.outcome is not table.Outcome.DONE:
-            log.log_change("lease not renewed", reason=change.reason)
+        done = change.outcome is table.Outcome.DONE
+        self._renewals.note(done, change.reason)
+        if not done:
             return False
         self._version = change.version
         self.leadership.clock.learn(change.store_time, change.sent, change.received)
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -200,6 +200,8 @@
         one.last_answer = now
         if not one.answered:
             one.answered = True
+            # An earlier leader may have granted the longest lease just before.
+            one.note_grant(reply.clock + self.times.longest_lease)
             self.unresolved.discard(one.id)
             self.tell("VM answers", vm=one.id, running=len(reply.running))
         for end in reply.ended:
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -120,6 +120,7 @@
         self._wake_commit = anyio.Event()
         self._noted = anyio.Event()
         self._held: set[str] = set()
+        self._commits = log.Dependency("commit of ends")
         self._job_table = name_job_table(owner.pool)
 
     # -- events from the daemon
@@ -129,9 +130,9 @@
         self.pool.on_queues(queues)
         self._wake()
 
-    def on_worker(self, entry: entries.WorkerEntry) -> None:
-        """Take a worker's entry."""
-        self.pool.on_worker(entry, http.read_clock())
+    def on_worker(self, entry: entries.WorkerEntry, read_at: float) -> None:
+        """Take a worker's entry, read at this daemon's time ``read_at``."""
+        self.pool.on_worker(entry, read_at)
         self._wake()
 
     def on_worker_removed(self, id: str) -> None:
@@ -388,9 +389,10 @@
             self._wake()
         for row in result.changed:
             self._take_job(row)
+        conflict = change.reason == "conflict"
+        self._commits.note(result.done or conflict, change.reason, pool=self.owner.pool)
         if not result.done:
-            self._tell("commit not done", reason=change.reason, jobs=len(batch.jobs))
-            return change.reason == "conflict"
+            return conflict
         for id in batch.vms:
             if id in self.pool.vms:
                 self.pool.vms[id].recorded = True
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -8,7 +8,7 @@
 from wigeonhitch.leadership import record as leader_record
 from wigeonhitch.leadership import task as keeper
 from wigeonhitch.maintenance import task as fleet_task
-from wigeonhitch.platform import entries, fleet, http, node, rows, workers
+from wigeonhitch.platform import fleet, http, node, rows, workers
 from wigeonhitch.pool import core as pool_core
 from wigeonhitch.pool import task as pool_task
 from wigeonhitch.site import catalogue, closings, desk, directory
@@ -105,9 +105,9 @@
         for runner in self._runners.values():
             runner.on_queues(self._get_queues())
 
-    def _on_worker(self, entry: entries.WorkerEntry) -> None:
+    def _on_worker(self, listed: directory.Listed) -> None:
         for runner in self._runners.values():
-            runner.on_worker(entry)
+            runner.on_worker(listed.entry, listed.read_at)
 
     def _on_removed(self, id: str) -> None:
         for runner in self._runners.values():
@@ -128,8 +128,8 @@
         runner = pool_task.Runner(owner, self._make_surroundings(), http.read_clock())
         runner.on_queues(self._get_queues())
         self._runners[owner.pool] = runner
-        for entry in self._directory.workers.values():
-            runner.on_worker(entry)
+        for listed in self._directory.workers.values():
+            runner.on_worker(listed.entry, listed.read_at)
         self._group.start_soon(self._lead, runner)
 
     def _on_lost(self, pool: str) -> None:
--- a/wigeonhitch/site/directory.py
+++ b/wigeonhitch/site/directory.py
@@ -1,13 +1,14 @@
 """The workers as registered in the store, followed while a pool is led."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import anyio
 
-from wigeonhitch.platform import entries, rows, table
+from wigeonhitch.platform import entries, http, rows, table
 from wigeonhitch.telemetry import log
 
-__all__ = ["Directory"]
+__all__ = ["Directory", "Listed"]
 
 WAIT = 0.8
 """Seconds that the feed waits: a leaving worker gets no task beyond 2 s after
@@ -24,6 +25,13 @@
 """Seconds between tries of a call that failed."""
 
 
+class Listed(NamedTuple):
+    """An entry, and this daemon's time at which it was read."""
+
+    entry: entries.WorkerEntry
+    read_at: float
+
+
 class Directory:
     """Entries of all workers.
 
@@ -43,14 +51,14 @@
         self,
         store: rows.RowStore,
         is_wanted: Callable[[], bool],
-        on_worker: Callable[[entries.WorkerEntry], None],
+        on_worker: Callable[[Listed], None],
         on_removed: Callable[[str], None],
     ) -> None:
         self._store = store
         self._is_wanted = is_wanted
         self._on_worker = on_worker
         self._on_removed = on_removed
-        self.workers: dict[str, entries.WorkerEntry] = {}
+        self.workers: dict[str, Listed] = {}
         self.is_known = False
 
     async def run(self) -> None:
@@ -103,8 +111,8 @@
                 log.log_problem("entry left out", vm=row.key, reason=entry.reason)
             self._remove(row.key)
             return
-        self.workers[entry.id] = entry
-        self._on_worker(entry)
+        listed = self.workers[entry.id] = Listed(entry, http.read_clock())
+        self._on_worker(listed)
 
     def _remove(self, id: str) -> None:
         if self.workers.pop(id, None) is not None:
--- a/wigeonhitch/telemetry/log.py
+++ b/wigeonhitch/telemetry/log.py
@@ -11,7 +11,14 @@
 
 from absl import flags, logging
 
-__all__ = ["Formatter", "log_change", "log_fault", "log_problem", "prepare"]
+__all__ = [
+    "Dependency",
+    "Formatter",
+    "log_change",
+    "log_fault",
+    "log_problem",
+    "prepare",
+]
 
 # Libraries that write a line per request; what they say is counted instead.
 CHATTY = ("httpx", "httpcore", "hpack", "asyncio")
@@ -76,3 +83,25 @@
 def log_fault(change: str, **fields: Any) -> None:
     """Log the exception being handled, a fault of this program, as an error."""
     logging.get_absl_logger().exception(change, extra={"fields": fields})
+
+
+class Dependency:
+    """Logs when something that is depended on is lost, and when it is back.
+
+    Calls that fail in between are counted and told with the return, so that
+    an outage makes two lines and not one a call.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._failures = 0
+
+    def note(self, worked: bool, reason: str = "", **fields: Any) -> None:
+        """Take note of a call's success or failure."""
+        if not worked:
+            self._failures += 1
+            if self._failures == 1:
+                log_change(f"{self._name} lost", reason=reason, **fields)
+        elif self._failures:
+            log_change(f"{self._name} back", failures=self._failures, **fields)
+            self._failures = 0
