Don't renew the lease of a VM that doesn't answer

Each renewal without an answer moved the time at which the VM's tasks count as ended, so they never did (LOST: a task gone at 5.0 s, started again at 47.5 s). Gone VMs leave the roster once their leases have lapsed, so that a new leader doesn't wait for them.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -249,16 +249,16 @@
         longest = self.times.longest_lease * (1 + vm.CLOCK_DRIFT)
         grace = self.times.stop_grace + LAPSE_MARGIN
         for one in list(self.vms.values()):
-            if not one.answered:
-                if waited > longest + grace and one.id in self.unresolved:
+            lapsed = one.answered and one.is_lapsed(now, grace)
+            if lapsed and one.runs:
+                self._lapse(one)
+            if not one.answered and waited > longest + grace:
+                lapsed = True
+                if one.id in self.unresolved:
                     self.unresolved.discard(one.id)
                     self.tell("VM waited out", vm=one.id, waited=round(waited, 2))
-            elif one.runs and one.is_lapsed(now, grace):
-                self._lapse(one)
-            if not one.listed and not one.runs and one.id not in self.unresolved:
-                silent = now - max(one.last_answer, self._taken_over)
-                if silent > self.times.longest_lease:
-                    self.drop_vm(one, "unlisted and silent", now)
+            if lapsed and not one.listed:
+                self.drop_vm(one, "unlisted and lapsed", now)
 
     # -- questions
 
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -13,8 +13,9 @@
 
 __all__ = ["Planner"]
 
-STOP_AGAIN = 0.5
-"""Seconds after which a stop is sent again while the run is still listed."""
+STOP_AGAIN = 1.2
+"""Seconds after which a stop is sent again while the run is still listed; a
+stop takes up to 0.9 s."""
 
 
 BOARD_STEP = 4000
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -322,12 +322,14 @@
         now = http.read_clock()
         silence = now - self.around.get_renewed()
         lease = LONG_LEASE if silence > STORE_SILENCE else WORKER_LEASE
+        # A silent VM isn't given more time: it may hear what isn't answered, and
+        # its tasks could never be taken for ended.
         deadline = None
-        if one.knows_clock:
+        if one.knows_clock and not one.is_silent:
             deadline = one.compute_deadline(now, lease)
             one.note_grant(deadline)
         wait = HOLD_WAIT if one.runs else IDLE_WAIT
-        if not one.answered:
+        if one.is_silent or not one.answered:
             wait = 0.0
         entry = one.entry
         reply = await self.around.workers.hold(
