Forget VMs ended by an order at once, and wait no longer than was granted

The fleet's leader now says which workers its orders ended, a leader that gives up says what it granted, and the longest lease is 6.5 s.

--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -173,9 +173,10 @@
         """Return the owner row to write, conditional on ``version``."""
         known = self.owners.get(pool)
         epoch = known.epoch + 1 if known else 1
-        return record.Owner(
-            pool, self.name, self.life, epoch, known.version if known else 0
-        )
+        version = known.version if known else 0
+        # What the one before granted is passed on, for this leader's own waits.
+        granted = known.granted if known and not known.name else 0.0
+        return record.Owner(pool, self.name, self.life, epoch, version, granted)
 
     def _is_vacant(self, pool: str, now: float) -> bool:
         owner = self.owners.get(pool)
--- a/wigeonhitch/leadership/record.py
+++ b/wigeonhitch/leadership/record.py
@@ -46,6 +46,9 @@
     life: str
     epoch: int
     version: int
+    granted: float = 0.0
+    """Longest lease in seconds that workers may still have of a leader that
+    gave the pool up; 0: not known."""
 
 
 def write_member(member: Member) -> bytes:
@@ -65,10 +68,13 @@
 def write_owner(owner: Owner) -> bytes:
     """Return an owner's row."""
     row = {"name": owner.name, "life": owner.life, "epoch": owner.epoch}
+    if owner.granted:
+        row["granted"] = owner.granted
     return orjson.dumps(row)
 
 
 def read_owner(pool: str, value: bytes, version: int) -> Owner:
     """Read an owner's row."""
     row = orjson.loads(value)
-    return Owner(pool, row["name"], row["life"], row["epoch"], version)
+    granted = row.get("granted", 0.0)
+    return Owner(pool, row["name"], row["life"], row["epoch"], version, granted)
--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -40,7 +40,10 @@
     on_led : callable
         Takes the owner row of a pool that this daemon leads from now on.
     on_lost : callable
-        Takes the name of a pool that another daemon leads now.
+        Takes the name of a pool that this daemon leads no more.
+    get_granted : callable
+        Returns the longest lease in seconds that workers may have of a pool's
+        leader; 0 when it isn't known.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         list_pools: Callable[[], list[str]],
         on_led: Callable[[record.Owner], None],
         on_lost: Callable[[str], None],
+        get_granted: Callable[[str], float],
     ) -> None:
         self.leadership = leadership
         self.renewed = 0.0
@@ -58,6 +62,7 @@
         self._list_pools = list_pools
         self._on_led = on_led
         self._on_lost = on_lost
+        self._get_granted = get_granted
         self._version = 0
         self._renewals = log.Dependency("renewal of the lease")
         self._read: set[str] = set()
@@ -78,14 +83,15 @@
         """Say that this daemon leaves, and give up what it leads."""
         self.leadership.leaving = True
         for pool in [one for one in self.leadership.owners if self._leads(one)]:
-            self._on_lost(pool)
             await self.give_up(pool)
         await self._renew()
 
     async def give_up(self, pool: str) -> None:
-        """Leave a pool to whoever claims it first."""
+        """Stop leading a pool and leave it to whoever claims it first."""
+        granted = self._get_granted(pool)
+        self._on_lost(pool)
         owner = self.leadership.owners[pool]
-        given = owner._replace(name="", life="")
+        given = owner._replace(name="", life="", granted=granted)
         change = await self._write_owner(given, owner.version)
         if change.outcome is table.Outcome.DONE:
             self.leadership.on_owner(given._replace(version=change.version))
--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -15,6 +15,11 @@
 __all__ = ["Close", "Fleet", "Maintain", "Move", "Moving", "Open", "Show"]
 
 
+CLOSINGS_KEPT = 5.0
+"""Seconds for which the row of an ended worker is kept at least, so that a
+pool's leader that was just replaced has its successor find it."""
+
+
 class Close(NamedTuple):
     """Have a worker vacated."""
 
@@ -103,7 +108,8 @@
     def on_closing(self, closing: record.Closing, now: float) -> None:
         """Take note that a worker is closed."""
         self.closings[closing.worker] = closing
-        self.closed_since.setdefault(closing.worker, now)
+        if closing.ended or closing.worker not in self.closed_since:
+            self.closed_since[closing.worker] = now
 
     def on_opened(self, worker: str) -> None:
         """Take note that a worker is closed no more."""
@@ -137,7 +143,11 @@
             and (one.id in closing or one.state is not fleet.VmState.UP)
         )
 
-    def list_stale_closings(self) -> list[str]:
-        """Return closed workers whose life has ended."""
+    def list_stale_closings(self, now: float) -> list[str]:
+        """Return closed workers whose life has ended, some time ago."""
         alive = {one.worker for one in self.vms.values()}
-        return [one for one in self.closings if one not in alive]
+        return [
+            worker
+            for worker, since in self.closed_since.items()
+            if worker not in alive and now - since > CLOSINGS_KEPT
+        ]
--- a/wigeonhitch/maintenance/demand.py
+++ b/wigeonhitch/maintenance/demand.py
@@ -42,7 +42,7 @@
         if count > 0:
             actions.extend(_free_elsewhere(state, pool, count))
     for worker, closing in list(state.closings.items()):
-        if closing.wave:
+        if closing.wave or closing.ended:
             continue
         one = state.vms.get(closing.vm)
         if one is None or one.worker != worker:
@@ -81,7 +81,7 @@
 def _list_coming(state: core.Fleet, pool: str) -> list[str]:
     coming = [id for id, moving in state.moving.items() if moving.pool == pool]
     for closing in state.closings.values():
-        if not closing.wave and closing.pool == pool:
+        if not (closing.wave or closing.ended) and closing.pool == pool:
             coming.append(closing.vm)
     return coming
 
--- a/wigeonhitch/maintenance/record.py
+++ b/wigeonhitch/maintenance/record.py
@@ -23,13 +23,14 @@
     """A worker that is to be vacated.
 
     ``wave`` is the wave that its VM is to be maintained for, 0 for a move to
-    ``pool``.
+    ``pool``. Once the order was carried out the worker has ``ended``.
     """
 
     worker: str
     vm: str
     wave: int = 0
     pool: str = ""
+    ended: bool = False
 
 
 class WaveRecord(NamedTuple):
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -158,7 +158,7 @@
         return any(not self.state.shown.get(one) for one in self.state.waves)
 
     async def _forget_ended(self) -> None:
-        for worker in self.state.list_stale_closings():
+        for worker in self.state.list_stale_closings(http.read_clock()):
             await self._open(worker)
 
     async def _carry_out(self, action: object) -> None:
@@ -178,7 +178,13 @@
         write = rows.Write(record.CLOSING_TABLE, self.owner.pool, closing.worker, value)
         if await self._commit([write]):
             self.state.on_closing(closing, http.read_clock())
-            log.log_change("VM is to be vacated", **closing._asdict())
+            log.log_change("VM closed", **closing._asdict())
+
+    async def _end_worker(self, worker: str) -> None:
+        """Tell the pool's leader that a worker's life has ended by an order."""
+        closing = self.state.closings.get(worker)
+        if closing is not None:
+            await self._close(closing._replace(ended=True))
 
     async def _open(self, worker: str) -> None:
         write = rows.Write(record.CLOSING_TABLE, self.owner.pool, worker, None)
@@ -214,6 +220,7 @@
             self.deposed = True
         elif outcome is fleet.OrderOutcome.DONE:
             await self._save_wave(order.wave, now.confirm(order.vm))
+            await self._end_worker(order.worker)
         elif outcome in (fleet.OrderOutcome.WRONG_WAVE, fleet.OrderOutcome.REFUSED):
             await self._save_wave(order.wave, now.finish({order.vm}))
         elif order.vm in before.ordered:
@@ -241,9 +248,9 @@
         log.log_change("move ordered", **order._asdict(), outcome=outcome.value)
         if outcome is fleet.OrderOutcome.FENCED:
             self.deposed = True
-        elif outcome is not fleet.OrderOutcome.UNKNOWN and (
-            outcome is not fleet.OrderOutcome.DONE
-        ):
+        elif outcome is fleet.OrderOutcome.DONE:
+            await self._end_worker(order.worker)
+        elif outcome is not fleet.OrderOutcome.UNKNOWN:
             self.state.moving.pop(order.vm, None)
 
     async def _show(self, order: core.Show) -> None:
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -15,10 +15,11 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import entries, workers
-from wigeonhitch.pool import ledger, message, order, vm
+from wigeonhitch.pool import ledger, order, vm
 
 __all__ = ["Pool", "Times"]
 
@@ -41,12 +42,15 @@
 they come to work in well under a second and last for many."""
 
 
-class Times:
-    """Times that the users' rules set, in seconds."""
+class Times(NamedTuple):
+    """Times in seconds.
 
-    def __init__(self, longest_lease: float, stop_grace: float) -> None:
-        self.longest_lease = longest_lease
-        self.stop_grace = stop_grace
+    ``longest_lease`` is the longest that any leader grants, and ``stop_grace``
+    what a worker takes to end a task.
+    """
+
+    longest_lease: float
+    stop_grace: float
 
 
 class Pool:
@@ -89,13 +93,12 @@
         self.deposed = False
         self.unresolved: set[str] = set()
         """VMs that an earlier leader may have used and that haven't answered."""
-        self.strays: list[message.Stop] = []
-        """Runs that a worker lists and that nobody wants."""
         self.changed: set[str] = set()
         """Jobs whose open tasks must be computed anew."""
         self.not_before: dict[model.Task, float] = {}
         self.failed_on: dict[model.Task, str] = {}
         self._closed: frozenset[str] = frozenset()
+        self._ended: frozenset[str] = frozenset()
         self._taken_over = now
         self._base = (epoch - 1) * RUNS_PER_LEADER
         self._numbers: dict[model.Task, int] = {}
@@ -141,6 +144,8 @@
     def on_worker(self, entry: entries.WorkerEntry, now: float) -> None:
         """Take a worker's entry; one that is in another pool is left out."""
         known = self.vms.get(entry.id)
+        if entry.id in self._ended:
+            return  # what is left of it in the store lapses by itself
         if entry.pool != self.name:
             if known is not None:
                 known.listed = False
@@ -158,9 +163,14 @@
         if entry.clock is not None:
             known.learn_clock(entry.clock, now)
 
-    def set_closed(self, ids: frozenset[str]) -> None:
-        """Take the workers that are to be vacated; all others are open."""
-        self._closed = ids
+    def set_closed(self, ids: frozenset[str], ended: frozenset[str]) -> None:
+        """Take the workers that are to be vacated, and those ended by an order.
+
+        All others are open.
+        """
+        self._closed, self._ended = ids, ended
+        for id in ended & self.vms.keys():
+            self.drop_vm(self.vms[id], "ended by an order")
         for one in self.vms.values():
             if one.closed != (one.id in ids):
                 one.closed = not one.closed
@@ -193,7 +203,7 @@
         if reply.verdict is workers.Verdict.FENCED:
             self._depose(one)
         if reply.verdict is workers.Verdict.GONE:
-            self.drop_vm(one, "another life of the VM answers", now)
+            self.drop_vm(one, "another life of the VM answers")
         if reply.verdict is not workers.Verdict.DONE:
             return
         one.learn_clock(reply.clock, reply.received)
@@ -225,11 +235,11 @@
         elif verdict is workers.Verdict.FENCED:
             self._depose(run.vm)
         elif verdict is workers.Verdict.GONE:
-            self.drop_vm(run.vm, "another life of the VM answers", now)
+            self.drop_vm(run.vm, "another life of the VM answers")
         else:
             self._refuse(run, verdict, now)
 
-    def drop_vm(self, one: vm.Vm, reason: str, now: float) -> None:
+    def drop_vm(self, one: vm.Vm, reason: str) -> None:
         """Take a life of a VM for ended: all that ran there has ended."""
         if one.gone:
             return
@@ -258,7 +268,7 @@
                     self.unresolved.discard(one.id)
                     self.tell("VM waited out", vm=one.id, waited=round(waited, 2))
             if lapsed and not one.listed:
-                self.drop_vm(one, "unlisted and lapsed", now)
+                self.drop_vm(one, "unlisted and lapsed")
 
     # -- questions
 
@@ -416,8 +426,11 @@
             elif run.since < reply.sent:
                 self.tell("run not listed any more", **_describe(run))
                 self._remove(run)
-        for entry in listed.values():
-            self._see_unknown(one, entry, now)
+        strays = [e for e in listed.values() if not self._adopt(one, e, now)]
+        one.strays = {
+            (entry.task, entry.run): one.strays.get((entry.task, entry.run), 0.0)
+            for entry in strays
+        }
 
     def _see_running(self, run: vm.Run, entry: workers.Running, now: float) -> None:
         if run.state in (vm.RunState.STARTING, vm.RunState.UNKNOWN):
@@ -429,7 +442,8 @@
         if entry.checkpoint and run.task.job in self.jobs:
             self.jobs[run.task.job].note_checkpoint(run.task, entry.checkpoint)
 
-    def _see_unknown(self, one: vm.Vm, entry: workers.Running, now: float) -> None:
+    def _adopt(self, one: vm.Vm, entry: workers.Running, now: float) -> bool:
+        """Take over a listed run; return whether anybody wants it."""
         state = self.jobs.get(entry.task.job)
         wanted = (
             state is not None
@@ -441,14 +455,14 @@
             and entry.run <= self._base
         )
         if not wanted:
-            self.strays.append(message.Stop(one, entry.task, entry.run))
-            return
+            return False
         step = state.job.steps[entry.task.step]
         run = one.adopt(entry, step, now)
         run.load = entry.load
         self.live[entry.task] = run
         state.started = True
         state.note_checkpoint(entry.task, entry.checkpoint)
+        return True
 
     def _learn_work(self, job: model.Job) -> None:
         total, count = self._mean_work.get(job.queue, (0.0, 0))
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -50,8 +50,7 @@
         """
         self.pool.expire(now)
         self._refresh(wall)
-        orders: list[message.Start | message.Stop] = list(self.pool.strays)
-        self.pool.strays.clear()
+        orders: list[message.Start | message.Stop] = self._stop_strays(now)
         table = place.Table(self.pool.vms.values(), now)
         orders.extend(self._plan_stops(table, now))
         orders.extend(self._plan_starts(table, now, wall))
@@ -148,6 +147,15 @@
                 stops.append(self._stop(run, now))
         return stops
 
+    def _stop_strays(self, now: float) -> list[message.Start | message.Stop]:
+        stops: list[message.Start | message.Stop] = []
+        for one in self.pool.vms.values():
+            for (task, number), sent in one.strays.items():
+                if now - sent > STOP_AGAIN:
+                    one.strays[task, number] = now
+                    stops.append(message.Stop(one, task, number))
+        return stops
+
     def _stop(self, run: vm.Run, now: float) -> message.Stop:
         run.state = vm.RunState.STOPPING
         run.stop_sent = now
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -28,9 +28,11 @@
 takeover (a lease of 2.2 s, a poll of 0.5 s and the first calls), so that work
 goes on when a leader dies; what ran on a silent VM starts elsewhere after it."""
 
-LONG_LEASE = 9.5
-"""The same while the store doesn't answer this daemon: outages last 4 to 9 s,
-and a leader that can't renew its own lease may soon not renew the workers'."""
+LONG_LEASE = 6.5
+"""The same while the store doesn't answer this daemon: outages last 3 to 9 s,
+and a leader that can't renew its own lease may soon not renew the workers'.
+With the 2 s that its own lease still lasts, work survives 8.5 s. A successor
+waits this long for VMs that it can't reach, so longer isn't better."""
 
 STORE_SILENCE = 1.3
 """Seconds without a renewal of the leader's lease after which the longer lease
@@ -120,6 +122,7 @@
         self._wake_commit = anyio.Event()
         self._noted = anyio.Event()
         self._held: set[str] = set()
+        self._granted_long = 0.0
         self._commits = log.Dependency("commit of ends")
         self._job_table = name_job_table(owner.pool)
 
@@ -140,11 +143,19 @@
         self.pool.on_worker_removed(id)
         self._wake()
 
-    def set_closed(self, ids: frozenset[str]) -> None:
-        """Take the workers that are to be vacated; all others are open."""
-        self.pool.set_closed(ids)
+    def set_closings(self, closed: list[maintenance.Closing]) -> None:
+        """Take the workers that are to be vacated, or have ended by an order."""
+        self.pool.set_closed(
+            frozenset(one.worker for one in closed),
+            frozenset(one.worker for one in closed if one.ended),
+        )
         self._wake()
 
+    def get_granted(self) -> float:
+        """Return the longest lease that a worker may still have of this leader."""
+        recent = http.read_clock() - self._granted_long < LONG_LEASE
+        return LONG_LEASE if recent else WORKER_LEASE
+
     def stop(self) -> None:
         """Give up leading; nothing is ordered afterwards."""
         self._scope.cancel()
@@ -178,7 +189,9 @@
             address = pool_record.read_roster(row.value or b"")
             self.pool.on_roster(row.key, address, row.version, now)
         closings = await self._read_all(maintenance.CLOSING_TABLE, leadership.FLEET)
-        self.pool.set_closed(frozenset(row.key for row in closings.rows))
+        self.set_closings(
+            [maintenance.read_closing(r.key, r.value or b"") for r in closings.rows]
+        )
         self._tell("pool loaded", jobs=len(self.pool.jobs), vms=len(roster.rows))
         return jobs.version
 
@@ -321,7 +334,10 @@
     async def _hold_once(self, one: vm.Vm) -> None:
         now = http.read_clock()
         silence = now - self.around.get_renewed()
-        lease = LONG_LEASE if silence > STORE_SILENCE else WORKER_LEASE
+        lease = WORKER_LEASE
+        if silence > STORE_SILENCE:
+            lease = LONG_LEASE
+            self._granted_long = now
         # A silent VM isn't given more time: it may hear what isn't answered, and
         # its tasks could never be taken for ended.
         deadline = None
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -120,6 +120,9 @@
         self.noted = 0
         """Highest number of an end that is durable."""
         self.runs: dict[model.Task, Run] = {}
+        self.strays: dict[tuple[model.Task, int], float] = {}
+        """Listed runs that nobody wants, and when their stop was ordered. What
+        they take isn't known, so nothing is started beside them."""
         self.failures = 0
         self.set_aside_until = 0.0
         self._set_aside_for = SET_ASIDE
@@ -179,7 +182,7 @@
             self.listed
             and self.answered
             and self.recorded
-            and not self.is_silent
+            and not (self.is_silent or self.strays)
             and not (self.gone or self.closed or self.entry.leaving)
             and now - self.last_answer < STALE_AFTER
         )
--- a/wigeonhitch/site/closings.py
+++ b/wigeonhitch/site/closings.py
@@ -30,19 +30,19 @@
     is_wanted : callable
         Whether this daemon leads a pool; nothing is read otherwise.
     on_change : callable
-        Takes the ids of all workers to be vacated.
+        Takes all workers that are to be vacated or have ended by an order.
     """
 
     def __init__(
         self,
         store: rows.RowStore,
         is_wanted: Callable[[], bool],
-        on_change: Callable[[frozenset[str]], None],
+        on_change: Callable[[list[record.Closing]], None],
     ) -> None:
         self._store = store
         self._is_wanted = is_wanted
         self._on_change = on_change
-        self._workers: set[str] = set()
+        self._workers: dict[str, record.Closing] = {}
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -63,8 +63,10 @@
         if read.outcome is not table.Outcome.DONE:
             await anyio.sleep(RETRY)
             return 0
-        self._workers = {row.key for row in read.rows}
-        self._on_change(frozenset(self._workers))
+        self._workers.clear()
+        for row in read.rows:
+            self._take(row)
+        self._on_change(list(self._workers.values()))
         return read.version
 
     async def _follow(self, after: int) -> int:
@@ -77,10 +79,13 @@
             await anyio.sleep(RETRY)
             return after
         for row in feed.rows:
-            if row.value is None:
-                self._workers.discard(row.key)
-            else:
-                self._workers.add(row.key)
+            self._take(row)
         if feed.rows:
-            self._on_change(frozenset(self._workers))
+            self._on_change(list(self._workers.values()))
         return max(after, feed.version)
+
+    def _take(self, row: rows.Row) -> None:
+        if row.value is None:
+            self._workers.pop(row.key, None)
+        else:
+            self._workers[row.key] = record.read_closing(row.key, row.value)
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -7,6 +7,7 @@
 from wigeonhitch.leadership import core as leadership
 from wigeonhitch.leadership import record as leader_record
 from wigeonhitch.leadership import task as keeper
+from wigeonhitch.maintenance import record as maintenance
 from wigeonhitch.maintenance import task as fleet_task
 from wigeonhitch.platform import fleet, http, node, rows, workers
 from wigeonhitch.pool import core as pool_core
@@ -55,7 +56,12 @@
         )
         self._leadership = leadership.Leadership(settings.name, life, http.read_clock())
         self._keeper = keeper.Keeper(
-            self._leadership, store, self._list_pools, self._on_led, self._on_lost
+            self._leadership,
+            store,
+            self._list_pools,
+            self._on_led,
+            self._on_lost,
+            self._get_granted,
         )
         self.desk = desk.Desk(
             store,
@@ -113,9 +119,9 @@
         for runner in self._runners.values():
             runner.on_worker_removed(id)
 
-    def _on_closings(self, workers: frozenset[str]) -> None:
+    def _on_closings(self, closed: list[maintenance.Closing]) -> None:
         for runner in self._runners.values():
-            runner.set_closed(workers)
+            runner.set_closings(closed)
 
     def _on_led(self, owner: leader_record.Owner) -> None:
         if self._group is None:
@@ -125,13 +131,18 @@
             self._fleet_runner = self._make_fleet_runner(owner)
             self._group.start_soon(self._lead_fleet, self._fleet_runner)
             return
-        runner = pool_task.Runner(owner, self._make_surroundings(), http.read_clock())
+        around = self._make_surroundings(owner.granted)
+        runner = pool_task.Runner(owner, around, http.read_clock())
         runner.on_queues(self._get_queues())
         self._runners[owner.pool] = runner
         for listed in self._directory.workers.values():
             runner.on_worker(listed.entry, listed.read_at)
         self._group.start_soon(self._lead, runner)
 
+    def _get_granted(self, pool: str) -> float:
+        runner = self._runners.get(pool)
+        return runner.get_granted() if runner is not None else 0.0
+
     def _on_lost(self, pool: str) -> None:
         if pool == leadership.FLEET and self._fleet_runner is not None:
             self._fleet_runner.stop()
@@ -148,10 +159,11 @@
             log.log_fault("leading broke off", pool=pool)
         if self._runners.get(pool) is not runner:
             return
-        del self._runners[pool]
         log.log_change("leading ended", pool=pool, deposed=runner.pool.deposed)
         if self._leadership.is_mine(pool):
             await self._keeper.give_up(pool)
+        else:
+            self._on_lost(pool)
 
     async def _lead_fleet(self, runner: fleet_task.Runner) -> None:
         try:
@@ -179,8 +191,9 @@
         )
         return fleet_task.Runner(owner, around, http.read_clock())
 
-    def _make_surroundings(self) -> pool_task.Surroundings:
+    def _make_surroundings(self, granted: float) -> pool_task.Surroundings:
         bounds = self.settings.bounds
+        longest = min(pool_task.LONG_LEASE, bounds.longest_lease)
         return pool_task.Surroundings(
             self._store,
             self._calls,
@@ -189,5 +202,5 @@
             lambda: self._keeper.renewed,
             lambda: self._leadership.clock.compute_earliest(http.read_clock()),
             bounds.finals_kept,
-            pool_core.Times(bounds.longest_lease, bounds.stop_grace),
+            pool_core.Times(granted or longest, bounds.stop_grace),
         )
