--- /dev/null
+++ b/wigeonhitch/pool/tests/history.py
@@ -0,0 +1,414 @@
+"""Histories of leaders, successors and workers, with calls lost and late.
+
+Drives the real decisions (`core`, `planner`, `ledger`) of any number of
+leaders that follow each other and overlap, against workers in process, under
+one seeded schedule. Calls take time, are lost on either way, or arrive seconds
+late; workers fall silent, crash and come back; leaders are killed, paused and
+cut off. `check` then reads what the workers did.
+"""
+
+import random
+from typing import Any, NamedTuple
+
+from standins import siteworker
+from wigeonhitch.jobs import model, record
+from wigeonhitch.leadership import record as leader_record
+from wigeonhitch.platform import entries, rows, table, workers
+from wigeonhitch.pool import core, message, planner, task
+from wigeonhitch.pool import record as pool_record
+
+POOL = "pool"
+STEP = 0.02
+ROOM = model.Room(8000, 65536, 0)
+START_DEADLINE = task.START_DEADLINE
+
+
+class Switches(NamedTuple):
+    """Mechanisms that a test may switch off, to see that the check finds it."""
+
+    fence: bool = True
+    wait_after_takeover: bool = True
+    own_deadline: bool = True
+    lapse_before_restart: bool = True
+    commit_before_noting: bool = True
+    rising_numbers: bool = True
+    stop_at_lease_end: bool = True
+
+
+class Store:
+    """Rows in memory; a transaction may be lost before or after it is done."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
+
+    def commit(self, change: rows.Transaction) -> rows.Change:
+        """Apply a transaction if its conditions hold."""
+        for one in change.conditions:
+            if self.get_version(one.table, one.key) != one.version:
+                conflicts = tuple(
+                    rows.Row(c.table, POOL, c.key, *self.rows[c.table, c.key])
+                    for c in change.conditions
+                    if (c.table, c.key) in self.rows
+                )
+                return rows.Change(table.Outcome.NOT_DONE, 0, conflicts, "conflict")
+        self.version += 1
+        for write in change.writes:
+            if write.value is None:
+                self.rows.pop((write.table, write.key), None)
+            else:
+                self.rows[write.table, write.key] = (write.value, self.version)
+        return rows.Change(table.Outcome.DONE, self.version)
+
+    def get_version(self, name: str, key: str) -> int:
+        """Return the version of a row, 0 when there is none."""
+        return self.rows.get((name, key), (b"", 0))[1]
+
+    def list_rows(self, name: str) -> list[tuple[str, bytes, int]]:
+        """Return key, value and version of a table's rows."""
+        found = [(k, *v) for (t, k), v in self.rows.items() if t == name]
+        return sorted(found)
+
+
+class Leader:
+    """One leader, with the I/O of `task.Runner` replaced by the schedule."""
+
+    def __init__(self, world: "World", epoch: int) -> None:
+        self.world = world
+        self.alive = True
+        self.paused_until = 0.0
+        self.lease_until = world.now + 2.0
+        key = (leader_record.OWNER_TABLE, leader_record.OWNER_KEY)
+        version = world.store.get_version(*key)
+        owner = rows.Condition(key[0], POOL, key[1], version)
+        write = rows.Write(key[0], POOL, key[1], f"{epoch}".encode())
+        done = world.store.commit(rows.Transaction((owner,), (write,)))
+        fence = done.version
+        if not world.switches.fence:
+            fence = 1
+        if not world.switches.rising_numbers:
+            epoch = 1
+        longest = task.LONG_LEASE if world.switches.wait_after_takeover else 0.0
+        times = core.Times(longest, 0.0)
+        self.pool = core.Pool(POOL, fence, epoch, times, world.now, lambda *a, **k: 0)
+        self.pool.ledger.fence = done.version
+        self.pool.on_queues([model.Queue("q", "h", "/p/", POOL, max_attempts=3)])
+        self._load()
+        self.planner = planner.Planner(self.pool)
+        self.next_hold: dict[str, float] = {}
+        self.committing = False
+
+    def _load(self) -> None:
+        store, now = self.world.store, self.world.now
+        for id, value, version in store.list_rows("job"):
+            self.pool.on_job(id, record.read_job(id, value), version)
+        for id, value, version in store.list_rows(pool_record.PROGRESS_TABLE):
+            self.pool.on_progress(id, value, version)
+        for one in self.world.workers:
+            if one.alive:
+                clock = one.read_clock(max(0.0, now - 1.0))
+                entry = entries.WorkerEntry(
+                    one.id, POOL, one.id, "", False, ROOM, ("r1",), clock
+                )
+                self.pool.on_worker(entry, now)
+        if not self.world.switches.wait_after_takeover:
+            return
+        for id, _, version in store.list_rows(pool_record.ROSTER_TABLE):
+            self.pool.on_roster(id, id, version, now)
+
+    def may_order(self) -> bool:
+        """Whether it runs and believes in its lease."""
+        now = self.world.now
+        if not self.alive or now < self.paused_until or self.pool.deposed:
+            return False
+        return now < self.lease_until or not self.world.switches.stop_at_lease_end
+
+    def act(self) -> None:
+        """Decide once, and send what was decided."""
+        now = self.world.now
+        if not self.may_order():
+            return
+        if not self.world.switches.lapse_before_restart:
+            for one in self.pool.vms.values():
+                if one.is_silent:
+                    one.granted = 0.0
+        for order in self.planner.plan(now, now):
+            if isinstance(order, message.Start):
+                self._send_start(order)
+            else:
+                self.world.send_stop(self, order)
+        for one in list(self.pool.vms.values()):
+            if self.next_hold.get(one.id, 0.0) <= now:
+                self._send_hold(one)
+        self._commit()
+
+    def _send_start(self, start: message.Start) -> None:
+        run = start.run
+        length = START_DEADLINE if self.world.switches.own_deadline else 60.0
+        run.deadline = run.vm.compute_deadline(self.world.now, length)
+        run.vm.note_grant(run.deadline if self.world.switches.own_deadline else 0.0)
+        order = start.order._replace(deadline=run.deadline)
+        if not self.world.switches.own_deadline:
+            run.deadline = run.vm.compute_clock(self.world.now)
+        self.world.send_start(self, run, order)
+
+    def _send_hold(self, one: Any) -> None:
+        now = self.world.now
+        deadline = None
+        if one.knows_clock and not one.is_silent:
+            deadline = one.compute_deadline(now, task.WORKER_LEASE)
+            one.note_grant(deadline)
+        self.next_hold[one.id] = now + 1.0
+        noted = one.noted if self.world.switches.commit_before_noting else one.seen
+        self.world.send_hold(self, one, deadline, noted)
+
+    def _commit(self) -> None:
+        if self.committing:
+            return
+        batch = self.pool.ledger.collect(self.pool.jobs, self.pool.vms, 1.0, 99, "job")
+        if not batch.transaction.writes:
+            self._note(batch.seen)
+            return
+        self.committing = True
+        self.world.send_commit(self, batch)
+
+    def on_committed(self, batch: Any, change: rows.Change) -> None:
+        """Take the answer to a commit."""
+        self.committing = False
+        result = self.pool.ledger.on_result(batch, change)
+        self.pool.deposed = self.pool.deposed or result.deposed
+        for row in result.changed:
+            read = record.read_job(row.key, row.value)
+            self.pool.on_job(row.key, read, row.version)
+        if not result.done:
+            return
+        for id in batch.vms:
+            if id in self.pool.vms:
+                self.pool.vms[id].recorded = True
+        self.pool.on_settled(batch.finals)
+        self._note(batch.seen)
+
+    def _note(self, seen: dict[str, int]) -> None:
+        for id, number in seen.items():
+            if id in self.pool.vms:
+                self.pool.vms[id].noted = number
+
+
+class World:
+    """Time, workers, store, leaders, and what is on the way between them."""
+
+    def __init__(self, seed: int, switches: Switches, *, trouble: float = 1.0) -> None:
+        self.rng = random.Random(seed)
+        self.switches = switches
+        self.trouble = trouble
+        self.now = 100.0
+        self.events: list[siteworker.Event] = []
+        self.store = Store()
+        self.workers = [self._make_worker(number) for number in range(3)]
+        self.leaders: list[Leader] = []
+        self.silent: dict[str, float] = {}
+        self._queue: list[tuple[float, int, Any]] = []
+        self._count = 0
+        self._jobs = 0
+        self._epoch = 0
+
+    def _make_worker(self, number: int) -> siteworker.Worker:
+        drift = self.rng.choice((0.0, 0.02))
+        share = self.rng.choice((0.0, 0.1))
+        return siteworker.Worker(
+            f"w{number}", self.events, self.rng, drift=drift, fail_share=share
+        )
+
+    def run(self, seconds: float) -> None:
+        """Play a history."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP
+            self._disturb()
+            due = [one for one in self._queue if one[0] <= self.now]
+            self._queue = [one for one in self._queue if one[0] > self.now]
+            for _, _, action in sorted(due, key=lambda one: one[:2]):
+                action()
+            for worker in self.workers:
+                worker.advance(self.now)
+            for leader in self.leaders:
+                if leader.alive and self._is_led_by(leader):
+                    leader.lease_until = self.now + 2.0
+                leader.act()
+
+    def _is_led_by(self, leader: Leader) -> bool:
+        return leader is self.leaders[-1] and self.now >= leader.paused_until
+
+    def _disturb(self) -> None:
+        if self.rng.random() < STEP * 1.5:
+            self._submit()
+        if not self.leaders or self.rng.random() < STEP * 0.12 * self.trouble:
+            self._change_leader()
+        if self.rng.random() < STEP * 0.15 * self.trouble:
+            worker = self.rng.choice(self.workers)
+            self.silent[worker.id] = self.now + self.rng.uniform(0.5, 8.0)
+
+    def _change_leader(self) -> None:
+        for leader in self.leaders[-1:]:
+            what = self.rng.choice(("kill", "pause", "cut"))
+            leader.alive = what != "kill"
+            if what == "pause":
+                leader.paused_until = self.now + self.rng.uniform(0.1, 6.0)
+                leader.lease_until = self.now
+        self._epoch += 1
+        self.leaders.append(Leader(self, self._epoch))
+        self.leaders = self.leaders[-3:]
+
+    def _submit(self) -> None:
+        self._jobs += 1
+        id = f"j{self._jobs}"
+        step = model.Step(self.rng.randint(1, 4), model.Room(2500, 1000), 0.6)
+        after = model.Step(1, model.Room(3000, 1000), 0.6, after=(0,))
+        job = model.Job(id, "q", "", (step, after)[: self.rng.randint(1, 2)])
+        row = record.write_job(job, self.now)
+        write = rows.Write("job", POOL, id, row)
+        done = self.store.commit(rows.Transaction((), (write,)))
+        if self.leaders and self.leaders[-1].alive:
+            leader = self.leaders[-1]
+            read = record.read_job(id, row)
+            self._later(0.01, lambda: leader.pool.on_job(id, read, done.version))
+
+    # -- calls
+
+    def _later(self, delay: float, action: Any) -> None:
+        self._count += 1
+        self._queue.append((self.now + delay, self._count, action))
+
+    def _send(self, worker_id: str, call: Any, answer: Any) -> None:
+        """Deliver a call, and its answer or None when that is lost."""
+        worker = next(one for one in self.workers if one.id == worker_id)
+        late = self.rng.random() < 0.04 * self.trouble
+        lost = self.rng.random() < 0.04 * self.trouble
+        delay = self.rng.uniform(2, 12) if late else self.rng.uniform(0.001, 0.05)
+        sent = self.now
+        state = {"answered": False}
+
+        def deliver() -> None:
+            silent = self.silent.get(worker_id, 0.0) > self.now and not late
+            if silent or not worker.alive:
+                return
+            result = call(worker)
+            clock = worker.read_clock(self.now)
+            if not (lost or late):
+                back = self.rng.uniform(0.001, 0.05)
+                self._later(back, lambda: give(result, clock))
+
+        def give(result: Any, clock: float) -> None:
+            if not state["answered"]:
+                state["answered"] = True
+                answer(result, clock, sent)
+
+        self._later(delay, deliver)
+        self._later(0.7, lambda: give(None, 0.0))
+
+    def send_start(self, leader: Leader, run: Any, order: workers.Start) -> None:
+        """Send a start."""
+
+        def answer(verdict: Any, clock: float, sent: float) -> None:
+            if not leader.alive or self.now < leader.paused_until:
+                return
+            verdict = verdict or workers.Verdict.UNKNOWN
+            if verdict is workers.Verdict.UNKNOWN:
+                run.vm.is_silent = True
+            reply = workers.OrderReply(verdict, clock, sent, self.now)
+            leader.pool.on_start(run, reply, self.now)
+
+        self._send(run.vm.id, lambda worker: worker.start(order, self.now), answer)
+
+    def send_stop(self, leader: Leader, order: message.Stop) -> None:
+        """Send a stop."""
+        fence = leader.pool.fence
+        self._send(
+            order.vm.id,
+            lambda worker: worker.stop(order.task, order.number, fence, self.now),
+            lambda *_: None,
+        )
+
+    def send_hold(
+        self, leader: Leader, one: Any, deadline: float | None, noted: int
+    ) -> None:
+        """Send a renewal."""
+        fence = leader.pool.fence
+
+        def answer(result: Any, clock: float, sent: float) -> None:
+            if not leader.alive or self.now < leader.paused_until:
+                return
+            verdict, running, ended = result or (workers.Verdict.UNKNOWN, (), ())
+            one.is_silent = verdict is not workers.Verdict.DONE
+            reply = workers.HoldReply(verdict, clock, sent, self.now, running, ended)
+            leader.pool.on_hold(one, reply, self.now)
+            leader.next_hold[one.id] = self.now + 0.1
+
+        self._send(
+            one.id,
+            lambda worker: worker.hold(fence, deadline, noted, self.now),
+            answer,
+        )
+
+    def send_commit(self, leader: Leader, batch: Any) -> None:
+        """Send a transaction; its answer may be lost, it may be done late."""
+        late = self.rng.random() < 0.05 * self.trouble
+        lost = self.rng.random() < 0.05 * self.trouble
+        delay = self.rng.uniform(1, 6) if late else 0.005
+        unknown = rows.Change(table.Outcome.UNKNOWN)
+
+        def deliver() -> None:
+            change = self.store.commit(batch.transaction)
+            if not (late or lost):
+                answer(change)
+
+        def answer(change: rows.Change) -> None:
+            if leader.alive and self.now >= leader.paused_until:
+                leader.on_committed(batch, change)
+            else:
+                leader.committing = False
+
+        self._later(delay, deliver)
+        if late or lost:
+            self._later(0.5, lambda: answer(unknown))
+
+
+def check(events: list[siteworker.Event], room: model.Room = ROOM) -> list[str]:
+    """Return what went wrong in a history, a line each."""
+    faults: list[str] = []
+    live: dict[model.Task, tuple[str, int]] = {}
+    ended: dict[tuple[model.Task, int], str] = {}
+    noted: set[model.Task] = set()
+    numbers: dict[model.Task, int] = {}
+    count: dict[str, int] = {}
+    for event in events:
+        key = (event.task, event.run)
+        if event.what == "start":
+            if event.task in live:
+                faults.append(f"two runs at once: {event} beside {live[event.task]}")
+            if event.task in noted:
+                faults.append(f"started after a noted end: {event}")
+            if event.run <= numbers.get(event.task, 0):
+                faults.append(f"number doesn't rise: {event}")
+            numbers[event.task] = event.run
+            live[event.task] = (event.worker, event.run)
+            count[event.worker] = count.get(event.worker, 0) + 1
+            if count[event.worker] * 2500 > room.cpu:
+                faults.append(f"beyond the room: {event}")
+        elif event.what == "end":
+            ended[key] = event.how
+            count[event.worker] -= 1
+            if live.get(event.task) == (event.worker, event.run):
+                del live[event.task]
+        elif event.what == "noted" and event.how == "done":
+            noted.add(event.task)
+    return faults
+
+
+def find_unfinished(world: World) -> list[str]:
+    """Return the jobs whose rows aren't final."""
+    return [
+        id
+        for id, value, _ in world.store.list_rows("job")
+        if record.read_job(id, value).final is None
+    ]
