Show and follow boards at once; don't let rows of ended lives hold VMs back

The rows of VMs whose lives ended by an order are kept for 5 s and kept the VMs from moving on meanwhile; boards were written each 0.4 s and read each 0.3 s. Jobs past three times their objective go last.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -131,11 +131,11 @@
 
     def is_closing(self, vm: str) -> bool:
         """Whether the worker of a VM is being vacated."""
-        return any(one.vm == vm for one in self.closings.values())
+        return any(one.vm == vm and not one.ended for one in self.closings.values())
 
     def count_closing(self, pool: str) -> int:
         """Return how many workers of a pool are being vacated or away."""
-        closing = {one.vm for one in self.closings.values()}
+        closing = {one.vm for one in self.closings.values() if not one.ended}
         return sum(
             1
             for one in self.vms.values()
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -17,6 +17,12 @@
 PERIOD = 0.3
 """Seconds between two rounds: a fifth of the time that a move takes."""
 
+GAP = 0.05
+"""The same where a pool's board has changed."""
+
+BOARD_WAIT = 1.0
+"""Seconds that the feed of boards waits; a silent connection is found then."""
+
 TIMEOUT = 1.0
 """Seconds for one call."""
 
@@ -48,7 +54,7 @@
         self.state = core.Fleet(now)
         self.deposed = False
         self._scope = anyio.CancelScope()
-        self._board_version = 0
+        self._wake = anyio.Event()
 
     def stop(self) -> None:
         """Give up leading; nothing is ordered afterwards."""
@@ -58,10 +64,16 @@
         """Lead until stopped or deposed."""
         with self._scope:
             await self._load()
-            while not self.deposed:
-                if self.around.may_order():
-                    await self._act()
-                await anyio.sleep(PERIOD)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._follow_boards)
+                while not self.deposed:
+                    self._wake = anyio.Event()
+                    if self.around.may_order():
+                        await self._act()
+                    await anyio.sleep(GAP)
+                    with anyio.move_on_after(PERIOD):
+                        await self._wake.wait()
+                group.cancel_scope.cancel()
 
     # -- rows
 
@@ -93,15 +105,48 @@
                 return found
             await anyio.sleep(PERIOD)
 
-    async def _read_boards(self) -> None:
-        for pool in self.state.pools.values():
-            if pool.standby:
+    async def _follow_boards(self) -> None:
+        after = 0
+        while True:
+            if not after:
+                after = await self._read_boards()
                 continue
+            feed = await self.around.store.follow(
+                pool_record.BOARD_TABLE,
+                after,
+                wait=BOARD_WAIT,
+                timeout=BOARD_WAIT + TIMEOUT / 2,
+            )
+            if feed.expired:
+                after = 0
+            elif feed.outcome is table.Outcome.DONE:
+                after = max(after, feed.version)
+                for row in feed.rows:
+                    self._take_board(row)
+            else:
+                await anyio.sleep(PERIOD)
+
+    async def _read_boards(self) -> int:
+        """Read each pool's board; return the version to follow from, or 0."""
+        version = 0
+        for pool in [one.name for one in self.state.pools.values()]:
             found = await self.around.store.read(
-                pool_record.BOARD_TABLE, pool.name, timeout=TIMEOUT
+                pool_record.BOARD_TABLE, pool, timeout=TIMEOUT
             )
+            if found.outcome is not table.Outcome.DONE:
+                version = 0
+                break
+            version = min(version, found.version) if version else found.version
             for row in found.rows:
-                self.state.boards[pool.name] = pool_record.read_board(row.value or b"")
+                self._take_board(row)
+        if not version:
+            await anyio.sleep(PERIOD)
+        return version
+
+    def _take_board(self, row: rows.Row) -> None:
+        if row.value is not None:
+            self.state.boards[row.part] = pool_record.read_board(row.value)
+            self._wake.set()
 
     async def _commit(self, writes: list[rows.Write]) -> bool:
         place = (leader_record.OWNER_TABLE, self.owner.pool, leader_record.OWNER_KEY)
@@ -119,7 +164,6 @@
     async def _act(self) -> None:
         self._take_catalogue()
         await self._list_vms()
-        await self._read_boards()
         if not self.state.vms or not self.state.pools:
             return
         now = http.read_clock()
--- a/wigeonhitch/pool/order.py
+++ b/wigeonhitch/pool/order.py
@@ -17,14 +17,17 @@
 BASE_WORTH = 0.3
 """Part of a job's worth that doesn't depend on its size (users' rules)."""
 
+LATE_MOST = 3.0
+"""A job is worth nothing after this many times its objective (users' rules)."""
+
 WORTH_MOST = 4.0
 """A job is worth at most this many times its kind's mean (users' rules)."""
 
-LASTING, IN_TIME, LATE = 0, 1, 2
+LASTING, IN_TIME, LATE, WORTHLESS = 0, 1, 2, 3
 
 
 class Key(NamedTuple):
-    """Sorts jobs: lasting ones, then those that can be in time, then others."""
+    """Sorts jobs: lasting ones, those that can be in time, late ones, others."""
 
     group: int
     priority: int
@@ -62,8 +65,10 @@
     if job.times:
         accepted = max(job.first_due, accepted)
     due = compute_due(job, queue, accepted)
-    late = wall + _compute_chain_left(state) > due
-    return Key(LATE if late else IN_TIME, queue.priority, cost, accepted)
+    end = wall + _compute_chain_left(state)
+    last = accepted + LATE_MOST * (due - accepted)
+    group = IN_TIME if end <= due else LATE if end <= last else WORTHLESS
+    return Key(group, queue.priority, cost, accepted)
 
 
 def _compute_work_left(state: progress.Progress) -> float:
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -80,11 +80,7 @@
             for one in self.pool.vms.values()
             if one.listed and not one.closed and not one.entry.leaving
         )
-        empty = sorted(
-            one.id
-            for one in self.pool.vms.values()
-            if one.closed and one.answered and not one.runs
-        )
+        empty = sorted(one.id for one in self._list_empty())
         light = sorted(
             one.id
             for one in self.pool.vms.values()
@@ -99,6 +95,17 @@
         idle -= idle % BOARD_STEP
         return pool_record.Board(waiting, unmet, idle, tuple(empty), tuple(light))
 
+    def count_empty(self) -> int:
+        """Return how many VMs that are to be vacated hold nothing any more."""
+        return len(self._list_empty())
+
+    def _list_empty(self) -> list[vm.Vm]:
+        return [
+            one
+            for one in self.pool.vms.values()
+            if one.closed and one.answered and not (one.runs or one.strays)
+        ]
+
     # -- open tasks
 
     def _refresh(self, wall: float) -> None:
@@ -193,7 +200,7 @@
             if self.pool.may_have_run(state):
                 continue
             left = self._place_job(table, state, now, starts)
-            if key.group is not order.LATE:
+            if key.group <= order.IN_TIME:
                 self.unmet += left
         return starts
 
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -75,10 +75,14 @@
 READ_TIMEOUT = 1.5
 """Seconds for a range of rows."""
 
-BOARD_PERIOD = 0.4
+BOARD_PERIOD = 0.5
 """Seconds between two writings of the board, if it changed; readers may see
 counts up to 2 s old."""
 
+BOARD_GAP = 0.1
+"""The same where VMs have become empty or a burst has begun: each tenth of a
+second of a burst of 4.5 s counts for the VMs that are sent."""
+
 
 def name_job_table(pool: str) -> str:
     """Return the table in which a pool's jobs lie."""
@@ -121,6 +125,8 @@
         self._wake_round = anyio.Event()
         self._wake_commit = anyio.Event()
         self._noted = anyio.Event()
+        self._wake_board = anyio.Event()
+        self._urgent: tuple[bool, int] = (False, 0)
         self._held: set[str] = set()
         self._granted_long = 0.0
         self._commits = log.Dependency("commit of ends")
@@ -251,7 +257,12 @@
             if one.id not in self._held:
                 self._held.add(one.id)
                 group.start_soon(self._hold_forever, one)
-        for order in self.planner.plan(http.read_clock(), time.time()):
+        orders = self.planner.plan(http.read_clock(), time.time())
+        urgent = (self.planner.unmet > 0, self.planner.count_empty())
+        if urgent != self._urgent:
+            self._urgent = urgent
+            self._wake_board.set()
+        for order in orders:
             if isinstance(order, message.Start):
                 group.start_soon(self._send_start, order)
             else:
@@ -450,7 +461,10 @@
                 )
                 if change.outcome is table.Outcome.DONE:
                     shown = board
-            await anyio.sleep(BOARD_PERIOD)
+            self._wake_board = anyio.Event()
+            await anyio.sleep(BOARD_GAP)
+            with anyio.move_on_after(BOARD_PERIOD):
+                await self._wake_board.wait()
 
     # -- small
 
--- a/wigeonhitch/site/directory.py
+++ b/wigeonhitch/site/directory.py
@@ -17,9 +17,9 @@
 SLACK = 0.5
 """Seconds beyond the wait after which the call counts as lost."""
 
-PAUSE = 0.25
+PAUSE = 0.12
 """Seconds between two calls: every worker writes each 1.5 s, and a call for
-each of these is paid for; a leaving worker has 2 s."""
+each of these is paid for; a VM that comes in a burst is found 0.06 s later."""
 
 RETRY = 0.1
 """Seconds between tries of a call that failed."""
