--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -18,6 +18,11 @@
 __all__ = ["Daemon"]
 
 
+STORE_LOST = 1.5
+"""Seconds without a renewal of the lease after which the store counts as lost:
+two renewals have failed, also where it is slow."""
+
+
 class Daemon:
     """All parts of one daemon.
 
@@ -68,12 +73,15 @@
             lambda: self._follower.catalogue,
             self._follower.list_former_pools,
             instruments,
+            self._is_store_lost,
         )
 
     @property
     def is_ready(self) -> bool:
         """Whether new connections are welcome."""
-        return self._follower.catalogue is not None and not self.stopped.is_set()
+        if self.stopped.is_set() or self._follower.catalogue is None:
+            return False
+        return not self._is_store_lost()
 
     @property
     def is_stopping(self) -> bool:
@@ -94,6 +102,9 @@
         with anyio.move_on_after(1.5):
             await self._keeper.leave()
 
+    def _is_store_lost(self) -> bool:
+        return http.read_clock() - self._keeper.renewed > STORE_LOST
+
     # -- events
 
     def _list_pools(self) -> list[str]:
--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -30,9 +30,9 @@
 PAUSE = 0.05
 """Seconds between two tries."""
 
-RETRY_AFTER = 2.0
-"""Seconds after which a refused caller is told to come back: half of the
-shortest outages of the store that were seen (4 to 9 s)."""
+RETRY_AFTER = 1.0
+"""Seconds after which a refused caller is told to come back, the least that
+can be said: another daemon may reach the store meanwhile."""
 
 
 class _Found(NamedTuple):
@@ -42,7 +42,21 @@
 
 
 class Desk:
-    """Answers callers' requests on jobs; implements `message.Desk`."""
+    """Answers callers' requests on jobs; implements `message.Desk`.
+
+    Parameters
+    ----------
+    store : rows.RowStore
+        The platform's store.
+    get_catalogue : callable
+        Returns the configuration in force, if any.
+    list_former_pools : callable
+        Returns the pools that a queue had before.
+    is_store_lost : callable
+        Whether this daemon hasn't reached the store for some time. Requests are
+        then refused at once, for another daemon may reach it; waiting for a
+        timeout each would hold callers for most of their time.
+    """
 
     def __init__(
         self,
@@ -50,8 +64,10 @@
         get_catalogue: Callable[[], model.Catalogue | None],
         list_former_pools: Callable[[str], list[str]],
         instruments: metric.Instruments,
+        is_store_lost: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
+        self._is_store_lost = is_store_lost
         self._get_catalogue = get_catalogue
         self._list_former_pools = list_former_pools
         self._instruments = instruments
@@ -66,9 +82,9 @@
         """Return the queue with the longest prefix of a path."""
         catalogue = self._get_catalogue()
         if catalogue is None:
-            return message.Answer(
-                message.Verdict.NOT_RUN, retry_after=1.0, reason="no configuration"
-            )
+            return self._refuse("no configuration")
+        if self._is_store_lost():
+            return self._refuse("store lost")
         fitting = [
             one
             for one in catalogue.queues
--- a/wigeonhitch/site/main.py
+++ b/wigeonhitch/site/main.py
@@ -59,7 +59,7 @@
 async def _serve(settings: node.NodeSettings, one: daemon.Daemon) -> None:
     closed = anyio.Event()
     application = ingress.Ingress(
-        one.desk, lambda: one.is_ready, lambda: one.is_stopping
+        one.desk, lambda: one.is_ready, lambda: not one.is_ready
     )
     addresses = [settings.callers, settings.ready]
     async with anyio.create_task_group() as group:
