--- /dev/null
+++ b/standins/rowstore.py
@@ -0,0 +1,150 @@
+"""The platform's row store in process: transactions, ranges and feeds.
+
+Implements `wigeonhitch.platform.rows.RowStore` with one counter of versions,
+and the faults that tests switch on: away, answers lost, history dropped.
+"""
+
+import time
+
+import anyio
+
+from wigeonhitch.platform import rows, table
+
+__all__ = ["RowStore"]
+
+UNKNOWN = table.Outcome.UNKNOWN
+DONE = table.Outcome.DONE
+NOT_DONE = table.Outcome.NOT_DONE
+
+
+class RowStore:
+    """Rows in memory.
+
+    Attributes
+    ----------
+    is_down : bool
+        Calls are refused, nothing is done.
+    loses : int
+        So many of the next transactions are done without an answer.
+    late : list of rows.Transaction
+        Transactions that were held back; `apply_late` carries them out.
+    holds_back : int
+        So many of the next transactions are held back, without an answer.
+    """
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.loses = 0
+        self.holds_back = 0
+        self.late: list[rows.Transaction] = []
+        self.calls = 0
+        self.version = 0
+        self.oldest = 0
+        self._rows: dict[tuple[str, str, str], rows.Row] = {}
+        self._changes: list[rows.Row] = []
+        self._changed = anyio.Event()
+
+    def put(self, name: str, part: str, key: str, value: bytes | None) -> None:
+        """Write a row as an operator or a worker does."""
+        self._apply(rows.Transaction((), (rows.Write(name, part, key, value),)))
+
+    def get(self, name: str, part: str, key: str) -> bytes | None:
+        """Return a row's value."""
+        row = self._rows.get((name, part, key))
+        return row.value if row else None
+
+    def forget_history(self) -> None:
+        """Drop all changes: feeds from before have expired."""
+        self.oldest = self.version
+        self._changes.clear()
+
+    def apply_late(self) -> list[rows.Change]:
+        """Carry out what was held back."""
+        held, self.late = self.late, []
+        return [self._apply(one) for one in held]
+
+    async def commit(self, change: rows.Transaction, *, timeout: float) -> rows.Change:
+        """Make one attempt."""
+        await anyio.lowlevel.checkpoint()
+        self.calls += 1
+        if self.is_down:
+            return rows.Change(NOT_DONE, reason="down")
+        if self.holds_back:
+            self.holds_back -= 1
+            self.late.append(change)
+            return rows.Change(UNKNOWN, reason="timeout")
+        done = self._apply(change)
+        if self.loses:
+            self.loses -= 1
+            return rows.Change(UNKNOWN, reason="timeout")
+        return done
+
+    async def read(
+        self,
+        table: str,
+        part: str,
+        *,
+        first: str = "",
+        last: str = "",
+        limit: int = 0,
+        timeout: float,
+    ) -> rows.Range:
+        """Read a range of keys."""
+        await anyio.lowlevel.checkpoint()
+        self.calls += 1
+        if self.is_down:
+            return rows.Range(NOT_DONE, reason="down")
+        found = sorted(
+            row
+            for (name, of, key), row in self._rows.items()
+            if (name, of) == (table, part) and key >= first and (not last or key < last)
+        )
+        kept = tuple(found[:limit] if limit else found)
+        return rows.Range(DONE, kept, self.version, "", *_read_times())
+
+    async def follow(
+        self, table: str, after: int, *, wait: float, timeout: float
+    ) -> rows.Feed:
+        """Wait for changes of a table."""
+        self.calls += 1
+        if self.is_down:
+            await anyio.sleep(0)
+            return rows.Feed(NOT_DONE, reason="down")
+        if after < self.oldest:
+            return rows.Feed(DONE, expired=True)
+        with anyio.move_on_after(wait):
+            while not self._list_changes(table, after):
+                await self._changed.wait()
+        changes = tuple(self._list_changes(table, after))
+        return rows.Feed(DONE, changes, self.version, False, "", *_read_times())
+
+    def _list_changes(self, name: str, after: int) -> list[rows.Row]:
+        return [r for r in self._changes if r.table == name and r.version > after]
+
+    def _apply(self, change: rows.Transaction) -> rows.Change:
+        for one in change.conditions:
+            row = self._rows.get((one.table, one.part, one.key))
+            if (row.version if row else 0) != one.version:
+                return rows.Change(
+                    NOT_DONE, 0, self._list_conflicts(change), "conflict"
+                )
+        self.version += 1
+        for write in change.writes:
+            row = rows.Row(*write[:3], write.value, self.version)
+            if write.value is None:
+                self._rows.pop(write[:3], None)
+            else:
+                self._rows[write[:3]] = row
+            self._changes.append(row)
+        self._changed.set()
+        self._changed = anyio.Event()
+        return rows.Change(DONE, self.version, (), "", *_read_times())
+
+    def _list_conflicts(self, change: rows.Transaction) -> tuple[rows.Row, ...]:
+        keys = [one[:3] for one in change.conditions]
+        return tuple(self._rows[key] for key in keys if key in self._rows)
+
+
+def _read_times() -> tuple[float, float, float]:
+    now = time.clock_gettime(time.CLOCK_BOOTTIME)
+    return now + 1000.0, now, now
--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 
 __all__ = [
+    "MOST",
+    "TASKS_MOST",
     "Advice",
     "Catalogue",
     "End",
@@ -21,6 +23,15 @@
 ]
 
 
+MOST = 10**9
+"""Highest count, size or number of milliseconds in a job: far above any that
+can be served, and small enough for sums and rows."""
+
+TASKS_MOST = 5000
+"""Most tasks of a job over all steps and occurrences that are open at once; a
+leader keeps some bytes for each."""
+
+
 class JobState(enum.Enum):
     """What a caller is told about a job."""
 
--- /dev/null
+++ b/wigeonhitch/jobs/tests/test_jobs.py
@@ -0,0 +1,111 @@
+"""Progress of jobs and their durable rows."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from wigeonhitch.jobs import model, progress, record
+
+ROOM = model.Room(1000, 100)
+
+
+def make_state(*steps, **fields):
+    job = model.Job("j", "q", "spec", steps, **fields)
+    return progress.Progress(job, 1, 100.0)
+
+
+@pytest.fixture
+def chain():
+    return make_state(model.Step(2, ROOM, 1.0), model.Step(1, ROOM, 2.0, after=(0,)))
+
+
+def test_a_step_opens_once_all_tasks_before_it_are_done(chain):
+    assert [task.step for task in chain.list_open(0.0)] == [0, 0]
+
+    chain.note_done(model.Task("j", 0, 0, 0))
+    assert [task[1:] for task in chain.list_open(0.0)] == [(0, 0, 1)]
+
+    chain.note_done(model.Task("j", 0, 0, 1))
+    assert [task[1:] for task in chain.list_open(0.0)] == [(0, 1, 0)]
+
+
+def test_one_done_end_of_a_gang_stands_for_all():
+    state = make_state(model.Step(4, ROOM, gang=True))
+
+    state.note_done(model.Task("j", 0, 0, 2))
+
+    assert state.is_complete()
+
+
+def test_a_failed_run_that_is_listed_again_counts_once(chain):
+    task = model.Task("j", 0, 0, 0)
+    for _ in range(3):
+        chain.note_failed(task, 7)
+
+    assert chain.count_failed(task) == 1
+    assert not chain.is_exhausted(task, 2)
+
+
+def test_lasting_tasks_have_no_limit_of_attempts():
+    state = make_state(model.Step(1, ROOM, lasting=True))
+    task = model.Task("j", 0, 0, 0)
+    for run in range(9):
+        state.note_failed(task, run)
+
+    assert not state.is_exhausted(task, 1)
+
+
+def test_occurrences_open_when_due():
+    step = model.Step(1, ROOM)
+    state = make_state(step, times=3, first_due=50.0, interval=10.0)
+
+    assert [task.occurrence for task in state.list_open(49.9)] == []
+    assert [task.occurrence for task in state.list_open(60.0)] == [0, 1]
+    assert state.compute_next_due(60.0) == 70.0
+
+
+steps = st.builds(
+    model.Step,
+    count=st.integers(1, 70),
+    room=st.builds(model.Room, *[st.integers(0, model.MOST)] * 3),
+    estimate=st.floats(0, 9),
+    checkpoint=st.booleans(),
+    lasting=st.booleans(),
+    label=st.sampled_from(["", "a"]),
+    may_miss=st.integers(0, 3),
+    spread=st.integers(0, model.MOST),
+    after=st.just(()),
+    target=st.floats(0, 9),
+)
+
+
+@hypothesis.given(st.lists(steps, min_size=1, max_size=4), st.data())
+def test_rows_keep_a_job_and_its_progress(found, data):
+    job = model.Job("j", "q", "spec", tuple(found), 2, 5.0, 1.0)
+    state = progress.Progress(job, 3, 9.5)
+    for number, step in enumerate(found):
+        index = data.draw(st.integers(0, step.count - 1))
+        state.note_done(model.Task("j", 1, number, index))
+        state.note_failed(model.Task("j", 0, number, index), 1 << 33)
+        state.note_checkpoint(model.Task("j", 0, number, index), "c1")
+
+    read = record.read_job("j", record.write_job(job, 9.5, cancelled=True))
+    again = progress.Progress(read.job, 3, read.accepted)
+    record.read_progress(again, record.write_progress(state))
+
+    assert read == record.JobRecord(job, 9.5, True)
+    assert again.done == state.done
+    assert again.failed_runs == state.failed_runs
+    assert again.checkpoints == state.checkpoints
+
+
+def test_a_final_row_keeps_only_the_state():
+    value = record.write_final(model.JobState.FAILED, 12.25)
+
+    read = record.read_job("j", value)
+
+    assert (read.job, read.final, read.finished) == (
+        None,
+        model.JobState.FAILED,
+        12.25,
+    )
--- /dev/null
+++ b/wigeonhitch/leadership/tests/test_core.py
@@ -0,0 +1,104 @@
+"""Who claims a vacant pool, and when a daemon stops believing in its lease."""
+
+import pytest
+
+from wigeonhitch.leadership import core, record
+
+
+def make_leadership(name, members, *, now=100.0):
+    one = core.Leadership(name, f"life-{name}", now - 10.0)
+    one.clock.learn(now, now, now)
+    one.on_members(members, 50)
+    one.on_renewed(make_member(name, now + core.LEASE))
+    return one
+
+
+def make_member(name, until, *, leaving=False):
+    return record.Member(name, f"life-{name}", until, leaving)
+
+
+def own(pool, name, version=10):
+    return record.Owner(pool, name, f"life-{name}", 1, version)
+
+
+@pytest.fixture
+def three():
+    return [make_member(name, 102.0) for name in ("a", "b", "c")]
+
+
+def test_exactly_one_of_three_claims_a_vacant_pool_at_first(three):
+    claims = [make_leadership(name, three).list_claims(["p"], 100.0) for name in "abc"]
+
+    assert sorted(claims) == [[], [], ["p"]]
+
+
+def test_the_next_candidate_claims_when_the_first_does_not(three):
+    ones = [make_leadership(name, three) for name in "abc"]
+    for one in ones:
+        one.list_claims(["p"], 100.0)
+
+    later = [one.list_claims(["p"], 100.01 + core.RANK_PAUSE) for one in ones]
+
+    assert sum(bool(claims) for claims in later) == 2
+
+
+def test_pools_of_a_dead_leader_go_to_those_that_lead_least(three):
+    one = make_leadership("a", three)
+    one.on_owner(own("p1", "a"))
+    one.on_owner(own("p2", "gone"))
+
+    assert one.list_claims(["p2"], 100.0) == []
+
+
+def test_an_owner_newer_than_the_known_members_counts_as_alive(three):
+    one = make_leadership("a", three)
+    one.on_owner(own("p", "newcomer", version=51))
+
+    assert one.list_claims(["p"], 105.0) == []
+
+
+def test_another_life_of_the_same_daemon_does_not_lead(three):
+    one = make_leadership("a", three)
+    one.on_owner(record.Owner("p", "a", "an earlier life", 1, 10))
+
+    assert not one.is_mine("p")
+    assert not one.is_alive("a", "an earlier life", 100.0)
+
+
+def test_a_lease_ends_for_its_holder_before_it_ends_for_others(three):
+    holder = make_leadership("a", three)
+    other = make_leadership("b", [make_member("a", 102.2)])
+    last = max(t / 100 for t in range(10000, 10400) if holder.is_valid(t / 100))
+
+    assert other.is_alive("a", "life-a", last)
+    assert not other.is_alive("a", "life-a", last + 2 * core.MARGIN + 0.02)
+
+
+def test_a_paused_daemon_claims_nothing_and_orders_nothing(three):
+    one = make_leadership("a", three)
+
+    assert not one.is_valid(100.0 + core.LEASE)
+    assert one.list_claims(["p"], 100.0 + core.LEASE) == []
+
+
+def test_a_late_write_of_the_lease_does_not_lengthen_it(three):
+    one = make_leadership("a", three)
+    planned = one.plan_renewal(100.0)
+    one.on_renewed(planned)
+
+    assert one.until == pytest.approx(100.0 + core.LEASE)
+
+
+def test_a_leaving_daemon_claims_nothing(three):
+    one = make_leadership("a", three)
+    one.leaving = True
+
+    assert one.list_claims(["p"], 110.0) == []
+
+
+def test_rows_keep_members_and_owners():
+    member = record.Member("a", "l", 12.345, True)
+    owner = record.Owner("p", "a", "l", 3, 99, 3.6)
+
+    assert record.read_member("a", record.write_member(member)) == member
+    assert record.read_owner("p", record.write_owner(owner), 99) == owner
--- /dev/null
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -0,0 +1,223 @@
+"""Waves under their ceilings, and VMs that follow demand."""
+
+import pytest
+
+from wigeonhitch.jobs import model
+from wigeonhitch.maintenance import core, demand, record, wave
+from wigeonhitch.platform import entries, fleet
+from wigeonhitch.pool import record as pool_record
+
+NOW = 100.0
+UPKEEP = 2.0
+ROOM = model.Room(32000, 65536)
+
+
+def make_vm(id, pool="a", *, state=fleet.VmState.UP, worker=None):
+    worker = f"w-{id}" if worker is None else worker
+    return fleet.Vm(id, pool, state, "dc", (), ROOM, worker)
+
+
+@pytest.fixture
+def state():
+    made = core.Fleet(NOW - 10)
+    made.pools = {
+        "a": model.Pool("a"),
+        "b": model.Pool("b"),
+        "off": model.Pool("off", standby=True),
+    }
+    made.home = {"a": 6, "b": 6, "off": 2}
+    listed = [make_vm(f"{pool}{n}", pool) for pool in "ab" for n in range(6)]
+    listed += [make_vm(f"off{n}", "off", worker="") for n in range(2)]
+    made.on_vms(tuple(listed), NOW)
+    for pool in "ab":
+        made.boards[pool] = pool_record.Board({}, 0, 20000)
+    return made
+
+
+def order_wave(state, vms, ceiling=2, within=26.0):
+    state.on_wave(entries.WaveOrder(1, tuple(vms), within, ceiling), NOW)
+    state.shown[1] = False
+
+
+def pick(actions, kind):
+    return [one for one in actions if isinstance(one, kind)]
+
+
+def empty(state, *workers):
+    for pool in "ab":
+        board = state.boards[pool]
+        state.boards[pool] = board._replace(empty=workers)
+
+
+def close(state, *vms):
+    for vm in vms:
+        state.on_closing(record.Closing(f"w-{vm}", vm, 1), NOW)
+
+
+def test_only_vms_shown_empty_go_down_and_never_more_than_the_ceiling(state):
+    order_wave(state, ["a0", "a1", "b0", "b1"])
+    close(state, "a0", "a1", "b0")
+    assert pick(wave.plan_waves(state, NOW, UPKEEP), core.Maintain) == []
+
+    empty(state, "w-a0", "w-a1", "w-b0")
+    orders = pick(wave.plan_waves(state, NOW, UPKEEP), core.Maintain)
+    assert len(orders) == 2
+
+
+def test_a_vm_that_was_ordered_counts_under_the_ceiling_until_it_is_back(state):
+    order_wave(state, ["a0", "a1", "b0"])
+    state.progress[1] = state.progress[1].order("a0", "w-a0").order("a1", "w-a1")
+    close(state, "b0")
+    empty(state, "w-b0")
+
+    assert pick(wave.plan_waves(state, NOW, UPKEEP), core.Maintain) == []
+
+
+def test_an_order_without_an_answer_counts_and_is_given_again(state):
+    order_wave(state, ["a0"], ceiling=1)
+    close(state, "a0")
+    empty(state, "w-a0")
+    state.progress[1] = state.progress[1].order("a0", "w-a0")
+    state.ordered_at["a0"] = NOW
+
+    assert pick(wave.plan_waves(state, NOW, UPKEEP), core.Maintain) == []
+    later = pick(wave.plan_waves(state, NOW + 1.5, UPKEEP), core.Maintain)
+    assert [one.vm for one in later] == ["a0"]
+
+
+def test_a_new_life_alone_does_not_make_a_vm_through(state):
+    """A worker that crashed between the order and its answer has a new life."""
+    order_wave(state, ["a0"])
+    state.progress[1] = state.progress[1].order("a0", "an earlier life")
+    state.on_vms((make_vm("a0"),), NOW + 5)
+
+    wave.plan_waves(state, NOW + 5, UPKEEP)
+
+    assert state.progress[1].done == frozenset()
+
+
+def test_a_wave_is_completed_once_all_are_back(state):
+    order_wave(state, ["a0"])
+    state.progress[1] = state.progress[1].order("a0", "w-a0").confirm("a0")
+    state.ordered_at["a0"] = NOW
+    state.on_vms((make_vm("a0", state=fleet.VmState.UPKEEP),), NOW + 1)
+    assert pick(wave.plan_waves(state, NOW + 1, UPKEEP), core.Show) == []
+
+    state.on_vms((make_vm("a0", worker="a new life"),), NOW + 3)
+    (shown,) = pick(wave.plan_waves(state, NOW + 3, UPKEEP), core.Show)
+    assert shown.completed
+
+
+def test_a_standby_vm_without_a_worker_is_through_after_its_upkeep(state):
+    order_wave(state, ["off0"])
+    (ordered,) = pick(wave.plan_waves(state, NOW, UPKEEP), core.Maintain)
+    assert ordered.vm == "off0"
+    state.progress[1] = state.progress[1].order("off0", "").confirm("off0")
+    state.ordered_at["off0"] = NOW
+
+    vms = tuple(state.vms.values())
+    state.on_vms(vms, NOW + 1)
+    assert pick(wave.plan_waves(state, NOW + 1, UPKEEP), core.Show) == []
+    state.on_vms(vms, NOW + 3)
+    assert pick(wave.plan_waves(state, NOW + 3, UPKEEP), core.Show)[0].completed
+
+
+def test_no_wave_is_completed_before_the_vms_are_listed(state):
+    order_wave(state, ["a0"])
+    state.vms = {}
+
+    assert pick(wave.plan_waves(state, NOW, UPKEEP), core.Show) == []
+
+
+def test_few_vms_of_a_pool_are_vacated_at_once(state):
+    order_wave(state, [f"a{n}" for n in range(6)], ceiling=6)
+
+    assert len(pick(wave.plan_waves(state, NOW, UPKEEP), core.Close)) == 2
+
+
+def test_a_pool_in_its_burst_is_left_alone_until_time_gets_short(state):
+    order_wave(state, ["a0"])
+    state.boards["a"] = state.boards["a"]._replace(unmet=64000)
+
+    assert pick(wave.plan_waves(state, NOW, UPKEEP), core.Close) == []
+    assert pick(wave.plan_waves(state, NOW + 20, UPKEEP), core.Close)
+
+
+def test_a_burst_takes_the_standby_vms_at_once(state):
+    state.boards["a"] = state.boards["a"]._replace(unmet=64000, idle=0)
+
+    moves = pick(demand.plan_moves(state, NOW), core.Move)
+
+    assert [(one.vm, one.pool) for one in moves] == [("off0", "a"), ("off1", "a")]
+    assert demand.plan_moves(state, NOW) == []
+
+
+def test_pools_keep_their_own_vms_in_anothers_burst(state):
+    state.boards["a"] = state.boards["a"]._replace(unmet=320000, idle=0)
+    board = state.boards["b"]
+    light = tuple(f"w-b{n}" for n in range(6))
+    state.boards["b"] = board._replace(idle=192000, light=light, bare=light)
+
+    actions = demand.plan_moves(state, NOW)
+
+    assert pick(actions, core.Close) == []
+
+
+def test_spare_vms_go_from_an_idle_pool_to_a_pressed_one(state):
+    spare = make_vm("spare", "b")
+    state.on_vms((*state.vms.values(), spare), NOW)
+    state.boards["a"] = state.boards["a"]._replace(unmet=160000, idle=0)
+    board = state.boards["b"]
+    state.boards["b"] = board._replace(idle=64000, light=("w-spare",))
+
+    (closing,) = pick(demand.plan_moves(state, NOW), core.Close)
+
+    assert (closing.closing.vm, closing.closing.pool) == ("spare", "a")
+
+
+def test_idle_spare_vms_are_switched_off_after_a_while(state):
+    spare = make_vm("spare", "b")
+    state.on_vms((*state.vms.values(), spare), NOW)
+    board = state.boards["b"]
+    state.boards["b"] = board._replace(idle=64000, bare=("w-spare",))
+
+    assert demand.plan_moves(state, NOW) == []
+    (closing,) = demand.plan_moves(state, NOW + demand.IDLE_FOR)
+    assert closing.closing.pool == "off"
+
+
+def test_a_vm_that_can_not_be_emptied_is_opened_again(state):
+    state.on_closing(record.Closing("w-a0", "a0", 0, "b"), NOW)
+
+    late = NOW + demand.GIVE_UP_AFTER + 0.1
+
+    assert demand.plan_moves(state, late) == [core.Open("w-a0")]
+
+
+def test_a_vm_being_vacated_moves_once_it_is_empty(state):
+    state.on_closing(record.Closing("w-a0", "a0", 0, "b"), NOW)
+    empty(state, "w-a0")
+
+    assert demand.plan_moves(state, NOW) == [core.Move("a0", "b", "w-a0")]
+
+
+def test_an_unclosed_vm_is_never_taken_for_empty(state):
+    empty(state, "w-a0")
+
+    assert not state.is_empty(state.vms["a0"])
+
+
+def test_rows_of_ended_lives_are_kept_for_a_new_leader_of_the_pool(state):
+    state.on_closing(record.Closing("old", "a0", 1, "", True), NOW)
+
+    assert state.list_stale_closings(NOW + 1) == []
+    assert state.list_stale_closings(NOW + core.CLOSINGS_KEPT + 1) == ["old"]
+    assert not state.is_closing("a0")
+
+
+def test_rows_keep_closings_and_waves():
+    closing = record.Closing("w", "v", 3, "p", True)
+    progress = record.WaveRecord(frozenset({"x"}), {"v": "w"}, frozenset({"v"}))
+
+    assert record.read_closing("w", record.write_closing(closing)) == closing
+    assert record.read_wave(record.write_wave(progress)) == progress
--- a/wigeonhitch/platform/ingress.py
+++ b/wigeonhitch/platform/ingress.py
@@ -7,7 +7,6 @@
 import orjson
 
 from wigeonhitch.jobs import model
-from wigeonhitch.platform import entries
 from wigeonhitch.site import message
 
 __all__ = ["Ingress", "read_job"]
@@ -86,7 +85,13 @@
             return message.Answer(message.Verdict.INVALID, reason="method, id or body")
         try:
             job = read_job(id, queue.name, body)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except (
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+            OverflowError,
+        ) as error:
             return message.Answer(message.Verdict.INVALID, reason=str(error))
         return await self._desk.submit(queue, job)
 
@@ -101,41 +106,54 @@
     """
     fields = orjson.loads(body)
     steps = tuple(_read_step(one) for one in fields["steps"])
+    if not steps or sum(step.count for step in steps) > model.TASKS_MOST:
+        raise ValueError(f"steps of up to {model.TASKS_MOST} tasks are expected")
     for number, step in enumerate(steps):
         if any(not 0 <= one < number for one in step.after):
             raise ValueError(f"step {number} after {step.after}; expected earlier ones")
     return model.Job(
         id,
         queue,
-        fields.get("spec", ""),
+        str(fields.get("spec", "")),
         steps,
-        int(fields.get("times", 0)),
+        _read_count(fields, "times"),
         float(fields.get("start_at_ms", 0)) / 1000,
-        float(fields.get("interval_ms", 0)) / 1000,
+        _read_count(fields, "interval_ms") / 1000,
     )
 
 
 def _read_step(fields: dict[str, Any]) -> model.Step:
     return model.Step(
-        count=max(1, int(fields.get("count", 1))),
-        room=entries.read_room(fields),
-        estimate=float(fields.get("estimate_ms", 0)) / 1000,
+        count=max(1, _read_count(fields, "count")),
+        room=model.Room(
+            _read_count(fields, "cpu"),
+            _read_count(fields, "mem_mb"),
+            _read_count(fields, "gpus"),
+        ),
+        estimate=_read_count(fields, "estimate_ms") / 1000,
         after=tuple(fields.get("after") or ()),
         checkpoint=bool(fields.get("checkpoint", False)),
         gang=bool(fields.get("gang", False)),
         same_rack=bool(fields.get("same_rack", False)),
         label=fields.get("requires") or "",
         data_rack=fields.get("affinity") or "",
-        spread=int(fields.get("anti_affinity", 0)),
+        spread=_read_count(fields, "anti_affinity"),
         speculative=bool(fields.get("speculative", False)),
         lasting=bool(fields.get("perpetual", False)),
         image=fields.get("image") or "",
-        target=float(fields.get("target_ms", 0)) / 1000,
+        target=_read_count(fields, "target_ms") / 1000,
         fills=bool(fields.get("fills", False)),
-        may_miss=int(fields.get("may_miss", 0)),
+        may_miss=_read_count(fields, "may_miss"),
     )
 
 
+def _read_count(fields: dict[str, Any], name: str) -> int:
+    value = int(fields.get(name) or 0)
+    if not 0 <= value <= model.MOST:
+        raise ValueError(f"{name} is {value}; expected 0 to {model.MOST}")
+    return value
+
+
 def _find_host(headers: list[tuple[bytes, bytes]]) -> str:
     for name, value in headers:
         if name == b"host":
--- /dev/null
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -0,0 +1,327 @@
+"""The adapter to the users' platform: what is decoded, refused and sent."""
+
+import json
+
+import orjson
+import pytest
+
+from wigeonhitch.jobs import model
+from wigeonhitch.platform import (
+    entries,
+    fleet,
+    http,
+    ingress,
+    node,
+    rows,
+    table,
+    workers,
+)
+from wigeonhitch.site import message
+
+DONE = table.Outcome.DONE
+
+
+class Client:
+    """Answers calls with what the test laid out, and keeps what was sent."""
+
+    def __init__(self, status=200, body=None, outcome=DONE):
+        self.reply = http.Reply(outcome, status, body, "", 1.0, 2.0)
+        self.sent = []
+
+    async def call(self, method, address, path, **fields):
+        self.sent.append((method, path, fields))
+        return self.reply
+
+
+@pytest.fixture
+def settings_file(tmp_path):
+    path = tmp_path / "node.conf"
+    path.write_text(
+        "node_name=n1\nzone=z1\nip=10.0.0.1\nlisten_addrs.frontend=10.0.0.1:1\n"
+        "listen_addrs.ready=10.0.0.1:2\nplatform.address=10.0.0.2:3\n"
+        "parameters.grace_s=6\nsomething.new=x\n\nnot a line\n"
+    )
+    return path
+
+
+def test_settings_are_read_and_unknown_keys_left_out(settings_file):
+    settings = node.load(settings_file)
+
+    assert (settings.name, settings.data_centre) == ("n1", "z1")
+    assert settings.bounds.grace == 6.0
+
+
+def test_all_faults_of_settings_are_named_at_once(tmp_path):
+    path = tmp_path / "node.conf"
+    path.write_text("node_name=n1\nparameters.grace_s=soon\n")
+
+    with pytest.raises(ValueError, match=r"zone.*platform.address.*'soon'"):
+        node.load(path)
+
+
+GOOD = {
+    "service": "s",
+    "address": "a:1",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 1000, "mem_mb": 5},
+    "labels": ["k", "r1"],
+    "clock_ms": 2500,
+}
+
+
+def test_a_workers_entry_is_decoded():
+    entry = entries.read_worker("i-1", orjson.dumps(GOOD))
+
+    assert entry.room == model.Room(1000, 5, 0)
+    assert (entry.pool, entry.clock, entry.leaving) == ("s", 2.5, False)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        b"null",
+        orjson.dumps({**GOOD, "state": "resting"}),
+        orjson.dumps({**GOOD, "address": 7}),
+        orjson.dumps({**GOOD, "capacity": None}),
+        orjson.dumps({**GOOD, "capacity": {"cpu": "much"}}),
+        orjson.dumps({key: GOOD[key] for key in GOOD if key != "service"}),
+    ],
+)
+def test_an_entry_of_another_writer_names_no_worker(value):
+    assert isinstance(entries.read_worker("i-1", value), entries.Bad)
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", b'{"version":1,"routes":[{}]}'])
+def test_a_configuration_that_can_not_be_read_is_refused(value):
+    assert isinstance(entries.read_catalogue(value), entries.Bad)
+
+
+def test_a_configuration_is_decoded():
+    route = {"name": "r", "host": "h", "path_prefix": "/p/", "service": "s"}
+    fields = {"version": 7, "routes": [route], "services": [{"name": "s"}]}
+
+    read = entries.read_catalogue(orjson.dumps(fields))
+
+    assert read.queues == (model.Queue("r", "h", "/p/", "s"),)
+    assert read.pools == (model.Pool("s"),)
+
+
+STEP = {"count": 2, "cpu": 500, "mem_mb": 64, "estimate_ms": 900, "perpetual": True}
+
+
+def test_a_job_is_decoded():
+    job = ingress.read_job("j", "q", orjson.dumps({"spec": "x", "steps": [STEP]}))
+
+    assert job.steps[0] == model.Step(2, model.Room(500, 64), 0.9, lasting=True)
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        {**STEP, "after": [0]},
+        {**STEP, "count": 10**30},
+        {**STEP, "cpu": -1},
+        {**STEP, "anti_affinity": 10**12},
+        {**STEP, "count": model.TASKS_MOST + 1},
+    ],
+)
+def test_a_job_that_can_not_be_kept_is_refused(step):
+    with pytest.raises((ValueError, OverflowError)):
+        ingress.read_job("j", "q", json.dumps({"steps": [step]}).encode())
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("status", "outcome", "expected"),
+    [
+        (412, DONE, "conflict"),
+        (429, DONE, "busy"),
+        (503, DONE, "down"),
+    ],
+)
+async def test_a_refused_transaction_is_certainly_not_done(status, outcome, expected):
+    store = rows.Rows(Client(status, {"rows": []}, outcome), "a")
+
+    change = await store.commit(rows.Transaction((), ()), timeout=1.0)
+
+    assert (change.outcome, change.reason) == (table.Outcome.NOT_DONE, expected)
+
+
+@pytest.mark.anyio
+async def test_a_transaction_without_an_answer_is_unknown():
+    store = rows.Rows(Client(0, None, table.Outcome.UNKNOWN), "a")
+
+    change = await store.commit(rows.Transaction((), ()), timeout=1.0)
+
+    assert change.outcome is table.Outcome.UNKNOWN
+
+
+@pytest.mark.anyio
+async def test_rows_are_written_and_removed_in_one_call():
+    client = Client(200, {"ver": 9, "now_ms": 4000})
+    store = rows.Rows(client, "a")
+    writes = (rows.Write("t", "p", "k", b"v"), rows.Write("t", "p", "old", None))
+
+    change = await store.commit(
+        rows.Transaction((rows.Condition("t", "p", "k", 3),), writes), timeout=1.0
+    )
+
+    assert (change.version, change.store_time) == (9, 4.0)
+    assert client.sent[0][2]["body"] == {
+        "if_rev": [{"table": "t", "part": "p", "key": "k", "ver": 3}],
+        "writes": [{"table": "t", "part": "p", "key": "k", "value": "dg=="}],
+        "remove": [{"table": "t", "part": "p", "key": "old"}],
+    }
+
+
+@pytest.mark.anyio
+async def test_a_feed_whose_history_is_gone_has_expired():
+    feed = await rows.Rows(Client(410), "a").follow("t", 1, wait=0.1, timeout=1.0)
+
+    assert feed.expired
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("status", "body", "outcome", "expected"),
+    [
+        (200, {"clock_ms": 5}, DONE, workers.Verdict.DONE),
+        (409, {"reason": "fence"}, DONE, workers.Verdict.FENCED),
+        (409, {"reason": "late"}, DONE, workers.Verdict.LATE),
+        (409, {"reason": "room"}, DONE, workers.Verdict.NO_ROOM),
+        (421, None, DONE, workers.Verdict.GONE),
+        (503, None, DONE, workers.Verdict.UNHEALTHY),
+        (400, None, DONE, workers.Verdict.INVALID),
+        (500, None, DONE, workers.Verdict.UNKNOWN),
+        (0, None, table.Outcome.UNKNOWN, workers.Verdict.UNKNOWN),
+        (0, None, table.Outcome.NOT_DONE, workers.Verdict.NOT_DONE),
+    ],
+)
+async def test_answers_of_workers_are_told_apart(status, body, outcome, expected):
+    calls = workers.Workers(Client(status, body, outcome))
+    order = workers.Start(model.Task("j", 0, 1, 2), 3, "", 1.5, 9)
+
+    reply = await calls.start("a:1", "i-1", order, timeout=1.0)
+
+    assert reply.verdict is expected
+
+
+@pytest.mark.anyio
+async def test_a_hold_lists_what_runs_and_what_ended():
+    body = {
+        "clock_ms": 7000,
+        "running": [["j.0.1.2", 3, "c", 41, 250]],
+        "finished": [[5, "j.0.0.0", 1, "done", ""]],
+    }
+    client = Client(200, body)
+
+    reply = await workers.Workers(client).hold(
+        "a:1", "i-1", 9, 8.5, 4, wait=0.6, timeout=1.0
+    )
+
+    task = model.Task("j", 0, 1, 2)
+    assert reply.running == (workers.Running(task, 3, "c", 41, 250),)
+    ended = workers.Ended(5, model.Task("j", 0, 0, 0), 1, model.End.DONE, "")
+    assert reply.ended == (ended,)
+    assert client.sent[0][2]["body"]["deadline_ms"] == 8500
+    assert client.sent[0][2]["headers"] == {"Target-Instance": "i-1"}
+
+
+@pytest.mark.anyio
+async def test_a_listed_vm_that_can_not_be_read_is_left_out():
+    good = {"machine": "m", "pool": "p", "state": "up", "id": None}
+    body = {"machines": [good, {"machine": 3}, {**good, "state": "odd"}, 7]}
+
+    listing = await fleet.Fleet(Client(200, body), "a").list_vms(timeout=1.0)
+
+    assert [(one.id, one.worker) for one in listing.vms] == [("m", "")]
+
+
+class Desk:
+    """Answers all with what the test laid out."""
+
+    body_limit = 100
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    def find_queue(self, host, path):
+        if path.startswith("/p/"):
+            return model.Queue("r", host, "/p/", "s")
+        return message.Answer(message.Verdict.NO_QUEUE)
+
+    async def submit(self, queue, job):
+        return self.answer
+
+    async def show(self, queue, id):
+        return self.answer
+
+    async def cancel(self, queue, id):
+        return self.answer
+
+    async def count(self, queue):
+        return message.Answer(message.Verdict.FOUND, pending=3)
+
+
+async def request(answer, method, path, body=b"", *, closing=False, ready=True):
+    application = ingress.Ingress(Desk(answer), lambda: ready, lambda: closing)
+    sent = []
+
+    async def receive():
+        return {"type": "http.request", "body": body}
+
+    async def send(event):
+        sent.append(event)
+
+    scope = {"type": "http", "method": method, "path": path}
+    scope["headers"] = [(b"host", b"h.example:80")]
+    await application(scope, receive, send)
+    headers = dict(sent[0]["headers"])
+    return sent[0]["status"], headers, sent[1]["body"]
+
+
+JOB = orjson.dumps({"spec": "", "steps": [{"count": 1}]})
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("verdict", "status"),
+    [
+        (message.Verdict.ACCEPTED, 200),
+        (message.Verdict.NOT_RUN, 503),
+        (message.Verdict.UNKNOWN, 504),
+    ],
+)
+async def test_a_submission_is_answered_by_its_verdict(verdict, status):
+    answer = message.Answer(verdict, retry_after=1.2)
+
+    found, headers, _ = await request(answer, "POST", "/p/0123456789abcdef", JOB)
+
+    assert found == status
+    assert headers[b"Retry-After"] == b"2"
+
+
+@pytest.mark.anyio
+async def test_other_answers():
+    running = message.Answer(message.Verdict.FOUND, model.JobState.RUNNING)
+
+    assert (await request(running, "GET", "/p/j"))[2] == b'{"state":"running"}'
+    assert (await request(running, "GET", "/p/"))[2] == b'{"pending":3}'
+    assert (await request(running, "GET", "/other"))[0] == 404
+    assert (await request(running, "POST", "/p/j", b"{"))[0] == 400
+    assert (await request(running, "POST", "/p/j", b" " * 101))[0] == 400
+    gone = message.Answer(message.Verdict.MISSING)
+    assert (await request(gone, "DELETE", "/p/j"))[0] == 410
+
+
+@pytest.mark.anyio
+async def test_readiness_and_the_end_of_connections():
+    answer = message.Answer(message.Verdict.MISSING)
+
+    assert (await request(answer, "GET", "/v1/readiness"))[0] == 200
+    assert (await request(answer, "GET", "/v1/readiness", ready=False))[0] == 503
+    headers = (await request(answer, "GET", "/p/j", closing=True))[1]
+    assert headers[b"Connection"] == b"close"
--- /dev/null
+++ b/wigeonhitch/pool/tests/conftest.py
@@ -0,0 +1,107 @@
+"""A leader's belief with some VMs, for the tests of its decisions."""
+
+import pytest
+
+from wigeonhitch.jobs import model, progress, record
+from wigeonhitch.platform import entries, workers
+from wigeonhitch.pool import core, planner
+
+NOW = 100.0
+CLOCK = 5000.0
+"""The workers' clocks at `NOW`."""
+
+
+class Bench:
+    """A pool and its planner, and shorthands for what happens to them."""
+
+    def __init__(self, *, fence=10, epoch=1):
+        self.told = []
+        self.pool = core.Pool(
+            "p",
+            fence,
+            epoch,
+            core.Times(6.5, 0.2),
+            NOW,
+            lambda what, **fields: self.told.append(what),
+        )
+        self.pool.on_queues([model.Queue("q", "h", "/q/", "p", max_attempts=2)])
+        self.planner = planner.Planner(self.pool)
+
+    def add_vm(
+        self, id="w1", *, cpu=8000, labels=("a", "r1"), clock=CLOCK, answers=True
+    ):
+        room = model.Room(cpu, 65536)
+        entry = entries.WorkerEntry(
+            id, "p", f"{id}:1", "dc", False, room, labels, clock
+        )
+        self.pool.on_worker(entry, NOW)
+        one = self.pool.vms[id]
+        one.recorded = True
+        if answers:
+            self.answer(one)
+        return one
+
+    def answer(self, one, running=(), ended=(), *, now=NOW, sent=None):
+        clock = CLOCK + now - NOW
+        sent = now if sent is None else sent
+        verdict = workers.Verdict.DONE
+        reply = workers.HoldReply(verdict, clock, sent, now, running, ended)
+        self.pool.on_hold(one, reply, now)
+
+    def add_job(self, id="j", *steps, version=20, accepted=NOW, **fields):
+        steps = steps or (model.Step(1, model.Room(1000, 100), 1.0),)
+        job = model.Job(id, "q", "", steps, **fields)
+        self.pool.on_job(id, record.JobRecord(job, accepted, False), version)
+        return self.pool.jobs[id]
+
+    def plan(self, now=NOW):
+        return self.planner.plan(now, now)
+
+    def start(self, now=NOW, *, answered=True):
+        """Plan, and let the workers take what is started."""
+        runs = [order.run for order in self.plan(now) if hasattr(order, "run")]
+        for run in runs:
+            run.deadline = run.vm.compute_deadline(now, 1.2)
+            run.vm.note_grant(run.deadline)
+            if answered:
+                verdict = workers.Verdict.DONE
+                reply = workers.OrderReply(verdict, CLOCK + now - NOW, now, now)
+                self.pool.on_start(run, reply, now)
+        return runs
+
+
+def list_run(run, work=100, load=0.0):
+    return workers.Running(run.task, run.number, "", work, load)
+
+
+def end_run(number, run, end=model.End.DONE):
+    return workers.Ended(number, run.task, run.number, end, "")
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+@pytest.fixture
+def make_bench():
+    return Bench
+
+
+@pytest.fixture
+def make_state():
+    def make(*steps, accepted=NOW):
+        job = model.Job("j", "q", "", steps)
+        return progress.Progress(job, 1, accepted)
+
+    return make
+
+
+@pytest.fixture
+def listed():
+    return list_run
+
+
+@pytest.fixture
+def ended():
+    return end_run
--- /dev/null
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -0,0 +1,247 @@
+"""What a leader believes of runs whose fate isn't plain."""
+
+import pytest
+
+from wigeonhitch.jobs import model, record
+from wigeonhitch.platform import workers
+from wigeonhitch.pool import core, vm
+
+NOW = 100.0
+CLOCK = 5000.0
+
+
+def lose_answer(bench, run, now=NOW):
+    reply = workers.OrderReply(workers.Verdict.UNKNOWN)
+    bench.pool.on_start(run, reply, now)
+
+
+def test_a_start_without_an_answer_is_not_repeated_before_its_deadline(bench):
+    one = bench.add_vm()
+    bench.add_job()
+    (run,) = bench.start(answered=False)
+    lose_answer(bench, run)
+
+    bench.answer(one, now=NOW + 1.0)
+    assert bench.plan(NOW + 1.0) == []
+
+    bench.answer(one, now=NOW + 1.3)
+    assert [order.run.number for order in bench.plan(NOW + 1.3)] == [run.number + 1]
+
+
+def test_a_start_without_an_answer_is_taken_as_running_once_listed(bench, listed):
+    one = bench.add_vm()
+    bench.add_job()
+    (run,) = bench.start(answered=False)
+    lose_answer(bench, run)
+
+    bench.answer(one, [listed(run)], now=NOW + 2.0)
+
+    assert run.state is vm.RunState.RUNNING
+
+
+def test_a_start_without_an_answer_that_has_ended_counts_its_end(bench, ended):
+    one = bench.add_vm()
+    state = bench.add_job()
+    (run,) = bench.start(answered=False)
+    lose_answer(bench, run)
+
+    bench.answer(one, ended=[ended(1, run)], now=NOW + 2.0)
+
+    assert state.final is model.JobState.COMPLETED
+
+
+def test_tasks_of_a_silent_vm_start_elsewhere_only_after_all_its_leases(bench):
+    one = bench.add_vm("w1")
+    bench.add_job()
+    bench.start()
+    one.note_grant(one.compute_deadline(NOW, 6.5))
+    one.is_silent = True
+    bench.add_vm("w2")
+
+    lapse = 6.5 / (1 - vm.CLOCK_DRIFT) + 0.2 + core.LAPSE_MARGIN
+    assert bench.plan(NOW + lapse - 0.1) == []
+    assert one.runs
+
+    bench.pool.vms["w2"].last_answer = NOW + lapse
+    assert [order.run.vm.id for order in bench.plan(NOW + lapse + 0.2)] == ["w2"]
+
+
+def test_a_stale_entry_does_not_make_a_new_leader_take_runs_as_lapsed(bench, listed):
+    """An entry may be seconds old, so its clock is far behind the worker's."""
+    one = bench.add_vm(clock=CLOCK - 5.0, answers=False)
+    bench.add_job(version=5)
+    one.note_grant(one.compute_deadline(NOW, 3.6))
+    task = model.Task("j", 0, 0, 0)
+
+    bench.pool.on_roster("w1", "w1:1", 3, NOW)
+    bench.answer(one, [workers.Running(task, 0, "", 50, 0)], now=NOW + 0.01)
+
+    assert bench.plan(NOW + 0.1) == []
+    assert task in one.runs
+
+
+def test_an_older_jobs_tasks_wait_for_every_vm_of_the_roster(bench):
+    bench.pool.on_roster("gone", "gone:1", 3, NOW)
+    bench.add_vm("w1")
+    bench.add_job("old", version=5)
+    bench.add_job("new", version=20)
+
+    assert [order.run.task.job for order in bench.plan()] == ["new"]
+
+    waited = 6.5 * (1 + vm.CLOCK_DRIFT) + 0.2 + core.LAPSE_MARGIN + 0.01
+    bench.pool.vms["w1"].last_answer = NOW + waited
+    assert [o.run.task.job for o in bench.plan(NOW + waited)] == ["old"]
+
+
+def test_a_vm_ended_by_an_order_is_not_waited_for(bench):
+    bench.pool.on_roster("gone", "gone:1", 3, NOW)
+    bench.add_vm("w1")
+    bench.add_job("old", version=5)
+
+    bench.pool.set_closed(frozenset({"gone"}), frozenset({"gone"}))
+
+    assert [order.run.task.job for order in bench.plan()] == ["old"]
+
+
+def test_an_entry_of_a_vm_ended_by_an_order_does_not_bring_it_back(bench):
+    one = bench.add_vm("w1")
+    bench.pool.set_closed(frozenset({"w1"}), frozenset({"w1"}))
+
+    bench.pool.on_worker(one.entry, NOW + 1.0)
+
+    assert bench.pool.vms == {}
+
+
+def test_another_life_at_the_address_ends_all_runs_at_once(bench):
+    one = bench.add_vm("w1")
+    bench.add_job()
+    bench.start()
+
+    bench.pool.on_hold(one, workers.HoldReply(workers.Verdict.GONE), NOW + 1.0)
+    bench.add_vm("w2")
+
+    assert [order.run.vm.id for order in bench.plan(NOW + 1.0)] == ["w2"]
+
+
+def test_nothing_is_started_beside_runs_that_nobody_knows(bench):
+    one = bench.add_vm()
+    stray = workers.Running(model.Task("other", 0, 0, 0), 3, "", 50, 0)
+    bench.answer(one, [stray])
+    bench.add_job()
+
+    orders = bench.plan()
+    assert [(order.task, order.number) for order in orders] == [(stray.task, 3)]
+
+    bench.answer(one)
+    assert len(bench.plan()) == 1
+
+
+def test_a_higher_token_at_a_worker_deposes(bench):
+    one = bench.add_vm()
+
+    bench.pool.on_hold(one, workers.HoldReply(workers.Verdict.FENCED), NOW)
+
+    assert bench.pool.deposed
+
+
+def test_numbers_of_runs_rise_over_leaders(make_bench):
+    numbers = []
+    for epoch in (1, 2, 3):
+        bench = make_bench(epoch=epoch)
+        bench.add_vm()
+        bench.add_job()
+        numbers.extend(run.number for run in bench.start())
+
+    assert numbers == sorted(set(numbers))
+    assert numbers[0] == 1
+
+
+def test_an_end_is_not_noted_before_its_commit(bench, ended):
+    one = bench.add_vm()
+    bench.add_job()
+    (run,) = bench.start()
+
+    bench.answer(one, ended=[ended(1, run)], now=NOW + 1)
+
+    assert (one.seen, one.noted) == (1, 0)
+
+
+def test_a_job_fails_when_one_task_has_failed_too_often(bench, ended):
+    one = bench.add_vm()
+    state = bench.add_job()
+    for number in (1, 2):
+        now = NOW + number
+        one.last_answer = now
+        (run,) = bench.start(now)
+        bench.answer(one, ended=[ended(number, run, model.End.FAILED)], now=now + 0.5)
+
+    assert state.final is model.JobState.FAILED
+    assert bench.plan(NOW + 3) == []
+
+
+def test_a_task_that_failed_on_a_vm_tries_another(bench, ended):
+    first = bench.add_vm("w1")
+    second = bench.add_vm("w2")
+    bench.add_job()
+    (run,) = bench.start()
+    failed = run.vm
+    bench.answer(failed, ended=[ended(1, run, model.End.FAILED)])
+
+    (again,) = bench.start()
+
+    assert again.vm is (second if failed is first else first)
+
+
+def test_an_end_that_an_earlier_leader_did_not_note_counts(bench):
+    one = bench.add_vm(answers=False)
+    state = bench.add_job(version=5)
+    task = model.Task("j", 0, 0, 0)
+
+    end = workers.Ended(7, task, 0, model.End.DONE, "")
+    bench.answer(one, ended=[end])
+
+    assert state.final is model.JobState.COMPLETED
+
+
+def test_the_end_of_a_run_taken_for_lapsed_does_not_count(bench, ended):
+    """Its worker's lease had run out, so that the end doesn't stand."""
+    one = bench.add_vm("w1")
+    state = bench.add_job()
+    (run,) = bench.start()
+    one.is_silent = True
+    bench.plan(NOW + 20.0)
+    assert not one.runs
+
+    bench.answer(one, ended=[ended(1, run)], now=NOW + 21.0)
+
+    assert state.final is None
+
+
+@pytest.mark.parametrize(
+    "verdict", [workers.Verdict.LATE, workers.Verdict.NO_ROOM, workers.Verdict.OLD]
+)
+def test_a_refused_start_is_tried_again_with_a_higher_number(bench, verdict):
+    bench.add_vm()
+    bench.add_job()
+    (run,) = bench.start(answered=False)
+    bench.pool.on_start(run, workers.OrderReply(verdict), NOW)
+
+    assert bench.plan(NOW) == []
+    (again,) = bench.start(NOW + core.RETRY_PAUSE)
+    assert again.number == run.number + 1
+
+
+def test_cancelled_jobs_are_stopped_and_then_final(bench, ended, listed):
+    one = bench.add_vm()
+    state = bench.add_job()
+    (run,) = bench.start()
+    job = bench.pool.jobs["j"].job
+    bench.pool.on_job("j", record.JobRecord(job, NOW, True), 30)
+    (stop,) = bench.plan(NOW + 0.1)
+    assert (stop.task, stop.number) == (run.task, run.number)
+    assert state.final is None
+
+    stopped = ended(1, run, model.End.STOPPED)
+    bench.answer(one, ended=[stopped], now=NOW + 0.3)
+    bench.plan(NOW + 0.4)
+    assert state.final is model.JobState.CANCELLED
--- /dev/null
+++ b/wigeonhitch/pool/tests/test_ledger.py
@@ -0,0 +1,125 @@
+"""What a leader writes, and what it makes of lost answers and conflicts."""
+
+import pytest
+
+from wigeonhitch.jobs import model, record
+from wigeonhitch.platform import rows, table
+from wigeonhitch.pool import ledger
+
+NOW = 100.0
+DONE = rows.Change(table.Outcome.DONE, 77)
+UNKNOWN = rows.Change(table.Outcome.UNKNOWN, reason="timeout")
+
+
+@pytest.fixture
+def book():
+    return ledger.Ledger("p", 10)
+
+
+def collect(book, jobs, vms=None):
+    return book.collect(jobs, vms or {}, 5.0, 120.0, "job00")
+
+
+def conflict(*found):
+    return rows.Change(table.Outcome.NOT_DONE, 0, found, "conflict")
+
+
+def test_every_write_depends_on_the_owner_and_on_the_row_it_replaces(book, make_state):
+    state = make_state(model.Step(1))
+    book.versions["j"] = 33
+    book.mark("j")
+
+    conditions = collect(book, {"j": state}).transaction.conditions
+
+    assert {(one.table, one.version) for one in conditions} == {
+        ("owner", 10),
+        ("progress", 33),
+    }
+
+
+def test_what_was_not_done_is_written_again(book, make_state):
+    jobs = {"j": make_state(model.Step(1))}
+    book.mark("j")
+    batch = collect(book, jobs)
+    assert not book.has_work
+
+    assert not book.on_result(batch, UNKNOWN).done
+    assert collect(book, jobs).jobs == ("j",)
+
+
+def test_a_write_that_was_done_without_an_answer_is_recognised(book, make_state):
+    jobs = {"j": make_state(model.Step(1))}
+    book.mark("j")
+    batch = collect(book, jobs)
+    book.on_result(batch, UNKNOWN)
+    again = collect(book, jobs)
+
+    book.on_result(again, conflict(rows.Row("progress", "p", "j", b"{}", 40)))
+
+    conditions = collect(book, jobs).transaction.conditions
+    assert conditions[1].version == 40
+
+
+def test_another_owner_deposes(book, make_state):
+    jobs = {"j": make_state(model.Step(1))}
+    book.mark("j")
+    batch = collect(book, jobs)
+
+    result = book.on_result(batch, conflict(rows.Row("owner", "p", "owner", b"", 11)))
+
+    assert result.deposed
+
+
+def test_a_final_row_replaces_the_job_and_removes_its_progress(book, make_state):
+    state = make_state(model.Step(1))
+    state.final = model.JobState.COMPLETED
+    book.versions["j"] = 33
+    book.mark("j")
+
+    writes = collect(book, {"j": state}).transaction.writes
+
+    assert [(one.table, one.value is None) for one in writes] == [
+        ("job00", False),
+        ("progress", True),
+    ]
+    assert record.read_job("j", writes[0].value).final is model.JobState.COMPLETED
+
+
+def test_a_cancellation_beside_a_final_write_is_handed_back(book, make_state):
+    state = make_state(model.Step(1))
+    state.final = model.JobState.COMPLETED
+    book.mark("j")
+    batch = collect(book, {"j": state})
+    row = rows.Row("job00", "p", "j", b"", 50)
+
+    assert book.on_result(batch, conflict(row)).changed == (row,)
+
+
+def test_ends_are_told_only_with_the_batch_that_holds_them_all(book, make_state):
+    jobs = {}
+    for number in range(ledger.JOBS_A_BATCH + 1):
+        jobs[f"j{number}"] = make_state(model.Step(1))
+        book.mark(f"j{number}")
+
+    class Seen:
+        id, seen = "w1", 4
+
+    assert collect(book, jobs, {"w1": Seen}).seen == {}
+    assert collect(book, jobs, {"w1": Seen}).seen == {"w1": 4}
+
+
+def test_final_rows_are_removed_once_they_were_kept_long_enough(book, make_state):
+    book.on_final_row("old", 3, 1.0)
+    book.on_final_row("new", 4, 100.0)
+    book.add_vm("w1", "w1:1")
+
+    batch = book.collect({}, {}, 130.0, 120.0, "job00")
+
+    assert batch.expired == ("old",)
+
+
+def test_jobs_that_are_gone_are_not_waited_for(book):
+    book.mark("forgotten")
+    collect(book, {})
+
+    assert not book.has_work
--- /dev/null
+++ b/wigeonhitch/pool/tests/test_planner.py
@@ -0,0 +1,226 @@
+"""Who goes first, where to, and what is moved off VMs that go away."""
+
+import pytest
+
+from wigeonhitch.jobs import model
+from wigeonhitch.pool import order, pacing, vm
+
+NOW = 100.0
+
+
+def step(count=1, cpu=1000, **fields):
+    return model.Step(count, model.Room(cpu, 100), **{"estimate": 1.0, **fields})
+
+
+def list_started(orders):
+    return [(one.run.task.job, one.run.vm.id) for one in orders]
+
+
+def test_a_burst_beyond_the_pool_serves_the_cheapest_worth_first(bench):
+    """Five times what the pool holds: small jobs are worth more a core-second."""
+    bench.add_vm(cpu=8000)
+    bench.add_job("large", step(8, 2000, estimate=2.0))
+    for number in range(4):
+        bench.add_job(f"small{number}", step(2, 1000))
+
+    started = {job for job, _ in list_started(bench.plan())}
+
+    assert started == {"small0", "small1", "small2", "small3"}
+
+
+def test_jobs_that_can_not_be_in_time_come_after_those_that_can(bench):
+    bench.add_vm(cpu=1000)
+    bench.add_job("late", step(), accepted=NOW - 5)
+    bench.add_job("in-time", step(estimate=1.2), accepted=NOW)
+
+    assert list_started(bench.plan()) == [("in-time", "w1")]
+
+
+def test_a_late_job_uses_idle_room(bench):
+    bench.add_vm()
+    bench.add_job("late", step(), accepted=NOW - 50)
+
+    assert list_started(bench.plan()) == [("late", "w1")]
+
+
+def test_lasting_tasks_go_before_all_others(bench):
+    bench.add_vm(cpu=1000)
+    bench.add_job("batch", step(), accepted=NOW - 1)
+    bench.add_job("lasting", step(lasting=True), accepted=NOW)
+
+    assert list_started(bench.plan()) == [("lasting", "w1")]
+
+
+def test_worth_is_bounded_by_four_times_the_mean():
+    assert order.compute_worth(1000.0, 1.0) == order.WORTH_MOST
+    assert order.compute_worth(0.0, 1.0) == order.BASE_WORTH
+    assert order.compute_worth(5.0, 0.0) == 1.0
+
+
+def test_tasks_of_a_step_stay_apart_as_asked(bench):
+    bench.add_vm("w1")
+    bench.add_vm("w2")
+    bench.add_job("j", step(3, spread=1))
+
+    assert sorted(one.run.vm.id for one in bench.plan()) == ["w1", "w2"]
+
+
+def test_a_label_and_the_datas_rack_decide(bench):
+    bench.add_vm("w1", labels=("a", "r1"))
+    bench.add_vm("w2", labels=("b", "r2"))
+    bench.add_job("near", step(data_rack="r2"))
+    bench.add_job("kind", step(label="a"))
+
+    assert sorted(list_started(bench.plan())) == [("kind", "w1"), ("near", "w2")]
+
+
+def test_a_gang_starts_whole_with_one_number_or_not_at_all(bench):
+    bench.add_vm("w1", cpu=2000)
+    bench.add_job("gang", step(3, gang=True))
+    assert bench.plan() == []
+
+    bench.add_vm("w2", cpu=2000)
+    orders = bench.plan()
+    assert len(orders) == 3
+    assert len({one.run.number for one in orders}) == 1
+
+
+def test_a_gang_of_one_rack_stays_in_it(bench):
+    bench.add_vm("w1", cpu=2000, labels=("a", "r1"))
+    bench.add_vm("w2", cpu=2000, labels=("a", "r2"))
+    bench.add_vm("w3", cpu=2000, labels=("a", "r2"))
+    bench.add_job("gang", step(4, gang=True, same_rack=True))
+
+    assert {one.run.vm.rack for one in bench.plan()} == {"r2"}
+
+
+def test_filling_tasks_take_no_processors_of_others(bench):
+    bench.add_vm(cpu=1000)
+    bench.add_job("fill", step(lasting=True, fills=True))
+    bench.add_job("serve", step(lasting=True))
+
+    assert len(bench.plan()) == 2
+
+
+def test_nothing_is_started_on_vms_that_leave_or_are_vacated(bench):
+    bench.add_vm("w1")
+    leaving = bench.pool.vms["w1"].entry._replace(leaving=True)
+    bench.pool.on_worker(leaving, NOW)
+    bench.add_vm("w2")
+    bench.pool.set_closed(frozenset({"w2"}), frozenset())
+    bench.add_job("j")
+
+    assert bench.plan() == []
+
+
+def place_lasting(bench, count, may_miss):
+    """Put the tasks of a lasting job on w1 and w2 and let them work."""
+    bench.add_job("j", step(count, 1000, lasting=True, may_miss=may_miss, spread=2))
+    return bench.start()
+
+
+def work(bench, listed, now=NOW):
+    for one in bench.pool.vms.values():
+        runs = [listed(run) for run in one.runs.values()]
+        bench.answer(one, runs, now=now)
+
+
+def test_no_more_tasks_are_moved_at_once_than_the_step_may_miss(bench, listed):
+    bench.add_vm("w1")
+    bench.add_vm("w2")
+    place_lasting(bench, 4, may_miss=1)
+    bench.add_vm("w3")
+    work(bench, listed)
+    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+
+    assert len(bench.plan()) == 1
+    assert bench.plan() == []
+
+
+def test_tasks_away_for_another_cause_count_too(bench, listed):
+    bench.add_vm("w1")
+    bench.add_vm("w2")
+    runs = place_lasting(bench, 4, may_miss=1)
+    bench.add_vm("w3")
+    work(bench, listed)
+    away = next(run for run in runs if run.vm.id == "w2")
+    away.work = 0.0
+    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+
+    assert bench.plan() == []
+
+
+def test_a_task_is_moved_only_when_there_is_room_elsewhere(bench, listed):
+    bench.add_vm("w1")
+    place_lasting(bench, 2, may_miss=1)
+    work(bench, listed)
+    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+
+    assert bench.plan() == []
+
+
+def test_a_vacated_vm_shows_as_empty_only_once_nothing_runs_there(bench, listed, ended):
+    one = bench.add_vm("w1")
+    bench.add_job()
+    (run,) = bench.start()
+    bench.answer(one, [listed(run, 10)])
+    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+    assert bench.planner.make_board().empty == ()
+
+    bench.answer(one, ended=[ended(1, run)])
+    assert bench.planner.make_board().empty == ("w1",)
+
+
+def test_the_board_counts_jobs_that_have_not_begun(bench):
+    bench.add_vm(cpu=1000)
+    bench.add_job("first")
+    bench.add_job("second")
+    bench.start()
+
+    assert bench.planner.make_board().waiting == {"q": 1}
+
+
+def test_the_board_shows_what_jobs_in_time_miss(bench):
+    bench.add_vm(cpu=1000)
+    bench.add_job("j", step(9, 1000))
+    bench.plan()
+
+    assert bench.planner.make_board().unmet == 8000
+
+
+def test_vms_that_fail_all_are_set_aside_but_never_most_of_a_pool(bench):
+    for name in ("w1", "w2", "w3"):
+        bench.add_vm(name)
+    bench.pool.vms["w1"].set_aside(NOW)
+    bench.add_job("j", step(4, 8000))
+    assert sorted(one.run.vm.id for one in bench.plan()) == ["w2", "w3"]
+
+    bench.pool.vms["w2"].set_aside(NOW)
+    bench.pool.vms["w3"].set_aside(NOW)
+    assert [one.run.vm.id for one in bench.plan()] == ["w1"]
+
+
+def test_setting_aside_lasts_longer_each_time_and_a_done_end_resets_it():
+    entry_vm = vm.Vm.__new__(vm.Vm)
+    entry_vm.failures, entry_vm.set_aside_until = 0, 0.0
+    entry_vm._set_aside_for = vm.SET_ASIDE
+    spans = []
+    for _ in range(2):
+        for _ in range(vm.FAILURES_ALLOWED + 1):
+            entry_vm.note_end(model.End.FAILED, NOW)
+        spans.append(entry_vm.set_aside_until - NOW)
+    entry_vm.note_end(model.End.DONE, NOW)
+    entry_vm.set_aside(NOW)
+    spans.append(entry_vm.set_aside_until - NOW)
+
+    assert spans == [vm.SET_ASIDE, 2 * vm.SET_ASIDE, vm.SET_ASIDE]
+
+
+@pytest.mark.parametrize(
+    ("tail", "pace", "expected"),
+    [(0.09, 100, 50), (0.2, 100, 25), (0.2, 20, 0), (0.05, 50, 65), (0.07, 50, 50)],
+)
+def test_filling_tasks_are_paced_by_the_tail_of_serving_ones(tail, pace, expected):
+    run = vm.Run(model.Task("j", 0, 0, 0), 1, None, step(target=0.1), NOW)
+
+    assert pacing.compute_pace(pace, [(tail, run)]) == expected
--- /dev/null
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -0,0 +1,181 @@
+"""Accepting, showing and cancelling jobs while the store misbehaves."""
+
+import pytest
+
+from standins import rowstore
+from wigeonhitch.jobs import model, record
+from wigeonhitch.pool import record as pool_record
+from wigeonhitch.pool import task as pool_task
+from wigeonhitch.site import catalogue, desk, message
+from wigeonhitch.telemetry import metric
+
+pytestmark = pytest.mark.anyio
+
+QUEUE = model.Queue("q", "h", "/q/", "p")
+MOVED = QUEUE._replace(pool="other")
+JOB = model.Job("j", "q", "", (model.Step(1, model.Room(1000, 10)),))
+TABLE = pool_task.name_job_table("p")
+
+
+class Site:
+    """A desk on a store in process."""
+
+    def __init__(self):
+        self.store = rowstore.RowStore()
+        self.queues = (QUEUE,)
+        self.former = []
+        self.is_lost = False
+        self.desk = desk.Desk(
+            self.store,
+            lambda: model.Catalogue(1, self.queues, ()),
+            lambda queue: self.former,
+            metric.Instruments(),
+            lambda: self.is_lost,
+        )
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+async def test_a_job_is_accepted_once_its_row_is_there(site):
+    answer = await site.desk.submit(QUEUE, JOB)
+
+    assert answer.verdict is message.Verdict.ACCEPTED
+    assert record.read_job("j", site.store.get(TABLE, "p", "j")).job == JOB
+
+
+async def test_an_id_that_comes_again_stays_one_job(site):
+    await site.desk.submit(QUEUE, JOB)
+    version = site.store.version
+
+    answer = await site.desk.submit(QUEUE, JOB._replace(spec="other"))
+
+    assert answer.verdict is message.Verdict.ACCEPTED
+    assert site.store.version == version
+
+
+async def test_an_id_that_comes_again_after_its_queue_moved_stays_one_job(site):
+    await site.desk.submit(QUEUE, JOB)
+    site.former = ["p"]
+
+    answer = await site.desk.submit(MOVED, JOB)
+
+    assert answer.verdict is message.Verdict.ACCEPTED
+    assert site.store.get(pool_task.name_job_table("other"), "other", "j") is None
+    assert (await site.desk.show(MOVED, "j")).state is model.JobState.QUEUED
+
+
+async def test_not_run_is_only_said_of_what_was_certainly_not_written(site):
+    site.store.is_down = True
+
+    answer = await site.desk.submit(QUEUE, JOB)
+
+    assert answer.verdict is message.Verdict.NOT_RUN
+    assert answer.retry_after > 0
+    assert site.store.get(TABLE, "p", "j") is None
+
+
+async def test_a_lost_answer_is_resolved_by_the_row(site):
+    site.store.loses = 1
+
+    answer = await site.desk.submit(QUEUE, JOB)
+
+    assert answer.verdict is message.Verdict.ACCEPTED
+
+
+async def test_what_may_yet_be_written_is_never_called_not_run(site):
+    site.store.holds_back = 99
+
+    answer = await site.desk.submit(QUEUE, JOB)
+    site.store.apply_late()
+
+    assert answer.verdict is message.Verdict.UNKNOWN
+    assert site.store.get(TABLE, "p", "j") is not None
+
+
+async def test_a_store_out_of_reach_refuses_before_anything_is_sent(site):
+    site.is_lost = True
+
+    answer = site.desk.find_queue("h", "/q/j")
+
+    assert answer.verdict is message.Verdict.NOT_RUN
+    assert site.store.calls == 0
+
+
+async def test_the_longest_prefix_of_the_host_names_the_queue(site):
+    inner = QUEUE._replace(name="inner", prefix="/q/in/")
+    site.queues = (QUEUE, inner, QUEUE._replace(host="x"))
+
+    assert site.desk.find_queue("h", "/q/in/j") == inner
+    assert site.desk.find_queue("h", "/z").verdict is message.Verdict.NO_QUEUE
+
+
+async def test_a_cancelled_job_is_shown_so_and_marked_once(site):
+    await site.desk.submit(QUEUE, JOB)
+
+    for _ in range(2):
+        answer = await site.desk.cancel(QUEUE, "j")
+        assert answer.verdict is message.Verdict.ACCEPTED
+
+    assert (await site.desk.show(QUEUE, "j")).state is model.JobState.CANCELLED
+    assert record.read_job("j", site.store.get(TABLE, "p", "j")).cancelled
+
+
+async def test_cancelling_a_completed_job_changes_nothing(site):
+    site.store.put(TABLE, "p", "j", record.write_final(model.JobState.COMPLETED, 1))
+
+    await site.desk.cancel(QUEUE, "j")
+
+    assert (await site.desk.show(QUEUE, "j")).state is model.JobState.COMPLETED
+
+
+async def test_a_job_nobody_submitted_is_missing(site):
+    assert (await site.desk.show(QUEUE, "j")).verdict is message.Verdict.MISSING
+    assert (await site.desk.cancel(QUEUE, "j")).verdict is message.Verdict.MISSING
+
+
+async def test_a_store_that_is_away_makes_no_job_missing(site):
+    site.store.is_down = True
+
+    assert (await site.desk.show(QUEUE, "j")).verdict is message.Verdict.NOT_RUN
+
+
+async def test_a_job_with_progress_is_running(site):
+    await site.desk.submit(QUEUE, JOB)
+    site.store.put(pool_record.PROGRESS_TABLE, "p", "j", b"{}")
+
+    assert (await site.desk.show(QUEUE, "j")).state is model.JobState.RUNNING
+
+
+async def test_the_count_is_what_the_leader_shows(site):
+    board = pool_record.Board({"q": 4, "other": 9})
+    value = pool_record.write_board(board)
+    site.store.put(pool_record.BOARD_TABLE, "p", pool_record.BOARD_TABLE, value)
+
+    assert (await site.desk.count(QUEUE)).pending == 4
+
+
+def make_configuration(version, pool="p"):
+    route = f'"name":"q","host":"h","path_prefix":"/q/","service":"{pool}"'
+    text = f'{{"version":{version},"routes":[{{{route}}}],"services":[]}}'
+    return text.encode()
+
+
+async def test_a_configuration_never_goes_back(site):
+    changes = []
+    follower = catalogue.Follower(site.store, lambda: changes.append(1))
+    for version in (5, 7, 6, 7):
+        follower._take_catalogue(make_configuration(version))
+
+    assert follower.catalogue.version == 7
+    assert len(changes) == 2
+
+
+async def test_a_queue_that_moves_keeps_its_former_pool(site):
+    follower = catalogue.Follower(site.store, lambda: None)
+    follower._take_catalogue(make_configuration(1))
+    follower._take_catalogue(make_configuration(2, "other"))
+
+    assert follower.list_former_pools("q") == ["p"]
