End the stand-in worker's runs in the order of time

Its runs ended by the lease though their work was done before: a test of a takeover saw two starts. Workers' leases are 3.8 s: a takeover took up to 3.4.

--- a/standins/siteworker.py
+++ b/standins/siteworker.py
@@ -89,14 +89,16 @@
         """Let time pass: runs end by themselves or with the lease."""
         if not self.alive:
             return
-        lapsed = self.read_clock(now) > self._deadline
+        ends = (self._deadline - self._offset) / (1 - self._drift)
+        for run in list(self.runs.values()):
+            if run.ends_at <= min(now, ends):
+                self._end(run, run.how, now)
+        lapsed = now > ends
         self._lapses += lapsed and not self._is_lapsed
         self._is_lapsed = lapsed
         for run in list(self.runs.values()):
             if lapsed:
                 self._end(run, model.End.LAPSED, now)
-            elif run.ends_at <= now:
-                self._end(run, run.how, now)
 
     def crash(self, now: float) -> None:
         """End this life with all that runs."""
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -23,10 +23,11 @@
 """Tables over which jobs are spread by pool: a leader follows one of them and
 reads little of other pools' jobs; the store holds at most 100 tables."""
 
-WORKER_LEASE = 3.6
+WORKER_LEASE = 3.8
 """Seconds for which a worker keeps its tasks without a renewal. Longer than a
-takeover (a lease of 2.2 s, a poll of 0.5 s and the first calls), so that work
-goes on when a leader dies; what ran on a silent VM starts elsewhere after it."""
+takeover (a lease of 2.2 s, a poll of 0.5 s, a hold of 0.6 s and the first
+calls), so that work goes on when a leader dies; what ran on a silent VM starts
+elsewhere after it."""
 
 LONG_LEASE = 6.5
 """The same while the store doesn't answer this daemon: outages last 3 to 9 s,
