--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -169,15 +169,17 @@
     def _must_vacate(self, run: vm.Run, table: place.Table) -> bool:
         """Whether a lasting run is to be moved off a VM that goes away.
 
-        No more of its step may be away than it may miss, whatever the cause;
-        where a VM leaves by itself its tasks end in any case. Nothing is
-        stopped before there is room for it elsewhere.
+        No more of its step may be away than it may miss, whatever the cause,
+        but where a VM leaves by itself: there its tasks end in any case. Nothing
+        is stopped before there is room for it elsewhere.
         """
         one = run.vm
         if not run.step.lasting or not (one.closed or one.entry.leaving):
             return False
-        away = self.pool.count_away(run.task.job, run.task.step)
-        if run.is_at_work and away + 1 > run.step.may_miss:
+        others = self.pool.count_away(run.task.job, run.task.step)
+        if not run.is_at_work:
+            others -= 1  # it may have come to work since it was last listed
+        if others + 1 > run.step.may_miss and not one.entry.leaving:
             return False
         return table.choose(run.task, run.step) is not None
 
--- a/wigeonhitch/pool/tests/test_planner.py
+++ b/wigeonhitch/pool/tests/test_planner.py
@@ -224,3 +224,17 @@
     run = vm.Run(model.Task("j", 0, 0, 0), 1, None, step(target=0.1), NOW)
 
     assert pacing.compute_pace(pace, [(tail, run)]) == expected
+
+
+def test_a_task_that_may_have_come_to_work_since_counts_as_at_work(bench, listed):
+    """Its figure is up to a hold old: a stop would meet it at work."""
+    bench.add_vm("w1")
+    bench.add_vm("w2")
+    runs = place_lasting(bench, 4, may_miss=1)
+    bench.add_vm("w3")
+    work(bench, listed)
+    for run in runs:
+        run.work = 100.0 if run.vm.id == "w2" else 0.0
+    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+
+    assert bench.plan() == []
