Serve metrics, bound log lines, and tell one request's story

Lines are written to standard output without ever blocking, 40 of a kind in a second, with a count of those left out; a dependency that is lost makes two lines. 'wigeonhitch explain ID' reads them back; 'settings check' takes the platform's file.

--- a/wigeonhitch/command/local.py
+++ b/wigeonhitch/command/local.py
@@ -21,16 +21,21 @@
     Parameters
     ----------
     file : str
-        YAML file.
+        YAML file, or the file of ``key=value`` lines that the users' platform
+        lays beside each process.
     """
+    from wigeonhitch.platform import node
     from wigeonhitch.settings import load
 
     try:
         text = pathlib.Path(file).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise options.UsageError(f"{file}: {error}") from error
-    loaded = load.check_settings(text)
-    problems = [problem.format_problem(one) for one in loaded.problems]
+    if node.is_node_file(text):
+        problems = list(node.check(text).problems)
+    else:
+        loaded = load.check_settings(text)
+        problems = [problem.format_problem(one) for one in loaded.problems]
     if problems:
         body = {"status": "INVALID", "problems": problems}
         return report.Report(report.Exit.REFUSED, body, tuple(problems))
--- a/wigeonhitch/command/main.py
+++ b/wigeonhitch/command/main.py
@@ -5,7 +5,7 @@
 
 import defopt
 
-from wigeonhitch.command import documents, fleet, jobs, local
+from wigeonhitch.command import documents, fleet, jobs, local, story
 
 __all__ = ["COMMANDS", "main", "run"]
 
@@ -21,6 +21,7 @@
     "wave": fleet.WAVES,
     "job": jobs.GROUP,
     "status": fleet.STATUS,
+    "explain": story.COMMAND,
 }
 
 
--- /dev/null
+++ b/wigeonhitch/command/story.py
@@ -0,0 +1,119 @@
+"""The command ``explain``: one request's story from the log lines of daemons."""
+
+import json
+import pathlib
+import sys
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any, NamedTuple
+
+from wigeonhitch.command import options, report
+
+__all__ = ["COMMAND", "Line", "find_story", "read_lines"]
+
+ABOUT_POOL = (
+    "leadership claimed",
+    "leadership lost",
+    "leadership given up",
+    "pool loaded",
+    "leases lapsed",
+    "VM waited out",
+    "commit of ends lost",
+    "commit of ends back",
+)
+"""Changes of a pool that bear on each job that it holds meanwhile."""
+
+HIDDEN = {"time", "level", "change", "daemon", "job"}
+
+
+class Line(NamedTuple):
+    """One log line; ``time`` as written, which sorts by text."""
+
+    time: str
+    daemon: str
+    change: str
+    fields: dict[str, Any]
+
+
+async def explain(id: str, files: Sequence[str] = ()) -> report.Report:
+    """Print what all daemons logged about one job, in order.
+
+    Lines on the job's pool stand between the first and the last of the job's
+    own: who led it, what was lost meanwhile.
+
+    Parameters
+    ----------
+    id : str
+        The job's id, as its caller chose it.
+    files : Sequence[str]
+        Files with log lines of daemons; standard input when there are none.
+    """
+    try:
+        lines = list(read_lines(_open_all(files)))
+    except OSError as error:
+        raise options.UsageError(str(error)) from error
+    story = find_story(lines, id)
+    if not story:
+        body = {"status": "NOT_FOUND", "reason": f"no line names the job {id!r}"}
+        return report.Report(report.Exit.NOT_FOUND, body, (body["reason"],))
+    shown = [line._asdict() for line in story]
+    return report.Report(report.Exit.DONE, shown, tuple(map(_draw, story)))
+
+
+def read_lines(texts: Iterable[str]) -> Iterator[Line]:
+    """Read log lines; what stands before the JSON is left out.
+
+    Examples
+    --------
+    >>> [line.change for line in read_lines(['x {"time": "1", "change": "start"}'])]
+    ['start']
+    """
+    for text in texts:
+        begin = text.find("{")
+        if begin < 0:
+            continue
+        try:
+            fields = json.loads(text[begin:])
+        except ValueError:
+            continue
+        if isinstance(fields, dict) and "change" in fields:
+            daemon = str(fields.get("daemon", ""))
+            yield Line(str(fields.get("time", "")), daemon, fields["change"], fields)
+
+
+def find_story(lines: Iterable[Line], id: str) -> list[Line]:
+    """Return the lines on a job, and on its pool meanwhile, in order of time."""
+    ordered = sorted(lines, key=lambda line: line.time)
+    own = [line for line in ordered if line.fields.get("job") == id]
+    if not own:
+        return []
+    pools = {line.fields["pool"] for line in own if "pool" in line.fields}
+    first, last = own[0].time, own[-1].time
+    return [
+        line
+        for line in ordered
+        if line.fields.get("job") == id
+        or (
+            line.change in ABOUT_POOL
+            and line.fields.get("pool") in pools
+            and first <= line.time <= last
+        )
+    ]
+
+
+def _open_all(files: Sequence[str]) -> Iterator[str]:
+    if not files:
+        yield from sys.stdin
+    for file in files:
+        yield from pathlib.Path(file).read_text(encoding="utf-8").splitlines()
+
+
+def _draw(line: Line) -> str:
+    rest = " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name not in HIDDEN and value not in ("", None)
+    )
+    return f"{line.time}  {line.daemon}  {line.change}  {rest}".rstrip()
+
+
+COMMAND = options.local(explain)
--- /dev/null
+++ b/wigeonhitch/command/tests/test_story.py
@@ -0,0 +1,75 @@
+"""Finding a request's cause from captured log lines, by its id alone."""
+
+import json
+
+import pytest
+
+from wigeonhitch.command import main, report, story
+
+
+def line(time, daemon, change, **fields):
+    body = {"time": time, "level": "info", "daemon": daemon, "change": change}
+    return json.dumps(body | fields)
+
+
+LINES = [
+    line("10:00:05", "d2", "leadership claimed", pool="p", fence=9),
+    line("10:00:01", "d1", "job submitted", job="j1", pool="p", verdict="accepted"),
+    line("10:00:02", "d1", "job submitted", job="j2", pool="p", verdict="not run"),
+    line("10:00:03", "d2", "leases lapsed", pool="p", vm="w1", runs=2),
+    line("10:00:03", "d2", "leases lapsed", pool="other", vm="w9", runs=2),
+    line("10:00:09", "d2", "job failed", job="j1", pool="p", vm="w2"),
+    "   1.2 d1 not a line of ours",
+]
+
+
+@pytest.fixture
+def file(tmp_path):
+    path = tmp_path / "all.log"
+    path.write_text("\n".join(f"12.5 {text}" for text in LINES))
+    return str(path)
+
+
+def test_a_story_is_in_order_over_daemons_with_what_its_pool_met(file, capsys):
+    code = main.main(["explain", "j1", "--files", file])
+
+    shown = capsys.readouterr().out.splitlines()
+    assert code == report.Exit.DONE
+    assert [text.split("  ")[2] for text in shown] == [
+        "job submitted",
+        "leases lapsed",
+        "leadership claimed",
+        "job failed",
+    ]
+    assert "vm=w1" in shown[1]
+
+
+def test_a_refused_request_tells_its_verdict(file, capsys):
+    main.main(["explain", "j2", "--json", "--files", file])
+
+    (only,) = json.loads(capsys.readouterr().out)
+    assert only["fields"]["verdict"] == "not run"
+
+
+def test_an_unknown_id_is_not_found(file):
+    assert main.main(["explain", "j3", "--files", file]) == report.Exit.NOT_FOUND
+
+
+def test_a_missing_file_is_a_usage_error(capsys):
+    assert main.main(["explain", "j1", "--files", "/no/such/file"]) == report.Exit.USAGE
+
+
+def test_lines_that_are_no_json_are_left_out():
+    assert list(story.read_lines(["{broken", "[]", "plain"])) == []
+
+
+def test_the_platforms_settings_are_checked_too(tmp_path, capsys):
+    path = tmp_path / "node.conf"
+    path.write_text("node_name=n\nparameters.grace_s=soon\n")
+
+    code = main.main(["settings", "check", str(path)])
+
+    shown = capsys.readouterr().out
+    assert code == report.Exit.REFUSED
+    assert "platform.address is missing" in shown
+    assert "'soon'" in shown
--- a/wigeonhitch/platform/node.py
+++ b/wigeonhitch/platform/node.py
@@ -3,7 +3,16 @@
 import pathlib
 from typing import NamedTuple
 
-__all__ = ["NODE_FILE_VARIABLE", "Bounds", "NodeSettings", "StoreRates", "load"]
+__all__ = [
+    "NODE_FILE_VARIABLE",
+    "Bounds",
+    "Checked",
+    "NodeSettings",
+    "StoreRates",
+    "check",
+    "is_node_file",
+    "load",
+]
 
 NODE_FILE_VARIABLE = "WIGEONHITCH_NODE_FILE"
 """Environment variable that holds the path of the file."""
@@ -60,6 +69,13 @@
     rates: StoreRates
 
 
+class Checked(NamedTuple):
+    """Settings as far as they could be read, and every problem."""
+
+    settings: NodeSettings
+    problems: tuple[str, ...]
+
+
 def load(path: str | pathlib.Path) -> NodeSettings:
     """Read the file.
 
@@ -70,8 +86,21 @@
     ValueError
         If a needed key is missing or isn't a number; every fault is named.
     """
-    fields = _split(pathlib.Path(path).read_text(encoding="utf-8"))
-    reader = _Reader(fields)
+    checked = check(pathlib.Path(path).read_text(encoding="utf-8"))
+    if checked.problems:
+        raise ValueError(f"{path}: {'; '.join(checked.problems)}")
+    return checked.settings
+
+
+def is_node_file(text: str) -> bool:
+    """Whether a text has the form of this file and not of YAML."""
+    lines = [line for line in text.splitlines() if line.strip()]
+    return bool(lines) and all("=" in line.partition(":")[0] for line in lines)
+
+
+def check(text: str) -> Checked:
+    """Read the text of the file; every problem is named."""
+    reader = _Reader(_split(text))
     settings = NodeSettings(
         name=reader.text("node_name"),
         data_centre=reader.text("zone"),
@@ -100,9 +129,7 @@
             int(reader.number("platform.row_bytes", 65536)),
         ),
     )
-    if reader.problems:
-        raise ValueError(f"{path}: {'; '.join(reader.problems)}")
-    return settings
+    return Checked(settings, tuple(reader.problems))
 
 
 class _Reader:
--- a/wigeonhitch/site/main.py
+++ b/wigeonhitch/site/main.py
@@ -11,7 +11,7 @@
 
 from wigeonhitch.daemon import server
 from wigeonhitch.platform import fleet, http, ingress, node, rows, workers
-from wigeonhitch.site import daemon
+from wigeonhitch.site import daemon, exposition
 from wigeonhitch.telemetry import log, metric
 
 __all__ = ["run", "serve"]
@@ -23,45 +23,48 @@
 ready any more: it asks once a second and goes by two answers."""
 
 METRICS_PORT = 7070
-METRICS_PATH = "/metrics"
+"""Port of the metrics at this process's own address, as the deploy file says."""
 
 
 def run() -> None:
     """Start the daemon with the settings file that the environment names."""
     path = os.environ.get(node.NODE_FILE_VARIABLE, "")
-    log.prepare("info", sys.stdout)
+    stream = log.PipeStream(sys.stdout.fileno())
+    log.prepare("info", stream)
     try:
         settings = node.load(path)
     except (OSError, ValueError) as error:
         log.log_problem("settings can't be used", path=path, reason=str(error))
         sys.exit(EXIT_SETTINGS)
+    log.prepare("info", stream, daemon=settings.name)
     anyio.run(serve, settings)
 
 
 async def serve(settings: node.NodeSettings) -> None:
     """Run one daemon until SIGTERM."""
-    log.log_change("start", daemon=settings.name, pid=os.getpid())
+    life = uuid.uuid4().hex[:12]
+    log.log_change("start", life=life, data_centre=settings.data_centre)
     async with contextlib.AsyncExitStack() as stack:
         client = await http.open_client(stack)
         instruments = metric.Instruments()
         one = daemon.Daemon(
             settings,
-            uuid.uuid4().hex[:12],
+            life,
             rows.Rows(client, settings.store),
             workers.Workers(client),
             fleet.Fleet(client, settings.fleet),
             instruments,
         )
         await _serve(settings, one)
-    log.log_change("stop", daemon=settings.name)
+    log.log_change("stop", life=life)
 
 
 async def _serve(settings: node.NodeSettings, one: daemon.Daemon) -> None:
     closed = anyio.Event()
-    application = ingress.Ingress(
-        one.desk, lambda: one.is_ready, lambda: not one.is_ready
-    )
-    addresses = [settings.callers, settings.ready]
+    callers = ingress.Ingress(one.desk, lambda: one.is_ready, lambda: not one.is_ready)
+    application = exposition.Exposition(callers, one.instruments, METRICS_PORT)
+    metrics = f"{settings.ip}:{METRICS_PORT}"
+    addresses = [settings.callers, settings.ready, metrics]
     async with anyio.create_task_group() as group:
         group.start_soon(_watch_signals, one)
         group.start_soon(one.run)
--- a/wigeonhitch/telemetry/tests/test_telemetry.py
+++ b/wigeonhitch/telemetry/tests/test_telemetry.py
@@ -1,5 +1,6 @@
 import json
 import logging
+import os
 import threading
 from http import server
 
@@ -104,3 +105,40 @@
     (span,) = sent.resource_spans[0].scope_spans[0].spans
     assert path == "/v1/traces"
     assert (span.name, span.trace_id.hex()) == ("receive", CONTEXT.split("-")[1])
+
+
+def test_lines_of_a_kind_are_bounded_and_the_rest_counted(caplog):
+    limiter = log.Limiter(most=3)
+    with caplog.at_level(logging.INFO):
+        admitted = [limiter.admit("start", 5.1) for _ in range(10)]
+        assert limiter.admit("stop", 5.2)
+        limiter.admit("start", 6.0)
+
+    assert admitted.count(True) == 3
+    (line,) = caplog.records
+    assert line.fields == {"lines": {"start": 7}}
+
+
+def test_a_reader_that_stands_still_never_blocks_the_writer():
+    reader, writer = os.pipe()
+    stream = log.PipeStream(writer)
+    for _ in range(1000):
+        stream.write("x" * 200 + "\n")
+    os.close(reader)
+    stream.write("after the reader has gone\n")
+    os.close(writer)
+
+    assert stream.dropped > 100
+
+
+def test_a_lost_dependency_makes_two_lines(caplog):
+    dependency = log.Dependency("store")
+    with caplog.at_level(logging.INFO):
+        for worked in (True, False, False, False, True, True):
+            dependency.note(worked, "timeout")
+
+    assert [record.getMessage() for record in caplog.records] == [
+        "store lost",
+        "store back",
+    ]
+    assert caplog.records[1].fields == {"failures": 3}
