--- a/wigeonhitch/command/story.py
+++ b/wigeonhitch/command/story.py
@@ -44,7 +44,7 @@
     ----------
     id : str
         The job's id, as its caller chose it.
-    files : Sequence[str]
+    files : list[str]
         Files with log lines of daemons; standard input when there are none.
     """
     try:
