--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -97,6 +97,8 @@
         """Jobs whose open tasks must be computed anew."""
         self.not_before: dict[model.Task, float] = {}
         self.failed_on: dict[model.Task, str] = {}
+        self.wall = 0.0
+        """Seconds since 1970 at the last round, for what is told of jobs."""
         self._closed: frozenset[str] = frozenset()
         self._ended: frozenset[str] = frozenset()
         self._taken_over = now
@@ -339,7 +341,13 @@
         state = self.jobs.get(run.task.job)
         if state is not None and not state.started:
             state.started = True
-            self.tell("job started", job=run.task.job, vm=run.vm.id, run=run.number)
+            self.tell(
+                "job started",
+                job=run.task.job,
+                vm=run.vm.id,
+                run=run.number,
+                waited=self._compute_age(state),
+            )
 
     def _refuse(self, run: vm.Run, verdict: workers.Verdict, now: float) -> None:
         self._remove(run)
@@ -397,7 +405,13 @@
         self.ledger.mark(task.job)
         if state.is_complete() and not state.cancelled:
             state.final = model.JobState.COMPLETED
-            self.tell("job complete", job=task.job)
+            self.tell(
+                "job complete",
+                job=task.job,
+                took=self._compute_age(state),
+                objective=self._compute_objective(state),
+                failed_runs=sum(map(len, state.failed_runs.values())),
+            )
 
     def _note_failed(
         self, state: progress.Progress, end: workers.Ended, one: vm.Vm
@@ -413,6 +427,15 @@
             state.final = model.JobState.FAILED
             self.tell("job failed", job=end.task.job, task=end.task[1:], vm=one.id)
 
+    def _compute_age(self, state: progress.Progress) -> float:
+        return round(self.wall - state.accepted, 3)
+
+    def _compute_objective(self, state: progress.Progress) -> float:
+        queue = self.queues.get(state.job.queue)
+        if queue is None:
+            return 0.0
+        return round(order.compute_due(state.job, queue, 0.0), 3)
+
     def _reconcile(self, one: vm.Vm, reply: workers.HoldReply, now: float) -> None:
         listed = {(entry.task, entry.run): entry for entry in reply.running}
         for run in list(one.runs.values()):
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -48,6 +48,7 @@
         wall : float
             Seconds since 1970.
         """
+        self.pool.wall = wall
         self.pool.expire(now)
         self._refresh(wall)
         orders: list[message.Start | message.Stop] = self._stop_strays(now)
--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -82,9 +82,9 @@
         """Return the queue with the longest prefix of a path."""
         catalogue = self._get_catalogue()
         if catalogue is None:
-            return self._refuse("no configuration")
+            return self._refuse_path(path, "no configuration")
         if self._is_store_lost():
-            return self._refuse("store lost")
+            return self._refuse_path(path, "store lost")
         fitting = [
             one
             for one in catalogue.queues
@@ -208,6 +208,10 @@
                 return _Found(row, pool, record.read_job(id, row.value))
         return message.Answer(message.Verdict.MISSING)
 
+    def _refuse_path(self, path: str, reason: str) -> message.Answer:
+        log.log_change("request refused", job=path.rpartition("/")[2], reason=reason)
+        return self._refuse(reason)
+
     def _refuse(self, reason: str) -> message.Answer:
         return message.Answer(
             message.Verdict.NOT_RUN, retry_after=RETRY_AFTER, reason=reason
