Begin tasks again elsewhere where a VM stands still or crawls

Found by the progress that workers list: no percent in 1 s, or a rate of the last 0.7 s that would take three times the estimate.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -97,6 +97,8 @@
         """Jobs whose open tasks must be computed anew."""
         self.not_before: dict[model.Task, float] = {}
         self.failed_on: dict[model.Task, str] = {}
+        self.moved: set[model.Task] = set()
+        """Tasks that were begun again elsewhere for their VM's sake."""
         self.wall = 0.0
         """Seconds since 1970 at the last round, for what is told of jobs."""
         self._closed: frozenset[str] = frozenset()
@@ -298,6 +300,16 @@
                 state.settled = True
                 self.changed.add(id)
 
+    def note_sick(self, run: vm.Run, what: str, now: float) -> None:
+        """Take note that a run stands still or is slow; its VM may be sick."""
+        if run.is_sick:
+            return
+        run.is_sick = True
+        self.tell("run is sick", reason=what, work=run.work, **_describe(run))
+        if run.vm.note_sick(now):
+            until = round(run.vm.set_aside_until, 2)
+            self.tell("VM set aside", vm=run.vm.id, until=until, reason=what)
+
     def get_mean_work(self, queue: str) -> float:
         """Return the mean core-seconds of the queue's jobs seen so far."""
         total, count = self._mean_work.get(queue, (0.0, 0))
@@ -337,7 +349,7 @@
     def _confirm(self, run: vm.Run, now: float) -> None:
         if run.state is not vm.RunState.STOPPING:
             run.state = vm.RunState.RUNNING
-        run.since = run.moved = now
+        run.since = run.moved = run.mark_at = now
         state = self.jobs.get(run.task.job)
         if state is not None and not state.started:
             state.started = True
@@ -458,9 +470,7 @@
     def _see_running(self, run: vm.Run, entry: workers.Running, now: float) -> None:
         if run.state in (vm.RunState.STARTING, vm.RunState.UNKNOWN):
             self._confirm(run, now)
-        if entry.work != run.work:
-            run.moved = now
-        run.work = entry.work
+        run.note_work(entry.work, now)
         run.load = entry.load
         if entry.checkpoint and run.task.job in self.jobs:
             self.jobs[run.task.job].note_checkpoint(run.task, entry.checkpoint)
@@ -497,6 +507,7 @@
         self.changed.discard(id)
         if state is None:
             return
+        self.moved = {task for task in self.moved if task.job != id}
         for table in (self._numbers, self.not_before, self.failed_on):
             for task in [one for one in table if one.job == id]:
                 del table[task]
--- /dev/null
+++ b/wigeonhitch/pool/health.py
@@ -0,0 +1,53 @@
+"""Runs that stand still or crawl, found by their progress.
+
+The load: on a tenth of the VMs all tasks stand still for some 5 s, or work
+takes four to seven times as long, while the VMs answer as ever. The harm: each
+such task keeps its job waiting to the end of the spell, far past its objective.
+Progress is listed in whole percents some twice a second, so a task of 1.7 s
+moves with each answer; one that hasn't moved for a second stands still. A run
+is moved once for being slow: a job that is long by itself is so everywhere.
+"""
+
+from wigeonhitch.pool import vm
+
+__all__ = ["is_slow", "is_stuck"]
+
+STUCK_AFTER = 1.0
+"""Seconds without progress after which a run counts as standing still: one and
+a half holds, and a percent of the longest tasks takes 0.05 s."""
+
+LASTING_STUCK_AFTER = 2.0
+"""The same for a lasting task that isn't at work; it starts up within a
+second."""
+
+SLOW_FACTOR = 3.0
+"""Times the estimate that a run must seem to need in all to count as slow:
+estimates are off by up to a half, workers turn four to seven times slower."""
+
+LEFT_LEAST = 1.0
+"""Seconds that must be left for a move to pay, beyond what it takes elsewhere."""
+
+
+def is_stuck(run: vm.Run, now: float) -> bool:
+    """Whether a run stands still though its VM answers."""
+    if run.state is not vm.RunState.RUNNING or run.pace < 100:
+        return False
+    if run.step.gang or run.step.fills:
+        return False  # its pace is others' doing
+    if run.step.lasting:
+        return run.work < 100 and now - run.moved > LASTING_STUCK_AFTER
+    return now - run.moved > STUCK_AFTER and run.vm.last_answer > run.moved
+
+
+def is_slow(run: vm.Run, now: float) -> bool:
+    """Whether a run would be done sooner if it began again elsewhere."""
+    step = run.step
+    if run.state is not vm.RunState.RUNNING or run.pace < 100 or run.adopted:
+        return False
+    if step.lasting or step.gang or step.fills or not step.estimate:
+        return False
+    if run.rate is None or run.rate <= 0:
+        return False
+    whole = 100 / run.rate
+    left = (100 - run.work) / run.rate
+    return whole > SLOW_FACTOR * step.estimate and left > step.estimate + LEFT_LEAST
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -8,7 +8,7 @@
 
 from wigeonhitch.jobs import model, progress
 from wigeonhitch.platform import workers
-from wigeonhitch.pool import core, message, order, pacing, place, vm
+from wigeonhitch.pool import core, health, message, order, pacing, place, vm
 from wigeonhitch.pool import record as pool_record
 
 __all__ = ["Planner"]
@@ -149,10 +149,30 @@
                     stops.append(self._stop(run, now))
             elif run.state is not vm.RunState.RUNNING:
                 continue
-            elif not self.pool.is_wanted(run) or self._must_vacate(run, table):
+            elif (
+                not self.pool.is_wanted(run)
+                or self._must_vacate(run, table)
+                or self._is_sick(run, table, now)
+            ):
                 stops.append(self._stop(run, now))
         return stops
 
+    def _is_sick(self, run: vm.Run, table: place.Table, now: float) -> bool:
+        """Whether a run is to begin again elsewhere for its VM's sake."""
+        if run.task in self.pool.moved:
+            return False
+        stuck = health.is_stuck(run, now)
+        if not stuck and not health.is_slow(run, now):
+            return False
+        what = "stands still" if stuck else "slow"
+        self.pool.note_sick(run, what, now)
+        elsewhere = table.choose(run.task, run.step, avoid=run.vm.id)
+        if elsewhere in (None, run.vm) and not (stuck and run.vm.is_set_aside(now)):
+            return False
+        self.pool.moved.add(run.task)
+        self.pool.failed_on[run.task] = run.vm.id
+        return True
+
     def _stop_strays(self, now: float) -> list[message.Start | message.Stop]:
         stops: list[message.Start | message.Stop] = []
         for one in self.pool.vms.values():
--- /dev/null
+++ b/wigeonhitch/pool/tests/test_health.py
@@ -0,0 +1,115 @@
+"""VMs on which tasks stand still or crawl while they answer as ever."""
+
+import pytest
+
+from wigeonhitch.jobs import model
+from wigeonhitch.pool import health, vm
+
+NOW = 100.0
+
+
+@pytest.fixture
+def step():
+    return model.Step(1, model.Room(1000, 100), 1.0)
+
+
+def start_one(bench, step):
+    bench.add_vm("w1")
+    bench.add_vm("w2")
+    bench.add_job("j", step)
+    (run,) = bench.start()
+    return run
+
+
+def show(bench, run, listed, work, now):
+    bench.answer(run.vm, [listed(run, work)], now=now)
+    for one in bench.pool.vms.values():
+        one.last_answer = now
+
+
+def test_a_task_that_stands_still_begins_again_elsewhere(bench, listed, ended, step):
+    run = start_one(bench, step)
+    show(bench, run, listed, 60, NOW + 0.3)
+    show(bench, run, listed, 60, NOW + 1.2)
+    assert bench.plan(NOW + 1.2) == []
+
+    show(bench, run, listed, 60, NOW + 1.5)
+    (stop,) = bench.plan(NOW + 1.5)
+    assert stop.task == run.task
+
+    end = ended(1, run, model.End.STOPPED)
+    bench.answer(run.vm, ended=[end], now=NOW + 1.6)
+    (again,) = bench.start(NOW + 1.6)
+    assert again.vm is not run.vm
+
+
+def test_a_task_that_moves_is_left_alone(bench, listed, step):
+    run = start_one(bench, step)
+    for tenth in range(1, 15):
+        now = NOW + tenth / 10
+        show(bench, run, listed, 6 * tenth, now)
+        assert bench.plan(now) == []
+
+
+def test_a_task_on_a_slow_vm_begins_again_elsewhere_once(bench, listed, ended, step):
+    run = start_one(bench, step)
+    show(bench, run, listed, 12, NOW + 0.9)
+
+    (stop,) = bench.plan(NOW + 0.9)
+    end = ended(1, run, model.End.STOPPED)
+    bench.answer(run.vm, ended=[end], now=NOW + 1.0)
+    (again,) = bench.start(NOW + 1.0)
+    show(bench, again, listed, 12, NOW + 2.0)
+
+    assert stop.number == run.number
+    assert bench.plan(NOW + 2.0) == []
+
+
+def test_a_task_that_is_nearly_done_stays_where_it_is(bench, listed, step):
+    run = start_one(bench, step)
+    show(bench, run, listed, 85, NOW + 3.5)
+
+    assert bench.plan(NOW + 3.5) == []
+
+
+def test_nothing_is_moved_where_there_is_no_other_vm(bench, listed, step):
+    bench.add_vm("w1")
+    bench.add_job("j", step)
+    (run,) = bench.start()
+    show(bench, run, listed, 20, NOW + 0.1)
+    show(bench, run, listed, 20, NOW + 2.0)
+
+    assert bench.plan(NOW + 2.0) == []
+
+
+def test_a_vm_with_two_sick_runs_is_set_aside(bench, listed):
+    step = model.Step(4, model.Room(1000, 100), 1.0)
+    first = start_one_step(bench, step)
+    bench.answer(first, [listed(run, 20) for run in first.runs.values()], now=NOW + 0.1)
+    bench.answer(first, [listed(run, 20) for run in first.runs.values()], now=NOW + 1.5)
+    bench.pool.vms["w2"].last_answer = NOW + 1.5
+
+    bench.plan(NOW + 1.5)
+
+    assert first.is_set_aside(NOW + 1.6)
+
+
+def start_one_step(bench, step):
+    one = bench.add_vm("w1")
+    bench.add_job("j", step)
+    bench.start()
+    bench.add_vm("w2")
+    return one
+
+
+@pytest.mark.parametrize("fields", [{"gang": True}, {"fills": True}])
+def test_runs_whose_pace_is_others_doing_are_left_alone(make_state, fields):
+    class Stub:
+        last_answer = NOW + 9
+
+    step = model.Step(1, model.Room(1, 1), 1.0, **fields)
+    run = vm.Run(model.Task("j", 0, 0, 0), 1, Stub, step, NOW)
+    run.state = vm.RunState.RUNNING
+
+    assert not health.is_stuck(run, NOW + 9)
+    assert not health.is_slow(run, NOW + 9)
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -30,6 +30,17 @@
 0.2 to 3 of 100 runs, so three in a row are the VM's doing."""
 
 
+RATE_OVER = 0.7
+"""Seconds over which a run's rate is taken, in percent a second: a hold and a
+bit, so that a spell of a slow VM shows in the next figure."""
+
+SICK_ALLOWED = 1
+"""Runs that may stand still or be slow within `SICK_WITHIN` seconds: where a
+VM is sick all its runs are, where a job is odd one is."""
+
+SICK_WITHIN = 3.0
+
+
 class RunState(enum.Enum):
     """How far a run is known to be."""
 
@@ -52,10 +63,14 @@
     __slots__ = (
         "adopted",
         "deadline",
+        "is_sick",
         "load",
         "moved",
         "number",
+        "mark_at",
+        "mark_work",
         "pace",
+        "rate",
         "room",
         "since",
         "state",
@@ -81,8 +96,22 @@
         self.work = 0.0
         self.load = 0.0
         self.pace = 100
+        self.rate: float | None = None
+        self.mark_at = now
+        self.mark_work = 0.0
         self.stop_sent = 0.0
         self.adopted = False
+        self.is_sick = False
+
+    def note_work(self, work: float, now: float) -> None:
+        """Take the progress listed, and the rate since the last mark."""
+        if work != self.work:
+            self.moved = now
+        self.work = work
+        passed = now - self.mark_at
+        if passed >= RATE_OVER:
+            self.rate = (work - self.mark_work) / passed
+            self.mark_at, self.mark_work = now, work
 
     @property
     def is_at_work(self) -> bool:
@@ -126,6 +155,8 @@
         self.failures = 0
         self.set_aside_until = 0.0
         self._set_aside_for = SET_ASIDE
+        self.sick = 0
+        self._sick_at = 0.0
         self._clock = entry.clock or 0.0
         self._clock_received = now
 
@@ -204,6 +235,17 @@
         self.set_aside(now)
         return True
 
+    def note_sick(self, now: float) -> bool:
+        """Count a run that stood still or was slow; whether it is set aside now."""
+        if self.is_set_aside(now):
+            return False
+        self.sick = self.sick + 1 if now - self._sick_at < SICK_WITHIN else 1
+        self._sick_at = now
+        if self.sick <= SICK_ALLOWED:
+            return False
+        self.set_aside(now)
+        return True
+
     def set_aside(self, now: float) -> None:
         """Keep the VM from work, longer each time."""
         self.set_aside_until = now + self._set_aside_for
@@ -214,7 +256,7 @@
         """Take over a run that an earlier leader started."""
         run = Run(one.task, one.run, self, step, now)
         run.state = RunState.RUNNING
-        run.work = one.work
+        run.work = run.mark_work = one.work
         run.adopted = True
         if step.fills and step.lasting:
             run.pace = int(one.work)
