--- /dev/null
+++ b/wigeonhitch/platform/advice.py
@@ -0,0 +1,60 @@
+"""Calls to the service that knows which workers a queue's policy allows."""
+
+from typing import NamedTuple, Protocol
+
+from wigeonhitch.platform import http
+
+__all__ = ["Advice", "AdviceCalls", "Opinion", "StepName"]
+
+
+class StepName(NamedTuple):
+    """One step of one occurrence of a job."""
+
+    job: str
+    occurrence: int
+    step: int
+
+
+class Opinion(NamedTuple):
+    """Tickets by worker; None when there is no answer, with the reason.
+
+    ``validity`` is the time in seconds for which the tickets hold.
+    """
+
+    tickets: dict[str, str] | None
+    validity: float = 0.0
+    reason: str = ""
+
+
+class AdviceCalls(Protocol):
+    """What a pool's leader asks of the advice service."""
+
+    async def ask(
+        self, step: StepName, workers: list[str], *, timeout: float
+    ) -> Opinion:
+        """Return the tickets of the workers that may run a step."""
+        ...
+
+
+class Advice:
+    """Implements `AdviceCalls` over HTTP."""
+
+    def __init__(self, client: http.Client, address: str) -> None:
+        self._client = client
+        self._address = address
+
+    async def ask(
+        self, step: StepName, workers: list[str], *, timeout: float
+    ) -> Opinion:
+        """Return the tickets of the workers that may run a step."""
+        if not self._address:
+            return Opinion(None, reason="no address")
+        name = f"{step.job}.{step.occurrence}.{step.step}"
+        body = {"step": name, "workers": workers}
+        reply = await self._client.call(
+            "POST", self._address, "/v1/advise", timeout=timeout, body=body
+        )
+        if reply.status != 200 or not isinstance(reply.body, dict):
+            return Opinion(None, reason=reply.reason or f"status {reply.status}")
+        tickets = {row[0]: row[1] for row in reply.body.get("good", ())}
+        return Opinion(tickets, reply.body.get("validity_ms", 0) / 1000)
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -18,8 +18,8 @@
 from typing import NamedTuple
 
 from wigeonhitch.jobs import model, progress, record
-from wigeonhitch.platform import entries, workers
-from wigeonhitch.pool import ledger, order, vm
+from wigeonhitch.platform import advice, entries, workers
+from wigeonhitch.pool import ledger, order, ticket, vm
 
 __all__ = ["Pool", "Times"]
 
@@ -97,6 +97,7 @@
         """Jobs whose open tasks must be computed anew."""
         self.not_before: dict[model.Task, float] = {}
         self.failed_on: dict[model.Task, str] = {}
+        self.tickets = ticket.Tickets()
         self.moved: set[model.Task] = set()
         """Tasks that were begun again elsewhere for their VM's sake."""
         self.wall = 0.0
@@ -339,6 +340,11 @@
             return order.Key(order.LATE, 99, 0.0, state.accepted)
         return order.compute_key(state, queue, wall, self.get_mean_work(queue.name))
 
+    def needs_ticket(self, state: progress.Progress) -> bool:
+        """Whether the queue's policy allows only some VMs for each step."""
+        queue = self.queues.get(state.job.queue)
+        return queue is not None and queue.advice is not None
+
     def get_max_attempts(self, state: progress.Progress) -> int:
         """Return how many failed runs a task of the job may have."""
         queue = self.queues.get(state.job.queue)
@@ -368,6 +374,8 @@
             run.vm.set_aside(now)
         if verdict is workers.Verdict.NOT_DONE:
             run.vm.last_answer = 0.0
+        if verdict is workers.Verdict.BAD_TICKET:
+            self.tickets.drop(advice.StepName(*run.task[:3]))
         self.tell("start refused", reason=verdict.value, **_describe(run))
 
     def _depose(self, one: vm.Vm) -> None:
@@ -507,6 +515,7 @@
         self.changed.discard(id)
         if state is None:
             return
+        self.tickets.forget_job(id)
         self.moved = {task for task in self.moved if task.job != id}
         for table in (self._numbers, self.not_before, self.failed_on):
             for task in [one for one in table if one.job == id]:
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -7,7 +7,7 @@
 """
 
 from wigeonhitch.jobs import model, progress
-from wigeonhitch.platform import workers
+from wigeonhitch.platform import advice, workers
 from wigeonhitch.pool import core, health, message, order, pacing, place, vm
 from wigeonhitch.pool import record as pool_record
 
@@ -247,17 +247,28 @@
                     self._place_gang(table, state, task, now, starts)
                 continue
             chosen = None
+            tickets = self._get_tickets(state, task, now)
             if place_key not in full:
                 avoid = self.pool.failed_on.get(task, "")
-                chosen = table.choose(task, step, avoid=avoid)
+                allowed = None if tickets is None else frozenset(tickets)
+                chosen = table.choose(task, step, avoid=avoid, allowed=allowed)
             if chosen is None:
                 full.add(place_key)
                 unmet += step.reserved.cpu
                 continue
             number = self.pool.next_number(task)
-            starts.append(self._start(state, task, number, chosen, now))
+            held = tickets[chosen.id] if tickets else ""
+            starts.append(self._start(state, task, number, chosen, now, held))
         return unmet
 
+    def _get_tickets(
+        self, state: progress.Progress, task: model.Task, now: float
+    ) -> dict[str, str] | None:
+        """Return the tickets of a task's step by VM; None if it needs none."""
+        if not self.pool.needs_ticket(state):
+            return None
+        return self.pool.tickets.get(advice.StepName(*task[:3]), now)
+
     def _place_gang(
         self,
         table: place.Table,
@@ -272,12 +283,15 @@
         if any(task in self.pool.live for task in tasks):
             return
         racks = table.list_racks() if step.same_rack else [""]
+        tickets = self._get_tickets(state, first, now)
+        allowed = None if tickets is None else frozenset(tickets)
         for rack in racks:
-            chosen = _choose_all(table, tasks, step, rack)
+            chosen = _choose_all(table, tasks, step, rack, allowed)
             if chosen:
                 number = self.pool.next_gang_number(tasks)
                 for task, one in zip(tasks, chosen, strict=True):
-                    starts.append(self._start(state, task, number, one, now))
+                    held = tickets[one.id] if tickets else ""
+                    starts.append(self._start(state, task, number, one, now, held))
                 return
 
     def _start(
@@ -287,6 +301,7 @@
         number: int,
         chosen: vm.Vm,
         now: float,
+        held: str,
     ) -> message.Start:
         step = state.job.steps[task.step]
         run = vm.Run(task, number, chosen, step, now)
@@ -294,7 +309,7 @@
         self.pool.live[task] = run
         checkpoint = state.get_checkpoint(task)
         start = workers.Start(
-            task, number, state.job.spec, 0.0, self.pool.fence, checkpoint
+            task, number, state.job.spec, 0.0, self.pool.fence, checkpoint, held
         )
         return message.Start(run, start)
 
@@ -307,12 +322,16 @@
 
 
 def _choose_all(
-    table: place.Table, tasks: list[model.Task], step: model.Step, rack: str
+    table: place.Table,
+    tasks: list[model.Task],
+    step: model.Step,
+    rack: str,
+    allowed: frozenset[str] | None,
 ) -> list[vm.Vm]:
     """Choose a VM for each of the tasks, or return none and give room back."""
     chosen: list[vm.Vm] = []
     for task in tasks:
-        one = table.choose(task, step, rack=rack)
+        one = table.choose(task, step, rack=rack, allowed=allowed)
         if one is None:
             for taken, earlier in zip(chosen, tasks, strict=False):
                 table.give_back(taken, earlier, step)
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -12,8 +12,8 @@
 from wigeonhitch.leadership import core as leadership
 from wigeonhitch.leadership import record as leader_record
 from wigeonhitch.maintenance import record as maintenance
-from wigeonhitch.platform import entries, http, rows, table, workers
-from wigeonhitch.pool import core, message, planner, vm
+from wigeonhitch.platform import advice, entries, http, rows, table, workers
+from wigeonhitch.pool import core, message, planner, ticket, vm
 from wigeonhitch.pool import record as pool_record
 from wigeonhitch.telemetry import log, metric
 
@@ -70,6 +70,12 @@
 ROUND_MOST = 0.25
 """Seconds between two rounds at most: lapses and due times are found by time."""
 
+ASK_PERIOD = 0.02
+"""Seconds between looks at which tickets are wanted."""
+
+ASK_TIMEOUT = 2.0
+"""Seconds for one call for tickets, which waits for others of this daemon."""
+
 FEED_WAIT = 1.0
 """Seconds that a feed waits; a silent connection is found after it."""
 
@@ -100,6 +106,7 @@
 
     store: rows.RowStore
     workers: workers.WorkerCalls
+    advice: advice.AdviceCalls
     instruments: metric.Instruments
     may_order: Callable[[], bool]
     get_renewed: Callable[[], float]
@@ -178,6 +185,7 @@
                 group.start_soon(self._follow_jobs, after)
                 group.start_soon(self._commit_forever)
                 group.start_soon(self._show_board)
+                group.start_soon(self._ask_forever)
                 await self._decide_forever(group)
                 group.cancel_scope.cancel()
 
@@ -331,6 +339,27 @@
         if reply.verdict is workers.Verdict.DONE:
             run.pace = order.percent
 
+    async def _ask_forever(self) -> None:
+        """Ask for tickets, one call at a time, as the service takes them."""
+        while True:
+            step = self.pool.tickets.take_wanted()
+            if step is None:
+                await anyio.sleep(ASK_PERIOD)
+                continue
+            now = http.read_clock()
+            named = ticket.choose_named(self.pool.vms.values(), now)
+            opinion = await self.around.advice.ask(step, named, timeout=ASK_TIMEOUT)
+            self.pool.tickets.on_opinion(step, opinion, now)
+            self._tell(
+                "tickets asked for",
+                job=step.job,
+                step=step[1:],
+                named=len(named),
+                got=None if opinion.tickets is None else len(opinion.tickets),
+                reason=opinion.reason,
+            )
+            self._wake()
+
     # -- holds
 
     async def _hold_forever(self, one: vm.Vm) -> None:
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -9,7 +9,7 @@
 from wigeonhitch.leadership import task as keeper
 from wigeonhitch.maintenance import record as maintenance
 from wigeonhitch.maintenance import task as fleet_task
-from wigeonhitch.platform import fleet, http, node, rows, workers
+from wigeonhitch.platform import advice, fleet, http, node, rows, workers
 from wigeonhitch.pool import core as pool_core
 from wigeonhitch.pool import task as pool_task
 from wigeonhitch.site import catalogue, closings, desk, directory
@@ -40,6 +40,7 @@
         life: str,
         store: rows.RowStore,
         calls: workers.WorkerCalls,
+        advice_calls: advice.AdviceCalls,
         fleet_calls: fleet.FleetCalls,
         instruments: metric.Instruments,
     ) -> None:
@@ -48,6 +49,7 @@
         self.stopped = anyio.Event()
         self._store = store
         self._calls = calls
+        self._advice_calls = advice_calls
         self._fleet_calls = fleet_calls
         self._fleet_runner: fleet_task.Runner | None = None
         self._group: anyio.abc.TaskGroup | None = None
@@ -208,6 +210,7 @@
         return pool_task.Surroundings(
             self._store,
             self._calls,
+            self._advice_calls,
             self.instruments,
             self._keeper.may_order,
             lambda: self._keeper.renewed,
--- a/wigeonhitch/site/main.py
+++ b/wigeonhitch/site/main.py
@@ -10,7 +10,7 @@
 import anyio.abc
 
 from wigeonhitch.daemon import server
-from wigeonhitch.platform import fleet, http, ingress, node, rows, workers
+from wigeonhitch.platform import advice, fleet, http, ingress, node, rows, workers
 from wigeonhitch.site import daemon, exposition
 from wigeonhitch.telemetry import log, metric
 
@@ -52,6 +52,7 @@
             life,
             rows.Rows(client, settings.store),
             workers.Workers(client),
+            advice.Advice(client, settings.advice),
             fleet.Fleet(client, settings.fleet),
             instruments,
         )
--- a/wigeonhitch/site/tests/test_daemon.py
+++ b/wigeonhitch/site/tests/test_daemon.py
@@ -109,7 +109,7 @@
 def make_daemon(name, store, calls):
     instruments = metric.Instruments()
     return daemon.Daemon(
-        make_settings(name), f"life-{name}", store, calls, Vms(), instruments
+        make_settings(name), f"life-{name}", store, calls, None, Vms(), instruments
     )
 
 
