--- a/wigeonhitch/pool/tests/test_planner.py
+++ b/wigeonhitch/pool/tests/test_planner.py
@@ -238,3 +238,16 @@
     bench.pool.set_closed(frozenset({"w1"}), frozenset())
 
     assert bench.plan() == []
+
+
+def test_tasks_on_a_silent_vm_count_as_away(bench, listed):
+    """They were at work when it last answered, and nobody knows of them since."""
+    bench.add_vm("w1")
+    bench.add_vm("w2")
+    place_lasting(bench, 4, may_miss=1)
+    bench.add_vm("w3")
+    work(bench, listed)
+    bench.pool.vms["w2"].is_silent = True
+    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+
+    assert bench.plan() == []
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -115,8 +115,9 @@
 
     @property
     def is_at_work(self) -> bool:
-        """Whether a lasting task works in full."""
-        return self.state is RunState.RUNNING and self.work >= 100
+        """Whether a lasting task is known to work in full."""
+        known = self.state is RunState.RUNNING and not self.vm.is_silent
+        return known and self.work >= 100
 
 
 class Vm:
