--- /dev/null
+++ b/benchmarks/pool.py
@@ -0,0 +1,97 @@
+"""Time of one round of a pool's leader under a burst, without I/O.
+
+Lays out a pool with lasting tasks and a burst of waiting jobs, as many as five
+times what the pool holds, and makes rounds while runs end and start.
+
+    python -m benchmarks.pool --vms 40 --jobs 150
+"""
+
+import sys
+import time
+
+import defopt
+
+from wigeonhitch.jobs import model, record
+from wigeonhitch.platform import entries, workers
+from wigeonhitch.pool import core, planner
+
+__all__ = ["main", "make_burst"]
+
+NOW = 100.0
+ROOM = model.Room(32000, 65536)
+
+
+def make_burst(vms: int, jobs: int) -> tuple[core.Pool, planner.Planner]:
+    """Return a pool with running work and jobs that wait."""
+    times = core.Times(6.5, 0.2)
+    pool = core.Pool("p", 10, 1, times, NOW, lambda *_, **__: None)
+    pool.on_queues([model.Queue("q", "h", "/q/", "p", objective=0.6, stretch=1.6)])
+    for number in range(vms):
+        id = f"w{number}"
+        entry = entries.WorkerEntry(id, "p", id, "dc", False, ROOM, ("a", "r1"), 5000.0)
+        pool.on_worker(entry, NOW)
+        pool.vms[id].recorded = pool.vms[id].answered = True
+        pool.vms[id].last_answer = NOW
+    lasting = model.Step(5, model.Room(3000, 4800), 1.0, lasting=True, spread=1)
+    small = model.Step(8, model.Room(1800, 3300), 0.64)
+    for number in range(vms):
+        _add(pool, f"l{number}", lasting)
+    for number in range(jobs):
+        _add(pool, f"j{number}", small, small._replace(after=(0,)))
+    return pool, planner.Planner(pool)
+
+
+def measure(vms: int, jobs: int, rounds: int) -> float:
+    """Return the mean milliseconds of a round in which some runs end."""
+    pool, made = make_burst(vms, jobs)
+    _confirm(pool, made.plan(NOW, NOW))
+    began = time.process_time()
+    for number in range(rounds):
+        _end_some(pool, number, 6)
+        _confirm(pool, made.plan(NOW, NOW))
+        made.make_board()
+    return (time.process_time() - began) / rounds * 1000
+
+
+def main(*, vms: int = 40, jobs: int = 150, rounds: int = 100) -> None:
+    """Print the mean processor time of a round.
+
+    Parameters
+    ----------
+    vms : int
+        VMs of the pool.
+    jobs : int
+        Jobs that wait at the start.
+    rounds : int
+        Rounds to make.
+    """
+    print(f"{vms} VMs, {jobs} jobs: {measure(vms, jobs, rounds):.2f} ms a round")
+
+
+def _add(pool: core.Pool, id: str, *steps: model.Step) -> None:
+    job = model.Job(id, "q", "", steps)
+    pool.on_job(id, record.JobRecord(job, NOW, False), 20)
+
+
+def _confirm(pool: core.Pool, orders: list) -> None:
+    reply = workers.OrderReply(workers.Verdict.DONE, 5000.0, NOW, NOW)
+    for order in orders:
+        if hasattr(order, "run"):
+            pool.on_start(order.run, reply, NOW)
+
+
+def _end_some(pool: core.Pool, number: int, count: int) -> None:
+    runs = [run for run in pool.live.values() if not run.step.lasting][:count]
+    for run in runs:
+        one = run.vm
+        end = workers.Ended(one.seen + 1, run.task, run.number, model.End.DONE, "")
+        listed = tuple(
+            workers.Running(r.task, r.number, "", 100, 0) for r in one.runs.values()
+        )
+        done = workers.Verdict.DONE
+        reply = workers.HoldReply(done, 5000.0, NOW, NOW, listed, (end,))
+        pool.on_hold(one, reply, NOW)
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main, short={}))
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -95,6 +95,8 @@
         """VMs that an earlier leader may have used and that haven't answered."""
         self.changed: set[str] = set()
         """Jobs whose open tasks must be computed anew."""
+        self.must_scan = True
+        """Whether runs may have to be stopped for what has just changed."""
         self.not_before: dict[model.Task, float] = {}
         self.failed_on: dict[model.Task, str] = {}
         self.tickets = ticket.Tickets()
@@ -130,6 +132,7 @@
         known.version = version
         if row.cancelled and not known.cancelled:
             known.cancelled = True
+            self.must_scan = True
             self.tell("job cancelled", job=id, version=version)
             self.ledger.mark(id)
         self.changed.add(id)
@@ -145,6 +148,7 @@
     def on_queues(self, queues: Iterable[model.Queue]) -> None:
         """Take the queues of the configuration in force."""
         self.queues = {one.name: one for one in queues}
+        self.changed.update(self.jobs)
 
     def on_worker(self, entry: entries.WorkerEntry, now: float) -> None:
         """Take a worker's entry; one that is in another pool is left out."""
@@ -162,6 +166,7 @@
             self.tell("VM joined", vm=entry.id, rack=self.vms[entry.id].rack)
             return
         if entry.leaving and not known.entry.leaving:
+            self.must_scan = True
             self.tell("VM leaves", vm=entry.id, remaining=entry.remaining)
         known.entry = entry
         known.listed = True
@@ -174,6 +179,7 @@
         All others are open.
         """
         self._closed, self._ended = ids, ended
+        self.must_scan = True
         for id in ended & self.vms.keys():
             self.drop_vm(self.vms[id], "ended by an order")
         for one in self.vms.values():
@@ -333,12 +339,12 @@
             return False
         return not state.is_done(run.task)
 
-    def get_key(self, state: progress.Progress, wall: float) -> order.Key:
-        """Return the sort key of a job; one without a queue comes last."""
+    def get_figures(self, state: progress.Progress) -> order.Figures:
+        """Return what a job's sort key is made of; without a queue it is late."""
         queue = self.queues.get(state.job.queue)
         if queue is None:
-            return order.Key(order.LATE, 99, 0.0, state.accepted)
-        return order.compute_key(state, queue, wall, self.get_mean_work(queue.name))
+            return order.Figures(False, 99, state.accepted, 0.0, 0.0, 1.0, 1.0, 0.0)
+        return order.compute_figures(state, queue)
 
     def needs_ticket(self, state: progress.Progress) -> bool:
         """Whether the queue's policy allows only some VMs for each step."""
@@ -445,6 +451,7 @@
         self.tell("run failed", job=end.task.job, task=end.task[1:], vm=one.id)
         if state.is_exhausted(end.task, self.get_max_attempts(state)):
             state.final = model.JobState.FAILED
+            self.must_scan = True
             self.tell("job failed", job=end.task.job, task=end.task[1:], vm=one.id)
 
     def _compute_age(self, state: progress.Progress) -> float:
--- a/wigeonhitch/pool/order.py
+++ b/wigeonhitch/pool/order.py
@@ -12,7 +12,14 @@
 
 from wigeonhitch.jobs import model, progress
 
-__all__ = ["Key", "compute_due", "compute_key", "compute_worth"]
+__all__ = [
+    "Figures",
+    "Key",
+    "compute_due",
+    "compute_figures",
+    "compute_key",
+    "compute_worth",
+]
 
 BASE_WORTH = 0.3
 """Part of a job's worth that doesn't depend on its size (users' rules)."""
@@ -36,6 +43,23 @@
     accepted: float
 
 
+class Figures(NamedTuple):
+    """What the key of a job is made of.
+
+    ``due`` and ``last`` are the times, since 1970, up to which it is in time
+    and worth anything; work is in core-seconds, ``chain_left`` in seconds.
+    """
+
+    is_lasting: bool
+    priority: int
+    accepted: float
+    due: float
+    last: float
+    work: float
+    work_left: float
+    chain_left: float
+
+
 def compute_worth(work: float, mean_work: float) -> float:
     """Return what a job is worth, in units of its kind's mean."""
     if mean_work <= 0:
@@ -49,26 +73,35 @@
     return accepted + queue.stretch * job.compute_chain() + queue.objective
 
 
-def compute_key(
-    state: progress.Progress,
-    queue: model.Queue,
-    wall: float,
-    mean_work: float,
-) -> Key:
-    """Return the sort key of a job at a time of day."""
+def compute_figures(state: progress.Progress, queue: model.Queue) -> Figures:
+    """Return what the key of a job is made of; it holds until the job changes."""
     job = state.job
-    if job.is_lasting:
-        return Key(LASTING, queue.priority, 0.0, state.accepted)
-    work = job.compute_work()
-    cost = _compute_work_left(state) / compute_worth(work, mean_work)
-    accepted = state.accepted
-    if job.times:
-        accepted = max(job.first_due, accepted)
+    accepted = max(job.first_due, state.accepted) if job.times else state.accepted
     due = compute_due(job, queue, accepted)
-    end = wall + _compute_chain_left(state)
-    last = accepted + LATE_MOST * (due - accepted)
-    group = IN_TIME if end <= due else LATE if end <= last else WORTHLESS
-    return Key(group, queue.priority, cost, accepted)
+    return Figures(
+        job.is_lasting,
+        queue.priority,
+        accepted,
+        due,
+        accepted + LATE_MOST * (due - accepted),
+        job.compute_work(),
+        _compute_work_left(state),
+        _compute_chain_left(state),
+    )
+
+
+def compute_key(figures: Figures, wall: float, mean_work: float) -> Key:
+    """Return the sort key of a job at a time of day."""
+    if figures.is_lasting:
+        return Key(LASTING, figures.priority, 0.0, figures.accepted)
+    cost = figures.work_left / compute_worth(figures.work, mean_work)
+    end = wall + figures.chain_left
+    group = WORTHLESS
+    if end <= figures.due:
+        group = IN_TIME
+    elif end <= figures.last:
+        group = LATE
+    return Key(group, figures.priority, cost, figures.accepted)
 
 
 def _compute_work_left(state: progress.Progress) -> float:
--- a/wigeonhitch/pool/place.py
+++ b/wigeonhitch/pool/place.py
@@ -23,16 +23,13 @@
         # the work's own fault, and an empty pool serves nobody.
         self.vms = good if 2 * len(good) >= len(opened) else opened
         self.free = {one.id: one.compute_free() for one in self.vms}
+        self.widest = max((room.cpu for room in self.free.values()), default=-1)
+        """At least the most free processors on any VM."""
         self.counts: dict[tuple[str, str, int, int], int] = {}
         for one in self.vms:
             for task in one.runs:
                 self._count(one, task, 1)
 
-    @property
-    def widest(self) -> int:
-        """Most free processors on any VM."""
-        return max((room.cpu for room in self.free.values()), default=-1)
-
     def choose(
         self,
         task: model.Task,
@@ -61,6 +58,7 @@
             and (allowed is None or one.id in allowed)
         ]
         if not fitting:
+            self.widest = max((room.cpu for room in self.free.values()), default=-1)
             return None
         chosen = min(fitting, key=lambda one: self._rate(one, task, step, avoid))
         self.take(chosen, task, step)
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -18,6 +18,10 @@
 stop takes up to 0.9 s."""
 
 
+SCAN_PERIOD = 0.1
+"""Seconds between looks at all runs for those to be stopped, unless a job, a VM
+or a closing has changed: a pool of 40 VMs has some 600 runs."""
+
 BOARD_STEP = 4000
 """Thousandths of a core by which the board's figures go: an eighth of a VM."""
 
@@ -37,6 +41,8 @@
         """Thousandths of a core that jobs in time ask for and don't get."""
         self._open: dict[str, list[model.Task]] = {}
         self._next_due: dict[str, float] = {}
+        self._figures: dict[str, order.Figures] = {}
+        self._next_scan = 0.0
 
     def plan(self, now: float, wall: float) -> list[message.Start | message.Stop]:
         """Return the orders to give now; their runs count as started.
@@ -114,6 +120,7 @@
         for id in changed:
             self._next_due.pop(id, None)
             self._open.pop(id, None)
+            self._figures.pop(id, None)
             state = self.pool.jobs.get(id)
             if state is None:
                 continue
@@ -121,6 +128,7 @@
                 self._settle(state)
                 continue
             self._open[id] = list(state.list_open(wall))
+            self._figures[id] = self.pool.get_figures(state)
             if state.job.times and (when := state.compute_next_due(wall)):
                 self._next_due[id] = when
 
@@ -142,6 +150,10 @@
     # -- stops
 
     def _plan_stops(self, table: place.Table, now: float) -> list[message.Stop]:
+        if now < self._next_scan and not self.pool.must_scan:
+            return []
+        self.pool.must_scan = False
+        self._next_scan = now + SCAN_PERIOD
         stops = []
         for run in list(self.pool.live.values()):
             if run.state is vm.RunState.STOPPING:
@@ -212,9 +224,7 @@
         starts: list[message.Start] = []
         self.unmet = 0
         keyed = [
-            (self.pool.get_key(self.pool.jobs[id], wall), id)
-            for id, tasks in self._open.items()
-            if tasks and id in self.pool.jobs
+            (self._get_key(id, wall), id) for id, tasks in self._open.items() if tasks
         ]
         for key, id in sorted(keyed):
             state = self.pool.jobs[id]
@@ -225,6 +235,11 @@
                 self.unmet += left
         return starts
 
+    def _get_key(self, id: str, wall: float) -> order.Key:
+        queue = self.pool.jobs[id].job.queue
+        mean_work = self.pool.get_mean_work(queue)
+        return order.compute_key(self._figures[id], wall, mean_work)
+
     def _place_job(
         self,
         table: place.Table,
@@ -236,31 +251,44 @@
         unmet = 0
         full: set[tuple[int, int]] = set()
         for task in self._open[state.job.id]:
-            if task in self.pool.live or state.is_done(task):
+            step = state.job.steps[task.step]
+            if task in self.pool.live:
+                continue
+            if task[1:3] in full or step.reserved.cpu > table.widest:
+                unmet += step.reserved.cpu
                 continue
             if now < self.pool.not_before.get(task, 0.0):
                 continue
-            step = state.job.steps[task.step]
-            place_key = (task.occurrence, task.step)
             if step.gang:
                 if task.index == 0:
                     self._place_gang(table, state, task, now, starts)
                 continue
-            chosen = None
-            tickets = self._get_tickets(state, task, now)
-            if place_key not in full:
-                avoid = self.pool.failed_on.get(task, "")
-                allowed = None if tickets is None else frozenset(tickets)
-                chosen = table.choose(task, step, avoid=avoid, allowed=allowed)
-            if chosen is None:
-                full.add(place_key)
-                unmet += step.reserved.cpu
+            start = self._place_task(table, state, task, now)
+            if start is not None:
+                starts.append(start)
                 continue
-            number = self.pool.next_number(task)
-            held = tickets[chosen.id] if tickets else ""
-            starts.append(self._start(state, task, number, chosen, now, held))
+            full.add(task[1:3])
+            unmet += step.reserved.cpu
         return unmet
 
+    def _place_task(
+        self,
+        table: place.Table,
+        state: progress.Progress,
+        task: model.Task,
+        now: float,
+    ) -> message.Start | None:
+        tickets = self._get_tickets(state, task, now)
+        allowed = None if tickets is None else frozenset(tickets)
+        avoid = self.pool.failed_on.get(task, "")
+        step = state.job.steps[task.step]
+        chosen = table.choose(task, step, avoid=avoid, allowed=allowed)
+        if chosen is None:
+            return None
+        number = self.pool.next_number(task)
+        held = tickets[chosen.id] if tickets else ""
+        return self._start(state, task, number, chosen, now, held)
+
     def _get_tickets(
         self, state: progress.Progress, task: model.Task, now: float
     ) -> dict[str, str] | None:
