--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -36,6 +36,10 @@
 """Seconds after its start before a daemon claims: where all start together,
 the others have then joined, and no single one takes all pools."""
 
+MEMBERS_STALE = 1.2
+"""Seconds after which what is known of members is too old to claim by: two
+readings of them. Others' leases seem to have run out after an outage."""
+
 FLEET = "~fleet"
 """Name under which the duty of moves and upkeep is led; no pool has it."""
 
@@ -94,6 +98,7 @@
         self.leaving = False
         self._vacancies: dict[str, _Vacancy] = {}
         self._members_version = 0
+        self._members_at = 0.0
 
     def plan_renewal(self, now: float) -> record.Member:
         """Return the member row to write."""
@@ -105,9 +110,12 @@
         self.until = max(self.until, member.until)
         self.members[self.name] = member
 
-    def on_members(self, members: list[record.Member], version: int) -> None:
+    def on_members(
+        self, members: list[record.Member], version: int, now: float
+    ) -> None:
         """Take changed members as read when the store was at ``version``."""
         self._members_version = version
+        self._members_at = now
         self.members.update({one.name: one for one in members})
 
     def on_owner(self, owner: record.Owner) -> None:
@@ -151,7 +159,7 @@
         """
         if self.leaving or not self.is_valid(now):
             return []
-        if now - self._began < SETTLE:
+        if now - self._began < SETTLE or now - self._members_at > MEMBERS_STALE:
             return []
         live = self.list_live(now)
         if self.name not in live:
--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -197,7 +197,7 @@
             for row in found
             if row.value is not None
         ]
-        self.leadership.on_members(members, version)
+        self.leadership.on_members(members, version, http.read_clock())
 
     async def _follow_owners(self) -> None:
         after = 0
--- a/wigeonhitch/leadership/tests/test_core.py
+++ b/wigeonhitch/leadership/tests/test_core.py
@@ -8,7 +8,7 @@
 def make_leadership(name, members, *, now=100.0):
     one = core.Leadership(name, f"life-{name}", now - 10.0)
     one.clock.learn(now, now, now)
-    one.on_members(members, 50)
+    one.on_members(members, 50, now)
     one.on_renewed(make_member(name, now + core.LEASE))
     return one
 
@@ -102,3 +102,16 @@
 
     assert record.read_member("a", record.write_member(member)) == member
     assert record.read_owner("p", record.write_owner(owner), 99) == owner
+
+
+def test_a_daemon_back_from_an_outage_claims_nothing_by_what_it_knew(three):
+    """All leases that it knows of have run out, though their holders renewed."""
+    one = make_leadership("a", three)
+    one.on_owner(own("p", "b"))
+    one.clock.learn(109.0, 109.0, 109.0)
+    one.on_renewed(make_member("a", 109.0 + core.LEASE))
+
+    assert one.list_claims(["p"], 109.0) == []
+
+    one.on_members([make_member("b", 110.0)], 60, 109.1)
+    assert one.list_claims(["p"], 109.1) == []
