--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -36,6 +36,10 @@
 """Seconds after its start before a daemon claims: where all start together,
 the others have then joined, and no single one takes all pools."""
 
+LONG_GONE = 60.0
+"""Seconds after the end of its lease at which a member's row is removed: a
+daemon that is restarted or cut off is back before."""
+
 MEMBERS_STALE = 1.2
 """Seconds after which what is known of members is too old to claim by: two
 readings of them. Others' leases seem to have run out after an outage."""
@@ -118,6 +122,15 @@
         self._members_at = now
         self.members.update({one.name: one for one in members})
 
+    def forget(self, name: str) -> None:
+        """Forget a member whose row was removed."""
+        self.members.pop(name, None)
+
+    def list_long_gone(self, now: float) -> list[str]:
+        """Return the members whose leases ran out long ago."""
+        before = self.clock.compute_earliest(now) - LONG_GONE
+        return [one.name for one in self.members.values() if one.until < before]
+
     def on_owner(self, owner: record.Owner) -> None:
         """Take an owner row, unless a newer one is known."""
         known = self.owners.get(owner.pool)
--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -20,6 +20,9 @@
 MEMBERS_WAIT = 0.1
 """Seconds that the feed of members waits; there is mostly something new."""
 
+FORGET_PERIOD = 10.0
+"""Seconds between looks for members that are long gone."""
+
 FEED_WAIT = 1.5
 """Seconds that the feed of owners waits."""
 
@@ -70,6 +73,8 @@
         self._version = 0
         self._renewals = log.Dependency("renewal of the lease")
         self._read: set[str] = set()
+        self._rows: dict[str, rows.Row] = {}
+        """Members' rows, to remove those of daemons that are long gone."""
 
     def may_order(self) -> bool:
         """Whether this daemon's lease lasts at this moment."""
@@ -81,6 +86,7 @@
             group.start_soon(self._renew_forever)
             group.start_soon(self._follow_members)
             group.start_soon(self._follow_owners)
+            group.start_soon(self._forget_forever)
             await self._claim_forever()
 
     async def leave(self) -> None:
@@ -191,7 +197,33 @@
             self._take_members(read.rows, 0)
         return version
 
+    async def _forget_forever(self) -> None:
+        """Remove rows of members that are long gone, where this daemon leads."""
+        while True:
+            await anyio.sleep(FORGET_PERIOD)
+            if not self._leads(core.FLEET) or not self.may_order():
+                continue
+            for name in self.leadership.list_long_gone(http.read_clock()):
+                await self._forget(name)
+
+    async def _forget(self, name: str) -> None:
+        row = self._rows.get(name)
+        if row is None:
+            return
+        condition = rows.Condition(*row[:3], row.version)
+        write = rows.Write(*row[:3], None)
+        change = await self._store.commit(
+            rows.Transaction((condition,), (write,)), timeout=TIMEOUT
+        )
+        log.log_change("member forgotten", member=name, reason=change.reason)
+
     def _take_members(self, found: tuple[rows.Row, ...], version: int) -> None:
+        for row in found:
+            if row.value is None:
+                self._rows.pop(row.key, None)
+                self.leadership.forget(row.key)
+            else:
+                self._rows[row.key] = row
         members = [
             record.read_member(row.key, row.value)
             for row in found
--- a/wigeonhitch/leadership/tests/test_core.py
+++ b/wigeonhitch/leadership/tests/test_core.py
@@ -115,3 +115,14 @@
 
     one.on_members([make_member("b", 110.0)], 60, 109.1)
     assert one.list_claims(["p"], 109.1) == []
+
+
+def test_members_are_forgotten_long_after_their_leases(three):
+    one = make_leadership("a", three)
+    one.clock.learn(155.0, 155.0, 155.0)
+    assert one.list_long_gone(155.0) == []
+
+    one.clock.learn(163.0, 163.0, 163.0)
+    assert one.list_long_gone(163.0) == ["b", "c"]
+    one.forget("b")
+    assert one.list_long_gone(163.0) == ["c"]
