--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -129,7 +129,11 @@
     def list_long_gone(self, now: float) -> list[str]:
         """Return the members whose leases ran out long ago."""
         before = self.clock.compute_earliest(now) - LONG_GONE
-        return [one.name for one in self.members.values() if one.until < before]
+        return [
+            one.name
+            for one in self.members.values()
+            if one.until < before and one.name != self.name
+        ]
 
     def on_owner(self, owner: record.Owner) -> None:
         """Take an owner row, unless a newer one is known."""
