--- a/benchmarks/pool.py
+++ b/benchmarks/pool.py
@@ -13,7 +13,7 @@
 
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import entries, workers
-from wigeonhitch.pool import core, planner, tidy
+from wigeonhitch.pool import belief, core, planner, tidy
 
 __all__ = ["main", "make_burst"]
 
@@ -23,7 +23,7 @@
 
 def make_burst(vms: int, jobs: int) -> tuple[core.Pool, planner.Planner]:
     """Return a pool with running work and jobs that wait."""
-    times = core.Times(6.5, 0.2)
+    times = belief.Times(6.5, 0.2)
     pool = core.Pool("p", 10, 1, times, NOW, lambda *_, **__: None)
     pool.on_queues([model.Queue("q", "h", "/q/", "p", objective=0.6, stretch=1.6)])
     for number in range(vms):
--- a/wigeonhitch/pool/__init__.py
+++ b/wigeonhitch/pool/__init__.py
@@ -1,8 +1,28 @@
 """Leading one pool: which task runs where, under leases and a fencing token.
 
-Public: `core` (the leader's belief and decisions, without I/O), `vm` (belief
-about one VM), `order` (who goes first), `place` (where to), `pacing` (tasks
-that fill beside tasks that serve), `record` (rows) and `task` (the I/O).
+Public: `belief` and `core` (what the leader believes, and what answers make of
+it), `vm` (one VM), `planner` (a round of decisions), `order` (who goes first),
+`place` (where to), `health` and `pacing` (sick VMs, filling tasks), `ticket`,
+`ledger` and `tidy` (what is written), `board` and `record` (rows), and with I/O
+`source`, `caller` and `task`.
 """
 
-__all__ = ["core", "order", "pacing", "place", "record", "task", "vm"]
+__all__ = [
+    "belief",
+    "board",
+    "caller",
+    "core",
+    "health",
+    "ledger",
+    "order",
+    "pacing",
+    "place",
+    "planner",
+    "record",
+    "source",
+    "surroundings",
+    "task",
+    "ticket",
+    "tidy",
+    "vm",
+]
--- /dev/null
+++ b/wigeonhitch/pool/board.py
@@ -0,0 +1,54 @@
+"""What a pool's leader shows of it to other daemons."""
+
+from wigeonhitch.jobs import model
+from wigeonhitch.pool import belief, record, vm
+
+__all__ = ["list_empty", "make_board"]
+
+BOARD_STEP = 4000
+"""Thousandths of a core by which the board's figures go: an eighth of a VM."""
+
+
+def make_board(pool: belief.Belief, unmet: int) -> record.Board:
+    """Return the board; ``unmet`` in thousandths of a core."""
+    idle = sum(
+        one.compute_free().cpu
+        for one in pool.vms.values()
+        if one.listed and not one.closed and not one.entry.leaving
+    )
+    light = [one for one in pool.vms.values() if _is_light(one)]
+    # In whole steps, so that the row isn't written for each small change.
+    return record.Board(
+        _count_waiting(pool),
+        unmet - unmet % BOARD_STEP,
+        idle - idle % BOARD_STEP,
+        tuple(sorted(one.id for one in list_empty(pool))),
+        tuple(sorted(one.id for one in light)),
+        tuple(sorted(one.id for one in light if not one.runs)),
+    )
+
+
+def list_empty(pool: belief.Belief) -> list[vm.Vm]:
+    """Return the VMs that are to be vacated and hold nothing any more."""
+    return [
+        one
+        for one in pool.vms.values()
+        if one.closed and one.answered and not (one.runs or one.strays)
+    ]
+
+
+def _count_waiting(pool: belief.Belief) -> dict[str, int]:
+    """Return by queue the jobs of which no task has started."""
+    waiting: dict[str, int] = {}
+    for state in pool.jobs.values():
+        if state.state is model.JobState.QUEUED and not state.job.times:
+            queue = state.job.queue
+            waiting[queue] = waiting.get(queue, 0) + 1
+    return waiting
+
+
+def _is_light(one: vm.Vm) -> bool:
+    """Whether an open VM holds no lasting tasks."""
+    if not one.listed or not one.answered or one.closed or one.entry.leaving:
+        return False
+    return not any(run.step.lasting for run in one.runs.values())
--- /dev/null
+++ b/wigeonhitch/pool/caller.py
@@ -0,0 +1,202 @@
+"""Calls to the workers of one pool: orders, and renewals of their leases."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from wigeonhitch.platform import http, workers
+from wigeonhitch.pool import core, message, surroundings, vm
+
+__all__ = ["LONG_LEASE", "START_DEADLINE", "WORKER_LEASE", "Caller"]
+
+WORKER_LEASE = 3.8
+"""Seconds for which a worker keeps its tasks without a renewal. Longer than a
+takeover (a lease of 2.2 s, a poll of 0.5 s, a hold of 0.6 s and the first
+calls), so that work goes on when a leader dies; what ran on a silent VM starts
+elsewhere after it."""
+
+LONG_LEASE = 6.5
+"""The same while the store doesn't answer this daemon: outages last 3 to 9 s,
+and a leader that can't renew its own lease may soon not renew the workers'.
+With the 2 s that its own lease still lasts, work survives 8.5 s. A successor
+waits this long for VMs that it can't reach, so longer isn't better."""
+
+STORE_SILENCE = 1.3
+"""Seconds without a renewal of the leader's lease after which the longer lease
+is given: two renewals have failed."""
+
+HOLD_WAIT = 0.6
+"""Seconds that a hold waits for an end on a VM with tasks: six renewals in a
+lease, and the load figures for pacing twice a second."""
+
+IDLE_WAIT = 1.2
+"""The same on a VM without tasks; each look at a worker is paid for."""
+
+CALL_SLACK = 0.5
+"""Seconds beyond its wait after which a call counts as lost: a call takes some
+milliseconds, and up to 0.25 s where a daemon or link is slow."""
+
+START_TIMEOUT = 0.7
+"""Seconds to wait for the answer to a start."""
+
+START_DEADLINE = 1.2
+"""Seconds after which a worker refuses a start that was on the way: an order
+without an answer is settled by the first answer after it."""
+
+RETRY = 0.1
+"""Seconds between tries of a call that failed."""
+
+
+class Caller:
+    """Carries out a leader's orders and keeps its VMs' leases.
+
+    Parameters
+    ----------
+    pool : core.Pool
+        Takes the answers.
+    around : surroundings.Surroundings
+        The calls, and whether this daemon's own lease lasts.
+    plan_paces : callable
+        Returns the changes of pace to order after a VM's answer.
+    wake : callable
+        Called when something new is known.
+    wait_until_noted : callable
+        Awaitable; returns once a VM's ends are durable, or it must be held anew.
+    """
+
+    def __init__(
+        self,
+        pool: core.Pool,
+        around: surroundings.Surroundings,
+        plan_paces: Callable[[vm.Vm], list[message.Pace]],
+        wake: Callable[[], None],
+        wait_until_noted: Callable[[vm.Vm], Awaitable[None]],
+    ) -> None:
+        self._pool = pool
+        self._around = around
+        self._plan_paces = plan_paces
+        self._wake = wake
+        self._wait_until_noted = wait_until_noted
+        self._tell = pool.tell
+        self._granted_long = 0.0
+        self.held: set[str] = set()
+        """VMs that a task holds."""
+
+    def get_granted(self) -> float:
+        """Return the longest lease that a worker may still have of this leader."""
+        recent = http.read_clock() - self._granted_long < LONG_LEASE
+        return LONG_LEASE if recent else WORKER_LEASE
+
+    async def send_start(self, start: message.Start) -> None:
+        """Send a start, unless this leader's lease has run out meanwhile."""
+        run = start.run
+        now = http.read_clock()
+        if run.vm.runs.get(run.task) is not run:
+            return
+        if not self._around.may_order():
+            reply = workers.OrderReply(workers.Verdict.NOT_DONE)
+        else:
+            run.deadline = run.vm.compute_deadline(now, START_DEADLINE)
+            run.vm.note_grant(run.deadline)
+            order = start.order._replace(deadline=run.deadline)
+            entry = run.vm.entry
+            reply = await self._around.workers.start(
+                entry.address, entry.id, order, timeout=START_TIMEOUT
+            )
+        if reply.verdict is workers.Verdict.UNKNOWN:
+            run.vm.is_silent = True
+        self._around.instruments.count(
+            "starts_total", "Starts by verdict.", verdict=reply.verdict.value
+        )
+        self._pool.on_start(run, reply, http.read_clock())
+        if reply.verdict is not workers.Verdict.DONE:
+            self._wake()
+
+    async def send_stop(self, order: message.Stop) -> None:
+        """Send a stop."""
+        if not self._around.may_order():
+            return
+        entry = order.vm.entry
+        reply = await self._around.workers.stop(
+            entry.address,
+            entry.id,
+            order.task,
+            order.number,
+            self._pool.fence,
+            timeout=START_TIMEOUT,
+        )
+        self._tell(
+            "stop ordered",
+            job=order.task.job,
+            task=order.task[1:],
+            run=order.number,
+            vm=entry.id,
+            verdict=reply.verdict.value,
+        )
+        if reply.verdict is workers.Verdict.FENCED:
+            self._pool.deposed = True
+
+    async def send_pace(self, order: message.Pace) -> None:
+        """Send a change of pace."""
+        run = order.run
+        if not self._around.may_order():
+            return
+        entry = run.vm.entry
+        reply = await self._around.workers.pace(
+            entry.address,
+            entry.id,
+            run.task,
+            run.number,
+            order.percent,
+            self._pool.fence,
+            timeout=START_TIMEOUT,
+        )
+        if reply.verdict is workers.Verdict.DONE:
+            run.pace = order.percent
+
+    async def hold_forever(self, one: vm.Vm) -> None:
+        """Renew a VM's leases and take what it lists, until it is gone."""
+        try:
+            while not one.gone and not self._pool.deposed:
+                if self._around.may_order():
+                    await self._hold_once(one)
+                else:
+                    await anyio.sleep(RETRY / 2)
+        finally:
+            self.held.discard(one.id)
+
+    async def _hold_once(self, one: vm.Vm) -> None:
+        now = http.read_clock()
+        silence = now - self._around.get_renewed()
+        lease = WORKER_LEASE
+        if silence > STORE_SILENCE:
+            lease = LONG_LEASE
+            self._granted_long = now
+        # A silent VM isn't given more time: it may hear what isn't answered, and
+        # its tasks could never be taken for ended.
+        deadline = None
+        if one.knows_clock and not one.is_silent:
+            deadline = one.compute_deadline(now, lease)
+            one.note_grant(deadline)
+        wait = HOLD_WAIT if one.runs else IDLE_WAIT
+        if one.is_silent or not one.answered:
+            wait = 0.0
+        entry = one.entry
+        reply = await self._around.workers.hold(
+            entry.address,
+            entry.id,
+            self._pool.fence,
+            deadline,
+            one.noted,
+            wait=wait,
+            timeout=wait + CALL_SLACK,
+        )
+        one.is_silent = reply.verdict is not workers.Verdict.DONE
+        self._pool.on_hold(one, reply, http.read_clock())
+        self._wake()
+        if one.is_silent:
+            await anyio.sleep(RETRY)
+            return
+        for order in self._plan_paces(one):
+            await self.send_pace(order)
+        await self._wait_until_noted(one)
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -8,7 +8,7 @@
 
 from wigeonhitch.jobs import model, progress
 from wigeonhitch.platform import advice, workers
-from wigeonhitch.pool import core, health, message, order, pacing, place, vm
+from wigeonhitch.pool import board, core, health, message, order, pacing, place, vm
 from wigeonhitch.pool import record as pool_record
 
 __all__ = ["Planner"]
@@ -22,9 +22,6 @@
 """Seconds between looks at all runs for those to be stopped, unless a job, a VM
 or a closing has changed: a pool of 40 VMs has some 600 runs."""
 
-BOARD_STEP = 4000
-"""Thousandths of a core by which the board's figures go: an eighth of a VM."""
-
 
 class Planner:
     """Makes rounds for one pool.
@@ -77,39 +74,11 @@
 
     def make_board(self) -> pool_record.Board:
         """Return what other daemons are shown."""
-        waiting = dict.fromkeys(self.pool.queues, 0)
-        for state in self.pool.jobs.values():
-            if state.state is model.JobState.QUEUED and not state.job.times:
-                queue = state.job.queue
-                waiting[queue] = waiting.get(queue, 0) + 1
-        idle = sum(
-            one.compute_free().cpu
-            for one in self.pool.vms.values()
-            if one.listed and not one.closed and not one.entry.leaving
-        )
-        empty = sorted(one.id for one in self._list_empty())
-        light = [one for one in self.pool.vms.values() if _is_light(one)]
-        waiting = {name: count for name, count in waiting.items() if count}
-        # In whole steps, so that the row isn't written for each small change.
-        return pool_record.Board(
-            waiting,
-            self.unmet - self.unmet % BOARD_STEP,
-            idle - idle % BOARD_STEP,
-            tuple(empty),
-            tuple(sorted(one.id for one in light)),
-            tuple(sorted(one.id for one in light if not one.runs)),
-        )
+        return board.make_board(self.pool, self.unmet)
 
     def count_empty(self) -> int:
         """Return how many VMs that are to be vacated hold nothing any more."""
-        return len(self._list_empty())
-
-    def _list_empty(self) -> list[vm.Vm]:
-        return [
-            one
-            for one in self.pool.vms.values()
-            if one.closed and one.answered and not (one.runs or one.strays)
-        ]
+        return len(board.list_empty(self.pool))
 
     # -- open tasks
 
@@ -342,13 +311,6 @@
         return message.Start(run, start)
 
 
-def _is_light(one: vm.Vm) -> bool:
-    """Whether an open VM holds no lasting tasks."""
-    if not one.listed or not one.answered or one.closed or one.entry.leaving:
-        return False
-    return not any(run.step.lasting for run in one.runs.values())
-
-
 def _choose_all(
     table: place.Table,
     tasks: list[model.Task],
--- /dev/null
+++ b/wigeonhitch/pool/source.py
@@ -0,0 +1,134 @@
+"""Brings a pool's rows to its leader: read at the takeover, then followed."""
+
+from collections.abc import Callable
+
+import anyio
+
+from wigeonhitch.jobs import record
+from wigeonhitch.leadership import core as leadership
+from wigeonhitch.maintenance import record as maintenance
+from wigeonhitch.platform import http, rows, table
+from wigeonhitch.pool import core, tidy
+from wigeonhitch.pool import record as pool_record
+from wigeonhitch.telemetry import log
+
+__all__ = ["Source"]
+
+FEED_WAIT = 1.0
+"""Seconds that a feed waits; a silent connection is found after it."""
+
+READ_TIMEOUT = 1.5
+"""Seconds for a range of rows."""
+
+FEED_SLACK = 0.5
+"""Seconds beyond the wait after which the feed's call counts as lost."""
+
+RETRY = 0.1
+"""Seconds between tries of a call that failed."""
+
+
+class Source:
+    """Reads and follows the rows of one pool.
+
+    Parameters
+    ----------
+    pool : core.Pool
+        Takes what is read.
+    store : rows.RowStore
+        The platform's store.
+    wake : callable
+        Called when something new was read.
+    """
+
+    def __init__(
+        self, pool: core.Pool, store: rows.RowStore, wake: Callable[[], None]
+    ) -> None:
+        self._pool = pool
+        self._store = store
+        self._wake = wake
+        self._tell = pool.tell
+        self._job_table = pool_record.name_job_table(pool.name)
+        self._job_parts = frozenset(pool_record.list_job_parts(pool.name))
+
+    def take_closings(self, closed: list[maintenance.Closing]) -> None:
+        """Take the workers that are to be vacated, or have ended by an order."""
+        self._pool.set_closed(
+            frozenset(one.worker for one in closed),
+            frozenset(one.worker for one in closed if one.ended),
+        )
+        self._wake()
+
+    async def load(self) -> int:
+        """Read the pool's rows; return the version to follow jobs from."""
+        part = self._pool.name
+        version = await self._load_jobs()
+        progress = await self._read_all(pool_record.PROGRESS_TABLE, part)
+        for row in progress.rows:
+            self._pool.on_progress(row.key, row.value or b"{}", row.version)
+        roster = await self._read_all(pool_record.ROSTER_TABLE, part)
+        now = http.read_clock()
+        for row in roster.rows:
+            address = pool_record.read_roster(row.value or b"")
+            self._pool.on_roster(row.key, address, row.version, now)
+        closings = await self._read_all(maintenance.CLOSING_TABLE, leadership.FLEET)
+        self.take_closings(
+            [maintenance.read_closing(r.key, r.value or b"") for r in closings.rows]
+        )
+        self._tell("pool loaded", jobs=len(self._pool.jobs), vms=len(roster.rows))
+        return version
+
+    async def _load_jobs(self) -> int:
+        """Read all parts of the jobs side by side; return the oldest version."""
+        versions: list[int] = []
+
+        async def load(part: str) -> None:
+            read = await self._read_all(self._job_table, part)
+            versions.append(read.version)
+            for row in read.rows:
+                self._take_job(row)
+
+        async with anyio.create_task_group() as group:
+            for part in self._job_parts:
+                group.start_soon(load, part)
+        return min(versions)
+
+    async def _read_all(self, name: str, part: str) -> rows.Range:
+        while True:
+            found = await self._store.read(name, part, timeout=READ_TIMEOUT)
+            if found.outcome is table.Outcome.DONE:
+                return found
+            self._tell("rows not read", table=name, reason=found.reason)
+            await anyio.sleep(RETRY)
+
+    def _take_job(self, row: rows.Row) -> None:
+        if row.value is None or row.part not in self._job_parts:
+            return
+        try:
+            read = record.read_job(row.key, row.value)
+        except (ValueError, KeyError, TypeError) as error:
+            log.log_problem("job row left out", job=row.key, reason=str(error))
+            return
+        if row.key not in self._pool.jobs and read.job is not None:
+            self._tell("job taken over", job=row.key, version=row.version)
+        place = tidy.JobPlace(row.table, row.part)
+        self._pool.on_job(row.key, read, row.version, place)
+
+    async def follow(self, after: int) -> None:
+        """Follow the jobs after a version, until cancelled."""
+        while True:
+            feed = await self._store.follow(
+                self._job_table, after, wait=FEED_WAIT, timeout=FEED_WAIT + FEED_SLACK
+            )
+            if feed.expired:
+                self._tell("feed of jobs read anew", after=after)
+                after = await self._load_jobs()
+                self._wake()
+                continue
+            if feed.outcome is not table.Outcome.DONE:
+                await anyio.sleep(RETRY)
+                continue
+            after = max(after, feed.version)
+            for row in feed.rows:
+                self._take_job(row)
+            if feed.rows:
+                self._wake()
--- a/wigeonhitch/pool/tests/conftest.py
+++ b/wigeonhitch/pool/tests/conftest.py
@@ -4,7 +4,7 @@
 
 from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import entries, workers
-from wigeonhitch.pool import core, planner, tidy
+from wigeonhitch.pool import belief, core, planner, tidy
 
 NOW = 100.0
 CLOCK = 5000.0
@@ -21,7 +21,7 @@
             "p",
             fence,
             epoch,
-            core.Times(6.5, 0.2),
+            belief.Times(6.5, 0.2),
             NOW,
             lambda what, **fields: self.told.append(what),
         )
--- a/wigeonhitch/pool/tests/history.py
+++ b/wigeonhitch/pool/tests/history.py
@@ -14,14 +14,14 @@
 from wigeonhitch.jobs import model, record
 from wigeonhitch.leadership import record as leader_record
 from wigeonhitch.platform import entries, rows, table, workers
-from wigeonhitch.pool import core, message, planner, task, tidy
+from wigeonhitch.pool import belief, caller, core, message, planner, tidy
 from wigeonhitch.pool import record as pool_record
 
 POOL = "pool"
 STEP = 0.02
 ROOM = model.Room(8000, 65536, 0)
 PLACE = tidy.JobPlace("job", POOL)
-START_DEADLINE = task.START_DEADLINE
+START_DEADLINE = caller.START_DEADLINE
 
 
 class Switches(NamedTuple):
@@ -72,7 +72,7 @@
 
 
 class Leader:
-    """One leader, with the I/O of `task.Runner` replaced by the schedule."""
+    """One leader, with the I/O of `task` and `caller` replaced by the schedule."""
 
     def __init__(self, world: "World", epoch: int) -> None:
         self.world = world
@@ -89,8 +89,8 @@
             fence = 1
         if not world.switches.rising_numbers:
             epoch = 1
-        longest = task.LONG_LEASE if world.switches.wait_after_takeover else 0.0
-        times = core.Times(longest, 0.0)
+        longest = caller.LONG_LEASE if world.switches.wait_after_takeover else 0.0
+        times = belief.Times(longest, 0.0)
         self.pool = core.Pool(POOL, fence, epoch, times, world.now, lambda *a, **k: 0)
         self.pool.ledger.fence = done.version
         self.pool.on_queues([model.Queue("q", "h", "/p/", POOL, max_attempts=3)])
@@ -157,7 +157,7 @@
         now = self.world.now
         deadline = None
         if one.knows_clock and not one.is_silent:
-            deadline = one.compute_deadline(now, task.WORKER_LEASE)
+            deadline = one.compute_deadline(now, caller.WORKER_LEASE)
             one.note_grant(deadline)
         self.next_hold[one.id] = now + 1.0
         noted = one.noted if self.world.switches.commit_before_noting else one.seen
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -4,7 +4,7 @@
 
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import workers
-from wigeonhitch.pool import core, tidy, vm
+from wigeonhitch.pool import belief, core, tidy, vm
 
 NOW = 100.0
 CLOCK = 5000.0
@@ -59,7 +59,7 @@
     one.is_silent = True
     bench.add_vm("w2")
 
-    lapse = 6.5 / (1 - vm.CLOCK_DRIFT) + 0.2 + core.LAPSE_MARGIN
+    lapse = 6.5 / (1 - vm.CLOCK_DRIFT) + 0.2 + belief.LAPSE_MARGIN
     assert bench.plan(NOW + lapse - 0.1) == []
     assert one.runs
 
@@ -89,7 +89,7 @@
 
     assert [order.run.task.job for order in bench.plan()] == ["new"]
 
-    waited = 6.5 * (1 + vm.CLOCK_DRIFT) + 0.2 + core.LAPSE_MARGIN + 0.01
+    waited = 6.5 * (1 + vm.CLOCK_DRIFT) + 0.2 + belief.LAPSE_MARGIN + 0.01
     bench.pool.vms["w1"].last_answer = NOW + waited
     assert [o.run.task.job for o in bench.plan(NOW + waited)] == ["old"]
 
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -10,7 +10,7 @@
 from wigeonhitch.maintenance import record as maintenance
 from wigeonhitch.maintenance import task as fleet_task
 from wigeonhitch.platform import advice, fleet, http, node, rows, workers
-from wigeonhitch.pool import core as pool_core
+from wigeonhitch.pool import belief, caller, surroundings
 from wigeonhitch.pool import task as pool_task
 from wigeonhitch.site import catalogue, closings, desk, directory
 from wigeonhitch.telemetry import log, metric
@@ -204,10 +204,10 @@
         )
         return fleet_task.Runner(owner, around, http.read_clock())
 
-    def _make_surroundings(self, granted: float) -> pool_task.Surroundings:
+    def _make_surroundings(self, granted: float) -> surroundings.Surroundings:
         bounds = self.settings.bounds
-        longest = min(pool_task.LONG_LEASE, bounds.longest_lease)
-        return pool_task.Surroundings(
+        longest = min(caller.LONG_LEASE, bounds.longest_lease)
+        return surroundings.Surroundings(
             self._store,
             self._calls,
             self._advice_calls,
@@ -216,5 +216,5 @@
             lambda: self._keeper.renewed,
             lambda: self._leadership.clock.compute_earliest(http.read_clock()),
             bounds.finals_kept,
-            pool_core.Times(granted or longest, bounds.stop_grace),
+            belief.Times(granted or longest, bounds.stop_grace),
         )
