--- a/wigeonhitch/pool/caller.py
+++ b/wigeonhitch/pool/caller.py
@@ -153,6 +153,8 @@
         )
         if reply.verdict is workers.Verdict.DONE:
             run.pace = order.percent
+        elif reply.verdict is workers.Verdict.FENCED:
+            self._pool.deposed = True
 
     async def hold_forever(self, one: vm.Vm) -> None:
         """Renew a VM's leases and take what it lists, until it is gone."""
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -217,7 +217,8 @@
         change = await self.around.store.commit(
             batch.transaction, timeout=COMMIT_TIMEOUT
         )
-        self._is_store_quick = change.received - change.sent < QUICK
+        answered = change.outcome is table.Outcome.DONE
+        self._is_store_quick = answered and change.received - change.sent < QUICK
         result = self.pool.ledger.on_result(batch, change)
         if result.deposed:
             self._tell("another leader's claim was found", fence=self.pool.fence)
