--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -32,6 +32,12 @@
 they come to work in well under a second and last for many."""
 
 
+ADOPTED_UNSURE = 0.5
+"""Seconds, beyond the time that a stop takes, after which a run that was taken
+over and is still listed isn't being stopped: an earlier leader's last orders
+are on their way for up to 0.25 s on a slow link."""
+
+
 class Pool(belief.Belief):
     """Belief of one leader, and what workers' answers make of it."""
 
@@ -216,6 +222,7 @@
         step = state.job.steps[entry.task.step]
         run = one.adopt(entry, step, now)
         run.load = entry.load
+        run.sure_from = now + self.times.stop_grace + ADOPTED_UNSURE
         self.live[entry.task] = run
         state.started = True
         state.note_checkpoint(entry.task, entry.checkpoint)
--- a/wigeonhitch/pool/tests/test_planner.py
+++ b/wigeonhitch/pool/tests/test_planner.py
@@ -3,7 +3,8 @@
 import pytest
 
 from wigeonhitch.jobs import model
-from wigeonhitch.pool import order, pacing, vm
+from wigeonhitch.platform import workers
+from wigeonhitch.pool import core, order, pacing, vm
 
 NOW = 100.0
 
@@ -251,3 +252,31 @@
     bench.pool.set_closed(frozenset({"w1"}), frozenset())
 
     assert bench.plan() == []
+
+
+def test_a_new_leader_does_not_count_on_runs_that_may_be_stopping(bench):
+    """An earlier leader's stop may be under way: the run is listed until it ends."""
+    for name in ("w1", "w2", "w3"):
+        bench.add_vm(name, answers=False)
+    job = step(4, 1000, lasting=True, may_miss=1)
+    bench.add_job("j", job, version=5)
+    for index, name in enumerate(("w1", "w1", "w2", "w2")):
+        task = model.Task("j", 0, 0, index)
+        entry = workers.Running(task, 0, "", 100, 0)
+        listed = [
+            workers.Running(run.task, run.number, "", 100, 0)
+            for run in bench.pool.vms[name].runs.values()
+        ]
+        bench.answer(bench.pool.vms[name], [*listed, entry], now=NOW + 0.01)
+    bench.answer(bench.pool.vms["w3"], now=NOW + 0.01)
+    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+    assert bench.plan(NOW + 0.02) == []
+
+    sure = NOW + 0.2 + core.ADOPTED_UNSURE + 0.02
+    for one in list(bench.pool.vms.values()):
+        runs = [
+            workers.Running(run.task, run.number, "", 100, 0)
+            for run in one.runs.values()
+        ]
+        bench.answer(one, runs, now=sure)
+    assert len(bench.plan(sure + 0.2)) == 1
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -74,6 +74,7 @@
         "room",
         "since",
         "state",
+        "sure_from",
         "step",
         "stop_sent",
         "task",
@@ -102,6 +103,8 @@
         self.stop_sent = 0.0
         self.adopted = False
         self.is_sick = False
+        self.sure_from = 0.0
+        """From when on its being listed says that nobody is stopping it."""
 
     def note_work(self, work: float, now: float) -> None:
         """Take the progress listed, and the rate since the last mark."""
@@ -117,7 +120,8 @@
     def is_at_work(self) -> bool:
         """Whether a lasting task is known to work in full."""
         known = self.state is RunState.RUNNING and not self.vm.is_silent
-        return known and self.work >= 100
+        sure = self.vm.last_answer >= self.sure_from
+        return known and sure and self.work >= 100
 
 
 class Vm:
