Build the owner's condition and the list of a pool's free VMs in one place

The condition on the owner row stood in four places, the filter of VMs that may be sent away in two; sum_rooms and is_loaded were used by nothing, so they go, the former with its doctest. No behaviour changes; tests of the slices pass.

--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -19,7 +19,6 @@
     "Room",
     "Step",
     "Task",
-    "sum_rooms",
 ]
 
 
@@ -222,18 +221,3 @@
     pools: tuple[Pool, ...]
     body_limit: int = 262144
     """Bytes of a request's body."""
-
-
-def sum_rooms(rooms: "list[Room]") -> Room:
-    """Return the sum of rooms.
-
-    Examples
-    --------
-    >>> sum_rooms([Room(1, 2), Room(3, 4, 1)])
-    Room(cpu=4, memory=6, gpus=1)
-    """
-    return Room(
-        sum(one.cpu for one in rooms),
-        sum(one.memory for one in rooms),
-        sum(one.gpus for one in rooms),
-    )
--- a/wigeonhitch/leadership/record.py
+++ b/wigeonhitch/leadership/record.py
@@ -4,12 +4,15 @@
 
 import orjson
 
+from wigeonhitch.platform import rows
+
 __all__ = [
     "MEMBER_TABLE",
     "OWNER_KEY",
     "OWNER_TABLE",
     "Member",
     "Owner",
+    "expect_owner",
     "read_member",
     "read_owner",
     "write_member",
@@ -51,6 +54,11 @@
     gave the pool up; 0: not known."""
 
 
+def expect_owner(pool: str, version: int) -> rows.Condition:
+    """Return the condition under which all of a leader's writes stand."""
+    return rows.Condition(OWNER_TABLE, pool, OWNER_KEY, version)
+
+
 def write_member(member: Member) -> bytes:
     """Return a member's row."""
     row = {"life": member.life, "until": round(member.until, 3)}
--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -320,7 +320,7 @@
 
     async def _write_owner(self, owner: record.Owner, version: int) -> rows.Change:
         place = (record.OWNER_TABLE, owner.pool, record.OWNER_KEY)
-        condition = rows.Condition(*place, version)
+        condition = record.expect_owner(owner.pool, version)
         write = rows.Write(*place, record.write_owner(owner))
         return await self._store.commit(
             rows.Transaction((condition,), (write,)), timeout=TIMEOUT
--- a/wigeonhitch/maintenance/demand.py
+++ b/wigeonhitch/maintenance/demand.py
@@ -14,7 +14,6 @@
 
 from wigeonhitch.maintenance import core, record
 from wigeonhitch.platform import fleet
-from wigeonhitch.pool import record as pool_record
 
 __all__ = ["plan_moves"]
 
@@ -85,7 +84,7 @@
         if now - since < IDLE_FOR:
             continue
         count = min(1 + spare // max(1, size), _count_above_home(state, pool))
-        for one in _list_bare(state, pool, board)[: max(0, count)]:
+        for one in _list_free(state, pool, board.bare)[: max(0, count)]:
             closing = record.Closing(one.worker, one.id, 0, standby)
             actions.append(core.Close(closing))
     return actions
@@ -104,15 +103,16 @@
     return size - leaving - state.home.get(pool, size)
 
 
-def _list_bare(
-    state: core.Fleet, pool: str, board: pool_record.Board
+def _list_free(
+    state: core.Fleet, pool: str, workers: tuple[str, ...]
 ) -> list[fleet.Vm]:
+    """Return the VMs of a pool that are up, of these workers, and stay so far."""
     return [
         one
         for one in state.vms.values()
         if one.pool == pool
         and one.state is fleet.VmState.UP
-        and one.worker in board.bare
+        and one.worker in workers
         and not state.is_closing(one.id)
     ]
 
@@ -126,7 +126,7 @@
         size = _find_size(state)
         if not size:
             continue
-        coming = sum(1 for one in _list_coming(state, pool))
+        coming = len(_list_coming(state, pool))
         count = round(board.unmet / size - WORTH_A_MOVE + 0.5) - coming
         if count > 0:
             needs.append((pool, count))
@@ -185,15 +185,7 @@
     0.705 down to 0.53 to 0.62, and where they are larger it brought nothing
     beyond the noise of 0.03.
     """
-    listed = [
-        one
-        for one in state.vms.values()
-        if one.pool == pool
-        and one.state is fleet.VmState.UP
-        and one.worker
-        and one.worker in state.boards[pool].light
-        and not state.is_closing(one.id)
-    ]
+    listed = _list_free(state, pool, state.boards[pool].light)
     if not listed:
         return []
     size = max(1, listed[0].room.cpu)
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -153,8 +153,7 @@
             self._wake.set()
 
     async def _commit(self, writes: list[rows.Write]) -> bool:
-        place = (leader_record.OWNER_TABLE, self.owner.pool, leader_record.OWNER_KEY)
-        condition = rows.Condition(*place, self.owner.version)
+        condition = leader_record.expect_owner(self.owner.pool, self.owner.version)
         change = await self.around.store.commit(
             rows.Transaction((condition,), tuple(writes)), timeout=TIMEOUT
         )
--- a/wigeonhitch/pool/ledger.py
+++ b/wigeonhitch/pool/ledger.py
@@ -161,8 +161,7 @@
 
     def __init__(self, pool: str, fence: int) -> None:
         self._pool = pool
-        owner = rows.Condition(leader.OWNER_TABLE, pool, leader.OWNER_KEY, fence)
-        self._conditions = [owner]
+        self._conditions = [leader.expect_owner(pool, fence)]
         self.writes: list[rows.Write] = []
 
     def put_progress(self, state: progress.Progress, version: int) -> None:
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -77,7 +77,6 @@
             owner.pool, owner.version, owner.epoch, around.times, now, self._tell
         )
         self.planner = planner.Planner(self.pool)
-        self.is_loaded = False
         self._scope = anyio.CancelScope()
         self._wake_round = anyio.Event()
         self._wake_commit = anyio.Event()
@@ -130,7 +129,6 @@
         """Lead until stopped or deposed."""
         with self._scope:
             after = await self._source.load()
-            self.is_loaded = True
             async with anyio.create_task_group() as group:
                 group.start_soon(self._source.follow, after)
                 group.start_soon(self._commit_forever)
@@ -265,12 +263,7 @@
         while True:
             board = self.planner.make_board()
             if board != shown and self.around.may_order():
-                owner = rows.Condition(
-                    leader_record.OWNER_TABLE,
-                    self.owner.pool,
-                    leader_record.OWNER_KEY,
-                    self.owner.version,
-                )
+                owner = leader_record.expect_owner(self.owner.pool, self.owner.version)
                 write = rows.Write(
                     pool_record.BOARD_TABLE,
                     self.owner.pool,
