Soak whole daemons as processes under faults from outside; mend a removal done without an answer

Cause: a progress row's removal whose answer was lost had been done. The next transaction of the pool's leader expected the row at its old version, and the answer to a conflict lists rows as they are, so not the one that is gone. Every later transaction failed alike and without a log line: no end of the pool was noted any more until another leader came. The tidier's removals stood still in the same way.

Ruled out: the store (it answered the renewals of the same daemon), the lease, the workers (every end was listed).

Now a conflict that no listed row explains means that the unlisted rows are gone. Two tests of the ledger and two of the tidier failed first. A conflict of a commit has a log line.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -10,7 +10,7 @@
 
 from wigeonhitch.platform import rows, table
 
-__all__ = ["RowStore"]
+__all__ = ["RowStore", "read_times"]
 
 UNKNOWN = table.Outcome.UNKNOWN
 DONE = table.Outcome.DONE
@@ -100,7 +100,7 @@
             if (name, of) == (table, part) and key >= first and (not last or key < last)
         )
         kept = tuple(found[:limit] if limit else found)
-        return rows.Range(DONE, kept, self.version, "", *_read_times())
+        return rows.Range(DONE, kept, self.version, "", *read_times())
 
     async def follow(
         self, table: str, after: int, *, wait: float, timeout: float
@@ -116,7 +116,7 @@
             while not self._list_changes(table, after):
                 await self._changed.wait()
         changes = tuple(self._list_changes(table, after))
-        return rows.Feed(DONE, changes, self.version, False, "", *_read_times())
+        return rows.Feed(DONE, changes, self.version, False, "", *read_times())
 
     async def list_parts(self, table: str, *, timeout: float) -> rows.Parts:
         """Return the parts of a table."""
@@ -148,13 +148,14 @@
             self._changes.append(row)
         self._changed.set()
         self._changed = anyio.Event()
-        return rows.Change(DONE, self.version, (), "", *_read_times())
+        return rows.Change(DONE, self.version, (), "", *read_times())
 
     def _list_conflicts(self, change: rows.Transaction) -> tuple[rows.Row, ...]:
         keys = [one[:3] for one in change.conditions]
         return tuple(self._rows[key] for key in keys if key in self._rows)
 
 
-def _read_times() -> tuple[float, float, float]:
+def read_times() -> tuple[float, float, float]:
+    """Return the store's steady clock, and when a call was sent and answered."""
     now = time.clock_gettime(time.CLOCK_BOOTTIME)
     return now + 1000.0, now, now
--- a/standins/siteworker.py
+++ b/standins/siteworker.py
@@ -122,13 +122,17 @@
             return workers.Verdict.DONE
         if order.run <= self._barred.get(order.task, 0) or present is not None:
             return workers.Verdict.OLD
-        failed = self._rng.random() < self._fail_share
-        how = model.End.FAILED if failed else model.End.DONE
-        length = 1e9 if self.lasting else self._rng.uniform(0.2, 1.0) * self._work
+        length, how = self.choose_end(order)
         self.runs[order.task] = _Run(order.task, order.run, now + length, how)
         self.events.append(Event(now, "start", self.id, order.task, order.run))
         return workers.Verdict.DONE
 
+    def choose_end(self, order: workers.Start) -> tuple[float, model.End]:
+        """Return after how many seconds a run ends, and how."""
+        failed = self._rng.random() < self._fail_share
+        how = model.End.FAILED if failed else model.End.DONE
+        return (1e9 if self.lasting else self._rng.uniform(0.2, 1.0) * self._work), how
+
     def stop(
         self, task: model.Task, run: int, fence: int, now: float
     ) -> workers.Verdict:
--- /dev/null
+++ b/standins/soak/audit.py
@@ -0,0 +1,276 @@
+"""The promises of a site, checked by what callers and workers saw."""
+
+import time
+from typing import NamedTuple
+
+from standins import siteworker
+from standins.soak import caller, fault, history, scene, yard
+from wigeonhitch.jobs import model
+from wigeonhitch.platform import http
+
+__all__ = ["Seen", "check"]
+
+TOUCH = 3.0
+"""Seconds after a disturbance until times are promised again."""
+
+CANCEL = 3.0
+"""Seconds after a cancelling was acknowledged in which its tasks end."""
+
+VISIBLE = 3.0
+"""Seconds after which an accepted job is known everywhere."""
+
+EARLY = 0.25
+"""Seconds by which a task may start before its time."""
+
+NOTICE = 4.5
+"""Seconds after which a lasting task counts as away for any cause."""
+
+DRAIN = 2.0
+"""Seconds after which nothing starts on a worker that leaves."""
+
+
+class Seen(NamedTuple):
+    """Everything that a run showed."""
+
+    jobs: list[caller.Sent]
+    calls: list[caller.Call]
+    spans: list[fault.Span]
+    yard: yard.Yard
+    ended: float
+
+    def is_disturbed(
+        self, begin: float, end: float, target: str = "", *, planned: bool = False
+    ) -> bool:
+        """Whether a fault came near a time; ``target`` leaves out others' own."""
+        return any(
+            span.begin < end and begin < span.end + TOUCH
+            for span in self.spans
+            if (planned or span.kind not in fault.PLANNED)
+            and (not target or span.target in (target, "store") or "all" in span.kind)
+        )
+
+
+def check(seen: Seen) -> list[str]:
+    """Return what went wrong, a line each."""
+    jobs = {job.id: job for job in seen.jobs}
+
+    def get_size(task: model.Task) -> int:
+        return jobs[task.job].body["steps"][task.step]["cpu"]
+
+    events = seen.yard.events
+    unknown = {event.task.job for event in events} - set(jobs)
+    if unknown:
+        return [f"job that nobody submitted: {id}" for id in sorted(unknown)]
+    return [
+        *history.check_runs(events, get_size, yard.CPU),
+        *_check_starts(seen, jobs),
+        *_check_lasting(seen, jobs),
+        *_check_answers(seen, jobs),
+        *_check_breaks(seen),
+        *_check_orders(seen),
+        *_check_finals(seen),
+    ]
+
+
+def _check_starts(seen: Seen, jobs: dict[str, caller.Sent]) -> list[str]:
+    """Check order, times, attempts, refusals, cancellations and leaving workers."""
+    faults = []
+    done: set[model.Task] = set()
+    failed: dict[model.Task, int] = {}
+    to_wall = time.time() - http.read_clock()
+    for event in seen.yard.events:
+        job = jobs[event.task.job]
+        if event.what == "noted" and event.how == "failed":
+            failed[event.task] = failed.get(event.task, 0) + 1
+        if event.what == "end" and event.how == "done":
+            done.add(event.task)
+        if event.what != "start":
+            continue
+        if job.was_refused:
+            faults.append(f"refused job started: {event}")
+        if not _is_after(job, event.task, done):
+            faults.append(f"started before an earlier step was done: {event}")
+        if failed.get(event.task, 0) >= scene.MAX_ATTEMPTS and not job.lasts:
+            faults.append(f"started after its last attempt: {event}")
+        start = job.body.get("start_at_ms", 0) / 1000
+        due = start + event.task.occurrence * job.body.get("interval_ms", 0) / 1000
+        if event.time + to_wall < due - EARLY:
+            faults.append(f"started {due - event.time - to_wall:.2f} s early: {event}")
+        faults.extend(_check_late_start(seen, job, event))
+    return faults
+
+
+def _check_late_start(
+    seen: Seen, job: caller.Sent, event: siteworker.Event
+) -> list[str]:
+    faults = []
+    is_calm = not seen.is_disturbed(event.time - TOUCH, event.time)
+    if job.cancelled and event.time > job.cancelled + CANCEL and is_calm:
+        faults.append(
+            f"started {event.time - job.cancelled:.1f} s after cancel: {event}"
+        )
+    drained = seen.yard.drained.get(event.worker)
+    if drained and event.time > drained + DRAIN and is_calm:
+        faults.append(f"started on a leaving worker: {event}")
+    return faults
+
+
+def _is_after(job: caller.Sent, task: model.Task, done: set[model.Task]) -> bool:
+    return all(
+        task._replace(step=step, index=index) in done
+        for step in job.body["steps"][task.step].get("after", ())
+        for index in range(job.body["steps"][step]["count"])
+    )
+
+
+def _check_lasting(seen: Seen, jobs: dict[str, caller.Sent]) -> list[str]:
+    """Check that orders leave enough tasks of a lasting step at work."""
+    faults = []
+    away: dict[model.Task, tuple[float, str]] = {}
+    for event in seen.yard.events:
+        job = jobs[event.task.job]
+        if not job.lasts:
+            continue
+        if event.what == "start":
+            away.pop(event.task, None)
+        elif event.what == "end" and away.get(event.task, ("", ""))[1] != "ordered":
+            away[event.task] = (event.time, event.how)
+        if event.what != "ordered" or job.cancel_sent or _leaves(seen, event):
+            continue
+        away[event.task] = (event.time, "ordered")
+        others = sum(
+            1
+            for task, (since, how) in away.items()
+            if task.job == job.id and task != event.task
+            and (how == "ordered" or event.time - since > NOTICE)
+        )  # fmt: skip
+        if others >= job.body["steps"][event.task.step]["may_miss"]:
+            faults.append(f"ended with {others} others away: {event}")
+    return faults
+
+
+def _leaves(seen: Seen, event: siteworker.Event) -> bool:
+    drained = seen.yard.drained.get(event.worker)
+    return drained is not None and drained <= event.time
+
+
+def _check_answers(seen: Seen, jobs: dict[str, caller.Sent]) -> list[str]:
+    """Check that accepted jobs stay known, and that refusals name a time."""
+    faults = []
+    for call in seen.calls:
+        job = jobs[call.job]
+        if call.status in (429, 503) and not call.has_time:
+            faults.append(f"refused without a time to come back: {call}")
+        if call.method != "GET" or call.status != 410 or not job.accepted:
+            continue
+        is_calm = not seen.is_disturbed(call.sent - TOUCH, call.ended, call.daemon)
+        if call.sent > job.accepted + VISIBLE and not job.cancel_sent and is_calm:
+            faults.append(f"accepted job isn't known: {call}")
+    return faults
+
+
+def _check_breaks(seen: Seen) -> list[str]:
+    """Check that no answer breaks off but for a disturbance of its daemon."""
+    return [
+        f"answer broke off: {call}"
+        for call in seen.calls
+        if call.broke
+        and call.broke != "ReadTimeout"
+        and not seen.is_disturbed(call.sent - TOUCH, call.ended, call.daemon)
+        and not _is_past_grace(seen, call)
+    ]
+
+
+def _is_past_grace(seen: Seen, call: caller.Call) -> bool:
+    """Whether the daemon's process was killed since its grace was over."""
+    return any(
+        span.kind == "stop"
+        and span.target == call.daemon
+        and call.ended > span.begin + scene.GRACE - 0.1
+        and call.sent < span.begin + scene.GRACE + 1
+        for span in seen.spans
+    )
+
+
+def _check_orders(seen: Seen) -> list[str]:
+    """Check waves' ceilings and that no fencing token has two holders."""
+    faults = []
+    holders: dict[tuple[str, int], str] = {}
+    upkeeps: list[yard.Order] = []
+    for order in seen.yard.orders:
+        known = holders.setdefault((order.vm, order.fence), order.holder)
+        if known != order.holder:
+            faults.append(f"two holders of one fencing token: {order}, {known}")
+        if not order.wave:
+            continue
+        down = [
+            one
+            for one in upkeeps
+            if one.wave == order.wave and order.time - one.time < yard.REJOIN
+        ]
+        upkeeps.append(order)
+        if down:
+            faults.append(f"upkeep above the ceiling: {order} beside {down}")
+    return faults
+
+
+def _check_finals(seen: Seen) -> list[str]:
+    """Check what became of every accepted job, once all faults are over."""
+    faults = []
+    ends: dict[str, set[model.Task]] = {}
+    failures: dict[model.Task, int] = {}
+    for event in seen.yard.events:
+        if event.what == "end" and event.how == "done":
+            ends.setdefault(event.task.job, set()).add(event.task)
+        elif event.what == "end" and event.how == "failed":
+            failures[event.task] = failures.get(event.task, 0) + 1
+    gone = {job for task, count in failures.items() if count >= scene.MAX_ATTEMPTS
+            for job in (task.job,)}  # fmt: skip
+    for job in seen.jobs:
+        if not job.accepted:
+            continue
+        name = f"{job.id} of {job.queue.name}"
+        if job.cancelled:
+            faults.extend(_check_cancelled(seen, job, name))
+            continue
+        if job.lasts:
+            faults.extend(_check_at_work(seen, job, name))
+        elif not job.final:
+            faults.append(f"accepted job never became final: {name}")
+        if job.final == "completed" and len(ends.get(job.id, ())) < _count(job):
+            faults.append(f"completed without all ends: {name}")
+        if job.final == "failed" and job.id not in gone:
+            faults.append(f"failed without a cause: {name}")
+        if job.final == "cancelled" and not job.cancel_sent:
+            faults.append(f"cancelled without being asked: {name}")
+    return faults
+
+
+def _count(job: caller.Sent) -> int:
+    tasks = sum(step["count"] for step in job.body["steps"])
+    return tasks * max(1, job.body.get("times", 0))
+
+
+def _list_running(seen: Seen, job: caller.Sent) -> list[model.Task]:
+    return [
+        task
+        for vm in seen.yard.vms.values()
+        if vm.life is not None
+        for task in vm.life.runs
+        if task.job == job.id
+    ]
+
+
+def _check_cancelled(seen: Seen, job: caller.Sent, name: str) -> list[str]:
+    running = _list_running(seen, job)
+    if running and seen.ended > (job.cancelled or 0.0) + CANCEL:
+        return [f"cancelled job still runs: {name}: {running}"]
+    return []
+
+
+def _check_at_work(seen: Seen, job: caller.Sent, name: str) -> list[str]:
+    running = len(_list_running(seen, job))
+    wanted = job.body["steps"][0]["count"]
+    if running < wanted:
+        return [f"lasting job has {running} of {wanted} tasks at work: {name}"]
+    return []
--- /dev/null
+++ b/standins/soak/caller.py
@@ -0,0 +1,198 @@
+"""Callers of a site: they submit jobs, ask for them and cancel some.
+
+A caller keeps its connections until the process at the other end is gone, and
+repeats a request under the same id at another daemon when it doesn't know what
+came of it.
+"""
+
+import random
+import time
+from typing import Any, NamedTuple
+
+import anyio
+import httpx
+
+from standins.soak import scene
+from wigeonhitch.jobs import model
+from wigeonhitch.platform import http
+
+__all__ = ["Call", "Callers", "Sent"]
+
+TIMEOUT = 3.0
+"""Seconds that a caller waits for an answer."""
+
+TRIES = 5
+"""Times that a caller tries to hand a job in."""
+
+SECONDS = (0.1, 0.8)
+"""Shortest and longest work of a task."""
+
+ASK_EVERY = 0.7
+"""Seconds between two questions of one caller about its job."""
+
+
+class Call(NamedTuple):
+    """One request and what came of it; status 0: no whole answer.
+
+    ``broke`` is set when the connection was open and ended without an answer.
+    """
+
+    daemon: str
+    sent: float
+    ended: float
+    method: str
+    job: str
+    status: int
+    body: Any
+    has_time: bool = False
+    broke: str = ""
+
+
+class Sent:
+    """A job as its caller knows it."""
+
+    def __init__(self, id: str, queue: scene.Queue, body: dict[str, Any]) -> None:
+        self.id = id
+        self.queue = queue
+        self.body = body
+        self.accepted: float | None = None
+        self.refusals = 0
+        self.tries = 0
+        self.cancel_sent: float | None = None
+        self.cancelled: float | None = None
+        self.final = ""
+        self.final_at = 0.0
+
+    @property
+    def lasts(self) -> bool:
+        """Whether its tasks run until the job is cancelled."""
+        return any(step.get("perpetual") for step in self.body["steps"])
+
+    @property
+    def was_refused(self) -> bool:
+        """Whether every try to hand it in was refused as not run."""
+        return self.tries > 0 and self.refusals == self.tries
+
+
+class Callers:
+    """All callers of a run.
+
+    Attributes
+    ----------
+    jobs : list of Sent
+    calls : list of Call
+    """
+
+    def __init__(
+        self, site: scene.Scene, rng: random.Random, client: httpx.AsyncClient
+    ) -> None:
+        self.jobs: list[Sent] = []
+        self.calls: list[Call] = []
+        self._site = site
+        self._rng = rng
+        self._client = client
+
+    async def run(self, rate: float, seconds: float) -> None:
+        """Submit ``rate`` jobs a second for a time; ask for them meanwhile."""
+        async with anyio.create_task_group() as group:
+            for queue in scene.QUEUES:
+                group.start_soon(self._live, self._make_job(queue, lasts=True))
+            until = http.read_clock() + seconds
+            while http.read_clock() < until:
+                queue = self._rng.choice(scene.QUEUES)
+                group.start_soon(self._live, self._make_job(queue, lasts=False))
+                await anyio.sleep(self._rng.expovariate(rate))
+            await anyio.sleep(ASK_EVERY)
+            group.cancel_scope.cancel()
+
+    async def ask(self, job: Sent) -> Call:
+        """Ask for a job's state."""
+        call = await self._call("GET", job)
+        if call.status == 200:
+            self._note_state(job, call)
+        return call
+
+    def _note_state(self, job: Sent, call: Call) -> None:
+        state = model.JobState(call.body["state"])
+        if state.is_final and not job.final:
+            job.final, job.final_at = state.value, call.ended
+
+    async def cancel(self, job: Sent) -> Call:
+        """Cancel a job."""
+        job.cancel_sent = job.cancel_sent or http.read_clock()
+        call = await self._call("DELETE", job)
+        if call.status in (200, 410) and job.cancelled is None:
+            job.cancelled = call.ended
+        return call
+
+    def _make_job(self, queue: scene.Queue, lasts: bool) -> Sent:
+        id = f"{self._rng.getrandbits(64):016x}"
+        if lasts:
+            step = {"count": 3, "cpu": 500, "mem_mb": 64, "perpetual": True}
+            step["may_miss"] = 1
+            steps = [step]
+        else:
+            cpu = self._rng.choice((500, 1500, 2500))
+            one = {"count": self._rng.randint(1, 4), "cpu": cpu, "mem_mb": 64}
+            steps = [{**one, "estimate_ms": 400}]
+            if self._rng.random() < 0.4:
+                steps.append({**one, "count": 1, "estimate_ms": 400, "after": [0]})
+        seconds = 1e6 if lasts else self._rng.uniform(*SECONDS)
+        fail = self._rng.choice((0.0, 0.0, 0.1))
+        spec = f'{{"seconds":{seconds:.3f},"fail":{0.0 if lasts else fail}}}'
+        body = {"spec": spec, "steps": steps}
+        if not lasts and self._rng.random() < 0.1:
+            body["times"], body["interval_ms"] = 2, 1000
+            body["start_at_ms"] = int(time.time() * 1000) + 1500
+        job = Sent(id, queue, body)
+        self.jobs.append(job)
+        return job
+
+    async def _live(self, job: Sent) -> None:
+        """Hand a job in, perhaps cancel it, and ask until it is final."""
+        if not await self._submit(job):
+            return
+        if not job.lasts and self._rng.random() < 0.15:
+            await anyio.sleep(self._rng.uniform(0, 1.0))
+            await self.cancel(job)
+        while not job.final:
+            await anyio.sleep(ASK_EVERY * self._rng.uniform(0.5, 1.5))
+            await self.ask(job)
+
+    async def _submit(self, job: Sent) -> bool:
+        for _ in range(TRIES):
+            job.tries += 1
+            call = await self._call("POST", job)
+            if call.status == 200:
+                job.accepted = call.ended
+                return True
+            if call.status in (429, 503):
+                job.refusals += 1
+            await anyio.sleep(self._rng.uniform(0.2, 1.2))
+        return False
+
+    async def _call(self, method: str, job: Sent) -> Call:
+        daemon = self._rng.choice(self._site.daemons)
+        path = f"http://{daemon.callers}{job.queue.prefix}{job.id}"
+        sent = http.read_clock()
+        status, body, has_time, broke = 0, None, False, ""
+        try:
+            reply = await self._client.request(
+                method,
+                path,
+                headers={"Host": job.queue.host},
+                json=job.body if method == "POST" else None,
+                timeout=TIMEOUT,
+            )
+            status, has_time = reply.status_code, "retry-after" in reply.headers
+            body = reply.json() if reply.content else None
+        except (httpx.ConnectError, httpx.ConnectTimeout):
+            pass
+        except httpx.TransportError as error:
+            broke = type(error).__name__
+        call = Call(
+            daemon.name, sent, http.read_clock(), method, job.id, status, body,
+            has_time, broke,
+        )  # fmt: skip
+        self.calls.append(call)
+        return call
--- /dev/null
+++ b/standins/soak/scene.py
@@ -0,0 +1,247 @@
+"""One site on loopback: stand-ins in this process, daemons as processes."""
+
+import contextlib
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+from typing import Any, NamedTuple
+
+import anyio
+import anyio.abc
+import orjson
+
+from standins.demo import process
+from standins.soak import application, relay, store, yard
+from wigeonhitch.daemon import server
+from wigeonhitch.platform import entries, http, node
+
+__all__ = ["POOLS", "QUEUES", "Daemon", "Queue", "Scene", "open_scene"]
+
+POOLS = {"alpha": 3, "beta": 3, yard.STANDBY: 2}
+"""VMs a pool: enough that a lost VM leaves room, few enough to fill up."""
+
+GRACE = 6.0
+"""Seconds from SIGTERM to SIGKILL, as the settings say by default."""
+
+RESTART = 0.5
+"""Seconds until an ended process is started again."""
+
+CLOSE = 0.2
+"""Seconds in which the servers see that their connections have ended."""
+
+REPLACE = 0.05
+"""Seconds between two looks at whether a process has ended."""
+
+
+class Queue(NamedTuple):
+    """A queue of the configuration."""
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+
+
+QUEUES = tuple(
+    Queue(f"queue-{pool}", f"{pool}.example", f"/{pool}/", pool)
+    for pool in POOLS
+    if pool != yard.STANDBY
+)
+
+MAX_ATTEMPTS = 3
+
+
+class Daemon:
+    """One daemon's process, started again whenever it ends."""
+
+    def __init__(
+        self, name: str, host: str, settings: pathlib.Path, relays: list[relay.Relay]
+    ) -> None:
+        self.name = name
+        self.callers = f"{host}:{8624}"
+        self.settings = settings
+        self.store, self.fleet = relays
+        self.log = settings.with_suffix(".log")
+        self.running: subprocess.Popen[bytes] | None = None
+        self.kills_at = 0.0
+
+    @property
+    def relays(self) -> tuple[relay.Relay, relay.Relay]:
+        """Links to the store and to the calls on VMs."""
+        return self.store, self.fleet
+
+    def signal(self, number: int) -> None:
+        """Send a signal, if the process runs."""
+        if self.running is not None and self.running.poll() is None:
+            self.running.send_signal(number)
+
+    def terminate(self) -> None:
+        """Send SIGTERM; SIGKILL follows once the grace is over."""
+        self.kills_at = http.read_clock() + GRACE
+        self.signal(signal.SIGTERM)
+
+    async def keep(self, stack: contextlib.ExitStack) -> None:
+        """Start the process again and again until cancelled."""
+        environment = {node.NODE_FILE_VARIABLE: str(self.settings)}
+        while True:
+            self.kills_at = 0.0
+            output = stack.enter_context(self.log.open("ab"))
+            self.running = subprocess.Popen(
+                [sys.executable, "-m", "wigeonhitch.site.main"],
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+            )
+            stack.callback(_end, self.running)
+            while self.running.poll() is None:
+                await anyio.sleep(REPLACE)
+                if self.kills_at and http.read_clock() > self.kills_at:
+                    self.signal(signal.SIGKILL)
+            await anyio.sleep(RESTART)
+
+
+class Scene:
+    """Everything of one run.
+
+    Attributes
+    ----------
+    daemons : list of Daemon
+    links : dict of str to relay.Relay
+        To the workers, by VM.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.store = store.Store()
+        self.yard = yard.Yard(self.store.rows, rng)
+        self.daemons: list[Daemon] = []
+        self.links: dict[str, relay.Relay] = {}
+
+    def write_catalogue(self, version: int, extra: int = 0) -> None:
+        """Put a configuration in force; ``extra`` routes lead to the first pool."""
+        routes = [_write_route(queue) for queue in QUEUES]
+        for number in range(extra):
+            more = Queue(f"more-{number}", f"more{number}.example", "/", "alpha")
+            routes.append(_write_route(more))
+        services = [{"name": one, "standby": one == yard.STANDBY} for one in POOLS]
+        fields = {"version": version, "routes": routes, "services": services}
+        self.store.rows.put(
+            entries.OPERATOR_TABLE, "", entries.CATALOGUE_KEY, orjson.dumps(fields)
+        )
+
+    def order_wave(self, number: int, vms: list[str], within: float) -> None:
+        """Ask for an upkeep of VMs, one at a time."""
+        fields = {"wave": number, "machines": vms, "duration_s": within, "ceiling": 1}
+        self.store.rows.put(
+            entries.OPERATOR_TABLE, "", entries.name_wave(number), orjson.dumps(fields)
+        )
+
+
+@contextlib.asynccontextmanager
+async def open_scene(folder: pathlib.Path, count: int, rng: random.Random) -> Any:
+    """Run a site with ``count`` daemons; everything ends with the block."""
+    scene = Scene(rng)
+    scene.write_catalogue(1)
+    ports = process.Ports()
+    network = f"127.{rng.randrange(1, 250)}.{rng.randrange(250)}"
+    platform, calls = ports.take(2)
+    workers = _add_vms(scene, ports)
+    one = application.Application(scene.store, scene.yard, workers)
+    addresses = [f"127.0.0.1:{port}" for port in (platform, calls, *workers)]
+    stopped = anyio.Event()
+    async with anyio.create_task_group() as servers:
+        servers.start_soon(server.serve_addresses, one, addresses, None, stopped.wait)
+        try:
+            with contextlib.ExitStack() as stack:
+                async with anyio.create_task_group() as group:
+                    for number in range(count):
+                        host = f"{network}.{number + 1}"
+                        daemon = _make_daemon(
+                            folder, number, host, ports, platform, calls
+                        )
+                        scene.daemons.append(daemon)
+                    await _start(scene, addresses, group, stack)
+                    yield scene
+                    group.cancel_scope.cancel()
+            await anyio.sleep(CLOSE)
+        finally:
+            stopped.set()
+
+
+async def _start(
+    scene: Scene,
+    addresses: list[str],
+    group: anyio.abc.TaskGroup,
+    stack: contextlib.ExitStack,
+) -> None:
+    """Start the links, then the VMs, then the daemons."""
+    links = [link for daemon in scene.daemons for link in daemon.relays]
+    for link in (*scene.links.values(), *links):
+        await group.start(link.run)
+    for address in addresses:
+        await server.wait_until_listening(address)
+    group.start_soon(scene.yard.run)
+    for daemon in scene.daemons:
+        group.start_soon(daemon.keep, stack)
+
+
+def _add_vms(scene: Scene, ports: process.Ports) -> dict[int, yard.Vm]:
+    found = {}
+    for pool, count in POOLS.items():
+        for number in range(count):
+            port, outside = ports.take(2)
+            name = f"{pool}-{number}"
+            link = relay.Relay("127.0.0.1", outside, "127.0.0.1", port)
+            scene.links[name] = link
+            found[port] = yard.Vm(name, pool, port, link.address)
+            scene.yard.add(found[port])
+    return found
+
+
+def _make_daemon(
+    folder: pathlib.Path,
+    number: int,
+    host: str,
+    ports: process.Ports,
+    platform: int,
+    calls: int,
+) -> Daemon:
+    links = [
+        relay.Relay("127.0.0.1", ports.take()[0], "127.0.0.1", target)
+        for target in (platform, calls)
+    ]
+    name = f"daemon-{number}"
+    lines = {
+        "node_name": name,
+        "zone": "dc",
+        "ip": host,
+        "listen_addrs.frontend": f"{host}:8624",
+        "listen_addrs.ready": f"{host}:8622",
+        "platform.address": links[0].address,
+        "cloud_api.address": links[1].address,
+    }
+    settings = folder / f"{name}.conf"
+    settings.write_text("".join(f"{key}={text}\n" for key, text in lines.items()))
+    return Daemon(name, host, settings, links)
+
+
+def _write_route(queue: Queue) -> dict[str, Any]:
+    return {
+        "name": queue.name,
+        "host": queue.host,
+        "path_prefix": queue.prefix,
+        "service": queue.pool,
+        "max_attempts": MAX_ATTEMPTS,
+        "stretch": 2.0,
+        "slo_ms": 600,
+    }
+
+
+def _end(running: subprocess.Popen[bytes]) -> None:
+    """End a process that this scene started."""
+    if running.poll() is None:
+        running.kill()
+    running.wait()
--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -21,6 +21,7 @@
     "Rows",
     "Transaction",
     "Write",
+    "list_gone",
 ]
 
 
@@ -88,6 +89,21 @@
     received: float = 0.0
 
 
+def list_gone(
+    conditions: tuple[Condition, ...], found: tuple[Row, ...]
+) -> tuple[Condition, ...]:
+    """Return the conditions that failed because their row doesn't exist.
+
+    A store lists rows as they are, so it may leave out one that is gone. That
+    is certain only where no row that is listed explains why the transaction
+    failed; a later try shows the others.
+    """
+    listed = {(row.table, row.part, row.key): row.version for row in found}
+    if any(listed.get(one[:3], one.version) != one.version for one in conditions):
+        return ()
+    return tuple(one for one in conditions if one.version and one[:3] not in listed)
+
+
 class Feed(NamedTuple):
     """Changes of a table after a version; ``expired``: history is dropped."""
 
--- a/wigeonhitch/pool/ledger.py
+++ b/wigeonhitch/pool/ledger.py
@@ -140,8 +140,23 @@
                 return Result(False, deposed=True)
             if row.table == pool_record.PROGRESS_TABLE:
                 self.versions[row.key] = row.version if row.value is not None else 0
+        for one in rows.list_gone(batch.transaction.conditions, change.conflicts):
+            if one.table == pool_record.PROGRESS_TABLE:
+                self.versions[one.key] = 0
+        self._forget_gone(batch.spent)
         return Result(False)
 
+    def _forget_gone(self, spent: Iterable[str]) -> None:
+        """Drop removals that were done without an answer.
+
+        Their rows don't exist any more. One that stayed would let every later
+        transaction of the pool fail, so that no end is ever noted again.
+        """
+        for id in spent:
+            if not self.versions.get(id):
+                self._spent.pop(id, None)
+                self.versions.pop(id, None)
+
     def _settle(self, batch: Batch, version: int) -> None:
         for id in batch.jobs:
             self.versions[id] = version
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -224,6 +224,9 @@
             self._wake()
         conflict = change.reason == "conflict"
         self._commits.note(result.done or conflict, change.reason, pool=self.owner.pool)
+        if conflict:
+            listed = {row.key: row.version for row in change.conflicts}
+            self._tell("commit of ends conflicts", fence=self.pool.fence, found=listed)
         if not result.done:
             return conflict
         for id in batch.vms:
--- a/wigeonhitch/pool/tests/test_ledger.py
+++ b/wigeonhitch/pool/tests/test_ledger.py
@@ -115,3 +115,31 @@
     collect(book, {})
 
     assert not book.has_work
+
+
+def test_a_removal_that_was_done_without_an_answer_holds_nothing_up(book, make_state):
+    """The row is gone, so the answer to the next try can't list it."""
+    jobs = {"j": make_state(model.Step(1))}
+    book.versions["old"] = 33
+    book.spend(["old"])
+    book.on_result(collect(book, jobs), UNKNOWN)
+    book.mark("j")
+    owner = rows.Row("owner", "p", "owner", b"", 10)
+
+    book.on_result(collect(book, jobs), conflict(owner))
+
+    batch = collect(book, jobs)
+    assert batch.jobs == ("j",)
+    assert {one.version for one in batch.transaction.conditions} == {0, 10}
+    assert not batch.spent
+
+
+def test_a_row_that_is_not_listed_stays_as_it_is_while_another_explains(book):
+    book.versions.update(old=33, other=34)
+    book.spend(["old", "other"])
+
+    found = rows.Row("progress", "p", "other", b"{}", 40)
+    book.on_result(collect(book, {}), conflict(found))
+
+    conditions = collect(book, {}).transaction.conditions
+    assert {one.version for one in conditions} == {10, 33, 40}
--- a/wigeonhitch/pool/tests/test_tidy.py
+++ b/wigeonhitch/pool/tests/test_tidy.py
@@ -59,6 +59,27 @@
     assert tidier.collect(999.0, KEPT) is None
 
 
+def test_a_removal_that_was_done_without_an_answer_holds_nothing_up():
+    """The row is gone, so the answer to the next try can't list it."""
+    tidier = tidy.Tidier()
+    tidier.on_final_row("a", PLACE, 7, 10.0)
+    tidier.on_final_row("b", PLACE, 8, 11.0)
+    tidier.on_result(tidier.collect(200.0, KEPT), rows.Change(table.Outcome.UNKNOWN))
+    conflict = rows.Change(table.Outcome.NOT_DONE, 0, (), "conflict")
+
+    assert tidier.on_result(tidier.collect(200.0, KEPT), conflict) == ()
+
+    assert tidier.collect(200.0, KEPT).ids == ("b",)
+
+
+def test_a_final_jobs_row_that_is_gone_leaves_nothing_to_shrink(tidier):
+    conflict = rows.Change(table.Outcome.NOT_DONE, 0, (), "conflict")
+
+    assert tidier.on_result(tidier.collect(50.0, KEPT), conflict) == ("a",)
+
+    assert tidier.collect(50.0, KEPT).ids == ("b",)
+
+
 def test_a_settled_job_is_handed_over_for_tidying(bench, ended):
     one = bench.add_vm()
     bench.add_job()
--- a/wigeonhitch/pool/tidy.py
+++ b/wigeonhitch/pool/tidy.py
@@ -82,9 +82,15 @@
                 if work.removes:
                     self._kept.pop(id, None)
             return () if work.removes else work.ids
+        if change.reason != "conflict":
+            return ()
         for row in change.conflicts:
             self._learn_version(row)
-        return ()
+        gone = rows.list_gone(work.transaction.conditions, change.conflicts)
+        for one in gone:
+            self._finals.pop(one.key, None)
+            self._kept.pop(one.key, None)
+        return () if work.removes else tuple(one.key for one in gone)
 
     def _shrink(self, store_time: float) -> Work:
         place = next(iter(self._finals.values())).place
