Check runs in one place; let the soak's daemons lack a mechanism

The check of seeded histories and of the soak is one function now, and counts each task's own processors, where it took the first step's for all.

--- a/standins/soak/audit.py
+++ b/standins/soak/audit.py
@@ -3,8 +3,8 @@
 import time
 from typing import NamedTuple
 
-from standins import siteworker
-from standins.soak import caller, fault, history, scene, yard
+from standins import history, siteworker
+from standins.soak import caller, fault, scene, yard
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import http
 
--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -55,6 +55,7 @@
     daemons: int = 3,
     rate: float = 4.0,
     kept: bool = False,
+    without: str = "",
     folder: str = "",
 ) -> int:
     """Play seeded runs of faults and check what callers and workers saw.
@@ -73,6 +74,8 @@
         Jobs a second that callers submit.
     kept : bool
         Play the seeds that once failed, in place of fresh ones.
+    without : str
+        Mechanism of `standins.soak.without` that the daemons lack.
     folder : str
         Where the daemons' logs of failed runs are kept; a temporary one if empty.
     """
@@ -82,7 +85,7 @@
     for seed in chosen:
         place = pathlib.Path(keep) / str(seed)
         place.mkdir(parents=True, exist_ok=True)
-        result = anyio.run(play, seed, place, seconds, daemons, rate)
+        result = anyio.run(play, seed, place, seconds, daemons, rate, without)
         broken += bool(result.faults)
         print(describe(result, place), flush=True)
     print(f"{len(chosen)} seeds, {broken} with a broken promise")
@@ -108,7 +111,12 @@
 
 
 async def play(
-    seed: int, folder: pathlib.Path, seconds: float, daemons: int, rate: float
+    seed: int,
+    folder: pathlib.Path,
+    seconds: float,
+    daemons: int,
+    rate: float,
+    without: str = "",
 ) -> Result:
     """Play one seed."""
     rng = random.Random(seed)
@@ -116,7 +124,7 @@
     limits = httpx.Limits(max_connections=CALLERS, keepalive_expiry=60.0)
     async with (
         httpx.AsyncClient(limits=limits, trust_env=False) as client,
-        scene.open_scene(folder, daemons, rng) as site,
+        scene.open_scene(folder, daemons, rng, without) as site,
     ):
         await _await_ready(site)
         callers = caller.Callers(site, rng, client)
@@ -151,7 +159,7 @@
 
 async def _is_ready(client: httpx.AsyncClient, host: str) -> bool:
     try:
-        answer = await client.get(f"http://{host}:8622/v1/readiness")
+        answer = await client.get(f"http://{host}:{scene.READY_PORT}/v1/readiness")
     except httpx.TransportError:
         return False
     return answer.status_code == 200
--- a/standins/soak/scene.py
+++ b/standins/soak/scene.py
@@ -22,6 +22,9 @@
 POOLS = {"alpha": 3, "beta": 3, yard.STANDBY: 2}
 """VMs a pool: enough that a lost VM leaves room, few enough to fill up."""
 
+CALLERS_PORT = 8624
+READY_PORT = 8622
+
 GRACE = 6.0
 """Seconds from SIGTERM to SIGKILL, as the settings say by default."""
 
@@ -52,15 +55,24 @@
 
 MAX_ATTEMPTS = 3
 
+PROGRAM = "wigeonhitch.site.main"
+WEAKENED = "standins.soak.without"
+
 
 class Daemon:
     """One daemon's process, started again whenever it ends."""
 
     def __init__(
-        self, name: str, host: str, settings: pathlib.Path, relays: list[relay.Relay]
+        self,
+        name: str,
+        host: str,
+        settings: pathlib.Path,
+        relays: list[relay.Relay],
+        program: tuple[str, ...],
     ) -> None:
         self.name = name
-        self.callers = f"{host}:{8624}"
+        self.program = program
+        self.callers = f"{host}:{CALLERS_PORT}"
         self.settings = settings
         self.store, self.fleet = relays
         self.log = settings.with_suffix(".log")
@@ -89,7 +101,7 @@
             self.kills_at = 0.0
             output = stack.enter_context(self.log.open("ab"))
             self.running = subprocess.Popen(
-                [sys.executable, "-m", "wigeonhitch.site.main"],
+                [sys.executable, "-m", *self.program],
                 env=environment,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
@@ -141,11 +153,17 @@
 
 
 @contextlib.asynccontextmanager
-async def open_scene(folder: pathlib.Path, count: int, rng: random.Random) -> Any:
-    """Run a site with ``count`` daemons; everything ends with the block."""
+async def open_scene(
+    folder: pathlib.Path, count: int, rng: random.Random, without: str = ""
+) -> Any:
+    """Run a site with ``count`` daemons; everything ends with the block.
+
+    ``without`` names a mechanism of `standins.soak.without` that they lack.
+    """
     scene = Scene(rng)
     scene.write_catalogue(1)
     ports = process.Ports()
+    program = (WEAKENED, without) if without else (PROGRAM,)
     network = f"127.{rng.randrange(1, 250)}.{rng.randrange(250)}"
     platform, calls = ports.take(2)
     workers = _add_vms(scene, ports)
@@ -160,7 +178,7 @@
                     for number in range(count):
                         host = f"{network}.{number + 1}"
                         daemon = _make_daemon(
-                            folder, number, host, ports, platform, calls
+                            folder, number, host, ports, (platform, calls), program
                         )
                         scene.daemons.append(daemon)
                     await _start(scene, addresses, group, stack)
@@ -206,26 +224,26 @@
     number: int,
     host: str,
     ports: process.Ports,
-    platform: int,
-    calls: int,
+    targets: tuple[int, int],
+    program: tuple[str, ...],
 ) -> Daemon:
     links = [
         relay.Relay("127.0.0.1", ports.take()[0], "127.0.0.1", target)
-        for target in (platform, calls)
+        for target in targets
     ]
     name = f"daemon-{number}"
     lines = {
         "node_name": name,
         "zone": "dc",
         "ip": host,
-        "listen_addrs.frontend": f"{host}:8624",
-        "listen_addrs.ready": f"{host}:8622",
+        "listen_addrs.frontend": f"{host}:{CALLERS_PORT}",
+        "listen_addrs.ready": f"{host}:{READY_PORT}",
         "platform.address": links[0].address,
         "cloud_api.address": links[1].address,
     }
     settings = folder / f"{name}.conf"
     settings.write_text("".join(f"{key}={text}\n" for key, text in lines.items()))
-    return Daemon(name, host, settings, links)
+    return Daemon(name, host, settings, links, program)
 
 
 def _write_route(queue: Queue) -> dict[str, Any]:
--- /dev/null
+++ b/standins/soak/without.py
@@ -0,0 +1,85 @@
+"""A site's daemon with one mechanism off: ``python -m standins.soak.without NAME``.
+
+A soak that can't fail proves nothing. Each entry of `MECHANISMS` takes one
+mechanism out of the daemon; some seed of the soak must then break a promise.
+"""
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from wigeonhitch.platform import entries
+from wigeonhitch.pool import core, ledger, vm
+from wigeonhitch.site import desk, main, message
+
+__all__ = ["MECHANISMS", "run"]
+
+
+def note_uncommitted_ends() -> None:
+    """Tell workers that an end is noted before it is durable."""
+    vm.Vm.noted = property(lambda self: self.seen, lambda self, number: None)
+
+
+def skip_lapses() -> None:
+    """Start the tasks of silent workers again without waiting."""
+    vm.Vm.is_lapsed = lambda self, now, grace: True
+
+
+def skip_takeover_wait() -> None:
+    """Lead at once, without waiting for the workers of an earlier leader."""
+    core.Pool.on_roster = lambda self, *given: None
+
+
+def ignore_leaving() -> None:
+    """Use workers that say that they leave like any other."""
+    original = entries.read_worker
+
+    def read_worker(key: str, value: bytes) -> Any:
+        entry = original(key, value)
+        if isinstance(entry, entries.Bad):
+            return entry
+        return entry._replace(leaving=False)
+
+    entries.read_worker = read_worker
+
+
+def refuse_lost_submissions() -> None:
+    """Say of a job whose write had no answer that it never runs."""
+    original = desk.Desk._write_job
+
+    async def write_job(self: Any, *given: Any) -> message.Answer:
+        answer = await original(self, *given)
+        if answer.verdict is message.Verdict.UNKNOWN:
+            return answer._replace(verdict=message.Verdict.NOT_RUN, retry_after=1)
+        return answer
+
+    desk.Desk._write_job = write_job
+
+
+def stand_still_at_gone_rows() -> None:
+    """Expect rows that a lost answer hid the removal of, for ever."""
+    ledger.Ledger._forget_gone = lambda self, spent: None
+    ledger.rows.list_gone = lambda conditions, found: ()
+
+
+MECHANISMS: dict[str, Callable[[], None]] = {
+    one.__name__: one
+    for one in (
+        note_uncommitted_ends,
+        skip_lapses,
+        skip_takeover_wait,
+        ignore_leaving,
+        refuse_lost_submissions,
+        stand_still_at_gone_rows,
+    )
+}
+
+
+def run() -> None:
+    """Take the named mechanism out and run the daemon."""
+    MECHANISMS[sys.argv[1]]()
+    main.run()
+
+
+if __name__ == "__main__":
+    run()
--- a/wigeonhitch/pool/tests/history.py
+++ b/wigeonhitch/pool/tests/history.py
@@ -10,6 +10,7 @@
 import random
 from typing import Any, NamedTuple
 
+from standins import history as runs
 from standins import siteworker
 from wigeonhitch.jobs import model, record
 from wigeonhitch.leadership import record as leader_record
@@ -20,6 +21,8 @@
 POOL = "pool"
 STEP = 0.02
 ROOM = model.Room(8000, 65536, 0)
+STEP_CPU = (2500, 3000)
+"""Thousandths of a core that a task of each step takes."""
 PLACE = tidy.JobPlace("job", POOL)
 START_DEADLINE = caller.START_DEADLINE
 
@@ -260,8 +263,8 @@
     def _submit(self) -> None:
         self._jobs += 1
         id = f"j{self._jobs}"
-        step = model.Step(self.rng.randint(1, 4), model.Room(2500, 1000), 0.6)
-        after = model.Step(1, model.Room(3000, 1000), 0.6, after=(0,))
+        step = model.Step(self.rng.randint(1, 4), model.Room(STEP_CPU[0], 1000), 0.6)
+        after = model.Step(1, model.Room(STEP_CPU[1], 1000), 0.6, after=(0,))
         job = model.Job(id, "q", "", (step, after)[: self.rng.randint(1, 2)])
         row = record.write_job(job, self.now)
         write = rows.Write("job", POOL, id, row)
@@ -371,36 +374,9 @@
             self._later(0.5, lambda: answer(unknown))
 
 
-def check(events: list[siteworker.Event], room: model.Room = ROOM) -> list[str]:
+def check(events: list[siteworker.Event]) -> list[str]:
     """Return what went wrong in a history, a line each."""
-    faults: list[str] = []
-    live: dict[model.Task, tuple[str, int]] = {}
-    ended: dict[tuple[model.Task, int], str] = {}
-    noted: set[model.Task] = set()
-    numbers: dict[model.Task, int] = {}
-    count: dict[str, int] = {}
-    for event in events:
-        key = (event.task, event.run)
-        if event.what == "start":
-            if event.task in live:
-                faults.append(f"two runs at once: {event} beside {live[event.task]}")
-            if event.task in noted:
-                faults.append(f"started after a noted end: {event}")
-            if event.run <= numbers.get(event.task, 0):
-                faults.append(f"number doesn't rise: {event}")
-            numbers[event.task] = event.run
-            live[event.task] = (event.worker, event.run)
-            count[event.worker] = count.get(event.worker, 0) + 1
-            if count[event.worker] * 2500 > room.cpu:
-                faults.append(f"beyond the room: {event}")
-        elif event.what == "end":
-            ended[key] = event.how
-            count[event.worker] -= 1
-            if live.get(event.task) == (event.worker, event.run):
-                del live[event.task]
-        elif event.what == "noted" and event.how == "done":
-            noted.add(event.task)
-    return faults
+    return runs.check_runs(events, lambda task: STEP_CPU[task.step], ROOM.cpu)
 
 
 def find_unfinished(world: World) -> list[str]:
