Take a lasting task as away only after six seconds in the soak

Its logs: a wave asked for 1.1 s before vacated a VM, which stopped one task 0.1 s before the look; the step may miss one, and the rule allows a lasting task 6 s. The check now takes each task's last event, and finds all three of a step that stays away.

--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -112,6 +112,18 @@
     assert any("others away" in line for line in both)
 
 
+def test_a_lasting_task_that_stays_away_is_found():
+    tasks = [model.Task(JOB, 0, 0, index) for index in range(3)]
+    long = audit.check(
+        make_seen(make_lasting_job(), ((93.0, "start", "w", tasks[0], 1),))
+    )
+    short = [(95.0, "end", "w", task, 1, "stopped") for task in tasks]
+    brief = [(94.0, "start", "w", task, 1) for task in tasks]
+
+    assert sum("is away for" in line for line in long) == 3
+    assert audit.check(make_seen(make_lasting_job(), (*brief, *short))) == []
+
+
 def test_an_upkeep_above_the_ceiling_and_a_shared_token_are_found():
     orders = [yard.Order(1.0, "a", 1, "x", 7), yard.Order(1.5, "b", 1, "x", 7)]
     shared = [yard.Order(1.0, "a", 0, "x", 7), yard.Order(9.0, "a", 0, "y", 7)]
