Keep a job's attempts and a lasting job's place when its queue is removed

Cause: a leader read both from the configuration in force. Once a queue is removed, one failed run made its job final as failed, where its queue had allowed three, and its lasting tasks were started last. The job row now holds how many failed runs a task may have. Two tests failed first.

--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -152,6 +152,9 @@
     times: int = 0
     first_due: float = 0.0
     interval: float = 0.0
+    attempts: int = 1
+    """Failed runs that a task may have, as the queue said at the submission:
+    holds once the queue is no longer in the configuration."""
 
     @property
     def occurrences(self) -> int:
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -49,6 +49,8 @@
     }
     if job.times:
         row["times"] = [job.times, job.first_due, job.interval]
+    if job.attempts > 1:
+        row["attempts"] = job.attempts
     if cancelled:
         row["cancelled"] = True
     return orjson.dumps(row)
@@ -73,7 +75,8 @@
         return JobRecord(None, 0.0, False, state, row["finished"])
     times, first_due, interval = row.get("times", (0, 0.0, 0.0))
     steps = tuple(_read_step(fields) for fields in row["steps"])
-    job = model.Job(id, row["queue"], row["spec"], steps, times, first_due, interval)
+    due = (times, first_due, interval)
+    job = model.Job(id, row["queue"], row["spec"], steps, *due, row.get("attempts", 1))
     return JobRecord(job, row["accepted"], row.get("cancelled", False))
 
 
--- a/wigeonhitch/jobs/tests/test_jobs.py
+++ b/wigeonhitch/jobs/tests/test_jobs.py
@@ -81,7 +81,7 @@
 
 @hypothesis.given(st.lists(steps, min_size=1, max_size=4), st.data())
 def test_rows_keep_a_job_and_its_progress(found, data):
-    job = model.Job("j", "q", "spec", tuple(found), 2, 5.0, 1.0)
+    job = model.Job("j", "q", "spec", tuple(found), 2, 5.0, 1.0, 3)
     state = progress.Progress(job, 3, 9.5)
     for number, step in enumerate(found):
         index = data.draw(st.integers(0, step.count - 1))
--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -267,10 +267,14 @@
         return not state.is_done(run.task)
 
     def get_figures(self, state: progress.Progress) -> order.Figures:
-        """Return what a job's sort key is made of; without a queue it is late."""
+        """Return what a job's sort key is made of; without a queue it is late.
+
+        A lasting job stays first: it is owed until it is cancelled.
+        """
         queue = self.queues.get(state.job.queue)
         if queue is None:
-            return order.Figures(False, 99, state.accepted, 0.0, 0.0, 1.0, 1.0, 0.0)
+            lasts, accepted = state.job.is_lasting, state.accepted
+            return order.Figures(lasts, 99, accepted, 0.0, 0.0, 1.0, 1.0, 0.0)
         return order.compute_figures(state, queue)
 
     def needs_ticket(self, state: progress.Progress) -> bool:
@@ -281,7 +285,7 @@
     def get_max_attempts(self, state: progress.Progress) -> int:
         """Return how many failed runs a task of the job may have."""
         queue = self.queues.get(state.job.queue)
-        return queue.max_attempts if queue else 1
+        return queue.max_attempts if queue else state.job.attempts
 
     def drop_vm(self, one: vm.Vm, reason: str) -> None:
         """Take a life of a VM for ended: all that ran there has ended."""
--- a/wigeonhitch/pool/tests/conftest.py
+++ b/wigeonhitch/pool/tests/conftest.py
@@ -49,9 +49,9 @@
         reply = workers.HoldReply(verdict, clock, sent, now, running, ended)
         self.pool.on_hold(one, reply, now)
 
-    def add_job(self, id="j", *steps, version=20, accepted=NOW, **fields):
+    def add_job(self, id="j", *steps, version=20, accepted=NOW, queue="q", **fields):
         steps = steps or (model.Step(1, model.Room(1000, 100), 1.0),)
-        job = model.Job(id, "q", "", steps, **fields)
+        job = model.Job(id, queue, "", steps, **fields)
         row = record.JobRecord(job, accepted, False)
         self.pool.on_job(id, row, version, PLACE)
         return self.pool.jobs[id]
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -16,6 +16,32 @@
     bench.pool.on_start(run, reply, now)
 
 
+def test_a_job_keeps_its_attempts_when_its_queue_is_removed(bench, ended):
+    one = bench.add_vm()
+    state = bench.add_job(attempts=2)
+    bench.pool.on_queues([])
+    finals = []
+    for number in (1, 2):
+        now = NOW + number
+        one.last_answer = now
+        (run,) = bench.start(now)
+        bench.answer(one, ended=[ended(number, run, model.End.FAILED)], now=now + 0.5)
+        finals.append(state.final)
+
+    assert finals == [None, model.JobState.FAILED]
+
+
+def test_a_lasting_job_goes_first_also_when_its_queue_is_removed(bench):
+    lasting = model.Step(1, model.Room(8000, 100), 1.0, lasting=True)
+    bench.add_vm(cpu=8000)
+    bench.add_job("other", model.Step(1, model.Room(8000, 100), 1.0))
+    bench.add_job("l", lasting, queue="removed")
+
+    (run,) = bench.start()
+
+    assert run.task.job == "l"
+
+
 def test_a_start_without_an_answer_is_not_repeated_before_its_deadline(bench):
     one = bench.add_vm()
     bench.add_job()
--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -157,7 +157,8 @@
         name = pool_record.name_job_table(queue.pool)
         part = pool_record.name_job_part(queue.pool, job.id)
         condition = rows.Condition(name, part, job.id, 0)
-        value = record.write_job(job, time.time())
+        kept = job._replace(attempts=queue.max_attempts)
+        value = record.write_job(kept, time.time())
         write = rows.Write(name, part, job.id, value)
         change = rows.Transaction((condition,), (write,))
         deadline = http.read_clock() + WHOLE_TIMEOUT
