Don't put a worker's clock back by an older entry

Cause: a new leader learns a worker's clock from its first answer and, a moment later, reads all entries, whose clocks are up to 1.5 s old. Ruled out: wrong clocks of workers (the next answers agree with the first), late delivery (all calls took 2 ms).

Now a reading that says less than what is certainly reached is left. Its test failed first.

--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -31,6 +31,27 @@
     assert finals == [None, model.JobState.FAILED]
 
 
+def test_an_older_entry_does_not_put_a_workers_clock_back(bench):
+    """A new leader reads all entries while its first answers come in.
+
+    A start whose deadline counts from an entry 1.4 s old is late on arrival.
+    """
+    one = bench.add_vm()
+    bench.answer(one, now=NOW + 1)
+    older = one.entry._replace(clock=CLOCK + 1 - 1.4)
+
+    bench.pool.on_worker(older, NOW + 1.1)
+
+    assert one.compute_deadline(NOW + 1.1, 1.2) == pytest.approx(CLOCK + 2.3)
+
+
+def test_a_clock_that_began_long_after_this_daemons_is_learned(bench):
+    one = bench.add_vm(clock=0.5, answers=False)
+
+    assert one.knows_clock
+    assert one.compute_deadline(NOW, 1.2) == pytest.approx(1.7)
+
+
 def test_a_lasting_job_goes_first_also_when_its_queue_is_removed(bench):
     lasting = model.Step(1, model.Room(8000, 100), 1.0, lasting=True)
     bench.add_vm(cpu=8000)
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -181,8 +181,14 @@
         return self._clock > 0
 
     def learn_clock(self, clock: float, received: float) -> None:
-        """Take the worker's clock from an answer."""
-        if clock and received >= self._clock_received:
+        """Take a time that the worker's clock had reached when it was received.
+
+        One that says less than what is known is left: an entry may have been
+        written seconds before it is read, and starts would count from it and be
+        refused as late, all of a pool's for 0.3 s after a takeover.
+        """
+        known = self.compute_clock(received) if self.knows_clock else 0.0
+        if clock and clock >= known and received >= self._clock_received:
             self._clock, self._clock_received = clock, received
 
     def compute_clock(self, now: float) -> float:
