Hand a pool over from a weak leader to a far stronger member; give up until it is known

Cause: strong daemons that were cut off or restarted when a pool became vacant don't get it back. On a site of uneven entry VMs daemons with half a core led through the next bursts; the quickest first start waited 0.06 to 0.1 s, half of them 0.2 to 0.36 s, where 0.02 s is usual. A leader now hands a pool over to a member that has stayed for 3 s and would have three times more processors a pool. Where entry VMs are alike it takes three pools on one daemon beside an idle one.

Found beside: a pool that was given up by a write without an effect (store away, or held back) still named a daemon that lived, so nobody led it any more until that process ended. The write is now repeated until its fate is known.

--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -44,6 +44,15 @@
 """Seconds after which what is known of members is too old to claim by: two
 readings of them. Others' leases seem to have run out after an outage."""
 
+YIELD_RATIO = 3.0
+"""A leader hands a pool over to a member that would have so many times more
+processors a pool: a hand-over stops starts for some 0.3 s, while a leader with
+half a core kept every start of a burst waiting 0.1 to 0.4 s."""
+
+YIELD_PAUSE = 3.0
+"""Seconds between two hand-overs by one daemon, and for which the other member
+has renewed its lease without a gap: one that comes and goes gets nothing."""
+
 FLEET = "~fleet"
 """Name under which the duty of moves and upkeep is led; no pool has it."""
 
@@ -106,6 +115,8 @@
         self._vacancies: dict[str, _Vacancy] = {}
         self._members_version = 0
         self._members_at = 0.0
+        self._steady_since: dict[str, float] = {}
+        self._yielded_at = now
 
     def plan_renewal(self, now: float) -> record.Member:
         """Return the member row to write."""
@@ -123,6 +134,9 @@
         """Take changed members as read when the store was at ``version``."""
         self._members_version = version
         self._members_at = now
+        for one in members:
+            if not self.is_alive(one.name, one.life, now):
+                self._steady_since[one.name] = now
         self.members.update({one.name: one for one in members})
 
     def forget(self, name: str) -> None:
@@ -208,6 +222,29 @@
 
         return sorted(live, key=weigh).index(self.name)
 
+    def find_yield(self, now: float) -> str:
+        """Return a pool that a far stronger member should lead, or nothing.
+
+        The strong daemons may have been cut off or restarted when the pool was
+        last vacant. The duty of moves stays: it takes little, and its next
+        holder orders nothing for seconds.
+        """
+        known = self.is_valid(now) and now - self._members_at <= MEMBERS_STALE
+        if self.leaving or not known or now - self._yielded_at < YIELD_PAUSE:
+            return ""
+        mine = [one for one in self.owners if one != FLEET and self.is_mine(one)]
+        counts = self._count_led(now)
+        loads = [
+            (counts.get(one, 0) + 1) / self.members[one].cores
+            for one in self.list_live(now)
+            if now - self._steady_since.get(one, now) >= YIELD_PAUSE
+        ]
+        own = counts.get(self.name, 0) / self.cores
+        if not mine or min(loads, default=own) * YIELD_RATIO > own:
+            return ""
+        self._yielded_at = now
+        return min(mine)
+
     def make_claim(self, pool: str) -> record.Owner:
         """Return the owner row to write, conditional on ``version``."""
         known = self.owners.get(pool)
--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -103,6 +103,10 @@
         owner = self.leadership.owners[pool]
         given = owner._replace(name="", life="", granted=granted)
         change = await self._write_owner(given, owner.version)
+        # Nobody claims a pool whose row names a daemon that lives.
+        while change.outcome is not table.Outcome.DONE and change.reason != "conflict":
+            await anyio.sleep(RETRY)
+            change = await self._write_owner(given, owner.version)
         if change.outcome is table.Outcome.DONE:
             self.leadership.on_owner(given._replace(version=change.version))
         log.log_change("leadership given up", pool=pool, reason=change.reason)
@@ -292,8 +296,11 @@
             claims = self.leadership.list_claims(known, http.read_clock())
             if claims:  # one at a time: news may come while it is written
                 await self._claim(claims[0])
-            else:
-                await anyio.sleep(CLAIM_PERIOD)
+                continue
+            if pool := self.leadership.find_yield(http.read_clock()):
+                log.log_change("leadership handed over", pool=pool)
+                await self.give_up(pool)
+            await anyio.sleep(CLAIM_PERIOD)
 
     async def _claim(self, pool: str) -> None:
         claim = self.leadership.make_claim(pool)
--- a/wigeonhitch/leadership/tests/test_core.py
+++ b/wigeonhitch/leadership/tests/test_core.py
@@ -137,3 +137,38 @@
     assert one.list_long_gone(163.0) == ["b", "c"]
     one.forget("b")
     assert one.list_long_gone(163.0) == ["c"]
+
+
+def make_weak_leader(*, steady):
+    """A daemon with half a core that leads, and a strong one that renews."""
+    one = make_leadership("a", [make_member("a", 102.0, cores=0.5)], cores=0.5)
+    one.on_owner(own("p", "a"))
+    for number in range(8):
+        now = 100.0 + number * 0.5
+        if steady or number != 4:
+            member = make_member("b", now + (1.0 if steady else 0.4), cores=2.0)
+            one.clock.learn(now, now, now)
+            one.on_members([member], 60 + number, now)
+    one.on_renewed(make_member("a", 106.0, cores=0.5))
+    return one
+
+
+def test_a_weak_leader_hands_over_to_a_strong_member_that_stays():
+    one = make_weak_leader(steady=True)
+
+    assert one.find_yield(103.6) == "p"
+    assert one.find_yield(103.7) == ""
+
+
+def test_nothing_is_handed_over_to_a_member_that_comes_and_goes():
+    assert make_weak_leader(steady=False).find_yield(103.6) == ""
+
+
+def test_equal_members_keep_what_they_lead():
+    one = make_leadership("a", [make_member(name, 106.0) for name in "abc"], now=95.0)
+    for number in range(2):
+        one.on_owner(own(f"p{number}", "a"))
+    one.on_members([make_member(name, 106.0) for name in "bc"], 60, 103.5)
+    one.on_renewed(make_member("a", 106.0))
+
+    assert one.find_yield(103.6) == ""
--- /dev/null
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -0,0 +1,44 @@
+"""The keeper's part in giving leadership up, on a store in process."""
+
+import anyio
+import pytest
+
+from standins import rowstore
+from wigeonhitch.leadership import core, record, task
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def store():
+    return rowstore.RowStore()
+
+
+@pytest.fixture
+def keeper(store):
+    """A keeper whose daemon leads the pool "p"."""
+    owner = record.Owner("p", "a", "life", 1, 0)
+    store.put(record.OWNER_TABLE, "p", record.OWNER_KEY, record.write_owner(owner))
+    leadership = core.Leadership("a", "life", 100.0)
+    leadership.on_owner(owner._replace(version=store.version))
+    return task.Keeper(
+        leadership, store, lambda: ["p"], lambda _: None, lambda _: None, lambda _: 1.0
+    )
+
+
+@pytest.mark.parametrize("fault", ["is_down", "holds_back", "loses"])
+async def test_a_pool_is_given_up_whatever_becomes_of_the_first_write(
+    store, keeper, fault
+):
+    """Its row would name a daemon that lives and leads nothing, for ever."""
+    setattr(store, fault, 1)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(keeper.give_up, "p")
+        await anyio.sleep(0.05)
+        store.is_down = False
+        await anyio.sleep(0.3)
+        group.cancel_scope.cancel()
+
+    row = store.get(record.OWNER_TABLE, "p", record.OWNER_KEY)
+    assert record.read_owner("p", row, 1).name == ""
