Wait in the traces' test until each daemon has read its pools' VMs

The fixture asked one daemon only whether the pools have their VMs. It now waits until both have read them; all that the test asserts stands, and a failure tells the answer.

--- a/wigeonhitch/daemon/tests/test_traces.py
+++ b/wigeonhitch/daemon/tests/test_traces.py
@@ -26,9 +26,25 @@
         made.wait_until_assigned()
         for name in made.daemons:
             made.wait_until_ready(name)
+        wait_until_heard(made)
         yield made
 
 
+def wait_until_heard(made):
+    """Wait until each daemon has read which VMs serve each pool.
+
+    A daemon is ready before: it reads the VMs some seconds after they were
+    assigned, and says until then, truly, that no worker is available.
+    """
+    deadline = time.monotonic() + LIMIT
+    for daemon in made.daemons.values():
+        for service in made.intended.services:
+            url = f"http://127.0.0.1:{daemon.callers}/{service.name}/x"
+            while httpx.post(url, trust_env=False).status_code == 503:
+                assert time.monotonic() < deadline, url
+                time.sleep(0.1)
+
+
 def read_spans(child):
     """Return the names of the spans of the trace that a daemon printed."""
     decoder = json.JSONDecoder()
@@ -55,7 +71,8 @@
             url = f"http://127.0.0.1:{daemon.callers}/{service.name}/x"
             key = {"idempotency-key": f"{daemon.name}-{number}"}
             answer = httpx.post(url, headers=headers | key, trust_env=False)
-            assert answer.headers["wigeonhitch-verdict"] == "ran"
+            verdict = answer.headers["wigeonhitch-verdict"]
+            assert verdict == "ran", (daemon.name, number, answer.headers, answer.text)
     wanted = {"receive", "claim", "send", "slots"}
     deadline = time.monotonic() + LIMIT
     found = {}
