Lead by a claim that was done after its answer was lost

Its daemon got no answer, read the old owner row and went on. 1 to 6 s later the claim was done; the feed told the daemon that the row named it, but only the claim itself began the leading. The row named a daemon that lived, so nobody else claimed: the pool had no leader for 21 s, until the process ended. Ruled out: the repeated give-up (no pool was given up in that run).

A daemon now leads by each owner row that names this life of it, once a version, whichever way the row becomes known. The test of a claim held back failed first.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -73,6 +73,8 @@
         self._version = 0
         self._renewals = log.Dependency("renewal of the lease")
         self._read: set[str] = set()
+        self._led: dict[str, int] = {}
+        """Newest version of each pool's owner row under which this daemon led."""
         self._rows: dict[str, rows.Row] = {}
         """Members' rows, to remove those of daemons that are long gone."""
 
@@ -284,6 +286,8 @@
         if was_mine and not self._leads(row.part):
             log.log_change("leadership lost", pool=row.part, to=owner.name)
             self._on_lost(row.part)
+        elif self._leads(row.part) and not self.leadership.leaving:
+            self._lead(owner)
 
     # -- claims
 
@@ -314,8 +318,23 @@
         else:
             owner = claim._replace(version=change.version)
             self.leadership.on_owner(owner)
+        self._lead(owner)
+
+    def _lead(self, owner: record.Owner) -> None:
+        """Lead under an owner row, once.
+
+        The row may be news from the feed too: a claim without an answer can be
+        done seconds later. It then names a daemon that lives, so nobody else
+        claims the pool.
+        """
+        if owner.version <= self._led.get(owner.pool, 0):
+            return
+        self._led[owner.pool] = owner.version
         log.log_change(
-            "leadership claimed", pool=pool, fence=owner.version, epoch=owner.epoch
+            "leadership claimed",
+            pool=owner.pool,
+            fence=owner.version,
+            epoch=owner.epoch,
         )
         self._on_led(owner)
 
--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -14,6 +14,53 @@
     return rowstore.RowStore()
 
 
+@pytest.fixture
+def claimant(store):
+    """A keeper whose daemon may claim the pool "p", and what it was told to lead."""
+    leadership = core.Leadership("a", "life", 100.0)
+    led = []
+    made = task.Keeper(
+        leadership, store, lambda: ["p"], led.append, lambda _: None, lambda _: 1.0
+    )
+    return made, led
+
+
+async def run_claim(store, claimant):
+    """Claim the pool while its row is followed, until all writes are done."""
+    keeper, _ = claimant
+    async with anyio.create_task_group() as group:
+        group.start_soon(keeper._follow_owners)
+        await anyio.sleep(0.05)
+        await keeper._claim("p")
+        store.apply_late()
+        await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("fault", ["", "loses", "holds_back"])
+async def test_a_claim_is_led_once_whenever_its_write_is_done(store, claimant, fault):
+    """A claim held back names a daemon that lives, so nobody else claims."""
+    store.put("other", "", "k", b"")
+    if fault:
+        setattr(store, fault, 1)
+
+    await run_claim(store, claimant)
+
+    (owner,) = claimant[1]
+    row = store.get(record.OWNER_TABLE, "p", record.OWNER_KEY)
+    assert record.read_owner("p", row, owner.version) == owner
+
+
+async def test_a_claim_done_late_is_not_led_by_a_daemon_that_leaves(store, claimant):
+    store.put("other", "", "k", b"")
+    store.holds_back = 1
+    claimant[0].leadership.leaving = True
+
+    await run_claim(store, claimant)
+
+    assert claimant[1] == []
+
+
 @pytest.fixture
 def keeper(store):
     """A keeper whose daemon leads the pool "p"."""
