--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -16,7 +16,6 @@
 
 import anyio
 import httpx
-import yaml
 
 from standins.demo import process, site
 
@@ -104,11 +103,8 @@
         folder = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
         ports = process.Ports()
         at = site.open_site(stack, folder, ports, EXAMPLE, site.Options(daemons=1))
-        at.wait_until_serving()
-        at.submit(yaml.safe_load(EXAMPLE.read_text(encoding="utf-8")), 0, "first")
-        at.wait_until_assigned()
+        at.put_in_force()
         (name,) = at.daemons
-        at.wait_until_ready(name)
         workers = list(at.workers.values())[:6]
         hops = {}
         for label, extra in (("one client", []), ("client per worker", ["--clients"])):
--- a/standins/demo/main.py
+++ b/standins/demo/main.py
@@ -15,7 +15,6 @@
 from typing import Any, NamedTuple
 
 import anyio
-import yaml
 
 from standins.demo import audit, caller, fault, process, site
 
@@ -77,11 +76,7 @@
 
 def put_in_force(user: str, at: site.Site) -> None:
     """Submit and approve the document; wait until every daemon serves."""
-    at.wait_until_serving()
-    intended = yaml.safe_load((EXAMPLES / f"{user}.yaml").read_text(encoding="utf-8"))
-    at.submit(intended, 0, "first")
-    at.wait_until_assigned()
-    took = max(at.wait_until_ready(name) for name in at.daemons)
+    took = at.put_in_force()
     print(
         f"{user}: document accepted; all daemons ready {took:.1f} s later", flush=True
     )
--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -226,6 +226,33 @@
             time.sleep(0.1)
         raise RuntimeError(f"pools of {self.folder.name} don't have their VMs")
 
+    def put_in_force(self) -> float:
+        """Put the site's document in force; return the seconds until all are ready."""
+        self.wait_until_serving()
+        intended = yaml.safe_load(self.example.read_text(encoding="utf-8"))
+        self.submit(intended, 0, "first")
+        self.wait_until_assigned()
+        return max(self.wait_until_ready(name) for name in self.daemons)
+
+    def wait_until_heard(self, limit: float = READY_LIMIT) -> None:
+        """Wait until each daemon has read which VMs serve each pool.
+
+        A daemon is ready before: it reads the VMs some seconds after they were
+        assigned, and says until then, truly, that no worker is available.
+        """
+        deadline = time.monotonic() + limit
+        for daemon in self.daemons.values():
+            for service in self.intended.services:
+                path = f"127.0.0.1:{daemon.callers}/{service.name}/x"
+                url = f"{self.scheme}://{path}"
+                while self._post(url) == 503:
+                    if time.monotonic() > deadline:
+                        raise RuntimeError(f"{daemon.name} has no {service.name}")
+                    time.sleep(0.1)
+
+    def _post(self, url: str) -> int:
+        return httpx.post(url, trust_env=False, verify=self.verify).status_code
+
     def ask(
         self,
         method: str,
--- a/wigeonhitch/daemon/tests/conftest.py
+++ b/wigeonhitch/daemon/tests/conftest.py
@@ -5,7 +5,6 @@
 import pathlib
 
 import pytest
-import yaml
 
 from standins.demo import process, traffic
 from standins.demo import site as sites
@@ -40,12 +39,7 @@
                     without=os.environ.get("WITHOUT", ""),
                 ),
             )
-            intended = yaml.safe_load(EXAMPLE.read_text(encoding="utf-8"))
-            made.wait_for_operators()
-            made.submit(intended, 0, "first")
-            made.wait_until_assigned()
-            for name in made.daemons:
-                made.wait_until_ready(name)
+            made.put_in_force()
             return made
 
         yield open_one
--- a/wigeonhitch/daemon/tests/test_tls.py
+++ b/wigeonhitch/daemon/tests/test_tls.py
@@ -5,7 +5,6 @@
 
 import httpx
 import pytest
-import yaml
 
 from standins.demo import process, site
 
@@ -19,11 +18,8 @@
         folder = tmp_path_factory.mktemp("tls")
         options = site.Options(daemons=2, tls=True)
         made = site.open_site(stack, folder, process.Ports(), EXAMPLE, options)
-        made.wait_until_serving()
-        made.submit(yaml.safe_load(EXAMPLE.read_text(encoding="utf-8")), 0, "first")
-        made.wait_until_assigned()
-        for name in made.daemons:
-            made.wait_until_ready(name)
+        made.put_in_force()
+        made.wait_until_heard()
         yield made
 
 
@@ -32,7 +28,7 @@
     for daemon in secured.daemons.values():
         url = f"127.0.0.1:{daemon.callers}/order-lookup/x"
         answer = httpx.get(f"https://{url}", verify=secured.verify, trust_env=False)
-        assert answer.headers["wigeonhitch-verdict"] == "ran"
+        assert answer.headers["wigeonhitch-verdict"] == "ran", (daemon, answer.text)
         with pytest.raises(httpx.HTTPError):
             httpx.get(f"http://{url}", trust_env=False)
 
--- a/wigeonhitch/daemon/tests/test_traces.py
+++ b/wigeonhitch/daemon/tests/test_traces.py
@@ -5,7 +5,6 @@
 
 import httpx
 import pytest
-import yaml
 
 from standins.demo import process, site
 
@@ -21,30 +20,11 @@
         settings = {"traces": {"exporter": "console"}}
         options = site.Options(daemons=2, settings=settings)
         made = site.open_site(stack, tmp_path, process.Ports(), EXAMPLE, options)
-        made.wait_until_serving()
-        made.submit(yaml.safe_load(EXAMPLE.read_text(encoding="utf-8")), 0, "first")
-        made.wait_until_assigned()
-        for name in made.daemons:
-            made.wait_until_ready(name)
-        wait_until_heard(made)
+        made.put_in_force()
+        made.wait_until_heard()
         yield made
 
 
-def wait_until_heard(made):
-    """Wait until each daemon has read which VMs serve each pool.
-
-    A daemon is ready before: it reads the VMs some seconds after they were
-    assigned, and says until then, truly, that no worker is available.
-    """
-    deadline = time.monotonic() + LIMIT
-    for daemon in made.daemons.values():
-        for service in made.intended.services:
-            url = f"http://127.0.0.1:{daemon.callers}/{service.name}/x"
-            while httpx.post(url, trust_env=False).status_code == 503:
-                assert time.monotonic() < deadline, url
-                time.sleep(0.1)
-
-
 def read_spans(child):
     """Return the names of the spans of the trace that a daemon printed."""
     decoder = json.JSONDecoder()
