Follow the store's tables by one loop

The owners, the boards, the operator's rows, the workers' entries and the closings were followed by five loops of the same form: read, follow, read anew when history is dropped, wait after a failure. feed.follow serves them all, and feed.read_parts the three readings of a table part by part for its oldest version. The directory's flag of what is known went with its loop. No wait or timeout changed; with a store that has no row at all the operator's table is read again and not followed.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from wigeonhitch import feed
 from wigeonhitch.leadership import core, record
 from wigeonhitch.platform import http, rows, table
 from wigeonhitch.telemetry import log
@@ -181,27 +182,26 @@
         while True:
             if not after:
                 after = await self._read_members()
-            feed = await self._store.follow(
+            news = await self._store.follow(
                 record.MEMBER_TABLE, after, wait=MEMBERS_WAIT, timeout=FEED_WAIT
             )
-            if feed.expired:
+            if news.expired:
                 after = 0
-            elif feed.outcome is table.Outcome.DONE:
-                after = max(after, feed.version)
-                self._take_members(feed.rows, feed.version)
+            elif news.outcome is table.Outcome.DONE:
+                after = max(after, news.version)
+                self._take_members(news.rows, news.version)
             await anyio.sleep(MEMBERS_PERIOD)
 
     async def _read_members(self) -> int:
         """Read each member; return a version to follow from, or 0."""
         parts = await self._store.list_parts(record.MEMBER_TABLE, timeout=TIMEOUT)
-        version = 0
-        for part in parts.names or ():
-            read = await self._store.read(record.MEMBER_TABLE, part, timeout=TIMEOUT)
-            if read.outcome is not table.Outcome.DONE:
-                return 0
-            version = min(version, read.version) if version else read.version
+        return await feed.read_parts(self._read_member, parts.names or ())
+
+    async def _read_member(self, part: str) -> rows.Range:
+        read = await self._store.read(record.MEMBER_TABLE, part, timeout=TIMEOUT)
+        if read.outcome is table.Outcome.DONE:
             self._take_members(read.rows, 0)
-        return version
+        return read
 
     async def _forget_forever(self) -> None:
         """Remove rows of members that are long gone, where this daemon leads."""
@@ -238,45 +238,26 @@
         self.leadership.on_members(members, version, http.read_clock())
 
     async def _follow_owners(self) -> None:
-        after = 0
-        while True:
-            if not after:
-                after = await self._read_owners()
-                continue
-            feed = await self._store.follow(
-                record.OWNER_TABLE, after, wait=FEED_WAIT, timeout=FEED_WAIT + TIMEOUT
-            )
-            if feed.expired:
-                after = 0
-            elif feed.outcome is table.Outcome.DONE:
-                after = max(after, feed.version)
-                for row in feed.rows:
-                    self._take_owner(row)
-            else:
-                await anyio.sleep(RETRY)
+        times = feed.Times(FEED_WAIT, FEED_WAIT + TIMEOUT, RETRY)
+        await feed.follow(
+            self._store, record.OWNER_TABLE, self._read_owners, self._take_owners, times
+        )
 
     async def _read_owners(self) -> int:
         """Read the owner of each pool; return a version to follow from, or 0."""
-        version = 0
-        for pool in self._list_pools():
-            read = await self._read_owner(pool)
-            if read is None:
-                version = 0
-                break
-            version = min(version, read.version) if version else read.version
-        if not version:
-            await anyio.sleep(RETRY)
-        return version
+        return await feed.read_parts(self._read_owner, self._list_pools())
 
-    async def _read_owner(self, pool: str) -> rows.Range | None:
+    async def _read_owner(self, pool: str) -> rows.Range:
         read = await self._store.read(record.OWNER_TABLE, pool, timeout=TIMEOUT)
-        if read.outcome is not table.Outcome.DONE:
-            return None
-        self._read.add(pool)
-        for row in read.rows:
-            self._take_owner(row)
+        if read.outcome is table.Outcome.DONE:
+            self._read.add(pool)
+            self._take_owners(read.rows)
         return read
 
+    def _take_owners(self, found: tuple[rows.Row, ...]) -> None:
+        for row in found:
+            self._take_owner(row)
+
     def _take_owner(self, row: rows.Row) -> None:
         if row.value is None:
             return
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from wigeonhitch import feed
 from wigeonhitch.jobs import model
 from wigeonhitch.leadership import record as leader_record
 from wigeonhitch.maintenance import core, demand, record, wave
@@ -110,47 +111,32 @@
             await anyio.sleep(PERIOD)
 
     async def _follow_boards(self) -> None:
-        after = 0
-        while True:
-            if not after:
-                after = await self._read_boards()
-                continue
-            feed = await self.around.store.follow(
-                pool_record.BOARD_TABLE,
-                after,
-                wait=BOARD_WAIT,
-                timeout=BOARD_WAIT + TIMEOUT / 2,
-            )
-            if feed.expired:
-                after = 0
-            elif feed.outcome is table.Outcome.DONE:
-                after = max(after, feed.version)
-                for row in feed.rows:
-                    self._take_board(row)
-            else:
-                await anyio.sleep(PERIOD)
+        await feed.follow(
+            self.around.store,
+            pool_record.BOARD_TABLE,
+            self._read_boards,
+            self._take_boards,
+            feed.Times(BOARD_WAIT, BOARD_WAIT + TIMEOUT / 2, PERIOD),
+        )
 
     async def _read_boards(self) -> int:
         """Read each pool's board; return the version to follow from, or 0."""
-        version = 0
-        for pool in [one.name for one in self.state.pools.values()]:
-            found = await self.around.store.read(
-                pool_record.BOARD_TABLE, pool, timeout=TIMEOUT
-            )
-            if found.outcome is not table.Outcome.DONE:
-                version = 0
-                break
-            version = min(version, found.version) if version else found.version
-            for row in found.rows:
-                self._take_board(row)
-        if not version:
-            await anyio.sleep(PERIOD)
-        return version
+        pools = [one.name for one in self.state.pools.values()]
+        return await feed.read_parts(self._read_board, pools)
 
-    def _take_board(self, row: rows.Row) -> None:
-        if row.value is not None:
-            self.state.boards[row.part] = pool_record.read_board(row.value)
-            self._wake.set()
+    async def _read_board(self, pool: str) -> rows.Range:
+        read = await self.around.store.read(
+            pool_record.BOARD_TABLE, pool, timeout=TIMEOUT
+        )
+        if read.outcome is table.Outcome.DONE:
+            self._take_boards(read.rows)
+        return read
+
+    def _take_boards(self, found: tuple[rows.Row, ...]) -> None:
+        for row in found:
+            if row.value is not None:
+                self.state.boards[row.part] = pool_record.read_board(row.value)
+                self._wake.set()
 
     async def _commit(self, writes: list[rows.Write]) -> bool:
         condition = leader_record.expect_owner(self.owner.pool, self.owner.version)
--- a/wigeonhitch/site/catalogue.py
+++ b/wigeonhitch/site/catalogue.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 
-import anyio
-
+from wigeonhitch import feed
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import entries, rows, table
 from wigeonhitch.telemetry import log
@@ -45,30 +44,21 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        after = await self._read_all()
-        while True:
-            feed = await self._store.follow(
-                entries.OPERATOR_TABLE, after, wait=WAIT, timeout=WAIT + SLACK
-            )
-            if feed.expired:
-                after = await self._read_all()
-            elif feed.outcome is table.Outcome.DONE:
-                after = max(after, feed.version)
-                for row in feed.rows:
-                    self._take(row)
-            else:
-                await anyio.sleep(RETRY)
+        times = feed.Times(WAIT, WAIT + SLACK, RETRY)
+        await feed.follow(
+            self._store, entries.OPERATOR_TABLE, self._read_all, self._take_all, times
+        )
 
     async def _read_all(self) -> int:
-        while True:
-            read = await self._store.read(
-                entries.OPERATOR_TABLE, "", timeout=WAIT + SLACK
-            )
-            if read.outcome is table.Outcome.DONE:
-                for row in read.rows:
-                    self._take(row)
-                return read.version
-            await anyio.sleep(RETRY)
+        read = await self._store.read(entries.OPERATOR_TABLE, "", timeout=WAIT + SLACK)
+        if read.outcome is not table.Outcome.DONE:
+            return 0
+        self._take_all(read.rows)
+        return read.version
+
+    def _take_all(self, found: tuple[rows.Row, ...]) -> None:
+        for row in found:
+            self._take(row)
 
     def _take(self, row: rows.Row) -> None:
         if row.value is None:
--- a/wigeonhitch/site/closings.py
+++ b/wigeonhitch/site/closings.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Callable
 
-import anyio
-
+from wigeonhitch import feed
 from wigeonhitch.leadership import core as leadership
 from wigeonhitch.maintenance import record
 from wigeonhitch.platform import rows, table
@@ -46,22 +45,21 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        after = 0
-        while True:
-            if not self._is_wanted():
-                after = 0
-                await anyio.sleep(RETRY)
-            elif not after:
-                after = await self._read_all()
-            else:
-                after = await self._follow(after)
+        times = feed.Times(WAIT, WAIT + SLACK, RETRY)
+        await feed.follow(
+            self._store,
+            record.CLOSING_TABLE,
+            self._read_all,
+            self._take_all,
+            times,
+            self._is_wanted,
+        )
 
     async def _read_all(self) -> int:
         read = await self._store.read(
             record.CLOSING_TABLE, leadership.FLEET, timeout=WAIT
         )
         if read.outcome is not table.Outcome.DONE:
-            await anyio.sleep(RETRY)
             return 0
         self._workers.clear()
         for row in read.rows:
@@ -69,20 +67,11 @@
         self._on_change(list(self._workers.values()))
         return read.version
 
-    async def _follow(self, after: int) -> int:
-        feed = await self._store.follow(
-            record.CLOSING_TABLE, after, wait=WAIT, timeout=WAIT + SLACK
-        )
-        if feed.expired:
-            return 0
-        if feed.outcome is not table.Outcome.DONE:
-            await anyio.sleep(RETRY)
-            return after
-        for row in feed.rows:
+    def _take_all(self, found: tuple[rows.Row, ...]) -> None:
+        for row in found:
             self._take(row)
-        if feed.rows:
+        if found:
             self._on_change(list(self._workers.values()))
-        return max(after, feed.version)
 
     def _take(self, row: rows.Row) -> None:
         if row.value is None:
--- a/wigeonhitch/site/directory.py
+++ b/wigeonhitch/site/directory.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import anyio
-
+from wigeonhitch import feed
 from wigeonhitch.platform import entries, http, rows, table
 from wigeonhitch.telemetry import log
 
@@ -59,47 +58,31 @@
         self._on_worker = on_worker
         self._on_removed = on_removed
         self.workers: dict[str, Listed] = {}
-        self.is_known = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        after = 0
-        while True:
-            if not self._is_wanted():
-                self.is_known = False
-                await anyio.sleep(RETRY)
-            elif not self.is_known:
-                after = await self._read_all(after)
-            else:
-                after = await self._follow(after)
-
-    async def _read_all(self, after: int) -> int:
+        await feed.follow(
+            self._store,
+            entries.WORKER_TABLE,
+            self._read_all,
+            self._take_all,
+            feed.Times(WAIT, WAIT + SLACK, RETRY, PAUSE),
+            self._is_wanted,
+        )
+
+    async def _read_all(self) -> int:
         read = await self._store.read(entries.WORKER_TABLE, "", timeout=WAIT + SLACK)
         if read.outcome is not table.Outcome.DONE:
-            await anyio.sleep(RETRY)
-            return after
+            return 0
         listed = {row.key for row in read.rows}
         for id in [one for one in self.workers if one not in listed]:
             self._remove(id)
-        for row in read.rows:
-            self._take(row)
-        self.is_known = True
+        self._take_all(read.rows)
         return read.version
 
-    async def _follow(self, after: int) -> int:
-        feed = await self._store.follow(
-            entries.WORKER_TABLE, after, wait=WAIT, timeout=WAIT + SLACK
-        )
-        if feed.expired:
-            self.is_known = False
-            return after
-        if feed.outcome is not table.Outcome.DONE:
-            await anyio.sleep(RETRY)
-            return after
-        for row in feed.rows:
+    def _take_all(self, found: tuple[rows.Row, ...]) -> None:
+        for row in found:
             self._take(row)
-        await anyio.sleep(PAUSE)
-        return max(after, feed.version)
 
     def _take(self, row: rows.Row) -> None:
         if row.value is None:
