--- a/standins/soak/audit.py
+++ b/standins/soak/audit.py
@@ -41,14 +41,12 @@
     yard: yard.Yard
     ended: float
 
-    def is_disturbed(
-        self, begin: float, end: float, target: str = "", *, planned: bool = False
-    ) -> bool:
+    def is_disturbed(self, begin: float, end: float, target: str = "") -> bool:
         """Whether a fault came near a time; ``target`` leaves out others' own."""
         return any(
             span.begin < end and begin < span.end + TOUCH
             for span in self.spans
-            if (planned or span.kind not in fault.PLANNED)
+            if span.kind not in fault.PLANNED
             and (not target or span.target in (target, "store") or "all" in span.kind)
         )
 
@@ -227,8 +225,9 @@
             ends.setdefault(event.task.job, set()).add(event.task)
         elif event.what == "end" and event.how == "failed":
             failures[event.task] = failures.get(event.task, 0) + 1
-    gone = {job for task, count in failures.items() if count >= scene.MAX_ATTEMPTS
-            for job in (task.job,)}  # fmt: skip
+    spent = {
+        task.job for task, count in failures.items() if count >= scene.MAX_ATTEMPTS
+    }
     for job in seen.jobs:
         if not job.accepted:
             continue
@@ -242,7 +241,7 @@
             faults.append(f"accepted job never became final: {name}")
         if job.final == "completed" and len(ends.get(job.id, ())) < _count(job):
             faults.append(f"completed without all ends: {name}")
-        if job.final == "failed" and job.id not in gone:
+        if job.final == "failed" and job.id not in spent:
             faults.append(f"failed without a cause: {name}")
         if job.final == "cancelled" and not job.cancel_sent:
             faults.append(f"cancelled without being asked: {name}")
--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -61,7 +61,6 @@
         self.cancel_sent: float | None = None
         self.cancelled: float | None = None
         self.final = ""
-        self.final_at = 0.0
 
     @property
     def lasts(self) -> bool:
@@ -115,7 +114,7 @@
     def _note_state(self, job: Sent, call: Call) -> None:
         state = model.JobState(call.body["state"])
         if state.is_final and not job.final:
-            job.final, job.final_at = state.value, call.ended
+            job.final = state.value
 
     async def cancel(self, job: Sent) -> Call:
         """Cancel a job."""
--- a/standins/soak/yard.py
+++ b/standins/soak/yard.py
@@ -96,8 +96,6 @@
         Moves and upkeeps that were carried out.
     drained : dict of str to float
         When the store took the entry that says that a worker leaves.
-    faults : list of str
-        Orders that no one should have sent.
     """
 
     def __init__(self, rows: rowstore.RowStore, rng: random.Random) -> None:
@@ -105,7 +103,6 @@
         self.events: list[siteworker.Event] = []
         self.orders: list[Order] = []
         self.drained: dict[str, float] = {}
-        self.faults: list[str] = []
         self.vms: dict[str, Vm] = {}
         self._rng = rng
         self._late: list[_Late] = []
