--- a/wigeonhitch/site/tests/conftest.py
+++ b/wigeonhitch/site/tests/conftest.py
@@ -1,5 +1,6 @@
 """Whole daemons in process, on a store and workers in process."""
 
+import contextlib
 import random
 
 import anyio
@@ -122,9 +123,26 @@
     def __init__(self, store, calls):
         self.store = store
         self.calls = calls
-
-    def make_daemons(self, names):
-        return [make_daemon(name, self.store, self.calls) for name in names]
+        self._scopes = {}
+
+    @contextlib.asynccontextmanager
+    async def run(self, names):
+        """Run daemons from the moment that one leads until the block ends."""
+        ones = [make_daemon(name, self.store, self.calls) for name in names]
+        async with anyio.create_task_group() as group:
+            for one in ones:
+                group.start_soon(self._run_one, one)
+            await self.wait_for(lambda: self.find_leader(ones) is not None)
+            yield ones
+            group.cancel_scope.cancel()
+
+    async def _run_one(self, one):
+        with anyio.CancelScope() as self._scopes[one]:
+            await one.run()
+
+    def kill(self, one):
+        """End a daemon without a word."""
+        self._scopes[one].cancel()
 
     @staticmethod
     def find_leader(daemons):
--- a/wigeonhitch/site/tests/test_daemon.py
+++ b/wigeonhitch/site/tests/test_daemon.py
@@ -12,65 +12,41 @@
 
 
 async def test_a_job_taken_by_any_daemon_runs_whole_and_once(site):
-    ones = site.make_daemons("ab")
-    async with anyio.create_task_group() as group:
-        for one in ones:
-            group.start_soon(one.run)
-        await site.wait_for(lambda: site.find_leader(ones) is not None)
+    async with site.run("ab") as ones:
         for number, one in enumerate(ones):
             await site.submit(one, f"j{number}")
         await site.wait_until(ones[1], ["j0", "j1"])
-        group.cancel_scope.cancel()
 
     assert site.count_starts() == 8
 
 
 async def test_work_goes_on_under_another_daemon(site):
     """A leader that is gone without a word; its successor takes its runs over."""
-    ones = site.make_daemons("ab")
-    scopes = {one: anyio.CancelScope() for one in ones}
-
-    async def run(one):
-        with scopes[one]:
-            await one.run()
-
-    async with anyio.create_task_group() as group:
-        for one in ones:
-            group.start_soon(run, one)
-        await site.wait_for(lambda: site.find_leader(ones) is not None)
+    async with site.run("ab") as ones:
         leader = site.find_leader(ones)
         (other,) = [one for one in ones if one is not leader]
         for number in range(4):
             await site.submit(other, f"j{number}")
         await anyio.sleep(0.1)
-        scopes[leader].cancel()
+        site.kill(leader)
         await site.wait_until(other, [f"j{number}" for number in range(4)])
-        group.cancel_scope.cancel()
 
     starts = [event.task for event in site.calls.events if event.what == "start"]
     assert len(starts) == len(set(starts))
 
 
 async def test_a_daemon_that_leaves_hands_over_at_once(site):
-    ones = site.make_daemons("ab")
-    async with anyio.create_task_group() as group:
-        for one in ones:
-            group.start_soon(one.run)
-        await site.wait_for(lambda: site.find_leader(ones) is not None)
+    async with site.run("ab") as ones:
         leader = site.find_leader(ones)
         await leader.leave()
         began = http.read_clock()
         await site.wait_for(lambda: site.find_leader(ones) not in (None, leader))
-        group.cancel_scope.cancel()
 
     assert http.read_clock() - began < 1.5
 
 
 async def test_an_outage_of_the_store_loses_no_work(site):
-    (one,) = site.make_daemons("a")
-    async with anyio.create_task_group() as group:
-        group.start_soon(one.run)
-        await site.wait_for(lambda: site.find_leader([one]) is not None)
+    async with site.run("a") as (one,):
         await site.submit(one, "j0")
         site.store.is_down = True
         await anyio.sleep(1.8)
@@ -79,7 +55,6 @@
         site.store.is_down = False
         await site.wait_for(lambda: one.is_ready)
         await site.wait_until(one, ["j0"])
-        group.cancel_scope.cancel()
 
     with contextlib.suppress(KeyError):
         del site.calls.workers["w1"]
