Name a lasting step's budget by the field's term

The adapter's own word for it stood in the model, the rows and the planner. It is max_unavailable inside now, and is written into rows like the step's other values, without a case of its own.

--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -105,7 +105,7 @@
         The tasks run until the job is cancelled.
     fills : bool
         The tasks take the processors that other tasks leave.
-    may_miss : int
+    max_unavailable : int
         Tasks of a lasting step that may be away through the system's doing.
     target : float
         Bound of the tail of response times of a serving task; 0: none.
@@ -126,7 +126,7 @@
     image: str = ""
     target: float = 0.0
     fills: bool = False
-    may_miss: int = 0
+    max_unavailable: int = 0
 
     @property
     def reserved(self) -> Room:
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -23,7 +23,15 @@
 ]
 
 STEP_FLAGS = ("checkpoint", "gang", "same_rack", "speculative", "lasting", "fills")
-STEP_VALUES = ("estimate", "label", "data_rack", "spread", "image", "target")
+STEP_VALUES = (
+    "estimate",
+    "label",
+    "data_rack",
+    "spread",
+    "image",
+    "target",
+    "max_unavailable",
+)
 
 
 class JobRecord(NamedTuple):
@@ -119,8 +127,6 @@
     row: dict[str, Any] = {"count": step.count, "room": list(step.room)}
     if step.after:
         row["after"] = list(step.after)
-    if step.may_miss:
-        row["may_miss"] = step.may_miss
     for name in (*STEP_FLAGS, *STEP_VALUES):
         if value := getattr(step, name):
             row[name] = value
--- a/wigeonhitch/platform/ingress.py
+++ b/wigeonhitch/platform/ingress.py
@@ -143,7 +143,7 @@
         image=fields.get("image") or "",
         target=_read_count(fields, "target_ms") / 1000,
         fills=bool(fields.get("fills", False)),
-        may_miss=_read_count(fields, "may_miss"),
+        max_unavailable=_read_count(fields, "may_miss"),
     )
 
 
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -181,7 +181,7 @@
         others = self.pool.count_away(run.task.job, run.task.step)
         if not run.is_at_work:
             others -= 1  # it may have come to work since it was last listed
-        if others + 1 > run.step.may_miss and not one.entry.leaving:
+        if others + 1 > run.step.max_unavailable and not one.entry.leaving:
             return False
         return table.choose(run.task, run.step) is not None
 
--- a/wigeonhitch/pool/tests/test_planner.py
+++ b/wigeonhitch/pool/tests/test_planner.py
@@ -114,9 +114,11 @@
     assert bench.plan() == []
 
 
-def place_lasting(bench, count, may_miss):
+def place_lasting(bench, count, max_unavailable):
     """Put the tasks of a lasting job on w1 and w2 and let them work."""
-    bench.add_job("j", step(count, 1000, lasting=True, may_miss=may_miss, spread=2))
+    bench.add_job(
+        "j", step(count, 1000, lasting=True, max_unavailable=max_unavailable, spread=2)
+    )
     return bench.start()
 
 
@@ -126,10 +128,10 @@
         bench.answer(one, runs, now=now)
 
 
-def test_no_more_tasks_are_moved_at_once_than_the_step_may_miss(bench, listed):
+def test_no_more_tasks_are_moved_at_once_than_the_step_allows(bench, listed):
     bench.add_vm("w1")
     bench.add_vm("w2")
-    place_lasting(bench, 4, may_miss=1)
+    place_lasting(bench, 4, max_unavailable=1)
     bench.add_vm("w3")
     work(bench, listed)
     bench.pool.set_closed(frozenset({"w1"}), frozenset())
@@ -141,7 +143,7 @@
 def test_tasks_away_for_another_cause_count_too(bench, listed):
     bench.add_vm("w1")
     bench.add_vm("w2")
-    runs = place_lasting(bench, 4, may_miss=1)
+    runs = place_lasting(bench, 4, max_unavailable=1)
     bench.add_vm("w3")
     work(bench, listed)
     away = next(run for run in runs if run.vm.id == "w2")
@@ -153,7 +155,7 @@
 
 def test_a_task_is_moved_only_when_there_is_room_elsewhere(bench, listed):
     bench.add_vm("w1")
-    place_lasting(bench, 2, may_miss=1)
+    place_lasting(bench, 2, max_unavailable=1)
     work(bench, listed)
     bench.pool.set_closed(frozenset({"w1"}), frozenset())
 
@@ -231,7 +233,7 @@
     """Its figure is up to a hold old: a stop would meet it at work."""
     bench.add_vm("w1")
     bench.add_vm("w2")
-    runs = place_lasting(bench, 4, may_miss=1)
+    runs = place_lasting(bench, 4, max_unavailable=1)
     bench.add_vm("w3")
     work(bench, listed)
     for run in runs:
@@ -245,7 +247,7 @@
     """They were at work when it last answered, and nobody knows of them since."""
     bench.add_vm("w1")
     bench.add_vm("w2")
-    place_lasting(bench, 4, may_miss=1)
+    place_lasting(bench, 4, max_unavailable=1)
     bench.add_vm("w3")
     work(bench, listed)
     bench.pool.vms["w2"].is_silent = True
@@ -258,7 +260,7 @@
     """An earlier leader's stop may be under way: the run is listed until it ends."""
     for name in ("w1", "w2", "w3"):
         bench.add_vm(name, answers=False)
-    job = step(4, 1000, lasting=True, may_miss=1)
+    job = step(4, 1000, lasting=True, max_unavailable=1)
     bench.add_job("j", job, version=5)
     for index, name in enumerate(("w1", "w1", "w2", "w2")):
         task = model.Task("j", 0, 0, index)
