--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -142,6 +142,7 @@
     def forget(self, name: str) -> None:
         """Forget a member whose row was removed."""
         self.members.pop(name, None)
+        self._steady_since.pop(name, None)
 
     def list_long_gone(self, now: float) -> list[str]:
         """Return the members whose leases ran out long ago."""
