See a burst from what is handed in, and give room up by what is just in time

Cause: what counted as missing was what had found no room, so nothing moved before a pool was full, some 2 s into a burst; and a pool kept its spare VMs until they were idle, 1 to 2 s after its own burst.

Ruled out: VMs idle elsewhere at a burst's start (spare ones are in the pool whose burst is ending).

Change: a leader shows what its batch work could use at once, what it needs to be just in time, and its room, all from job rows it reads anyhow. Spare VMs go by the first, VMs leave pools by the second.

Tests: two tests of boards were given the new figures beside the old ones; what they assert is unchanged.

--- a/benchmarks/pool.py
+++ b/benchmarks/pool.py
@@ -49,7 +49,7 @@
     for number in range(rounds):
         _end_some(pool, number, 6)
         _confirm(pool, made.plan(NOW, NOW))
-        made.make_board()
+        made.make_board(NOW, NOW)
     return (time.process_time() - began) / rounds * 1000
 
 
--- a/wigeonhitch/maintenance/demand.py
+++ b/wigeonhitch/maintenance/demand.py
@@ -51,6 +51,7 @@
             state.moving[one.id] = core.Moving(pool, now)
             actions.append(core.Move(one.id, pool, one.worker))
             count -= 1
+        count = min(count, _count_short(state, pool))
         if count > 0:
             actions.extend(_free_elsewhere(state, pool, count))
     if not needs:
@@ -120,21 +121,33 @@
 
 
 def _list_needs(state: core.Fleet) -> list[tuple[str, int]]:
-    """Return pools that miss VMs, the one that misses most first."""
+    """Return pools that could use more VMs, the one that misses most first."""
     needs = []
     for pool, board in state.boards.items():
         if pool not in state.pools or state.is_standby(pool):
             continue
-        size = _find_size(state)
-        if not size:
-            continue
-        coming = len(_list_coming(state, pool))
-        count = round(board.unmet / size - WORTH_A_MOVE + 0.5) - coming
+        missing = max(board.unmet, board.wanted - board.room)
+        count = _count_missing(state, pool, missing)
         if count > 0:
             needs.append((pool, count))
     return sorted(needs, key=lambda need: -need[1])
 
 
+def _count_missing(state: core.Fleet, pool: str, missing: int) -> int:
+    """Return the VMs that make up for missing room and aren't on their way."""
+    size = _find_size(state)
+    if not size:
+        return 0
+    coming = len(_list_coming(state, pool))
+    return round(missing / size - WORTH_A_MOVE + 0.5) - coming
+
+
+def _count_short(state: core.Fleet, pool: str) -> int:
+    """Return the VMs without which a pool's work can't be in time."""
+    board = state.boards[pool]
+    return _count_missing(state, pool, board.least - board.room)
+
+
 def _find_size(state: core.Fleet) -> int:
     """Return the processors of the largest VM."""
     sizes = [one.room.cpu for one in state.vms.values() if one.room.cpu]
@@ -165,12 +178,12 @@
 def _free_elsewhere(
     state: core.Fleet, pool: str, count: int
 ) -> list[core.Close | core.Open | core.Move]:
-    """Vacate VMs of pools that have more room than one VM's left idle."""
+    """Vacate VMs of pools whose work is in time with fewer."""
     actions: list[core.Close | core.Open | core.Move] = []
     for other, board in state.boards.items():
-        if other == pool or board.unmet or state.is_standby(other):
+        if other == pool or state.is_standby(other):
             continue
-        spare = _list_idle(state, other, board.idle)
+        spare = _list_idle(state, other, board.room - board.least)
         for one in spare[: max(0, count)]:
             closing = record.Closing(one.worker, one.id, 0, pool)
             actions.append(core.Close(closing))
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -152,6 +152,31 @@
     assert demand.plan_moves(state, NOW) == []
 
 
+def test_a_burst_seen_from_what_is_handed_in_takes_vms_before_the_pool_is_full(state):
+    board = state.boards["a"]
+    state.boards["a"] = board._replace(wanted=256000, least=100000, room=192000)
+
+    moves = pick(demand.plan_moves(state, NOW), core.Move)
+
+    assert [one.pool for one in moves] == ["a", "a"]
+
+
+def test_a_pool_whose_turn_is_over_gives_vms_while_it_still_works(state):
+    """Its work under way would be in time with half of the VMs that it has."""
+    extra = [make_vm(f"x{n}", "b") for n in range(6)]
+    state.on_vms((*state.vms.values(), *extra), NOW)
+    light = tuple(f"w-x{n}" for n in range(6))
+    state.boards["a"] = pool_record.Board({}, wanted=350000, least=350000, room=192000)
+    state.boards["b"] = pool_record.Board(
+        {}, 0, 0, light=light, wanted=380000, least=192000, room=384000
+    )
+
+    closed = pick(demand.plan_moves(state, NOW), core.Close)
+
+    assert {one.closing.vm for one in closed} <= {one.id for one in extra}
+    assert len(closed) == 3
+
+
 def test_a_burst_on_a_large_site_takes_all_its_standby_vms_at_once(state):
     listed = list(state.vms.values())
     listed += [make_vm(f"off{n}", "off", worker="") for n in range(2, 28)]
@@ -177,9 +202,10 @@
 def test_spare_vms_go_from_an_idle_pool_to_a_pressed_one(state):
     spare = make_vm("spare", "b")
     state.on_vms((*state.vms.values(), spare), NOW)
-    state.boards["a"] = state.boards["a"]._replace(unmet=160000, idle=0)
+    board = state.boards["a"]
+    state.boards["a"] = board._replace(unmet=160000, idle=0, least=160000)
     board = state.boards["b"]
-    state.boards["b"] = board._replace(idle=64000, light=("w-spare",))
+    state.boards["b"] = board._replace(idle=64000, room=64000, light=("w-spare",))
 
     (closing,) = pick(demand.plan_moves(state, NOW), core.Close)
 
--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -73,6 +73,8 @@
         """VMs that an earlier leader may have used and that haven't answered."""
         self.changed: set[str] = set()
         """Jobs whose open tasks must be computed anew."""
+        self.handed_in: list[float] = []
+        """Core-seconds of jobs accepted under this leader, not yet counted."""
         self.must_scan = True
         """Whether runs may have to be stopped for what has just changed."""
         self.not_before: dict[model.Task, float] = {}
@@ -106,6 +108,8 @@
             self.places[id] = place
             self.jobs[id] = known
             self._learn_work(row.job)
+            if version > self.fence and not (row.job.is_lasting or row.job.times):
+                self.handed_in.append(row.job.compute_work())
         if version < known.version:
             return
         known.version = version
--- a/wigeonhitch/pool/board.py
+++ b/wigeonhitch/pool/board.py
@@ -1,7 +1,7 @@
 """What a pool's leader shows of it to other daemons."""
 
 from wigeonhitch.jobs import model
-from wigeonhitch.pool import belief, record, vm
+from wigeonhitch.pool import belief, need, record, vm
 
 __all__ = ["list_empty", "make_board"]
 
@@ -9,7 +9,7 @@
 """Thousandths of a core by which the board's figures go: an eighth of a VM."""
 
 
-def make_board(pool: belief.Belief, unmet: int) -> record.Board:
+def make_board(pool: belief.Belief, unmet: int, needed: need.Need) -> record.Board:
     """Return the board; ``unmet`` in thousandths of a core."""
     idle = sum(
         one.compute_free().cpu
@@ -20,14 +20,35 @@
     # In whole steps, so that the row isn't written for each small change.
     return record.Board(
         _count_waiting(pool),
-        unmet - unmet % BOARD_STEP,
-        idle - idle % BOARD_STEP,
+        _round(unmet),
+        _round(idle),
         tuple(sorted(one.id for one in list_empty(pool))),
-        tuple(sorted(one.id for one in light)),
+        tuple(one.id for one in sorted(light, key=_rank_light)),
         tuple(sorted(one.id for one in light if not one.runs)),
+        _round(needed.wanted),
+        _round(needed.least),
+        _round(compute_batch_room(pool)),
     )
 
 
+def compute_batch_room(pool: belief.Belief) -> int:
+    """Return what the open VMs have for batch work, thousandths of a core."""
+    room = 0
+    for one in pool.vms.values():
+        if one.listed and not one.closed and not one.entry.leaving:
+            lasting = (run for run in one.runs.values() if run.step.lasting)
+            room += one.entry.room.cpu - sum(run.room.cpu for run in lasting)
+    return room
+
+
+def _rank_light(one: vm.Vm) -> tuple[int, str]:
+    return (len(one.runs), one.id)
+
+
+def _round(figure: int) -> int:
+    return figure - figure % BOARD_STEP
+
+
 def list_empty(pool: belief.Belief) -> list[vm.Vm]:
     """Return the VMs that are to be vacated and hold nothing any more."""
     return [
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -8,7 +8,17 @@
 
 from wigeonhitch.jobs import model, progress
 from wigeonhitch.platform import advice, workers
-from wigeonhitch.pool import board, core, health, message, order, pacing, place, vm
+from wigeonhitch.pool import (
+    board,
+    core,
+    health,
+    message,
+    need,
+    order,
+    pacing,
+    place,
+    vm,
+)
 from wigeonhitch.pool import record as pool_record
 
 __all__ = ["Planner"]
@@ -36,6 +46,8 @@
         self.pool = pool
         self.unmet = 0
         """Thousandths of a core that jobs in time ask for and don't get."""
+        self._arrivals = need.Arrivals()
+        self._shown_room = 0
         self._open: dict[str, list[model.Task]] = {}
         self._next_due: dict[str, float] = {}
         self._figures: dict[str, order.Figures] = {}
@@ -53,6 +65,9 @@
         """
         self.pool.wall = wall
         self.pool.expire(now)
+        for work in self.pool.handed_in:
+            self._arrivals.note(work, now)
+        self.pool.handed_in.clear()
         self._refresh(wall)
         orders: list[message.Start | message.Stop] = self._stop_strays(now)
         table = place.Table(self.pool.vms.values(), now)
@@ -72,9 +87,17 @@
                 changes.append(message.Pace(run, pace))
         return changes
 
-    def make_board(self) -> pool_record.Board:
+    def is_turn(self, now: float) -> bool:
+        """Whether more is handed in than the VMs last shown keep up with."""
+        return 1000 * self._arrivals.compute_rate(now) > self._shown_room
+
+    def make_board(self, now: float, wall: float) -> pool_record.Board:
         """Return what other daemons are shown."""
-        return board.make_board(self.pool, self.unmet)
+        arriving = self._arrivals.compute_rate(now)
+        needed = need.compute_need(self._figures.values(), arriving, wall)
+        made = board.make_board(self.pool, self.unmet, needed)
+        self._shown_room = made.room
+        return made
 
     def count_empty(self) -> int:
         """Return how many VMs that are to be vacated hold nothing any more."""
--- a/wigeonhitch/pool/record.py
+++ b/wigeonhitch/pool/record.py
@@ -68,6 +68,12 @@
     """Open VMs without lasting tasks, which could go to another pool."""
     bare: tuple[str, ...] = ()
     """Those of them that run nothing at all."""
+    wanted: int = 0
+    """Thousandths of a core that batch work in time could use at once."""
+    least: int = 0
+    """The same for it to be just in time."""
+    room: int = 0
+    """What the pool's open VMs have for batch work."""
 
 
 def write_roster(address: str) -> bytes:
@@ -84,6 +90,7 @@
     """Return a board row."""
     row: dict[str, Any] = {"waiting": board.waiting, "unmet": board.unmet}
     row["idle"] = board.idle
+    row["need"] = [board.wanted, board.least, board.room]
     if board.empty:
         row["empty"] = list(board.empty)
     if board.light:
@@ -100,4 +107,4 @@
     light = tuple(row.get("light", ()))
     bare = tuple(row.get("bare", ()))
     figures = (row.get("unmet", 0), row.get("idle", 0))
-    return Board(row["waiting"], *figures, empty, light, bare)
+    return Board(row["waiting"], *figures, empty, light, bare, *row.get("need", ()))
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -82,7 +82,7 @@
         self._wake_commit = anyio.Event()
         self._noted = anyio.Event()
         self._wake_board = anyio.Event()
-        self._urgent: tuple[bool, int] = (False, 0)
+        self._urgent: tuple[bool, bool, int] = (False, False, 0)
         self._commits = log.Dependency("commit of ends")
         self._is_store_quick = True
         self._source = source.Source(self.pool, around.store, self._wake)
@@ -157,7 +157,11 @@
                 self._caller.held.add(one.id)
                 group.start_soon(self._caller.hold_forever, one)
         orders = self.planner.plan(http.read_clock(), time.time())
-        urgent = (self.planner.unmet > 0, self.planner.count_empty())
+        urgent = (
+            self.planner.unmet > 0,
+            self.planner.is_turn(http.read_clock()),
+            self.planner.count_empty(),
+        )
         if urgent != self._urgent:
             self._urgent = urgent
             self._wake_board.set()
@@ -264,7 +268,7 @@
     async def _show_board(self) -> None:
         shown = None
         while True:
-            board = self.planner.make_board()
+            board = self.planner.make_board(http.read_clock(), time.time())
             if board != shown and self.around.may_order():
                 owner = leader_record.expect_owner(self.owner.pool, self.owner.version)
                 write = rows.Write(
--- /dev/null
+++ b/wigeonhitch/pool/tests/test_need.py
@@ -0,0 +1,97 @@
+"""What a pool could use, seen from what is handed in and what is under way."""
+
+import pytest
+
+from wigeonhitch.jobs import model
+from wigeonhitch.pool import need
+
+NOW = 100.0
+SMALL = 27.0
+"""Core-seconds of a small job: 10 tasks of 0.8 s on 3.5 cores."""
+LARGE = 210.0
+
+
+def hand_in(arrivals, count, work, over, *, until=NOW):
+    """Hand in so many jobs, evenly over some seconds."""
+    for number in range(count):
+        arrivals.note(work, until - over + number * over / count)
+
+
+@pytest.fixture
+def arrivals():
+    return need.Arrivals()
+
+
+def test_a_turn_of_small_jobs_shows_within_half_a_second(arrivals):
+    """20 jobs a second begin at once; a pool of six VMs holds 384 cores."""
+    hand_in(arrivals, 8, SMALL, 0.4)
+
+    assert arrivals.compute_rate(NOW) > 384
+
+
+def test_a_turn_of_large_jobs_shows_within_a_second(arrivals):
+    hand_in(arrivals, 3, LARGE, 0.9)
+
+    assert arrivals.compute_rate(NOW) > 384
+
+
+@pytest.mark.parametrize("work", [SMALL, LARGE])
+def test_jobs_that_meet_by_chance_between_turns_are_no_turn(arrivals, work):
+    hand_in(arrivals, 2, work, 0.1)
+
+    assert arrivals.compute_rate(NOW) == 0
+
+
+def test_the_end_of_a_turn_shows_within_a_second(arrivals):
+    hand_in(arrivals, 60, SMALL, 3.0)
+    assert arrivals.compute_rate(NOW) == pytest.approx(20 * SMALL, rel=0.1)
+
+    assert arrivals.compute_rate(NOW + 1.05) == 0
+
+
+@pytest.mark.parametrize("cores", [16, 64])
+@pytest.mark.parametrize("share", [0.5, 1.0, 5.0])
+def test_the_rate_follows_any_load_without_a_period(arrivals, cores, share):
+    """Flat load of any height is seen as it is, for VMs of any size."""
+    work = share * cores / 10
+    hand_in(arrivals, 30, work, 3.0)
+
+    assert arrivals.compute_rate(NOW) == pytest.approx(share * cores, rel=0.15)
+
+
+def test_only_jobs_accepted_under_this_leader_count_as_handed_in(bench):
+    bench.add_job("old", version=5)
+    bench.add_job("new", version=20)
+    bench.add_job("lasts", model.Step(1, model.Room(1000), lasting=True))
+
+    assert len(bench.pool.handed_in) == 1
+
+
+def test_room_to_be_just_in_time_is_less_than_room_for_all_at_once(bench):
+    step = model.Step(10, model.Room(1000, 10), 1.0)
+    queue = model.Queue("q", "h", "/q/", "p", stretch=1.6, objective=0.4)
+    bench.pool.on_queues([queue])
+    bench.add_job("j", step)
+    bench.plan()
+
+    board = bench.planner.make_board(NOW, NOW)
+
+    assert (board.wanted, board.least) == (8000, 4000)
+
+
+def test_what_can_not_be_in_time_any_more_needs_no_vms(bench):
+    step = model.Step(10, model.Room(1000, 10), 1.0)
+    bench.add_job("j", step, accepted=NOW - 10)
+    bench.plan()
+
+    assert bench.planner.make_board(NOW, NOW).wanted == 0
+
+
+def test_room_for_batch_work_leaves_out_lasting_tasks_and_vacated_vms(bench):
+    bench.add_vm("w1", cpu=64000)
+    bench.add_job("l", model.Step(1, model.Room(24000), lasting=True))
+    bench.start()
+    bench.add_vm("w2", cpu=64000)
+    bench.pool.set_closed(frozenset({"w2"}), frozenset())
+
+    assert bench.planner.make_board(NOW, NOW).room == 40000
--- a/wigeonhitch/pool/tests/test_planner.py
+++ b/wigeonhitch/pool/tests/test_planner.py
@@ -168,10 +168,10 @@
     (run,) = bench.start()
     bench.answer(one, [listed(run, 10)])
     bench.pool.set_closed(frozenset({"w1"}), frozenset())
-    assert bench.planner.make_board().empty == ()
+    assert bench.planner.make_board(NOW, NOW).empty == ()
 
     bench.answer(one, ended=[ended(1, run)])
-    assert bench.planner.make_board().empty == ("w1",)
+    assert bench.planner.make_board(NOW, NOW).empty == ("w1",)
 
 
 def test_the_board_counts_jobs_that_have_not_begun(bench):
@@ -180,7 +180,7 @@
     bench.add_job("second")
     bench.start()
 
-    assert bench.planner.make_board().waiting == {"q": 1}
+    assert bench.planner.make_board(NOW, NOW).waiting == {"q": 1}
 
 
 def test_the_board_shows_what_jobs_in_time_miss(bench):
@@ -188,7 +188,7 @@
     bench.add_job("j", step(9, 1000))
     bench.plan()
 
-    assert bench.planner.make_board().unmet == 8000
+    assert bench.planner.make_board(NOW, NOW).unmet == 8000
 
 
 def test_vms_that_fail_all_are_set_aside_but_never_most_of_a_pool(bench):
