Let a new leader of moves order at once, but for VMs ordered about lately

Cause: each new leader of moves and upkeep waited 3 s before its first order, since two leaders may not take turns about one VM within a lease. After all daemons were restarted a burst got its first VM 5 s late; through a rolling restart no VM moved for 14 s.

Ruled out: handing the duty only to daemons that stay (nobody knows who is stopped next).

Change: which VMs are ordered about is noted durably first, with the store's time; an order is given within a second of its note. A successor leaves those VMs alone until the lease has passed and orders about all others at once.

Tests: the five of the task fail without the rows or with the old wait.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -98,6 +98,25 @@
         """Since when a pool has had room for more than one VM's work."""
         self.ordered_at: dict[str, float] = {}
         """When a VM was last ordered about."""
+        self._barred: dict[str, float] = {}
+
+    def on_earlier_order(self, vm: str, until: float) -> None:
+        """Take note that an earlier leader ordered a VM about.
+
+        Two leaders may not take turns about one VM within a lease's time, so it
+        is left alone up to ``until``. All other VMs can be ordered about at once:
+        waiting that long for all of them stopped moves for 3 s at each change of
+        leader, most of a burst of 4 to 8 s.
+        """
+        self._barred[vm] = until
+
+    def on_not_ordered(self, vm: str) -> None:
+        """Take note that a planned order was not given."""
+        self.moving.pop(vm, None)
+
+    def may_order(self, vm: str, now: float) -> bool:
+        """Whether no earlier leader's order about a VM is too recent."""
+        return now >= self._barred.get(vm, 0.0)
 
     def on_vms(self, vms: tuple[fleet.Vm, ...], now: float) -> None:
         """Take the list of VMs, as asked for at ``now``."""
--- a/wigeonhitch/maintenance/demand.py
+++ b/wigeonhitch/maintenance/demand.py
@@ -45,7 +45,7 @@
     actions: list[core.Close | core.Open | core.Move] = []
     needs = _list_needs(state)
     for pool, count in needs:
-        for one in _list_standby(state)[: max(0, count)]:
+        for one in _list_standby(state, now)[: max(0, count)]:
             if len(state.moving) >= MOVES_AT_ONCE:
                 break
             state.moving[one.id] = core.Moving(pool, now)
@@ -63,7 +63,7 @@
         if one is None or one.worker != worker:
             continue
         if one.state is fleet.VmState.UP and state.is_empty(one):
-            if one.id not in state.moving:
+            if one.id not in state.moving and state.may_order(one.id, now):
                 state.moving[one.id] = core.Moving(closing.pool, now)
                 actions.append(core.Move(one.id, closing.pool, worker))
         elif now - state.closed_since.get(worker, now) > GIVE_UP_AFTER:
@@ -163,7 +163,7 @@
     return coming
 
 
-def _list_standby(state: core.Fleet) -> list[fleet.Vm]:
+def _list_standby(state: core.Fleet, now: float) -> list[fleet.Vm]:
     waved = {vm for wave in state.progress.values() for vm in wave.ordered}
     return [
         one
@@ -172,6 +172,7 @@
         and one.state is fleet.VmState.UP
         and one.id not in state.moving
         and one.id not in waved
+        and state.may_order(one.id, now)
     ]
 
 
--- a/wigeonhitch/maintenance/record.py
+++ b/wigeonhitch/maintenance/record.py
@@ -7,18 +7,22 @@
 __all__ = [
     "CLOSING_TABLE",
     "HOME_TABLE",
+    "ORDER_TABLE",
     "WAVE_TABLE",
     "Closing",
     "WaveRecord",
     "read_closing",
+    "read_order",
     "read_wave",
     "write_closing",
+    "write_order",
     "write_wave",
 ]
 
 CLOSING_TABLE = "closing"
 WAVE_TABLE = "wave"
 HOME_TABLE = "home"
+ORDER_TABLE = "order"
 
 
 class Closing(NamedTuple):
@@ -83,3 +87,13 @@
     row = orjson.loads(value)
     confirmed = frozenset(row.get("confirmed", ()))
     return WaveRecord(frozenset(row["done"]), row["ordered"], confirmed)
+
+
+def write_order(at: float) -> bytes:
+    """Return the row of a VM that is ordered about from the store's time ``at``."""
+    return orjson.dumps({"at": at})
+
+
+def read_order(value: bytes) -> float:
+    """Read the store's time from which on a VM was ordered about, in seconds."""
+    return orjson.loads(value)["at"]
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -28,18 +28,27 @@
 TIMEOUT = 1.0
 """Seconds for one call."""
 
+ORDER_WITHIN = 1.0
+"""Seconds after noting an order up to which it may be given: a round of 30
+orders takes 0.3 s. A successor counts from the end of it."""
+
 IDLE_LISTING = 2.0
 """Seconds between two listings of the VMs while nothing is under way."""
 
 
 class Surroundings(NamedTuple):
-    """What the leader works with; see `wigeonhitch.pool.task.Surroundings`."""
+    """What the leader works with; see `wigeonhitch.pool.surroundings`.
+
+    ``get_store_time`` returns a time that the store's clock hasn't passed;
+    ``order_gap`` is for how long two leaders may not take turns about a VM.
+    """
 
     store: rows.RowStore
     calls: fleet.FleetCalls
     may_order: Callable[[], bool]
     get_catalogue: Callable[[], model.Catalogue | None]
     get_waves: Callable[[], dict[int, entries.WaveOrder]]
+    get_store_time: Callable[[], float]
     holder: str
     order_gap: float
     upkeep: float
@@ -93,11 +102,19 @@
         homes = await self._read_all(record.HOME_TABLE, part)
         for row in homes.rows:
             self.state.home[row.key] = int(row.value or b"0")
+        self._take_orders(await self._read_all(record.ORDER_TABLE, part))
         shown = await self._read_all(entries.STATUS_TABLE, "")
         for row in shown.rows:
             self._take_shown(row)
         log.log_change("fleet loaded", closings=len(closings.rows))
 
+    def _take_orders(self, found: rows.Range) -> None:
+        """Leave VMs alone that an earlier leader may just have ordered about."""
+        for row in found.rows:
+            last = record.read_order(row.value or b"") + ORDER_WITHIN
+            left = last + self.around.order_gap - found.store_time
+            self.state.on_earlier_order(row.key, found.received + left)
+
     def _take_shown(self, row: rows.Row) -> None:
         number = entries.read_wave_number(row.key)
         if number is not None and row.value is not None:
@@ -158,15 +175,29 @@
         now = http.read_clock()
         await self._note_homes()
         await self._forget_ended()
-        if now - self.state.taken_over < self.around.order_gap:
-            return
         actions: list[object] = []
         actions.extend(wave.plan_waves(self.state, now, self.around.upkeep))
         actions.extend(demand.plan_moves(self.state, now))
+        noted = await self._note_orders(actions)
         for action in actions:
             if self.deposed or not self.around.may_order():
                 return
-            await self._carry_out(action)
+            await self._carry_out(action, noted)
+
+    async def _note_orders(self, actions: list[object]) -> float:
+        """Note durably which VMs are ordered about; return until when they may be."""
+        at = self.around.get_store_time()
+        until = http.read_clock() + ORDER_WITHIN
+        writes = [
+            rows.Write(
+                record.ORDER_TABLE, self.owner.pool, one.vm, record.write_order(at)
+            )
+            for one in actions
+            if isinstance(one, core.Maintain | core.Move)
+        ]
+        if not writes or await self._commit(writes):
+            return until
+        return 0.0
 
     def _take_catalogue(self) -> None:
         catalogue = self.around.get_catalogue()
@@ -208,7 +239,12 @@
         for worker in self.state.list_stale_closings(http.read_clock()):
             await self._open(worker)
 
-    async def _carry_out(self, action: object) -> None:
+    async def _carry_out(self, action: object, until: float) -> None:
+        """Carry out what was planned; orders about VMs only ``until`` then."""
+        is_order = isinstance(action, core.Maintain | core.Move)
+        if is_order and http.read_clock() > until:
+            self.state.on_not_ordered(action.vm)
+            return
         if isinstance(action, core.Close):
             await self._close(action.closing)
         elif isinstance(action, core.Open):
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -252,6 +252,19 @@
     assert not state.is_closing("a0")
 
 
+def test_only_the_vms_an_earlier_leader_ordered_about_are_left_alone(state):
+    order_wave(state, ["a0", "a1"])
+    close(state, "a0", "a1")
+    empty(state, "w-a0", "w-a1")
+    state.on_earlier_order("a0", NOW + 2.0)
+
+    early = pick(wave.plan_waves(state, NOW, UPKEEP), core.Maintain)
+    later = pick(wave.plan_waves(state, NOW + 2.0, UPKEEP), core.Maintain)
+
+    assert [one.vm for one in early] == ["a1"]
+    assert [one.vm for one in later] == ["a0", "a1"]
+
+
 def test_rows_keep_closings_and_waves():
     closing = record.Closing("w", "v", 3, "p", True)
     progress = record.WaveRecord(frozenset({"x"}), {"v": "w"}, frozenset({"v"}))
--- /dev/null
+++ b/wigeonhitch/maintenance/tests/test_task.py
@@ -0,0 +1,138 @@
+"""A change of the leader of moves: whom it must leave alone, and for how long."""
+
+import anyio
+import pytest
+
+from standins import rowstore
+from wigeonhitch.jobs import model
+from wigeonhitch.leadership import record as leader_record
+from wigeonhitch.maintenance import record, task
+from wigeonhitch.platform import fleet, http
+from wigeonhitch.pool import record as pool_record
+
+FLEET = "~fleet"
+ORDER_GAP = 3.0
+ROOM = model.Room(64000, 131072)
+POOLS = (model.Pool("a"), model.Pool("off", standby=True))
+
+
+class Machines:
+    """Two spare VMs that are off; keeps the moves ordered and what was noted."""
+
+    def __init__(self, store):
+        self.store = store
+        self.moves = []
+        self.noted = []
+
+    async def list_vms(self, *, timeout):
+        names = ("spare0", "spare1")
+        listed = [
+            fleet.Vm(one, "off", self._find_state(one), "dc", (), ROOM, "")
+            for one in names
+        ]
+        return fleet.Listing(tuple(listed))
+
+    def _find_state(self, vm):
+        return fleet.VmState.MOVING if vm in self.moves else fleet.VmState.UP
+
+    async def move(self, vm, pool, holder, fence, *, timeout):
+        self.moves.append(vm)
+        self.noted.append(self.store.get(record.ORDER_TABLE, FLEET, vm))
+        return fleet.OrderOutcome.DONE
+
+
+@pytest.fixture
+def store():
+    made = rowstore.RowStore()
+    board = pool_record.Board({}, 128000, wanted=128000, least=128000)
+    value = pool_record.write_board(board)
+    made.put(pool_record.BOARD_TABLE, "a", pool_record.BOARD_TABLE, value)
+    owner = leader_record.Owner(FLEET, "d", "life", 1, 0, 0.0)
+    value = leader_record.write_owner(owner)
+    made.put(leader_record.OWNER_TABLE, FLEET, leader_record.OWNER_KEY, value)
+    return made
+
+
+@pytest.fixture
+def machines(store):
+    return Machines(store)
+
+
+def read_store_clock():
+    return rowstore.read_times()[0]
+
+
+async def lead(store, machines, seconds):
+    """Lead for some seconds, as claimed a moment ago."""
+    read = await store.read(leader_record.OWNER_TABLE, FLEET, timeout=1.0)
+    row = read.rows[0]
+    owner = leader_record.read_owner(FLEET, row.value, row.version)
+    around = task.Surroundings(
+        store,
+        machines,
+        lambda: True,
+        lambda: model.Catalogue(1, (), POOLS),
+        dict,
+        read_store_clock,
+        "d",
+        ORDER_GAP,
+        2.0,
+    )
+    with anyio.move_on_after(seconds):
+        await task.Runner(owner, around, http.read_clock()).run()
+
+
+@pytest.mark.anyio
+async def test_a_new_leader_moves_vms_at_once(store, machines):
+    """A burst doesn't wait for a lease where nobody ordered anything lately."""
+    await lead(store, machines, 0.5)
+
+    assert sorted(machines.moves) == ["spare0", "spare1"]
+
+
+@pytest.mark.anyio
+async def test_an_order_is_noted_before_it_is_given(store, machines):
+    await lead(store, machines, 0.5)
+
+    assert all(machines.noted)
+
+
+@pytest.mark.anyio
+async def test_a_vm_that_an_earlier_leader_ordered_about_is_left_alone(store, machines):
+    recent = record.write_order(read_store_clock() - 1.0)
+    store.put(record.ORDER_TABLE, FLEET, "spare0", recent)
+
+    await lead(store, machines, 0.5)
+
+    assert machines.moves == ["spare1"]
+
+
+@pytest.mark.anyio
+async def test_an_old_order_holds_nobody_up(store, machines):
+    old = record.write_order(read_store_clock() - ORDER_GAP - task.ORDER_WITHIN - 0.1)
+    store.put(record.ORDER_TABLE, FLEET, "spare0", old)
+
+    await lead(store, machines, 0.5)
+
+    assert "spare0" in machines.moves
+
+
+@pytest.mark.anyio
+async def test_nothing_is_ordered_that_could_not_be_noted(store, machines):
+    """Another daemon has claimed meanwhile: the note's condition fails."""
+
+    async def refuse(change, *, timeout):
+        writes = [one for one in change.writes if one.table == record.ORDER_TABLE]
+        if not writes:
+            return await commit(change, timeout=timeout)
+        return await commit(
+            change._replace(
+                conditions=(leader_record.expect_owner(FLEET, 999),),
+            ),
+            timeout=timeout,
+        )
+
+    commit, store.commit = store.commit, refuse
+    await lead(store, machines, 0.5)
+
+    assert machines.moves == []
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -56,7 +56,7 @@
     free = wave.ceiling - len(down)
     waiting = [state.vms[vm] for vm in left if vm not in progress.ordered]
     for one in sorted(waiting, key=lambda one: _rank(state, wave, one, now)):
-        if free > 0 and _is_ready(state, one):
+        if free > 0 and _is_ready(state, one, now):
             actions.append(core.Maintain(one.id, wave.number, one.worker))
             free -= 1
     # One whose order got no answer may have a new life that isn't vacated yet.
@@ -65,10 +65,10 @@
     return actions
 
 
-def _is_ready(state: core.Fleet, one: fleet.Vm) -> bool:
+def _is_ready(state: core.Fleet, one: fleet.Vm, now: float) -> bool:
     if one.state is not fleet.VmState.UP or one.id in state.moving:
         return False
-    return state.is_empty(one)
+    return state.is_empty(one) and state.may_order(one.id, now)
 
 
 def _note_through(
@@ -106,7 +106,7 @@
             continue
         one = state.vms[vm]
         late = now > state.ordered_at.get(vm, state.taken_over) + ORDER_AGAIN
-        if late and _is_ready(state, one):
+        if late and _is_ready(state, one, now):
             again.append(core.Maintain(vm, wave.number, one.worker))
     return again
 
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -200,6 +200,7 @@
             self._keeper.may_order,
             lambda: self._follower.catalogue,
             lambda: self._follower.waves,
+            lambda: self._leadership.clock.compute_latest(http.read_clock()),
             self.settings.name,
             bounds.order_gap,
             bounds.upkeep,
