Judge a slow run beside its step on other VMs, not by its estimate alone

Change: a run counts as slow for its VM's sake only beside tasks of its step on other VMs or, where there are none, beside slow runs of other jobs on its VM.

--- a/wigeonhitch/pool/health.py
+++ b/wigeonhitch/pool/health.py
@@ -5,12 +5,16 @@
 such task keeps its job waiting to the end of the spell, far past its objective.
 Progress is listed in whole percents some twice a second, so a task of 1.7 s
 moves with each answer; one that hasn't moved for a second stands still. A run
-is moved once for being slow: a job that is long by itself is so everywhere.
+is moved once for being slow, and only where its VM is to blame: estimates may
+be a tenth of what a job takes, and such a job is long everywhere.
 """
 
+import statistics
+from collections.abc import Iterable
+
 from wigeonhitch.pool import vm
 
-__all__ = ["is_slow", "is_stuck"]
+__all__ = ["is_slow", "is_slower_than", "is_stuck"]
 
 STUCK_AFTER = 1.0
 """Seconds without progress after which a run counts as standing still: one and
@@ -24,6 +28,10 @@
 """Times the estimate that a run must seem to need in all to count as slow:
 estimates are off by up to a half, workers turn four to seven times slower."""
 
+PEER_FACTOR = 2.0
+"""Times what tasks of the same step seem to need on other VMs: they differ by
+up to a third among themselves, slow VMs take four to seven times as long."""
+
 LEFT_LEAST = 1.0
 """Seconds that must be left for a move to pay, beyond what it takes elsewhere."""
 
@@ -51,3 +59,16 @@
     whole = 100 / run.rate
     left = (100 - run.work) / run.rate
     return whole > SLOW_FACTOR * step.estimate and left > step.estimate + LEFT_LEAST
+
+
+def is_slower_than(run: vm.Run, peers: Iterable[vm.Run]) -> bool | None:
+    """Whether a run crawls beside tasks of its step on other VMs.
+
+    None if there is nothing to compare it with. Both have a known rate: without
+    this look, a calm day of large jobs whose estimates are off by up to nine
+    tenths had 30 runs begun again and 8 sound VMs set aside for 4 s.
+    """
+    wholes = [100 / one.rate for one in peers if one.rate and one.vm is not run.vm]
+    if not wholes or not run.rate:
+        return None
+    return 100 / run.rate > PEER_FACTOR * statistics.median(wholes)
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -166,7 +166,7 @@
         if run.task in self.pool.moved:
             return False
         stuck = health.is_stuck(run, now)
-        if not stuck and not health.is_slow(run, now):
+        if not stuck and not self._is_slow(run, now):
             return False
         what = "stands still" if stuck else "slow"
         self.pool.note_sick(run, what, now)
@@ -177,6 +177,15 @@
         self.pool.failed_on[run.task] = run.vm.id
         return True
 
+    def _is_slow(self, run: vm.Run, now: float) -> bool:
+        """Whether a run crawls for its VM's sake, not its job's."""
+        if not health.is_slow(run, now):
+            return False
+        run.vm.note_slow(run.task.job, now)
+        peers = [one for one in self.pool.live.values() if one.task[:3] == run.task[:3]]
+        slower = health.is_slower_than(run, peers)
+        return run.vm.is_slow(now) if slower is None else slower
+
     def _stop_strays(self, now: float) -> list[message.Start | message.Stop]:
         stops: list[message.Start | message.Stop] = []
         for one in self.pool.vms.values():
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -40,6 +40,10 @@
 
 SICK_WITHIN = 3.0
 
+SLOW_JOBS_ALLOWED = 1
+"""Jobs whose runs may be slow on a VM within `SICK_WITHIN` seconds, where no
+other VM runs the same step: estimates of two jobs are seldom as far off."""
+
 
 class RunState(enum.Enum):
     """How far a run is known to be."""
@@ -162,6 +166,8 @@
         self._set_aside_for = SET_ASIDE
         self.sick = 0
         self._sick_at = 0.0
+        self._slow_jobs: dict[str, float] = {}
+        """When runs of a job were last slow here."""
         self._clock = entry.clock or 0.0
         self._clock_received = now
 
@@ -246,6 +252,15 @@
         self.set_aside(now)
         return True
 
+    def note_slow(self, job: str, now: float) -> None:
+        """Take note that a run of a job is slow by its estimate."""
+        self._slow_jobs[job] = now
+
+    def is_slow(self, now: float) -> bool:
+        """Whether runs of several jobs are slow here: one may be long by itself."""
+        recent = (at for at in self._slow_jobs.values() if now - at < SICK_WITHIN)
+        return sum(1 for _ in recent) > SLOW_JOBS_ALLOWED
+
     def note_sick(self, now: float) -> bool:
         """Count a run that stood still or was slow; whether it is set aside now."""
         if self.is_set_aside(now):
