--- /dev/null
+++ b/benchmarks/day.py
@@ -0,0 +1,121 @@
+"""Draw one day of a site before and after a change, from daemons' log lines.
+
+``python -m benchmarks.day BEFORE AFTER IMAGE`` draws, for each of two files of
+lines, the VMs of each pool and how many jobs were accepted and how many of them
+came late, by half seconds of their acceptance.
+"""
+
+import collections
+import pathlib
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import defopt
+import matplotlib
+
+from benchmarks import losses
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402 - the backend is chosen first
+
+__all__ = ["Day", "collect", "draw"]
+
+STEP = 0.5
+"""Seconds that are drawn as one."""
+
+
+class Day(NamedTuple):
+    """What is drawn; times in seconds from the first job's acceptance."""
+
+    vms: dict[str, list[tuple[float, int]]]
+    """By pool, the VMs known to its leader at each change."""
+    jobs: dict[float, int]
+    """Jobs by the half second of their acceptance."""
+    late: dict[float, int]
+    """Those of them that came late."""
+
+
+def collect(lines: Iterable[dict[str, Any]]) -> Day:
+    """Return what is drawn of some daemons' lines, in the order of time."""
+    found = sorted(lines, key=losses.read_time)
+    ends = [one for one in found if one["change"] == "job complete"]
+    first = min((_find_accepted(one) for one in ends), default=0.0)
+    jobs: collections.Counter[float] = collections.Counter()
+    late: collections.Counter[float] = collections.Counter()
+    for one in ends:
+        step = (_find_accepted(one) - first) // STEP * STEP
+        jobs[step] += 1
+        late[step] += one["took"] > one["objective"]
+    return Day(_count_vms(found, first), dict(jobs), dict(late))
+
+
+def _count_vms(
+    found: list[dict[str, Any]], first: float
+) -> dict[str, list[tuple[float, int]]]:
+    """Count by pool the VMs that joined and haven't gone."""
+    known: dict[str, set[str]] = collections.defaultdict(set)
+    series: dict[str, list[tuple[float, int]]] = collections.defaultdict(list)
+    for one in found:
+        if one["change"] not in ("VM joined", "VM gone"):
+            continue
+        pool = one["pool"]
+        change = set.add if one["change"] == "VM joined" else set.discard
+        change(known[pool], one["vm"])
+        series[pool].append((losses.read_time(one) - first, len(known[pool])))
+    return dict(series)
+
+
+def _find_accepted(line: dict[str, Any]) -> float:
+    return losses.read_time(line) - line["took"]
+
+
+def draw(days: dict[str, Day], path: pathlib.Path) -> None:
+    """Draw days below each other, by their titles."""
+    figure, rows = pyplot.subplots(
+        2 * len(days), 1, figsize=(9, 4 * len(days)), dpi=90, sharex=True
+    )
+    for number, (title, day) in enumerate(days.items()):
+        _draw_vms(rows[2 * number], title, day)
+        _draw_jobs(rows[2 * number + 1], day)
+    rows[-1].set_xlabel("seconds")
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def _draw_vms(axes: Any, title: str, day: Day) -> None:
+    for number, (_, points) in enumerate(sorted(day.vms.items()), start=1):
+        times, counts = zip(*points, strict=True)
+        axes.step(times, counts, where="post", label=f"pool {number}")
+    axes.set_title(title)
+    axes.set_ylabel("VMs")
+    axes.set_xlim(left=0)
+    axes.legend(loc="upper right", fontsize="small")
+
+
+def _draw_jobs(axes: Any, day: Day) -> None:
+    axes.bar(day.jobs.keys(), day.jobs.values(), STEP, align="edge", color="silver")
+    axes.bar(day.late.keys(), day.late.values(), STEP, align="edge", color="firebrick")
+    axes.set_ylabel("jobs, late ones red")
+
+
+def main(before: pathlib.Path, after: pathlib.Path, image: pathlib.Path) -> None:
+    """Draw a day before and after a change.
+
+    Parameters
+    ----------
+    before : pathlib.Path
+        Daemons' output of the day before.
+    after : pathlib.Path
+        The same after.
+    image : pathlib.Path
+        The PNG to write.
+    """
+    days = {
+        title: collect(losses.read_lines(file.read_text()))
+        for title, file in (("before", before), ("after", after))
+    }
+    draw(days, image)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -15,7 +15,7 @@
 
 import defopt
 
-__all__ = ["REASONS", "Loss", "explain", "read_lines"]
+__all__ = ["REASONS", "Loss", "explain", "read_lines", "read_time"]
 
 WAITED_LEAST = 0.3
 """Seconds until a job's first start from which on it counts as having waited: a
@@ -72,7 +72,7 @@
     for one in found:
         if not _is(one, "job complete") or one["took"] <= one["objective"]:
             continue
-        end = _read_time(one)
+        end = read_time(one)
         span = _Span(end - one["took"], end)
         waited = waits.get(one["job"], 0.0)
         reason = _find_reason(marks, one["pool"], span, waited)
@@ -107,7 +107,7 @@
             marks[reason, pool].append(span)
 
     for one in found:
-        pool, now, daemon = one.get("pool", ""), _read_time(one), one.get("daemon")
+        pool, now, daemon = one.get("pool", ""), read_time(one), one.get("daemon")
         led = [name for name, leader in leaders.items() if leader == daemon]
         if _is(one, "renewal of the lease lost"):
             since.update({(STORE_AWAY, name): now for name in led})
@@ -135,7 +135,7 @@
     return line["change"] == what
 
 
-def _read_time(line: dict[str, Any]) -> float:
+def read_time(line: dict[str, Any]) -> float:
     """Return the seconds of the day of a line."""
     hours, minutes, seconds = line["time"].split(" ")[1].replace(",", ".").split(":")
     return 3600 * int(hours) + 60 * int(minutes) + float(seconds)
