Keep what was claimed after the renewal that ends a lapse

Cause, from the daemons' lines: a leader renewed its lease at the store's version 8670 and claimed the pool anew at 8680; the claim's answer came first. With the renewal's answer the pool counted as lost and was stopped, while its row, newer than the lapse, still counted as led: nobody claimed it, for 21 s.

Change: only what no longer counts as led after the lapse is lost.

Test: one, which failed first.

--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -206,7 +206,7 @@
             return []
         lapsed = [one for one in pools if self._is_named(one) and not self.is_mine(one)]
         if lapsed:
-            return lapsed  # no others wait for them while this daemon lives
+            return lapsed  # nobody else claims them while this daemon lives
         if now - self._began < SETTLE or now - self._members_at > MEMBERS_STALE:
             return []
         live = self.list_live(now)
--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -155,10 +155,15 @@
         return True
 
     def _lose_all(self, version: int) -> None:
-        """After a lapse, lead nothing that isn't claimed anew."""
+        """After a lapse, lead nothing that isn't claimed anew.
+
+        What was claimed after the renewal that ends it stays, though the claim's
+        answer came first: lost here and still led by its row, a pool would stand
+        still.
+        """
         led = [one for one in self.leadership.owners if self._leads(one)]
         self.leadership.on_lapsed(version)
-        for pool in led:
+        for pool in [one for one in led if not self._leads(one)]:
             log.log_change("leadership lapsed", pool=pool, version=version)
             self._on_lost(pool)
 
--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -152,3 +152,32 @@
 
     assert told == [("lost", "p")]
     assert keeper.leadership.owners["p"].name == "b"
+
+
+async def test_a_claim_done_after_the_renewal_is_kept_though_told_before_it(
+    store, lapsing
+):
+    """A pool that is lost and still counts as led is led by nobody for ever.
+
+    The renewal that ends a lapse was done first, but its answer took half a second
+    on a slow store, in which the claim's answer came.
+    """
+    keeper, told = lapsing
+    whole = store.commit
+
+    async def commit(change, *, timeout):
+        renewed = await whole(change, timeout=timeout)
+        if change.writes[0].table == record.MEMBER_TABLE:
+            owner = record.Owner("p", "a", "life", 2, 0)
+            value = record.write_owner(owner)
+            store.put(record.OWNER_TABLE, "p", record.OWNER_KEY, value)
+            keeper._lead(owner._replace(version=store.version))
+            keeper.leadership.on_owner(owner._replace(version=store.version))
+        return renewed
+
+    store.commit = commit
+    await keeper._read_own()
+    await keeper._renew()
+
+    assert keeper.leadership.is_mine("p")
+    assert told == [("led", 2)]
