Note a round's orders in transactions of 50 VMs

Cause: the store takes 100 entries in one; a round of more orders than that, on a site of some 300 VMs or more, would never have been noted and so never given.

Test: 120 VMs that are to be moved at once; before, one transaction of 121 entries.

--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -32,8 +32,9 @@
 """Seconds after noting an order up to which it may be given: a round of 30
 orders takes 0.3 s. A successor counts from the end of it."""
 
-CLOSINGS_A_TIME = 50
-"""Workers vacated by one transaction; the store takes 100 entries in one."""
+ROWS_A_TIME = 50
+"""VMs of one transaction; the store takes 100 entries in one, so that a round of
+more orders on a large site would never be noted."""
 
 IDLE_LISTING = 2.0
 """Seconds between two listings of the VMs while nothing is under way."""
@@ -199,20 +200,22 @@
             if not isinstance(action, core.Close | core.Move):
                 await self._carry_out(action, until)
 
-    async def _note_orders(self, actions: list[object]) -> float:
-        """Note durably which VMs are ordered about; return until when they may be."""
-        at = self.around.get_store_time()
+    async def _note_orders(self, actions: list[object]) -> dict[str, float]:
+        """Note durably which VMs are ordered about; return until when each may be."""
+        vms = [one.vm for one in actions if isinstance(one, core.Maintain | core.Move)]
+        value = record.write_order(self.around.get_store_time())
         until = http.read_clock() + ORDER_WITHIN
-        writes = [
-            rows.Write(
-                record.ORDER_TABLE, self.owner.pool, one.vm, record.write_order(at)
-            )
-            for one in actions
-            if isinstance(one, core.Maintain | core.Move)
-        ]
-        if not writes or await self._commit(writes):
-            return until
-        return 0.0
+        noted: dict[str, float] = {}
+        for first in range(0, len(vms), ROWS_A_TIME):
+            some = vms[first : first + ROWS_A_TIME]
+            writes = [
+                rows.Write(record.ORDER_TABLE, self.owner.pool, vm, value)
+                for vm in some
+            ]
+            if not await self._commit(writes):
+                break
+            noted.update(dict.fromkeys(some, until))
+        return noted
 
     def _take_catalogue(self) -> None:
         catalogue = self.around.get_catalogue()
@@ -254,12 +257,12 @@
         for worker in self.state.list_stale_closings(http.read_clock()):
             await self._open(worker)
 
-    async def _carry_out(self, action: object, until: float) -> None:
-        """Carry out what was planned; orders about VMs only ``until`` then."""
+    async def _carry_out(self, action: object, until: dict[str, float]) -> None:
+        """Carry out what was planned; orders about a VM only ``until`` its time."""
         if self.deposed or not self.around.may_order():
             return
         is_order = isinstance(action, core.Maintain | core.Move)
-        if is_order and http.read_clock() > until:
+        if is_order and http.read_clock() > until.get(action.vm, 0.0):
             self.state.on_not_ordered(action.vm)
             return
         if isinstance(action, core.Open):
@@ -278,8 +281,8 @@
         One transaction each, 10 ms, the last was vacated 0.4 s after the first.
         """
         table = record.CLOSING_TABLE
-        for first in range(0, len(closings), CLOSINGS_A_TIME):
-            some = closings[first : first + CLOSINGS_A_TIME]
+        for first in range(0, len(closings), ROWS_A_TIME):
+            some = closings[first : first + ROWS_A_TIME]
             writes = [
                 rows.Write(
                     table, self.owner.pool, one.worker, record.write_closing(one)
--- a/wigeonhitch/maintenance/tests/test_task.py
+++ b/wigeonhitch/maintenance/tests/test_task.py
@@ -167,3 +167,30 @@
     assert len(machines.moves) == 20
     assert len(list_closed(store)) == 40
     assert store.calls - calls < 40
+
+
+@pytest.mark.anyio
+async def test_a_round_of_more_orders_than_one_transaction_holds_is_given(
+    store, machines
+):
+    """All 120 VMs of a pool are empty and to be moved at once."""
+    sizes = []
+
+    async def commit(change, *, timeout):
+        sizes.append(len(change.conditions) + len(change.writes))
+        return await whole(change, timeout=timeout)
+
+    whole, store.commit = store.commit, commit
+    up = fleet.VmState.UP
+    names = [f"b{n}" for n in range(120)]
+    machines.vms = [fleet.Vm(one, "b", up, "dc", (), ROOM, f"w-{one}") for one in names]
+    for one in names:
+        closing = record.Closing(f"w-{one}", one, 0, "a")
+        value = record.write_closing(closing)
+        store.put(record.CLOSING_TABLE, FLEET, closing.worker, value)
+    show(store, "b", empty=tuple(f"w-{one}" for one in names))
+
+    await lead(store, machines, 1.0)
+
+    assert sorted(machines.moves) == sorted(names)
+    assert max(sizes) <= 100
