List the VMs that pools can give once a round, not once for each pool that asks

Every pool that asks for VMs had all other pools' candidates listed anew; they are the same within a round. No decision changes: the same VMs in the same order, less those already chosen. The set-up that two tests of slow runs shared stands once.

--- a/wigeonhitch/maintenance/demand.py
+++ b/wigeonhitch/maintenance/demand.py
@@ -60,13 +60,18 @@
     """Return the moves to order, and what to vacate for the next ones."""
     actions: list[_Action] = []
     needs = _list_needs(state)
-    taken: set[str] = set()
+    givers = _list_givers(state) if needs else []
     for pool, count in needs:
         moves = _send_spare(state, pool, count, now)
         actions.extend(moves)
         short = min(count - len(moves), _count_short(state, pool))
         if short > 0:
-            actions.extend(_free_elsewhere(state, pool, short, taken))
+            chosen = _choose_givers(state, givers, pool, short)
+            givers = [one for one in givers if one not in chosen]
+            actions.extend(
+                core.Close(record.Closing(one.worker, one.id, 0, pool))
+                for one in chosen
+            )
     if not needs:
         actions.extend(_switch_off(state, now))
     actions.extend(_move_vacated(state, now))
@@ -226,28 +231,29 @@
     ]
 
 
-def _free_elsewhere(
-    state: core.Fleet, pool: str, count: int, taken: set[str]
-) -> list[core.Close]:
-    """Vacate VMs of pools whose work is in time with fewer; adds to ``taken``.
+def _list_givers(state: core.Fleet) -> list[fleet.Vm]:
+    """Return the VMs that pools whose work is in time with fewer could give.
 
     Those that run nothing go first, also lent ones: the others must end their
-    tasks, for up to 4 s.
+    tasks, for up to 4 s. Listed once a round, whatever number of pools asks.
     """
-    others = [one for one in state.boards if one != pool and not state.is_standby(one)]
-    bare = {worker for other in others for worker in state.boards[other].bare}
-    idle = [one for other in others for one in _list_idle(state, other)]
-    lent = [one for other in others for one in _list_lendable(state, other)]
+    pools = [one for one in state.boards if not state.is_standby(one)]
+    bare = {worker for pool in pools for worker in state.boards[pool].bare}
+    idle = [one for pool in pools for one in _list_idle(state, pool)]
+    lent = [one for pool in pools for one in _list_lendable(state, pool)]
     ready = [one for one in idle if one.worker in bare]
     busy = [one for one in idle if one.worker not in bare]
+    return ready + lent + busy
+
+
+def _choose_givers(
+    state: core.Fleet, givers: list[fleet.Vm], pool: str, count: int
+) -> list[fleet.Vm]:
+    """Return the first so many VMs of other pools that may go to a pool."""
     usable = [
-        one
-        for one in ready + lent + busy
-        if one.id not in taken and not state.is_refused(one.id, pool)
+        one for one in givers if one.pool != pool and not state.is_refused(one.id, pool)
     ]
-    chosen = usable[:count]
-    taken.update(one.id for one in chosen)
-    return [core.Close(record.Closing(one.worker, one.id, 0, pool)) for one in chosen]
+    return usable[:count]
 
 
 def _list_lendable(state: core.Fleet, pool: str) -> list[fleet.Vm]:
--- a/wigeonhitch/pool/tests/test_health.py
+++ b/wigeonhitch/pool/tests/test_health.py
@@ -21,6 +21,18 @@
     return run
 
 
+def start_pair(bench, listed, *, peer_work):
+    """Run both tasks of a step on VMs of their own, one of them slowly."""
+    bench.add_vm("w1")
+    bench.add_vm("w2")
+    bench.add_job("j", model.Step(2, model.Room(1000, 100), 1.0, spread=1))
+    run, peer = bench.start()
+    bench.add_vm("w3")
+    bench.answer(peer.vm, [listed(peer, peer_work)], now=NOW + 0.8)
+    show(bench, run, listed, 12, NOW + 0.9)
+    return run, peer
+
+
 def show(bench, run, listed, work, now):
     bench.answer(run.vm, [listed(run, work)], now=now)
     for one in bench.pool.vms.values():
@@ -53,13 +65,7 @@
 
 def test_a_task_on_a_slow_vm_begins_again_elsewhere_once(bench, listed, ended):
     """Its step's other task, on another VM, gets on as the estimate says."""
-    bench.add_vm("w1")
-    bench.add_vm("w2")
-    bench.add_job("j", model.Step(2, model.Room(1000, 100), 1.0, spread=1))
-    run, peer = bench.start()
-    bench.add_vm("w3")
-    bench.answer(peer.vm, [listed(peer, 60)], now=NOW + 0.8)
-    show(bench, run, listed, 12, NOW + 0.9)
+    run, peer = start_pair(bench, listed, peer_work=60)
 
     (stop,) = bench.plan(NOW + 0.9)
     end = ended(1, run, model.End.STOPPED)
@@ -74,13 +80,7 @@
 
 def test_a_job_that_is_long_by_itself_is_left_alone(bench, listed):
     """The load: estimates off by nine tenths; all tasks of the step are long."""
-    bench.add_vm("w1")
-    bench.add_vm("w2")
-    bench.add_job("j", model.Step(2, model.Room(1000, 100), 1.0, spread=1))
-    run, peer = bench.start()
-    bench.add_vm("w3")
-    bench.answer(peer.vm, [listed(peer, 12)], now=NOW + 0.8)
-    show(bench, run, listed, 12, NOW + 0.9)
+    run, _ = start_pair(bench, listed, peer_work=12)
 
     assert bench.plan(NOW + 0.9) == []
     assert not run.vm.is_set_aside(NOW + 0.9)
