--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -8,13 +8,14 @@
 """
 
 import collections
-import json
 import pathlib
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
 import defopt
 
+from wigeonhitch.command import story
+
 __all__ = ["REASONS", "Loss", "explain", "read_lines", "read_time"]
 
 WAITED_LEAST = 0.3
@@ -51,16 +52,9 @@
 
 def read_lines(text: str) -> Iterator[dict[str, Any]]:
     """Yield the fields of the daemons' lines in a text, others left out."""
-    for line in text.splitlines():
-        _, brace, rest = line.partition("{")
-        if not brace:
-            continue
-        try:
-            fields = json.loads(brace + rest)
-        except ValueError:
-            continue
-        if "change" in fields and "time" in fields:
-            yield fields
+    for line in story.read_lines(text.splitlines()):
+        if line.time:
+            yield line.fields
 
 
 def explain(lines: Iterable[dict[str, Any]]) -> list[Loss]:
