--- a/wigeonhitch/command/story.py
+++ b/wigeonhitch/command/story.py
@@ -13,6 +13,7 @@
 ABOUT_POOL = (
     "leadership claimed",
     "leadership lost",
+    "leadership lapsed",
     "leadership given up",
     "pool loaded",
     "leases lapsed",
--- a/wigeonhitch/command/tests/test_story.py
+++ b/wigeonhitch/command/tests/test_story.py
@@ -73,3 +73,11 @@
     assert code == report.Exit.REFUSED
     assert "platform.address is missing" in shown
     assert "'soon'" in shown
+
+
+def test_a_job_s_story_tells_that_its_pool_s_leader_lapsed_meanwhile():
+    lines = [*LINES, line("10:00:04", "d1", "leadership lapsed", pool="p", version=8)]
+
+    told = story.find_story(story.read_lines(lines), "j1")
+
+    assert "leadership lapsed" in [one.change for one in told]
