--- a/wigeonhitch/site/tests/conftest.py
+++ b/wigeonhitch/site/tests/conftest.py
@@ -1,5 +1,6 @@
 """Whole daemons in process, on a store and workers in process."""
 
+import collections
 import contextlib
 import random
 
@@ -7,7 +8,7 @@
 import orjson
 import pytest
 
-from standins import rowstore, siteworker
+from standins import rowstore, siteworker, storelink
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import entries, fleet, http, node, workers
 from wigeonhitch.site import daemon, message
@@ -27,10 +28,12 @@
         )
 
     async def start(self, address, worker, order, *, timeout):
-        await anyio.sleep(0.001)
+        """Carry out a start; its bytes leave before the call first waits."""
         now = http.read_clock()
         one = self.workers[worker]
-        return workers.OrderReply(one.start(order, now), one.read_clock(now), now, now)
+        verdict, clock = one.start(order, now), one.read_clock(now)
+        await anyio.sleep(0.001)
+        return workers.OrderReply(verdict, clock, now, http.read_clock())
 
     async def stop(self, address, worker, task, run, fence, *, timeout):
         now = http.read_clock()
@@ -50,6 +53,38 @@
         return workers.HoldReply(found[0], one.read_clock(now), sent, now, *found[1:])
 
 
+class Reach:
+    """One daemon's calls to workers: those in ``cut`` don't answer it."""
+
+    def __init__(self, calls):
+        self.cut = set()
+        self._calls = calls
+
+    async def start(self, address, worker, order, *, timeout):
+        if worker in self.cut:
+            return await self._lose(workers.OrderReply)
+        return await self._calls.start(address, worker, order, timeout=timeout)
+
+    async def stop(self, address, worker, *given, timeout):
+        if worker in self.cut:
+            return await self._lose(workers.OrderReply)
+        return await self._calls.stop(address, worker, *given, timeout=timeout)
+
+    async def pace(self, address, worker, *given, timeout):
+        return await self._calls.pace(address, worker, *given, timeout=timeout)
+
+    async def hold(self, address, worker, *given, wait, timeout):
+        if worker in self.cut:
+            return await self._lose(workers.HoldReply)
+        return await self._calls.hold(
+            address, worker, *given, wait=wait, timeout=timeout
+        )
+
+    async def _lose(self, kind):
+        await anyio.sleep(0.02)
+        return kind(workers.Verdict.UNKNOWN)
+
+
 class Vms:
     """No VMs to move or maintain."""
 
@@ -118,17 +153,19 @@
 
 
 class Site:
-    """Daemons that share a store and workers."""
+    """Daemons that share a store and workers, each with links of its own."""
 
     def __init__(self, store, calls):
         self.store = store
         self.calls = calls
+        self.links = collections.defaultdict(lambda: storelink.StoreLink(store))
+        self.reach = collections.defaultdict(lambda: Reach(calls))
         self._scopes = {}
 
     @contextlib.asynccontextmanager
     async def run(self, names):
         """Run daemons from the moment that one leads until the block ends."""
-        ones = [make_daemon(name, self.store, self.calls) for name in names]
+        ones = [make_daemon(one, self.links[one], self.reach[one]) for one in names]
         async with anyio.create_task_group() as group:
             for one in ones:
                 group.start_soon(self._run_one, one)
--- /dev/null
+++ b/wigeonhitch/site/tests/test_two_leaders.py
@@ -0,0 +1,98 @@
+"""One task ran twice at the same time, under a pool's first and second leader.
+
+What was seen: run 1 of a task, ordered by one daemon, and 52 ms later its first run
+under the pool's second leader, on another VM; the older one was stopped 126 ms after
+the newer had begun. Both had taken the job for one that only they could have started.
+"""
+
+import anyio
+import pytest
+
+from standins import history
+from wigeonhitch.jobs import model
+from wigeonhitch.jobs import record as jobs
+from wigeonhitch.leadership import core, record
+from wigeonhitch.platform import http
+from wigeonhitch.pool import task, tidy
+
+pytestmark = pytest.mark.anyio
+
+NEWS_LATE = 1.4
+"""Seconds that an answer may be on its way and is still taken."""
+
+OWNERS_LATE = 0.3
+"""Seconds that the news of a claim takes to the leader before."""
+
+
+def check(site):
+    """Return what went wrong with runs, as the workers saw them."""
+    return history.check_runs(site.calls.events, lambda _: 1000, 8000)
+
+
+async def open_pair(ones, site):
+    """Return the leader and the other, once both could lead.
+
+    Each reaches one VM of its own, so that no worker tells the leader of its
+    successor.
+    """
+    leader = site.find_leader(ones)
+    (other,) = [one for one in ones if one is not leader]
+    await anyio.sleep(core.SETTLE + 0.5)
+    site.reach[other.settings.name].cut.add("w1")
+    site.reach[leader.settings.name].cut.add("w2")
+    site.links[leader.settings.name].slow[record.OWNER_TABLE] = OWNERS_LATE
+    return leader, other
+
+
+def leads(one):
+    return "p" in one._runners
+
+
+async def test_a_leader_back_from_an_outage_starts_nothing_beside_its_successor(site):
+    """Its lease ran out, another claimed, and it renewed before it heard of that."""
+    async with site.run("ab") as ones:
+        leader, other = await open_pair(ones, site)
+        link = site.links[leader.settings.name]
+        link.is_cut = True
+        await site.wait_for(lambda: leads(other))
+        link.is_cut = False
+        await site.wait_for(leader._keeper.may_order)
+        await site.submit(other, "j0")
+        await site.wait_until(other, ["j0"])
+
+    assert check(site) == []
+
+
+async def test_a_leader_whose_renewals_are_late_news_is_not_replaced(site):
+    """It renews all the while; the other hears of that more than a lease later."""
+    async with site.run("ab") as ones:
+        leader, other = await open_pair(ones, site)
+        site.links[other.settings.name].slow[record.MEMBER_TABLE] = NEWS_LATE
+        with anyio.move_on_after(6.0):
+            await site.wait_for(lambda: leads(other))
+        await site.submit(other, "j0")
+        await site.wait_until(other, ["j0"])
+
+    assert check(site) == []
+
+
+async def test_a_leadership_that_is_over_starts_nothing_more(site):
+    """News of a job and the loss of the pool come in the same moment."""
+    async with site.run("a") as (one,):
+        runner = one._runners["p"]
+        await site.wait_for(lambda: all_open(runner))
+        job = model.Job("j0", "q", "", (model.Step(1, model.Room(1000, 10), 0.2),))
+        row = jobs.JobRecord(job, 0.0, False)
+        place = tidy.JobPlace("job00", "p.0")
+        await anyio.sleep(task.ROUND_GAP * 3)
+        runner.pool.on_job("j0", row, site.store.version + 1, place)
+        runner.on_queues(one._get_queues())
+        one._on_lost("p")
+        await anyio.sleep(0.2)
+
+    assert site.count_starts() == 0
+
+
+def all_open(runner):
+    vms = runner.pool.vms.values()
+    return len(vms) == 2 and all(one.is_open(http.read_clock()) for one in vms)
