Claim a pool only while its former leader's lease is the one that ran out

Callers saw one task run twice at the same time, under a pool's first and second leader. One way to it, brought about by a test: the leader renewed its lease all the while, but the other daemon's news of members was more than a lease old when it came (an answer on its way for 1.4 s counts as fresh from when it was received). It claimed, since a claim depended on the owner row only, and started the next job at once, for a job accepted after a claim can't have run. The leader heard of the claim 0.3 s later and had started the job too.

Cause, and its class: what a new leader takes for certain rested on a judgement of time made from a copy of the lease, not on the lease itself. The claim is now one transaction across parts, conditional on the owner row and on the version of the member row by which the lease has run out; a renewal changes that version. A claim that fails for it learns the renewal from the answer. A life that another has followed needs no such condition, nor does a pool that was given up.

Ruled out: counting the age of news from when it was asked for. It narrows the window and doesn't close it.

By the platform a transaction across parts takes twice as long; not measured here. It is paid at a change of leader only.

--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -5,9 +5,11 @@
 store gives the owner row is the fencing token: it rises with each leader of
 any pool, since one counter numbers all transactions.
 
-Two leaders may believe in themselves for a moment. That is safe, since every
-durable write of a leader is conditional on its owner row, each worker refuses
-lower tokens, and a new leader waits for workers that it can't reach.
+A claim is conditional on the owner row, and on the member row by which the former
+leader's lease has run out, so that no claim is done beside a lease that lasts. An
+order may still be on its way when the lease ends. That is safe, since every durable
+write of a leader is conditional on its owner row, each worker refuses lower tokens,
+and a new leader waits for workers that it can't reach.
 """
 
 import enum
@@ -15,6 +17,7 @@
 from typing import NamedTuple
 
 from wigeonhitch.leadership import record
+from wigeonhitch.platform import rows
 
 __all__ = [
     "FLEET",
@@ -174,9 +177,16 @@
         self._members_version = version
         self._members_at = now
         for one in members:
-            if not self.is_alive(one.name, one.life, now):
-                self._steady_since[one.name] = now
-        self.members.update({one.name: one for one in members})
+            self.on_member(one, now)
+
+    def on_member(self, member: record.Member, now: float) -> None:
+        """Take one member's row, unless a newer one is known."""
+        known = self.members.get(member.name)
+        if known is not None and member.version < known.version:
+            return
+        if not self.is_alive(member.name, member.life, now):
+            self._steady_since[member.name] = now
+        self.members[member.name] = member
 
     def on_lapsed(self, version: int) -> None:
         """Take note that the lease had run out when the store was at ``version``.
@@ -295,7 +305,7 @@
         return min(mine)
 
     def make_claim(self, pool: str) -> record.Owner:
-        """Return the owner row to write, conditional on ``version``."""
+        """Return the owner row to write, under the conditions of `expect_vacant`."""
         known = self.owners.get(pool)
         epoch = known.epoch + 1 if known else 1
         version = known.version if known else 0
@@ -303,6 +313,25 @@
         granted = known.granted if known and not known.name else 0.0
         return record.Owner(pool, self.name, self.life, epoch, version, granted)
 
+    def expect_vacant(self, pool: str) -> tuple[rows.Condition, ...]:
+        """Return the conditions under which a claim of a pool stands.
+
+        What is known of members may be old, and the leader may have renewed its
+        lease since. With its member row among the conditions no claim stands beside
+        a lease that lasts: the leader orders up to its end and then finds that it
+        has lapsed. A job accepted after a claim can so have no run of a leader before.
+        """
+        owner = self.owners.get(pool)
+        expected = (record.expect_owner(pool, owner.version if owner else 0),)
+        if owner is None or owner.name in ("", self.name):
+            return expected
+        member = self.members.get(owner.name)
+        if member is None:
+            return (*expected, record.expect_member(owner.name, 0))
+        if member.life != owner.life:
+            return expected  # a life ends before the next one of a daemon begins
+        return (*expected, record.expect_member(owner.name, member.version))
+
     def explain_claim(self, pool: str, now: float) -> Basis:
         """Return by what this daemon claims a pool, for the log."""
         owner = self.owners.get(pool)
--- a/wigeonhitch/leadership/record.py
+++ b/wigeonhitch/leadership/record.py
@@ -12,6 +12,7 @@
     "OWNER_TABLE",
     "Member",
     "Owner",
+    "expect_member",
     "expect_owner",
     "read_member",
     "read_owner",
@@ -29,7 +30,7 @@
 
     ``life`` differs for each start of the process; ``until`` is the end of its
     lease on the store's steady clock in seconds; ``cores`` are the processors
-    that the daemon may use.
+    that the daemon may use; ``version`` is the row's, which rises with each renewal.
     """
 
     name: str
@@ -37,6 +38,7 @@
     until: float
     leaving: bool = False
     cores: float = 1.0
+    version: int = 0
 
 
 class Owner(NamedTuple):
@@ -61,6 +63,11 @@
     return rows.Condition(OWNER_TABLE, pool, OWNER_KEY, version)
 
 
+def expect_member(name: str, version: int) -> rows.Condition:
+    """Return the condition that a member hasn't renewed its lease since."""
+    return rows.Condition(MEMBER_TABLE, name, name, version)
+
+
 def write_member(member: Member) -> bytes:
     """Return a member's row."""
     row = {"life": member.life, "until": round(member.until, 3)}
@@ -70,11 +77,11 @@
     return orjson.dumps(row)
 
 
-def read_member(key: str, value: bytes) -> Member:
+def read_member(key: str, value: bytes, version: int) -> Member:
     """Read a member's row."""
     row = orjson.loads(value)
     leaving, cores = row.get("leaving", False), row.get("cores", 1.0)
-    return Member(key, row["life"], row["until"], leaving, cores)
+    return Member(key, row["life"], row["until"], leaving, cores, version)
 
 
 def write_owner(owner: Owner) -> bytes:
--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -105,11 +105,12 @@
         self._on_lost(pool)
         owner = self.leadership.owners[pool]
         given = owner._replace(name="", life="", granted=granted)
-        change = await self._write_owner(given, owner.version)
+        expected = (record.expect_owner(pool, owner.version),)
+        change = await self._write_owner(given, expected)
         # Nobody claims a pool whose row names a daemon that lives.
         while change.outcome is not table.Outcome.DONE and change.reason != "conflict":
             await anyio.sleep(RETRY)
-            change = await self._write_owner(given, owner.version)
+            change = await self._write_owner(given, expected)
         if change.outcome is table.Outcome.DONE:
             self.leadership.on_owner(given._replace(version=change.version))
         log.log_change("leadership given up", pool=pool, reason=change.reason)
@@ -133,7 +134,7 @@
             return False
         member = self.leadership.plan_renewal(http.read_clock())
         name = self.leadership.name
-        condition = rows.Condition(record.MEMBER_TABLE, name, name, self._version)
+        condition = record.expect_member(name, self._version)
         value = record.write_member(member)
         write = rows.Write(record.MEMBER_TABLE, name, name, value)
         change = await self._store.commit(
@@ -150,7 +151,7 @@
         self.leadership.clock.learn(change.store_time, change.sent, change.received)
         if not self.may_order():
             self._lose_all(change.version)
-        self.leadership.on_renewed(member)
+        self.leadership.on_renewed(member._replace(version=change.version))
         self.renewed = change.sent
         return True
 
@@ -238,7 +239,7 @@
             else:
                 self._rows[row.key] = row
         members = [
-            record.read_member(row.key, row.value)
+            record.read_member(row.key, row.value, row.version)
             for row in found
             if row.value is not None
         ]
@@ -297,7 +298,7 @@
     async def _claim(self, pool: str) -> None:
         claim = self.leadership.make_claim(pool)
         basis = self.leadership.explain_claim(pool, http.read_clock())
-        change = await self._write_owner(claim, claim.version)
+        change = await self._write_owner(claim, self.leadership.expect_vacant(pool))
         log.log_change(
             "claim answered",
             pool=pool,
@@ -305,6 +306,7 @@
             **basis._replace(reason=basis.reason.value)._asdict(),
         )
         if change.outcome is not table.Outcome.DONE:
+            self._take_conflicts(change.conflicts)
             # The answer may be lost, or somebody was first: the row tells.
             await self._read_owner(pool)
             if not self._is_claimed(claim):
@@ -315,6 +317,13 @@
             self.leadership.on_owner(owner)
         self._lead(owner)
 
+    def _take_conflicts(self, found: tuple[rows.Row, ...]) -> None:
+        """Take the renewals that a claim failed for."""
+        for row in found:
+            if row.table == record.MEMBER_TABLE and row.value is not None:
+                member = record.read_member(row.key, row.value, row.version)
+                self.leadership.on_member(member, http.read_clock())
+
     def _lead(self, owner: record.Owner) -> None:
         """Lead under an owner row, once.
 
@@ -339,12 +348,13 @@
             return False
         return owner[:4] == claim[:4]
 
-    async def _write_owner(self, owner: record.Owner, version: int) -> rows.Change:
+    async def _write_owner(
+        self, owner: record.Owner, expected: tuple[rows.Condition, ...]
+    ) -> rows.Change:
         place = (record.OWNER_TABLE, owner.pool, record.OWNER_KEY)
-        condition = record.expect_owner(owner.pool, version)
         write = rows.Write(*place, record.write_owner(owner))
         return await self._store.commit(
-            rows.Transaction((condition,), (write,)), timeout=TIMEOUT
+            rows.Transaction(expected, (write,)), timeout=TIMEOUT
         )
 
 
--- a/wigeonhitch/leadership/tests/test_core.py
+++ b/wigeonhitch/leadership/tests/test_core.py
@@ -108,10 +108,10 @@
 
 
 def test_rows_keep_members_and_owners():
-    member = record.Member("a", "l", 12.345, True, 0.5)
+    member = record.Member("a", "l", 12.345, True, 0.5, 98)
     owner = record.Owner("p", "a", "l", 3, 99, 3.6)
 
-    assert record.read_member("a", record.write_member(member)) == member
+    assert record.read_member("a", record.write_member(member), 98) == member
     assert record.read_owner("p", record.write_owner(owner), 99) == owner
 
 
--- a/wigeonhitch/site/tests/test_two_leaders.py
+++ b/wigeonhitch/site/tests/test_two_leaders.py
@@ -49,7 +49,11 @@
 
 
 async def test_a_leader_back_from_an_outage_starts_nothing_beside_its_successor(site):
-    """Its lease ran out, another claimed, and it renewed before it heard of that."""
+    """Its lease ran out, another claimed, and it renewed before it heard of that.
+
+    It took its lease for its leadership. What it led before a lapse is now lost with
+    the renewal that ends it.
+    """
     async with site.run("ab") as ones:
         leader, other = await open_pair(ones, site)
         link = site.links[leader.settings.name]
@@ -64,7 +68,12 @@
 
 
 async def test_a_leader_whose_renewals_are_late_news_is_not_replaced(site):
-    """It renews all the while; the other hears of that more than a lease later."""
+    """It renews all the while; the other hears of that more than a lease later.
+
+    The other then claimed, since a claim depended on the owner's row only, and took
+    the next job for one that nobody could have started before. Both started it. With
+    the leader's lease among the claim's conditions the claim fails.
+    """
     async with site.run("ab") as ones:
         leader, other = await open_pair(ones, site)
         site.links[other.settings.name].slow[record.MEMBER_TABLE] = NEWS_LATE
