End the right to order with the leadership, not with the daemon's lease

Callers can see one task run twice at the same time: a leadership that was over still gave orders for one step. A pool's tasks are cancelled when the pool is lost, but a task whose wait has just ended isn't cancelled before its next step; that step made a round and sent its starts, for all that was asked before an order was whether this daemon's lease lasts, and the renewal that ends a lapse makes it last again. A job that came with the same news as the loss was started by the former leader beside its successor.

Each leadership now has a term that ends before its tasks are cancelled and never resumes; it is asked before each order.

--- a/wigeonhitch/pool/surroundings.py
+++ b/wigeonhitch/pool/surroundings.py
@@ -13,7 +13,7 @@
 class Surroundings(NamedTuple):
     """What a leader works with.
 
-    ``may_order`` says whether this daemon's lease lasts at this moment;
+    ``may_order`` says whether an order may be given at this moment;
     ``get_renewed`` returns when it was last renewed; ``get_store_time`` the
     store's clock, in seconds.
     """
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -7,6 +7,7 @@
 
 from wigeonhitch.jobs import model
 from wigeonhitch.leadership import record as leader_record
+from wigeonhitch.leadership import term
 from wigeonhitch.maintenance import record as maintenance
 from wigeonhitch.platform import entries, http, rows, table
 from wigeonhitch.pool import (
@@ -72,6 +73,8 @@
         now: float,
     ) -> None:
         self.owner = owner
+        self._term = term.Term(around.may_order)
+        around = around._replace(may_order=self._term.may_order)
         self.around = around
         self.pool = core.Pool(
             owner.pool, owner.version, owner.epoch, around.times, now, self._tell
@@ -121,6 +124,7 @@
 
     def stop(self) -> None:
         """Give up leading; nothing is ordered afterwards."""
+        self._term.end()
         self._scope.cancel()
 
     # -- the task
--- a/wigeonhitch/site/tests/test_two_leaders.py
+++ b/wigeonhitch/site/tests/test_two_leaders.py
@@ -86,7 +86,12 @@
 
 
 async def test_a_leadership_that_is_over_starts_nothing_more(site):
-    """News of a job and the loss of the pool come in the same moment."""
+    """News of a job and the loss of the pool come in the same moment.
+
+    A task whose wait has just ended isn't cancelled before its next step, which made
+    a round and sent its starts: the daemon's lease, the only thing asked before an
+    order, had just been renewed. The right to order now ends with the leadership.
+    """
     async with site.run("a") as (one,):
         runner = one._runners["p"]
         await site.wait_for(lambda: all_open(runner))
