Show that moves are ordered after their duty was lost

The same cause as with a pool's tasks, looked for in the duty of moves and upkeep: the answer that a round waits for and the loss of the duty come in one moment, and the round goes on for one step.

--- a/wigeonhitch/maintenance/tests/test_task.py
+++ b/wigeonhitch/maintenance/tests/test_task.py
@@ -72,8 +72,8 @@
     return rowstore.read_times()[0]
 
 
-async def lead(store, machines, seconds):
-    """Lead for some seconds, as claimed a moment ago."""
+async def make_runner(store, machines):
+    """Return the leader of moves, as claimed a moment ago."""
     read = await store.read(leader_record.OWNER_TABLE, FLEET, timeout=1.0)
     row = read.rows[0]
     owner = leader_record.read_owner(FLEET, row.value, row.version)
@@ -88,8 +88,14 @@
         ORDER_GAP,
         2.0,
     )
+    return task.Runner(owner, around, http.read_clock())
+
+
+async def lead(store, machines, seconds):
+    """Lead for some seconds."""
+    runner = await make_runner(store, machines)
     with anyio.move_on_after(seconds):
-        await task.Runner(owner, around, http.read_clock()).run()
+        await runner.run()
 
 
 @pytest.mark.anyio
@@ -194,3 +200,33 @@
 
     assert sorted(machines.moves) == sorted(names)
     assert max(sizes) <= 100
+
+
+@pytest.mark.anyio
+async def test_a_leadership_that_is_over_orders_nothing_more(store, machines):
+    """The answer that orders waited for and the loss of the duty come at once.
+
+    A task whose wait has just ended isn't cancelled before its next step, which gave
+    the orders: the daemon's lease, the only thing asked before an order, still lasted.
+    The successor may give others for the same VMs.
+    """
+    noted = anyio.Event()
+    released = anyio.Event()
+
+    async def commit(change, *, timeout):
+        done = await whole(change, timeout=timeout)
+        if change.writes[0].table == record.ORDER_TABLE:
+            noted.set()
+            await released.wait()
+        return done
+
+    whole, store.commit = store.commit, commit
+    runner = await make_runner(store, machines)
+    async with anyio.create_task_group() as group:
+        group.start_soon(runner.run)
+        await noted.wait()
+        await anyio.sleep(0.01)
+        released.set()
+        runner.stop()
+
+    assert machines.moves == []
