End the right to order moves with the duty, not with the daemon's lease

The duty of moves and upkeep gave orders for one step after it was lost, for the same cause as a pool's leader: the task isn't cancelled before its next step, and only the daemon's lease was asked. Its orders now ask the term of the duty. VMs ordered about are noted before, so a successor left them alone for a lease; nothing else was seen of it.

--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -9,6 +9,7 @@
 from wigeonhitch import feed
 from wigeonhitch.jobs import model
 from wigeonhitch.leadership import record as leader_record
+from wigeonhitch.leadership import term
 from wigeonhitch.maintenance import core, demand, record, wave
 from wigeonhitch.platform import entries, fleet, http, rows, table
 from wigeonhitch.pool import record as pool_record
@@ -65,7 +66,8 @@
         self, owner: leader_record.Owner, around: Surroundings, now: float
     ) -> None:
         self.owner = owner
-        self.around = around
+        self._term = term.Term(around.may_order)
+        self.around = around._replace(may_order=self._term.may_order)
         self.state = core.Fleet(now)
         self.deposed = False
         self._scope = anyio.CancelScope()
@@ -73,6 +75,7 @@
 
     def stop(self) -> None:
         """Give up leading; nothing is ordered afterwards."""
+        self._term.end()
         self._scope.cancel()
 
     async def run(self) -> None:
