Show that a pool is led by a claim from before the lease ran out

Looked for elsewhere: a claim that was done before a lapse, and whose answer comes after the renewal that ends it, was led as if nothing had been between, though another may have claimed meanwhile.

--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -181,3 +181,33 @@
 
     assert keeper.leadership.is_mine("p")
     assert told == [("led", 2)]
+
+
+@pytest.mark.parametrize("fault", ["", "loses"])
+async def test_a_claim_from_before_a_lapse_is_not_led_though_told_after_it(
+    store, lapsing, fault
+):
+    """A pool was led by a claim that another's had followed: two leaders at once.
+
+    The claim was done, but its answer was on its way while the lease ran out, another
+    claimed and the renewal that ends the lapse was answered. What was led before a
+    lapse is lost with that renewal; a claim not yet known to be done wasn't.
+    """
+    keeper, told = lapsing
+    whole = store.commit
+
+    async def commit(change, *, timeout):
+        claimed = await whole(change, timeout=timeout)
+        if change.writes[0].table == record.OWNER_TABLE:
+            store.commit = whole
+            await keeper._renew()
+        return claimed
+
+    store.commit = commit
+    if fault:
+        setattr(store, fault, 1)
+    await keeper._read_own()
+    await keeper._claim("p")
+
+    assert not keeper.leadership.is_mine("p")
+    assert told == [("lost", "p")]
