Wait with each job where a claim can't depend on the former leader's lease

A store may take no transaction across parts (the settings say so). A claim then stands on the owner row alone, as before, and the former leader may still order after it: two runs of one task. A new leader there starts nothing, however new the job, before each VM that may run something has seen its token or was waited out.

The stand-in for workers lets tasks end in time also where nobody calls it: before, the end of a run on a VM that no leader held came into the history when it was next called.

--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -141,10 +141,20 @@
         This daemon's time at its start.
     cores : float
         Processors that this daemon may use.
+    is_across : bool
+        Whether the store takes transactions across parts.
     """
 
-    def __init__(self, name: str, life: str, now: float, cores: float = 1.0) -> None:
+    def __init__(
+        self,
+        name: str,
+        life: str,
+        now: float,
+        cores: float = 1.0,
+        is_across: bool = True,
+    ) -> None:
         self.name = name
+        self._is_across = is_across
         self.cores = cores
         self._began = now
         self.life = life
@@ -320,10 +330,11 @@
         lease since. With its member row among the conditions no claim stands beside
         a lease that lasts: the leader orders up to its end and then finds that it
         has lapsed. A job accepted after a claim can so have no run of a leader before.
+        Without transactions across parts, leases of two leaders may overlap.
         """
         owner = self.owners.get(pool)
         expected = (record.expect_owner(pool, owner.version if owner else 0),)
-        if owner is None or owner.name in ("", self.name):
+        if owner is None or owner.name in ("", self.name) or not self._is_across:
             return expected
         member = self.members.get(owner.name)
         if member is None:
--- a/wigeonhitch/platform/node.py
+++ b/wigeonhitch/platform/node.py
@@ -46,6 +46,8 @@
     writes: float
     reads: float
     row_bytes: int
+    across: bool = True
+    """Whether a transaction may go across parts."""
 
 
 class NodeSettings(NamedTuple):
@@ -129,6 +131,7 @@
             reader.number("platform.writes_per_s", 800),
             reader.number("platform.reads_per_s", 2000),
             int(reader.number("platform.row_bytes", 65536)),
+            reader.flag("platform.across", True),
         ),
         cores=max(LEAST_CORES, _read_cores(reader)),
     )
@@ -158,6 +161,12 @@
             return ""
         return value
 
+    def flag(self, key: str, default: bool) -> bool:
+        text = self._fields.get(key, "")
+        if text not in ("", "true", "false"):
+            self.problems.append(f"{key} is {text!r}; expected true or false")
+        return text == "true" if text else default
+
     def number(self, key: str, default: float) -> float:
         text = self._fields.get(key, "")
         if not text:
--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -40,6 +40,7 @@
         "node_name=n1\nzone=z1\nip=10.0.0.1\nlisten_addrs.frontend=10.0.0.1:1\n"
         "listen_addrs.ready=10.0.0.1:2\nplatform.address=10.0.0.2:3\n"
         "limits.cpu_share=0.5\nlimits.cores=3\nparameters.grace_s=6\n"
+        "platform.across=false\n"
         "something.new=x\n\nnot a line\n"
     )
     return path
@@ -51,13 +52,14 @@
     assert (settings.name, settings.data_centre) == ("n1", "z1")
     assert settings.bounds.grace == 6.0
     assert settings.cores == 1.5
+    assert not settings.rates.across
 
 
 def test_all_faults_of_settings_are_named_at_once(tmp_path):
     path = tmp_path / "node.conf"
-    path.write_text("node_name=n1\nparameters.grace_s=soon\n")
+    path.write_text("node_name=n1\nparameters.grace_s=soon\nplatform.across=perhaps\n")
 
-    with pytest.raises(ValueError, match=r"zone.*platform.address.*'soon'"):
+    with pytest.raises(ValueError, match=r"zone.*platform.address.*'soon'.*'perhaps'"):
         node.load(path)
 
 
--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -18,14 +18,16 @@
 
 
 class Times(NamedTuple):
-    """Times in seconds.
+    """What bounds earlier leaders and workers; times in seconds.
 
     ``longest_lease`` is the longest that any leader grants, and ``stop_grace``
-    what a worker takes to end a task.
+    what a worker takes to end a task. ``leaders_overlap``: an earlier leader may
+    still order after this one's claim, until each worker has seen the new token.
     """
 
     longest_lease: float
     stop_grace: float
+    leaders_overlap: bool = False
 
 
 class Belief:
@@ -215,7 +217,8 @@
 
     def may_have_run(self, state: progress.Progress) -> bool:
         """Whether an earlier leader may have started tasks of the job."""
-        return bool(self.unresolved) and state.version < self.fence
+        is_older = state.version < self.fence or self.times.leaders_overlap
+        return bool(self.unresolved) and is_older
 
     def next_number(self, task: model.Task) -> int:
         """Return the number of the task's next run, above all before."""
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -62,7 +62,11 @@
             store, lambda: bool(self._runners), self._on_closings
         )
         self._leadership = leadership.Leadership(
-            settings.name, life, http.read_clock(), settings.cores
+            settings.name,
+            life,
+            http.read_clock(),
+            settings.cores,
+            settings.rates.across,
         )
         self._keeper = keeper.Keeper(
             self._leadership,
@@ -219,5 +223,7 @@
             lambda: self._keeper.renewed,
             lambda: self._leadership.clock.compute_earliest(http.read_clock()),
             bounds.finals_kept,
-            belief.Times(granted or longest, bounds.stop_grace),
+            belief.Times(
+                granted or longest, bounds.stop_grace, not self.settings.rates.across
+            ),
         )
--- a/wigeonhitch/site/tests/conftest.py
+++ b/wigeonhitch/site/tests/conftest.py
@@ -27,6 +27,13 @@
             id, self.events, random.Random(1), work=0.2
         )
 
+    async def run(self):
+        """Let tasks end in time, also on workers that nobody calls."""
+        while True:
+            for one in self.workers.values():
+                one.advance(http.read_clock())
+            await anyio.sleep(0.01)
+
     async def start(self, address, worker, order, *, timeout):
         """Carry out a start; its bytes leave before the call first waits."""
         now = http.read_clock()
@@ -92,9 +99,9 @@
         return fleet.Listing(())
 
 
-def make_settings(name):
+def make_settings(name, *, across=True):
     bounds = node.Bounds(6, 3, 10, 0.2, 3, 3, 4.5, 120, 1.5, 2)
-    rates = node.StoreRates(800, 2000, 65536)
+    rates = node.StoreRates(800, 2000, 65536, across)
     return node.NodeSettings(
         name, "dc", "127.0.0.1", "", "", "", "", "", 1.5, bounds, rates
     )
@@ -139,10 +146,11 @@
     return made
 
 
-def make_daemon(name, store, calls):
+def make_daemon(name, store, calls, *, across=True):
+    settings = make_settings(name, across=across)
     instruments = metric.Instruments()
     return daemon.Daemon(
-        make_settings(name), f"life-{name}", store, calls, None, Vms(), instruments
+        settings, f"life-{name}", store, calls, None, Vms(), instruments
     )
 
 
@@ -160,13 +168,18 @@
         self.calls = calls
         self.links = collections.defaultdict(lambda: storelink.StoreLink(store))
         self.reach = collections.defaultdict(lambda: Reach(calls))
+        self.across = True
         self._scopes = {}
 
     @contextlib.asynccontextmanager
     async def run(self, names):
         """Run daemons from the moment that one leads until the block ends."""
-        ones = [make_daemon(one, self.links[one], self.reach[one]) for one in names]
+        ones = [
+            make_daemon(one, self.links[one], self.reach[one], across=self.across)
+            for one in names
+        ]
         async with anyio.create_task_group() as group:
+            group.start_soon(self.calls.run)
             for one in ones:
                 group.start_soon(self._run_one, one)
             await self.wait_for(lambda: self.find_leader(ones) is not None)
--- a/wigeonhitch/site/tests/test_two_leaders.py
+++ b/wigeonhitch/site/tests/test_two_leaders.py
@@ -67,13 +67,8 @@
     assert check(site) == []
 
 
-async def test_a_leader_whose_renewals_are_late_news_is_not_replaced(site):
-    """It renews all the while; the other hears of that more than a lease later.
-
-    The other then claimed, since a claim depended on the owner's row only, and took
-    the next job for one that nobody could have started before. Both started it. With
-    the leader's lease among the claim's conditions the claim fails.
-    """
+async def hand_in_beside_late_news(site):
+    """Have the leader's renewals be late news to the other; then hand a job in."""
     async with site.run("ab") as ones:
         leader, other = await open_pair(ones, site)
         site.links[other.settings.name].slow[record.MEMBER_TABLE] = NEWS_LATE
@@ -82,6 +77,28 @@
         await site.submit(other, "j0")
         await site.wait_until(other, ["j0"])
 
+
+async def test_a_leader_whose_renewals_are_late_news_is_not_replaced(site):
+    """It renews all the while; the other hears of that more than a lease later.
+
+    The other then claimed, since a claim depended on the owner's row only, and took
+    the next job for one that nobody could have started before. Both started it. With
+    the leader's lease among the claim's conditions the claim fails.
+    """
+    await hand_in_beside_late_news(site)
+
+    assert check(site) == []
+
+
+async def test_leaders_that_may_overlap_start_nothing_twice(site):
+    """The same where the store takes no transaction across parts.
+
+    The claim can't depend on the leader's lease there, so a new leader waits with
+    each job until every VM has seen its token.
+    """
+    site.across = False
+    await hand_in_beside_late_news(site)
+
     assert check(site) == []
 
 
