Give up only the leadership that one had, when a daemon leaves

Cause, and its class: the pools to give up were listed once, and each row was looked up when its turn came. A daemon that was frozen, or whose store was slow, had lost the later ones meanwhile; it then wrote the row that names the other as given up, under the condition of that row's own version. As with the claim, a write was conditional on the newest row known and not on the leadership that it belongs to. The rows are now taken with the list, so that a row which has changed since is left as it is.

Ruled out: to skip what isn't led any more when its turn comes. A pool whose lease ran out meanwhile would then wait for the end of the lease that the leaving daemon renews.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -95,15 +95,21 @@
     async def leave(self) -> None:
         """Say that this daemon leaves, and give up what it leads."""
         self.leadership.leaving = True
-        for pool in [one for one in self.leadership.owners if self._leads(one)]:
-            await self.give_up(pool)
+        owners = self.leadership.owners
+        # Another may claim one while those before it are given up.
+        for owner in [owners[one] for one in owners if self._leads(one)]:
+            await self._give_up(owner)
         await self._renew()
 
     async def give_up(self, pool: str) -> None:
         """Stop leading a pool and leave it to whoever claims it first."""
+        await self._give_up(self.leadership.owners[pool])
+
+    async def _give_up(self, owner: record.Owner) -> None:
+        """Give up the leadership under a row, unless the row has changed since."""
+        pool = owner.pool
         granted = self._get_granted(pool)
         self._on_lost(pool)
-        owner = self.leadership.owners[pool]
         given = owner._replace(name="", life="", granted=granted)
         expected = (record.expect_owner(pool, owner.version),)
         change = await self._write_owner(given, expected)
--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -92,6 +92,75 @@
     assert record.read_owner("p", row, 1).name == ""
 
 
+@pytest.fixture
+def leader_of_two(store):
+    """A keeper whose daemon leads the pools "p" and "q"."""
+    leadership = core.Leadership("a", "life", 100.0)
+    for pool in ("p", "q"):
+        owner = record.Owner(pool, "a", "life", 1, 0)
+        put_owner(store, owner)
+        leadership.on_owner(owner._replace(version=store.version))
+    return task.Keeper(
+        leadership, store, lambda: [], lambda _: None, lambda _: None, lambda _: 1.0
+    )
+
+
+def put_owner(store, owner):
+    value = record.write_owner(owner)
+    store.put(record.OWNER_TABLE, owner.pool, record.OWNER_KEY, value)
+
+
+async def leave(store, keeper, during):
+    """Leave, with something that comes while the first pool is given up."""
+    whole = store.commit
+
+    async def commit(change, *, timeout):
+        if change.writes[0].part == "p":
+            during()
+        return await whole(change, timeout=timeout)
+
+    store.commit = commit
+    await keeper.leave()
+
+
+def read_leader(store, pool):
+    row = store.get(record.OWNER_TABLE, pool, record.OWNER_KEY)
+    return record.read_owner(pool, row, 1).name
+
+
+async def test_a_daemon_that_leaves_gives_up_each_pool(store, leader_of_two):
+    await leave(store, leader_of_two, lambda: None)
+
+    assert [read_leader(store, pool) for pool in ("p", "q")] == ["", ""]
+
+
+async def test_a_daemon_that_leaves_gives_up_a_pool_whose_lease_ran_out(
+    store, leader_of_two
+):
+    """Its row names a daemon that lives, so it would wait for the next lease's end."""
+    keeper = leader_of_two
+
+    await leave(store, keeper, lambda: keeper.leadership.on_lapsed(store.version))
+
+    assert [read_leader(store, pool) for pool in ("p", "q")] == ["", ""]
+
+
+async def test_a_daemon_that_leaves_gives_up_nothing_that_another_claimed(
+    store, leader_of_two
+):
+    """It took the other's row for its own, and a third claimed beside the other."""
+    keeper = leader_of_two
+
+    def lose():
+        owner = record.Owner("q", "b", "life-b", 2, 0)
+        put_owner(store, owner)
+        keeper.leadership.on_owner(owner._replace(version=store.version))
+
+    await leave(store, keeper, lose)
+
+    assert [read_leader(store, pool) for pool in ("p", "q")] == ["", "b"]
+
+
 @pytest.fixture
 def lapsing(store):
     """A keeper that led "p" until its lease ran out, and what it was told."""
