Lead by a claim only while it is this daemon's leadership

Callers can see one task run twice at the same time: a daemon led a pool by a claim that no longer counted.

A claim's answer came after a renewal that ended a lapse, or the claim was found in the row after it: a frozen daemon, or a slow or lossy store. What was done before a lapse ended isn't led any more, since another may have claimed in between; yet the answer began a leadership. The news of the other's claim then ended nothing, for only what counts as led is lost, so the two ordered side by side until a worker told one of the higher token. The same where the news of the other's claim came before the claim's own answer.

Cause, and its class: that a claim was done was taken for that it is led by. The answer now begins a leadership only if the rows known say that this life of this daemon leads; a claim without an answer is led by once its row is read, under the same question, as the feed has always done it.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -315,13 +315,11 @@
             self._take_conflicts(change.conflicts)
             # The answer may be lost, or somebody was first: the row tells.
             await self._read_owner(pool)
-            if not self._is_claimed(claim):
-                return
-            owner = self.leadership.owners[pool]
-        else:
-            owner = claim._replace(version=change.version)
-            self.leadership.on_owner(owner)
-        self._lead(owner)
+            return
+        owner = claim._replace(version=change.version)
+        self.leadership.on_owner(owner)
+        if self._leads(pool):  # not where a lapse, or another's claim, has followed
+            self._lead(owner)
 
     def _take_conflicts(self, found: tuple[rows.Row, ...]) -> None:
         """Take the renewals that a claim failed for."""
@@ -348,12 +346,6 @@
         )
         self._on_led(owner)
 
-    def _is_claimed(self, claim: record.Owner) -> bool:
-        owner = self.leadership.owners.get(claim.pool)
-        if owner is None:
-            return False
-        return owner[:4] == claim[:4]
-
     async def _write_owner(
         self, owner: record.Owner, expected: tuple[rows.Condition, ...]
     ) -> rows.Change:
--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -250,3 +250,52 @@
 
     assert keeper.leadership.is_mine("p")
     assert told == [("led", 2)]
+
+
+def claim_during(keeper, store, told, during):
+    """Make a claim's answer come after something else; return the claiming."""
+    whole = store.commit
+
+    async def commit(change, *, timeout):
+        done = await whole(change, timeout=timeout)
+        if change.writes[0].table == record.OWNER_TABLE:
+            during()
+        return done
+
+    store.commit = commit
+    told.clear()
+    return keeper._claim("p")
+
+
+@pytest.mark.parametrize("fault", ["", "loses"])
+async def test_a_claim_done_before_a_lapse_ended_is_not_led_by_after_it(
+    store, lapsing, fault
+):
+    """Another may have claimed in between, and the news of that ended nothing.
+
+    What isn't led by the rows known isn't lost by them either: the two ordered side by
+    side for as long as the lease of the first lasted.
+    """
+    keeper, told = lapsing
+    if fault:
+        setattr(store, fault, 1)
+
+    await claim_during(
+        keeper, store, told, lambda: keeper.leadership.on_lapsed(store.version + 1)
+    )
+
+    assert not keeper.leadership.is_mine("p")
+    assert told == []
+
+
+async def test_a_claim_that_another_has_followed_is_not_led_by(store, lapsing):
+    keeper, told = lapsing
+
+    def follow():
+        other = record.Owner("p", "b", "life-b", 3, 0)
+        put_owner(store, other)
+        keeper.leadership.on_owner(other._replace(version=store.version))
+
+    await claim_during(keeper, store, told, follow)
+
+    assert told == []
