Forget a member that a claim finds gone, and claim its pools

A pool could stay without this daemon's claim for ever, while the daemon asked the store without a pause: where a former leader's row was removed and this daemon never heard of it, its claims were conditional on the version of a row that is gone. It misses a removal where the feed's history is dropped first, since reading the members anew finds rows that are there, not ones that have gone.

Cause: the member row became one of a claim's conditions, and of the answer to a claim that fails for it only renewals were taken. A removal is told by what the answer leaves out, which the rows of a pool's ends already read so. The next claim then stands under there being no row.

Another daemon that has heard of the removal would claim within a rank's wait, so a pool stands still only where nobody has.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -304,7 +304,8 @@
     async def _claim(self, pool: str) -> None:
         claim = self.leadership.make_claim(pool)
         basis = self.leadership.explain_claim(pool, http.read_clock())
-        change = await self._write_owner(claim, self.leadership.expect_vacant(pool))
+        expected = self.leadership.expect_vacant(pool)
+        change = await self._write_owner(claim, expected)
         log.log_change(
             "claim answered",
             pool=pool,
@@ -312,7 +313,8 @@
             **basis._replace(reason=basis.reason.value)._asdict(),
         )
         if change.outcome is not table.Outcome.DONE:
-            self._take_conflicts(change.conflicts)
+            if change.reason == "conflict":
+                self._take_conflicts(expected, change.conflicts)
             # The answer may be lost, or somebody was first: the row tells.
             await self._read_owner(pool)
             return
@@ -321,8 +323,13 @@
         if self._leads(pool):  # not where a lapse, or another's claim, has followed
             self._lead(owner)
 
-    def _take_conflicts(self, found: tuple[rows.Row, ...]) -> None:
-        """Take the renewals that a claim failed for."""
+    def _take_conflicts(
+        self, expected: tuple[rows.Condition, ...], found: tuple[rows.Row, ...]
+    ) -> None:
+        """Take the renewals and removals of members that a claim failed for."""
+        for gone in rows.list_gone(expected, found):
+            if gone.table == record.MEMBER_TABLE:
+                self.leadership.forget(gone.key)
         for row in found:
             if row.table == record.MEMBER_TABLE and row.value is not None:
                 member = record.read_member(row.key, row.value, row.version)
--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -299,3 +299,22 @@
     await claim_during(keeper, store, told, follow)
 
     assert told == []
+
+
+async def test_a_pool_whose_leader_was_forgotten_unheard_is_claimed(store, lapsing):
+    """The feed's history was dropped before this daemon heard of the removal.
+
+    The claim stood under the version of a row that was gone, and was tried for ever.
+    """
+    keeper, told = lapsing
+    put_owner(store, record.Owner("p", "b", "life-b", 2, 0))
+    member = record.write_member(record.Member("b", "life-b", 1.0))
+    store.put(record.MEMBER_TABLE, "b", "b", member)
+    await keeper._read_members()
+    await keeper._read_owner("p")
+    store.put(record.MEMBER_TABLE, "b", "b", None)
+
+    for _ in range(2):
+        await keeper._claim("p")
+
+    assert told[-1] == ("led", 3)
