--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -92,6 +92,75 @@
     assert record.read_owner("p", row, 1).name == ""
 
 
+@pytest.fixture
+def leader_of_two(store):
+    """A keeper whose daemon leads the pools "p" and "q"."""
+    leadership = core.Leadership("a", "life", 100.0)
+    for pool in ("p", "q"):
+        owner = record.Owner(pool, "a", "life", 1, 0)
+        put_owner(store, owner)
+        leadership.on_owner(owner._replace(version=store.version))
+    return task.Keeper(
+        leadership, store, lambda: [], lambda _: None, lambda _: None, lambda _: 1.0
+    )
+
+
+def put_owner(store, owner):
+    value = record.write_owner(owner)
+    store.put(record.OWNER_TABLE, owner.pool, record.OWNER_KEY, value)
+
+
+async def leave(store, keeper, during):
+    """Leave, with something that comes while the first pool is given up."""
+    whole = store.commit
+
+    async def commit(change, *, timeout):
+        if change.writes[0].part == "p":
+            during()
+        return await whole(change, timeout=timeout)
+
+    store.commit = commit
+    await keeper.leave()
+
+
+def read_leader(store, pool):
+    row = store.get(record.OWNER_TABLE, pool, record.OWNER_KEY)
+    return record.read_owner(pool, row, 1).name
+
+
+async def test_a_daemon_that_leaves_gives_up_each_pool(store, leader_of_two):
+    await leave(store, leader_of_two, lambda: None)
+
+    assert [read_leader(store, pool) for pool in ("p", "q")] == ["", ""]
+
+
+async def test_a_daemon_that_leaves_gives_up_a_pool_whose_lease_ran_out(
+    store, leader_of_two
+):
+    """Its row names a daemon that lives, so it would wait for the next lease's end."""
+    keeper = leader_of_two
+
+    await leave(store, keeper, lambda: keeper.leadership.on_lapsed(store.version))
+
+    assert [read_leader(store, pool) for pool in ("p", "q")] == ["", ""]
+
+
+async def test_a_daemon_that_leaves_gives_up_nothing_that_another_claimed(
+    store, leader_of_two
+):
+    """It took the other's row for its own, and a third claimed beside the other."""
+    keeper = leader_of_two
+
+    def lose():
+        owner = record.Owner("q", "b", "life-b", 2, 0)
+        put_owner(store, owner)
+        keeper.leadership.on_owner(owner._replace(version=store.version))
+
+    await leave(store, keeper, lose)
+
+    assert [read_leader(store, pool) for pool in ("p", "q")] == ["", "b"]
+
+
 @pytest.fixture
 def lapsing(store):
     """A keeper that led "p" until its lease ran out, and what it was told."""
@@ -211,3 +280,71 @@
 
     assert not keeper.leadership.is_mine("p")
     assert told == [("lost", "p")]
+
+
+def claim_during(keeper, store, told, during):
+    """Make a claim's answer come after something else; return the claiming."""
+    whole = store.commit
+
+    async def commit(change, *, timeout):
+        done = await whole(change, timeout=timeout)
+        if change.writes[0].table == record.OWNER_TABLE:
+            during()
+        return done
+
+    store.commit = commit
+    told.clear()
+    return keeper._claim("p")
+
+
+@pytest.mark.parametrize("fault", ["", "loses"])
+async def test_a_claim_done_before_a_lapse_ended_is_not_led_by_after_it(
+    store, lapsing, fault
+):
+    """Another may have claimed in between, and the news of that ended nothing.
+
+    What isn't led by the rows known isn't lost by them either: the two ordered side by
+    side for as long as the lease of the first lasted.
+    """
+    keeper, told = lapsing
+    if fault:
+        setattr(store, fault, 1)
+
+    await claim_during(
+        keeper, store, told, lambda: keeper.leadership.on_lapsed(store.version + 1)
+    )
+
+    assert not keeper.leadership.is_mine("p")
+    assert told == []
+
+
+async def test_a_claim_that_another_has_followed_is_not_led_by(store, lapsing):
+    keeper, told = lapsing
+
+    def follow():
+        other = record.Owner("p", "b", "life-b", 3, 0)
+        put_owner(store, other)
+        keeper.leadership.on_owner(other._replace(version=store.version))
+
+    await claim_during(keeper, store, told, follow)
+
+    assert told == []
+
+
+async def test_a_pool_whose_leader_was_forgotten_unheard_is_claimed(store, lapsing):
+    """The feed's history was dropped before this daemon heard of the removal.
+
+    The claim stood under the version of a row that was gone, and was tried for ever.
+    """
+    keeper, told = lapsing
+    put_owner(store, record.Owner("p", "b", "life-b", 2, 0))
+    member = record.write_member(record.Member("b", "life-b", 1.0))
+    store.put(record.MEMBER_TABLE, "b", "b", member)
+    await keeper._read_members()
+    await keeper._read_owner("p")
+    store.put(record.MEMBER_TABLE, "b", "b", None)
+
+    for _ in range(2):
+        await keeper._claim("p")
+
+    assert told[-1] == ("led", 3)
