Show that a late removal of a roster row takes a VM in use out of it

A new leader waits for the VMs of its roster before it starts older jobs. The rows of the roster are written under the owner's row only, so a removal without an answer that is done seconds later removes the row of a VM that is back and runs tasks. Whoever leads next doesn't know that VM: callers would see one task run twice at the same time.

Two tests of the same rows come with it, since the mend touches both: a VM that is back before its row was removed is never noted again and so never used, and one transaction can hold 105 entries where the store takes 100, which would be refused for ever.

--- a/wigeonhitch/pool/tests/test_ledger.py
+++ b/wigeonhitch/pool/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from standins import rowstore
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import rows, table
 from wigeonhitch.pool import ledger
@@ -143,3 +144,78 @@
 
     conditions = collect(book, {}).transaction.conditions
     assert {one.version for one in conditions} == {10, 33, 40}
+
+
+OWNER = ("owner", "p", "owner")
+ROSTER = ("roster", "p", "w1")
+
+
+@pytest.fixture
+def store():
+    """Hold the owner row under which the ledger writes."""
+    made = rowstore.RowStore()
+    made.put(*OWNER, b"{}")
+    return made
+
+
+@pytest.fixture
+def led(store):
+    return ledger.Ledger("p", store.version)
+
+
+async def commit(book, store):
+    batch = collect(book, {})
+    return book.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+
+@pytest.mark.anyio
+async def test_a_removal_that_is_done_late_keeps_a_vm_that_came_back(led, store):
+    """What could be seen: one task run twice at the same time, over a takeover.
+
+    How: a VM was gone and its roster row removed, without an answer; the removal was
+    tried again, and the VM came back and took tasks. Then the first try was done, so
+    the next leader didn't know the VM, didn't wait for it, and started its tasks
+    elsewhere.
+    """
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    store.holds_back = 1
+    await commit(led, store)
+    await commit(led, store)
+    led.add_vm("w1", "w1:1")
+    assert (await commit(led, store)).done
+
+    store.apply_late()
+
+    assert store.get(*ROSTER) is not None
+
+
+@pytest.mark.anyio
+async def test_a_vm_that_is_back_before_its_row_is_removed_is_noted_anew(led, store):
+    """It counted as noted by the row that was about to go, and was never used."""
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    led.add_vm("w1", "w1:2")
+
+    batch = collect(led, {})
+
+    assert (batch.vms, batch.removed_vms) == (("w1",), ())
+
+
+def test_a_transaction_of_everything_keeps_to_what_a_call_holds(book, make_state):
+    """More than the store takes would be refused again and again."""
+    jobs = {f"j{number}": make_state(model.Step(1)) for number in range(50)}
+    for id in jobs:
+        book.mark(id)
+    for number in range(40):
+        book.on_roster_row(f"old{number}", 5)
+        book.remove_vm(f"old{number}")
+        book.add_vm(f"new{number}", "new:1")
+        book.versions[f"spent{number}"] = 6
+    book.spend([f"spent{number}" for number in range(40)])
+
+    batch = collect(book, jobs)
+
+    assert len(batch.transaction.conditions) + len(batch.transaction.writes) <= 100
