Replace and remove each roster row only at the version last seen of it

Callers could see one task run twice at the same time over a change of leader: a removal of a roster row, without an answer, was done seconds later, when the VM was back and ran tasks. The next leader didn't know the VM and didn't wait for it.

Cause, and its class: the write rested on the order in which it was sent and on the owner's row, not on the row that it changes. Roster rows now stand under their own versions like progress rows. A conflict teaches the versions, also of rows that are gone and of rows that were added without an answer, so that the pool goes on; a VM that is back while its row is written or removed is noted anew; one that goes while its row is written has it removed. What a transaction may hold is counted: with the further conditions 137 entries were possible, and 105 before, where the store takes 100.

Ruled out: writing roster rows in transactions of their own. A late one would still be done in its turn; only the row's version tells it from a newer one.

Left as it is: the row of a VM that goes while its addition stays without an answer may remain. The next leader then waits a lease for it, and starts nothing twice.

--- a/wigeonhitch/pool/ledger.py
+++ b/wigeonhitch/pool/ledger.py
@@ -20,11 +20,14 @@
 
 __all__ = ["Batch", "Ledger", "Result"]
 
+ENTRIES_A_CALL = 100
+"""Conditions and writes that the store takes in one transaction."""
+
 JOBS_A_BATCH = 20
-"""Jobs in one transaction: 2 entries each, of 100 that a call holds."""
+"""Jobs in one transaction: 2 entries each, as for all other rows."""
 
 VMS_A_BATCH = 16
-"""Roster rows, and spent progress rows, in one transaction."""
+"""Roster rows, and spent progress rows, in one transaction, if there is room."""
 
 
 class Batch(NamedTuple):
@@ -66,6 +69,7 @@
         self._new_vms: dict[str, str] = {}
         self._old_vms: set[str] = set()
         self._roster: dict[str, int] = {}
+        """Versions of roster rows; a VM without one has none."""
         self._spent: dict[str, None] = {}
 
     @property
@@ -78,9 +82,12 @@
         self._dirty[id] = None
 
     def add_vm(self, id: str, address: str) -> None:
-        """Note that a VM is to be used."""
-        if id not in self._roster:
-            self._new_vms[id] = address
+        """Note that a VM is to be used.
+
+        Its row is written also where one is known: that may be about to go.
+        """
+        self._old_vms.discard(id)
+        self._new_vms[id] = address
 
     def remove_vm(self, id: str) -> None:
         """Note that nothing can run on a VM any more."""
@@ -109,15 +116,15 @@
         for id in chosen:
             builder.put_progress(jobs[id], self.versions.get(id, 0))
         finals = [id for id in chosen if jobs[id].final is not None]
-        added = tuple(self._new_vms)[:VMS_A_BATCH]
+        added = tuple(self._new_vms)[: builder.count_free()]
         for id in added:
-            builder.put_vm(id, self._new_vms[id])
-        removed = tuple(self._old_vms)[:VMS_A_BATCH]
+            builder.put_vm(id, self._new_vms[id], self._roster.get(id, 0))
+        removed = tuple(self._old_vms)[: builder.count_free()]
         for id in removed:
-            builder.remove(pool_record.ROSTER_TABLE, id)
-        spent = tuple(self._spent)[:VMS_A_BATCH]
+            builder.remove(pool_record.ROSTER_TABLE, id, self._roster.get(id, 0))
+        spent = tuple(self._spent)[: builder.count_free()]
         for id in spent:
-            builder.remove_progress(id, self.versions.get(id, 0))
+            builder.remove(pool_record.PROGRESS_TABLE, id, self.versions.get(id, 0))
         whole = len(chosen) == len(self._dirty)
         seen = {one.id: one.seen for one in vms.values()} if whole else {}
         for id in chosen:
@@ -138,31 +145,41 @@
         for row in change.conflicts:
             if row.table == leader.OWNER_TABLE and row.version != self.fence:
                 return Result(False, deposed=True)
-            if row.table == pool_record.PROGRESS_TABLE:
-                self.versions[row.key] = row.version if row.value is not None else 0
+            self._learn(row.table, row.key, row.version if row.value is not None else 0)
         for one in rows.list_gone(batch.transaction.conditions, change.conflicts):
-            if one.table == pool_record.PROGRESS_TABLE:
-                self.versions[one.key] = 0
-        self._forget_gone(batch.spent)
+            self._learn(one.table, one.key, 0)
+        self._forget_gone(batch)
         return Result(False)
 
-    def _forget_gone(self, spent: Iterable[str]) -> None:
+    def _learn(self, table: str, key: str, version: int) -> None:
+        """Take a row's version as the store has it, 0 if there is no row."""
+        if table == pool_record.PROGRESS_TABLE:
+            self.versions[key] = version
+        elif table == pool_record.ROSTER_TABLE:
+            self._roster[key] = version
+
+    def _forget_gone(self, batch: Batch) -> None:
         """Drop removals that were done without an answer.
 
         Their rows don't exist any more. One that stayed would let every later
         transaction of the pool fail, so that no end is ever noted again.
         """
-        for id in spent:
+        for id in batch.spent:
             if not self.versions.get(id):
                 self._spent.pop(id, None)
                 self.versions.pop(id, None)
+        for id in batch.removed_vms:
+            if not self._roster.get(id):
+                self._old_vms.discard(id)
+                self._roster.pop(id, None)
 
     def _settle(self, batch: Batch, version: int) -> None:
         for id in batch.jobs:
             self.versions[id] = version
         for id in batch.vms:
-            self._new_vms.pop(id, None)
             self._roster[id] = version
+            if self._new_vms.pop(id, None) is None:
+                self._old_vms.add(id)  # the VM has gone while it was written
         for id in batch.removed_vms:
             self._old_vms.discard(id)
             self._roster.pop(id, None)
@@ -184,16 +201,20 @@
         self._expect(pool_record.PROGRESS_TABLE, id, version)
         self._put(pool_record.PROGRESS_TABLE, id, record.write_progress(state))
 
-    def remove_progress(self, id: str, version: int) -> None:
-        self._expect(pool_record.PROGRESS_TABLE, id, version)
-        self.remove(pool_record.PROGRESS_TABLE, id)
-
-    def put_vm(self, id: str, address: str) -> None:
+    def put_vm(self, id: str, address: str, version: int) -> None:
+        # Under its own version: a try that is done late must not undo a later one.
+        self._expect(pool_record.ROSTER_TABLE, id, version)
         self._put(pool_record.ROSTER_TABLE, id, pool_record.write_roster(address))
 
-    def remove(self, table: str, key: str) -> None:
+    def remove(self, table: str, key: str, version: int) -> None:
+        self._expect(table, key, version)
         self.writes.append(rows.Write(table, self._pool, key, None))
 
+    def count_free(self) -> int:
+        """Return how many more rows of a kind may be put or removed."""
+        used = len(self._conditions) + len(self.writes)
+        return min(VMS_A_BATCH, (ENTRIES_A_CALL - used) // 2)
+
     def build(self) -> rows.Transaction:
         return rows.Transaction(tuple(self._conditions), tuple(self.writes))
 
--- a/wigeonhitch/pool/tests/test_ledger.py
+++ b/wigeonhitch/pool/tests/test_ledger.py
@@ -176,6 +176,9 @@
     tried again, and the VM came back and took tasks. Then the first try was done, so
     the next leader didn't know the VM, didn't wait for it, and started its tasks
     elsewhere.
+
+    Cause: the rows stood under the owner's row only, by the order in which they were
+    sent. Each is now replaced and removed at the version last seen of it.
     """
     led.add_vm("w1", "w1:1")
     await commit(led, store)
@@ -219,3 +222,104 @@
     batch = collect(book, jobs)
 
     assert len(batch.transaction.conditions) + len(batch.transaction.writes) <= 100
+
+
+@pytest.mark.anyio
+async def test_an_addition_that_was_done_without_an_answer_is_written_over(led, store):
+    led.add_vm("w1", "w1:1")
+    store.loses = 1
+    await commit(led, store)
+
+    assert not (await commit(led, store)).done
+    assert (await commit(led, store)).done
+    assert not led.has_work
+
+
+@pytest.mark.anyio
+async def test_a_roster_row_that_went_without_an_answer_holds_nothing_up(led, store):
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    store.loses = 1
+    await commit(led, store)
+
+    await commit(led, store)
+
+    assert not led.has_work
+    assert store.get(*ROSTER) is None
+
+
+@pytest.mark.anyio
+async def test_a_vm_back_after_a_removal_without_an_answer_is_noted(led, store):
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    store.loses = 1
+    await commit(led, store)
+    led.add_vm("w1", "w1:1")
+
+    assert not (await commit(led, store)).done
+    assert (await commit(led, store)).done
+    assert store.get(*ROSTER) is not None
+
+
+@pytest.mark.anyio
+async def test_several_conflicts_at_once_are_all_learned(led, store, make_state):
+    """An addition done and a removal done, a progress row written, none answered."""
+    jobs = {"j": make_state(model.Step(1))}
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    led.add_vm("w2", "w2:1")
+    led.mark("j")
+    store.loses = 1
+    batch = collect(led, jobs)
+    led.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+    for _ in range(3):
+        batch = collect(led, jobs)
+        led.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+    assert not led.has_work
+    assert store.get(*ROSTER) is None
+    assert store.get("roster", "p", "w2") is not None
+
+
+@pytest.mark.anyio
+async def test_two_removals_without_an_answer_hold_nothing_up(led, store):
+    for id in ("w1", "w2"):
+        led.add_vm(id, f"{id}:1")
+    await commit(led, store)
+    for id in ("w1", "w2"):
+        led.remove_vm(id)
+    store.loses = 1
+    await commit(led, store)
+
+    await commit(led, store)
+
+    assert not led.has_work
+
+
+@pytest.mark.anyio
+async def test_a_vm_that_goes_while_it_is_noted_has_its_row_removed(led, store):
+    led.add_vm("w1", "w1:1")
+    batch = collect(led, {})
+    led.remove_vm("w1")
+    led.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+    await commit(led, store)
+
+    assert store.get(*ROSTER) is None
+
+
+@pytest.mark.anyio
+async def test_a_vm_that_is_back_while_its_row_is_removed_is_noted(led, store):
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    batch = collect(led, {})
+    led.add_vm("w1", "w1:1")
+    led.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+    assert (await commit(led, store)).done
+    assert store.get(*ROSTER) is not None
