Show that a leader forgets what the one before it granted when it gives up

Two hand-overs of a pool within one lease: the first leader grants workers 6.5 s during an outage of the store, the second gives the pool up 0.3 s later and passes on 3.8 s as the longest lease that may still last. The third waits that long for a VM that it can't reach and starts the tasks there elsewhere, 2 s before they end: callers would see one task run twice at the same time.

--- /dev/null
+++ b/wigeonhitch/pool/tests/test_caller.py
@@ -0,0 +1,45 @@
+"""What a leader that gives a pool up passes on of its workers' leases."""
+
+import pytest
+
+from wigeonhitch.platform import http
+from wigeonhitch.pool import belief, caller, core
+
+GRACE = 0.2
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """Set this daemon's time; begins at 100 s."""
+
+    class Clock:
+        now = 100.0
+
+    monkeypatch.setattr(http, "read_clock", lambda: Clock.now)
+    return Clock
+
+
+@pytest.fixture
+def make_caller(clock):
+    """Make the caller of a leader that takes over now."""
+
+    def make(predecessors_lease):
+        times = belief.Times(predecessors_lease, GRACE)
+        pool = core.Pool("p", 10, 2, times, clock.now, lambda what, **fields: None)
+        return caller.Caller(pool, None, list, lambda: None, None)
+
+    return make
+
+
+def test_what_a_leader_before_granted_is_passed_on_as_well(make_caller, clock):
+    """What could be seen: one task run twice at the same time, two hand-overs on.
+
+    How: during an outage of the store the first leader granted 6.5 s and gave the
+    pool up; the second gave it up 0.3 s later and passed on its own 3.8 s. The third
+    waited that long for a VM that it couldn't reach, and started its tasks elsewhere
+    while they ran on for 2 s.
+    """
+    one = make_caller(caller.LONG_LEASE)
+    clock.now += 0.3
+
+    assert one.get_granted() >= caller.LONG_LEASE - 0.3
