Pass on what an earlier leader granted when a pool is given up

Callers could see one task run twice at the same time after two hand-overs within a lease: the first leader granted workers 6.5 s during an outage of the store, the second passed on its own 3.8 s a moment later, and the third started elsewhere what still ran on a VM that it couldn't reach.

Cause, and its class: the figure told what this leader itself had granted and was taken for all that may still last.

Ruled out: a leader that ends without giving up. Its successor waits the longest lease that any leader grants.

Before: the test failed.

--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -213,6 +213,14 @@
 
     # -- questions
 
+    def compute_earlier_lease(self, now: float) -> float:
+        """Return what may last of the longest lease that an earlier leader granted.
+
+        Counted on a worker's clock, of which less time may have passed.
+        """
+        passed = (now - self._taken_over) * (1 - vm.CLOCK_DRIFT)
+        return max(0.0, self.times.longest_lease - passed)
+
     def may_have_run(self, state: progress.Progress) -> bool:
         """Whether an earlier leader may have started tasks of the job."""
         return bool(self.unresolved) and state.version < self.fence
--- a/wigeonhitch/pool/caller.py
+++ b/wigeonhitch/pool/caller.py
@@ -83,9 +83,15 @@
         """VMs that a task holds."""
 
     def get_granted(self) -> float:
-        """Return the longest lease that a worker may still have of this leader."""
-        recent = http.read_clock() - self._granted_long < LONG_LEASE
-        return LONG_LEASE if recent else WORKER_LEASE
+        """Return the longest lease that a worker may still have.
+
+        It may be of an earlier leader: one that handed over a moment ago may have
+        granted more than this one.
+        """
+        now = http.read_clock()
+        recent = now - self._granted_long < LONG_LEASE
+        granted = LONG_LEASE if recent else WORKER_LEASE
+        return max(granted, self._pool.compute_earlier_lease(now))
 
     async def send_start(self, start: message.Start) -> None:
         """Send a start, unless this leader's lease has run out meanwhile."""
--- a/wigeonhitch/pool/tests/test_caller.py
+++ b/wigeonhitch/pool/tests/test_caller.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wigeonhitch.platform import http
-from wigeonhitch.pool import belief, caller, core
+from wigeonhitch.pool import belief, caller, core, vm
 
 GRACE = 0.2
 
@@ -38,8 +38,26 @@
     pool up; the second gave it up 0.3 s later and passed on its own 3.8 s. The third
     waited that long for a VM that it couldn't reach, and started its tasks elsewhere
     while they ran on for 2 s.
+
+    Cause: the figure told what this leader had granted, and was taken for all that
+    may still last. It now holds the rest of what the one before granted.
     """
     one = make_caller(caller.LONG_LEASE)
     clock.now += 0.3
 
     assert one.get_granted() >= caller.LONG_LEASE - 0.3
+
+
+def test_an_earlier_lease_is_passed_on_by_the_slowest_clock(make_caller, clock):
+    one = make_caller(caller.LONG_LEASE)
+    clock.now += 2.0
+
+    passed = 2.0 * (1 - vm.CLOCK_DRIFT)
+    assert one.get_granted() == pytest.approx(caller.LONG_LEASE - passed)
+
+
+def test_what_has_run_out_is_not_passed_on_again(make_caller, clock):
+    one = make_caller(caller.LONG_LEASE)
+    clock.now += caller.LONG_LEASE
+
+    assert one.get_granted() == caller.WORKER_LEASE
