Show that a VM with many ends to tell counts as known after a takeover

A new leader lets an older job's tasks wait until each VM of the roster has answered. An answer that holds as many ends as fit isn't compared with what is known, since more may be missing, and yet the VM counted as answered: what runs there was started again elsewhere. Callers would see one task run twice at the same time, or again after it was done.

--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -293,3 +293,26 @@
     bench.answer(one, ended=[stopped], now=NOW + 0.3)
     bench.plan(NOW + 0.4)
     assert state.final is model.JobState.CANCELLED
+
+
+def test_a_vm_that_has_not_listed_all_its_ends_is_not_taken_for_known(bench):
+    """What could be seen: one task run twice at the same time, over a takeover.
+
+    How: a VM has more ends to tell than one answer holds, so the new leader doesn't
+    compare what runs there with what it knows; but it took the VM for one that has
+    answered, and began the older jobs' tasks elsewhere, beside what runs there.
+    """
+    one = bench.add_vm("w1", answers=False)
+    bench.pool.on_roster("w1", "w1:1", 3, NOW)
+    bench.add_vm("w2")
+    bench.add_job("old", version=5)
+    running = workers.Running(model.Task("old", 0, 0, 0), 0, "", 50, 0)
+    other = model.Task("other", 0, 0, 0)
+    ends = [
+        workers.Ended(number, other, 0, model.End.DONE, "")
+        for number in range(1, core.ENDS_A_REPLY + 1)
+    ]
+
+    bench.answer(one, [running], ends)
+
+    assert bench.plan() == []
