Take a VM for known only once it has told all that runs and has ended there

Callers could see one task run twice at the same time over a change of leader: a VM with as many ends to tell as one answer holds counted as answered, though what it listed wasn't compared with what the new leader knew. Older jobs' tasks began elsewhere beside what ran there. Such a VM also counted as empty, so that an upkeep could end its tasks, and tasks were started on it though its room wasn't known.

Cause, and its class: that a call was answered stood for what the answer must tell. A VM is now known only from the first answer that is compared; until then it holds older jobs up, takes no tasks and isn't shown as empty. If it falls silent meanwhile, it is waited for until the leases that it was given have run out.

Ruled out: taking over what runs from such an answer at once. A run that isn't listed may have ended in what wasn't told yet, and would be started after its end.

--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -203,11 +203,10 @@
             lapsed = one.answered and one.is_lapsed(now, grace)
             if lapsed and one.runs:
                 self._lapse(one)
-            if not one.answered and waited > longest + grace:
-                lapsed = True
-                if one.id in self.unresolved:
-                    self.unresolved.discard(one.id)
-                    self.tell("VM waited out", vm=one.id, waited=round(waited, 2))
+            lapsed = lapsed or (not one.answered and waited > longest + grace)
+            if lapsed and one.id in self.unresolved:
+                self.unresolved.discard(one.id)
+                self.tell("VM waited out", vm=one.id, waited=round(waited, 2))
             if lapsed and not one.listed:
                 self.drop_vm(one, "unlisted and lapsed")
 
--- a/wigeonhitch/pool/board.py
+++ b/wigeonhitch/pool/board.py
@@ -55,7 +55,7 @@
     return [
         one
         for one in pool.vms.values()
-        if one.closed and one.answered and not (one.runs or one.strays)
+        if one.closed and one.reconciled and not (one.runs or one.strays)
     ]
 
 
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -55,7 +55,6 @@
             one.answered = True
             # An earlier leader may have granted the longest lease just before.
             one.note_grant(reply.clock + self.times.longest_lease)
-            self.unresolved.discard(one.id)
             self.tell("VM answers", vm=one.id, running=len(reply.running))
         for end in reply.ended:
             if end.number > one.seen:
@@ -63,6 +62,9 @@
                 one.seen = end.number
         if len(reply.ended) < ENDS_A_REPLY:
             self._reconcile(one, reply, now)
+            # Only now it is known what runs there, and what has ended.
+            one.reconciled = True
+            self.unresolved.discard(one.id)
 
     def on_start(self, run: vm.Run, reply: workers.OrderReply, now: float) -> None:
         """Take the answer to a start."""
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -301,6 +301,9 @@
     How: a VM has more ends to tell than one answer holds, so the new leader doesn't
     compare what runs there with what it knows; but it took the VM for one that has
     answered, and began the older jobs' tasks elsewhere, beside what runs there.
+
+    Cause: that a call was answered stood for what the answer must tell. A VM is known
+    only once an answer told all that runs there and all that has ended.
     """
     one = bench.add_vm("w1", answers=False)
     bench.pool.on_roster("w1", "w1:1", 3, NOW)
@@ -316,3 +319,52 @@
     bench.answer(one, [running], ends)
 
     assert bench.plan() == []
+
+    bench.answer(one, [running], now=NOW + 0.1)
+
+    assert bench.plan(NOW + 0.1) == []
+    assert [run.task for run in one.runs.values()] == [running.task]
+
+
+def tell_ends(bench, one, now=NOW):
+    """Answer with as many ends as one answer holds, so that more may be missing."""
+    other = model.Task("other", 0, 0, 0)
+    ends = [
+        workers.Ended(one.seen + number, other, 0, model.End.DONE, "")
+        for number in range(1, core.ENDS_A_REPLY + 1)
+    ]
+    bench.answer(one, ended=ends, now=now)
+
+
+def test_a_vm_that_has_not_listed_all_its_ends_is_not_shown_as_empty(bench):
+    one = bench.add_vm("w1", answers=False)
+    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+
+    tell_ends(bench, one)
+
+    assert bench.planner.make_board(NOW, NOW).empty == ()
+
+
+def test_nothing_is_started_on_a_vm_that_has_not_listed_all_its_ends(bench):
+    """What runs there isn't counted yet, so its room isn't known."""
+    one = bench.add_vm("w1", answers=False)
+    bench.add_job()
+
+    tell_ends(bench, one)
+
+    assert bench.plan() == []
+
+
+def test_a_vm_that_falls_silent_before_all_its_ends_are_listed_is_waited_out(bench):
+    """Not from the takeover on: it was given more time with each answer."""
+    one = bench.add_vm("w1", answers=False)
+    bench.pool.on_roster("w1", "w1:1", 3, NOW)
+    bench.add_vm("w2")
+    bench.add_job("old", version=5)
+    tell_ends(bench, one, NOW + 6.0)
+    one.is_silent = True
+    lapse = 6.0 + 6.5 / (1 - vm.CLOCK_DRIFT) + 0.2 + belief.LAPSE_MARGIN
+    bench.pool.vms["w2"].last_answer = NOW + lapse
+
+    assert bench.plan(NOW + lapse - 0.1) == []
+    assert [one.run.vm.id for one in bench.plan(NOW + lapse + 0.1)] == ["w2"]
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -146,6 +146,8 @@
         """Whether it is to be vacated, for upkeep or a move."""
         self.answered = False
         """Whether it answered under this leader's token."""
+        self.reconciled = False
+        """Whether an answer told all that runs there and all that has ended."""
         self.recorded = False
         """Whether the roster row that names it is committed."""
         self.gone = False
@@ -228,7 +230,7 @@
         """Whether tasks may be started on it."""
         return (
             self.listed
-            and self.answered
+            and self.reconciled
             and self.recorded
             and not (self.is_silent or self.strays)
             and not (self.gone or self.closed or self.entry.leaving)
