Show that a task is begun while a run of it is being stopped on another VM

A listed run that isn't the leader's own is ordered to be stopped, which takes up to 0.2 s, or longer where the order is lost. Nothing kept its task from being begun elsewhere meanwhile: callers would see it run twice at the same time.

--- a/wigeonhitch/pool/tests/test_planner.py
+++ b/wigeonhitch/pool/tests/test_planner.py
@@ -282,3 +282,29 @@
         ]
         bench.answer(one, runs, now=sure)
     assert len(bench.plan(sure + 0.2)) == 1
+
+
+def list_twice(bench):
+    """Let two VMs list a run of one task, and the one taken over fail."""
+    first, second = bench.add_vm("w1"), bench.add_vm("w2")
+    bench.add_vm("w3")
+    bench.add_job("j", step(), version=5)
+    entry = workers.Running(model.Task("j", 0, 0, 0), 0, "", 50, 0)
+    bench.answer(first, [entry])
+    bench.answer(second, [entry])
+    (run,) = first.runs.values()
+    end = workers.Ended(1, run.task, run.number, model.End.FAILED, "")
+    bench.answer(first, ended=[end], now=NOW + 0.1)
+    return second
+
+
+def test_a_task_is_not_begun_while_a_vm_lists_a_run_of_it(bench):
+    """What could be seen: one task run twice at the same time.
+
+    How: a run that isn't the leader's own is listed and ordered to be stopped, which
+    takes up to 0.2 s; meanwhile the leader's own run failed, and the task was begun
+    again elsewhere beside the listed one.
+    """
+    list_twice(bench)
+
+    assert bench.start(NOW + 0.1) == []
