Begin no task while a VM lists a run of it that isn't the leader's own

Callers could see one task run twice at the same time: a listed run that nobody wants is ordered to be stopped, and while it stops, or while the order is lost, its task was begun elsewhere, once the leader's own run had failed or where it had none.

Cause, and its class: that a stop was ordered stood for the end of the run. A task or a member of a gang isn't begun while some VM lists a run of it. The run counts until a later answer of its VM doesn't list it, the VM is gone, or all leases that it was given have run out, so that a VM that falls silent holds nothing up for ever.

Ruled out: taking such a run over as the leader's own. Two VMs may list one task, and a leader can't tell which of the two is to stay once it has ordered about one.

Before: the test failed.

--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -201,7 +201,7 @@
         grace = self.times.stop_grace + LAPSE_MARGIN
         for one in list(self.vms.values()):
             lapsed = one.answered and one.is_lapsed(now, grace)
-            if lapsed and one.runs:
+            if lapsed and (one.runs or one.strays):
                 self._lapse(one)
             lapsed = lapsed or (not one.answered and waited > longest + grace)
             if lapsed and one.id in self.unresolved:
@@ -224,6 +224,13 @@
         """Whether an earlier leader may have started tasks of the job."""
         return bool(self.unresolved) and state.version < self.fence
 
+    def list_stray_tasks(self) -> frozenset[model.Task]:
+        """Return the tasks of which a VM lists a run that nobody wants.
+
+        It goes on until its end is listed, or until its VM lapses or is gone.
+        """
+        return frozenset(task for one in self.vms.values() for task, _ in one.strays)
+
     def next_number(self, task: model.Task) -> int:
         """Return the number of the task's next run, above all before."""
         number = max(self.numbers.get(task, 0), self.base) + 1
@@ -316,6 +323,7 @@
         self.tell("leases lapsed", vm=one.id, runs=len(one.runs))
         for run in list(one.runs.values()):
             self.remove(run)
+        one.strays.clear()
 
     def remove(self, run: vm.Run) -> None:
         """Take a run for ended; its task may start again."""
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -52,6 +52,8 @@
         self._next_due: dict[str, float] = {}
         self._figures: dict[str, order.Figures] = {}
         self._next_scan = 0.0
+        self._listed_elsewhere: frozenset[model.Task] = frozenset()
+        """Tasks of which a VM lists a run that isn't this leader's."""
 
     def plan(self, now: float, wall: float) -> list[message.Start | message.Stop]:
         """Return the orders to give now; their runs count as started.
@@ -224,6 +226,7 @@
     ) -> list[message.Start]:
         starts: list[message.Start] = []
         self.unmet = 0
+        self._listed_elsewhere = self.pool.list_stray_tasks()
         keyed = [
             (self._get_key(id, wall), id) for id, tasks in self._open.items() if tasks
         ]
@@ -236,6 +239,10 @@
                 self.unmet += left
         return starts
 
+    def _is_free(self, task: model.Task) -> bool:
+        """Whether no run of a task is known, be it ours or one being stopped."""
+        return task not in self.pool.live and task not in self._listed_elsewhere
+
     def _get_key(self, id: str, wall: float) -> order.Key:
         queue = self.pool.jobs[id].job.queue
         mean_work = self.pool.get_mean_work(queue)
@@ -253,7 +260,7 @@
         full: set[tuple[int, int]] = set()
         for task in self._open[state.job.id]:
             step = state.job.steps[task.step]
-            if task in self.pool.live:
+            if not self._is_free(task):
                 continue
             if task[1:3] in full or step.reserved.cpu > table.widest:
                 unmet += step.reserved.cpu
@@ -309,7 +316,7 @@
         """Start all members of a gang with one number, or none."""
         step = state.job.steps[first.step]
         tasks = [first._replace(index=index) for index in range(step.count)]
-        if any(task in self.pool.live for task in tasks):
+        if not all(self._is_free(task) for task in tasks):
             return
         racks = table.list_racks() if step.same_rack else [""]
         tickets = self._get_tickets(state, first, now)
--- a/wigeonhitch/pool/tests/test_planner.py
+++ b/wigeonhitch/pool/tests/test_planner.py
@@ -4,7 +4,7 @@
 
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import workers
-from wigeonhitch.pool import core, order, pacing, vm
+from wigeonhitch.pool import belief, core, order, pacing, vm
 
 NOW = 100.0
 
@@ -304,7 +304,49 @@
     How: a run that isn't the leader's own is listed and ordered to be stopped, which
     takes up to 0.2 s; meanwhile the leader's own run failed, and the task was begun
     again elsewhere beside the listed one.
+
+    Cause: that a stop was ordered stood for the end of the run. A task isn't begun
+    while some VM lists a run of it, wanted or not.
     """
     list_twice(bench)
 
     assert bench.start(NOW + 0.1) == []
+
+
+def test_a_task_is_begun_once_the_run_elsewhere_is_listed_no_more(bench):
+    second = list_twice(bench)
+
+    bench.answer(second, now=NOW + 0.3)
+
+    assert len(bench.start(NOW + 0.3)) == 1
+
+
+def test_a_gang_waits_for_a_run_of_one_of_its_members(bench):
+    one = bench.add_vm("w1")
+    bench.add_vm("w2")
+    bench.add_job("g", step(2, gang=True))
+    entry = workers.Running(model.Task("g", 0, 0, 1), 3, "", 50, 0)
+    bench.answer(one, [entry])
+    assert bench.start() == []
+
+    bench.answer(one)
+
+    assert len(bench.start()) == 2
+
+
+def test_a_silent_vm_holds_a_task_up_until_its_leases_are_over(bench):
+    second = list_twice(bench)
+    second.is_silent = True
+    lapse = 6.5 / (1 - vm.CLOCK_DRIFT) + 0.2 + belief.LAPSE_MARGIN
+    bench.pool.vms["w3"].last_answer = NOW + lapse
+
+    assert bench.start(NOW + lapse - 0.1) == []
+    assert [run.vm.id for run in bench.start(NOW + lapse + 0.1)] == ["w3"]
+
+
+def test_a_vm_that_is_gone_holds_no_task_up(bench):
+    second = list_twice(bench)
+
+    bench.pool.drop_vm(second, "another life of the VM answers")
+
+    assert len(bench.start(NOW + 0.1)) == 1
