Show that an upkeep that was done already ends the VM's next life on paper

An upkeep's order whose answer was lost is given again with the life that the VM has now. The platform answers that it is done, which was told as the end of that life: the pool's leader takes all on it for ended and leaves it out, though it lives. Operators would see a VM that is up and never has tasks again, for its row stays as long as it lives.

--- a/wigeonhitch/maintenance/tests/test_task.py
+++ b/wigeonhitch/maintenance/tests/test_task.py
@@ -7,7 +7,7 @@
 from wigeonhitch.jobs import model
 from wigeonhitch.leadership import record as leader_record
 from wigeonhitch.maintenance import record, task
-from wigeonhitch.platform import fleet, http
+from wigeonhitch.platform import entries, fleet, http
 from wigeonhitch.pool import record as pool_record
 
 FLEET = "~fleet"
@@ -72,7 +72,7 @@
     return rowstore.read_times()[0]
 
 
-async def lead(store, machines, seconds):
+async def lead(store, machines, seconds, waves=None):
     """Lead for some seconds, as claimed a moment ago."""
     read = await store.read(leader_record.OWNER_TABLE, FLEET, timeout=1.0)
     row = read.rows[0]
@@ -82,7 +82,7 @@
         machines,
         lambda: True,
         lambda: model.Catalogue(1, (), POOLS),
-        dict,
+        lambda: waves or {},
         read_store_clock,
         "d",
         ORDER_GAP,
@@ -194,3 +194,54 @@
 
     assert sorted(machines.moves) == sorted(names)
     assert max(sizes) <= 100
+
+
+class Upkept:
+    """One VM that is back from its upkeep; a further order is done already."""
+
+    def __init__(self):
+        self.orders = 0
+
+    async def list_vms(self, *, timeout):
+        up = fleet.VmState.UP
+        return fleet.Listing((fleet.Vm("vm", "a", up, "dc", (), ROOM, "second"),))
+
+    async def maintain(self, vm, wave, holder, fence, *, timeout):
+        self.orders += 1
+        return fleet.OrderOutcome.DONE
+
+
+@pytest.fixture
+def upkept(store):
+    """Its first life was ordered without an answer; the second is vacated again."""
+    wave = record.WaveRecord().order("vm", "first")
+    store.put(record.WAVE_TABLE, FLEET, "1", record.write_wave(wave))
+    closing = record.write_closing(record.Closing("second", "vm", 1))
+    store.put(record.CLOSING_TABLE, FLEET, "second", closing)
+    show(store, "a", empty=("second",))
+    return Upkept()
+
+
+WAVES = {1: entries.WaveOrder(1, ("vm",), 26.0, 1)}
+
+
+@pytest.mark.anyio
+async def test_an_upkeep_that_was_done_already_ends_no_later_life(store, upkept):
+    """What could be seen: a VM that is up and never has tasks again.
+
+    How: the answer to an upkeep's order was lost, though it was carried out; the order
+    was given again when the VM was back with another life. "Done already" was then
+    told as the end of that life, which the pool's leader takes for empty and gone.
+    """
+    told = []
+
+    async def commit(change, *, timeout):
+        rows = [one for one in change.writes if one.table == record.CLOSING_TABLE]
+        told.extend(record.read_closing(o.key, o.value) for o in rows if o.value)
+        return await whole(change, timeout=timeout)
+
+    whole, store.commit = store.commit, commit
+    await lead(store, upkept, 1.6, WAVES)
+
+    assert upkept.orders == 1
+    assert [one.worker for one in told if one.ended] == []
