Tell only the life at an upkeep's first order as ended by it

Operators could see a VM that is up and never has tasks again: an upkeep's order whose answer was lost was given again with the life that the VM has now, and "done already" was told as the end of that life. The pool's leader then takes all on it for ended and leaves it out, and the row that says so stays as long as the VM lives.

Cause, and its class: the end of a life was told by an answer that may be about an earlier one. The wave's row keeps the life at the first order; only that one has ended for certain, whichever order was carried out. A life that was vacated and whose VM is through, or whose upkeep was refused, has tasks again.

Ruled out by reading, not by a run: two runs of one task by this alone. Such a life was shown as empty under the row that closes it, and nothing is started on it while that row is there. A pool's leader that goes by an older copy of these rows could start there.

--- a/wigeonhitch/maintenance/record.py
+++ b/wigeonhitch/maintenance/record.py
@@ -42,7 +42,7 @@
 class WaveRecord(NamedTuple):
     """How far a wave is: VMs that are through, and those that were ordered.
 
-    ``ordered`` maps a VM to the life of its worker at the order; of these,
+    ``ordered`` maps a VM to the life of its worker at its first order; of these,
     ``confirmed`` are the ones whose order was answered as carried out. Others
     may be under way, or may yet go down.
     """
@@ -52,8 +52,12 @@
     confirmed: frozenset[str] = frozenset()
 
     def order(self, vm: str, worker: str) -> "WaveRecord":
-        """Return the record with an order that is about to be given."""
-        return self._replace(ordered={**self.ordered, vm: worker})
+        """Return the record with an order that is about to be given.
+
+        Of an order that is given again the first may be the one that is carried
+        out, so only the life at the first one ends for certain.
+        """
+        return self._replace(ordered={vm: worker, **self.ordered})
 
     def confirm(self, vm: str) -> "WaveRecord":
         """Return the record with an order that was carried out."""
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -335,7 +335,8 @@
             self.deposed = True
         elif outcome is fleet.OrderOutcome.DONE:
             await self._save_wave(order.wave, now.confirm(order.vm))
-            await self._end_worker(order.worker)
+            # The life that is there now may be one after the upkeep.
+            await self._end_worker(now.ordered[order.vm])
         elif outcome in (fleet.OrderOutcome.WRONG_WAVE, fleet.OrderOutcome.REFUSED):
             await self._save_wave(order.wave, now.finish({order.vm}))
         elif order.vm in before.ordered:
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -122,6 +122,16 @@
     assert pick(wave.plan_waves(state, NOW + 3, UPKEEP), core.Show)[0].completed
 
 
+def test_a_vm_whose_upkeep_was_refused_has_tasks_again(state):
+    order_wave(state, ["a0", "a1"])
+    close(state, "a0", "a1")
+    state.progress[1] = state.progress[1].finish({"a0"})
+
+    (opened,) = pick(wave.plan_waves(state, NOW, UPKEEP), core.Open)
+
+    assert opened.worker == "w-a0"
+
+
 def test_no_wave_is_completed_before_the_vms_are_listed(state):
     order_wave(state, ["a0"])
     state.vms = {}
--- a/wigeonhitch/maintenance/tests/test_task.py
+++ b/wigeonhitch/maintenance/tests/test_task.py
@@ -232,6 +232,9 @@
     How: the answer to an upkeep's order was lost, though it was carried out; the order
     was given again when the VM was back with another life. "Done already" was then
     told as the end of that life, which the pool's leader takes for empty and gone.
+
+    Cause: the end was told of the life that is there now, by an answer that may be
+    about an earlier one. It is told of the life at the first order only.
     """
     told = []
 
@@ -245,3 +248,21 @@
 
     assert upkept.orders == 1
     assert [one.worker for one in told if one.ended] == []
+
+
+@pytest.mark.anyio
+async def test_a_life_after_the_upkeep_has_tasks_again(store, upkept):
+    await lead(store, upkept, 2.6, WAVES)
+
+    assert list_closed(store) == []
+
+
+@pytest.mark.anyio
+async def test_the_life_at_the_first_order_is_told_as_ended(store, upkept):
+    first = record.write_closing(record.Closing("first", "vm", 1))
+    store.put(record.CLOSING_TABLE, FLEET, "first", first)
+
+    await lead(store, upkept, 1.6, WAVES)
+
+    value = store.get(record.CLOSING_TABLE, FLEET, "first")
+    assert record.read_closing("first", value).ended
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -29,26 +29,40 @@
 """Seconds beyond the upkeep after which a VM that is up counts as through."""
 
 
-def plan_waves(
-    state: core.Fleet, now: float, upkeep: float
-) -> list[core.Close | core.Maintain | core.Show]:
+_Action = core.Close | core.Maintain | core.Open | core.Show
+
+
+def plan_waves(state: core.Fleet, now: float, upkeep: float) -> list[_Action]:
     """Return what to do for all waves; ``upkeep`` is its length in seconds."""
-    actions: list[core.Close | core.Maintain | core.Show] = []
+    actions: list[_Action] = []
     for number in sorted(state.waves):
         if state.shown.get(number):
             continue
         actions.extend(_plan_wave(state, state.waves[number], now, upkeep))
+    actions.extend(_plan_openings(state))
     return actions
 
 
+def _plan_openings(state: core.Fleet) -> list[core.Open]:
+    """Let lives have tasks again that were vacated though their VM is through."""
+    openings = []
+    for worker, closing in state.closings.items():
+        one = state.vms.get(closing.vm)
+        progress = state.progress.get(closing.wave, record.WaveRecord())
+        is_there = one is not None and one.worker == worker
+        if is_there and not closing.ended and closing.vm in progress.done:
+            openings.append(core.Open(worker))
+    return openings
+
+
 def _plan_wave(
     state: core.Fleet, wave: entries.WaveOrder, now: float, upkeep: float
-) -> list[core.Close | core.Maintain | core.Show]:
+) -> list[_Action]:
     progress = _note_through(state, wave, now, upkeep)
     left = [vm for vm in wave.vms if vm in state.vms and vm not in progress.done]
     if not left and state.vms:
         return [core.Show(wave.number, completed=True)]
-    actions: list[core.Close | core.Maintain | core.Show] = []
+    actions: list[_Action] = []
     if wave.number not in state.shown:
         actions.append(core.Show(wave.number, completed=False))
     down = [vm for vm in left if vm in progress.ordered]
