Show that a job is accepted in two pools when the look into the former one fails

A repeated job of a queue that had moved to another pool is looked for in the former one. A look that the store refused, or that got no answer, counted as a job that isn't there: the job was accepted in the new pool too and ran in both.

--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -4,6 +4,7 @@
 
 from standins import rowstore
 from wigeonhitch.jobs import model, progress, record
+from wigeonhitch.platform import rows, table
 from wigeonhitch.pool import record as pool_record
 from wigeonhitch.site import catalogue, desk, message
 from wigeonhitch.telemetry import metric
@@ -69,6 +70,31 @@
     assert (await site.desk.show(MOVED, "j")).state is model.JobState.QUEUED
 
 
+@pytest.mark.parametrize("outcome", [table.Outcome.NOT_DONE, table.Outcome.UNKNOWN])
+async def test_a_former_pool_that_can_not_be_read_keeps_a_job_from_being_taken_twice(
+    site, monkeypatch, outcome
+):
+    """What could be seen: one job's tasks run twice, in two pools.
+
+    How: a queue had moved to another pool, and a job came again that was accepted in
+    the former one. The look there failed, and the job was accepted in the new pool too.
+    """
+    await site.desk.submit(QUEUE, JOB)
+    site.former = ["p"]
+
+    async def refuse(*given, **named):
+        return rows.Range(outcome, reason="down")
+
+    monkeypatch.setattr(site.store, "read", refuse)
+    answer = await site.desk.submit(MOVED, JOB)
+
+    assert answer.verdict is message.Verdict.NOT_RUN
+    assert answer.retry_after > 0
+    other = pool_record.name_job_table("other")
+    part = pool_record.name_job_part("other", "j")
+    assert site.store.get(other, part, "j") is None
+
+
 async def test_not_run_is_only_said_of_what_was_certainly_not_written(site):
     site.store.is_down = True
 
