Refuse a repeated job while a former pool of its queue can't be read

Callers could see a job run in two pools: its queue had moved, and when the look into the former pool failed, the job was accepted in the new one though it was accepted in the former one before.

Cause, and its class: a look that failed stood for a job that isn't there. The request is now answered "not run" with a time to come back; nothing was written by it.

Ruled out: trying the look again within the request. The store has refused this daemon, and another one may reach it; the same holds for writing a job.

Not mended: a daemon that restarted doesn't know former pools, and a write into the former pool that is done late, after the look, is not seen. Both can still have a job accepted twice.

--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -100,6 +100,10 @@
             found = await self._find(pool, job.id)
             if isinstance(found, _Found):
                 return message.Answer(message.Verdict.ACCEPTED, reason="known")
+            if found.verdict is not message.Verdict.MISSING:
+                # It may be there, and would then run in both pools.
+                self._tell("job submitted", queue, job.id, found)
+                return found
         answer = await self._write_job(queue, job)
         self._instruments.observe(
             "submit_seconds", "Time to accept a job.", http.read_clock() - began
--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -78,6 +78,9 @@
 
     How: a queue had moved to another pool, and a job came again that was accepted in
     the former one. The look there failed, and the job was accepted in the new pool too.
+
+    Cause: a look that failed stood for a job that isn't there. It is refused now:
+    nothing was written, and the caller comes again.
     """
     await site.desk.submit(QUEUE, JOB)
     site.former = ["p"]
