Show that a VM is waited out while a lease of the new leader's own may last

A new leader waits for a VM that it can't reach for as long as an earlier leader's lease may last, counted from the takeover. Its own first call renews leases as well, and may be heard though its answer is lost. Where the pool's rows are read slowly that call goes out seconds after the takeover, and by the wait the leases were over while they lasted: callers would see one task run twice at the same time.

--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -368,3 +368,27 @@
 
     assert bench.plan(NOW + lapse - 0.1) == []
     assert [one.run.vm.id for one in bench.plan(NOW + lapse + 0.1)] == ["w2"]
+
+
+def test_a_vm_is_not_waited_out_while_a_lease_of_this_leader_may_last(bench):
+    """What could be seen: one task run twice at the same time, over a takeover.
+
+    How: the pool's rows were read slowly, so that the first calls went out seconds
+    after the takeover. A VM took its first call, which renewed the leases of what runs
+    there, and its answer was lost. It was waited for from the takeover on, and its
+    tasks were begun elsewhere while they ran on.
+    """
+    one = bench.add_vm("w1", answers=False)
+    bench.pool.on_roster("w1", "w1:1", 3, NOW)
+    bench.add_vm("w2")
+    bench.add_job("old", version=5)
+    one.note_grant(one.compute_deadline(NOW + 5.0, 3.8))
+    one.is_silent = True
+    lapse = 5.0 + 3.8
+
+    bench.pool.vms["w2"].last_answer = NOW + lapse
+    assert bench.plan(NOW + lapse) == []
+
+    sure = lapse / (1 - vm.CLOCK_DRIFT) + 0.2 + belief.LAPSE_MARGIN + 0.1
+    bench.pool.vms["w2"].last_answer = NOW + sure
+    assert [run.vm.id for run in bench.start(NOW + sure)] == ["w2"]
