Wait for an unreachable VM until this leader's own leases are over as well

Callers could see one task run twice at the same time over a change of leader: the new leader's first call renewed the leases on a VM, its answer was lost, and the VM was waited for from the takeover on only. Where the pool's rows had been read slowly, what ran there was begun elsewhere before those leases were over.

Cause, and its class: the time since the takeover stood for the end of all leases, also of those that were granted after it. That half a second of reading is enough after a hand-over is reckoned, not run.

Ruled out: giving no time with the first call. Work would then not outlive a takeover.

Before: the test failed.

--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -200,10 +200,12 @@
         longest = self.times.longest_lease * (1 + vm.CLOCK_DRIFT)
         grace = self.times.stop_grace + LAPSE_MARGIN
         for one in list(self.vms.values()):
-            lapsed = one.answered and one.is_lapsed(now, grace)
+            # Also one that never answered may have heard a renewal of ours.
+            lapsed = one.is_lapsed(now, grace)
+            if not one.answered:
+                lapsed = lapsed and waited > longest + grace
             if lapsed and (one.runs or one.strays):
                 self._lapse(one)
-            lapsed = lapsed or (not one.answered and waited > longest + grace)
             if lapsed and one.id in self.unresolved:
                 self.unresolved.discard(one.id)
                 self.tell("VM waited out", vm=one.id, waited=round(waited, 2))
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -377,6 +377,9 @@
     after the takeover. A VM took its first call, which renewed the leases of what runs
     there, and its answer was lost. It was waited for from the takeover on, and its
     tasks were begun elsewhere while they ran on.
+
+    Cause: the wait was counted from the takeover only. It now lasts until every lease
+    that this leader may have granted has run out as well.
     """
     one = bench.add_vm("w1", answers=False)
     bench.pool.on_roster("w1", "w1:1", 3, NOW)
