Show that a completed job begins anew by an older copy of its row

A leader forgets a job once its final state is durable and its row is shrunk to it. Rows of jobs are read anew when the feed's history was dropped, and changes are repeated when the feed's answer was lost; such an answer may hold the row as it was before the job was completed. The job was then taken for a new one: callers would see its tasks start again after they were done.

--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wigeonhitch.jobs import model, record
-from wigeonhitch.platform import workers
+from wigeonhitch.platform import rows, table, workers
 from wigeonhitch.pool import belief, core, tidy, vm
 
 NOW = 100.0
@@ -395,3 +395,28 @@
     sure = lapse / (1 - vm.CLOCK_DRIFT) + 0.2 + belief.LAPSE_MARGIN + 0.1
     bench.pool.vms["w2"].last_answer = NOW + sure
     assert [run.vm.id for run in bench.start(NOW + sure)] == ["w2"]
+
+
+def test_a_job_that_is_final_does_not_begin_anew_by_an_older_copy_of_its_row(
+    bench, ended
+):
+    """What could be seen: a job run again after it was completed.
+
+    How: the feed of jobs had expired and the rows were read anew; while the answer was
+    on its way, a job in it was completed, shrunk to its final state and forgotten. By
+    the older row in the answer it was taken for a new one.
+    """
+    one = bench.add_vm()
+    state = bench.add_job(version=20)
+    (run,) = bench.start()
+    bench.answer(one, ended=[ended(1, run)], now=NOW + 0.5)
+    assert state.final is model.JobState.COMPLETED
+    bench.pool.on_settled(["j"])
+    bench.plan(NOW + 0.5)
+    work = bench.pool.tidier.collect(NOW + 0.6, 60.0)
+    done = rows.Change(table.Outcome.DONE, 40)
+    bench.pool.tidier.on_result(work, done)
+
+    bench.pool.on_job("j", record.JobRecord(state.job, NOW, False), 20, PLACE)
+
+    assert bench.plan(NOW + 1.0) == []
