Leave out a job's row that is older than its final one

Callers could see a completed job's tasks start again: its leader had forgotten it, its row being shrunk to the final state, and then took an answer of the store that held the row as it was before. Rows are read anew when the feed's history was dropped, and repeated when the feed's answer was lost, so such an answer can be seconds old.

Cause, and its class: a job that isn't known was taken for one that has not begun. The leader keeps the version of each final row, of those it wrote and those it read, until the row is removed, and leaves out older ones of a job that it doesn't know.

Ruled out: rows of a job that is still known, or whose row is yet to be shrunk; both were left out before. An id that is handed in again after its row was removed has a higher version and is a new job, as before.

Before: the test failed.

--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -101,8 +101,8 @@
             self.tidier.on_final_row(id, place, version, row.finished)
             return
         known = self.jobs.get(id)
-        if known is None and self.tidier.is_waiting(id):
-            return  # final already; its row is yet to be shrunk
+        if known is None and self.tidier.is_final(id, version):
+            return  # done with; an answer may hold an older copy of its row
         if known is None:
             known = progress.Progress(row.job, version, row.accepted)
             self.places[id] = place
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -405,6 +405,9 @@
     How: the feed of jobs had expired and the rows were read anew; while the answer was
     on its way, a job in it was completed, shrunk to its final state and forgotten. By
     the older row in the answer it was taken for a new one.
+
+    Cause: a job that wasn't known any more was taken for one that had not begun. A
+    row older than the final one known is left out.
     """
     one = bench.add_vm()
     state = bench.add_job(version=20)
--- a/wigeonhitch/pool/tests/test_tidy.py
+++ b/wigeonhitch/pool/tests/test_tidy.py
@@ -104,3 +104,22 @@
     bench.pool.on_job("j", row, 30, PLACE)
 
     assert bench.pool.jobs == {}
+
+
+def test_only_rows_older_than_the_final_one_are_of_a_final_job(tidier):
+    tidier.on_result(tidier.collect(50.0, KEPT), DONE)
+
+    assert tidier.is_final("a", DONE.version - 1)
+    assert not tidier.is_final("a", DONE.version + 1)
+    assert not tidier.is_final("unknown", 1)
+
+
+def test_a_final_row_that_was_read_is_known_until_it_is_removed(tidier):
+    tidier.on_result(tidier.collect(50.0, KEPT), DONE)
+    tidier.on_final_row("a", PLACE, DONE.version, 50.0)
+    assert tidier.is_final("a", 3)
+
+    tidier.on_result(tidier.collect(51.0, KEPT), DONE)
+    tidier.on_result(tidier.collect(171.0, KEPT), DONE)
+
+    assert not tidier.is_final("a", 3)
--- a/wigeonhitch/pool/tidy.py
+++ b/wigeonhitch/pool/tidy.py
@@ -51,6 +51,8 @@
     def __init__(self) -> None:
         self._finals: dict[str, _Final] = {}
         self._kept: collections.OrderedDict[str, _Kept] = collections.OrderedDict()
+        self._shrunk: dict[str, int] = {}
+        """Versions of rows that were shrunk and haven't been read since."""
 
     def add(
         self, id: str, place: JobPlace, state: model.JobState, version: int
@@ -63,11 +65,18 @@
     ) -> None:
         """Take a row that has been shrunk."""
         self._kept[id] = _Kept(place, version, finished)
+        self._shrunk.pop(id, None)
 
     def is_waiting(self, id: str) -> bool:
         """Whether a job's row is still to be shrunk."""
         return id in self._finals
 
+    def is_final(self, id: str, version: int) -> bool:
+        """Whether a job is final by what is known later than a version of its row."""
+        kept = self._kept.get(id)
+        final = max(self._shrunk.get(id, 0), kept.version if kept else 0)
+        return self.is_waiting(id) or version < final
+
     def collect(self, store_time: float, kept: float) -> Work | None:
         """Return what to write next: rows of one part, or None."""
         if self._finals:
@@ -81,6 +90,8 @@
                 self._finals.pop(id, None)
                 if work.removes:
                     self._kept.pop(id, None)
+                elif id not in self._kept:
+                    self._shrunk[id] = change.version
             return () if work.removes else work.ids
         if change.reason != "conflict":
             return ()
