Show that an answer that can't be read counts as an empty list

A VM's answer to a renewal lists what runs there, and the store's answer to a failed transaction the rows as they are. An answer with the right status and a body that can't be read, as a connection that breaks off may leave it, counted as a list of nothing: what runs on the VM was begun elsewhere, and the record of what was done could be removed as if its job's row were gone. No such answer has been seen.

--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -179,6 +179,35 @@
     }
 
 
+@pytest.mark.anyio
+async def test_a_conflict_that_can_not_be_read_says_nothing_of_rows():
+    """What could be seen: a job run again after it was completed.
+
+    How: a conflict lists the rows as they are. One whose body can't be read listed
+    none, so all of them counted as gone: the record of what was done was removed.
+    """
+    store = rows.Rows(Client(412, None), "a")
+
+    change = await store.commit(rows.Transaction((), ()), timeout=1.0)
+
+    assert change.outcome is table.Outcome.UNKNOWN
+    assert change.reason != "conflict"
+
+
+@pytest.mark.anyio
+async def test_a_renewal_whose_answer_can_not_be_read_lists_nothing():
+    """What could be seen: one task run twice at the same time.
+
+    How: a VM's answer to a renewal lists what runs there. One whose body can't be read
+    counted as a list of nothing, and all that ran there was begun elsewhere.
+    """
+    calls = workers.Workers(Client(200, None))
+
+    reply = await calls.hold("a", "w", 1, None, 0, wait=0.0, timeout=1.0)
+
+    assert reply.verdict is workers.Verdict.UNKNOWN
+
+
 @pytest.mark.anyio
 async def test_a_feed_whose_history_is_gone_has_expired():
     feed = await rows.Rows(Client(410), "a").follow("t", 1, wait=0.1, timeout=1.0)
