Take an answer that can't be read for lost, not for an empty list

Callers could see one task run twice at the same time, or a completed job run again: a VM's answer to a renewal with a body that can't be read counted as a list of nothing, so that all that ran there was begun elsewhere; a failed transaction's answer of that kind counted as rows that are all gone, so that the record of what was done was removed.

Cause, and its class: no list stood for an empty one. Both answers now count as lost: the VM is held anew and gets no more time meanwhile, the transaction is tried again.

Ruled out: an answer that is cut short of its stated length. That counted as lost before. No answer of this kind has been seen; the way was found by reading.

--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -175,6 +175,9 @@
             version = reply.body["ver"]
             done = table.Outcome.DONE
             return Change(done, version, (), "", clock, reply.sent, reply.received)
+        if reply.status == 412 and not isinstance(reply.body, dict):
+            # Which rows are there isn't told; none listed would mean all are gone.
+            return Change(table.Outcome.UNKNOWN, 0, (), _explain(reply))
         if reply.status == 412:
             listed = _read_rows(reply)
             return Change(table.Outcome.NOT_DONE, 0, listed, "conflict", clock)
--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -185,6 +185,8 @@
 
     How: a conflict lists the rows as they are. One whose body can't be read listed
     none, so all of them counted as gone: the record of what was done was removed.
+
+    Cause: no list stood for an empty one. Such an answer counts as lost.
     """
     store = rows.Rows(Client(412, None), "a")
 
@@ -200,6 +202,8 @@
 
     How: a VM's answer to a renewal lists what runs there. One whose body can't be read
     counted as a list of nothing, and all that ran there was begun elsewhere.
+
+    Cause: no list stood for an empty one. Such an answer counts as lost.
     """
     calls = workers.Workers(Client(200, None))
 
--- a/wigeonhitch/platform/workers.py
+++ b/wigeonhitch/platform/workers.py
@@ -222,7 +222,10 @@
         verdict = _judge(reply)
         clock = _read_clock(reply)
         times = (clock, reply.sent, reply.received)
-        if verdict is not Verdict.DONE or not isinstance(reply.body, dict):
+        if verdict is Verdict.DONE and not isinstance(reply.body, dict):
+            # What runs there isn't told; an empty list would end all of it.
+            return HoldReply(Verdict.UNKNOWN, *times)
+        if verdict is not Verdict.DONE:
             return HoldReply(verdict, *times)
         running = tuple(_read_running(one) for one in reply.body.get("running", ()))
         ended = tuple(_read_ended(one) for one in reply.body.get("finished", ()))
