Show that older news opens a VM that a pool's new leader knows to be vacated

A leader reads at its takeover which VMs are to be vacated. Its daemon follows the same rows for all its pools, and what it hears replaced what was read, also where it is older. A VM that is shown as empty then takes tasks and goes down with them. Where its end is told to the leader though it lives, its tasks would run twice at the same time.

--- /dev/null
+++ b/wigeonhitch/site/tests/test_closings.py
@@ -0,0 +1,70 @@
+"""Which workers are to be vacated, as a pool's leader hears of it in two ways."""
+
+import pytest
+
+from standins import rowstore
+from wigeonhitch.jobs import model
+from wigeonhitch.leadership import core as leadership
+from wigeonhitch.maintenance import record
+from wigeonhitch.platform import entries, rows
+from wigeonhitch.pool import belief, core, source
+from wigeonhitch.site import closings
+
+pytestmark = pytest.mark.anyio
+
+NOW = 100.0
+
+
+@pytest.fixture
+def store():
+    return rowstore.RowStore()
+
+
+@pytest.fixture
+def pool():
+    times = belief.Times(6.5, 0.2)
+    made = core.Pool("p", 1, 1, times, NOW, lambda what, **fields: None)
+    room = model.Room(8000, 9000)
+    entry = entries.WorkerEntry("w1", "p", "w1:1", "dc", False, room, ())
+    made.on_worker(entry, NOW)
+    return made
+
+
+@pytest.fixture
+def leader(pool, store):
+    return source.Source(pool, store, lambda: None)
+
+
+@pytest.fixture
+def follower(leader, store):
+    """Follow the rows for all pools of a daemon, as it does before the takeover."""
+    return closings.Follower(
+        store, lambda: True, lambda *given: leader.take_closings(*given)
+    )
+
+
+def close(store, worker):
+    """Have a worker vacated; return the row as a feed tells it."""
+    place = (record.CLOSING_TABLE, leadership.FLEET, worker)
+    store.put(*place, record.write_closing(record.Closing(worker, worker, 1)))
+    return rows.Row(*place, store.get(*place), store.version)
+
+
+async def test_older_news_does_not_open_what_was_read_as_closed(
+    pool, leader, follower, store
+):
+    """What could be seen: tasks begun on a VM that goes down for its upkeep.
+
+    How: a daemon follows which VMs are to be vacated, and that news was late when it
+    took over a pool. The leader read the rows itself; then the older news came, and
+    all VMs that it didn't name were open, one that is shown as empty among them.
+    """
+    await follower._read_all()
+    older = close(store, "other")
+    close(store, "w1")
+    await leader.load()
+    assert pool.vms["w1"].closed
+
+    follower._take_all((older,))
+
+    assert pool.vms["w1"].closed
