Let no older news open a VM that its pool's leader knows to be vacated

Callers could see tasks begun on a VM that goes down a moment later: a pool's new leader had read that the VM is to be vacated, and then took its daemon's news of these rows, which was older. A VM that is shown as empty so took tasks.

Cause, and its class: the news that came last was taken for the newest. It now carries the store's version at which it is known, and older news is left.

Ruled out: news of VMs' own entries. What is older there only delays starts.

Before: the test failed.

--- a/wigeonhitch/pool/source.py
+++ b/wigeonhitch/pool/source.py
@@ -47,11 +47,24 @@
         self._store = store
         self._wake = wake
         self._tell = pool.tell
+        self._closings_version = 0
         self._job_table = pool_record.name_job_table(pool.name)
         self._job_parts = frozenset(pool_record.list_job_parts(pool.name))
 
-    def take_closings(self, closed: list[maintenance.Closing]) -> None:
-        """Take the workers that are to be vacated, or have ended by an order."""
+    def take_closings(self, closed: list[maintenance.Closing], version: int) -> None:
+        """Take the workers that are to be vacated, or have ended by an order.
+
+        Parameters
+        ----------
+        closed : list of record.Closing
+            All of them; others are open.
+        version : int
+            The store's, at which this is known. What is older than what was taken
+            before is left: it would open VMs that are shown as empty.
+        """
+        if version < self._closings_version:
+            return
+        self._closings_version = version
         self._pool.set_closed(
             frozenset(one.worker for one in closed),
             frozenset(one.worker for one in closed if one.ended),
@@ -72,7 +85,8 @@
             self._pool.on_roster(row.key, address, row.version, now)
         closings = await self._read_all(maintenance.CLOSING_TABLE, leadership.FLEET)
         self.take_closings(
-            [maintenance.read_closing(r.key, r.value or b"") for r in closings.rows]
+            [maintenance.read_closing(r.key, r.value or b"") for r in closings.rows],
+            closings.version,
         )
         self._tell("pool loaded", jobs=len(self._pool.jobs), vms=len(roster.rows))
         return version
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -114,9 +114,9 @@
         self.pool.on_worker_removed(id)
         self._wake()
 
-    def set_closings(self, closed: list[maintenance.Closing]) -> None:
-        """Take the workers that are to be vacated, or have ended by an order."""
-        self._source.take_closings(closed)
+    def set_closings(self, closed: list[maintenance.Closing], version: int) -> None:
+        """Take the workers to be vacated or ended, as known at a store's version."""
+        self._source.take_closings(closed, version)
 
     def get_granted(self) -> float:
         """Return the longest lease that a worker may still have of this leader."""
--- a/wigeonhitch/site/closings.py
+++ b/wigeonhitch/site/closings.py
@@ -29,19 +29,21 @@
     is_wanted : callable
         Whether this daemon leads a pool; nothing is read otherwise.
     on_change : callable
-        Takes all workers that are to be vacated or have ended by an order.
+        Takes all workers that are to be vacated or have ended by an order, and the
+        store's version at which that is known.
     """
 
     def __init__(
         self,
         store: rows.RowStore,
         is_wanted: Callable[[], bool],
-        on_change: Callable[[list[record.Closing]], None],
+        on_change: Callable[[list[record.Closing], int], None],
     ) -> None:
         self._store = store
         self._is_wanted = is_wanted
         self._on_change = on_change
         self._workers: dict[str, record.Closing] = {}
+        self._version = 0
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -64,14 +66,16 @@
         self._workers.clear()
         for row in read.rows:
             self._take(row)
-        self._on_change(list(self._workers.values()))
+        self._version = read.version
+        self._on_change(list(self._workers.values()), self._version)
         return read.version
 
     def _take_all(self, found: tuple[rows.Row, ...]) -> None:
         for row in found:
             self._take(row)
         if found:
-            self._on_change(list(self._workers.values()))
+            self._version = max(self._version, *(row.version for row in found))
+            self._on_change(list(self._workers.values()), self._version)
 
     def _take(self, row: rows.Row) -> None:
         if row.value is None:
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -134,9 +134,9 @@
         for runner in self._runners.values():
             runner.on_worker_removed(id)
 
-    def _on_closings(self, closed: list[maintenance.Closing]) -> None:
+    def _on_closings(self, closed: list[maintenance.Closing], version: int) -> None:
         for runner in self._runners.values():
-            runner.set_closings(closed)
+            runner.set_closings(closed, version)
 
     def _on_led(self, owner: leader_record.Owner) -> None:
         if self._group is None:
--- a/wigeonhitch/site/tests/test_closings.py
+++ b/wigeonhitch/site/tests/test_closings.py
@@ -58,6 +58,9 @@
     How: a daemon follows which VMs are to be vacated, and that news was late when it
     took over a pool. The leader read the rows itself; then the older news came, and
     all VMs that it didn't name were open, one that is shown as empty among them.
+
+    Cause: the news that came last was taken for the newest. The store's version at
+    which it is known decides now.
     """
     await follower._read_all()
     older = close(store, "other")
@@ -68,3 +71,15 @@
     follower._take_all((older,))
 
     assert pool.vms["w1"].closed
+
+
+async def test_newer_news_opens_what_is_closed_no_more(pool, leader, follower, store):
+    await follower._read_all()
+    closed = close(store, "w1")
+    await leader.load()
+    follower._take_all((closed,))
+    store.put(record.CLOSING_TABLE, leadership.FLEET, "w1", None)
+
+    follower._take_all((closed._replace(value=None, version=store.version),))
+
+    assert not pool.vms["w1"].closed
