Show that a change between two pages of a range is never heard of

A range of rows that is more than one answer holds is read page by page, each as of its own moment, and its changes were followed from the version of the last page. A job that comes among the keys of the first page before the last one is read is on no page and in no change: callers would see an accepted job that never begins, or one that goes on after it was cancelled.

--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -212,6 +212,31 @@
     assert reply.verdict is workers.Verdict.UNKNOWN
 
 
+@pytest.mark.anyio
+async def test_pages_are_followed_from_the_version_of_the_first():
+    """What could be seen: an accepted job that never begins, or isn't cancelled.
+
+    How: a pool's jobs are more than one answer of the store holds. A job that came
+    among those of the first page before the last page was read was on no page, and the
+    changes were followed from the version of the last.
+    """
+    client = Client()
+    row = {"table": "t", "part": "p", "key": "k", "value": "dg==", "ver": 3}
+    pages = [
+        {"rows": [row], "truncated": True, "ver": 10},
+        {"rows": [{**row, "key": "l"}], "truncated": False, "ver": 12},
+    ]
+
+    async def call(method, address, path, **fields):
+        return http.Reply(DONE, 200, pages.pop(0), "", 1.0, 2.0)
+
+    client.call = call
+    read = await rows.Rows(client, "a").read("t", "p", timeout=1.0)
+
+    assert [one.key for one in read.rows] == ["k", "l"]
+    assert read.version == 10
+
+
 @pytest.mark.anyio
 async def test_a_feed_whose_history_is_gone_has_expired():
     feed = await rows.Rows(Client(410), "a").follow("t", 1, wait=0.1, timeout=1.0)
