Follow the changes of a range from the version of its first page

Callers could see an accepted job that never begins, or a cancelled one that goes on, where a pool's jobs are more than one answer of the store holds: a change among the keys of the first page, before the last page was read, was on no page and never followed.

Cause, and its class: pages of several moments were taken for the rows as of the last one. Changes are followed from the version of the first page; those that a later page holds already come again and change nothing.

Ruled out: ranges of one page, and rows that only a pool's leader writes: nobody else changes these after its claim.

Before: the test failed.

--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -195,6 +195,7 @@
     ) -> Range:
         """Read keys from ``first`` up to, without, ``last``; all pages."""
         found: list[Row] = []
+        version = 0
         while True:
             query = {"table": table, "part": part}
             if first:
@@ -207,11 +208,12 @@
             if reply.status != 200 or not isinstance(reply.body, dict):
                 return Range(_judge(reply), reason=_explain(reply))
             found.extend(_read_rows(reply))
+            # Changes after the first page may be on no page, and are to be followed.
+            version = version or reply.body["ver"]
             if limit or not reply.body.get("truncated") or not found:
                 break
             first = found[-1].key + "\0"
         clock = _read_time(reply)
-        version = reply.body["ver"]
         rows = tuple(found)
         return Range(_DONE, rows, version, "", clock, reply.sent, reply.received)
 
--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -219,6 +219,8 @@
     How: a pool's jobs are more than one answer of the store holds. A job that came
     among those of the first page before the last page was read was on no page, and the
     changes were followed from the version of the last.
+
+    Cause: pages of several moments were taken for the rows as of the last one.
     """
     client = Client()
     row = {"table": "t", "part": "p", "key": "k", "value": "dg==", "ver": 3}
