--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -103,8 +103,8 @@
             self.tidier.on_final_row(id, place, version, row.finished)
             return
         known = self.jobs.get(id)
-        if known is None and self.tidier.is_waiting(id):
-            return  # final already; its row is yet to be shrunk
+        if known is None and self.tidier.is_final(id, version):
+            return  # done with; an answer may hold an older copy of its row
         if known is None:
             known = progress.Progress(row.job, version, row.accepted)
             self.places[id] = place
@@ -202,24 +202,40 @@
         longest = self.times.longest_lease * (1 + vm.CLOCK_DRIFT)
         grace = self.times.stop_grace + LAPSE_MARGIN
         for one in list(self.vms.values()):
-            lapsed = one.answered and one.is_lapsed(now, grace)
-            if lapsed and one.runs:
+            # Also one that never answered may have heard a renewal of ours.
+            lapsed = one.is_lapsed(now, grace)
+            if not one.answered:
+                lapsed = lapsed and waited > longest + grace
+            if lapsed and (one.runs or one.strays):
                 self._lapse(one)
-            if not one.answered and waited > longest + grace:
-                lapsed = True
-                if one.id in self.unresolved:
-                    self.unresolved.discard(one.id)
-                    self.tell("VM waited out", vm=one.id, waited=round(waited, 2))
+            if lapsed and one.id in self.unresolved:
+                self.unresolved.discard(one.id)
+                self.tell("VM waited out", vm=one.id, waited=round(waited, 2))
             if lapsed and not one.listed:
                 self.drop_vm(one, "unlisted and lapsed")
 
     # -- questions
 
+    def compute_earlier_lease(self, now: float) -> float:
+        """Return what may last of the longest lease that an earlier leader granted.
+
+        Counted on a worker's clock, of which less time may have passed.
+        """
+        passed = (now - self._taken_over) * (1 - vm.CLOCK_DRIFT)
+        return max(0.0, self.times.longest_lease - passed)
+
     def may_have_run(self, state: progress.Progress) -> bool:
         """Whether an earlier leader may have started tasks of the job."""
         is_older = state.version < self.fence or self.times.leaders_overlap
         return bool(self.unresolved) and is_older
 
+    def list_stray_tasks(self) -> frozenset[model.Task]:
+        """Return the tasks of which a VM lists a run that nobody wants.
+
+        It goes on until its end is listed, or until its VM lapses or is gone.
+        """
+        return frozenset(task for one in self.vms.values() for task, _ in one.strays)
+
     def next_number(self, task: model.Task) -> int:
         """Return the number of the task's next run, above all before."""
         number = max(self.numbers.get(task, 0), self.base) + 1
@@ -312,6 +328,7 @@
         self.tell("leases lapsed", vm=one.id, runs=len(one.runs))
         for run in list(one.runs.values()):
             self.remove(run)
+        one.strays.clear()
 
     def remove(self, run: vm.Run) -> None:
         """Take a run for ended; its task may start again."""
