Say of a transaction over several parts that it is one

The store takes all entries of a transaction to lie in one part unless it says `across`. A claim now expects the owner row in the pool's part and the former leader's row in that member's, and was sent without it: the platform may refuse such a claim, and a pool whose leader's lease ran out would stay without one. The call now says so whenever its entries lie in more than one part; others are sent as before.

--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -54,7 +54,7 @@
 
 
 class Transaction(NamedTuple):
-    """Conditions and writes that hold or fail together, within one part."""
+    """Conditions and writes that hold or fail together, mostly within one part."""
 
     conditions: tuple[Condition, ...]
     writes: tuple[Write, ...]
@@ -169,6 +169,8 @@
             "writes": [_write_row(o) for o in change.writes if o.value is not None],
             "remove": [_write_key(o) for o in change.writes if o.value is None],
         }
+        if len({one.part for one in (*change.conditions, *change.writes)}) > 1:
+            body["across"] = True
         reply = await self._call("POST", "/v1/rows-tx", timeout, body=body)
         clock = _read_time(reply)
         if reply.status == 200 and isinstance(reply.body, dict):
--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -179,6 +179,18 @@
     }
 
 
+@pytest.mark.anyio
+async def test_a_transaction_over_several_parts_says_so():
+    client = Client(200, {"ver": 9, "now_ms": 4000})
+    conditions = tuple(rows.Condition("t", part, "k", 3) for part in "pq")
+
+    await rows.Rows(client, "a").commit(
+        rows.Transaction(conditions, (rows.Write("t", "p", "k", b"v"),)), timeout=1.0
+    )
+
+    assert client.sent[0][2]["body"]["across"] is True
+
+
 @pytest.mark.anyio
 async def test_a_feed_whose_history_is_gone_has_expired():
     feed = await rows.Rows(Client(410), "a").follow("t", 1, wait=0.1, timeout=1.0)
