Let the soak's store refuse what the platform's may refuse

Its transactions now take the platform's 4 ms, twice as long over several parts, and one over several parts that doesn't say so gets status 400. Before, it took any, so that a claim which the platform may not take passed.

--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -10,6 +10,9 @@
 
 __all__ = ["Answer", "Store"]
 
+TRANSACTION = 0.004
+"""Seconds that a transaction takes; one over several parts takes twice as long."""
+
 TIMEOUT = 1.0
 """Unused by the store in process, which never waits on a network."""
 
@@ -63,6 +66,10 @@
         ]
         writes.extend(rows.Write(*_read_key(one), None) for one in body["remove"])
         change = rows.Transaction(conditions, tuple(writes))
+        is_across = body.get("across", False)
+        if not is_across and len({one.part for one in (*conditions, *writes)}) > 1:
+            return Answer(400)
+        await anyio.sleep(TRANSACTION * (2 if is_across else 1))
         done = await self.rows.commit(change, timeout=TIMEOUT)
         if done.outcome is table.Outcome.UNKNOWN:
             return Answer(0)
