Let the soak take three mechanisms of a change of leader out

After a lapse going on with what was led, claiming by the owner row alone, and ordering after a leadership's end: each once let one task run twice at the same time.

--- a/standins/soak/without.py
+++ b/standins/soak/without.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from wigeonhitch.leadership import core as leadership
+from wigeonhitch.leadership import record, term
 from wigeonhitch.platform import entries
 from wigeonhitch.pool import core, ledger, vm
 from wigeonhitch.site import desk, main, message
@@ -62,6 +64,26 @@
     ledger.rows.list_gone = lambda conditions, found: ()
 
 
+def keep_what_was_led() -> None:
+    """After a lapse of the lease go on leading what was led."""
+    leadership.Leadership.on_lapsed = lambda self, version: None
+
+
+def claim_by_owner_alone() -> None:
+    """Claim a pool also beside a lease that was renewed meanwhile."""
+
+    def expect_vacant(self: Any, pool: str) -> tuple[Any, ...]:
+        owner = self.owners.get(pool)
+        return (record.expect_owner(pool, owner.version if owner else 0),)
+
+    leadership.Leadership.expect_vacant = expect_vacant
+
+
+def order_after_the_end() -> None:
+    """Let a leadership that is over give orders while the daemon's lease lasts."""
+    term.Term.end = lambda self: None
+
+
 MECHANISMS: dict[str, Callable[[], None]] = {
     one.__name__: one
     for one in (
@@ -71,6 +93,9 @@
         ignore_leaving,
         refuse_lost_submissions,
         stand_still_at_gone_rows,
+        keep_what_was_led,
+        claim_by_owner_alone,
+        order_after_the_end,
     )
 }
 
