Let the soak strike leaders

Each fault strikes the daemon that last wrote as a pool's leader: its link to the store is cut or it is paused until a successor claims, all its connections fall silent, or the others hear of renewals late. Meanwhile some VMs of the pool take no new connection, so that the leader reaches them and a successor doesn't, the leader's news of owners and the answers to its writes are late while its renewals pass, and jobs are handed in at each claim.

--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -27,6 +27,15 @@
 SECONDS = (0.1, 0.8)
 """Shortest and longest work of a task."""
 
+AT_CLAIMS = 4
+"""Jobs handed in to a pool that has just been claimed."""
+
+WITHIN = 0.4
+"""Seconds after a claim within which they are handed in."""
+
+LOOK = 0.005
+"""Seconds between two looks at whether a pool was claimed."""
+
 ASK_EVERY = 0.7
 """Seconds between two questions of one caller about its job."""
 
@@ -104,6 +113,26 @@
             await anyio.sleep(ASK_EVERY)
             group.cancel_scope.cancel()
 
+    async def run_at_claims(self, seconds: float) -> None:
+        """Submit jobs for a time whenever a pool was claimed."""
+        known: dict[str, str] = {}
+        async with anyio.create_task_group() as group:
+            until = http.read_clock() + seconds
+            while http.read_clock() < until:
+                for queue in scene.QUEUES:
+                    owner = self._site.read_owner(queue.pool)
+                    if owner and owner != known.get(queue.pool):
+                        known[queue.pool] = owner
+                        for _ in range(AT_CLAIMS):
+                            group.start_soon(self._submit_soon, queue)
+                await anyio.sleep(LOOK)
+            await anyio.sleep(ASK_EVERY)
+            group.cancel_scope.cancel()
+
+    async def _submit_soon(self, queue: scene.Queue) -> None:
+        await anyio.sleep(self._rng.uniform(0.0, WITHIN))
+        await self._live(self._make_job(queue, lasts=False))
+
     async def ask(self, job: Sent) -> Call:
         """Ask for a job's state."""
         call = await self._call("GET", job)
--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -12,7 +12,7 @@
 import yaml
 
 from standins.demo import process
-from standins.soak import audit, caller, fault, scene
+from standins.soak import audit, caller, fault, leader, scene
 from wigeonhitch.platform import http
 
 __all__ = ["Result", "list_kept", "play", "run"]
@@ -56,6 +56,7 @@
     rate: float = 4.0,
     kept: bool = False,
     without: str = "",
+    leaders: bool = False,
     folder: str = "",
 ) -> int:
     """Play seeded runs of faults and check what callers and workers saw.
@@ -76,6 +77,8 @@
         Play the seeds that once failed, in place of fresh ones.
     without : str
         Mechanism of `standins.soak.without` that the daemons lack.
+    leaders : bool
+        Play the faults that strike leaders, in place of all others.
     folder : str
         Where the daemons' logs of failed runs are kept; a temporary one if empty.
     """
@@ -85,7 +88,7 @@
     for seed in chosen:
         place = pathlib.Path(keep) / str(seed)
         place.mkdir(parents=True, exist_ok=True)
-        result = anyio.run(play, seed, place, seconds, daemons, rate, without)
+        result = anyio.run(play, seed, place, seconds, daemons, rate, without, leaders)
         broken += bool(result.faults)
         print(describe(result, place), flush=True)
     print(f"{len(chosen)} seeds, {broken} with a broken promise")
@@ -117,10 +120,12 @@
     daemons: int,
     rate: float,
     without: str = "",
+    leaders: bool = False,
 ) -> Result:
     """Play one seed."""
     rng = random.Random(seed)
-    faults = fault.plan(random.Random(seed), seconds)
+    plan = leader.plan if leaders else fault.plan
+    faults = plan(random.Random(seed), seconds)
     limits = httpx.Limits(max_connections=CALLERS, keepalive_expiry=60.0)
     async with (
         httpx.AsyncClient(limits=limits, trust_env=False) as client,
@@ -128,9 +133,11 @@
     ):
         await _await_ready(site)
         callers = caller.Callers(site, rng, client)
-        injector = fault.Injector(site, rng)
+        injector = leader.Injector(site, rng)
         async with anyio.create_task_group() as group:
             group.start_soon(callers.run, rate, seconds)
+            if leaders:
+                group.start_soon(callers.run_at_claims, seconds)
             await injector.run(faults)
         await _settle(callers)
         seen = audit.Seen(
--- a/standins/soak/relay.py
+++ b/standins/soak/relay.py
@@ -28,6 +28,8 @@
     """Nothing passes from the server to the client."""
     CUT = "cut"
     """Nothing passes either way."""
+    FULL = "full"
+    """New connections wait; open ones work."""
 
 
 DELAY = 0.12
@@ -41,11 +43,14 @@
     ----------
     state : Link
         Holds for all connections, old and new.
+    late : dict of bytes to float
+        Seconds by which an answer is late, by a part of what was asked.
     """
 
     def __init__(self, host: str, port: int, target_host: str, target: int) -> None:
         self.address = f"{host}:{port}"
         self.state = Link.OPEN
+        self.late: dict[bytes, float] = {}
         self._host = host
         self._port = port
         self._target = (target_host, target)
@@ -53,6 +58,7 @@
         self._scopes: dict[int, anyio.CancelScope] = {}
         self._clients: dict[int, anyio.abc.SocketStream] = {}
         self._silenced: set[int] = set()
+        self._asked: dict[int, bytes] = {}
         self._count = 0
 
     def switch(self, state: Link) -> None:
@@ -90,6 +96,8 @@
         server = None
         try:
             with scope, contextlib.suppress(OSError, anyio.BrokenResourceError):
+                while self.state is Link.FULL:
+                    await self._changed.wait()
                 server = await anyio.connect_tcp(*self._target)
                 async with anyio.create_task_group() as group:
                     group.start_soon(self._pass, number, client, server, Link.CUT_OUT)
@@ -97,6 +105,7 @@
         finally:
             del self._scopes[number], self._clients[number]
             self._silenced.discard(number)
+            self._asked.pop(number, None)
             with anyio.CancelScope(shield=True):
                 for one in (client, server):
                     if one is not None:
@@ -113,12 +122,21 @@
         while True:
             try:
                 data = await source.receive(CHUNK)
+                if cut is Link.CUT_OUT:
+                    self._asked[number] = self._asked.get(number, b"") + data
+                else:
+                    await anyio.sleep(self._take_delay(number))
                 await self._wait_until_open(number, cut)
                 await sink.send(data)
             except (anyio.EndOfStream, OSError, anyio.BrokenResourceError):
                 self._scopes[number].cancel()
                 return
 
+    def _take_delay(self, number: int) -> float:
+        asked = self._asked.pop(number, b"")
+        found = [late for what, late in self.late.items() if what in asked]
+        return max(found, default=0.0)
+
     async def _wait_until_open(self, number: int, cut: Link) -> None:
         if number in self._silenced:
             await anyio.sleep_forever()
--- a/standins/soak/scene.py
+++ b/standins/soak/scene.py
@@ -15,6 +15,7 @@
 from standins.demo import process
 from standins.soak import application, relay, store, yard
 from wigeonhitch.daemon import server
+from wigeonhitch.leadership import record
 from wigeonhitch.platform import entries, http, node
 
 __all__ = ["POOLS", "QUEUES", "Daemon", "Queue", "Scene", "open_scene"]
@@ -144,6 +145,11 @@
             entries.OPERATOR_TABLE, "", entries.CATALOGUE_KEY, orjson.dumps(fields)
         )
 
+    def read_owner(self, pool: str) -> str:
+        """Return the daemon that a pool's owner row names, or nothing."""
+        value = self.store.rows.get(record.OWNER_TABLE, pool, record.OWNER_KEY)
+        return record.read_owner(pool, value, 0).name if value else ""
+
     def order_wave(self, number: int, vms: list[str], within: float) -> None:
         """Ask for an upkeep of VMs, one at a time."""
         fields = {"wave": number, "machines": vms, "duration_s": within, "ceiling": 1}
--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -6,6 +6,7 @@
 import anyio
 
 from standins import rowstore
+from wigeonhitch.leadership import core, record
 from wigeonhitch.platform import rows, table
 
 __all__ = ["Answer", "Store"]
@@ -33,11 +34,14 @@
         What is stored, and the faults of the whole store.
     delay : float
         Seconds that each call takes longer.
+    led : str
+        Pool whose leader last wrote as such; empty before.
     """
 
     def __init__(self) -> None:
         self.rows = rowstore.RowStore()
         self.delay = 0.0
+        self.led = ""
 
     async def answer(self, path: str, query: dict[str, str], body: Any) -> Answer:
         """Answer one call."""
@@ -77,6 +81,9 @@
             return self._list(412, done.conflicts)
         if done.outcome is not table.Outcome.DONE:
             return Answer(503)
+        for one in conditions:
+            if one.table == record.OWNER_TABLE and one.part != core.FLEET:
+                self.led = one.part
         return Answer(200, {"ver": done.version, "now_ms": _read_now()})
 
     async def _read(self, query: dict[str, str]) -> Answer:
--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -7,7 +7,17 @@
 
 from standins import siteworker
 from standins.demo import process
-from standins.soak import audit, caller, fault, main, relay, scene, yard
+from standins.soak import (
+    audit,
+    caller,
+    fault,
+    leader,
+    main,
+    relay,
+    scene,
+    store,
+    yard,
+)
 from wigeonhitch.jobs import model
 
 pytestmark = pytest.mark.anyio
@@ -155,6 +165,42 @@
     assert kinds == set(fault.KINDS)
 
 
+def test_a_plan_against_leaders_repeats_and_in_time_holds_every_kind():
+    assert leader.plan(random.Random(3), 16) == leader.plan(random.Random(3), 16)
+    kinds = {
+        one.kind for seed in range(60) for one in leader.plan(random.Random(seed), 16)
+    }
+    assert kinds == set(leader.KINDS)
+
+
+def make_transaction(*parts, **fields):
+    keys = [{"table": "t", "part": part, "key": "k", "ver": 0} for part in parts]
+    return {"if_rev": keys, "writes": [], "remove": [], **fields}
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (make_transaction("a", "a"), 200),
+        (make_transaction("a", "b"), 400),
+        (make_transaction("a", "b", across=True), 200),
+    ],
+)
+async def test_a_transaction_over_several_parts_must_say_so(body, status):
+    answer = await store.Store().answer("/v1/rows-tx", {}, body)
+
+    assert answer.status == status
+
+
+async def test_the_pool_whose_leader_wrote_last_is_known():
+    rows = store.Store()
+    place = {"table": "owner", "part": "p", "key": "owner", "ver": 0}
+
+    await rows.answer("/v1/rows-tx", {}, {**make_transaction(), "if_rev": [place]})
+
+    assert rows.led == "p"
+
+
 @pytest.fixture
 async def link():
     """A relay before a server that echoes."""
@@ -210,6 +256,27 @@
             assert await ask(new)
 
 
+async def test_a_full_server_takes_no_new_connection_while_open_ones_work(link):
+    async with await connect(link) as old:
+        assert await ask(old)
+        link.switch(relay.Link.FULL)
+        assert await ask(old)
+        async with await connect(link) as new:
+            assert not await ask(new)
+            link.switch(relay.Link.OPEN)
+            assert await new.receive() == b"x"
+
+
+async def test_answers_to_one_kind_of_call_are_late_on_their_connections_only(link):
+    async with await connect(link) as slow, await connect(link) as other:
+        link.late = {b"x": 0.5}
+        assert not await ask(slow)
+        await other.send(b"y")
+        with anyio.fail_after(0.3):
+            assert await other.receive() == b"y"
+        assert await slow.receive() == b"x"
+
+
 async def test_a_reset_breaks_open_connections(link):
     async with await connect(link) as stream:
         assert await ask(stream)
@@ -225,3 +292,14 @@
 
     assert result.faults == []
     assert result.starts > 20
+
+
+@pytest.mark.processes
+async def test_a_short_run_against_leaders_keeps_every_promise(tmp_path):
+    result = await main.play(
+        1, tmp_path, seconds=8.0, daemons=3, rate=4.0, leaders=True
+    )
+
+    assert result.faults == []
+    assert result.spans != []
+    assert result.starts > 20
