--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -6,10 +6,14 @@
 import anyio
 
 from standins import rowstore
+from wigeonhitch.leadership import core, record
 from wigeonhitch.platform import rows, table
 
 __all__ = ["Answer", "Store"]
 
+TRANSACTION = 0.004
+"""Seconds that a transaction takes; one over several parts takes twice as long."""
+
 TIMEOUT = 1.0
 """Unused by the store in process, which never waits on a network."""
 
@@ -30,11 +34,14 @@
         What is stored, and the faults of the whole store.
     delay : float
         Seconds that each call takes longer.
+    led : str
+        Pool whose leader last wrote as such; empty before.
     """
 
     def __init__(self) -> None:
         self.rows = rowstore.RowStore()
         self.delay = 0.0
+        self.led = ""
 
     async def answer(self, path: str, query: dict[str, str], body: Any) -> Answer:
         """Answer one call."""
@@ -63,6 +70,10 @@
         ]
         writes.extend(rows.Write(*_read_key(one), None) for one in body["remove"])
         change = rows.Transaction(conditions, tuple(writes))
+        is_across = body.get("across", False)
+        if not is_across and len({one.part for one in (*conditions, *writes)}) > 1:
+            return Answer(400)
+        await anyio.sleep(TRANSACTION * (2 if is_across else 1))
         done = await self.rows.commit(change, timeout=TIMEOUT)
         if done.outcome is table.Outcome.UNKNOWN:
             return Answer(0)
@@ -70,6 +81,9 @@
             return self._list(412, done.conflicts)
         if done.outcome is not table.Outcome.DONE:
             return Answer(503)
+        for one in conditions:
+            if one.table == record.OWNER_TABLE and one.part != core.FLEET:
+                self.led = one.part
         return Answer(200, {"ver": done.version, "now_ms": _read_now()})
 
     async def _read(self, query: dict[str, str]) -> Answer:
