--- a/wigeonhitch/leadership/tests/test_history.py
+++ b/wigeonhitch/leadership/tests/test_history.py
@@ -13,7 +13,7 @@
 """The last two once failed: a claim led by after a lapse, and a row given up that was
 another's."""
 
-WITHIN = 20
+WITHIN = 40
 """Seeds of which one must fail with a mechanism off."""
 
 
