Pause before a claim that the store refused is made again

A daemon whose claim was refused, without another's claim being the reason, made it again at once, for as long as its lease lasted: all daemons share the calls that the store takes, and callers' own then met refusals. A claim that failed for a row that has changed is still followed at once by the next, for it has learned that row.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -315,6 +315,8 @@
         if change.outcome is not table.Outcome.DONE:
             if change.reason == "conflict":
                 self._take_conflicts(expected, change.conflicts)
+            else:
+                await anyio.sleep(RETRY)
             # The answer may be lost, or somebody was first: the row tells.
             await self._read_owner(pool)
             return
--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -348,3 +348,20 @@
         await keeper._claim("p")
 
     assert told[-1] == ("led", 3)
+
+
+async def test_a_claim_that_the_store_refuses_is_not_repeated_without_a_pause(
+    store, lapsing
+):
+    """All daemons share the calls that the store takes; others need them."""
+    keeper, _ = lapsing
+    await keeper._read_own()
+    await keeper._renew()
+    keeper._read.add("p")
+    store.is_down = True
+    calls = store.calls
+
+    with anyio.move_on_after(0.55):
+        await keeper._claim_forever()
+
+    assert 4 <= store.calls - calls <= 14
