Show that a VM is moved as empty by a board from before it was closed

A VM that was vacated and shown as empty can be opened again, have tasks, and be closed anew. The board from before still shows it as empty, and the VM is moved or goes down for its upkeep at once with what runs there.

--- a/wigeonhitch/maintenance/tests/test_task.py
+++ b/wigeonhitch/maintenance/tests/test_task.py
@@ -266,3 +266,21 @@
 
     value = store.get(record.CLOSING_TABLE, FLEET, "first")
     assert record.read_closing("first", value).ended
+
+
+@pytest.mark.anyio
+async def test_a_board_from_before_a_vm_was_closed_shows_nothing_of_it(store, machines):
+    """What could be seen: a VM goes down for a move with tasks that run on it.
+
+    How: it had been vacated, shown as empty and opened again, and took tasks; then it
+    was closed anew, and the board from before still showed it as empty.
+    """
+    up = fleet.VmState.UP
+    machines.vms = [fleet.Vm("vm", "b", up, "dc", (), ROOM, "w")]
+    show(store, "b", empty=("w",))
+    closing = record.write_closing(record.Closing("w", "vm", 0, "a"))
+    store.put(record.CLOSING_TABLE, FLEET, "w", closing)
+
+    await lead(store, machines, 0.5)
+
+    assert machines.moves == []
