Take a VM for empty only by a board that knows of its closing

Callers could see tasks ended by a move or an upkeep: a VM that had been vacated, shown as empty and opened again was closed anew, and the pool's board from before still showed it as empty. Lasting tasks that may not be missed could go down with it.

Cause, and its class: a copy from before the question was taken for its answer. A board that shows empty VMs now tells up to which version of the store its leader knows the closings, and counts for closings up to that version. The news of closings names it after each answer, also where nothing changed, so that no VM waits for another closing.

Cost: while a VM is shown as empty its pool's board is written up to once a second more. A daemon with the former form of a board shows no VM as empty to one with this form.

Ruled out: dropping a VM from the copy when it is opened. A board that is on its way brings it back.

Before: the test failed.

--- a/wigeonhitch/feed.py
+++ b/wigeonhitch/feed.py
@@ -27,6 +27,10 @@
     return True
 
 
+def _leave(version: int) -> None:
+    pass
+
+
 async def follow(
     store: rows.RowStore,
     name: str,
@@ -34,6 +38,7 @@
     take: Callable[[tuple[rows.Row, ...]], None],
     times: Times,
     is_wanted: Callable[[], bool] = _always,
+    note: Callable[[int], None] = _leave,
 ) -> None:
     """Read a table, then follow its changes, until cancelled.
 
@@ -52,6 +57,8 @@
         Waits and timeouts.
     is_wanted : callable
         Whether to read at all; what was read before is read anew afterwards.
+    note : callable
+        Takes, after each answer, the store's version up to which all is known.
     """
     after = 0
     while True:
@@ -70,6 +77,7 @@
         elif feed.outcome is table.Outcome.DONE:
             after = max(after, feed.version)
             take(feed.rows)
+            note(after)
             await anyio.sleep(times.pause)
         else:
             await anyio.sleep(times.retry)
--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -84,6 +84,8 @@
         self.boards: dict[str, pool_record.Board] = {}
         self.closings: dict[str, record.Closing] = {}
         self.closed_since: dict[str, float] = {}
+        self.closed_at: dict[str, int] = {}
+        """Versions of the store from which on workers are closed."""
         self.waves: dict[int, entries.WaveOrder] = {}
         self.wave_began: dict[int, float] = {}
         self.progress: dict[int, record.WaveRecord] = {}
@@ -148,9 +150,10 @@
         self.waves[wave.number] = wave
         self.progress.setdefault(wave.number, record.WaveRecord())
 
-    def on_closing(self, closing: record.Closing, now: float) -> None:
-        """Take note that a worker is closed."""
+    def on_closing(self, closing: record.Closing, now: float, version: int = 0) -> None:
+        """Take note that a worker is closed by a row of this version."""
         self.closings[closing.worker] = closing
+        self.closed_at[closing.worker] = version
         if closing.ended or closing.worker not in self.closed_since:
             self.closed_since[closing.worker] = now
 
@@ -158,6 +161,7 @@
         """Take note that a worker is closed no more."""
         self.closings.pop(worker, None)
         self.closed_since.pop(worker, None)
+        self.closed_at.pop(worker, None)
 
     def is_standby(self, pool: str) -> bool:
         """Whether the VMs of a pool are off."""
@@ -169,8 +173,11 @@
         if self.is_standby(one.pool) or not one.worker:
             return True
         board = self.boards.get(one.pool)
-        closed = one.worker in self.closings
-        return closed and board is not None and one.worker in board.empty
+        if board is None or one.worker not in self.closings:
+            return False
+        # Tasks may have come since a board that doesn't know of the closing.
+        knows = board.closings >= self.closed_at[one.worker]
+        return knows and one.worker in board.empty
 
     def is_closing(self, vm: str) -> bool:
         """Whether the worker of a VM is being vacated."""
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -98,7 +98,7 @@
         closings = await self._read_all(record.CLOSING_TABLE, part)
         for row in closings.rows:
             closing = record.read_closing(row.key, row.value or b"")
-            self.state.on_closing(closing, now)
+            self.state.on_closing(closing, now, row.version)
         waves = await self._read_all(record.WAVE_TABLE, part)
         for row in waves.rows:
             number = int(row.key)
@@ -159,7 +159,8 @@
                 self.state.boards[row.part] = pool_record.read_board(row.value)
                 self._wake.set()
 
-    async def _commit(self, writes: list[rows.Write]) -> bool:
+    async def _commit(self, writes: list[rows.Write]) -> int:
+        """Write rows as the fleet's leader; return the store's version, 0 if not."""
         condition = leader_record.expect_owner(self.owner.pool, self.owner.version)
         change = await self.around.store.commit(
             rows.Transaction((condition,), tuple(writes)), timeout=TIMEOUT
@@ -167,7 +168,7 @@
         if change.reason == "conflict":
             log.log_change("another leader of the fleet was found")
             self.deposed = True
-        return change.outcome is table.Outcome.DONE
+        return change.version if change.outcome is table.Outcome.DONE else 0
 
     # -- rounds
 
@@ -289,10 +290,11 @@
                 )
                 for one in some
             ]
-            if not self.around.may_order() or not await self._commit(writes):
+            version = self.around.may_order() and await self._commit(writes)
+            if not version:
                 return
             for one in some:
-                self.state.on_closing(one, http.read_clock())
+                self.state.on_closing(one, http.read_clock(), version)
                 log.log_change("VM closed", **one._asdict())
 
     async def _end_worker(self, worker: str) -> None:
--- a/wigeonhitch/maintenance/tests/test_task.py
+++ b/wigeonhitch/maintenance/tests/test_task.py
@@ -44,6 +44,8 @@
 
 
 def show(store, pool, **fields):
+    """Show a board of a leader that knows all closings of this moment."""
+    fields = {"closings": store.version, **fields}
     value = pool_record.write_board(pool_record.Board({}, **fields))
     store.put(pool_record.BOARD_TABLE, pool, pool_record.BOARD_TABLE, value)
 
@@ -274,6 +276,9 @@
 
     How: it had been vacated, shown as empty and opened again, and took tasks; then it
     was closed anew, and the board from before still showed it as empty.
+
+    Cause: the board was taken for news of this closing. It tells at which version of
+    the store its leader knew the closings, and counts for those up to it.
     """
     up = fleet.VmState.UP
     machines.vms = [fleet.Vm("vm", "b", up, "dc", (), ROOM, "w")]
@@ -284,3 +289,16 @@
     await lead(store, machines, 0.5)
 
     assert machines.moves == []
+
+
+@pytest.mark.anyio
+async def test_a_board_that_knows_of_the_closing_has_its_vm_moved(store, machines):
+    up = fleet.VmState.UP
+    machines.vms = [fleet.Vm("vm", "b", up, "dc", (), ROOM, "w")]
+    closing = record.write_closing(record.Closing("w", "vm", 0, "a"))
+    store.put(record.CLOSING_TABLE, FLEET, "w", closing)
+    show(store, "b", empty=("w",))
+
+    await lead(store, machines, 0.5)
+
+    assert machines.moves == ["vm"]
--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -84,6 +84,8 @@
         """Tasks that were begun again elsewhere for their VM's sake."""
         self.wall = 0.0
         """Seconds since 1970 at the last round, for what is told of jobs."""
+        self.closings_version = 0
+        """The store's version at which the closed VMs are known."""
         self._closed: frozenset[str] = frozenset()
         self._ended: frozenset[str] = frozenset()
         self._taken_over = now
@@ -158,11 +160,17 @@
         if entry.clock is not None:
             known.learn_clock(entry.clock, now)
 
-    def set_closed(self, ids: frozenset[str], ended: frozenset[str]) -> None:
+    def set_closed(
+        self, ids: frozenset[str], ended: frozenset[str], version: int = 0
+    ) -> None:
         """Take the workers that are to be vacated, and those ended by an order.
 
-        All others are open.
+        All others are open. What is older, by the store's version, than what was
+        taken before is left: it would open VMs that are shown as empty.
         """
+        if version < self.closings_version:
+            return
+        self.closings_version = version
         self._closed, self._ended = ids, ended
         self.must_scan = True
         for id in ended & self.vms.keys():
--- a/wigeonhitch/pool/board.py
+++ b/wigeonhitch/pool/board.py
@@ -16,19 +16,21 @@
         for one in pool.vms.values()
         if one.listed and not one.closed and not one.entry.leaving
     )
+    empty = tuple(sorted(one.id for one in list_empty(pool)))
     light = [one for one in pool.vms.values() if _is_light(one)]
     # In whole steps, so that the row isn't written for each small change.
     return record.Board(
         _count_waiting(pool),
         _round(unmet),
         _round(idle),
-        tuple(sorted(one.id for one in list_empty(pool))),
+        empty,
         tuple(one.id for one in sorted(light, key=_rank_light)),
         tuple(sorted(one.id for one in light if not one.runs)),
         _round(needed.wanted),
         _round(needed.least),
         _round(compute_batch_room(pool)),
         _round(needed.arriving),
+        pool.closings_version if empty else 0,
     )
 
 
--- a/wigeonhitch/pool/record.py
+++ b/wigeonhitch/pool/record.py
@@ -76,6 +76,9 @@
     """What the pool's open VMs have for batch work."""
     arriving: int = 0
     """What would keep up with the jobs that are handed in now."""
+    closings: int = 0
+    """The store's version at which the leader knew which VMs are to be vacated;
+    told with ``empty``."""
 
 
 def write_roster(address: str) -> bytes:
@@ -95,6 +98,7 @@
     row["need"] = [board.wanted, board.least, board.room, board.arriving]
     if board.empty:
         row["empty"] = list(board.empty)
+        row["closings"] = board.closings
     if board.light:
         row["light"] = list(board.light)
     if board.bare:
@@ -109,4 +113,5 @@
     light = tuple(row.get("light", ()))
     bare = tuple(row.get("bare", ()))
     figures = (row.get("unmet", 0), row.get("idle", 0))
-    return Board(row["waiting"], *figures, empty, light, bare, *row.get("need", ()))
+    board = Board(row["waiting"], *figures, empty, light, bare, *row.get("need", ()))
+    return board._replace(closings=row.get("closings", 0))
--- a/wigeonhitch/pool/source.py
+++ b/wigeonhitch/pool/source.py
@@ -47,7 +47,6 @@
         self._store = store
         self._wake = wake
         self._tell = pool.tell
-        self._closings_version = 0
         self._job_table = pool_record.name_job_table(pool.name)
         self._job_parts = frozenset(pool_record.list_job_parts(pool.name))
 
@@ -59,15 +58,12 @@
         closed : list of record.Closing
             All of them; others are open.
         version : int
-            The store's, at which this is known. What is older than what was taken
-            before is left: it would open VMs that are shown as empty.
+            The store's, at which this is known.
         """
-        if version < self._closings_version:
-            return
-        self._closings_version = version
         self._pool.set_closed(
             frozenset(one.worker for one in closed),
             frozenset(one.worker for one in closed if one.ended),
+            version,
         )
         self._wake()
 
--- a/wigeonhitch/site/closings.py
+++ b/wigeonhitch/site/closings.py
@@ -55,6 +55,7 @@
             self._take_all,
             times,
             self._is_wanted,
+            self._note,
         )
 
     async def _read_all(self) -> int:
@@ -77,6 +78,15 @@
             self._version = max(self._version, *(row.version for row in found))
             self._on_change(list(self._workers.values()), self._version)
 
+    def _note(self, version: int) -> None:
+        """Take the store's version up to which all rows are known.
+
+        An answer to who wrote a row may name a later version than the row's own.
+        """
+        self._version = max(self._version, version)
+        if self._workers:
+            self._on_change(list(self._workers.values()), self._version)
+
     def _take(self, row: rows.Row) -> None:
         if row.value is None:
             self._workers.pop(row.key, None)
--- a/wigeonhitch/site/tests/test_closings.py
+++ b/wigeonhitch/site/tests/test_closings.py
@@ -7,7 +7,8 @@
 from wigeonhitch.leadership import core as leadership
 from wigeonhitch.maintenance import record
 from wigeonhitch.platform import entries, rows
-from wigeonhitch.pool import belief, core, source
+from wigeonhitch.pool import belief, board, core, need, source
+from wigeonhitch.pool import record as pool_record
 from wigeonhitch.site import closings
 
 pytestmark = pytest.mark.anyio
@@ -83,3 +84,28 @@
     follower._take_all((closed._replace(value=None, version=store.version),))
 
     assert not pool.vms["w1"].closed
+
+
+async def test_closings_are_known_up_to_the_version_of_the_last_answer(
+    pool, follower, store
+):
+    """Whoever waits for a closing to be known may know it by a later version."""
+    close(store, "w1")
+    await follower._read_all()
+    store.put("other", "", "row", b"")
+
+    follower._note(store.version)
+
+    assert pool.closings_version == store.version
+
+
+async def test_a_board_tells_at_which_version_a_vm_was_empty(pool, follower, store):
+    one = pool.vms["w1"]
+    close(store, "w1")
+    await follower._read_all()
+    one.reconciled = True
+
+    made = board.make_board(pool, 0, need.compute_need([], 0, 0.0))
+    read = pool_record.read_board(pool_record.write_board(made))
+
+    assert (read.empty, read.closings) == (("w1",), store.version)
