Show that a start leaves though a worker has deposed the leader

A worker that answers that it has seen a higher token ends a leadership. A start that had been decided in that moment still left, for it asked only whether the leadership's right to order lasts. A VM that hasn't heard of the successor takes it: callers could see one task run twice at the same time.

--- a/wigeonhitch/pool/tests/test_caller.py
+++ b/wigeonhitch/pool/tests/test_caller.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from wigeonhitch.platform import http
-from wigeonhitch.pool import belief, caller, core, vm
+from wigeonhitch.platform import http, workers
+from wigeonhitch.pool import belief, caller, core, surroundings, vm
+from wigeonhitch.telemetry import metric
 
 GRACE = 0.2
 
@@ -61,3 +62,37 @@
     clock.now += caller.LONG_LEASE
 
     assert one.get_granted() == caller.WORKER_LEASE
+
+
+class Calls:
+    """Counts the starts that leave."""
+
+    def __init__(self):
+        self.starts = 0
+
+    async def start(self, address, worker, order, *, timeout):
+        self.starts += 1
+        return workers.OrderReply(workers.Verdict.DONE)
+
+
+@pytest.mark.anyio
+async def test_a_leader_that_a_worker_has_deposed_starts_nothing_more(bench):
+    """What could be seen: one task run twice at the same time.
+
+    How: a worker answered that it has seen a higher token, in the moment in which a
+    start had been decided. The start still left for another VM, that had not heard of
+    the successor yet.
+    """
+    calls = Calls()
+    around = surroundings.Surroundings(
+        None, calls, None, metric.Instruments(), lambda: True, None, None, 60.0, None
+    )
+    one = caller.Caller(bench.pool, around, list, lambda: None, None)
+    bench.add_vm()
+    bench.add_job()
+    (start,) = bench.plan()
+    bench.pool.deposed = True
+
+    await one.send_start(start)
+
+    assert calls.starts == 0
