Let no order leave once a worker has deposed its leader

Callers could see one task run twice at the same time: a worker answered that it has seen a higher token, in the moment in which a start had been decided, and the start still left for another VM, which hadn't heard of the successor yet.

Cause, and its class: the right to order was asked of the lease and of the leadership's term, and not of what is already known of the successor. Both are asked before each start, stop, change of pace and renewal.

Ruled out: rounds of decisions; they end with the same news.

Before: the test failed.

--- a/wigeonhitch/pool/caller.py
+++ b/wigeonhitch/pool/caller.py
@@ -93,13 +93,18 @@
         granted = LONG_LEASE if recent else WORKER_LEASE
         return max(granted, self._pool.compute_earlier_lease(now))
 
+    def _may_order(self) -> bool:
+        """Whether an order may leave at this moment."""
+        # A worker may have deposed this leader since the order was decided.
+        return self._around.may_order() and not self._pool.deposed
+
     async def send_start(self, start: message.Start) -> None:
         """Send a start, unless this leader's lease has run out meanwhile."""
         run = start.run
         now = http.read_clock()
         if run.vm.runs.get(run.task) is not run:
             return
-        if not self._around.may_order():
+        if not self._may_order():
             reply = workers.OrderReply(workers.Verdict.NOT_DONE)
         else:
             run.deadline = run.vm.compute_deadline(now, START_DEADLINE)
@@ -120,7 +125,7 @@
 
     async def send_stop(self, order: message.Stop) -> None:
         """Send a stop."""
-        if not self._around.may_order():
+        if not self._may_order():
             return
         entry = order.vm.entry
         reply = await self._around.workers.stop(
@@ -145,7 +150,7 @@
     async def send_pace(self, order: message.Pace) -> None:
         """Send a change of pace."""
         run = order.run
-        if not self._around.may_order():
+        if not self._may_order():
             return
         entry = run.vm.entry
         reply = await self._around.workers.pace(
@@ -166,7 +171,7 @@
         """Renew a VM's leases and take what it lists, until it is gone."""
         try:
             while not one.gone and not self._pool.deposed:
-                if self._around.may_order():
+                if self._may_order():
                     await self._hold_once(one)
                 else:
                     await anyio.sleep(RETRY / 2)
--- a/wigeonhitch/pool/tests/test_caller.py
+++ b/wigeonhitch/pool/tests/test_caller.py
@@ -82,6 +82,9 @@
     How: a worker answered that it has seen a higher token, in the moment in which a
     start had been decided. The start still left for another VM, that had not heard of
     the successor yet.
+
+    Cause: the right to order was asked of the lease and the term, not of what is known
+    of the successor. An order leaves only while nobody has deposed its leader.
     """
     calls = Calls()
     around = surroundings.Surroundings(
