Show that a VM counts as through by the life that a later order ends

Since a wave keeps the life at an upkeep's first order, a VM whose later life was ordered again counts as through as long as its list shows that life: another VM would go down beside it, above the wave's ceiling.

--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -96,6 +96,24 @@
     assert state.progress[1].done == frozenset()
 
 
+def test_a_life_at_a_later_order_does_not_show_its_vm_as_through(state):
+    """What could be seen: more VMs down for a wave than its ceiling allows.
+
+    How: an order was given again to a VM's second life and carried out on that; the
+    VM's list still showed this life, and it isn't the one at the first order.
+    """
+    order_wave(state, ["a0"])
+    state.progress[1] = state.progress[1].order("a0", "first").confirm("a0")
+    state.ordered_at["a0"] = NOW
+    state.ordered_life = {"a0": "w-a0"}
+    state.on_vms((make_vm("a0"),), NOW + 1)
+
+    assert pick(wave.plan_waves(state, NOW + 1, UPKEEP), core.Show) == []
+
+    state.on_vms((make_vm("a0"),), NOW + 3)
+    assert pick(wave.plan_waves(state, NOW + 3, UPKEEP), core.Show)
+
+
 def test_a_wave_is_completed_once_all_are_back(state):
     order_wave(state, ["a0"])
     state.progress[1] = state.progress[1].order("a0", "w-a0").confirm("a0")
