Count a VM as through only by a life that no order of its upkeep was about

Operators could see more VMs down for a wave than its ceiling allows: an upkeep's order was given again to a later life and carried out on it, the list of VMs was late and still showed that life, and it differs from the one at the first order.

Cause, and its class: another life than the first stood for one after the upkeep. It must differ from the one at the last order as well, or the upkeep's time must have passed. A VM whose upkeep was done already so has tasks again 2.5 s after the repeated order and not 0.5 s; the test of that waits 1.6 s longer for it.

Ruled out: the same after a change of leader. Its successor counts from the takeover.

Before: the test failed.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -100,6 +100,8 @@
         """Since when a pool has had room for more than one VM's work."""
         self.ordered_at: dict[str, float] = {}
         """When a VM was last ordered about."""
+        self.ordered_life: dict[str, str] = {}
+        """The life that a VM had at its last order."""
         self._barred: dict[str, float] = {}
         self._refused: set[tuple[str, str]] = set()
 
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -314,6 +314,7 @@
         if not await self._save_wave(order.wave, before.order(order.vm, order.worker)):
             return
         self.state.ordered_at[order.vm] = http.read_clock()
+        self.state.ordered_life[order.vm] = order.worker
         if not self.around.may_order():
             return
         outcome = await self.around.calls.maintain(
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -102,7 +102,9 @@
             continue
         if state.listed_at < since + SETTLE:
             continue
-        changed = one.worker != progress.ordered.get(vm, "")
+        # An order that is given again may end a later life than the first.
+        first = progress.ordered.get(vm, "")
+        changed = one.worker not in (first, state.ordered_life.get(vm, first))
         if changed or state.listed_at > since + upkeep + SETTLE:
             back.add(vm)
     if back:
