Show that a roster row that is gone already is removed once more

A VM that came back after a removal without an answer, and went again while its row was written, has its row removed though it is gone. What the store makes of that isn't known; refused as a bad call, it would hold up every later write of the pool, so that no end is noted.

--- a/wigeonhitch/pool/tests/test_ledger.py
+++ b/wigeonhitch/pool/tests/test_ledger.py
@@ -323,3 +323,23 @@
 
     assert (await commit(led, store)).done
     assert store.get(*ROSTER) is not None
+
+
+@pytest.mark.anyio
+async def test_a_row_that_is_gone_already_is_not_removed_again(led, store):
+    """The VM came back after a removal without an answer, and went once more.
+
+    What a store makes of removing a row that doesn't exist isn't known.
+    """
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    store.loses = 1
+    await commit(led, store)
+    led.add_vm("w1", "w1:1")
+    batch = collect(led, {})
+    led.remove_vm("w1")
+
+    led.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+    assert not led.has_work
