Remove a roster row only where one is known

A pool's writes could have been held up: a VM came back after a removal without an answer, went again while its row was written, and a removal of the row that was gone was sent with the next ends. What the store makes of that isn't known.

Cause: versions that were learned as "no row" stayed among the known ones. They are dropped, and a removal goes with the row that it is about.

Before: the test failed.

--- a/wigeonhitch/pool/ledger.py
+++ b/wigeonhitch/pool/ledger.py
@@ -148,30 +148,29 @@
             self._learn(row.table, row.key, row.version if row.value is not None else 0)
         for one in rows.list_gone(batch.transaction.conditions, change.conflicts):
             self._learn(one.table, one.key, 0)
-        self._forget_gone(batch)
+        self._forget_gone(batch.spent)
         return Result(False)
 
     def _learn(self, table: str, key: str, version: int) -> None:
         """Take a row's version as the store has it, 0 if there is no row."""
         if table == pool_record.PROGRESS_TABLE:
             self.versions[key] = version
-        elif table == pool_record.ROSTER_TABLE:
+        elif table == pool_record.ROSTER_TABLE and version:
             self._roster[key] = version
+        elif table == pool_record.ROSTER_TABLE:
+            self._roster.pop(key, None)
 
-    def _forget_gone(self, batch: Batch) -> None:
+    def _forget_gone(self, spent: Iterable[str]) -> None:
         """Drop removals that were done without an answer.
 
         Their rows don't exist any more. One that stayed would let every later
         transaction of the pool fail, so that no end is ever noted again.
         """
-        for id in batch.spent:
+        for id in spent:
             if not self.versions.get(id):
                 self._spent.pop(id, None)
                 self.versions.pop(id, None)
-        for id in batch.removed_vms:
-            if not self._roster.get(id):
-                self._old_vms.discard(id)
-                self._roster.pop(id, None)
+        self._old_vms &= self._roster.keys()
 
     def _settle(self, batch: Batch, version: int) -> None:
         for id in batch.jobs:
