Split the borrower into its queue and its link to the owner

One class of 427 lines kept the requests of a pool that wait in this daemon, and also whom it asks for slots, whether that owner is silent, and which ask stands for which request. The link's eight fields were changed from fifteen places.

`link.Link` now has the owners, the state, the asks and their requests, silence and probes; it also has `SILENCE` and `Policy`, which the daemon's core, the benchmark and one test name. `borrower` keeps the queue, the slots held, repeats and sending by own counts. A request's ask is taken back by `Link.cancel`, with one message as before.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -7,7 +7,7 @@
 import sys
 
 from benchmarks import routing_decisions, routing_loop
-from wigeonhitch.routing import action, borrower, event
+from wigeonhitch.routing import action, event, link
 
 # Seconds of arrivals of each run.
 LENGTH = 20.0
@@ -23,7 +23,7 @@
     print("load  case    policy       wait  bound bound+2  refused/req msgs/req B/req")
     for load in (0.7, 0.9):
         for case in ("even", "slow", "skew"):
-            for policy in borrower.Policy:
+            for policy in link.Policy:
                 rows = [_measure_waits(load, case, policy, seed) for seed in SEEDS]
                 mean = [sum(column) / len(rows) for column in zip(*rows, strict=True)]
                 print(
@@ -34,7 +34,7 @@
 
 
 def _measure_waits(
-    load: float, case: str, policy: borrower.Policy, seed: int
+    load: float, case: str, policy: link.Policy, seed: int
 ) -> tuple[float, ...]:
     loop = routing_loop.Loop(seed=seed, policy=policy)
     size = [0]
@@ -69,7 +69,7 @@
     """Print waits while the counting daemon is lost, for 5 s from 5 s on."""
     print("\np99 wait (ms) at 90% of requests that arrive in the 5 s of a fault")
     print("fault       policy      " + "".join(f"  seed {seed}" for seed in SEEDS))
-    owner, own = borrower.Policy.OWNER, borrower.Policy.OWN_COUNTS
+    owner, own = link.Policy.OWNER, link.Policy.OWN_COUNTS
     for fault, policy in (
         ("none", owner),
         ("kill", owner),
@@ -82,7 +82,7 @@
         print(f"{fault:10}  {policy.value:12}{cells}")
 
 
-def _measure_fault(fault: str, policy: borrower.Policy, seed: int) -> float:
+def _measure_fault(fault: str, policy: link.Policy, seed: int) -> float:
     loop = routing_loop.Loop(seed=seed, policy=policy)
     owner = loop.find_owner()
     weights = [0.0 if name == owner else 1.0 for name in loop.names]
@@ -112,12 +112,12 @@
         "\none fifth urgent (2 s), the rest bulk (5 s); goodput: in time, per capacity"
     )
     print("policy      load  busy  goodput  urgent p99 ms  urgent ok  refused after ms")
-    for policy in borrower.Policy:
+    for policy in link.Policy:
         for load in (0.5, 2.0):
             _measure_overload(policy, load)
 
 
-def _measure_overload(policy: borrower.Policy, load: float) -> None:
+def _measure_overload(policy: link.Policy, load: float) -> None:
     loop = routing_loop.Loop(policy=policy)
     classes = (event.Urgency("urgent", 1.7), event.Urgency("bulk", 3600.0))
     for name in loop.names:
--- a/benchmarks/routing_loop.py
+++ b/benchmarks/routing_loop.py
@@ -12,7 +12,7 @@
 from typing import Any, NamedTuple
 
 from wigeonhitch import verdict
-from wigeonhitch.routing import action, borrower, core, event, rendezvous
+from wigeonhitch.routing import action, core, event, link, rendezvous
 
 __all__ = ["HOP", "Done", "Loop", "Worker", "draw_work", "find_bound", "quantile"]
 
@@ -59,7 +59,7 @@
     daemons, workers : int
         How many.
     seed : int
-    policy : borrower.Policy
+    policy : link.Policy
     """
 
     def __init__(
@@ -67,7 +67,7 @@
         daemons: int = 9,
         workers: int = 6,
         seed: int = 1,
-        policy: borrower.Policy = borrower.Policy.OWNER,
+        policy: link.Policy = link.Policy.OWNER,
     ) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
--- a/wigeonhitch/routing/asking.py
+++ b/wigeonhitch/routing/asking.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Iterable, Mapping
 
-from wigeonhitch.routing import borrower, event, peer, port, rendezvous, timer
+from wigeonhitch.routing import borrower, event, link, peer, port, rendezvous, timer
 
 __all__ = ["Asking"]
 
@@ -16,11 +16,11 @@
     driver : port.Port
     rng : random.Random
         Seeded.
-    policy : borrower.Policy
+    policy : link.Policy
     """
 
     def __init__(
-        self, driver: port.Port, rng: random.Random, policy: borrower.Policy
+        self, driver: port.Port, rng: random.Random, policy: link.Policy
     ) -> None:
         self._port = driver
         self._rng = rng
--- a/wigeonhitch/routing/borrower.py
+++ b/wigeonhitch/routing/borrower.py
@@ -3,12 +3,9 @@
 While the pool's owner answers, requests wait at the owner and are sent when a
 slot is granted. While it does not (lost, paused, cut off, not yet chosen), the
 daemon sends by its own counts: the better of two workers drawn at random, full
-workers refuse and are avoided for a moment. Made for the seconds between the
-loss of an owner and the members' agreeing on it: nobody waits for a daemon
-that is silent for longer than `SILENCE`.
+workers refuse and are avoided for a moment. `link` says which of the two it is.
 """
 
-import enum
 import random
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -18,43 +15,14 @@
     choice,
     event,
     evidence,
-    hint,
+    link,
     peer,
     port,
     queue,
     retry,
 )
 
-__all__ = ["SILENCE", "Borrower", "Link", "Policy"]
-
-# Seconds without a sign of life, while asks wait or a report is unanswered,
-# after which an owner counts as lost: three pulses (`slot.PULSE`) and a
-# message's way. Requests of that moment wait this long once.
-SILENCE = 0.1
-
-# Seconds between tries to come back to the first owner.
-PROBE = 1.0
-
-# The daemons that are tried as owner, in rendezvous order, before a daemon
-# sends by its own counts alone. With two, the pause of one owner costs the
-# one-queue order for `SILENCE` plus `slot.REBUILD`, not until members agree.
-OWNERS = 2
-
-
-class Link(enum.Enum):
-    """State of the connection to the pool's owner."""
-
-    NONE = "none"
-    JOINING = "joining"
-    JOINED = "joined"
-    ALONE = "alone"
-
-
-class Policy(enum.Enum):
-    """Who counts the slots."""
-
-    OWNER = "owner"
-    OWN_COUNTS = "own counts"
+__all__ = ["Borrower"]
 
 
 class _Hold(NamedTuple):
@@ -73,29 +41,21 @@
     driver : port.Port
     rng : random.Random
         Seeded.
-    policy : Policy
+    policy : link.Policy
     """
 
     def __init__(
-        self, pool: str, driver: port.Port, rng: random.Random, policy: Policy
+        self, pool: str, driver: port.Port, rng: random.Random, policy: link.Policy
     ) -> None:
         self.pool = pool
         self.budget = retry.Budget()
         self.evidence = evidence.Evidence(rng)
         self.waiting = queue.Queue()
-        self.link = Link.NONE
         self._port = driver
         self._rng = rng
-        self._policy = policy
+        self._link = link.Link(pool, driver, policy)
         self._choice = choice.Choice(driver, self.evidence, rng)
-        self._owners: tuple[str, ...] = ()
         self._members = 1
-        self._rank = 0
-        self._heard = 0.0
-        self._probe_at = 0.0
-        self._hint = hint.Hint()
-        self._asks: dict[int, int] = {}
-        self._requests: dict[int, int] = {}
         self._deadlines: dict[int, float] = {}
         self._parked: dict[int, tuple[queue.Entry, float]] = {}
         self._refused: set[int] = set()
@@ -116,20 +76,9 @@
 
     def set_members(self, ranked: Iterable[str], members: int, now: float) -> None:
         """Set the possible owners, best first, and the number of daemons."""
-        owners = tuple(ranked)[:OWNERS]
         self._members = max(1, members)
         self._choice.forget_limits()
-        if owners == self._owners:
-            return
-        before = self._owner()
-        self._owners = owners
-        if self.link is Link.NONE:
-            return
-        if self.link is Link.JOINED and before == self._owner() and not self._rank:
-            return
-        if before is not None and before in owners:
-            self._port.tell(before, peer.Report(self.pool, (), False))
-        self._join(0, now)
+        self._link.set_owners(ranked, now)
 
     # Requests.
 
@@ -141,12 +90,12 @@
         ``again`` is for one that was sent in vain: it keeps its place.
         """
         self._deadlines[entry.key] = deadline
-        if self.link is Link.NONE:
-            self._join(0, now)
+        if not self._link.is_begun:
+            self._link.join(0, now)
         crowded = len(self.waiting) > 0
         self.waiting.push(entry, front=again)
-        if self.link is Link.JOINED:
-            self._ask(entry, now, again)
+        if self._link.is_joined:
+            self._link.ask(entry, deadline, now, again)
             return
         if crowded and not again and not self._can_meet(entry, now):
             wait = self.waiting.estimate_wait(entry.rank, entry.team, self._rate())
@@ -161,7 +110,7 @@
         It goes on once the budget allows. Answers that are due earn repeats;
         with none due and nothing saved up it is an outage, not contention.
         """
-        if self.link is Link.JOINED:
+        if self._link.is_joined:
             if self.budget.spend_refusal():
                 self.submit(entry, deadline, now, again=True)
             elif self._holds:
@@ -191,19 +140,16 @@
         self._parked.pop(request, None)
         self._refused.discard(request)
         self._deadlines.pop(request, None)
-        ask = self._asks.pop(request, None)
-        if ask is not None:
-            del self._requests[ask]
-            self._tell_owner(peer.Cancel(self.pool, ask))
+        self._link.cancel(request)
 
     def end(self, hold: int, outcome: peer.Outcome, seconds: float, now: float) -> None:
         """Count an attempt out; its slot is reused or returned."""
         vm = self._holds.pop(hold).vm
         self.evidence.record(vm, outcome, seconds, now)
         self._choice.end(vm, outcome, now)
-        if self.link is Link.JOINED:
+        if self._link.is_joined:
             reused = self._reuse(hold, vm, outcome, now)
-            self._tell_owner(peer.Return(self.pool, hold, outcome, seconds, reused))
+            self._link.tell(peer.Return(self.pool, hold, outcome, seconds, reused))
         else:
             self._send_alone(now)
         if self._parked:
@@ -214,20 +160,20 @@
         if isinstance(message, peer.Welcome):
             self._take_welcome(daemon, now)
             return
-        if daemon != self._owner():
+        if daemon != self._link.find_owner():
             if isinstance(message, peer.Grant):
                 unused = peer.Return(self.pool, message.ask, peer.Outcome.UNUSED, 0.0)
                 self._port.tell(daemon, unused)
             return
-        self._heard = now
+        self._link.hear(now)
         if isinstance(message, peer.Grant):
             self._take_grant(message, now)
         elif isinstance(message, peer.Deny):
-            request = self._requests.get(message.ask)
+            request = self._link.find_request(message.ask)
             if request is not None:
                 self._give_up(request, message.reason, message.retry_after)
         elif isinstance(message, peer.Pulse):
-            self._hint.note(message, now)
+            self._link.hint.note(message, now)
         elif isinstance(message, peer.Leave):
             self._lose(now)
 
@@ -239,123 +185,63 @@
         """
         for entry in self.waiting.overdue(now):
             self._give_up(entry.key, verdict.Reason.DEADLINE, self._retry_after())
-        if late > SILENCE:
-            self._heard = now
-        if self._is_silent(now):
+        if late > link.SILENCE:
+            self._link.hear(now)
+        if self._link.is_silent(now):
             self._lose(now)
-        if self._rank and now >= self._probe_at and self._owners:
-            self._probe_at = now + PROBE
-            self._port.tell(self._owners[0], peer.Report(self.pool, (), True))
-        if self.link is not Link.JOINED:
+        self._link.probe(now)
+        if not self._link.is_joined:
             self._send_alone(now)
 
     def next_time(self, now: float) -> float | None:
         """Return when to call `wake`, in seconds."""
-        times = []
+        times = self._link.list_times(bool(len(self.waiting) or self._holds))
         overdue = self.waiting.next_overdue()
         if overdue is not None:
             times.append(overdue)
-        if self.link is Link.JOINING or (self.link is Link.JOINED and self._asks):
-            times.append(self._heard + SILENCE)
-        if self._rank and (len(self.waiting) or self._holds):
-            times.append(self._probe_at)
-        if self.link is not Link.JOINED and len(self.waiting):
-            times.append(self._choice.next_time(now) or now + SILENCE)
+        if not self._link.is_joined and len(self.waiting):
+            times.append(self._choice.next_time(now) or now + link.SILENCE)
         return min(times, default=None)
 
-    # The link to the owner.
-
-    def _owner(self) -> str | None:
-        if self.link in (Link.NONE, Link.ALONE) or self._rank >= len(self._owners):
-            return None
-        return self._owners[self._rank]
-
-    def _tell_owner(self, message: peer.Message) -> None:
-        owner = self._owner()
-        if owner is not None:
-            self._port.tell(owner, message)
-
-    def _join(self, rank: int, now: float) -> None:
-        """Begin with the owner of a rank; send by own counts until welcomed."""
-        self._forget_asks()
-        self._rank = rank
-        self._probe_at = now + PROBE
-        if self._policy is Policy.OWN_COUNTS or rank >= len(self._owners):
-            self.link = Link.ALONE
-        else:
-            self.link = Link.JOINING
-            self._heard = now
-            self._tell_owner(peer.Report(self.pool, (), True))
-
-    def _is_silent(self, now: float) -> bool:
-        waits = self.link is Link.JOINING or (self.link is Link.JOINED and self._asks)
-        return bool(waits) and now >= self._heard + SILENCE
+    # Slots of the owner.
 
     def _lose(self, now: float) -> None:
         """Go on without an owner that is silent or leaves."""
-        if self.link is Link.JOINED:
-            self._tell_owner(peer.Report(self.pool, (), False))
-        self._join(self._rank + 1, now)
+        self._link.lose(now)
         self._send_alone(now)
 
     def _take_welcome(self, daemon: str, now: float) -> None:
         """Ask the owner from now on, and tell it what this daemon holds."""
-        first = bool(self._owners) and daemon == self._owners[0]
-        if daemon != self._owner():
-            if not first or self.link is Link.NONE:
-                return
-            if self.link is Link.JOINED:
-                self._tell_owner(peer.Report(self.pool, (), False))
-            self._rank = 0
-        elif self.link is Link.JOINED:
+        if not self._link.accept(daemon, now):
             return
-        self._forget_asks()
-        self.link = Link.JOINED
-        self._heard = now
         held = tuple(
             peer.Held(hold, item.vm, max(0.0, item.ends - now))
             for hold, item in self._holds.items()
         )
-        self._tell_owner(peer.Report(self.pool, held, False))
+        self._link.tell(peer.Report(self.pool, held, False))
         for entry in self.waiting.entries():
-            self._ask(entry, now, True)
-
-    def _forget_asks(self) -> None:
-        self._asks.clear()
-        self._requests.clear()
-        self._hint.clear()
+            self._ask_again(entry, now)
 
     def find_request(self, ask: int) -> int | None:
         """Return the request that an ask is for, while it is wanted."""
-        return self._requests.get(ask)
-
-    def _ask(self, entry: queue.Entry, now: float, again: bool) -> None:
-        if not self._asks:
-            self._heard = now
-        ask = self._port.number()
-        self._asks[entry.key] = ask
-        self._requests[ask] = entry.key
-        lasts = self._deadlines[entry.key] - now
-        age = now - entry.since
-        left = entry.latest - now
-        self._tell_owner(
-            peer.Ask(self.pool, ask, entry.rank, entry.team, age, left, lasts, again)
-        )
+        return self._link.find_request(ask)
+
+    def _ask_again(self, entry: queue.Entry, now: float) -> None:
+        self._link.ask(entry, self._deadlines[entry.key], now, True)
 
     def _take_grant(self, grant: peer.Grant, now: float) -> None:
         """Use a slot at once, unless nobody waits or the VM is draining here."""
-        request = self._requests.pop(grant.ask, None)
+        request = self._link.take_request(grant.ask)
         if request is None:
             unused = peer.Return(self.pool, grant.ask, peer.Outcome.UNUSED, 0.0)
-            self._tell_owner(unused)
+            self._link.tell(unused)
             return
-        del self._asks[request]
         if grant.vm not in self._choice:
             refused = peer.Return(self.pool, grant.ask, peer.Outcome.REFUSED, 0.0)
-            self._tell_owner(refused)
+            self._link.tell(refused)
             entry = self.waiting.get(request)
             if entry is not None:
-                self._ask(entry, now, True)
+                self._ask_again(entry, now)
             return
         self.waiting.start(request)
         self._start(request, grant.ask, grant.vm)
@@ -364,13 +250,12 @@
         """Send the next own request on a slot just freed; 0 if it is not next."""
         if outcome is not peer.Outcome.OK or vm not in self._choice:
             return 0
-        if not self._hint.is_fresh(now) or not self.evidence.allows(vm, 0, now):
+        if not self._link.hint.is_fresh(now) or not self.evidence.allows(vm, 0, now):
             return 0
         entry = self.waiting.peek(now)
-        if entry is None or not self._hint.allows(entry):
+        if entry is None or not self._link.hint.allows(entry):
             return 0
-        ask = self._asks.pop(entry.key)
-        del self._requests[ask]
+        ask = self._link.take_ask(entry.key)
         self.waiting.start(entry.key)
         self._start(entry.key, hold, vm)
         return ask
@@ -384,7 +269,7 @@
         on, the others wait behind it. So a full pool is left alone, but for
         as many sends as this daemon gets answers.
         """
-        if self.link is Link.JOINED:
+        if self._link.is_joined:
             return
         while len(self.waiting):
             vm = self._choice.choose(now)
--- a/wigeonhitch/routing/core.py
+++ b/wigeonhitch/routing/core.py
@@ -14,9 +14,9 @@
 from wigeonhitch.routing import (
     action,
     asking,
-    borrower,
     counting,
     event,
+    link,
     peer,
     pending,
     rendezvous,
@@ -35,12 +35,12 @@
         Id of this daemon, as in `event.MembersChanged`.
     seed : int
         Seed of all random draws; daemons should differ.
-    policy : borrower.Policy
+    policy : link.Policy
         Who counts the slots.
 
     Examples
     --------
-    >>> core = Core("a", seed=1, policy=borrower.Policy.OWN_COUNTS)
+    >>> core = Core("a", seed=1, policy=link.Policy.OWN_COUNTS)
     >>> view = {"lookup": (event.Worker("vm1"),)}
     >>> core.handle(event.ViewChanged(1, view), 0.0)
     []
@@ -58,7 +58,7 @@
         self,
         own: str,
         seed: int = 0,
-        policy: borrower.Policy = borrower.Policy.OWNER,
+        policy: link.Policy = link.Policy.OWNER,
     ) -> None:
         self._own = own
         self._revision = 0
--- a/wigeonhitch/routing/tests/test_outcomes.py
+++ b/wigeonhitch/routing/tests/test_outcomes.py
@@ -6,7 +6,7 @@
 
 from benchmarks import routing_loop
 from wigeonhitch import verdict
-from wigeonhitch.routing import borrower, event, evidence, peer
+from wigeonhitch.routing import event, evidence, link, peer
 
 SLOTS = 48
 CAPACITY = SLOTS / 0.05
@@ -114,7 +114,7 @@
 
 
 @pytest.mark.parametrize("mode", ["down", "refuse"])
-@pytest.mark.parametrize("policy", list(borrower.Policy))
+@pytest.mark.parametrize("policy", list(link.Policy))
 def test_total_outage_is_not_multiplied(mode, policy):
     loop = routing_loop.Loop(policy=policy)
     loop.offer(0.5 * CAPACITY, 0.0, 14.0, idempotent=True, within=5.0)
@@ -160,7 +160,7 @@
     loop.run(20.0)
     assert len(loop.done) == loop.count_arrived()
     assert not select(loop, ran=verdict.Ran.MAYBE)
-    lost = borrower.SILENCE + 0.1
+    lost = link.SILENCE + 0.1
     assert find_wait(select(loop, since=2.0, until=2.3)) < 2.0 * lost
     assert find_wait(select(loop, since=2.5)) < 0.05
 
