Split the demo's site into its processes and the speaking to them

One class of the demo started the processes of a system, and also held every request that tests and benchmarks send to platform, daemons, workers and the relay.

`contact.Contact` now knows where the processes are reached and speaks to them; the ports of a daemon and the operators' secret went with it. `site.Site` is a contact that starts the processes and waits for them, so callers of its methods stay as they are; only the test that gives the secret to the command names `contact` for it.

--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -1,10 +1,7 @@
-"""One customer's system on loopback: platform, workers and daemons."""
+"""The processes of one customer's system on loopback: started and waited for."""
 
 import contextlib
-import json
 import pathlib
-import socket
-import ssl
 import time
 from collections.abc import Mapping
 from typing import Any, NamedTuple
@@ -12,14 +9,13 @@
 import httpx
 import yaml
 
-from standins.demo import inventory, process
+from standins.demo import contact, inventory, process
 from wigeonhitch.configuration import check, document
 from wigeonhitch.operators import credential
 
-__all__ = ["DaemonPorts", "Options", "Site", "open_site"]
+__all__ = ["Options", "Site", "open_site"]
 
 READY_LIMIT = 30.0  # seconds for a daemon to be ready
-SECRET = "loopback-only"
 
 
 class Options(NamedTuple):
@@ -55,30 +51,11 @@
     tls: bool = False
 
 
-class DaemonPorts(NamedTuple):
-    """Ports of one daemon."""
-
-    name: str
-    callers: int
-    operators: int
-    peers: int
-    relay: int = 0
-
-    @property
-    def advertised(self) -> str:
-        """The address at which peers reach it."""
-        return f"127.0.0.1:{self.relay or self.peers}"
-
-
-class Site:
+class Site(contact.Contact):
     """A running site; `open_site` makes it.
 
     Attributes
     ----------
-    platform_url : str
-    workers : dict of str to str
-        VM to ``host:port``.
-    daemons : dict of str to DaemonPorts
     children : dict of str to process.Child
     """
 
@@ -90,6 +67,7 @@
         intended: document.Document,
         options: Options,
     ) -> None:
+        super().__init__(inventory.make_certificates(folder) if options.tls else None)
         self.stack = stack
         self.folder = folder
         self.ports = ports
@@ -97,31 +75,15 @@
         self.options = options
         self.example = pathlib.Path()
         self.operators = tuple(
-            credential.make_operator(name, roles, SECRET)
+            credential.make_operator(name, roles, contact.SECRET)
             for name, roles in (
                 ("ana", ("operations",)),
                 ("ben", ("operations", "owner", "quality")),
                 ("eva", ("viewer",)),
             )
         )
-        self.platform_url = ""
-        self.certificates = inventory.make_certificates(folder) if options.tls else None
-        self.workers: dict[str, str] = {}
-        self.daemons: dict[str, DaemonPorts] = {}
         self.children: dict[str, process.Child] = {}
 
-    @property
-    def scheme(self) -> str:
-        """URL scheme of the daemons' listeners."""
-        return "http" if self.certificates is None else "https"
-
-    @property
-    def verify(self) -> Any:
-        """What httpx is to trust."""
-        if self.certificates is None:
-            return False
-        return ssl.create_default_context(cafile=self.certificates["authority"])
-
     def start_platform(self) -> None:
         """Start the workers' process and the platform stand-in."""
         machines = inventory.list_machines(
@@ -158,14 +120,14 @@
         arguments += ["--vm-lag", str(self.options.vm_lag)]
         self._start("platform", arguments).wait_for("ready")
 
-    def start_daemon(self, number: int, suffix: str = "a") -> DaemonPorts:
+    def start_daemon(self, number: int, suffix: str = "a") -> contact.DaemonPorts:
         """Start one daemon; a replaced one gets another suffix."""
         name = f"entry-{number}-{suffix}"
         callers, operators, peers = self.ports.take(3)
-        given = DaemonPorts(name, callers, operators, peers)
+        given = contact.DaemonPorts(name, callers, operators, peers)
         if self.options.relayed:
             given = given._replace(relay=self.ports.take()[0])
-            self._tell_relay(add=[name, given.relay, peers])
+            self.tell_relay(add=[name, given.relay, peers])
         seeds = [
             {"name": one.name, "address": one.advertised}
             for one in self.daemons.values()
@@ -253,106 +215,12 @@
     def _post(self, url: str) -> int:
         return httpx.post(url, trust_env=False, verify=self.verify).status_code
 
-    def ask(
-        self,
-        method: str,
-        path: str,
-        body: Any = None,
-        operator: str = "ana",
-        at: str = "",
-        limit: float = 10.0,
-    ) -> httpx.Response:
-        """Send an operator's request to a daemon, the first one by default."""
-        daemon = self.daemons[at or next(iter(self.daemons))]
-        return httpx.request(
-            method,
-            f"{self.scheme}://127.0.0.1:{daemon.operators}/operator/v1{path}",
-            json=body,
-            headers={"Authorization": f"Bearer {operator}:{SECRET}"},
-            timeout=limit,
-            trust_env=False,
-            verify=self.verify,
-        )
-
-    def ask_any(self, method: str, path: str) -> dict[str, Any]:
-        """Ask each daemon in turn; return the first good answer, or nothing."""
-        for name in list(self.daemons):
-            with contextlib.suppress(httpx.HTTPError):
-                answer = self.ask(method, path, at=name)
-                if answer.status_code == 200:
-                    return answer.json()
-        return {}
-
-    def submit(self, intended: dict[str, Any], base: int, name: str) -> None:
-        """Submit a document as one operator and approve it as another.
-
-        Raises
-        ------
-        RuntimeError
-            If it isn't accepted.
-        """
-        body = {"submission": name, "base": base, "document": intended}
-        answer = self.ask("POST", "/proposals", body)
-        if answer.status_code == 202:
-            content = answer.json()["proposal"]["hash"]
-            path = f"/proposals/{name}/approve"
-            answer = self.ask("POST", path, {"hash": content}, operator="ben")
-        if answer.status_code != 200:
-            raise RuntimeError(f"document {name}: {answer.text}; expected 200")
-
-    def list_members(self, pool: str) -> list[str]:
-        """Return the VMs that are in a pool now."""
-        return [one["vm"] for one in self.ask("GET", f"/pools/{pool}").json()["vms"]]
-
-    def change_fleet(self, **fields: Any) -> None:
-        """Change the platform's VMs, as `platformfleet.Fleet.change` does."""
-        httpx.post(f"{self.platform_url}/fleet", json=fields, trust_env=False)
-
-    def switch(self, **fields: Any) -> None:
-        """Set a switch of the platform stand-in."""
-        httpx.post(f"{self.platform_url}/switch", json=fields, trust_env=False)
-
-    def switch_worker(self, vm: str, **fields: Any) -> None:
-        """Set the switches of one worker."""
-        url = f"http://{self.workers[vm]}/standin/switch"
-        httpx.post(url, json=fields, trust_env=False)
-
-    def switch_link(self, sender: str, receiver: str, state: str) -> None:
-        """Cut, freeze or open the link from one daemon to another."""
-        self._tell_relay(link=[sender, receiver, state])
-
-    def isolate(self, name: str, state: str) -> None:
-        """Switch all links from and to one daemon."""
-        for other in self.daemons:
-            if other != name:
-                self.switch_link(name, other, state)
-                self.switch_link(other, name, state)
-
-    def read_logs(self) -> list[dict[str, Any]]:
-        """Return what truly ran on all workers."""
-        runs: list[dict[str, Any]] = []
-        for address in self.workers.values():
-            url = f"http://{address}/standin/log"
-            runs.extend(httpx.get(url, trust_env=False).json()["log"])
-        return runs
-
-    def read_history(self) -> list[dict[str, Any]]:
-        """Return all commits of the platform's table."""
-        answer = httpx.get(f"{self.platform_url}/history", trust_env=False, timeout=30)
-        return answer.json()["history"]
-
     def start_relay(self) -> None:
         """Start the relay between daemons."""
-        self._control = self.ports.take()[0]
-        arguments = ["standins.relay", "--control", str(self._control)]
+        self.control = self.ports.take()[0]
+        arguments = ["standins.relay", "--control", str(self.control)]
         self._start("relay", arguments).wait_for("ready")
 
-    def _tell_relay(self, **command: Any) -> None:
-        with socket.create_connection(("127.0.0.1", self._control), 5.0) as link:
-            link.sendall(json.dumps(command).encode() + b"\n")
-            if link.recv(16) != b"done\n":
-                raise RuntimeError(f"relay: {command} is not done")
-
     def _start(self, name: str, arguments: list[str]) -> process.Child:
         child = process.start(self.stack, self.folder, name, arguments)
         self.children[name] = child
@@ -363,7 +231,7 @@
         return centres[number % len(centres)].name
 
     def _make_settings(
-        self, given: DaemonPorts, number: int, seeds: list[dict[str, str]]
+        self, given: contact.DaemonPorts, number: int, seeds: list[dict[str, str]]
     ) -> dict[str, Any]:
         credentials = [one._asdict() for one in self.operators]
         for one in credentials:
--- a/wigeonhitch/daemon/tests/test_command.py
+++ b/wigeonhitch/daemon/tests/test_command.py
@@ -11,7 +11,7 @@
 import pytest
 import yaml
 
-from standins.demo import process, site
+from standins.demo import contact, process, site
 from wigeonhitch.command import report
 
 pytestmark = pytest.mark.processes
@@ -66,7 +66,7 @@
         given = {
             "WIGEONHITCH_DAEMON": daemon or ",".join(urls),
             "WIGEONHITCH_OPERATOR": who,
-            "WIGEONHITCH_SECRET": site.SECRET,
+            "WIGEONHITCH_SECRET": contact.SECRET,
         }
         ended = subprocess.run(
             [sys.executable, "-m", "wigeonhitch.command.main", *arguments],
@@ -198,4 +198,4 @@
         assert place in ended.output
     entry = run("settings", "credential", "ana", "operations").output
     assert yaml.safe_load(entry)[0]["name"] == "ana"
-    assert site.SECRET not in entry
+    assert contact.SECRET not in entry
