Take the measuring of waits out of the routing loop

The seeded loop that drives routing cores also held the quantiles and the waits of one ideal queue that its results are compared with; these need neither loop nor daemons. They are in `routing_waits` now.

--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -6,7 +6,7 @@
 
 import sys
 
-from benchmarks import routing_decisions, routing_loop
+from benchmarks import routing_decisions, routing_loop, routing_waits
 from wigeonhitch.routing import action, event, link
 
 # Seconds of arrivals of each run.
@@ -51,14 +51,14 @@
     loop.offer(rate, 0.0, LENGTH, weights=weights)
     loop.run(LENGTH + 40.0)
     arrivals = loop.list_arrivals()
-    plain = routing_loop.find_bound(arrivals, factors, 0.0, 8)
-    turn = routing_loop.find_bound(arrivals, factors, 2 * routing_loop.HOP, 8)
+    plain = routing_waits.find_bound(arrivals, factors, 0.0, 8)
+    turn = routing_waits.find_bound(arrivals, factors, 2 * routing_loop.HOP, 8)
     waits = [done.wait for done in loop.done.values() if done.began is not None]
     requests = len(arrivals)
     return (
-        1e3 * routing_loop.quantile(waits, 0.99),
-        1e3 * routing_loop.quantile(plain, 0.99),
-        1e3 * routing_loop.quantile(turn, 0.99),
+        1e3 * routing_waits.quantile(waits, 0.99),
+        1e3 * routing_waits.quantile(plain, 0.99),
+        1e3 * routing_waits.quantile(turn, 0.99),
         loop.counts["refusals"] / requests,
         loop.counts["messages"] / requests,
         size[0] / requests,
@@ -96,7 +96,7 @@
         loop.at(5.0, loop.cut.add, owner)
         loop.at(10.0, loop.cut.discard, owner)
     loop.run(LENGTH + 40.0)
-    return 1e3 * routing_loop.quantile(
+    return 1e3 * routing_waits.quantile(
         [
             done.wait
             for done in loop.done.values()
@@ -144,9 +144,9 @@
     ]
     print(
         f"{policy.value:10} {load:5.1f} {busy:5.1%} {good:8.1%}"
-        f" {1e3 * routing_loop.quantile(times, 0.99):14.1f}"
+        f" {1e3 * routing_waits.quantile(times, 0.99):14.1f}"
         f" {len(good_urgent) / len(urgent):10.1%}"
-        f" {1e3 * routing_loop.quantile(refused, 0.99):17.1f}"
+        f" {1e3 * routing_waits.quantile(refused, 0.99):17.1f}"
     )
 
 
--- a/benchmarks/routing_loop.py
+++ b/benchmarks/routing_loop.py
@@ -14,7 +14,7 @@
 from wigeonhitch import verdict
 from wigeonhitch.routing import action, core, event, link, rendezvous
 
-__all__ = ["HOP", "Done", "Loop", "Worker", "draw_work", "find_bound", "quantile"]
+__all__ = ["HOP", "Done", "Loop", "Worker", "draw_work"]
 
 # Seconds one way between any two processes.
 HOP = 0.001
@@ -321,48 +321,3 @@
 def draw_work(rng: random.Random) -> float:
     """Draw seconds of work: mean 0.05, one in ten eleven times as long."""
     return 0.275 if rng.random() < 0.1 else 0.025
-
-
-def quantile(values: list[float], share: float) -> float:
-    """Return a quantile; 0 of nothing."""
-    if not values:
-        return 0.0
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
-
-
-def find_bound(
-    arrivals: list[tuple[float, float]], factors: list[float], turn: float, slots: int
-) -> list[float]:
-    """Return the waits of one queue that sees every slot, without delays.
-
-    Parameters
-    ----------
-    arrivals : list of (float, float)
-        Time and work of each request, in order.
-    factors : list of float
-        How many times slower each worker is.
-    turn : float
-        Seconds that a slot is idle between two requests: 0 for the plain
-        bound, two ways for workers that hold no queue of their own.
-    slots : int
-        Of each worker.
-    """
-    free = [(0.0, factor) for factor in factors for _ in range(slots)]
-    heapq.heapify(free)
-    waits = []
-    for when, work in arrivals:
-        ready = []
-        while free and free[0][0] <= when:
-            ready.append(heapq.heappop(free))
-        if ready:
-            ready.sort(key=lambda item: item[1])
-            chosen = ready.pop(0)
-            for item in ready:
-                heapq.heappush(free, item)
-        else:
-            chosen = heapq.heappop(free)
-        begin = max(when, chosen[0])
-        waits.append(begin - when)
-        heapq.heappush(free, (begin + work * chosen[1] + turn, chosen[1]))
-    return waits
--- a/wigeonhitch/routing/tests/test_outcomes.py
+++ b/wigeonhitch/routing/tests/test_outcomes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from benchmarks import routing_loop
+from benchmarks import routing_loop, routing_waits
 from wigeonhitch import verdict
 from wigeonhitch.routing import event, evidence, link, peer
 
@@ -24,11 +24,13 @@
 
 
 def find_p99(found):
-    return routing_loop.quantile([done.answered - done.arrived for done in found], 0.99)
+    return routing_waits.quantile(
+        [done.answered - done.arrived for done in found], 0.99
+    )
 
 
 def find_wait(found):
-    return routing_loop.quantile([done.wait for done in found], 0.99)
+    return routing_waits.quantile([done.wait for done in found], 0.99)
 
 
 def offer_mixed(loop, load, end, urgent=0.2):
