Take peers' messages and the fleet's rows out of the assembly

The module that only puts a daemon together also carried messages between its slices and its peers, and ran the task that reads the fleet's rows; the stand-in relay loaded the whole daemon for the registry of messages.

`exchange` has the registry, what is told to peers and which slice hears what they say. `following` is the task that reads the fleet's rows and the VM list, with its two periods. `assembly` builds the parts, starts and stops them, and puts a document in force. The order of building and of starting is the same.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -19,7 +19,7 @@
 import anyio
 from anyio.streams import buffered
 
-from wigeonhitch.daemon import assembly
+from wigeonhitch.daemon import exchange
 from wigeonhitch.wire import codec
 
 __all__ = ["Link", "Relay", "run"]
@@ -90,7 +90,7 @@
         reader = buffered.BufferedByteReceiveStream(stream)
         header = await reader.receive_exactly(codec.HEADER_SIZE)
         body = await reader.receive_exactly(codec.read_size(header))
-        sender = codec.decode(assembly.REGISTRY, body).sender
+        sender = codec.decode(exchange.REGISTRY, body).sender
         data = header + body
         outward = None
         try:
--- a/wigeonhitch/daemon/assembly.py
+++ b/wigeonhitch/daemon/assembly.py
@@ -19,45 +19,23 @@
     store,
     watcher,
 )
-from wigeonhitch.daemon import heard, server, status, workers
+from wigeonhitch.daemon import exchange, following, heard, server, status, workers
 from wigeonhitch.fleet import observer, runner, view
 from wigeonhitch.fleet import routes as fleet_routes
 from wigeonhitch.front import application, dispatcher, guard, sender
 from wigeonhitch.idempotency import store as claims
 from wigeonhitch.idempotency import sweeper
-from wigeonhitch.membership import (
-    core,
-    holder,
-    message,
-    slots,
-    task,
-    transport,
-)
+from wigeonhitch.membership import core, holder, task, transport
 from wigeonhitch.placement import message as placement_message
 from wigeonhitch.placement import routes as placement_routes
 from wigeonhitch.placement import runner as placement_runner
 from wigeonhitch.platform import client
-from wigeonhitch.routing import action, event
 from wigeonhitch.routing import core as routing_core
+from wigeonhitch.routing import event
 from wigeonhitch.settings import schema
 from wigeonhitch.telemetry import log, metric, trace
-from wigeonhitch.wire import codec
-
-__all__ = ["REGISTRY", "Daemon", "build"]
-
-REGISTRY = codec.Registry(
-    {
-        "heartbeat": message.Heartbeat,
-        "configuration": message.Configuration,
-        "slots": slots.Slots,
-    }
-)
 
-# Seconds between looks at what is due of the fleet's rows and the VM list.
-FLEET_PERIOD = 2.0
-
-# The same while VMs drain, since requests that end here must be told at once.
-DRAIN_PERIOD = 0.3
+__all__ = ["Daemon", "build"]
 
 
 class Daemon:
@@ -75,7 +53,6 @@
         self.catalogue: application.Catalogue | None = None
         self.stopping = False
         self.was_registered = False
-        self._fleet_moved = anyio.Event()
 
     def build_membership(self) -> None:
         """Make the peers, the leases and the task that beats."""
@@ -109,8 +86,8 @@
         )
         self.transport = transport.Transport(
             settings.daemon.name,
-            REGISTRY,
-            self._receive,
+            exchange.REGISTRY,
+            lambda received: self.exchange.receive(received),
             self.instruments,
             server_context=server.make_peer_context(
                 settings.peers.tls, ssl.Purpose.CLIENT_AUTH
@@ -132,10 +109,10 @@
             distribution.Distribution(distribution.Limits(), random.Random()),
             self.table,
             self.platform,
-            _PeerDocuments(self),
+            exchange.PeerDocuments(self.membership),
             self.clock,
             install=self._install,
-            note_fleet=self._note_fleet,
+            note_fleet=lambda version: self.following.note_moved(),
         )
 
     def build_requests(self, outlet: sender.Sender) -> None:
@@ -149,7 +126,7 @@
             self.routing,
             outlet,
             self.clock,
-            self._tell,
+            lambda told, traces: self.exchange.tell(told, traces),
             lambda vm: self.workers.find_address(vm),
             self.membership.check_send_right,
         )
@@ -160,6 +137,12 @@
             self.dispatch.apply,
             self.routing.in_flight,
         )
+        self.exchange = exchange.Exchange(
+            self.membership, self.dispatch, self.watcher, self.tracing
+        )
+        self.following = following.Following(
+            self.workers, self.holder, outlet, self.clock
+        )
         self.claims = claims.Claims(
             self.table,
             self.platform,
@@ -253,7 +236,7 @@
             self.membership.run,
             self.watcher.run,
             self.dispatch.run_timer,
-            self._follow_fleet,
+            self.following.run,
             self.placement.run,
             self._sweep,
         ):
@@ -317,44 +300,6 @@
     def _change_send_right(self, held: bool) -> None:
         self.dispatch.apply(event.SendRestored() if held else event.SendLapsed())
 
-    def _tell(self, told: action.Tell, traces: tuple[str, ...]) -> None:
-        self.membership.tell(told.daemon, slots.pack(told.messages, traces), "slots")
-
-    def _receive(self, received: codec.Received) -> None:
-        if self.membership.hear(received):
-            return
-        if isinstance(received.message, slots.Slots):
-            self._receive_slots(received.sender, received.message)
-        elif isinstance(received.message, message.Configuration):
-            self.watcher.receive(received.sender, received.message.data)
-
-    def _receive_slots(self, sender_name: str, given: slots.Slots) -> None:
-        """Take slot messages, with a span for each traced request among them."""
-        with contextlib.ExitStack() as hops:
-            for context in given.traces:
-                carrier = {"traceparent": context}
-                hops.enter_context(self.tracing.open_hop("slots", carrier))
-            messages = slots.unpack(given)
-            self.dispatch.apply(event.Received(sender_name, messages))
-
-    async def _follow_fleet(self) -> None:
-        """Read the fleet's rows when the signal moves, and tell what changed."""
-        while True:
-            self._fleet_moved = anyio.Event()
-            before = self.workers.describe()
-            await self.workers.read(self.clock())
-            now = self.workers.describe()
-            if now != before:
-                self.holder.hurry()
-            await self.outlet.forget(self.workers.addresses)
-            with anyio.move_on_after(DRAIN_PERIOD if now.busy else FLEET_PERIOD):
-                await self._fleet_moved.wait()
-
-    def _note_fleet(self, version: int) -> None:
-        del version
-        self.workers.note_moved()
-        self._fleet_moved.set()
-
     async def _sweep(self) -> None:
         self.holder.want(sweeper.DUTY)
         await self.sweeper.run()
@@ -367,17 +312,6 @@
         return held.condition if held else None
 
 
-class _PeerDocuments:
-    """Carries the configuration slice's messages to peers."""
-
-    def __init__(self, owner: Daemon) -> None:
-        self._owner = owner
-
-    async def send(self, peer: str, data: bytes) -> None:
-        """Send to one peer; a failure is not reported."""
-        self._owner.membership.tell(peer, message.Configuration(data), "configuration")
-
-
 async def build(stack: contextlib.AsyncExitStack, settings: schema.Settings) -> Daemon:
     """Return a daemon whose resources ``stack`` closes."""
     verify = server.make_client_context(settings.platform.authority) or True
