Read a request's body and serve a lifespan in one place

The callers' side and the operators' side each read a request's body up to a limit; the callers' side and the stand-ins each answered the lifespan messages; the daemon and the stand-ins each waited for a listener by connecting to it. The stand-ins for platform and workers had a body reader each, too.

`wigeonhitch.asgi` has `read_body` with a limit and `serve_lifespan`, called by front, operators and daemon; the stand-ins' `serving` passes the second on, waits by `server.wait_until_listening`, and has the one reader without a limit. A body counts as broken off at any message that is no part of it, which is the same for the two messages that a request can have.

Not joined: the reader of the users' platform's callers, which takes in the whole body before it refuses it.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -66,13 +66,7 @@
 
 
 async def _read_call(scope: dict, receive: Any) -> platformengine.Call:
-    chunks = []
-    more = True
-    while more:
-        event = await receive()
-        chunks.append(event.get("body", b""))
-        more = event.get("more_body", False)
-    data = b"".join(chunks)
+    data = await serving.read_body(receive)
     headers = {key.lower(): value.decode() for key, value in scope["headers"]}
     path = scope["path"]
     body = data if path.startswith("/objects/") else json.loads(data or b"null")
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -9,7 +9,10 @@
 import hypercorn.asyncio
 import hypercorn.config
 
-__all__ = ["serve", "serve_lifespan"]
+from wigeonhitch import asgi
+from wigeonhitch.daemon import server
+
+__all__ = ["read_body", "serve", "serve_lifespan"]
 
 KEEP_ALIVE = 300.0
 """Seconds that idle connections stay open, longer than any client keeps one:
@@ -17,6 +20,8 @@
 GRACE = 0.2
 """Seconds that open connections get at the end."""
 
+serve_lifespan = asgi.serve_lifespan
+
 
 async def serve(
     application: Any,
@@ -40,13 +45,14 @@
         group.start_soon(_serve_http, application, ports, stopped, group)
 
 
-async def serve_lifespan(receive: Any, send: Any) -> None:
-    """Answer the ASGI lifespan messages."""
+async def read_body(receive: Any) -> bytes:
+    """Return a request's body; what came of it if it broke off."""
+    parts = []
     while True:
         event = await receive()
-        await send({"type": event["type"] + ".complete"})
-        if event["type"] == "lifespan.shutdown":
-            return
+        parts.append(event.get("body", b""))
+        if not event.get("more_body", False):
+            return b"".join(parts)
 
 
 async def _serve_http(
@@ -72,15 +78,8 @@
 
 async def _announce(port: int) -> None:
     """Print ``ready`` once the port accepts connections."""
-    while True:
-        try:
-            stream = await anyio.connect_tcp("127.0.0.1", port)
-        except OSError:
-            await anyio.sleep(0.02)
-            continue
-        await stream.aclose()
-        print("ready", flush=True)
-        return
+    await server.wait_until_listening(f"127.0.0.1:{port}")
+    print("ready", flush=True)
 
 
 async def _await_signal(stopped: anyio.Event) -> None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -123,7 +123,7 @@
             return
         worker = self._workers[scope["server"][1]]
         worker.connections[scope["client"]] = time.monotonic()
-        body = await _read_body(receive)
+        body = await serving.read_body(receive)
         path = scope["path"]
         if path.startswith("/standin/"):
             await _answer_json(send, 200, _control(worker, path, body))
@@ -190,15 +190,6 @@
     return {"worker": worker.name}
 
 
-async def _read_body(receive: Any) -> bytes:
-    parts = []
-    while True:
-        event = await receive()
-        parts.append(event.get("body", b""))
-        if not event.get("more_body", False):
-            return b"".join(parts)
-
-
 async def _answer_json(
     send: Any, status: int, value: Any, extra: tuple[tuple[bytes, bytes], ...] = ()
 ) -> None:
--- a/wigeonhitch/daemon/operator.py
+++ b/wigeonhitch/daemon/operator.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from wigeonhitch import asgi
 from wigeonhitch.front import application, reply
 from wigeonhitch.operators import credential, service
 
@@ -15,7 +16,7 @@
 
     async def serve(scope: dict, receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
-            await application.serve_lifespan(receive, send)
+            await asgi.serve_lifespan(receive, send)
         elif scope["type"] == "http" and scope["path"] == "/metrics":
             await application.send_reply(send, _render(daemon, scope))
         else:
--- a/wigeonhitch/front/application.py
+++ b/wigeonhitch/front/application.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from wigeonhitch import verdict
+from wigeonhitch import asgi, verdict
 from wigeonhitch.configuration import document
 from wigeonhitch.front import dispatcher, guard, reply, sender
 from wigeonhitch.routing import event
@@ -122,7 +122,7 @@
     async def __call__(self, scope: dict, receive: Any, send: Any) -> None:
         """Serve one ASGI scope."""
         if scope["type"] == "lifespan":
-            await serve_lifespan(receive, send)
+            await asgi.serve_lifespan(receive, send)
         elif scope["type"] == "http":
             given = await self._answer(scope, receive)
             await send_reply(send, given)
@@ -130,7 +130,7 @@
     async def _answer(self, scope: dict, receive: Any) -> reply.Reply:
         if scope["path"].startswith("/-/"):
             return self._answer_probe(scope["path"])
-        body = await read_body(receive, self._limits.body)
+        body = await asgi.read_body(receive, self._limits.body)
         service, _, rest = scope["path"].lstrip("/").partition("/")
         if body is None:
             return reply.make_refusal(verdict.not_run(verdict.Reason.BAD_REQUEST))
@@ -254,30 +254,6 @@
         )
 
 
-async def serve_lifespan(receive: Any, send: Any) -> None:
-    """Answer the ASGI lifespan messages."""
-    while True:
-        given = await receive()
-        await send({"type": given["type"] + ".complete"})
-        if given["type"] == "lifespan.shutdown":
-            return
-
-
-async def read_body(receive: Any, limit: int) -> bytes | None:
-    """Return the whole body, or None if it is larger than ``limit`` bytes."""
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        given = await receive()
-        part = given.get("body", b"")
-        size += len(part)
-        if size > limit or given["type"] == "http.disconnect":
-            return None
-        parts.append(part)
-        if not given.get("more_body", False):
-            return b"".join(parts)
-
-
 async def send_reply(send: Any, given: reply.Reply) -> None:
     """Send a whole answer."""
     headers = [
--- a/wigeonhitch/operators/service.py
+++ b/wigeonhitch/operators/service.py
@@ -16,6 +16,7 @@
 import anyio
 import anyio.to_thread
 
+from wigeonhitch import asgi
 from wigeonhitch.operators import credential, route
 from wigeonhitch.telemetry import log
 
@@ -103,7 +104,7 @@
         wanted, path = found
         if wanted.changes and not operator.may_change:
             return fail(403, f"{operator.name} may look but not change anything")
-        body = await read_body(receive)
+        body = await asgi.read_body(receive, LARGEST_BODY)
         if body is None:
             return fail(413, f"body is over {LARGEST_BODY} bytes")
         try:
@@ -155,23 +156,6 @@
         return fail(500, "the daemon failed")
 
 
-async def read_body(receive: Any) -> bytes | None:
-    """Return the whole body, or None when it is too large or broken off."""
-    parts = []
-    size = 0
-    more = True
-    while more:
-        message = await receive()
-        if message["type"] != "http.request":
-            return None
-        parts.append(message.get("body", b""))
-        size += len(parts[-1])
-        if size > LARGEST_BODY:
-            return None
-        more = message.get("more_body", False)
-    return b"".join(parts)
-
-
 def find_header(scope: Any, name: bytes) -> str:
     """Return a header's value, or nothing."""
     for key, value in scope["headers"]:
