Let comments give reasons, not the trials they came from

Some comments told how a number was tuned, against values that are no longer in the code (10 and 30 repeats where 20 are saved up), or named the measured case. They now say what a higher or lower value would harm. A borrower was called lender where requests meet it; it is the asker now.

--- a/wigeonhitch/daemon/workers.py
+++ b/wigeonhitch/daemon/workers.py
@@ -36,7 +36,7 @@
 
 # Seconds between readings of the fleet's signal here. The task that follows the
 # documents polls it with its own each second and says when it moves; this only
-# mends news that was lost, and was 0.27 of the 5 KB/s when read every 2 s.
+# mends news that was lost, and is rare since it counts towards the 5 KB/s too.
 ROWS_PERIOD = 10.0
 
 # Seconds after which a failed reading is tried again.
--- a/wigeonhitch/fleet/move.py
+++ b/wigeonhitch/fleet/move.py
@@ -87,8 +87,7 @@
     borrowers = list_borrowers(scene)
     weights = scene.document.weights
     # A buffer VM that no other pool waits for shortens the roll-out of the
-    # last pools (by an eighth in the measured case) for one more move, so the
-    # weights of the document decide.
+    # last pools for one more move, so the weights of the document decide.
     if weights.rollout >= weights.moves:
         borrowers = [*borrowers, *borrowers]
     for name in borrowers:
--- a/wigeonhitch/membership/core.py
+++ b/wigeonhitch/membership/core.py
@@ -273,9 +273,8 @@
 
     def _beat_every(self) -> int:
         # Each daemon hears fan-out times digest entries a period, about a third of
-        # them news to it (measured at 220 members). Beating more often than that
-        # carries would let news wait behind older news, and live members would be
-        # called lost.
+        # them news to it. Beating more often than that carries would let news wait
+        # behind older news, and live members would be called lost.
         count = len(self._entries) + 1
         if count <= self.limits.fan_out + 1:
             return 1
--- a/wigeonhitch/placement/quarantine.py
+++ b/wigeonhitch/placement/quarantine.py
@@ -36,7 +36,7 @@
     Parameters
     ----------
     enabled : bool
-        False never sets a worker aside: the baseline of the benchmark.
+        False never sets a worker aside, to compare with.
     """
 
     def __init__(self, enabled: bool = True):
--- a/wigeonhitch/placement/size.py
+++ b/wigeonhitch/placement/size.py
@@ -49,7 +49,7 @@
     Parameters
     ----------
     enabled : bool
-        False returns declared sizes: the baseline of the benchmark.
+        False returns declared sizes, to compare with.
     """
 
     def __init__(self, enabled: bool = True):
--- a/wigeonhitch/routing/evidence.py
+++ b/wigeonhitch/routing/evidence.py
@@ -31,8 +31,8 @@
 
 # A worker whose mean time is above this multiple of the pool's median is as
 # good as frozen. Below it, its slots are still capacity: `weigh` makes it the
-# last to be chosen. With 10 (and a mean over 10 answers) chance alone took out
-# a worker four times slower at 90% load, where its slots were needed.
+# last to be chosen. A lower multiple lets chance alone take out a worker that
+# is only some times slower, when a nearly full pool needs its slots.
 SLOW_FACTOR = 20.0
 TIME_GAIN = 0.05
 POOL_TIME_GAIN = 0.02
--- a/wigeonhitch/routing/pending.py
+++ b/wigeonhitch/routing/pending.py
@@ -132,15 +132,15 @@
         """Send a waiting request to a worker."""
         entry = self._requests[number]
         pool = entry.event.pool
-        lender = self._pools.open(pool, now)
+        asker = self._pools.open(pool, now)
         attempt = self._number()
         entry.attempt = attempt
         entry.tries += 1
         if entry.tries == 1:
-            lender.budget.earn_by_send()
+            asker.budget.earn_by_send()
         self._attempts[attempt] = request.Attempt(number, pool, vm, hold)
         self._in_flight[vm] += 1
-        timeout = request.find_timeout(entry, lender.evidence.mean, now)
+        timeout = request.find_timeout(entry, asker.evidence.mean, now)
         self._actions.append(action.Send(number, attempt, vm, timeout))
 
     def refuse(self, number: int, reason: verdict.Reason, retry: float) -> None:
@@ -161,15 +161,15 @@
         self._in_flight[attempt.vm] -= 1
         if not self._in_flight[attempt.vm]:
             del self._in_flight[attempt.vm]
-        lender = self._pools.open(attempt.pool, now)
+        asker = self._pools.open(attempt.pool, now)
         if end.verdict.ran is verdict.Ran.YES:
-            lender.budget.earn_by_answer()
-        outcome = request.classify(end, attempt, lender.evidence.mean)
-        lender.end(attempt.hold, outcome, end.seconds, now)
+            asker.budget.earn_by_answer()
+        outcome = request.classify(end, attempt, asker.evidence.mean)
+        asker.end(attempt.hold, outcome, end.seconds, now)
         entry = self._requests.get(attempt.request)
         if entry is not None:
             entry.attempt = 0
-            self._decide(entry, end, lender, now)
+            self._decide(entry, end, asker, now)
 
     def _find_refusal(
         self, arrival: event.Arrived, now: float
@@ -185,15 +185,15 @@
         return None
 
     def _submit(self, entry: request.Request, again: bool, now: float) -> None:
-        lender = self._pools.open(entry.event.pool, now)
-        waiting = self._queue_entry(entry, lender, now)
-        lender.submit(waiting, entry.deadline, now, again)
+        asker = self._pools.open(entry.event.pool, now)
+        waiting = self._queue_entry(entry, asker, now)
+        asker.submit(waiting, entry.deadline, now, again)
 
     def _queue_entry(
-        self, entry: request.Request, lender: borrower.Borrower, now: float
+        self, entry: request.Request, asker: borrower.Borrower, now: float
     ) -> queue.Entry:
         arrival = entry.event
-        latest = request.find_latest(entry, lender.evidence.mean, now)
+        latest = request.find_latest(entry, asker.evidence.mean, now)
         return queue.Entry(
             arrival.request, entry.rank, arrival.team, entry.arrived, latest
         )
@@ -216,7 +216,7 @@
         self,
         entry: request.Request,
         end: event.Answered,
-        lender: borrower.Borrower,
+        asker: borrower.Borrower,
         now: float,
     ) -> None:
         """Answer the caller, or send again what cannot run twice by it.
@@ -236,10 +236,10 @@
             self._finish(number, result, end.attempt)
             return
         if result.reason is verdict.Reason.WORKER_REFUSED:
-            waiting = self._queue_entry(entry, lender, now)
-            if lender.repeat(waiting, entry.deadline, now):
+            waiting = self._queue_entry(entry, asker, now)
+            if asker.repeat(waiting, entry.deadline, now):
                 return
-        elif entry.tries < MAX_TRIES and lender.budget.spend():
+        elif entry.tries < MAX_TRIES and asker.budget.spend():
             self._submit(entry, True, now)
             return
         spent = verdict.not_run(verdict.Reason.RETRY_BUDGET, self._come_back())
--- a/wigeonhitch/routing/retry.py
+++ b/wigeonhitch/routing/retry.py
@@ -17,9 +17,8 @@
 EARNED_BY_ANSWER = 5.0
 
 # Most that can be saved up of each kind: what an outage begins with, for each
-# daemon. Contention comes in bursts: with 10 after refusals, several times as
-# many requests were refused for want of a repeat as with 30; with 30 an outage
-# of 12 s at half load was multiplied by 1.13.
+# daemon. More would multiply an outage; fewer after refusals would not last
+# through a burst of contention, and requests be refused for want of a repeat.
 MOST_REPEATS = 5.0
 MOST_REFUSALS = 20.0
 
