--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -6,8 +6,8 @@
 
 import sys
 
-from benchmarks import routing_decisions, routing_loop
-from wigeonhitch.routing import action, borrower, event
+from benchmarks import routing_decisions, routing_loop, routing_waits
+from wigeonhitch.routing import action, event, link
 
 # Seconds of arrivals of each run.
 LENGTH = 20.0
@@ -23,7 +23,7 @@
     print("load  case    policy       wait  bound bound+2  refused/req msgs/req B/req")
     for load in (0.7, 0.9):
         for case in ("even", "slow", "skew"):
-            for policy in borrower.Policy:
+            for policy in link.Policy:
                 rows = [_measure_waits(load, case, policy, seed) for seed in SEEDS]
                 mean = [sum(column) / len(rows) for column in zip(*rows, strict=True)]
                 print(
@@ -34,7 +34,7 @@
 
 
 def _measure_waits(
-    load: float, case: str, policy: borrower.Policy, seed: int
+    load: float, case: str, policy: link.Policy, seed: int
 ) -> tuple[float, ...]:
     loop = routing_loop.Loop(seed=seed, policy=policy)
     size = [0]
@@ -51,14 +51,14 @@
     loop.offer(rate, 0.0, LENGTH, weights=weights)
     loop.run(LENGTH + 40.0)
     arrivals = loop.list_arrivals()
-    plain = routing_loop.find_bound(arrivals, factors, 0.0, 8)
-    turn = routing_loop.find_bound(arrivals, factors, 2 * routing_loop.HOP, 8)
+    plain = routing_waits.find_bound(arrivals, factors, 0.0, 8)
+    turn = routing_waits.find_bound(arrivals, factors, 2 * routing_loop.HOP, 8)
     waits = [done.wait for done in loop.done.values() if done.began is not None]
     requests = len(arrivals)
     return (
-        1e3 * routing_loop.quantile(waits, 0.99),
-        1e3 * routing_loop.quantile(plain, 0.99),
-        1e3 * routing_loop.quantile(turn, 0.99),
+        1e3 * routing_waits.quantile(waits, 0.99),
+        1e3 * routing_waits.quantile(plain, 0.99),
+        1e3 * routing_waits.quantile(turn, 0.99),
         loop.counts["refusals"] / requests,
         loop.counts["messages"] / requests,
         size[0] / requests,
@@ -69,7 +69,7 @@
     """Print waits while the counting daemon is lost, for 5 s from 5 s on."""
     print("\np99 wait (ms) at 90% of requests that arrive in the 5 s of a fault")
     print("fault       policy      " + "".join(f"  seed {seed}" for seed in SEEDS))
-    owner, own = borrower.Policy.OWNER, borrower.Policy.OWN_COUNTS
+    owner, own = link.Policy.OWNER, link.Policy.OWN_COUNTS
     for fault, policy in (
         ("none", owner),
         ("kill", owner),
@@ -82,7 +82,7 @@
         print(f"{fault:10}  {policy.value:12}{cells}")
 
 
-def _measure_fault(fault: str, policy: borrower.Policy, seed: int) -> float:
+def _measure_fault(fault: str, policy: link.Policy, seed: int) -> float:
     loop = routing_loop.Loop(seed=seed, policy=policy)
     owner = loop.find_owner()
     weights = [0.0 if name == owner else 1.0 for name in loop.names]
@@ -96,7 +96,7 @@
         loop.at(5.0, loop.cut.add, owner)
         loop.at(10.0, loop.cut.discard, owner)
     loop.run(LENGTH + 40.0)
-    return 1e3 * routing_loop.quantile(
+    return 1e3 * routing_waits.quantile(
         [
             done.wait
             for done in loop.done.values()
@@ -112,12 +112,12 @@
         "\none fifth urgent (2 s), the rest bulk (5 s); goodput: in time, per capacity"
     )
     print("policy      load  busy  goodput  urgent p99 ms  urgent ok  refused after ms")
-    for policy in borrower.Policy:
+    for policy in link.Policy:
         for load in (0.5, 2.0):
             _measure_overload(policy, load)
 
 
-def _measure_overload(policy: borrower.Policy, load: float) -> None:
+def _measure_overload(policy: link.Policy, load: float) -> None:
     loop = routing_loop.Loop(policy=policy)
     classes = (event.Urgency("urgent", 1.7), event.Urgency("bulk", 3600.0))
     for name in loop.names:
@@ -144,9 +144,9 @@
     ]
     print(
         f"{policy.value:10} {load:5.1f} {busy:5.1%} {good:8.1%}"
-        f" {1e3 * routing_loop.quantile(times, 0.99):14.1f}"
+        f" {1e3 * routing_waits.quantile(times, 0.99):14.1f}"
         f" {len(good_urgent) / len(urgent):10.1%}"
-        f" {1e3 * routing_loop.quantile(refused, 0.99):17.1f}"
+        f" {1e3 * routing_waits.quantile(refused, 0.99):17.1f}"
     )
 
 
