Count a worker's lease from what its clock has certainly reached

Callers could see one task run twice at the same time after a hand-over: a daemon that had led nothing for minutes led again and renewed leases by a VM's entry as old, counted as if the worker's clock ran at full rate. On a clock 2% slow the lease was longer by 2% of that age than what the daemon passed on to its successor, which then began the VM's tasks elsewhere while they ran.

Cause, and its class: the end of a lease was reckoned from a copy of the clock by the quickest it may run, and the wait for it by the slowest. Both now go by the slowest. The renewals that follow an answer lose 2% of its age.

--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -205,8 +205,12 @@
         return self._clock + passed * (1 - CLOCK_DRIFT)
 
     def compute_deadline(self, now: float, lease: float) -> float:
-        """Return the worker's time at which a lease from now ends."""
-        return self._clock + max(0.0, now - self._clock_received) + lease
+        """Return the worker's time at which a lease from now ends.
+
+        Counted from what its clock has certainly reached: a successor waits for no
+        more than the lease.
+        """
+        return self.compute_clock(now) + lease
 
     def note_grant(self, deadline: float) -> None:
         """Take note that a deadline is being sent."""
