Leave out an answer of a VM that has gone meanwhile

Callers could see a task that never runs again as long as its pool keeps its leader: a renewal's answer that was taken after its VM had been dropped brought a run of an earlier leader back, on a VM that no round looks at, so that its end was never found.

Before: the new test failed; after: it passes with the others of that file.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -42,7 +42,9 @@
     """Belief of one leader, and what workers' answers make of it."""
 
     def on_hold(self, one: vm.Vm, reply: workers.HoldReply, now: float) -> None:
-        """Take the answer to a renewal."""
+        """Take the answer to a renewal, unless the VM has gone meanwhile."""
+        if one.gone:
+            return
         if reply.verdict is workers.Verdict.FENCED:
             self._depose(one)
         if reply.verdict is workers.Verdict.GONE:
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -423,3 +423,22 @@
     bench.pool.on_job("j", record.JobRecord(state.job, NOW, False), 20, PLACE)
 
     assert bench.plan(NOW + 1.0) == []
+
+
+def test_an_answer_of_a_vm_that_is_gone_brings_no_run_back(bench):
+    """What could be seen: a task that never runs again under its leader.
+
+    How: a VM was told to have ended while its answer to a renewal was on its way. The
+    answer listed a run of an earlier leader, which was taken over on a VM that nobody
+    looks after any more.
+
+    Cause: an answer was taken for news of a VM that is there. It is left out.
+    """
+    one = bench.add_vm("w1", answers=False)
+    bench.add_job("old", version=5)
+    running = workers.Running(model.Task("old", 0, 0, 0), 0, "", 50, 0)
+    bench.pool.drop_vm(one, "ended by an order")
+
+    bench.answer(one, [running])
+
+    assert bench.pool.live == {}
