Forget a member whose row a claim's answer lists without a value

A pool could stay without a leader, claimed in a circle: a store that lists a row that is gone without a value, in place of leaving it out, taught a claimer nothing. Both ways are taken now, as the rows of a pool's ends are.

Before: the new test failed; after: it passes with the others of that file.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -333,9 +333,13 @@
             if gone.table == record.MEMBER_TABLE:
                 self.leadership.forget(gone.key)
         for row in found:
-            if row.table == record.MEMBER_TABLE and row.value is not None:
-                member = record.read_member(row.key, row.value, row.version)
-                self.leadership.on_member(member, http.read_clock())
+            if row.table != record.MEMBER_TABLE:
+                continue
+            if row.value is None:
+                self.leadership.forget(row.key)
+                continue
+            member = record.read_member(row.key, row.value, row.version)
+            self.leadership.on_member(member, http.read_clock())
 
     def _lead(self, owner: record.Owner) -> None:
         """Lead under an owner row, once.
--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -5,7 +5,7 @@
 
 from standins import rowstore
 from wigeonhitch.leadership import core, record, task
-from wigeonhitch.platform import http
+from wigeonhitch.platform import http, rows
 
 pytestmark = pytest.mark.anyio
 
@@ -365,3 +365,28 @@
         await keeper._claim_forever()
 
     assert 4 <= store.calls - calls <= 14
+
+
+async def test_a_member_that_is_listed_as_gone_is_forgotten(store, lapsing):
+    """A store may list a row that is gone without a value, or leave it out."""
+    keeper, told = lapsing
+    put_owner(store, record.Owner("p", "b", "life-b", 2, 0))
+    member = record.write_member(record.Member("b", "life-b", 1.0))
+    store.put(record.MEMBER_TABLE, "b", "b", member)
+    await keeper._read_members()
+    await keeper._read_owner("p")
+    store.put(record.MEMBER_TABLE, "b", "b", None)
+    gone = rows.Row(record.MEMBER_TABLE, "b", "b", None, store.version)
+    whole = store.commit
+
+    async def commit(change, *, timeout):
+        done = await whole(change, timeout=timeout)
+        if done.reason == "conflict":
+            return done._replace(conflicts=(*done.conflicts, gone))
+        return done
+
+    store.commit = commit
+    for _ in range(2):
+        await keeper._claim("p")
+
+    assert told[-1] == ("led", 3)
