Claim other pools while the store refuses a claim of one

Pools stayed without a leader though the store took their claims: only the first pool that a daemon should claim was tried, again and again, and a store may refuse what concerns one part, or not answer. A pool whose claim was refused or got no answer is now left out for as long as a further candidate would wait; that is also the pause before it is claimed again, in place of a tenth of a second.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -74,6 +74,8 @@
         self._version = 0
         self._renewals = log.Dependency("renewal of the lease")
         self._read: set[str] = set()
+        self._not_before: dict[str, float] = {}
+        """When a pool whose claim the store refused may be claimed again."""
         self._led: dict[str, int] = {}
         """Newest version of each pool's owner row under which this daemon led."""
         self._rows: dict[str, rows.Row] = {}
@@ -291,8 +293,13 @@
             pools = self._list_pools()
             for pool in [one for one in pools if one not in self._read]:
                 await self._read_owner(pool)
-            known = [one for one in pools if one in self._read]
-            claims = self.leadership.list_claims(known, http.read_clock())
+            now = http.read_clock()
+            known = [
+                one
+                for one in pools
+                if one in self._read and now >= self._not_before.get(one, 0.0)
+            ]
+            claims = self.leadership.list_claims(known, now)
             if claims:  # one at a time: news may come while it is written
                 await self._claim(claims[0])
                 continue
@@ -315,8 +322,8 @@
         if change.outcome is not table.Outcome.DONE:
             if change.reason == "conflict":
                 self._take_conflicts(expected, change.conflicts)
-            else:
-                await anyio.sleep(RETRY)
+            else:  # others' calls and other pools' claims go first
+                self._not_before[pool] = http.read_clock() + core.RANK_PAUSE
             # The answer may be lost, or somebody was first: the row tells.
             await self._read_owner(pool)
             return
