Give up a pool whose claim is answered while its daemon leaves

A pool could stay without a leader for the time until a stopped daemon ended, a lease and its successor's wait: what the daemon gives up was listed before the claim's answer came, and the answer began a leadership that nobody gave up.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -329,7 +329,11 @@
             return
         self.leadership.on_owner(claim._replace(version=change.version))
         # A lapse, or another's claim, may have followed before the answer came.
-        if self._leads(pool):
+        if not self._leads(pool):
+            return
+        if self.leadership.leaving:
+            await self._give_up(self.leadership.owners[pool])
+        else:
             self._lead(self.leadership.owners[pool])
 
     def _take_conflicts(
--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -413,3 +413,16 @@
         await keeper._claim_forever()
 
     assert told == [("led", 2)]
+
+
+async def test_a_claim_answered_while_its_daemon_leaves_is_given_up(store, lapsing):
+    """It was led by a daemon that ends, and by nobody until a lease had run out."""
+    keeper, told = lapsing
+
+    def leave():
+        keeper.leadership.leaving = True
+
+    await claim_during(keeper, store, told, leave)
+
+    assert [what for what in told if what[0] == "led"] == []
+    assert read_leader(store, "p") == ""
