--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -222,3 +222,13 @@
     follower._take_catalogue(make_configuration(2, "other"))
 
     assert follower.list_former_pools("q") == ["p"]
+
+
+async def test_the_pool_of_a_queue_that_was_removed_is_remembered(site):
+    """It came back in another pool, and a repeated job was accepted there as well."""
+    follower = catalogue.Follower(site.store, lambda: None)
+    follower._take_catalogue(make_configuration(1))
+    follower._take_catalogue(b'{"version":2,"routes":[],"services":[]}')
+    follower._take_catalogue(make_configuration(3, "other"))
+
+    assert follower.list_former_pools("q") == ["p"]
