Keep a port that was handed out, so that no run beside gets it too

A daemon of the documents' tests ended as it started, in one whole run of the tests beside other runs: `OSError: [Errno 98] Address already in use` for its callers' port, in its own lines, which `wait_for_operators` showed. Its operators' port, the next number, was bound 3 ms before. The ports were probed and let go at once, so that until the daemon listened, a second or so later, another run could be given the same or hold it for a probe.

Not shown: who held the port in that run. The soaks that ran then had others, by their settings.

Each port is now kept by a bound socket that doesn't listen, until the run's processes have ended. Left: a program that sets SO_REUSEADDR and doesn't ask `Ports` can still take one that is kept.

--- a/standins/demo/process.py
+++ b/standins/demo/process.py
@@ -23,26 +23,49 @@
 
 
 class Ports:
-    """Hands out loopback ports that nothing listens on.
+    """Hands out loopback ports that nothing listens on, and keeps them.
 
     They lie below the range from which the kernel gives outgoing connections
     their ports: one of those would take a port between its being handed out
-    and its being listened on.
+    and its being listened on. A bound socket keeps each one until `close`, so
+    that a run beside this one isn't given it before the process that it is
+    meant for listens, or while that is down. It doesn't listen itself:
+    connections are refused until a process that sets SO_REUSEADDR does.
     """
 
     def __init__(self) -> None:
         self._next = random.SystemRandom().randrange(FIRST_PORT, LAST_PORT)
+        self._kept: list[socket.socket] = []
 
     def take(self, count: int = 1) -> list[int]:
         """Return ``count`` free ports, never the same twice."""
         found: list[int] = []
         while len(found) < count:
             self._next = self._next + 1 if self._next < LAST_PORT else FIRST_PORT
-            with socket.socket() as probe, contextlib.suppress(OSError):
-                probe.bind(("127.0.0.1", self._next))
+            if self._keep(self._next):
                 found.append(self._next)
         return found
 
+    def close(self) -> None:
+        """Let others have the ports: at the end of a run."""
+        while self._kept:
+            self._kept.pop().close()
+
+    def _keep(self, port: int) -> bool:
+        """Bind a port; False if anything else listens on it or keeps it.
+
+        SO_REUSEADDR is set after the bind: before, two would share the port.
+        """
+        keeper = socket.socket()
+        try:
+            keeper.bind(("127.0.0.1", port))
+        except OSError:
+            keeper.close()
+            return False
+        keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._kept.append(keeper)
+        return True
+
 
 def end_on_signal() -> None:
     """Let SIGTERM end this program as Ctrl-C does: its exit stacks are run."""
--- a/standins/demo/site.py
+++ b/standins/demo/site.py
@@ -71,6 +71,7 @@
         self.stack = stack
         self.folder = folder
         self.ports = ports
+        stack.callback(ports.close)
         self.intended = intended
         self.options = options
         self.example = pathlib.Path()
--- a/standins/soak/scene.py
+++ b/standins/soak/scene.py
@@ -180,6 +180,7 @@
         servers.start_soon(server.serve_addresses, one, addresses, None, stopped.wait)
         try:
             with contextlib.ExitStack() as stack:
+                stack.callback(ports.close)
                 async with anyio.create_task_group() as group:
                     for number in range(count):
                         host = f"{network}.{number + 1}"
--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -204,7 +204,8 @@
 @pytest.fixture
 async def link():
     """A relay before a server that echoes."""
-    target, port = process.Ports().take(2)
+    ports = process.Ports()
+    target, port = ports.take(2)
     listener = await anyio.create_tcp_listener(
         local_host="127.0.0.1", local_port=target
     )
@@ -220,6 +221,7 @@
         await group.start(made.run)
         yield made
         group.cancel_scope.cancel()
+    ports.close()
 
 
 async def ask(stream, within=0.3):
