Let SIGTERM end a run of tests, and not fail the test that it meets

`test_worker_that_fails_everything_is_taken_out_and_let_back` failed in one whole run with `SystemExit: 143`, raised in the midst of the routing simulation by the handler that `end_on_signal` had set for an earlier site: a SIGTERM came to the run of tests itself. It was counted as this test's failure, and the run went on. The simulation isn't the cause.

Shown: with SIGTERM sent during that test after one with a site, it fails by the same lines, and the next test passes (1 run). Not shown: who sent it in that run; nothing in the tree signals a process other than its own children.

Ruled out: the simulation does the same to the last for PYTHONHASHSEED 0 to 39 (40 runs, one digest), and again after another simulation in one process; the test passes for all 40, and the file and the folder each in one process.

A run of tests now takes SIGTERM as Ctrl-C: it ends as interrupted, and its fixtures end what they started. `end_on_signal` leaves a way of ending that the program already has.

Before: the new test fails (status 1, one test failed, the next one run); after: passes. SIGTERM in the same two tests as above: interrupted, status 2.

--- a/conftest.py
+++ b/conftest.py
@@ -1,6 +1,7 @@
 """Shared fixtures of all tests, and the fixed hypothesis profile."""
 
 import pathlib
+import signal
 
 import hypothesis
 import pytest
@@ -13,6 +14,11 @@
 KNOWN_RED = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
 
 
+def pytest_configure():
+    """Let SIGTERM end the run as Ctrl-C does, and what its fixtures started."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+
+
 def pytest_collection_modifyitems(items):
     """Mark the tests that KNOWN-RED.txt lists: they run, are shown, may fail."""
     if not KNOWN_RED.exists():
--- a/standins/demo/process.py
+++ b/standins/demo/process.py
@@ -68,13 +68,18 @@
 
 
 def end_on_signal() -> None:
-    """Let SIGTERM end this program as Ctrl-C does: its exit stacks are run."""
+    """Let SIGTERM end this program as Ctrl-C does: its exit stacks are run.
+
+    A program that has its own way of ending by SIGTERM keeps it: in a run of
+    tests `SystemExit` would fail one of them, and the run would go on.
+    """
 
     def leave(number: int, frame: object) -> None:
         del frame
         sys.exit(128 + number)
 
-    if threading.current_thread() is threading.main_thread():
+    is_main = threading.current_thread() is threading.main_thread()
+    if is_main and signal.getsignal(signal.SIGTERM) is signal.SIG_DFL:
         signal.signal(signal.SIGTERM, leave)
 
 
--- a/standins/tests/test_demoprocess.py
+++ b/standins/tests/test_demoprocess.py
@@ -1,13 +1,43 @@
-"""The processes of a run on loopback: their ports."""
+"""The processes of a run on loopback: their ports, and the end of them all."""
 
 import contextlib
+import pathlib
+import signal
 import socket
+import subprocess
+import sys
+import time
 
 import pytest
 
 from standins.demo import process
 
+ROOT = pathlib.Path(__file__).parents[2]
 FIRST = 20_000
+LIMIT = 30.0  # seconds
+
+# The tests of a run that is ended in the first of them.
+ENDED = """
+import contextlib, pathlib, time
+import pytest
+from standins.demo import process
+
+FOLDER = pathlib.Path(__file__).parent
+
+@pytest.fixture(scope="module")
+def child():
+    process.end_on_signal()
+    with contextlib.ExitStack() as stack:
+        yield process.start(stack, FOLDER, "child", ["http.server", "0"])
+    FOLDER.joinpath("stopped").touch()
+
+def test_that_lasts(child):
+    FOLDER.joinpath("begun").touch()
+    time.sleep(60.0)
+
+def test_that_comes_next():
+    FOLDER.joinpath("next").touch()
+"""
 
 
 @pytest.fixture
@@ -49,3 +79,23 @@
     taken = first.take(5)
     first.close()
     assert open_ports().take(5) == taken
+
+
+@pytest.mark.processes
+def test_sigterm_ends_a_run_of_tests_and_fails_none_of_them(tmp_path):
+    written = tmp_path / "test_ended.py"
+    written.write_text(ENDED)
+    command = [sys.executable, "-m", "pytest", "-p", "conftest", str(written)]
+    with subprocess.Popen(
+        command, cwd=ROOT, stdout=subprocess.PIPE, text=True
+    ) as running:
+        deadline = time.monotonic() + LIMIT
+        while not tmp_path.joinpath("begun").exists():
+            assert time.monotonic() < deadline
+            time.sleep(0.05)
+        running.send_signal(signal.SIGTERM)
+        output, _ = running.communicate(timeout=LIMIT)
+    assert running.returncode == pytest.ExitCode.INTERRUPTED, output
+    assert "failed" not in output
+    assert tmp_path.joinpath("stopped").exists()
+    assert not tmp_path.joinpath("next").exists()
