Remove a member's row only while it is the one by which it is long gone

Callers could see one task run twice at the same time: two daemons had been cut off for long, and while the leader of the fleet removed the row of the first, the second came back, renewed and led. Its row was then removed under the version that it had by then, and another claimed its pools, for there was no such member.

Cause, and its class: the removal was conditional on the newest row known and not on the one that the decision was about, as with a daemon that leaves.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -78,8 +78,6 @@
         """When a pool whose claim the store refused may be claimed again."""
         self._led: dict[str, int] = {}
         """Newest version of each pool's owner row under which this daemon led."""
-        self._rows: dict[str, rows.Row] = {}
-        """Members' rows, to remove those of daemons that are long gone."""
 
     def may_order(self) -> bool:
         """Whether this daemon's lease lasts at this moment."""
@@ -225,27 +223,24 @@
             await anyio.sleep(FORGET_PERIOD)
             if not self._leads(core.FLEET) or not self.may_order():
                 continue
-            for name in self.leadership.list_long_gone(http.read_clock()):
-                await self._forget(name)
-
-    async def _forget(self, name: str) -> None:
-        row = self._rows.get(name)
-        if row is None:
-            return
-        condition = rows.Condition(*row[:3], row.version)
-        write = rows.Write(*row[:3], None)
+            names = self.leadership.list_long_gone(http.read_clock())
+            # One may be back while those before it are forgotten.
+            for member in [self.leadership.members[name] for name in names]:
+                await self._forget(member)
+
+    async def _forget(self, member: record.Member) -> None:
+        """Remove a member's row, unless it has renewed its lease since."""
+        condition = record.expect_member(member.name, member.version)
+        write = rows.Write(*condition[:3], None)
         change = await self._store.commit(
             rows.Transaction((condition,), (write,)), timeout=TIMEOUT
         )
-        log.log_change("member forgotten", member=name, reason=change.reason)
+        log.log_change("member forgotten", member=member.name, reason=change.reason)
 
     def _take_members(self, found: tuple[rows.Row, ...], version: int) -> None:
         for row in found:
             if row.value is None:
-                self._rows.pop(row.key, None)
                 self.leadership.forget(row.key)
-            else:
-                self._rows[row.key] = row
         members = [
             record.read_member(row.key, row.value, row.version)
             for row in found
--- a/wigeonhitch/leadership/tests/test_history.py
+++ b/wigeonhitch/leadership/tests/test_history.py
@@ -9,9 +9,9 @@
 
 from wigeonhitch.leadership.tests import history
 
-SEEDS = [*range(20), 223, 296]
-"""The last two once failed: a claim led by after a lapse, and a row given up that was
-another's."""
+SEEDS = [*range(20), 223, 296, 1489]
+"""The last three once failed: a claim led by after a lapse, a row given up that was
+another's, and the row of a member removed that was back."""
 
 WITHIN = 40
 """Seeds of which one must fail with a mechanism off."""
--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -426,3 +426,44 @@
 
     assert [what for what in told if what[0] == "led"] == []
     assert read_leader(store, "p") == ""
+
+
+async def test_a_member_that_is_back_while_another_is_forgotten_keeps_its_row(
+    store, keeper, monkeypatch
+):
+    """What could be seen: one task run twice at the same time.
+
+    How: two daemons were long gone. While the leader of the fleet removed the row of
+    the first, the second came back and led; then its row was removed as well, under
+    its new version, and another claimed its pools for there being no such member.
+
+    Cause: the removal stood under the newest row known, and not under the one by which
+    the member was long gone.
+    """
+    monkeypatch.setattr(task, "FORGET_PERIOD", 0.01)
+    keeper.leadership.on_owner(record.Owner(core.FLEET, "a", "life", 1, 9))
+    for name in ("b", "c"):
+        value = record.write_member(record.Member(name, f"life-{name}", 1.0))
+        store.put(record.MEMBER_TABLE, name, name, value)
+    await keeper._read_own()
+    await keeper._renew()
+    keeper.leadership.on_owner(record.Owner(core.FLEET, "a", "life", 1, 99))
+    await keeper._read_members()
+    whole = store.commit
+
+    async def commit(change, *, timeout):
+        done = await whole(change, timeout=timeout)
+        if change.writes[0].part == "b":
+            store.commit = whole
+            until = rowstore.read_times()[0] + core.LEASE
+            back = record.Member("c", "life-c", until)
+            store.put(record.MEMBER_TABLE, "c", "c", record.write_member(back))
+            await keeper._read_member("c")
+        return done
+
+    store.commit = commit
+    with anyio.move_on_after(0.2):
+        await keeper._forget_forever()
+
+    assert store.get(record.MEMBER_TABLE, "b", "b") is None
+    assert store.get(record.MEMBER_TABLE, "c", "c") is not None
