Judge a run's progress by the time that its VM has told of

Callers could see more of a lasting step away by orders than it may miss: a daemon was paused for 2 s while three tasks of a step were starting up, went on within its lease, saw no progress for 2 s of its own time and began all three again elsewhere.

Cause, and its class: the leader's own time stood for the time that a VM had told of. Progress and rates now go by the worker's clock in its answers, for all kinds of runs; an answer from before a pause says nothing of the time after it.

A test's stub names the worker's time as well now, so that it still shows a run that would count as standing still but for others' doing.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -53,6 +53,7 @@
             return
         one.learn_clock(reply.clock, reply.received)
         one.last_answer = now
+        one.told_clock = reply.clock
         if not one.answered:
             one.answered = True
             # An earlier leader may have granted the longest lease just before.
@@ -91,7 +92,8 @@
     def _confirm(self, run: vm.Run, now: float) -> None:
         if run.state is not vm.RunState.STOPPING:
             run.state = vm.RunState.RUNNING
-        run.since = run.moved = run.mark_at = now
+        run.since = now
+        run.moved = run.mark_at = run.vm.compute_clock(now)
         state = self.jobs.get(run.task.job)
         if state is not None and not state.started:
             state.started = True
@@ -220,7 +222,7 @@
     def _see_running(self, run: vm.Run, entry: workers.Running, now: float) -> None:
         if run.state in (vm.RunState.STARTING, vm.RunState.UNKNOWN):
             self._confirm(run, now)
-        run.note_work(entry.work, now)
+        run.note_work(entry.work, run.vm.told_clock)
         run.load = entry.load
         if entry.checkpoint and run.task.job in self.jobs:
             self.jobs[run.task.job].note_checkpoint(run.task, entry.checkpoint)
--- a/wigeonhitch/pool/health.py
+++ b/wigeonhitch/pool/health.py
@@ -36,15 +36,19 @@
 """Seconds that must be left for a move to pay, beyond what it takes elsewhere."""
 
 
-def is_stuck(run: vm.Run, now: float) -> bool:
-    """Whether a run stands still though its VM answers."""
+def is_stuck(run: vm.Run) -> bool:
+    """Whether a run stands still though its VM answers.
+
+    By the time that the VM has told of: this daemon may have been paused itself.
+    """
     if run.state is not vm.RunState.RUNNING or run.pace < 100:
         return False
     if run.step.gang or run.step.fills:
         return False  # its pace is others' doing
+    still = run.vm.told_clock - run.moved
     if run.step.lasting:
-        return run.work < 100 and now - run.moved > LASTING_STUCK_AFTER
-    return now - run.moved > STUCK_AFTER and run.vm.last_answer > run.moved
+        return run.work < 100 and still > LASTING_STUCK_AFTER
+    return still > STUCK_AFTER
 
 
 def is_slow(run: vm.Run, now: float) -> bool:
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -167,7 +167,7 @@
         """Whether a run is to begin again elsewhere for its VM's sake."""
         if run.task in self.pool.moved:
             return False
-        stuck = health.is_stuck(run, now)
+        stuck = health.is_stuck(run)
         if not stuck and not self._is_slow(run, now):
             return False
         what = "stands still" if stuck else "slow"
--- a/wigeonhitch/pool/tests/test_health.py
+++ b/wigeonhitch/pool/tests/test_health.py
@@ -3,7 +3,9 @@
 import pytest
 
 from wigeonhitch.jobs import model
+from wigeonhitch.platform import workers
 from wigeonhitch.pool import health, vm
+from wigeonhitch.pool.tests import conftest
 
 NOW = 100.0
 
@@ -139,11 +141,51 @@
 @pytest.mark.parametrize("fields", [{"gang": True}, {"fills": True}])
 def test_runs_whose_pace_is_others_doing_are_left_alone(make_state, fields):
     class Stub:
-        last_answer = NOW + 9
+        last_answer = told_clock = NOW + 9
 
     step = model.Step(1, model.Room(1, 1), 1.0, **fields)
     run = vm.Run(model.Task("j", 0, 0, 0), 1, Stub, step, NOW)
     run.state = vm.RunState.RUNNING
 
-    assert not health.is_stuck(run, NOW + 9)
+    assert not health.is_stuck(run)
     assert not health.is_slow(run, NOW + 9)
+
+
+def answer_elsewhere(bench, run, now):
+    """Let the other VM answer, so that the task could begin again there."""
+    (other,) = [one for one in bench.pool.vms.values() if one is not run.vm]
+    bench.answer(other, now=now)
+
+
+def test_a_lasting_task_is_not_judged_by_the_leaders_own_pause(bench, listed):
+    """What could be seen: an order ends more of a lasting step than it may miss.
+
+    How: a daemon was paused for two seconds as its tasks were starting up. It went on
+    within its lease, saw no progress since, and began three tasks of one step again
+    elsewhere, though their VM answered in time.
+
+    Cause: the leader's own time stood for the time that a VM had told of. Progress is
+    judged by the worker's clock in its answers.
+    """
+    run = start_one(bench, model.Step(1, model.Room(1000, 100), 1.0, lasting=True))
+    show(bench, run, listed, 0, NOW + 0.1)
+    answer_elsewhere(bench, run, NOW + 2.5)
+
+    assert bench.plan(NOW + 2.5) == []
+
+    show(bench, run, listed, 0, NOW + 2.6)
+    (stop,) = bench.plan(NOW + 2.6)
+    assert stop.task == run.task
+
+
+def test_a_task_is_not_judged_by_an_answer_from_before_its_leaders_pause(
+    bench, listed, step
+):
+    run = start_one(bench, step)
+    show(bench, run, listed, 60, NOW + 0.3)
+    told = (conftest.CLOCK + 0.4, NOW + 0.3, NOW + 2.4, (listed(run, 60),))
+    late = workers.HoldReply(workers.Verdict.DONE, *told)
+    bench.pool.on_hold(run.vm, late, NOW + 2.4)
+    answer_elsewhere(bench, run, NOW + 2.4)
+
+    assert bench.plan(NOW + 2.4) == []
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -60,8 +60,8 @@
     """One start of a task on a VM.
 
     ``deadline`` is the worker's time after which it refuses the start;
-    ``since`` and ``moved`` are this daemon's times of the start's answer and
-    of the last progress seen.
+    ``since`` is this daemon's time of the start's answer, ``moved`` the worker's
+    time of the last progress seen.
     """
 
     __slots__ = (
@@ -97,12 +97,12 @@
         self.state = RunState.STARTING
         self.deadline = 0.0
         self.since = now
-        self.moved = now
+        self.moved = 0.0
         self.work = 0.0
         self.load = 0.0
         self.pace = 100
         self.rate: float | None = None
-        self.mark_at = now
+        self.mark_at = 0.0
         self.mark_work = 0.0
         self.stop_sent = 0.0
         self.adopted = False
@@ -110,15 +110,15 @@
         self.sure_from = 0.0
         """From when on its being listed says that nobody is stopping it."""
 
-    def note_work(self, work: float, now: float) -> None:
-        """Take the progress listed, and the rate since the last mark."""
+    def note_work(self, work: float, clock: float) -> None:
+        """Take the progress listed at a worker's time, and the rate since the mark."""
         if work != self.work:
-            self.moved = now
+            self.moved = clock
         self.work = work
-        passed = now - self.mark_at
+        passed = clock - self.mark_at
         if passed >= RATE_OVER:
             self.rate = (work - self.mark_work) / passed
-            self.mark_at, self.mark_work = now, work
+            self.mark_at, self.mark_work = clock, work
 
     @property
     def is_at_work(self) -> bool:
@@ -152,6 +152,8 @@
         """Whether the roster row that names it is committed."""
         self.gone = False
         self.last_answer = 0.0
+        self.told_clock = 0.0
+        """The worker's time at which it last listed its runs."""
         self.is_silent = False
         """Whether the last call to it got no answer."""
         self.granted = 0.0
@@ -288,6 +290,7 @@
         """Take over a run that an earlier leader started."""
         run = Run(one.task, one.run, self, step, now)
         run.state = RunState.RUNNING
+        run.moved = run.mark_at = self.told_clock
         run.work = run.mark_work = one.work
         run.adopted = True
         if step.fills and step.lasting:
