--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -16,7 +16,7 @@
 import hashlib
 from typing import NamedTuple
 
-from wigeonhitch.leadership import record
+from wigeonhitch.leadership import clock, record
 from wigeonhitch.platform import rows
 
 __all__ = [
@@ -25,7 +25,6 @@
     "RENEWAL",
     "Basis",
     "Leadership",
-    "StoreClock",
     "Vacancy",
 ]
 
@@ -69,33 +68,6 @@
 """Name under which the duty of moves and upkeep is led; no pool has it."""
 
 
-class StoreClock:
-    """Bounds of the store's steady clock, from one answer's time."""
-
-    def __init__(self) -> None:
-        self._time = 0.0
-        self._sent = 0.0
-        self._received = 0.0
-
-    def learn(self, time: float, sent: float, received: float) -> None:
-        """Take the time of an answer; the newest one is kept."""
-        if time and received >= self._received:
-            self._time, self._sent, self._received = time, sent, received
-
-    @property
-    def is_known(self) -> bool:
-        """Whether any answer was taken."""
-        return self._time > 0
-
-    def compute_earliest(self, now: float) -> float:
-        """Return a time that the store's clock has certainly reached."""
-        return self._time + (now - self._received)
-
-    def compute_latest(self, now: float) -> float:
-        """Return a time that the store's clock has certainly not passed."""
-        return self._time + (now - self._sent)
-
-
 class Vacancy(enum.Enum):
     """Why a pool has no leader that could still order."""
 
@@ -125,7 +97,7 @@
     news_age: float
 
 
-class _Vacancy(NamedTuple):
+class _VacantSince(NamedTuple):
     since: float
     version: int
 
@@ -158,12 +130,12 @@
         self.cores = cores
         self._began = now
         self.life = life
-        self.clock = StoreClock()
+        self.clock = clock.StoreClock()
         self.members: dict[str, record.Member] = {}
         self.owners: dict[str, record.Owner] = {}
         self.until = 0.0
         self.leaving = False
-        self._vacancies: dict[str, _Vacancy] = {}
+        self._vacancies: dict[str, _VacantSince] = {}
         self._members_version = 0
         self._members_at = 0.0
         self._steady_since: dict[str, float] = {}
@@ -385,7 +357,7 @@
         version = owner.version if owner else 0
         known = self._vacancies.get(pool)
         if known is None or known.version != version:
-            known = self._vacancies[pool] = _Vacancy(now, version)
+            known = self._vacancies[pool] = _VacantSince(now, version)
         return known.since
 
     def _count_led(self, now: float) -> dict[str, int]:
--- /dev/null
+++ b/wigeonhitch/leadership/tests/conftest.py
@@ -0,0 +1,53 @@
+"""Keepers on a store in process, for the tests of their tasks."""
+
+import pytest
+
+from standins import rowstore
+from wigeonhitch.leadership import core, record, task
+from wigeonhitch.platform import http
+
+
+@pytest.fixture
+def store():
+    return rowstore.RowStore()
+
+
+def put_owner(store, owner):
+    value = record.write_owner(owner)
+    store.put(record.OWNER_TABLE, owner.pool, record.OWNER_KEY, value)
+
+
+def read_leader(store, pool):
+    row = store.get(record.OWNER_TABLE, pool, record.OWNER_KEY)
+    return record.read_owner(pool, row, 1).name
+
+
+@pytest.fixture
+def keeper(store):
+    """A keeper whose daemon leads the pool "p"."""
+    owner = record.Owner("p", "a", "life", 1, 0)
+    store.put(record.OWNER_TABLE, "p", record.OWNER_KEY, record.write_owner(owner))
+    leadership = core.Leadership("a", "life", 100.0)
+    leadership.on_owner(owner._replace(version=store.version))
+    return task.Keeper(
+        leadership, store, lambda: ["p"], lambda _: None, lambda _: None, lambda _: 1.0
+    )
+
+
+@pytest.fixture
+def lapsing(store):
+    """A keeper that led "p" until its lease ran out, and what it was told."""
+    told = []
+    owner = record.Owner("p", "a", "life", 1, 0)
+    store.put(record.OWNER_TABLE, "p", record.OWNER_KEY, record.write_owner(owner))
+    leadership = core.Leadership("a", "life", http.read_clock() - 60)
+    leadership.on_owner(owner._replace(version=store.version))
+    made = task.Keeper(
+        leadership,
+        store,
+        lambda: ["p"],
+        lambda owner: told.append(("led", owner.epoch)),
+        lambda pool: told.append(("lost", pool)),
+        lambda _: 1.0,
+    )
+    return made, told
