--- a/wigeonhitch/site/tests/test_two_leaders.py
+++ b/wigeonhitch/site/tests/test_two_leaders.py
@@ -4,8 +4,8 @@
 under the pool's second leader, on another VM; the older one was stopped 126 ms after
 the newer had begun. Both had taken the job for one that only they could have started.
 
-How it came about: a first leader ordered after a second one's claim. Each test is one
-way to that. Cause: what a leader may do rested on a time or on a copy that it judged by,
+How it came about: a first leader ordered after a second one's claim; each test is one
+way to that. Cause: what a leader may do rested on a time or a copy that it judged by,
 and not on the leadership itself. Proof: each test shows two runs, or an order after the
 end, where its mechanism is left out; the first did so on the code that the incident was
 seen on, with the same numbers of runs, and days of that site did so too.
