Show two ways in which a job whose queue moved is accepted in two pools

Callers would see one job's tasks run twice, by the leaders of two pools. A daemon that restarted since doesn't know the pool that a queue had before, and a write into that pool without an answer may be done after the look into it.

--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -232,3 +232,61 @@
     follower._take_catalogue(make_configuration(3, "other"))
 
     assert follower.list_former_pools("q") == ["p"]
+
+
+def list_accepting_pools(store):
+    """Return the pools in which the job's row lies."""
+    return [
+        pool
+        for pool in ("p", "other")
+        if store.get(
+            pool_record.name_job_table(pool), pool_record.name_job_part(pool, "j"), "j"
+        )
+    ]
+
+
+@pytest.fixture
+def moved_desk(site):
+    """Make the desk of a daemon that has seen these configurations of the queue."""
+
+    def make(*pools):
+        follower = catalogue.Follower(site.store, lambda: None)
+        for number, pool in enumerate(pools, 9):
+            follower._take_catalogue(make_configuration(number, pool))
+        return desk.Desk(
+            site.store,
+            lambda: follower.catalogue,
+            follower.list_former_pools,
+            metric.Instruments(),
+        )
+
+    return make
+
+
+async def test_a_daemon_that_restarted_takes_a_job_of_a_former_pool_no_second_time(
+    site, moved_desk
+):
+    """What is seen: one job in two pools, whose leaders both start its tasks.
+
+    How: its queue moved, and it comes again at a daemon that has only seen the
+    configuration since. Cause: where a queue was before is known by who has seen it.
+    """
+    await site.desk.submit(QUEUE, JOB)
+
+    await moved_desk("other").submit(MOVED, JOB)
+
+    assert list_accepting_pools(site.store) == ["p"]
+
+
+async def test_a_write_into_a_former_pool_after_the_look_makes_no_second_job(
+    site, moved_desk
+):
+    """The same, by a write without an answer that is done after the look."""
+    site.store.holds_back = 1000
+    await site.desk.submit(QUEUE, JOB)
+    site.store.holds_back = 0
+    await moved_desk("p", "other").submit(MOVED, JOB)
+
+    site.store.apply_late()
+
+    assert len(list_accepting_pools(site.store)) == 1
