--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -95,15 +95,21 @@
     async def leave(self) -> None:
         """Say that this daemon leaves, and give up what it leads."""
         self.leadership.leaving = True
-        for pool in [one for one in self.leadership.owners if self._leads(one)]:
-            await self.give_up(pool)
+        owners = self.leadership.owners
+        # Another may claim one while those before it are given up.
+        for owner in [owners[one] for one in owners if self._leads(one)]:
+            await self._give_up(owner)
         await self._renew()
 
     async def give_up(self, pool: str) -> None:
         """Stop leading a pool and leave it to whoever claims it first."""
+        await self._give_up(self.leadership.owners[pool])
+
+    async def _give_up(self, owner: record.Owner) -> None:
+        """Give up the leadership under a row, unless the row has changed since."""
+        pool = owner.pool
         granted = self._get_granted(pool)
         self._on_lost(pool)
-        owner = self.leadership.owners[pool]
         given = owner._replace(name="", life="", granted=granted)
         expected = (record.expect_owner(pool, owner.version),)
         change = await self._write_owner(given, expected)
@@ -298,7 +304,8 @@
     async def _claim(self, pool: str) -> None:
         claim = self.leadership.make_claim(pool)
         basis = self.leadership.explain_claim(pool, http.read_clock())
-        change = await self._write_owner(claim, self.leadership.expect_vacant(pool))
+        expected = self.leadership.expect_vacant(pool)
+        change = await self._write_owner(claim, expected)
         log.log_change(
             "claim answered",
             pool=pool,
@@ -306,17 +313,23 @@
             **basis._replace(reason=basis.reason.value)._asdict(),
         )
         if change.outcome is not table.Outcome.DONE:
-            self._take_conflicts(change.conflicts)
+            if change.reason == "conflict":
+                self._take_conflicts(expected, change.conflicts)
             # The answer may be lost, or somebody was first: the row tells.
             await self._read_owner(pool)
-        else:
-            self.leadership.on_owner(claim._replace(version=change.version))
-        # A claim from before a lapse counts no more, though its answer came after it.
+            return
+        self.leadership.on_owner(claim._replace(version=change.version))
+        # A lapse, or another's claim, may have followed before the answer came.
         if self._leads(pool):
             self._lead(self.leadership.owners[pool])
 
-    def _take_conflicts(self, found: tuple[rows.Row, ...]) -> None:
-        """Take the renewals that a claim failed for."""
+    def _take_conflicts(
+        self, expected: tuple[rows.Condition, ...], found: tuple[rows.Row, ...]
+    ) -> None:
+        """Take the renewals and removals of members that a claim failed for."""
+        for gone in rows.list_gone(expected, found):
+            if gone.table == record.MEMBER_TABLE:
+                self.leadership.forget(gone.key)
         for row in found:
             if row.table == record.MEMBER_TABLE and row.value is not None:
                 member = record.read_member(row.key, row.value, row.version)
--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -181,6 +181,78 @@
     }
 
 
+@pytest.mark.anyio
+async def test_a_conflict_that_can_not_be_read_says_nothing_of_rows():
+    """What could be seen: a job run again after it was completed.
+
+    How: a conflict lists the rows as they are. One whose body can't be read listed
+    none, so all of them counted as gone: the record of what was done was removed.
+
+    Cause: no list stood for an empty one. Such an answer counts as lost.
+    """
+    store = rows.Rows(Client(412, None), "a")
+
+    change = await store.commit(rows.Transaction((), ()), timeout=1.0)
+
+    assert change.outcome is table.Outcome.UNKNOWN
+    assert change.reason != "conflict"
+
+
+@pytest.mark.anyio
+async def test_a_renewal_whose_answer_can_not_be_read_lists_nothing():
+    """What could be seen: one task run twice at the same time.
+
+    How: a VM's answer to a renewal lists what runs there. One whose body can't be read
+    counted as a list of nothing, and all that ran there was begun elsewhere.
+
+    Cause: no list stood for an empty one. Such an answer counts as lost.
+    """
+    calls = workers.Workers(Client(200, None))
+
+    reply = await calls.hold("a", "w", 1, None, 0, wait=0.0, timeout=1.0)
+
+    assert reply.verdict is workers.Verdict.UNKNOWN
+
+
+@pytest.mark.anyio
+async def test_pages_are_followed_from_the_version_of_the_first():
+    """What could be seen: an accepted job that never begins, or isn't cancelled.
+
+    How: a pool's jobs are more than one answer of the store holds. A job that came
+    among those of the first page before the last page was read was on no page, and the
+    changes were followed from the version of the last.
+
+    Cause: pages of several moments were taken for the rows as of the last one.
+    """
+    client = Client()
+    row = {"table": "t", "part": "p", "key": "k", "value": "dg==", "ver": 3}
+    pages = [
+        {"rows": [row], "truncated": True, "ver": 10},
+        {"rows": [{**row, "key": "l"}], "truncated": False, "ver": 12},
+    ]
+
+    async def call(method, address, path, **fields):
+        return http.Reply(DONE, 200, pages.pop(0), "", 1.0, 2.0)
+
+    client.call = call
+    read = await rows.Rows(client, "a").read("t", "p", timeout=1.0)
+
+    assert [one.key for one in read.rows] == ["k", "l"]
+    assert read.version == 10
+
+
+@pytest.mark.anyio
+async def test_a_transaction_over_several_parts_says_so():
+    client = Client(200, {"ver": 9, "now_ms": 4000})
+    conditions = tuple(rows.Condition("t", part, "k", 3) for part in "pq")
+
+    await rows.Rows(client, "a").commit(
+        rows.Transaction(conditions, (rows.Write("t", "p", "k", b"v"),)), timeout=1.0
+    )
+
+    assert client.sent[0][2]["body"]["across"] is True
+
+
 @pytest.mark.anyio
 async def test_a_feed_whose_history_is_gone_has_expired():
     feed = await rows.Rows(Client(410), "a").follow("t", 1, wait=0.1, timeout=1.0)
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wigeonhitch.jobs import model, record
-from wigeonhitch.platform import workers
+from wigeonhitch.platform import rows, table, workers
 from wigeonhitch.pool import belief, core, tidy, vm
 
 NOW = 100.0
@@ -293,3 +293,133 @@
     bench.answer(one, ended=[stopped], now=NOW + 0.3)
     bench.plan(NOW + 0.4)
     assert state.final is model.JobState.CANCELLED
+
+
+def test_a_vm_that_has_not_listed_all_its_ends_is_not_taken_for_known(bench):
+    """What could be seen: one task run twice at the same time, over a takeover.
+
+    How: a VM has more ends to tell than one answer holds, so the new leader doesn't
+    compare what runs there with what it knows; but it took the VM for one that has
+    answered, and began the older jobs' tasks elsewhere, beside what runs there.
+
+    Cause: that a call was answered stood for what the answer must tell. A VM is known
+    only once an answer told all that runs there and all that has ended.
+    """
+    one = bench.add_vm("w1", answers=False)
+    bench.pool.on_roster("w1", "w1:1", 3, NOW)
+    bench.add_vm("w2")
+    bench.add_job("old", version=5)
+    running = workers.Running(model.Task("old", 0, 0, 0), 0, "", 50, 0)
+    other = model.Task("other", 0, 0, 0)
+    ends = [
+        workers.Ended(number, other, 0, model.End.DONE, "")
+        for number in range(1, core.ENDS_A_REPLY + 1)
+    ]
+
+    bench.answer(one, [running], ends)
+
+    assert bench.plan() == []
+
+    bench.answer(one, [running], now=NOW + 0.1)
+
+    assert bench.plan(NOW + 0.1) == []
+    assert [run.task for run in one.runs.values()] == [running.task]
+
+
+def tell_ends(bench, one, now=NOW):
+    """Answer with as many ends as one answer holds, so that more may be missing."""
+    other = model.Task("other", 0, 0, 0)
+    ends = [
+        workers.Ended(one.seen + number, other, 0, model.End.DONE, "")
+        for number in range(1, core.ENDS_A_REPLY + 1)
+    ]
+    bench.answer(one, ended=ends, now=now)
+
+
+def test_a_vm_that_has_not_listed_all_its_ends_is_not_shown_as_empty(bench):
+    one = bench.add_vm("w1", answers=False)
+    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+
+    tell_ends(bench, one)
+
+    assert bench.planner.make_board(NOW, NOW).empty == ()
+
+
+def test_nothing_is_started_on_a_vm_that_has_not_listed_all_its_ends(bench):
+    """What runs there isn't counted yet, so its room isn't known."""
+    one = bench.add_vm("w1", answers=False)
+    bench.add_job()
+
+    tell_ends(bench, one)
+
+    assert bench.plan() == []
+
+
+def test_a_vm_that_falls_silent_before_all_its_ends_are_listed_is_waited_out(bench):
+    """Not from the takeover on: it was given more time with each answer."""
+    one = bench.add_vm("w1", answers=False)
+    bench.pool.on_roster("w1", "w1:1", 3, NOW)
+    bench.add_vm("w2")
+    bench.add_job("old", version=5)
+    tell_ends(bench, one, NOW + 6.0)
+    one.is_silent = True
+    lapse = 6.0 + 6.5 / (1 - vm.CLOCK_DRIFT) + 0.2 + belief.LAPSE_MARGIN
+    bench.pool.vms["w2"].last_answer = NOW + lapse
+
+    assert bench.plan(NOW + lapse - 0.1) == []
+    assert [one.run.vm.id for one in bench.plan(NOW + lapse + 0.1)] == ["w2"]
+
+
+def test_a_vm_is_not_waited_out_while_a_lease_of_this_leader_may_last(bench):
+    """What could be seen: one task run twice at the same time, over a takeover.
+
+    How: the pool's rows were read slowly, so that the first calls went out seconds
+    after the takeover. A VM took its first call, which renewed the leases of what runs
+    there, and its answer was lost. It was waited for from the takeover on, and its
+    tasks were begun elsewhere while they ran on.
+
+    Cause: the wait was counted from the takeover only. It now lasts until every lease
+    that this leader may have granted has run out as well.
+    """
+    one = bench.add_vm("w1", answers=False)
+    bench.pool.on_roster("w1", "w1:1", 3, NOW)
+    bench.add_vm("w2")
+    bench.add_job("old", version=5)
+    one.note_grant(one.compute_deadline(NOW + 5.0, 3.8))
+    one.is_silent = True
+    lapse = 5.0 + 3.8
+
+    bench.pool.vms["w2"].last_answer = NOW + lapse
+    assert bench.plan(NOW + lapse) == []
+
+    sure = lapse / (1 - vm.CLOCK_DRIFT) + 0.2 + belief.LAPSE_MARGIN + 0.1
+    bench.pool.vms["w2"].last_answer = NOW + sure
+    assert [run.vm.id for run in bench.start(NOW + sure)] == ["w2"]
+
+
+def test_a_job_that_is_final_does_not_begin_anew_by_an_older_copy_of_its_row(
+    bench, ended
+):
+    """What could be seen: a job run again after it was completed.
+
+    How: the feed of jobs had expired and the rows were read anew; while the answer was
+    on its way, a job in it was completed, shrunk to its final state and forgotten. By
+    the older row in the answer it was taken for a new one.
+
+    Cause: a job that wasn't known any more was taken for one that had not begun. A
+    row older than the final one known is left out.
+    """
+    one = bench.add_vm()
+    state = bench.add_job(version=20)
+    (run,) = bench.start()
+    bench.answer(one, ended=[ended(1, run)], now=NOW + 0.5)
+    assert state.final is model.JobState.COMPLETED
+    bench.pool.on_settled(["j"])
+    bench.plan(NOW + 0.5)
+    work = bench.pool.tidier.collect(NOW + 0.6, 60.0)
+    done = rows.Change(table.Outcome.DONE, 40)
+    bench.pool.tidier.on_result(work, done)
+
+    bench.pool.on_job("j", record.JobRecord(state.job, NOW, False), 20, PLACE)
+
+    assert bench.plan(NOW + 1.0) == []
--- a/wigeonhitch/pool/tests/test_ledger.py
+++ b/wigeonhitch/pool/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from standins import rowstore
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import rows, table
 from wigeonhitch.pool import ledger
@@ -143,3 +144,182 @@
 
     conditions = collect(book, {}).transaction.conditions
     assert {one.version for one in conditions} == {10, 33, 40}
+
+
+OWNER = ("owner", "p", "owner")
+ROSTER = ("roster", "p", "w1")
+
+
+@pytest.fixture
+def store():
+    """Hold the owner row under which the ledger writes."""
+    made = rowstore.RowStore()
+    made.put(*OWNER, b"{}")
+    return made
+
+
+@pytest.fixture
+def led(store):
+    return ledger.Ledger("p", store.version)
+
+
+async def commit(book, store):
+    batch = collect(book, {})
+    return book.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+
+@pytest.mark.anyio
+async def test_a_removal_that_is_done_late_keeps_a_vm_that_came_back(led, store):
+    """What could be seen: one task run twice at the same time, over a takeover.
+
+    How: a VM was gone and its roster row removed, without an answer; the removal was
+    tried again, and the VM came back and took tasks. Then the first try was done, so
+    the next leader didn't know the VM, didn't wait for it, and started its tasks
+    elsewhere.
+
+    Cause: the rows stood under the owner's row only, by the order in which they were
+    sent. Each is now replaced and removed at the version last seen of it.
+    """
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    store.holds_back = 1
+    await commit(led, store)
+    await commit(led, store)
+    led.add_vm("w1", "w1:1")
+    assert (await commit(led, store)).done
+
+    store.apply_late()
+
+    assert store.get(*ROSTER) is not None
+
+
+@pytest.mark.anyio
+async def test_a_vm_that_is_back_before_its_row_is_removed_is_noted_anew(led, store):
+    """It counted as noted by the row that was about to go, and was never used."""
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    led.add_vm("w1", "w1:2")
+
+    batch = collect(led, {})
+
+    assert (batch.vms, batch.removed_vms) == (("w1",), ())
+
+
+def test_a_transaction_of_everything_keeps_to_what_a_call_holds(book, make_state):
+    """More than the store takes would be refused again and again."""
+    jobs = {f"j{number}": make_state(model.Step(1)) for number in range(50)}
+    for id in jobs:
+        book.mark(id)
+    for number in range(40):
+        book.on_roster_row(f"old{number}", 5)
+        book.remove_vm(f"old{number}")
+        book.add_vm(f"new{number}", "new:1")
+        book.versions[f"spent{number}"] = 6
+    book.spend([f"spent{number}" for number in range(40)])
+
+    batch = collect(book, jobs)
+
+    assert len(batch.transaction.conditions) + len(batch.transaction.writes) <= 100
+
+
+@pytest.mark.anyio
+async def test_an_addition_that_was_done_without_an_answer_is_written_over(led, store):
+    led.add_vm("w1", "w1:1")
+    store.loses = 1
+    await commit(led, store)
+
+    assert not (await commit(led, store)).done
+    assert (await commit(led, store)).done
+    assert not led.has_work
+
+
+@pytest.mark.anyio
+async def test_a_roster_row_that_went_without_an_answer_holds_nothing_up(led, store):
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    store.loses = 1
+    await commit(led, store)
+
+    await commit(led, store)
+
+    assert not led.has_work
+    assert store.get(*ROSTER) is None
+
+
+@pytest.mark.anyio
+async def test_a_vm_back_after_a_removal_without_an_answer_is_noted(led, store):
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    store.loses = 1
+    await commit(led, store)
+    led.add_vm("w1", "w1:1")
+
+    assert not (await commit(led, store)).done
+    assert (await commit(led, store)).done
+    assert store.get(*ROSTER) is not None
+
+
+@pytest.mark.anyio
+async def test_several_conflicts_at_once_are_all_learned(led, store, make_state):
+    """An addition done and a removal done, a progress row written, none answered."""
+    jobs = {"j": make_state(model.Step(1))}
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    led.add_vm("w2", "w2:1")
+    led.mark("j")
+    store.loses = 1
+    batch = collect(led, jobs)
+    led.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+    for _ in range(3):
+        batch = collect(led, jobs)
+        led.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+    assert not led.has_work
+    assert store.get(*ROSTER) is None
+    assert store.get("roster", "p", "w2") is not None
+
+
+@pytest.mark.anyio
+async def test_two_removals_without_an_answer_hold_nothing_up(led, store):
+    for id in ("w1", "w2"):
+        led.add_vm(id, f"{id}:1")
+    await commit(led, store)
+    for id in ("w1", "w2"):
+        led.remove_vm(id)
+    store.loses = 1
+    await commit(led, store)
+
+    await commit(led, store)
+
+    assert not led.has_work
+
+
+@pytest.mark.anyio
+async def test_a_vm_that_goes_while_it_is_noted_has_its_row_removed(led, store):
+    led.add_vm("w1", "w1:1")
+    batch = collect(led, {})
+    led.remove_vm("w1")
+    led.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+    await commit(led, store)
+
+    assert store.get(*ROSTER) is None
+
+
+@pytest.mark.anyio
+async def test_a_vm_that_is_back_while_its_row_is_removed_is_noted(led, store):
+    led.add_vm("w1", "w1:1")
+    await commit(led, store)
+    led.remove_vm("w1")
+    batch = collect(led, {})
+    led.add_vm("w1", "w1:1")
+    led.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
+
+    assert (await commit(led, store)).done
+    assert store.get(*ROSTER) is not None
