--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -74,6 +74,8 @@
         self._version = 0
         self._renewals = log.Dependency("renewal of the lease")
         self._read: set[str] = set()
+        self._not_before: dict[str, float] = {}
+        """When a pool whose claim the store refused may be claimed again."""
         self._led: dict[str, int] = {}
         """Newest version of each pool's owner row under which this daemon led."""
         self._rows: dict[str, rows.Row] = {}
@@ -291,8 +293,13 @@
             pools = self._list_pools()
             for pool in [one for one in pools if one not in self._read]:
                 await self._read_owner(pool)
-            known = [one for one in pools if one in self._read]
-            claims = self.leadership.list_claims(known, http.read_clock())
+            now = http.read_clock()
+            known = [
+                one
+                for one in pools
+                if one in self._read and now >= self._not_before.get(one, 0.0)
+            ]
+            claims = self.leadership.list_claims(known, now)
             if claims:  # one at a time: news may come while it is written
                 await self._claim(claims[0])
                 continue
@@ -315,14 +322,18 @@
         if change.outcome is not table.Outcome.DONE:
             if change.reason == "conflict":
                 self._take_conflicts(expected, change.conflicts)
-            else:
-                await anyio.sleep(RETRY)
+            else:  # others' calls and other pools' claims go first
+                self._not_before[pool] = http.read_clock() + core.RANK_PAUSE
             # The answer may be lost, or somebody was first: the row tells.
             await self._read_owner(pool)
             return
         self.leadership.on_owner(claim._replace(version=change.version))
         # A lapse, or another's claim, may have followed before the answer came.
-        if self._leads(pool):
+        if not self._leads(pool):
+            return
+        if self.leadership.leaving:
+            await self._give_up(self.leadership.owners[pool])
+        else:
             self._lead(self.leadership.owners[pool])
 
     def _take_conflicts(
@@ -333,9 +344,13 @@
             if gone.table == record.MEMBER_TABLE:
                 self.leadership.forget(gone.key)
         for row in found:
-            if row.table == record.MEMBER_TABLE and row.value is not None:
-                member = record.read_member(row.key, row.value, row.version)
-                self.leadership.on_member(member, http.read_clock())
+            if row.table != record.MEMBER_TABLE:
+                continue
+            if row.value is None:
+                self.leadership.forget(row.key)
+                continue
+            member = record.read_member(row.key, row.value, row.version)
+            self.leadership.on_member(member, http.read_clock())
 
     def _lead(self, owner: record.Owner) -> None:
         """Lead under an owner row, once.
