--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -204,7 +204,8 @@
 @pytest.fixture
 async def link():
     """A relay before a server that echoes."""
-    target, port = process.Ports().take(2)
+    ports = process.Ports()
+    target, port = ports.take(2)
     listener = await anyio.create_tcp_listener(
         local_host="127.0.0.1", local_port=target
     )
@@ -220,6 +221,7 @@
         await group.start(made.run)
         yield made
         group.cancel_scope.cancel()
+    ports.close()
 
 
 async def ask(stream, within=0.3):
@@ -303,3 +305,18 @@
     assert result.faults == []
     assert result.spans != []
     assert result.starts > 20
+
+
+async def test_a_fault_that_is_overdue_is_brought_about_at_once():
+    """A busy run is late for some, and ended there without a word on its promises."""
+    brought = []
+
+    async def bring(one):
+        brought.append(one.kind)
+
+    injector = fault.Injector(None, random.Random(1))
+    injector._bring = bring
+
+    await injector.run([fault.Fault(-0.1, "kill", 0.5, 1.0)])
+
+    assert brought == ["kill"]
