Accept a job in one pool only, though its queue has moved

Cause: in which pools a queue had been was known by who had seen it, so a daemon that restarted accepted a job of a former pool again; and a write into the former pool that was done after the look was seen by nobody.

Now the queue's row names its pools. A daemon accepts a job only with its pool noted there, under the conditions that no pool of the queue holds the job and that the row hasn't changed. Copies of the row lie in the pool's parts, so an acceptance stays within one part as long as the queue never moved.

Ruled out: a row in the former pool that says where the job went. It needs no copies, but leaders and the tidier would have to know it.

A queue's first job in a pool is one transaction across parts; after it an acceptance has one condition more and no further call.

--- /dev/null
+++ b/wigeonhitch/site/acceptance.py
@@ -0,0 +1,130 @@
+"""Accepts a job durably, once, in one pool.
+
+A job is accepted with its row, under the conditions that no pool of its queue has one
+and that the queue has had no further pool.
+"""
+
+import time
+
+import anyio
+
+from wigeonhitch.jobs import model, record
+from wigeonhitch.platform import http, rows, table
+from wigeonhitch.pool import record as pool_record
+from wigeonhitch.site import jobrows, message, queuepools
+
+__all__ = ["PAUSE", "TRY_TIMEOUT", "WHOLE_TIMEOUT", "Acceptance"]
+
+TRY_TIMEOUT = 0.9
+"""Seconds for one try at the store: 4 ms as a rule, 0.25 s where it is slow."""
+
+WHOLE_TIMEOUT = 2.3
+"""Seconds for all tries of a request; callers wait 3 s."""
+
+PAUSE = 0.05
+"""Seconds between two tries."""
+
+
+class Acceptance:
+    """Writes the rows of jobs.
+
+    Parameters
+    ----------
+    store : rows.RowStore
+        The platform's store.
+    jobs : jobrows.JobRows
+        Reads the rows of jobs.
+    pools : queuepools.QueuePools
+        What is noted of queues.
+    is_across : bool
+        Whether the store takes transactions across parts. Without them a late write
+        into a former pool may accept a job there as well.
+    """
+
+    def __init__(
+        self,
+        store: rows.RowStore,
+        jobs: jobrows.JobRows,
+        pools: queuepools.QueuePools,
+        is_across: bool = True,
+    ) -> None:
+        self._store = store
+        self._jobs = jobs
+        self._pools = pools
+        self._is_across = is_across
+
+    async def accept(self, queue: model.Queue, job: model.Job) -> message.Answer:
+        """Accept a job, or find that it was accepted before."""
+        deadline = http.read_clock() + WHOLE_TIMEOUT
+        lost = False
+        while True:
+            result = await self._try(queue, job)
+            if result.outcome is table.Outcome.DONE:
+                return message.Answer(message.Verdict.ACCEPTED, reason=result.reason)
+            lost = lost or result.outcome is table.Outcome.UNKNOWN
+            if not lost and result.reason != "conflict":
+                return message.refuse(result.reason)
+            if http.read_clock() + PAUSE > deadline - TRY_TIMEOUT:
+                verdict = message.Verdict.UNKNOWN if lost else message.Verdict.NOT_RUN
+                return message.refuse(result.reason)._replace(verdict=verdict)
+            await anyio.sleep(PAUSE)
+
+    async def _try(self, queue: model.Queue, job: model.Job) -> rows.Change:
+        """Make one try; an outcome ``DONE`` says that the job is accepted."""
+        noted = await self._pools.find(queue)
+        if noted is None:
+            return rows.Change(table.Outcome.NOT_DONE, reason="queue not read")
+        former = self._pools.list_former(queue, noted)
+        for pool in former:
+            found = await self._jobs.read(pool, job.id)
+            if found.outcome is not table.Outcome.DONE:
+                # It may be there, and would then run in both pools.
+                return rows.Change(table.Outcome.NOT_DONE, reason=found.reason)
+            if found.rows:
+                return rows.Change(table.Outcome.DONE, reason="known")
+        change = _plan_row(queue, job)
+        if not self._is_across:
+            return await self._commit(queue, change)
+        for pool in former:
+            absent = rows.Condition(*_find_place(pool, job.id), 0)
+            change = change._replace(conditions=(*change.conditions, absent))
+        if noted.holds(queue):
+            same = queuepools.expect_noted(queue, change.writes[0].part, noted)
+            change = change._replace(conditions=(*change.conditions, same))
+            return await self._commit(queue, change)
+        note = queuepools.plan_note(queue, noted)
+        change = rows.Transaction(
+            change.conditions + note.conditions, change.writes + note.writes
+        )
+        result = await self._commit(queue, change)
+        if result.version:
+            self._pools.on_noted(queue, noted, result.version)
+        return result
+
+    async def _commit(
+        self, queue: model.Queue, change: rows.Transaction
+    ) -> rows.Change:
+        result = await self._store.commit(change, timeout=TRY_TIMEOUT)
+        if result.reason != "conflict":
+            return result
+        if any(_is_job(row) for row in result.conflicts):
+            return result._replace(outcome=table.Outcome.DONE)
+        self._pools.forget(queue)
+        return result
+
+
+def _plan_row(queue: model.Queue, job: model.Job) -> rows.Transaction:
+    """Return the writing of a job's row in its queue's present pool."""
+    kept = job._replace(attempts=queue.max_attempts)
+    place = _find_place(queue.pool, job.id)
+    write = rows.Write(*place, record.write_job(kept, time.time()))
+    return rows.Transaction((rows.Condition(*place, 0),), (write,))
+
+
+def _find_place(pool: str, id: str) -> tuple[str, str, str]:
+    """Return table, part and key of a pool's row of a job."""
+    return pool_record.name_job_table(pool), pool_record.name_job_part(pool, id), id
+
+
+def _is_job(row: rows.Row) -> bool:
+    return row.table != queuepools.QUEUE_TABLE and row.value is not None
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -82,6 +82,7 @@
             self._follower.list_former_pools,
             instruments,
             self._is_store_lost,
+            settings.rates.across,
         )
 
     @property
--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -6,39 +6,18 @@
 have been written is never called "not run".
 """
 
-import time
 from collections.abc import Callable
-from typing import NamedTuple
 
 import anyio
 
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import http, rows, table
 from wigeonhitch.pool import record as pool_record
-from wigeonhitch.site import message
+from wigeonhitch.site import acceptance, jobrows, message, queuepools
 from wigeonhitch.telemetry import log, metric
 
 __all__ = ["Desk"]
 
-TRY_TIMEOUT = 0.9
-"""Seconds for one try at the store: 4 ms as a rule, 0.25 s where it is slow."""
-
-WHOLE_TIMEOUT = 2.3
-"""Seconds for all tries of a request; callers wait 3 s."""
-
-PAUSE = 0.05
-"""Seconds between two tries."""
-
-RETRY_AFTER = 1.0
-"""Seconds after which a refused caller is told to come back, the least that
-can be said: another daemon may reach the store meanwhile."""
-
-
-class _Found(NamedTuple):
-    row: rows.Row
-    pool: str
-    read: record.JobRecord
-
 
 class Desk:
     """Answers callers' requests on jobs; implements `message.Desk`.
@@ -55,6 +34,8 @@
         Whether this daemon hasn't reached the store for some time. Requests are
         then refused at once, for another daemon may reach it; waiting for a
         timeout each would hold callers for most of their time.
+    is_across : bool
+        Whether the store takes transactions across parts.
     """
 
     def __init__(
@@ -64,12 +45,17 @@
         list_former_pools: Callable[[str], list[str]],
         instruments: metric.Instruments,
         is_store_lost: Callable[[], bool] = lambda: False,
+        is_across: bool = True,
     ) -> None:
         self._store = store
         self._is_store_lost = is_store_lost
         self._get_catalogue = get_catalogue
-        self._list_former_pools = list_former_pools
         self._instruments = instruments
+        self._jobs = jobrows.JobRows(store)
+        self._pools = queuepools.QueuePools(store, list_former_pools)
+        self._acceptance = acceptance.Acceptance(
+            store, self._jobs, self._pools, is_across
+        )
 
     @property
     def body_limit(self) -> int:
@@ -96,15 +82,7 @@
     async def submit(self, queue: model.Queue, job: model.Job) -> message.Answer:
         """Accept a job durably, once."""
         began = http.read_clock()
-        for pool in self._list_former_pools(queue.name):
-            found = await self._find(pool, job.id)
-            if isinstance(found, _Found):
-                return message.Answer(message.Verdict.ACCEPTED, reason="known")
-            if found.verdict is not message.Verdict.MISSING:
-                # It may be there, and would then run in both pools.
-                self._tell("job submitted", queue, job.id, found)
-                return found
-        answer = await self._write_job(queue, job)
+        answer = await self._acceptance.accept(queue, job)
         self._instruments.observe(
             "submit_seconds", "Time to accept a job.", http.read_clock() - began
         )
@@ -113,25 +91,23 @@
 
     async def show(self, queue: model.Queue, id: str) -> message.Answer:
         """Return a job's state."""
-        found = await self._find_anywhere(queue, id)
-        if not isinstance(found, _Found):
+        found = await self._find(queue, id)
+        if not isinstance(found, jobrows.Found):
             return found
         if found.read.final is not None:
             return message.Answer(message.Verdict.FOUND, found.read.final)
-        noted = await self._read_one(
-            pool_record.PROGRESS_TABLE, found.pool, id, TRY_TIMEOUT
-        )
+        noted = await self._jobs.read_progress(found.pool, id)
         if noted.outcome is not table.Outcome.DONE:
-            return self._refuse(noted.reason)
+            return message.refuse(noted.reason)
         return message.Answer(message.Verdict.FOUND, _judge(found.read, noted.rows))
 
     async def cancel(self, queue: model.Queue, id: str) -> message.Answer:
         """Cancel a job: its row is written again with a mark."""
-        deadline = http.read_clock() + WHOLE_TIMEOUT
+        deadline = http.read_clock() + acceptance.WHOLE_TIMEOUT
         answer = message.Answer(message.Verdict.UNKNOWN)
         while http.read_clock() < deadline:
-            found = await self._find_anywhere(queue, id)
-            if not isinstance(found, _Found):
+            found = await self._find(queue, id)
+            if not isinstance(found, jobrows.Found):
                 return found
             if found.read.job is None or found.read.cancelled:
                 answer = message.Answer(message.Verdict.ACCEPTED)
@@ -140,92 +116,61 @@
             if change.outcome is table.Outcome.DONE:
                 answer = message.Answer(message.Verdict.ACCEPTED)
                 break
-            await anyio.sleep(PAUSE)
+            await anyio.sleep(acceptance.PAUSE)
         self._tell("job cancelled by its caller", queue, id, answer)
         return answer
 
     async def count(self, queue: model.Queue) -> message.Answer:
         """Return how many accepted jobs have not begun."""
         read = await self._store.read(
-            pool_record.BOARD_TABLE, queue.pool, timeout=TRY_TIMEOUT
+            pool_record.BOARD_TABLE, queue.pool, timeout=acceptance.TRY_TIMEOUT
         )
         if read.outcome is not table.Outcome.DONE:
-            return self._refuse(read.reason)
+            return message.refuse(read.reason)
         pending = 0
         for row in read.rows:
             board = pool_record.read_board(row.value or b"")
             pending += board.waiting.get(queue.name, 0)
         return message.Answer(message.Verdict.FOUND, pending=pending)
 
-    async def _write_job(self, queue: model.Queue, job: model.Job) -> message.Answer:
-        name = pool_record.name_job_table(queue.pool)
-        part = pool_record.name_job_part(queue.pool, job.id)
-        condition = rows.Condition(name, part, job.id, 0)
-        kept = job._replace(attempts=queue.max_attempts)
-        value = record.write_job(kept, time.time())
-        write = rows.Write(name, part, job.id, value)
-        change = rows.Transaction((condition,), (write,))
-        deadline = http.read_clock() + WHOLE_TIMEOUT
-        lost = False
-        while True:
-            result = await self._store.commit(change, timeout=TRY_TIMEOUT)
-            if result.outcome is table.Outcome.DONE or result.reason == "conflict":
-                return message.Answer(message.Verdict.ACCEPTED, reason=result.reason)
-            lost = lost or result.outcome is table.Outcome.UNKNOWN
-            if not lost:
-                return self._refuse(result.reason)
-            if http.read_clock() + PAUSE > deadline - TRY_TIMEOUT:
-                return message.Answer(message.Verdict.UNKNOWN, reason=result.reason)
-            await anyio.sleep(PAUSE)
-
-    async def _mark_cancelled(self, found: _Found) -> rows.Change:
+    async def _mark_cancelled(self, found: jobrows.Found) -> rows.Change:
         row = found.row
         value = record.write_job(found.read.job, found.read.accepted, cancelled=True)
         condition = rows.Condition(row.table, row.part, row.key, row.version)
         write = rows.Write(row.table, row.part, row.key, value)
         return await self._store.commit(
-            rows.Transaction((condition,), (write,)), timeout=TRY_TIMEOUT
+            rows.Transaction((condition,), (write,)), timeout=acceptance.TRY_TIMEOUT
         )
 
-    async def _find_anywhere(
+    async def _find(
         self, queue: model.Queue, id: str
-    ) -> _Found | message.Answer:
-        found: _Found | message.Answer = message.Answer(message.Verdict.MISSING)
-        for pool in [queue.pool, *self._list_former_pools(queue.name)]:
-            found = await self._find(pool, id)
-            if isinstance(found, _Found):
-                return found
-            if found.verdict is not message.Verdict.MISSING:
+    ) -> jobrows.Found | message.Answer:
+        """Find a job in its queue's pool, or in one that the queue had before."""
+        found = await self._find_in([queue.pool], id)
+        if found is not None:
+            return found
+        # Only a row read after the look shows that the job is nowhere.
+        noted = await self._pools.read(queue)
+        if noted is None:
+            return message.refuse("queue not read")
+        found = await self._find_in(self._pools.list_former(queue, noted), id)
+        return found or message.Answer(message.Verdict.MISSING)
+
+    async def _find_in(
+        self, pools: list[str], id: str
+    ) -> jobrows.Found | message.Answer | None:
+        """Look for a job in pools, one after the other; None says it is in none."""
+        for pool in pools:
+            found = await self._jobs.find(pool, id)
+            if isinstance(found, jobrows.Found):
                 return found
-        return found
-
-    async def _find(self, pool: str, id: str) -> _Found | message.Answer:
-        name = pool_record.name_job_table(pool)
-        part = pool_record.name_job_part(pool, id)
-        read = await self._read_one(name, part, id, TRY_TIMEOUT)
-        if read.outcome is not table.Outcome.DONE:
-            return self._refuse(read.reason)
-        for row in read.rows:
-            if row.value is not None:
-                return _Found(row, pool, record.read_job(id, row.value))
-        return message.Answer(message.Verdict.MISSING)
-
-    async def _read_one(
-        self, name: str, part: str, id: str, timeout: float
-    ) -> rows.Range:
-        """Read the row of one job."""
-        return await self._store.read(
-            name, part, first=id, last=id + "\0", limit=1, timeout=timeout
-        )
+            if found.outcome is not table.Outcome.DONE:
+                return message.refuse(found.reason)
+        return None
 
     def _refuse_path(self, path: str, reason: str) -> message.Answer:
         log.log_change("request refused", job=path.rpartition("/")[2], reason=reason)
-        return self._refuse(reason)
-
-    def _refuse(self, reason: str) -> message.Answer:
-        return message.Answer(
-            message.Verdict.NOT_RUN, retry_after=RETRY_AFTER, reason=reason
-        )
+        return message.refuse(reason)
 
     def _tell(
         self, what: str, queue: model.Queue, id: str, answer: message.Answer
--- a/wigeonhitch/site/message.py
+++ b/wigeonhitch/site/message.py
@@ -5,7 +5,11 @@
 
 from wigeonhitch.jobs import model
 
-__all__ = ["Answer", "Desk", "Verdict"]
+__all__ = ["Answer", "Desk", "Verdict", "refuse"]
+
+RETRY_AFTER = 1.0
+"""Seconds after which a refused caller is told to come back, the least that
+can be said: another daemon may reach the store meanwhile."""
 
 
 class Verdict(enum.Enum):
@@ -32,6 +36,11 @@
     reason: str = ""
 
 
+def refuse(reason: str) -> Answer:
+    """Return the answer to a request that hasn't run and never will."""
+    return Answer(Verdict.NOT_RUN, retry_after=RETRY_AFTER, reason=reason)
+
+
 class Desk(Protocol):
     """Answers callers' requests."""
 
--- /dev/null
+++ b/wigeonhitch/site/queuepools.py
@@ -0,0 +1,114 @@
+"""In which pools jobs of a queue may have been accepted, kept in the store.
+
+The configuration may move a queue to another pool; its jobs stay where they were
+accepted. A daemon accepts a job in a pool only with that pool noted in the queue's row,
+and under the condition that this row hasn't changed. A copy of the row lies in each
+part in which the pool keeps jobs, so that the condition needs no transaction across
+parts. Noting a further pool writes all copies: what was sent into a former pool before,
+and is done late, then fails.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import orjson
+
+from wigeonhitch.jobs import model
+from wigeonhitch.platform import rows, table
+from wigeonhitch.pool import record as pool_record
+
+__all__ = ["QUEUE_TABLE", "Noted", "QueuePools", "expect_noted", "plan_note"]
+
+QUEUE_TABLE = "queue"
+
+COPIED = 10
+"""Newest pools of a queue with copies of its row; a transaction has 100 entries."""
+
+TIMEOUT = 0.9
+"""Seconds for one read: 4 ms as a rule, 0.25 s where the store is slow."""
+
+
+class Noted(NamedTuple):
+    """The pools of a queue's row, newest last, and the version of all its copies."""
+
+    pools: tuple[str, ...] = ()
+    version: int = 0
+
+    def holds(self, queue: model.Queue) -> bool:
+        """Whether jobs of a queue may be accepted in its present pool."""
+        return queue.pool in self.pools[-COPIED:]
+
+
+class QueuePools:
+    """Knows the rows of queues; a row is read when a queue is first asked for.
+
+    Parameters
+    ----------
+    store : rows.RowStore
+        The platform's store.
+    list_seen : callable
+        Returns the pools that this daemon has seen a queue in before.
+    """
+
+    def __init__(
+        self, store: rows.RowStore, list_seen: Callable[[str], list[str]]
+    ) -> None:
+        self._store = store
+        self._list_seen = list_seen
+        self._noted: dict[str, Noted] = {}
+
+    async def find(self, queue: model.Queue) -> Noted | None:
+        """Return what is noted of a queue, or None if it can't be read.
+
+        What was read before serves while it holds the queue's present pool; if it is
+        old by now, nothing is accepted under it.
+        """
+        known = self._noted.get(queue.name)
+        if known is not None and known.holds(queue):
+            return known
+        return await self.read(queue)
+
+    async def read(self, queue: model.Queue) -> Noted | None:
+        """Read a queue's row; return what is noted, or None if it can't be read."""
+        read = await self._store.read(QUEUE_TABLE, queue.name, timeout=TIMEOUT)
+        if read.outcome is not table.Outcome.DONE:
+            return None
+        noted = Noted()
+        for row in read.rows:
+            noted = Noted(tuple(orjson.loads(row.value or b"[]")), row.version)
+        self._noted[queue.name] = noted
+        return noted
+
+    def list_former(self, queue: model.Queue, noted: Noted) -> list[str]:
+        """Return the other pools in which jobs of a queue may have been accepted."""
+        seen = (*noted.pools, *self._list_seen(queue.name))
+        return [one for one in dict.fromkeys(seen) if one != queue.pool]
+
+    def forget(self, queue: model.Queue) -> None:
+        """Have a queue's row read again."""
+        self._noted.pop(queue.name, None)
+
+    def on_noted(self, queue: model.Queue, noted: Noted, version: int) -> None:
+        """Take note that the queue's present pool was added to its row."""
+        self._noted[queue.name] = Noted(_add_pool(queue, noted), version)
+
+
+def expect_noted(queue: model.Queue, part: str, noted: Noted) -> rows.Condition:
+    """Return the condition that a queue's row is as known, for a part of its pool."""
+    return rows.Condition(QUEUE_TABLE, part, queue.name, noted.version)
+
+
+def plan_note(queue: model.Queue, noted: Noted) -> rows.Transaction:
+    """Return how the queue's present pool is added to its row and all copies."""
+    pools = _add_pool(queue, noted)
+    value = orjson.dumps(pools)
+    parts = [queue.name]
+    for pool in pools[-COPIED:]:
+        parts += pool_record.list_job_parts(pool)
+    condition = rows.Condition(QUEUE_TABLE, queue.name, queue.name, noted.version)
+    writes = [rows.Write(QUEUE_TABLE, part, queue.name, value) for part in parts]
+    return rows.Transaction((condition,), tuple(writes))
+
+
+def _add_pool(queue: model.Queue, noted: Noted) -> tuple[str, ...]:
+    return (*(one for one in noted.pools if one != queue.pool), queue.pool)
--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -1,12 +1,13 @@
 """Accepting, showing and cancelling jobs while the store misbehaves."""
 
+import anyio
 import pytest
 
 from standins import rowstore
 from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import rows, table
 from wigeonhitch.pool import record as pool_record
-from wigeonhitch.site import catalogue, desk, message
+from wigeonhitch.site import catalogue, desk, message, queuepools
 from wigeonhitch.telemetry import metric
 
 pytestmark = pytest.mark.anyio
@@ -290,3 +291,85 @@
     site.store.apply_late()
 
     assert len(list_accepting_pools(site.store)) == 1
+
+
+async def test_a_late_write_fails_though_its_pool_had_been_noted(site, moved_desk):
+    await site.desk.submit(QUEUE, JOB._replace(id="first"))
+    site.store.holds_back = 1000
+    await site.desk.submit(QUEUE, JOB)
+    site.store.holds_back = 0
+    answer = await moved_desk("other").submit(MOVED, JOB)
+
+    site.store.apply_late()
+
+    assert answer.verdict is message.Verdict.ACCEPTED
+    assert list_accepting_pools(site.store) == ["other"]
+
+
+async def test_a_daemon_that_has_not_heard_of_a_move_accepts_no_job_again(
+    site, moved_desk
+):
+    await site.desk.submit(QUEUE, JOB._replace(id="first"))
+    await moved_desk("other").submit(MOVED, JOB)
+
+    answer = await site.desk.submit(QUEUE, JOB)
+
+    assert answer.verdict is message.Verdict.ACCEPTED
+    assert list_accepting_pools(site.store) == ["other"]
+
+
+async def test_a_daemon_that_restarted_shows_and_cancels_a_job_of_a_former_pool(
+    site, moved_desk
+):
+    await site.desk.submit(QUEUE, JOB)
+    restarted = moved_desk("other")
+
+    assert (await restarted.show(MOVED, "j")).state is model.JobState.QUEUED
+    await restarted.cancel(MOVED, "j")
+    assert (await site.desk.show(QUEUE, "j")).state is model.JobState.CANCELLED
+
+
+async def test_a_job_is_not_missing_while_its_former_pools_are_unknown(
+    site, moved_desk, monkeypatch
+):
+    read = site.store.read
+
+    async def refuse(name, *given, **named):
+        if name == queuepools.QUEUE_TABLE:
+            return rows.Range(table.Outcome.UNKNOWN, reason="timeout")
+        return await read(name, *given, **named)
+
+    monkeypatch.setattr(site.store, "read", refuse)
+
+    answer = await moved_desk("other").show(MOVED, "j")
+
+    assert answer.verdict is message.Verdict.NOT_RUN
+
+
+async def test_daemons_that_note_a_pool_at_the_same_time_all_accept(site, moved_desk):
+    desks = [moved_desk("p") for _ in range(5)]
+    verdicts = []
+
+    async def submit(one, id):
+        answer = await one.submit(QUEUE, JOB._replace(id=id))
+        verdicts.append(answer.verdict)
+
+    async with anyio.create_task_group() as group:
+        for number, one in enumerate(desks):
+            group.start_soon(submit, one, f"j{number}")
+
+    assert verdicts == [message.Verdict.ACCEPTED] * 5
+
+
+async def test_a_queue_that_moves_often_still_finds_its_first_jobs(site, moved_desk):
+    await site.desk.submit(QUEUE, JOB)
+    pools = [f"p{number}" for number in range(2 * queuepools.COPIED)]
+    for pool in pools:
+        other = JOB._replace(id=pool)
+        await moved_desk(pool).submit(QUEUE._replace(pool=pool), other)
+    last = moved_desk(pools[-1])
+
+    answer = await last.submit(QUEUE._replace(pool=pools[-1]), JOB)
+
+    assert answer.reason == "known"
+    assert (await last.show(QUEUE._replace(pool=pools[-1]), "j")).state
