--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -1,6 +1,6 @@
 """Decisions on leases and leadership, without I/O.
 
-Each daemon renews one lease, its member row. A pool is led by the daemon that
+Each candidate renews one lease, its member row. A pool is led by the daemon that
 its owner row names, while that daemon's lease lasts. The version that the
 store gives the owner row is the fencing token: it rises with each leader of
 any pool, since one counter numbers all transactions.
@@ -16,7 +16,7 @@
 import hashlib
 from typing import NamedTuple
 
-from wigeonhitch.leadership import clock, record
+from wigeonhitch.leadership import candidacy, clock, record
 from wigeonhitch.platform import rows
 
 __all__ = [
@@ -51,9 +51,23 @@
 """Seconds after the end of its lease at which a member's row is removed: a
 daemon that is restarted or cut off is back before."""
 
-MEMBERS_STALE = 1.2
-"""Seconds after which what is known of members is too old to claim by: two
-readings of them. Others' leases seem to have run out after an outage."""
+LOOK_MOST = 1.0
+"""Seconds between two looks at the members at most: a daemon without a lease finds
+by them that it has lost the store."""
+
+LOOK_LEAST = 0.1
+"""Seconds between two looks at the members at least."""
+
+LOOK_LATE = 0.02
+"""Seconds after the end of a lease for others at which they look for its renewal."""
+
+MEMBERS_STALE = 1.8
+"""Seconds after which what is known of members is too old to act by: a look that
+failed, and another. Others' leases seem to have run out after an outage."""
+
+RETURN_PAUSE = 0.3
+"""Seconds for which a daemon that had no news of the members leaves it to the
+candidates from before to renew their leases."""
 
 YIELD_RATIO = 3.0
 """A leader hands a pool over to a member that would have so many times more
@@ -138,14 +152,33 @@
         self._vacancies: dict[str, _VacantSince] = {}
         self._members_version = 0
         self._members_at = 0.0
+        self._heard = 0.0
+        """The store's time up to which the members are known."""
+        self._had_no_news = True
         self._steady_since: dict[str, float] = {}
         self._yielded_at = now
         self._lapsed_at = 0
+        self.is_candidate = False
+        self._short_since = 0.0
+        """When too few candidates were first seen, 0 while there are enough."""
+        self._join_after = 0.0
+        """Seconds after that at which this daemon joins."""
+        self._surplus_since = 0.0
+        self._gave_up: dict[str, str] = {}
+        """Daemon that last gave each pool up, while nobody has claimed it."""
+
+    # -- this daemon's lease
 
     def plan_renewal(self, now: float) -> record.Member:
         """Return the member row to write."""
-        until = self.clock.compute_earliest(now) + LEASE
-        return record.Member(self.name, self.life, until, self.leaving, self.cores)
+        began = self.clock.compute_earliest(now)
+        known = self.members.get(self.name)
+        lasts = known is not None and known.life == self.life and self.is_valid(now)
+        since = known.since if lasts else began
+        until = began + LEASE
+        return record.Member(
+            self.name, self.life, until, self.leaving, self.cores, 0, since
+        )
 
     def on_renewed(self, member: record.Member) -> None:
         """Take note that the lease was renewed."""
@@ -153,11 +186,29 @@
         self.members[self.name] = member
 
     def on_members(
-        self, members: list[record.Member], version: int, now: float
+        self,
+        members: list[record.Member],
+        version: int,
+        now: float,
+        store_time: float = 0.0,
     ) -> None:
-        """Take changed members as read when the store was at ``version``."""
+        """Take changed members as they were in the store.
+
+        Parameters
+        ----------
+        members : list of record.Member
+            Those that have changed.
+        version : int
+            The store's when they were read.
+        now : float
+            This daemon's time.
+        store_time : float
+            The store's steady time in seconds when they were read, 0 if not told.
+        """
+        self._had_no_news = now - self._members_at > MEMBERS_STALE
         self._members_version = version
         self._members_at = now
+        self._heard = store_time or self.clock.compute_earliest(now)
         for one in members:
             self.on_member(one, now)
 
@@ -166,10 +217,20 @@
         known = self.members.get(member.name)
         if known is not None and member.version < known.version:
             return
-        if not self.is_alive(member.name, member.life, now):
+        if not self._has_lasted(known, member, now):
             self._steady_since[member.name] = now
         self.members[member.name] = member
 
+    def _has_lasted(
+        self, known: record.Member | None, member: record.Member, now: float
+    ) -> bool:
+        """Whether a member's lease had no gap since its row that was known before."""
+        if known is None or known.life != member.life:
+            return False
+        if member.since:
+            return member.since == known.since
+        return self.is_alive(member.name, member.life, now)
+
     def on_lapsed(self, version: int) -> None:
         """Take note that the lease had run out when the store was at ``version``.
 
@@ -196,8 +257,13 @@
     def on_owner(self, owner: record.Owner) -> None:
         """Take an owner row, unless a newer one is known."""
         known = self.owners.get(owner.pool)
-        if known is None or owner.version >= known.version:
-            self.owners[owner.pool] = owner
+        if known is not None and owner.version < known.version:
+            return
+        self.owners[owner.pool] = owner
+        if owner.name:
+            self._gave_up.pop(owner.pool, None)
+        elif known is not None and known.name:
+            self._gave_up[owner.pool] = known.name
 
     def is_valid(self, now: float) -> bool:
         """Whether this daemon's own lease lasts at this moment."""
@@ -222,6 +288,83 @@
             if not one.leaving and self.is_alive(one.name, one.life, now)
         ]
 
+    # -- candidates
+
+    def consider_joining(self, pools: int, now: float) -> bool:
+        """Become a candidate if there have been too few of them for long enough.
+
+        Parameters
+        ----------
+        pools : int
+            How many pools need a leader.
+        now : float
+            This daemon's time, at which the members have just been heard of.
+
+        Returns
+        -------
+        bool
+            Whether this daemon has become a candidate.
+        """
+        if self.is_candidate or self.leaving or now - self._began < SETTLE:
+            return False
+        if len(self.list_live(now)) >= candidacy.compute_wanted(pools):
+            self._short_since = 0.0
+            return False
+        if not self._short_since:
+            self._short_since = now
+            self._join_after = candidacy.compute_backoff(
+                self.name, self._members_version, self.cores
+            )
+            if self._had_no_news:
+                self._join_after += RETURN_PAUSE
+        if now - self._short_since < self._join_after:
+            return False
+        self.is_candidate = True
+        self._short_since = 0.0
+        return True
+
+    def consider_standing_down(self, pools: int, now: float) -> bool:
+        """Give the lease up if there have long been enough candidates without it.
+
+        The lease is over at once for this daemon, and for others once it runs out.
+        """
+        leading = self._count_led(now)
+        live = [
+            candidacy.Candidate(one, self.members[one].cores, one in leading)
+            for one in self.list_live(now)
+        ]
+        wanted = candidacy.compute_wanted(pools)
+        is_leading = any(self._is_own(one) for one in self.owners)
+        if is_leading or not candidacy.is_surplus(self.name, live, wanted):
+            self._surplus_since = 0.0
+            return False
+        self._surplus_since = self._surplus_since or now
+        if now - self._surplus_since < YIELD_PAUSE:
+            return False
+        self._surplus_since = 0.0
+        self.is_candidate = False
+        self.until = 0.0
+        return True
+
+    def plan_look(self, now: float) -> float:
+        """Return the seconds until the members should be looked at again.
+
+        The next look is when the first of the known leases has run out, so that the
+        loss of a candidate is seen at that moment whenever it came.
+        """
+        if self._short_since:
+            left = self._short_since + self._join_after - now
+            return min(LOOK_MOST, max(0.0, left))
+        reached = self.clock.compute_earliest(now)
+        ends = [
+            self.members[one].until + MARGIN + LOOK_LATE - reached
+            for one in self.list_live(now)
+            if one != self.name
+        ]
+        return min(LOOK_MOST, max(LOOK_LEAST, min(ends, default=LOOK_MOST)))
+
+    # -- claims
+
     def list_claims(self, pools: list[str], now: float) -> list[str]:
         """Return the pools that this daemon should claim now.
 
@@ -234,9 +377,9 @@
         """
         if self.leaving or not self.is_valid(now):
             return []
-        lapsed = [one for one in pools if self._is_named(one) and not self.is_mine(one)]
-        if lapsed:
-            return lapsed  # nobody else claims them while this daemon lives
+        own = [one for one in pools if self._is_own(one) and not self.is_mine(one)]
+        if own:
+            return own  # nobody else claims them while this daemon lives
         if now - self._began < SETTLE or now - self._members_at > MEMBERS_STALE:
             return []
         live = self.list_live(now)
@@ -257,9 +400,10 @@
     def _rank(self, pool: str, live: list[str], counts: dict[str, int]) -> int:
         """Return how many candidates go before this daemon."""
 
-        def weigh(name: str) -> tuple[float, bytes]:
+        def weigh(name: str) -> tuple[bool, float, bytes]:
             would_lead = counts.get(name, 0) + 1
-            return would_lead / self.members[name].cores, _mix(pool, name)
+            load = would_lead / self.members[name].cores
+            return name == self._gave_up.get(pool), load, _mix(pool, name)
 
         return sorted(live, key=weigh).index(self.name)
 
@@ -332,6 +476,8 @@
             return Vacancy.GIVEN_UP
         if self._is_named(pool):
             return Vacancy.OWN
+        if owner.name == self.name:
+            return Vacancy.RESTARTED
         member = self.members.get(owner.name)
         if member is None:
             return Vacancy.FORGOTTEN
@@ -343,7 +489,19 @@
             return True
         if owner.version > self._members_version:
             return False  # its leader may have joined since the members were read
-        return not self.is_alive(owner.name, owner.life, now)
+        if self.is_alive(owner.name, owner.life, now):
+            return False
+        member = self.members.get(owner.name)
+        if member is None or member.life != owner.life:
+            return True
+        return self._has_heard_end(member)
+
+    def _has_heard_end(self, member: record.Member) -> bool:
+        """Whether the news is later than the end of a lease, and told of no renewal.
+
+        By older news the leases of members that renew have run out too.
+        """
+        return self._heard > member.until + MARGIN
 
     def _is_named(self, pool: str) -> bool:
         """Whether the newest owner row known names this life of this daemon."""
@@ -352,6 +510,14 @@
             return False
         return owner.name == self.name and owner.life == self.life
 
+    def _is_own(self, pool: str) -> bool:
+        """Whether the newest owner row known names this daemon, in whichever life.
+
+        Its former life has ended before this one began, and gives no orders.
+        """
+        owner = self.owners.get(pool)
+        return owner is not None and owner.name == self.name
+
     def _note_vacancy(self, pool: str, now: float) -> float:
         owner = self.owners.get(pool)
         version = owner.version if owner else 0
--- a/wigeonhitch/leadership/record.py
+++ b/wigeonhitch/leadership/record.py
@@ -31,6 +31,7 @@
     ``life`` differs for each start of the process; ``until`` is the end of its
     lease on the store's steady clock in seconds; ``cores`` are the processors
     that the daemon may use; ``version`` is the row's, which rises with each renewal.
+    ``since`` is when the lease began to last without a gap, 0 if that isn't told.
     """
 
     name: str
@@ -39,6 +40,7 @@
     leaving: bool = False
     cores: float = 1.0
     version: int = 0
+    since: float = 0.0
 
 
 class Owner(NamedTuple):
@@ -72,6 +74,7 @@
     """Return a member's row."""
     row = {"life": member.life, "until": round(member.until, 3)}
     row["cores"] = round(member.cores, 3)
+    row["since"] = round(member.since, 3)
     if member.leaving:
         row["leaving"] = True
     return orjson.dumps(row)
@@ -81,7 +84,8 @@
     """Read a member's row."""
     row = orjson.loads(value)
     leaving, cores = row.get("leaving", False), row.get("cores", 1.0)
-    return Member(key, row["life"], row["until"], leaving, cores, version)
+    since = row.get("since", 0.0)
+    return Member(key, row["life"], row["until"], leaving, cores, version, since)
 
 
 def write_owner(owner: Owner) -> bytes:
--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -1,4 +1,7 @@
-"""The task that renews this daemon's lease and claims vacant pools."""
+"""The task that renews this daemon's lease and claims vacant pools.
+
+A daemon without a lease only looks at the members from time to time.
+"""
 
 from collections.abc import Callable
 
@@ -15,10 +18,10 @@
 """Seconds for one call: 4 ms as a rule, 0.2 to 0.4 s where the store is slow;
 two renewals fit into a lease of 2.2 s."""
 
-MEMBERS_PERIOD = 0.45
-"""Seconds between readings of the members: part of the time of a takeover."""
+MEMBERS_RETRY = 0.45
+"""Seconds between two looks at the members where the first one failed."""
 
-MEMBERS_WAIT = 0.1
+MEMBERS_WAIT = 0.01
 """Seconds that the feed of members waits; there is mostly something new."""
 
 FORGET_PERIOD = 10.0
@@ -30,8 +33,8 @@
 RETRY = 0.1
 """Seconds between tries of a call that failed."""
 
-CLAIM_PERIOD = 0.1
-"""Seconds between looks at what is vacant."""
+CLAIM_PERIOD = 0.05
+"""Seconds between a candidate's looks at what is vacant."""
 
 
 class Keeper:
@@ -72,6 +75,7 @@
         self._on_lost = on_lost
         self._get_granted = get_granted
         self._version = 0
+        self._is_claiming = False
         self._renewals = log.Dependency("renewal of the lease")
         self._read: set[str] = set()
         self._not_before: dict[str, float] = {}
@@ -99,7 +103,8 @@
         # Another may claim one while those before it are given up.
         for owner in [owners[one] for one in owners if self._leads(one)]:
             await self._give_up(owner)
-        await self._renew()
+        if self.leadership.is_candidate:
+            await self._renew()
 
     async def give_up(self, pool: str) -> None:
         """Stop leading a pool and leave it to whoever claims it first."""
@@ -127,14 +132,25 @@
     # -- the lease
 
     async def _renew_forever(self) -> None:
+        """Renew the lease while this daemon is a candidate."""
+        while not await self._read_own():
+            await anyio.sleep(RETRY)
         while True:
             began = http.read_clock()
-            if not self.leadership.clock.is_known:
-                await self._read_own()
-            done = await self._renew()
+            if self._should_stand_down(began):
+                log.log_change("candidate no more", candidates=self._count_live())
+            done = self.leadership.is_candidate and await self._renew()
             passed = http.read_clock() - began
             await anyio.sleep(max(RETRY, core.RENEWAL - passed) if done else RETRY)
 
+    def _should_stand_down(self, now: float) -> bool:
+        if not self.leadership.is_candidate or self._is_claiming:
+            return False
+        return self.leadership.consider_standing_down(len(self._list_pools()), now)
+
+    def _count_live(self) -> int:
+        return len(self.leadership.list_live(http.read_clock()))
+
     async def _renew(self) -> bool:
         if not self.leadership.clock.is_known:
             return False
@@ -176,15 +192,21 @@
 
     # -- members and owners
 
-    async def _read_own(self) -> None:
-        """Read this daemon's own row: its version, and the store's clock."""
+    async def _read_own(self) -> bool:
+        """Read this daemon's own row: its version, and the store's clock.
+
+        A daemon that has a row was a candidate in its former life, and is one again at
+        once: what it led then, it can claim before anybody else.
+        """
         name = self.leadership.name
         read = await self._store.read(record.MEMBER_TABLE, name, timeout=TIMEOUT)
         if read.outcome is not table.Outcome.DONE:
-            return
+            return False
         self.leadership.clock.learn(read.store_time, read.sent, read.received)
         for row in read.rows:
             self._version = row.version
+            self.leadership.is_candidate = True
+        return True
 
     async def _follow_members(self) -> None:
         """Follow all members; each has a part of its own.
@@ -197,14 +219,27 @@
             if not after:
                 after = await self._read_members()
             news = await self._store.follow(
-                record.MEMBER_TABLE, after, wait=MEMBERS_WAIT, timeout=FEED_WAIT
+                record.MEMBER_TABLE, after, wait=MEMBERS_WAIT, timeout=TIMEOUT
             )
+            pause = MEMBERS_RETRY
             if news.expired:
                 after = 0
             elif news.outcome is table.Outcome.DONE:
                 after = max(after, news.version)
-                self._take_members(news.rows, news.version)
-            await anyio.sleep(MEMBERS_PERIOD)
+                self._take_news(news)
+                pause = self.leadership.plan_look(http.read_clock())
+            await anyio.sleep(pause)
+
+    def _take_news(self, news: rows.Feed) -> None:
+        """Take the members that have changed, and join them where some are missing."""
+        now = http.read_clock()
+        if not self.leadership.is_candidate:
+            # A candidate's own renewals tell the time more closely.
+            self.leadership.clock.learn(news.store_time, news.sent, news.received)
+        self._take_members(news.rows, news.version, news.store_time)
+        if self.leadership.consider_joining(len(self._list_pools()), now):
+            self._read.clear()
+            log.log_change("candidate now", candidates=self._count_live())
 
     async def _read_members(self) -> int:
         """Read each member; return a version to follow from, or 0."""
@@ -237,7 +272,9 @@
         )
         log.log_change("member forgotten", member=member.name, reason=change.reason)
 
-    def _take_members(self, found: tuple[rows.Row, ...], version: int) -> None:
+    def _take_members(
+        self, found: tuple[rows.Row, ...], version: int, store_time: float = 0.0
+    ) -> None:
         for row in found:
             if row.value is None:
                 self.leadership.forget(row.key)
@@ -246,12 +283,18 @@
             for row in found
             if row.value is not None
         ]
-        self.leadership.on_members(members, version, http.read_clock())
+        now = http.read_clock()
+        self.leadership.on_members(members, version, now, store_time)
 
     async def _follow_owners(self) -> None:
         times = feed.Times(FEED_WAIT, FEED_WAIT + TIMEOUT, RETRY)
         await feed.follow(
-            self._store, record.OWNER_TABLE, self._read_owners, self._take_owners, times
+            self._store,
+            record.OWNER_TABLE,
+            self._read_owners,
+            self._take_owners,
+            times,
+            lambda: self.leadership.is_candidate,
         )
 
     async def _read_owners(self) -> int:
@@ -285,7 +328,7 @@
 
     async def _claim_forever(self) -> None:
         while True:
-            pools = self._list_pools()
+            pools = self._list_pools() if self.leadership.is_candidate else []
             for pool in [one for one in pools if one not in self._read]:
                 await self._read_owner(pool)
             now = http.read_clock()
@@ -301,9 +344,18 @@
             if pool := self.leadership.find_yield(http.read_clock()):
                 log.log_change("leadership handed over", pool=pool)
                 await self.give_up(pool)
-            await anyio.sleep(CLAIM_PERIOD)
+            is_candidate = self.leadership.is_candidate
+            await anyio.sleep(CLAIM_PERIOD if is_candidate else RETRY)
 
     async def _claim(self, pool: str) -> None:
+        """Claim a pool; this daemon stays a candidate meanwhile."""
+        self._is_claiming = True
+        try:
+            await self._try_claim(pool)
+        finally:
+            self._is_claiming = False
+
+    async def _try_claim(self, pool: str) -> None:
         claim = self.leadership.make_claim(pool)
         basis = self.leadership.explain_claim(pool, http.read_clock())
         expected = self.leadership.expect_vacant(pool)
--- a/wigeonhitch/leadership/tests/conftest.py
+++ b/wigeonhitch/leadership/tests/conftest.py
@@ -28,6 +28,7 @@
     owner = record.Owner("p", "a", "life", 1, 0)
     store.put(record.OWNER_TABLE, "p", record.OWNER_KEY, record.write_owner(owner))
     leadership = core.Leadership("a", "life", 100.0)
+    leadership.is_candidate = True
     leadership.on_owner(owner._replace(version=store.version))
     return task.Keeper(
         leadership, store, lambda: ["p"], lambda _: None, lambda _: None, lambda _: 1.0
@@ -41,6 +42,7 @@
     owner = record.Owner("p", "a", "life", 1, 0)
     store.put(record.OWNER_TABLE, "p", record.OWNER_KEY, record.write_owner(owner))
     leadership = core.Leadership("a", "life", http.read_clock() - 60)
+    leadership.is_candidate = True
     leadership.on_owner(owner._replace(version=store.version))
     made = task.Keeper(
         leadership,
--- a/wigeonhitch/leadership/tests/history.py
+++ b/wigeonhitch/leadership/tests/history.py
@@ -13,7 +13,7 @@
 from unittest import mock
 
 from wigeonhitch import feed
-from wigeonhitch.leadership import core, record, task, term
+from wigeonhitch.leadership import candidacy, core, record, task, term
 from wigeonhitch.leadership.tests import simulated
 from wigeonhitch.platform import http
 from wigeonhitch.telemetry import log
@@ -50,10 +50,15 @@
 """How often each kind of trouble comes, in relation to the others."""
 
 
+MORE_FAULTS = {"lose candidates": 1}
+"""Trouble that comes as well where few of many daemons are candidates."""
+
+
 class Switches(NamedTuple):
     """Mechanisms that a test may switch off, to see that the check finds it."""
 
     member_row: bool = True
+    heard_end: bool = True
     lapse_loses: bool = True
     holder_lease: bool = True
     holder_margin: bool = True
@@ -109,8 +114,16 @@
 class World(simulated.Schedule):
     """Time, the store, the daemons, and what is on the way between them."""
 
-    def __init__(self, seed: int, switches: Switches | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        switches: Switches | None = None,
+        daemons: int = 3,
+        candidates: int = 0,
+    ) -> None:
         super().__init__(seed)
+        self._candidates = candidates
+        """Candidates that are wanted, 0: as many as `candidacy` says."""
         self.switches = switches or Switches()
         self.faults: list[str] = []
         self.trace: list[tuple[float, str, str, dict[str, Any]]] = []
@@ -126,9 +139,9 @@
         self._owners: dict[str, record.Owner] = {}
         self._given_up: dict[str, int] = {}
         """Version of each pool's owner row before it was last given up."""
-        self._names = 3
+        self._names = daemons
         self._lives: list[Life] = []
-        for number in range(3):
+        for number in range(daemons):
             self._start(f"d{number}")
         self.later(self.rng.uniform(5.0, 20.0), self._join)
         self.later(2.0, self._disturb)
@@ -148,6 +161,19 @@
             self.later(0.0, self._look)
             self.run_until(self.now + seconds)
 
+    def lose_candidates(self, seconds: float) -> None:
+        """Kill all candidates at once for good, and play on from there."""
+        with self._replace():
+            self._led_at = dict.fromkeys(POOLS, self.now)
+            self.unled = dict.fromkeys(POOLS, 0.0)
+            for life in self.list_candidates():
+                self._kill(life, seconds + 1.0)
+            self.run_until(self.now + seconds)
+
+    def list_candidates(self) -> list[Life]:
+        """Return the daemons that hold a lease, or are about to."""
+        return [one for one in self._lives if one.keeper.leadership.is_candidate]
+
     def count(self, text: str) -> int:
         """Return how often something was noted."""
         return sum(1 for one in self.trace if one[2] == text)
@@ -169,6 +195,10 @@
             put(log, "log_change", self._note)
             put(core, "LONG_GONE", LONG_GONE)
             put(task, "FORGET_PERIOD", FORGET_PERIOD)
+            if self._candidates:
+                put(candidacy, "compute_wanted", lambda _: self._candidates)
+            if "heard_end" in off:
+                put(lead, "_has_heard_end", lambda *_: True)
             if "member_row" in off:
                 put(lead, "expect_vacant", lambda *args: expect(*args)[:1])
             if "lapse_loses" in off:
@@ -191,7 +221,11 @@
         has_lapsed = self.now + simulated.STORE_OFFSET > leadership.until
         action()
         if has_lapsed and life.keeper.may_order():
-            life.revived = leadership.members[life.name].version
+            member = leadership.members.get(life.name)
+            if member is None:
+                self._tell(f"{life.name} may order without a lease")
+            else:
+                life.revived = member.version
         self._check(life)
 
     def on_commit(self, life: Life, call: simulated.Call) -> None:
@@ -243,7 +277,8 @@
     def _disturb(self) -> None:
         if not self._has_trouble:
             return
-        kind = self.rng.choices(list(FAULTS), list(FAULTS.values()))[0]
+        faults = {**FAULTS, **MORE_FAULTS} if self._candidates else FAULTS
+        kind = self.rng.choices(list(faults), list(faults.values()))[0]
         if self._lives:
             self._bring(kind, self.rng.choice(self._lives))
         self.later(self.rng.expovariate(1.5), self._disturb)
@@ -251,7 +286,10 @@
     def _bring(self, kind: str, life: Life) -> None:
         length = self.rng.uniform(0.5, 5.0)
         self._note(kind, daemon=life.name, seconds=round(length, 2))
-        if kind == "drop history":
+        if kind == "lose candidates":
+            for one in self.list_candidates():
+                self._kill(one, self.rng.uniform(0.3, 4.0))
+        elif kind == "drop history":
             self.store.changes.clear()
             self.store.oldest = self.store.version
         elif kind == "slow":
--- a/wigeonhitch/leadership/tests/test_claims.py
+++ b/wigeonhitch/leadership/tests/test_claims.py
@@ -14,6 +14,7 @@
 def claimant(store):
     """A keeper whose daemon may claim the pool "p", and what it was told to lead."""
     leadership = core.Leadership("a", "life", 100.0)
+    leadership.is_candidate = True
     led = []
     made = task.Keeper(
         leadership, store, lambda: ["p"], led.append, lambda _: None, lambda _: 1.0
--- a/wigeonhitch/leadership/tests/test_history.py
+++ b/wigeonhitch/leadership/tests/test_history.py
@@ -46,9 +46,11 @@
 
 
 @pytest.mark.parametrize(
-    "mechanism", ["member_row", "lapse_loses", "holder_lease", "term_ends"]
+    "mechanisms",
+    [("member_row", "heard_end"), ("lapse_loses",), ("holder_lease",), ("term_ends",)],
+    ids="-".join,
 )
-def test_a_history_goes_wrong_without(mechanism):
-    switches = history.Switches()._replace(**{mechanism: False})
+def test_a_history_goes_wrong_without(mechanisms):
+    switches = history.Switches()._replace(**dict.fromkeys(mechanisms, False))
 
     assert any(play(seed, switches).faults for seed in range(WITHIN))
--- a/wigeonhitch/site/acceptance.py
+++ b/wigeonhitch/site/acceptance.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from collections.abc import Callable
 
 import anyio
 
@@ -39,6 +40,9 @@
     is_across : bool
         Whether the store takes transactions across parts. Without them a late write
         into a former pool may accept a job there as well.
+    is_store_lost : callable
+        Whether this daemon hasn't reached the store for some time. A caller is then
+        answered, so that its next try reaches another daemon.
     """
 
     def __init__(
@@ -47,11 +51,13 @@
         jobs: jobrows.JobRows,
         pools: queuepools.QueuePools,
         is_across: bool = True,
+        is_store_lost: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._jobs = jobs
         self._pools = pools
         self._is_across = is_across
+        self._is_store_lost = is_store_lost
 
     async def accept(self, queue: model.Queue, job: model.Job) -> message.Answer:
         """Accept a job, or find that it was accepted before."""
@@ -64,7 +70,8 @@
             lost = lost or result.outcome is table.Outcome.UNKNOWN
             if not lost and result.reason != "conflict":
                 return message.refuse(result.reason)
-            if http.read_clock() + PAUSE > deadline - TRY_TIMEOUT:
+            is_late = http.read_clock() + PAUSE > deadline - TRY_TIMEOUT
+            if is_late or self._is_store_lost():
                 verdict = message.Verdict.UNKNOWN if lost else message.Verdict.NOT_RUN
                 return message.refuse(result.reason)._replace(verdict=verdict)
             await anyio.sleep(PAUSE)
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -12,17 +12,12 @@
 from wigeonhitch.platform import advice, fleet, http, node, rows, workers
 from wigeonhitch.pool import belief, caller, surroundings
 from wigeonhitch.pool import task as pool_task
-from wigeonhitch.site import catalogue, closings, desk, directory
+from wigeonhitch.site import catalogue, closings, contact, desk, directory
 from wigeonhitch.telemetry import log, metric
 
 __all__ = ["Daemon"]
 
 
-STORE_LOST = 1.5
-"""Seconds without a renewal of the lease after which the store counts as lost:
-two renewals have failed, also where it is slow."""
-
-
 class Daemon:
     """All parts of one daemon.
 
@@ -47,7 +42,7 @@
         self.settings = settings
         self.instruments = instruments
         self.stopped = anyio.Event()
-        self._store = store
+        self._contact = self._store = store = contact.Contact(store)
         self._calls = calls
         self._advice_calls = advice_calls
         self._fleet_calls = fleet_calls
@@ -81,7 +76,7 @@
             lambda: self._follower.catalogue,
             self._follower.list_former_pools,
             instruments,
-            self._is_store_lost,
+            self._contact.is_lost,
             settings.rates.across,
         )
 
@@ -90,7 +85,7 @@
         """Whether new connections are welcome."""
         if self.stopped.is_set() or self._follower.catalogue is None:
             return False
-        return not self._is_store_lost()
+        return not self._contact.is_lost()
 
     @property
     def is_stopping(self) -> bool:
@@ -111,9 +106,6 @@
         with anyio.move_on_after(1.5):
             await self._keeper.leave()
 
-    def _is_store_lost(self) -> bool:
-        return http.read_clock() - self._keeper.renewed > STORE_LOST
-
     # -- events
 
     def _list_pools(self) -> list[str]:
--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -54,7 +54,7 @@
         self._jobs = jobrows.JobRows(store)
         self._pools = queuepools.QueuePools(store, list_former_pools)
         self._acceptance = acceptance.Acceptance(
-            store, self._jobs, self._pools, is_across
+            store, self._jobs, self._pools, is_across, is_store_lost
         )
 
     @property
