--- a/wigeonhitch/leadership/tests/test_candidates.py
+++ b/wigeonhitch/leadership/tests/test_candidates.py
@@ -58,7 +58,9 @@
     assert max(world.unled.values()) <= TAKEOVER
 
 
-@pytest.mark.parametrize("mechanism", ["lapse_loses", "holder_lease", "term_ends"])
+@pytest.mark.parametrize(
+    "mechanism", ["member_row", "lapse_loses", "holder_lease", "term_ends"]
+)
 def test_a_history_of_few_candidates_goes_wrong_without(mechanism):
     switches = history.Switches()._replace(**{mechanism: False})
 
