Make fewer calls for closings and configurations, and renew as soon as a daemon joins

Now closings wait 0.06 s, the operator's feed as long as the site's bound allows, and a daemon renews with the step in which it joins.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -226,20 +226,24 @@
                 after = 0
             elif news.outcome is table.Outcome.DONE:
                 after = max(after, news.version)
-                self._take_news(news)
+                if self._take_news(news):
+                    # Others that are about to join hear of it the sooner.
+                    await self._renew()
                 pause = self.leadership.plan_look(http.read_clock())
             await anyio.sleep(pause)
 
-    def _take_news(self, news: rows.Feed) -> None:
-        """Take the members that have changed, and join them where some are missing."""
+    def _take_news(self, news: rows.Feed) -> bool:
+        """Take the members that have changed; return whether this daemon joins them."""
         now = http.read_clock()
         if not self.leadership.is_candidate:
             # A candidate's own renewals tell the time more closely.
             self.leadership.clock.learn(news.store_time, news.sent, news.received)
         self._take_members(news.rows, news.version, news.store_time)
-        if self.leadership.consider_joining(len(self._list_pools()), now):
-            self._read.clear()
-            log.log_change("candidate now", candidates=self._count_live())
+        if not self.leadership.consider_joining(len(self._list_pools()), now):
+            return False
+        self._read.clear()
+        log.log_change("candidate now", candidates=self._count_live())
+        return True
 
     async def _read_members(self) -> int:
         """Read each member; return a version to follow from, or 0."""
--- a/wigeonhitch/platform/node.py
+++ b/wigeonhitch/platform/node.py
@@ -38,6 +38,8 @@
     """How long a final job can still be asked for."""
     move: float
     upkeep: float
+    configuration: float = 2.0
+    """From the acknowledgement of a configuration until it has to be in force."""
 
 
 class StoreRates(NamedTuple):
@@ -126,6 +128,7 @@
             finals_kept=reader.number("parameters.status_s", 120),
             move=reader.number("parameters.migrate_s", 1.5),
             upkeep=reader.number("parameters.maintenance_s", 2),
+            configuration=reader.number("parameters.config_apply_ms", 2000) / 1000,
         ),
         rates=StoreRates(
             reader.number("platform.writes_per_s", 800),
--- a/wigeonhitch/site/catalogue.py
+++ b/wigeonhitch/site/catalogue.py
@@ -9,13 +9,18 @@
 
 __all__ = ["Follower"]
 
-WAIT = 1.5
-"""Seconds that a feed waits; a connection that went silent is found after it,
-in time for a configuration to be in force within 2 s."""
+WAIT_MOST = 3.0
+"""Seconds that a feed waits at most."""
 
 SLACK = 0.4
 """Seconds beyond the wait after which the call counts as lost."""
 
+READING = 0.1
+"""Seconds that it takes to read the rows anew."""
+
+TIMEOUT = 1.9
+"""Seconds for reading all rows."""
+
 RETRY = 0.1
 """Seconds between tries of a call that failed."""
 
@@ -29,10 +34,16 @@
         The platform's store.
     on_change : callable
         Called after each new configuration.
+    bound : float
+        Seconds within which a configuration has to be in force, also where the feed's
+        connection went silent before it came.
     """
 
-    def __init__(self, store: rows.RowStore, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self, store: rows.RowStore, on_change: Callable[[], None], bound: float = 2.0
+    ) -> None:
         self._store = store
+        self._wait = min(WAIT_MOST, bound - SLACK - READING)
         self._on_change = on_change
         self.catalogue: model.Catalogue | None = None
         self.waves: dict[int, entries.WaveOrder] = {}
@@ -46,13 +57,13 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        times = feed.Times(WAIT, WAIT + SLACK, RETRY)
+        times = feed.Times(self._wait, self._wait + SLACK, RETRY)
         await feed.follow(
             self._store, entries.OPERATOR_TABLE, self._read_all, self._take_all, times
         )
 
     async def _read_all(self) -> int:
-        read = await self._store.read(entries.OPERATOR_TABLE, "", timeout=WAIT + SLACK)
+        read = await self._store.read(entries.OPERATOR_TABLE, "", timeout=TIMEOUT)
         if read.outcome is not table.Outcome.DONE:
             return 0
         self._take_all(read.rows)
--- a/wigeonhitch/site/closings.py
+++ b/wigeonhitch/site/closings.py
@@ -15,6 +15,9 @@
 SLACK = 0.5
 """Seconds beyond the wait after which the call counts as lost."""
 
+PAUSE = 0.06
+"""Seconds between two calls: a round of moves changes rows many times over."""
+
 RETRY = 0.1
 """Seconds between tries of a call that failed."""
 
@@ -47,7 +50,7 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        times = feed.Times(WAIT, WAIT + SLACK, RETRY)
+        times = feed.Times(WAIT, WAIT + SLACK, RETRY, PAUSE)
         await feed.follow(
             self._store,
             record.CLOSING_TABLE,
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -49,7 +49,9 @@
         self._fleet_runner: fleet_task.Runner | None = None
         self._group: anyio.abc.TaskGroup | None = None
         self._runners: dict[str, pool_task.Runner] = {}
-        self._follower = catalogue.Follower(store, self._on_catalogue)
+        self._follower = catalogue.Follower(
+            store, self._on_catalogue, settings.bounds.configuration
+        )
         self._directory = directory.Directory(
             store, lambda: bool(self._runners), self._on_worker, self._on_removed
         )
