Send as many VMs at once as the platform takes, and see a burst as it rises

Hypothesis: on a site of 276 VMs a burst sends a hundred, and at 32 at once the last come moves later; and a burst of 125 callers rises over 4 s, so that what is handed in exceeds the pool only 1.5 s after its beginning, and VMs come 1.7 s later still.

Moves at once are half of the orders that the platform takes in a second: 32 of 64 as before, 155 of 310. The rate that is handed in is looked ahead by its rise over a move, where two spans of 0.5 s differ by more than chance.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -74,10 +74,13 @@
     ----------
     now : float
         This daemon's time at the takeover.
+    moves_at_once : int
+        VMs that may be on their way to another pool at once.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, moves_at_once: int = 32) -> None:
         self.taken_over = now
+        self.moves_at_once = moves_at_once
         self.vms: dict[str, fleet.Vm] = {}
         self.listed_at = 0.0
         self.pools: dict[str, model.Pool] = {}
--- a/wigeonhitch/maintenance/demand.py
+++ b/wigeonhitch/maintenance/demand.py
@@ -16,7 +16,7 @@
 from wigeonhitch.platform import fleet
 from wigeonhitch.pool import record as pool_record
 
-__all__ = ["plan_moves"]
+__all__ = ["compute_moves_at_once", "plan_moves"]
 
 WORTH_A_MOVE = 0.3
 """Share of a VM's processors that must be unmet for a VM to be sent: a move
@@ -47,15 +47,22 @@
 """VMs' worth of room beyond what its work needs that a lender must have: a burst
 of its own that begins meanwhile is served for the 2 s until VMs come back."""
 
-MOVES_AT_ONCE = 32
-"""VMs on their way at once: half of the orders that the platform takes in a
-second by default. A burst lasts some 5 s, and a site of 180 VMs has 28 to spare;
-at 8 at once the last of them came after 4 to 9 s."""
-
+ORDERS_SHARE = 0.5
+"""Seconds' worth of the platform's orders that may be on their way as moves: the rest
+is for upkeep, and for orders that are repeated."""
 
 _Action = core.Close | core.Open | core.Move
 
 
+def compute_moves_at_once(orders_per_second: float) -> int:
+    """Return how many VMs may be on their way at once.
+
+    The load: a burst lasts some 8 s, and a site of 276 VMs sends a hundred of them. At
+    32 at once the last would leave three moves of 1.5 s later.
+    """
+    return max(1, round(orders_per_second * ORDERS_SHARE))
+
+
 def plan_moves(state: core.Fleet, now: float) -> list[_Action]:
     """Return the moves to order, and what to vacate for the next ones."""
     actions: list[_Action] = []
@@ -84,7 +91,7 @@
     """Move VMs that are off to a pool; they count as on their way."""
     moves = []
     for one in _list_standby(state, pool, now)[: max(0, count)]:
-        if len(state.moving) >= MOVES_AT_ONCE:
+        if len(state.moving) >= state.moves_at_once:
             break
         state.moving[one.id] = core.Moving(pool, now)
         moves.append(core.Move(one.id, pool, one.worker))
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -57,6 +57,7 @@
     holder: str
     order_gap: float
     upkeep: float
+    orders_per_second: float = 64.0
 
 
 class Runner:
@@ -68,7 +69,8 @@
         self.owner = owner
         self._term = term.Term(around.may_order)
         self.around = around._replace(may_order=self._term.may_order)
-        self.state = core.Fleet(now)
+        at_once = demand.compute_moves_at_once(around.orders_per_second)
+        self.state = core.Fleet(now, at_once)
         self.deposed = False
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -219,6 +219,19 @@
     assert len(moves) == 28
 
 
+@pytest.mark.parametrize(("orders_per_second", "sent"), [(310.0, 105), (64.0, 32)])
+def test_hundreds_of_vms_are_sent_to_a_burst_as_fast_as_the_platform_takes_orders(
+    state, orders_per_second, sent
+):
+    """A burst that asks for 100 VMs of 276: at 32 at once the last came 4.5 s later."""
+    state.moves_at_once = demand.compute_moves_at_once(orders_per_second)
+    spare = [make_vm(f"off{n}", "off", worker="") for n in range(105)]
+    state.on_vms(tuple(spare), NOW)
+    state.boards["a"] = pool_record.Board({}, 200 * ROOM.cpu)
+
+    assert len(pick(demand.plan_moves(state, NOW), core.Move)) == sent
+
+
 def test_a_burst_asks_for_what_piles_up_until_vms_come(state):
     """It lacks one VM's room, so three are sent, as many as can be had."""
     more = [make_vm(f"off{n}", "off", worker="") for n in range(2, 6)]
--- a/wigeonhitch/platform/node.py
+++ b/wigeonhitch/platform/node.py
@@ -73,6 +73,8 @@
     rates: StoreRates
     cores: float = 1.0
     """Processors that the process may use."""
+    orders_per_second: float = 64.0
+    """Orders about VMs that the platform takes from all daemons together."""
 
 
 class Checked(NamedTuple):
@@ -137,6 +139,7 @@
             reader.flag("platform.across", True),
         ),
         cores=max(LEAST_CORES, _read_cores(reader)),
+        orders_per_second=reader.number("cloud_api.duty_per_s", 64.0),
     )
     return Checked(settings, tuple(reader.problems))
 
--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -23,11 +23,13 @@
     ``longest_lease`` is the longest that any leader grants, and ``stop_grace``
     what a worker takes to end a task. ``leaders_overlap``: an earlier leader may
     still order after this one's claim, until each worker has seen the new token.
+    ``move`` is what a VM takes to come from another pool.
     """
 
     longest_lease: float
     stop_grace: float
     leaders_overlap: bool = False
+    move: float = 1.5
 
 
 class Belief:
--- a/wigeonhitch/pool/need.py
+++ b/wigeonhitch/pool/need.py
@@ -4,9 +4,12 @@
 mean, and a VM that is sent takes 1.5 s. What has found no room shows such a
 burst only once the pool is full, some 2 s into 4.5 s. What is handed in shows
 it after a handful of jobs, some tenths of a second, and shows its end as soon.
+Of many callers a burst rises over some seconds, so that what is handed in exceeds
+the pool only after 1.5 s; its rise shows sooner how much will be there when a VM comes.
 """
 
 import collections
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -28,6 +31,17 @@
 chance between bursts: a twentieth of the rate, every few seconds."""
 
 
+RISE = Window(0.5, 5)
+"""Two such spans, one after the other, show a rise. Both together have this many jobs
+at least, and the second more than chance would bring."""
+
+CHANCE = 2.0
+"""Standard deviations by which one count must exceed the one before to be a rise."""
+
+LOOK_AHEAD = 0.3
+"""Seconds beyond a move's own until its VM takes tasks: board, order and first call."""
+
+
 class Need(NamedTuple):
     """Thousandths of a core that batch work in time can use.
 
@@ -41,9 +55,16 @@
 
 
 class Arrivals:
-    """What was handed in of late, in core-seconds a second."""
+    """What was handed in of late, in core-seconds a second.
+
+    Parameters
+    ----------
+    move : float
+        Seconds that a VM takes to come from another pool.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, move: float = 0.0) -> None:
+        self._ahead = move + LOOK_AHEAD if move else 0.0
         self._recent: collections.deque[tuple[float, float]] = collections.deque()
 
     def note(self, work: float, now: float) -> None:
@@ -55,7 +76,19 @@
         longest = max(one.seconds for one in WINDOWS)
         while self._recent and now - self._recent[0][0] > longest:
             self._recent.popleft()
-        return max(self._look_back(one, now) for one in WINDOWS)
+        rate = max(self._look_back(one, now) for one in WINDOWS)
+        return rate + self._ahead * self._compute_rise(now)
+
+    def _compute_rise(self, now: float) -> float:
+        """Return by how much the rate grows in a second; 0 if that may be chance."""
+        seconds = RISE.seconds
+        newer = [work for at, work in self._recent if now - at <= seconds]
+        older = [work for at, work in self._recent if seconds < now - at <= 2 * seconds]
+        if len(newer) + len(older) < RISE.jobs:
+            return 0.0
+        if len(newer) - len(older) <= CHANCE * math.sqrt(len(newer) + len(older)):
+            return 0.0
+        return (sum(newer) - sum(older)) / seconds / seconds
 
     def _look_back(self, window: Window, now: float) -> float:
         found = [work for at, work in self._recent if now - at <= window.seconds]
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -46,7 +46,7 @@
         self.pool = pool
         self.unmet = 0
         """Thousandths of a core that jobs in time ask for and don't get."""
-        self._arrivals = need.Arrivals()
+        self._arrivals = need.Arrivals(pool.times.move)
         self._shown_room = 0
         self._open: dict[str, list[model.Task]] = {}
         self._next_due: dict[str, float] = {}
--- a/wigeonhitch/pool/tests/test_need.py
+++ b/wigeonhitch/pool/tests/test_need.py
@@ -1,5 +1,7 @@
 """What a pool could use, seen from what is handed in and what is under way."""
 
+import random
+
 import pytest
 
 from wigeonhitch.jobs import model
@@ -95,3 +97,56 @@
     bench.pool.set_closed(frozenset({"w2"}), frozenset())
 
     assert bench.planner.make_board(NOW, NOW).room == 40000
+
+
+RISING = (21, 46, 49, 69, 112, 96, 99, 68, 44, 20)
+"""Jobs handed in in each second of a burst of 125 callers."""
+JOB = 46.0
+"""Core-seconds of such a job: 1.6 steps of 8 tasks of 0.8 s on 4.5 cores."""
+POOL = 1500.0
+"""Processors of a pool of 60 VMs beside its lasting tasks."""
+
+
+def find_seen(arrivals, counts):
+    """Return the seconds into a burst after which it is seen to exceed the pool."""
+    for second, count in enumerate(counts):
+        for number in range(count):
+            now = NOW + second + number / count
+            arrivals.note(JOB, now)
+            if arrivals.compute_rate(now) > POOL:
+                return now - NOW
+    return float(len(counts))
+
+
+def test_a_burst_that_rises_over_seconds_is_seen_before_it_exceeds_its_pool():
+    """VMs that come 1.8 s after the look are there when the pool is full."""
+    by_rate = find_seen(need.Arrivals(), RISING)
+    by_rise = find_seen(need.Arrivals(1.5), RISING)
+
+    assert by_rate > 1.0
+    assert by_rise < by_rate - 0.5
+
+
+def test_a_burst_that_falls_is_not_seen_as_more_than_it_is():
+    arrivals = need.Arrivals(1.5)
+    for second, count in enumerate((100, 60, 20)):
+        hand_in(arrivals, count, JOB, 1.0, until=NOW + second)
+
+    assert (
+        arrivals.compute_rate(NOW + 2) <= need.Arrivals().compute_rate(NOW) + 60 * JOB
+    )
+
+
+@pytest.mark.parametrize("rate", [4, 20, 60])
+def test_a_level_load_of_many_callers_is_mostly_no_rise(rate):
+    """Jobs that come by chance: the forecast exceeds the rate in few looks."""
+    rng = random.Random(rate)
+    arrivals, plain = need.Arrivals(1.5), need.Arrivals()
+    now, rises, looks = NOW, 0, 2000
+    for _ in range(looks):
+        now += rng.expovariate(rate)
+        arrivals.note(JOB, now)
+        plain.note(JOB, now)
+        rises += arrivals.compute_rate(now) > plain.compute_rate(now)
+
+    assert rises < looks / 10
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -203,6 +203,7 @@
             self.settings.name,
             bounds.order_gap,
             bounds.upkeep,
+            self.settings.orders_per_second,
         )
         return fleet_task.Runner(owner, around, http.read_clock())
 
@@ -219,6 +220,9 @@
             lambda: self._leadership.clock.compute_earliest(http.read_clock()),
             bounds.finals_kept,
             belief.Times(
-                granted or longest, bounds.stop_grace, not self.settings.rates.across
+                granted or longest,
+                bounds.stop_grace,
+                not self.settings.rates.across,
+                bounds.move,
             ),
         )
