Tell of each life that the list of VMs shows as over

A worker is one life of its VM, so a VM that is listed as ordered about, with another life, or not at all, shows that the life known before is over; the rows of closings name such lives after a takeover too. The row that tells of the end stays in the store, so that it is there when all daemons are lost.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -106,7 +106,7 @@
         self.ordered_life: dict[str, str] = {}
         """The life that a VM had at its last order."""
         self._lives: dict[str, str] = {}
-        """Worker that each VM had when it was last listed as up."""
+        """VM of each worker that was listed with its VM up, until it is told as ended."""
         self._barred: dict[str, float] = {}
         self._refused: set[tuple[str, str]] = set()
 
@@ -141,7 +141,7 @@
         self.vms = {one.id: one for one in vms}
         for one in vms:
             if one.state is fleet.VmState.UP and one.worker:
-                self._lives[one.id] = one.worker
+                self._lives[one.worker] = one.id
         self.listed_at = now
         for id, moving in list(self.moving.items()):
             one = self.vms.get(id)
@@ -166,6 +166,8 @@
         self.closed_at[closing.worker] = version
         if closing.ended or closing.worker not in self.closed_since:
             self.closed_since[closing.worker] = now
+        if closing.ended:
+            self._lives.pop(closing.worker, None)
 
     def on_opened(self, worker: str) -> None:
         """Take note that a worker is closed no more."""
@@ -190,21 +192,30 @@
         return knows and one.worker in board.empty
 
     def list_lost(self) -> list[record.Closing]:
-        """Return the workers that have ended with their VMs, as not yet told.
+        """Return the workers whose lives have ended, as not yet told.
 
-        The platform lists a VM as down once it has lost it, and the life that it had
-        before never comes back. Until the pool's leader is told so, it waits for the
-        leases of all that ran there.
+        A worker is one life of its VM. Once the VM is listed as down, as ordered about,
+        with another life, or not at all, that life never comes back. Until the pool's
+        leader is told so, it waits for the leases of all that ran there; one that has
+        just taken over waits for the longest that any leader grants.
         """
-        lost = []
-        for one in self.vms.values():
-            worker = self._lives.get(one.id, "")
-            if one.state is not fleet.VmState.DOWN or not worker:
-                continue
-            known = self.closings.get(worker) or record.Closing(worker, one.id)
-            if not known.ended:
-                lost.append(known._replace(ended=True))
-        return lost
+        known = {one.worker: one for one in self.closings.values()}
+        for worker, vm in self._lives.items():
+            known.setdefault(worker, record.Closing(worker, vm))
+        return [
+            one._replace(ended=True)
+            for one in known.values()
+            if not one.ended and self._has_ended(one)
+        ]
+
+    def _has_ended(self, closing: record.Closing) -> bool:
+        """Whether the list of VMs shows that a worker's life is over."""
+        if not self.vms:
+            return False
+        one = self.vms.get(closing.vm)
+        if one is None or one.state is not fleet.VmState.UP:
+            return True
+        return one.worker not in ("", closing.worker)
 
     def is_closing(self, vm: str) -> bool:
         """Whether the worker of a VM is being vacated."""
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -404,7 +404,13 @@
     assert record.read_wave(record.write_wave(progress)) == progress
 
 
-def test_a_lost_rack_of_twenty_is_told_by_the_next_list_of_vms(state):
+@pytest.fixture
+def fresh():
+    """A leader of moves that hasn't heard of any VM."""
+    return core.Fleet(NOW - 10)
+
+
+def test_a_lost_rack_of_twenty_is_told_by_the_next_list_of_vms(fresh):
     """Tasks of a rack that went dark began again only when leases had run out.
 
     What was seen: 182 jobs of one burst 3.9 s late each, 3.8 s after the loss of 20 of
@@ -412,35 +418,53 @@
     """
     rack = [make_vm(f"a{n}", worker=f"w-a{n}") for n in range(20)]
     others = [make_vm(f"b{n}", "b") for n in range(5)]
-    state.on_vms((*rack, *others), NOW)
+    fresh.on_vms((*rack, *others), NOW)
     down = [one._replace(state=fleet.VmState.DOWN, worker="") for one in rack]
-    state.on_vms((*down, *others), NOW + 0.3)
+    fresh.on_vms((*down, *others), NOW + 0.3)
 
-    lost = state.list_lost()
+    lost = fresh.list_lost()
 
     assert {one.worker for one in lost} == {f"w-a{n}" for n in range(20)}
     assert all(one.ended for one in lost)
     for one in lost:
-        state.on_closing(one, NOW + 0.3)
-    assert state.list_lost() == []
+        fresh.on_closing(one, NOW + 0.3)
+    assert fresh.list_lost() == []
 
 
 @pytest.mark.parametrize("listed", [fleet.VmState.MOVING, fleet.VmState.UPKEEP])
-def test_a_vm_that_was_ordered_about_is_not_told_as_lost(state, listed):
-    state.on_vms((make_vm("a0"),), NOW)
-    state.on_vms((make_vm("a0", state=listed, worker=""),), NOW + 0.3)
+def test_an_order_whose_answer_was_lost_is_told_as_the_end_of_its_life(fresh, listed):
+    """All daemons were lost as a move was ordered; its VM was waited out for 7.3 s."""
+    fresh.on_closing(record.Closing("w-a0", "a0", 0, "b"), NOW)
+    fresh.on_vms((make_vm("a0", state=listed, worker=""),), NOW + 0.3)
+
+    assert [one.worker for one in fresh.list_lost()] == ["w-a0"]
+
 
-    assert state.list_lost() == []
+def test_a_vm_that_was_taken_away_is_told_as_lost(fresh):
+    """It had left in good order; a new leader waited for it for the longest lease."""
+    fresh.on_vms((make_vm("a0"), make_vm("a1")), NOW)
+    fresh.on_vms((make_vm("a1"),), NOW + 0.3)
 
+    assert [one.worker for one in fresh.list_lost()] == ["w-a0"]
 
-def test_only_the_life_that_was_lost_is_told_as_ended(state):
+
+def test_a_life_that_is_listed_with_its_vm_up_goes_on(fresh):
+    close(fresh, "a0")
+    fresh.on_vms((make_vm("a0"), make_vm("a1", worker="")), NOW)
+
+    assert fresh.list_lost() == []
+
+
+def test_only_the_life_that_was_lost_is_told_as_ended(fresh):
     """The VM is back with another life, whose tasks go on."""
-    state.on_vms((make_vm("a0"),), NOW)
-    state.on_vms((make_vm("a0", state=fleet.VmState.DOWN, worker=""),), NOW + 0.3)
-    (lost,) = state.list_lost()
-    state.on_closing(lost, NOW + 0.3)
-    state.on_vms((make_vm("a0", worker="w-next"),), NOW + 0.6)
+    fresh.on_vms((make_vm("a0"),), NOW)
+    fresh.on_vms((make_vm("a0", state=fleet.VmState.DOWN, worker=""),), NOW + 0.3)
+    (lost,) = fresh.list_lost()
+    fresh.on_closing(lost, NOW + 0.3)
+    fresh.on_vms((make_vm("a0", worker="w-next"),), NOW + 0.6)
 
     assert lost.worker == "w-a0"
-    assert state.list_lost() == []
-    assert not state.is_closing("a0")
+    assert fresh.list_lost() == []
+    fresh.on_vms((make_vm("a0", worker="w-third"),), NOW + 0.9)
+    assert [one.worker for one in fresh.list_lost()] == ["w-next"]
+    assert not fresh.is_closing("a0")
