--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -106,7 +106,7 @@
         self.ordered_life: dict[str, str] = {}
         """The life that a VM had at its last order."""
         self._lives: dict[str, str] = {}
-        """VM of each worker that was listed with its VM up, until it is told as ended."""
+        """VM of each worker that was listed with it up, until it is told as ended."""
         self._barred: dict[str, float] = {}
         self._refused: set[tuple[str, str]] = set()
 
