Take no VM for lost that a list leaves out, and leave joining to the candidates after an outage

Found in reading the change: the list of VMs comes in pages, and one that changes between two of them may leave a VM out that lives. Its tasks would have started again beside themselves. Now only what is listed counts: down, ordered about, or with another life. Two VMs that had left in good order are waited for again after the loss of all daemons, as before.

A gap in the news begins the wait anew.

Tests for both, which failed first.

--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -310,7 +310,7 @@
         if len(self.list_live(now)) >= candidacy.compute_wanted(pools):
             self._short_since = 0.0
             return False
-        if not self._short_since:
+        if not self._short_since or self._had_no_news:
             self._short_since = now
             self._join_after = candidacy.compute_backoff(
                 self.name, self._members_version, self.cores
--- a/wigeonhitch/leadership/tests/test_candidates.py
+++ b/wigeonhitch/leadership/tests/test_candidates.py
@@ -107,9 +107,22 @@
     assert not one.consider_joining(5, 100.0)
     wait = one.plan_look(100.0)
     assert wait <= candidacy.BACKOFF + core.RETURN_PAUSE
+    one.on_members([], 51, 100.0 + wait + 0.001)
     assert one.consider_joining(5, 100.0 + wait + 0.001)
 
 
+def test_after_an_outage_the_candidates_from_before_come_first():
+    """25 of 97 daemons joined where two were missing: they had waited before it."""
+    one = make_daemon("x", [])
+    one.consider_joining(5, 100.0)
+    one.on_members([], 60, 105.0)
+
+    assert not one.consider_joining(5, 105.0)
+    assert one.plan_look(105.0) >= core.RETURN_PAUSE
+    one.on_members(make_members(8, until=107.0), 61, 105.4)
+    assert not one.consider_joining(5, 105.4)
+
+
 def test_the_next_look_is_when_the_first_lease_has_run_out():
     one = make_daemon("x", [*make_members(8), record.Member("m", "life", 100.5)])
 
--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -194,10 +194,12 @@
     def list_lost(self) -> list[record.Closing]:
         """Return the workers whose lives have ended, as not yet told.
 
-        A worker is one life of its VM. Once the VM is listed as down, as ordered about,
-        with another life, or not at all, that life never comes back. Until the pool's
-        leader is told so, it waits for the leases of all that ran there; one that has
-        just taken over waits for the longest that any leader grants.
+        A worker is one life of its VM. Once the VM is listed as down, as ordered about
+        or with another life, that life never comes back. A VM that isn't listed shows
+        nothing: pages of a list that changes meanwhile may leave one out.
+
+        Until the pool's leader is told so, it waits for the leases of all that ran
+        there; one that has just taken over waits for the longest that any leader grants.
         """
         known = {one.worker: one for one in self.closings.values()}
         for worker, vm in self._lives.items():
@@ -210,10 +212,10 @@
 
     def _has_ended(self, closing: record.Closing) -> bool:
         """Whether the list of VMs shows that a worker's life is over."""
-        if not self.vms:
-            return False
         one = self.vms.get(closing.vm)
-        if one is None or one.state is not fleet.VmState.UP:
+        if one is None:
+            return False
+        if one.state is not fleet.VmState.UP:
             return True
         return one.worker not in ("", closing.worker)
 
