--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -199,7 +199,7 @@
         nothing: pages of a list that changes meanwhile may leave one out.
 
         Until the pool's leader is told so, it waits for the leases of all that ran
-        there; one that has just taken over waits for the longest that any leader grants.
+        there, one that has just taken over for the longest that any leader grants.
         """
         known = {one.worker: one for one in self.closings.values()}
         for worker, vm in self._lives.items():
