Take a daemon that was taken out since a caller chose it for one that refuses connections

How: the test takes the killed daemon out of the site's list while callers still run; one had chosen it and hadn't looked its port up yet. Cause: the callers look at the list twice. The product has no part in it.

The test of it fails without the mend and passes with it.

--- a/standins/demo/traffic.py
+++ b/standins/demo/traffic.py
@@ -215,7 +215,11 @@
     async def _keep(
         self, client: httpx.AsyncClient, one: Attempt, made: list[Outcome]
     ) -> None:
-        outcome = await send(client, self._find_ports()[one.daemon], one)
+        port = self._find_ports().get(one.daemon)
+        if port is None:  # taken out since the caller chose it
+            outcome = Outcome(one, UNCONNECTED, time.time(), 0.0)
+        else:
+            outcome = await send(client, port, one)
         made.append(outcome)
         self.outcomes.append(outcome)
 
--- /dev/null
+++ b/standins/tests/test_demotraffic.py
@@ -0,0 +1,23 @@
+"""What the demo's callers make of daemons that come and go."""
+
+from standins.demo import traffic
+
+
+def test_a_daemon_that_is_taken_out_after_its_choice_is_a_connection_refused():
+    """What was seen: a whole run of failures ended with a KeyError of its callers.
+
+    How: a killed daemon was taken out of the list while a caller that had chosen it
+    hadn't looked its port up. Cause: the list was looked at twice. Proof: here each
+    second look finds it empty.
+    """
+    looks = []
+
+    def find_ports():
+        looks.append(1)
+        return {"entry-0-a": 1} if len(looks) % 2 else {}
+
+    with traffic.open_traffic(find_ports, 7) as calls:
+        calls.start(1, traffic.Mix(("s",), keyed=0.0, count=3, pause=0.0))
+        calls.wait_for(3, lambda one: one.ended == traffic.UNCONNECTED)
+
+    assert len(calls.outcomes) == 3
