Keep one hash, one timeout and one time of joining

Candidacy hashed as leadership.core did already; the timeout of a request's call to the store stood in three modules of site; when a daemon joins was kept as a beginning and a length, of which only the sum was used; 'named in this life' repeated 'named in whichever life'.

Behaviour stays: the same bytes are hashed, the same seconds waited; no test was touched. Ruled out: deriving how long a member has been steady from its row's 'since', since rows without it are judged otherwise.

--- a/wigeonhitch/leadership/candidacy.py
+++ b/wigeonhitch/leadership/candidacy.py
@@ -13,6 +13,7 @@
     "compute_backoff",
     "compute_wanted",
     "is_surplus",
+    "mix",
 ]
 
 LEAST = 8
@@ -51,7 +52,7 @@
     cores : float
         The daemon's processors: strong ones join first.
     """
-    share = int.from_bytes(_mix(f"{version}/{name}")) / 2**64
+    share = int.from_bytes(mix(f"{version}/{name}")) / 2**64
     return share * BACKOFF / max(cores, 0.1)
 
 
@@ -59,11 +60,12 @@
     """Whether a candidate may stand down: leaders stay, then the strongest."""
 
     def weigh(one: Candidate) -> tuple[bool, float, bytes]:
-        return not one.leads, -one.cores, _mix(one.name)
+        return not one.leads, -one.cores, mix(one.name)
 
     ranked = sorted(candidates, key=weigh)
     return any(one.name == name and not one.leads for one in ranked[wanted:])
 
 
-def _mix(text: str) -> bytes:
+def mix(text: str) -> bytes:
+    """Return a hash by which equals are put in an order that spreads them."""
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -13,7 +13,6 @@
 """
 
 import enum
-import hashlib
 from typing import NamedTuple
 
 from wigeonhitch.leadership import candidacy, clock, record
@@ -159,10 +158,8 @@
         self._yielded_at = now
         self._lapsed_at = 0
         self.is_candidate = False
-        self._short_since = 0.0
-        """When too few candidates were first seen, 0 while there are enough."""
-        self._join_after = 0.0
-        """Seconds after that at which this daemon joins."""
+        self._join_at = 0.0
+        """When this daemon joins if candidates are still missing, 0 while none are."""
         self._surplus_since = 0.0
         self._gave_up: dict[str, str] = {}
         """Daemon that last gave each pool up, while nobody has claimed it."""
@@ -308,19 +305,18 @@
         if self.is_candidate or self.leaving or now - self._began < SETTLE:
             return False
         if len(self.list_live(now)) >= candidacy.compute_wanted(pools):
-            self._short_since = 0.0
+            self._join_at = 0.0
             return False
-        if not self._short_since or self._had_no_news:
-            self._short_since = now
-            self._join_after = candidacy.compute_backoff(
+        if not self._join_at or self._had_no_news:
+            self._join_at = now + candidacy.compute_backoff(
                 self.name, self._members_version, self.cores
             )
             if self._had_no_news:
-                self._join_after += RETURN_PAUSE
-        if now - self._short_since < self._join_after:
+                self._join_at += RETURN_PAUSE
+        if now < self._join_at:
             return False
         self.is_candidate = True
-        self._short_since = 0.0
+        self._join_at = 0.0
         return True
 
     def consider_standing_down(self, pools: int, now: float) -> bool:
@@ -352,9 +348,8 @@
         The next look is when the first of the known leases has run out, so that the
         loss of a candidate is seen at that moment whenever it came.
         """
-        if self._short_since:
-            left = self._short_since + self._join_after - now
-            return min(LOOK_MOST, max(0.0, left))
+        if self._join_at:
+            return min(LOOK_MOST, max(0.0, self._join_at - now))
         reached = self.clock.compute_earliest(now)
         ends = [
             self.members[one].until + MARGIN + LOOK_LATE - reached
@@ -403,7 +398,11 @@
         def weigh(name: str) -> tuple[bool, float, bytes]:
             would_lead = counts.get(name, 0) + 1
             load = would_lead / self.members[name].cores
-            return name == self._gave_up.get(pool), load, _mix(pool, name)
+            return (
+                name == self._gave_up.get(pool),
+                load,
+                candidacy.mix(f"{pool}/{name}"),
+            )
 
         return sorted(live, key=weigh).index(self.name)
 
@@ -505,10 +504,7 @@
 
     def _is_named(self, pool: str) -> bool:
         """Whether the newest owner row known names this life of this daemon."""
-        owner = self.owners.get(pool)
-        if owner is None:
-            return False
-        return owner.name == self.name and owner.life == self.life
+        return self._is_own(pool) and self.owners[pool].life == self.life
 
     def _is_own(self, pool: str) -> bool:
         """Whether the newest owner row known names this daemon, in whichever life.
@@ -532,7 +528,3 @@
             if owner.name and self.is_alive(owner.name, owner.life, now):
                 counts[owner.name] = counts.get(owner.name, 0) + 1
         return counts
-
-
-def _mix(pool: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{pool}/{name}".encode(), digest_size=8).digest()
--- a/wigeonhitch/site/acceptance.py
+++ b/wigeonhitch/site/acceptance.py
@@ -16,10 +16,7 @@
 from wigeonhitch.pool import record as pool_record
 from wigeonhitch.site import jobrows, message, queuepools
 
-__all__ = ["PAUSE", "TRY_TIMEOUT", "WHOLE_TIMEOUT", "Acceptance"]
-
-TRY_TIMEOUT = 0.9
-"""Seconds for one try at the store: 4 ms as a rule, 0.25 s where it is slow."""
+__all__ = ["PAUSE", "WHOLE_TIMEOUT", "Acceptance"]
 
 WHOLE_TIMEOUT = 2.3
 """Seconds for all tries of a request; callers wait 3 s."""
@@ -75,7 +72,7 @@
             lost = lost or result.outcome is table.Outcome.UNKNOWN
             if not lost and result.reason != "conflict":
                 return message.refuse(result.reason)
-            is_late = http.read_clock() + PAUSE > deadline - TRY_TIMEOUT
+            is_late = http.read_clock() + PAUSE > deadline - jobrows.TIMEOUT
             if is_late or self._is_store_lost():
                 verdict = message.Verdict.UNKNOWN if lost else message.Verdict.NOT_RUN
                 return message.refuse(result.reason)._replace(verdict=verdict)
@@ -110,7 +107,7 @@
     async def _commit(
         self, queue: model.Queue, change: rows.Transaction
     ) -> rows.Change:
-        result = await self._store.commit(change, timeout=TRY_TIMEOUT)
+        result = await self._store.commit(change, timeout=jobrows.TIMEOUT)
         if result.reason != "conflict":
             return result
         if any(_is_job(row) for row in result.conflicts):
--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -123,7 +123,7 @@
     async def count(self, queue: model.Queue) -> message.Answer:
         """Return how many accepted jobs have not begun."""
         read = await self._store.read(
-            pool_record.BOARD_TABLE, queue.pool, timeout=acceptance.TRY_TIMEOUT
+            pool_record.BOARD_TABLE, queue.pool, timeout=jobrows.TIMEOUT
         )
         if read.outcome is not table.Outcome.DONE:
             return message.refuse(read.reason)
@@ -139,7 +139,7 @@
         condition = rows.Condition(row.table, row.part, row.key, row.version)
         write = rows.Write(row.table, row.part, row.key, value)
         return await self._store.commit(
-            rows.Transaction((condition,), (write,)), timeout=acceptance.TRY_TIMEOUT
+            rows.Transaction((condition,), (write,)), timeout=jobrows.TIMEOUT
         )
 
     async def _find(
--- a/wigeonhitch/site/jobrows.py
+++ b/wigeonhitch/site/jobrows.py
@@ -9,7 +9,7 @@
 __all__ = ["TIMEOUT", "Found", "JobRows"]
 
 TIMEOUT = 0.9
-"""Seconds for one read: 4 ms as a rule, 0.25 s where the store is slow."""
+"""Seconds for one call of a request: 4 ms as a rule, 0.25 s where the store is slow."""
 
 
 class Found(NamedTuple):
--- a/wigeonhitch/site/queuepools.py
+++ b/wigeonhitch/site/queuepools.py
@@ -13,14 +13,12 @@
 
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import rows, table
+from wigeonhitch.site import jobrows
 
 __all__ = ["QUEUE_TABLE", "Noted", "QueuePools", "plan_note"]
 
 QUEUE_TABLE = "queue"
 
-TIMEOUT = 0.9
-"""Seconds for one read: 4 ms as a rule, 0.25 s where the store is slow."""
-
 
 class Noted(NamedTuple):
     """The pools of a queue's row and the row's version; 0: there is none."""
@@ -60,7 +58,7 @@
 
     async def read(self, queue: model.Queue) -> Noted | None:
         """Read a queue's row; return what is noted, or None if it can't be read."""
-        read = await self._store.read(QUEUE_TABLE, queue.name, timeout=TIMEOUT)
+        read = await self._store.read(QUEUE_TABLE, queue.name, timeout=jobrows.TIMEOUT)
         if read.outcome is not table.Outcome.DONE:
             return None
         noted = Noted()
