--- a/wigeonhitch/leadership/tests/simulated.py
+++ b/wigeonhitch/leadership/tests/simulated.py
@@ -91,9 +91,13 @@
         """Return the version of a row, 0 when there is none."""
         return self.rows[place].version if place in self.rows else 0
 
-    def read(self, name: str, part: str) -> rows.Range:
-        """Return the rows of a part."""
-        found = tuple(r for key, r in self.rows.items() if key[:2] == (name, part))
+    def read(self, name: str, part: str, first: str = "", last: str = "") -> rows.Range:
+        """Return the rows of a part, from key ``first`` up to, without, ``last``."""
+        found = tuple(
+            row
+            for (of, lies, key), row in self.rows.items()
+            if (of, lies) == (name, part) and key >= first and (not last or key < last)
+        )
         return rows.Range(DONE, found, self.version)
 
     def follow(self, name: str, after: int) -> rows.Feed | None:
@@ -119,9 +123,18 @@
         act = operator.methodcaller("commit", change)
         return await Wait(Call("commit", name, act, rows.Change, timeout))
 
-    async def read(self, table: str, part: str, *, timeout: float) -> Any:
-        """Read a part."""
-        act = operator.methodcaller("read", table, part)
+    async def read(
+        self,
+        table: str,
+        part: str,
+        *,
+        first: str = "",
+        last: str = "",
+        limit: int = 0,
+        timeout: float,
+    ) -> Any:
+        """Read a part, or a range of its keys."""
+        act = operator.methodcaller("read", table, part, first, last)
         return await Wait(Call("read", table, act, rows.Range, timeout))
 
     async def follow(
