Let a row of each job, in a part that its id names, say which pool holds it

What callers saw: one job accepted in two pools, whose leaders both start its tasks, where its queue had moved 31 times or more between a write without an answer and its being done.

Cause: uniqueness rested on conditions on rows of former pools, so on knowing all of them. The word of who accepted a job went to the 30 newest, as a transaction holds 100 entries.

Ruled out: more than one transaction for the word (not atomic); a row for each job in a part of its own beside the pool's part (a transaction across parts for every job, twice as long, and none where the store takes none). Parts are by id alone now, 64 in all and no longer 48 a pool, so the row that names the pool and the job's own share a part.

No read before a job is accepted (one or more a queue and daemon before), one small row more a job.

--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -37,7 +37,8 @@
 class JobRecord(NamedTuple):
     """A job row as read: an open job, or only the final state of one.
 
-    ``finished`` is the store's time in seconds at which it became final.
+    ``finished`` is the store's time in seconds at which it became final, ``pool`` the
+    pool that accepted it.
     """
 
     job: model.Job | None
@@ -45,11 +46,15 @@
     cancelled: bool
     final: model.JobState | None = None
     finished: float = 0.0
+    pool: str = ""
 
 
-def write_job(job: model.Job, accepted: float, cancelled: bool = False) -> bytes:
+def write_job(
+    job: model.Job, pool: str, accepted: float, cancelled: bool = False
+) -> bytes:
     """Return the row of an open job; ``accepted`` in seconds since 1970."""
     row: dict[str, Any] = {
+        "pool": pool,
         "queue": job.queue,
         "spec": job.spec,
         "steps": [_write_step(step) for step in job.steps],
@@ -64,9 +69,10 @@
     return orjson.dumps(row)
 
 
-def write_final(state: model.JobState, finished: float) -> bytes:
+def write_final(state: model.JobState, pool: str, finished: float) -> bytes:
     """Return the row that is left of a job once it is final."""
-    return orjson.dumps({"final": state.value, "finished": round(finished, 3)})
+    row = {"pool": pool, "final": state.value, "finished": round(finished, 3)}
+    return orjson.dumps(row)
 
 
 def read_job(id: str, value: bytes) -> JobRecord:
@@ -80,12 +86,13 @@
     row = orjson.loads(value)
     if "final" in row:
         state = model.JobState(row["final"])
-        return JobRecord(None, 0.0, False, state, row["finished"])
+        return JobRecord(None, 0.0, False, state, row["finished"], row["pool"])
     times, first_due, interval = row.get("times", (0, 0.0, 0.0))
     steps = tuple(_read_step(fields) for fields in row["steps"])
     due = (times, first_due, interval)
     job = model.Job(id, row["queue"], row["spec"], steps, *due, row.get("attempts", 1))
-    return JobRecord(job, row["accepted"], row.get("cancelled", False))
+    cancelled = row.get("cancelled", False)
+    return JobRecord(job, row["accepted"], cancelled, pool=row["pool"])
 
 
 def write_progress(state: progress.Progress) -> bytes:
--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -69,7 +69,7 @@
         self.vms: dict[str, vm.Vm] = {}
         self.live: dict[model.Task, vm.Run] = {}
         self.ledger = ledger.Ledger(name, fence)
-        self.tidier = tidy.Tidier()
+        self.tidier = tidy.Tidier(name)
         self.places: dict[str, tidy.JobPlace] = {}
         """Where the rows of open jobs lie."""
         self.deposed = False
--- a/wigeonhitch/pool/record.py
+++ b/wigeonhitch/pool/record.py
@@ -7,7 +7,7 @@
 
 __all__ = [
     "BOARD_TABLE",
-    "ELSEWHERE_TABLE",
+    "HOLDER_TABLE",
     "JOB_TABLE",
     "PROGRESS_TABLE",
     "ROSTER_TABLE",
@@ -25,16 +25,15 @@
 PROGRESS_TABLE = "progress"
 ROSTER_TABLE = "roster"
 BOARD_TABLE = "board"
-ELSEWHERE_TABLE = "elsewhere"
-"""Rows beside those of jobs: the pool that accepted a job in place of this one."""
-
+HOLDER_TABLE = "holder"
+"""Rows beside those of jobs: the pool that accepted a job, of all pools."""
 
 JOB_TABLES = 32
 """Tables over which jobs are spread by pool: a leader follows one of them and
 reads little of other pools' jobs; the store holds at most 100 tables."""
 
-JOB_PARTS = 48
-"""Parts over which a pool's jobs are spread. A part takes one transaction after
+JOB_PARTS = 64
+"""Parts over which jobs are spread. A part takes one transaction after
 another, and refuses once a second's worth of them waits: with a store that takes 0.26 s
 for each, a burst of 100 jobs a second needs 26 parts that are filled evenly."""
 
@@ -44,14 +43,17 @@
     return f"{JOB_TABLE}{zlib.crc32(pool.encode()) % JOB_TABLES:02}"
 
 
-def name_job_part(pool: str, id: str) -> str:
-    """Return the part in which a job of a pool lies."""
-    return f"{pool}.{zlib.crc32(id.encode()) % JOB_PARTS}"
+def name_job_part(id: str) -> str:
+    """Return the part in which a job lies, whichever pool holds it.
+
+    So one transaction within a part can tell that no pool has a job.
+    """
+    return f"~job.{zlib.crc32(id.encode()) % JOB_PARTS}"
 
 
-def list_job_parts(pool: str) -> list[str]:
-    """Return all parts in which jobs of a pool lie."""
-    return [f"{pool}.{number}" for number in range(JOB_PARTS)]
+def list_job_parts() -> list[str]:
+    """Return all parts in which jobs lie."""
+    return [f"~job.{number}" for number in range(JOB_PARTS)]
 
 
 class Board(NamedTuple):
--- a/wigeonhitch/pool/source.py
+++ b/wigeonhitch/pool/source.py
@@ -48,7 +48,7 @@
         self._wake = wake
         self._tell = pool.tell
         self._job_table = pool_record.name_job_table(pool.name)
-        self._job_parts = frozenset(pool_record.list_job_parts(pool.name))
+        self._job_parts = frozenset(pool_record.list_job_parts())
 
     def take_closings(self, closed: list[maintenance.Closing], version: int) -> None:
         """Take the workers that are to be vacated, or have ended by an order.
@@ -118,6 +118,8 @@
         except (ValueError, KeyError, TypeError) as error:
             log.log_problem("job row left out", job=row.key, reason=str(error))
             return
+        if read.pool != self._pool.name:
+            return  # the table holds jobs of other pools too
         if row.key not in self._pool.jobs and read.job is not None:
             self._tell("job taken over", job=row.key, version=row.version)
         place = tidy.JobPlace(row.table, row.part)
--- a/wigeonhitch/pool/tidy.py
+++ b/wigeonhitch/pool/tidy.py
@@ -11,6 +11,7 @@
 
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import rows, table
+from wigeonhitch.pool import record as pool_record
 
 __all__ = ["JobPlace", "Tidier"]
 
@@ -46,9 +47,16 @@
 
 
 class Tidier:
-    """Final jobs of one pool whose rows are still to be tidied."""
+    """Final jobs of one pool whose rows are still to be tidied.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    pool : str
+        The pool.
+    """
+
+    def __init__(self, pool: str) -> None:
+        self._pool = pool
         self._finals: dict[str, _Final] = {}
         self._kept: collections.OrderedDict[str, _Kept] = collections.OrderedDict()
         self._shrunk: dict[str, int] = {}
@@ -110,7 +118,7 @@
         conditions = []
         writes = []
         for id, final in chosen:
-            value = record.write_final(final.state, store_time)
+            value = record.write_final(final.state, self._pool, store_time)
             conditions.append(rows.Condition(*place, id, final.version))
             writes.append(rows.Write(*place, id, value))
         transaction = rows.Transaction(tuple(conditions), tuple(writes))
@@ -121,8 +129,11 @@
             if one.finished >= before:
                 return None
             condition = rows.Condition(*one.place, id, one.version)
-            write = rows.Write(*one.place, id, None)
-            return Work(rows.Transaction((condition,), (write,)), (id,), True)
+            removed = (
+                rows.Write(*one.place, id, None),
+                rows.Write(pool_record.HOLDER_TABLE, one.place.part, id, None),
+            )
+            return Work(rows.Transaction((condition,), removed), (id,), True)
         return None
 
     def _learn_version(self, row: rows.Row) -> None:
--- a/wigeonhitch/site/catalogue.py
+++ b/wigeonhitch/site/catalogue.py
@@ -47,13 +47,6 @@
         self._on_change = on_change
         self.catalogue: model.Catalogue | None = None
         self.waves: dict[int, entries.WaveOrder] = {}
-        self._former: dict[str, list[str]] = {}
-        self._last: dict[str, str] = {}
-        """Pool that each queue had last, also of queues that were removed."""
-
-    def list_former_pools(self, queue: str) -> list[str]:
-        """Return the pools that a queue had in configurations seen before."""
-        return self._former.get(queue, [])
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -92,17 +85,8 @@
             return
         if self.catalogue is not None and read.version <= self.catalogue.version:
             return
-        self._note_moved(read)
         self.catalogue = read
         log.log_change(
             "configuration in force", version=read.version, queues=len(read.queues)
         )
         self._on_change()
-
-    def _note_moved(self, new: model.Catalogue) -> None:
-        for queue in new.queues:
-            former = self._last.get(queue.name, queue.pool)
-            known = self._former.setdefault(queue.name, [])
-            if former != queue.pool and former not in known:
-                known.append(former)
-            self._last[queue.name] = queue.pool
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -76,10 +76,8 @@
         self.desk = desk.Desk(
             store,
             lambda: self._follower.catalogue,
-            self._follower.list_former_pools,
             instruments,
             self._contact.is_lost,
-            settings.rates.across,
         )
 
     @property
--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -13,7 +13,7 @@
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import http, rows, table
 from wigeonhitch.pool import record as pool_record
-from wigeonhitch.site import acceptance, jobrows, message, queuepools
+from wigeonhitch.site import acceptance, jobrows, message
 from wigeonhitch.telemetry import log, metric
 
 __all__ = ["Desk"]
@@ -28,34 +28,25 @@
         The platform's store.
     get_catalogue : callable
         Returns the configuration in force, if any.
-    list_former_pools : callable
-        Returns the pools that a queue had before.
     is_store_lost : callable
         Whether this daemon hasn't reached the store for some time. Requests are
         then refused at once, for another daemon may reach it; waiting for a
         timeout each would hold callers for most of their time.
-    is_across : bool
-        Whether the store takes transactions across parts.
     """
 
     def __init__(
         self,
         store: rows.RowStore,
         get_catalogue: Callable[[], model.Catalogue | None],
-        list_former_pools: Callable[[str], list[str]],
         instruments: metric.Instruments,
         is_store_lost: Callable[[], bool] = lambda: False,
-        is_across: bool = True,
     ) -> None:
         self._store = store
         self._is_store_lost = is_store_lost
         self._get_catalogue = get_catalogue
         self._instruments = instruments
         self._jobs = jobrows.JobRows(store)
-        self._pools = queuepools.QueuePools(store, list_former_pools)
-        self._acceptance = acceptance.Acceptance(
-            store, self._jobs, self._pools, is_across, is_store_lost
-        )
+        self._acceptance = acceptance.Acceptance(store, is_store_lost)
 
     @property
     def body_limit(self) -> int:
@@ -96,7 +87,7 @@
             return found
         if found.read.final is not None:
             return message.Answer(message.Verdict.FOUND, found.read.final)
-        noted = await self._jobs.read_progress(found.pool, id)
+        noted = await self._jobs.read_progress(found.read.pool, id)
         if noted.outcome is not table.Outcome.DONE:
             return message.refuse(noted.reason)
         return message.Answer(message.Verdict.FOUND, _judge(found.read, noted.rows))
@@ -135,7 +126,8 @@
 
     async def _mark_cancelled(self, found: jobrows.Found) -> rows.Change:
         row = found.row
-        value = record.write_job(found.read.job, found.read.accepted, cancelled=True)
+        read = found.read
+        value = record.write_job(read.job, read.pool, read.accepted, cancelled=True)
         condition = rows.Condition(row.table, row.part, row.key, row.version)
         write = rows.Write(row.table, row.part, row.key, value)
         return await self._store.commit(
@@ -145,28 +137,21 @@
     async def _find(
         self, queue: model.Queue, id: str
     ) -> jobrows.Found | message.Answer:
-        """Find a job in its queue's pool, or in one that the queue had before."""
-        found = await self._find_in([queue.pool], id)
-        if found is not None:
+        """Find a job in its queue's pool, or in the one that holds it."""
+        found = await self._jobs.find(queue.pool, id)
+        if _is_absent(found):
+            # Its queue may have had another pool when it was accepted.
+            holder = await self._jobs.read_holder(id)
+            if holder.outcome is not table.Outcome.DONE:
+                return message.refuse(holder.reason)
+            if not holder.rows:
+                return message.Answer(message.Verdict.MISSING)
+            found = await self._jobs.find((holder.rows[0].value or b"").decode(), id)
+        if isinstance(found, jobrows.Found):
             return found
-        # Only a row read after the look shows that the job is nowhere.
-        noted = await self._pools.read(queue)
-        if noted is None:
-            return message.refuse("queue not read")
-        found = await self._find_in(self._pools.list_former(queue, noted), id)
-        return found or message.Answer(message.Verdict.MISSING)
-
-    async def _find_in(
-        self, pools: list[str], id: str
-    ) -> jobrows.Found | message.Answer | None:
-        """Look for a job in pools, one after the other; None says it is in none."""
-        for pool in pools:
-            found = await self._jobs.find(pool, id)
-            if isinstance(found, jobrows.Found):
-                return found
-            if found.outcome is not table.Outcome.DONE:
-                return message.refuse(found.reason)
-        return None
+        if _is_absent(found):
+            return message.Answer(message.Verdict.MISSING)
+        return message.refuse(found.reason)
 
     def _refuse_path(self, path: str, reason: str) -> message.Answer:
         log.log_change("request refused", job=path.rpartition("/")[2], reason=reason)
@@ -188,6 +173,13 @@
         )
 
 
+def _is_absent(found: jobrows.Found | rows.Range) -> bool:
+    """Whether a read has shown that there is no row."""
+    if isinstance(found, jobrows.Found):
+        return False
+    return found.outcome is table.Outcome.DONE
+
+
 def _judge(read: record.JobRecord, noted: tuple[rows.Row, ...]) -> model.JobState:
     """Return the state of a job by its own row and the leader's.
 
--- a/wigeonhitch/site/jobrows.py
+++ b/wigeonhitch/site/jobrows.py
@@ -13,10 +13,9 @@
 
 
 class Found(NamedTuple):
-    """A job's row, the pool that holds it, and what it says."""
+    """A job's row, and what it says."""
 
     row: rows.Row
-    pool: str
     read: record.JobRecord
 
 
@@ -35,19 +34,24 @@
     async def read(self, pool: str, id: str) -> rows.Range:
         """Read a pool's row of a job."""
         name = pool_record.name_job_table(pool)
-        return await self._read_one(name, pool_record.name_job_part(pool, id), id)
+        return await self._read_one(name, pool_record.name_job_part(id), id)
+
+    async def read_holder(self, id: str) -> rows.Range:
+        """Read the row that names the pool of a job; its value is the pool."""
+        part = pool_record.name_job_part(id)
+        return await self._read_one(pool_record.HOLDER_TABLE, part, id)
 
     async def read_progress(self, pool: str, id: str) -> rows.Range:
         """Read what a pool's leader has noted of a job."""
         return await self._read_one(pool_record.PROGRESS_TABLE, pool, id)
 
     async def find(self, pool: str, id: str) -> Found | rows.Range:
-        """Find a job in a pool, or return the read that shows none."""
+        """Find a job in a pool's table, or return the read that shows none."""
         read = await self.read(pool, id)
         if read.outcome is not table.Outcome.DONE or not read.rows:
             return read
         row = read.rows[0]
-        return Found(row, pool, record.read_job(id, row.value or b""))
+        return Found(row, record.read_job(id, row.value or b""))
 
     async def _read_one(self, name: str, part: str, id: str) -> rows.Range:
         return await self._store.read(
