Read a job's row again where no progress of it is found

What callers saw: a job shown as queued after it was shown as completed.

Cause: its leader tidied the job between the two reads that a state is made of, so that an open row met a progress row that was gone already. Evidence: the order of calls in the history's trace. Ruled out: reading progress first, which costs a read more for each of the many questions about final jobs. The second look can't be fooled: progress is removed only once the job's own row is final.

--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -83,14 +83,20 @@
     async def show(self, queue: model.Queue, id: str) -> message.Answer:
         """Return a job's state."""
         found = await self._find(queue, id)
+        noted: rows.Range | None = None
+        if _is_open(found):
+            noted = await self._jobs.read_progress(found.read.pool, id)
+            if noted.outcome is not table.Outcome.DONE:
+                return message.refuse(noted.reason)
+        if noted is not None and not noted.rows:
+            # Not begun, or tidied since the job's row was read.
+            found = await self._find(queue, id)
         if not isinstance(found, jobrows.Found):
             return found
         if found.read.final is not None:
             return message.Answer(message.Verdict.FOUND, found.read.final)
-        noted = await self._jobs.read_progress(found.read.pool, id)
-        if noted.outcome is not table.Outcome.DONE:
-            return message.refuse(noted.reason)
-        return message.Answer(message.Verdict.FOUND, _judge(found.read, noted.rows))
+        state = _judge(found.read, noted.rows if noted else ())
+        return message.Answer(message.Verdict.FOUND, state)
 
     async def cancel(self, queue: model.Queue, id: str) -> message.Answer:
         """Cancel a job: its row is written again with a mark."""
@@ -173,6 +179,11 @@
         )
 
 
+def _is_open(found: jobrows.Found | message.Answer) -> bool:
+    """Whether a job was found that isn't final by its own row."""
+    return isinstance(found, jobrows.Found) and found.read.final is None
+
+
 def _is_absent(found: jobrows.Found | rows.Range) -> bool:
     """Whether a read has shown that there is no row."""
     if isinstance(found, jobrows.Found):
--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -414,3 +414,26 @@
     """
     assert count_parts(100) <= 2 * 4
     assert count_parts(300) / 3 <= 1.2 * 4
+
+
+async def test_a_job_that_is_tidied_between_two_reads_is_shown_as_it_ended(
+    site, monkeypatch
+):
+    """What was seen: a completed job shown as queued, after it was shown as completed.
+
+    How: its row was read while it was open, its leader then shrunk the row and removed
+    that of its progress, and no progress was found. Cause: two rows that were read at
+    two moments were taken for one.
+    """
+    await site.desk.submit(QUEUE, JOB)
+    read = site.store.read
+
+    async def tidy_before(name, *given, **named):
+        if name == pool_record.PROGRESS_TABLE:
+            final = record.write_final(model.JobState.COMPLETED, "p", 1)
+            site.store.put(TABLE, PART, "j", final)
+        return await read(name, *given, **named)
+
+    monkeypatch.setattr(site.store, "read", tidy_before)
+
+    assert (await site.desk.show(QUEUE, "j")).state is model.JobState.COMPLETED
