Let what came first stay where a job was cancelled and has ended

Cause: the cancellation is a mark on the job's row and the end lies in the progress row; the end went first whichever was written first. Evidence: in the history's trace the mark has the lower version, and the leader hadn't heard of it. Ruled out: showing no job as cancelled before its leader says so, which takes as long as a pool has no leader.

Both rows' versions come from one counter, so the lower is the earlier. The one decision serves the desk and the tidier. An end is no longer written a second time, neither after a lost answer nor for a later cancellation: a higher version would reorder the two.

--- a/wigeonhitch/jobs/progress.py
+++ b/wigeonhitch/jobs/progress.py
@@ -9,7 +9,7 @@
 
 from wigeonhitch.jobs import model
 
-__all__ = ["Progress"]
+__all__ = ["Progress", "choose_final"]
 
 
 class Progress:
@@ -151,3 +151,24 @@
         if self.job.steps[task.step].gang:
             return task._replace(index=0)
         return task
+
+
+def choose_final(
+    noted: model.JobState, noted_at: int, cancelled_at: int
+) -> model.JobState:
+    """Return how a job has ended, where it may have been cancelled as well.
+
+    What came first stays, so that nobody is shown two final states.
+
+    Parameters
+    ----------
+    noted : model.JobState
+        The final state that its leader has noted.
+    noted_at : int
+        The store's version at which that became durable.
+    cancelled_at : int
+        The version at which its row was marked as cancelled, 0 if it isn't.
+    """
+    if 0 < cancelled_at < noted_at:
+        return model.JobState.CANCELLED
+    return noted
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "JobRecord",
+    "is_cancelled",
     "read_final",
     "read_job",
     "read_progress",
@@ -95,6 +96,11 @@
     return JobRecord(job, row["accepted"], cancelled, pool=row["pool"])
 
 
+def is_cancelled(value: bytes) -> bool:
+    """Whether a job row has the mark of a cancellation."""
+    return orjson.loads(value).get("cancelled", False)
+
+
 def write_progress(state: progress.Progress) -> bytes:
     """Return the row of what was noted of a job; of a final one, its state."""
     if state.final is not None:
--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -123,7 +123,8 @@
             known.cancelled = True
             self.must_scan = True
             self.tell("job cancelled", job=id, version=version)
-            self.ledger.mark(id)
+            if known.final is None:
+                self.ledger.mark(id)
         self.changed.add(id)
 
     def on_progress(self, id: str, value: bytes, version: int) -> None:
@@ -265,7 +266,16 @@
             if state is not None and state.final is not None:
                 state.settled = True
                 self.changed.add(id)
-                self.tidier.add(id, self.places[id], state.final, state.version)
+                self._hand_over(id, state, state.final)
+
+    def _hand_over(
+        self, id: str, state: progress.Progress, noted: model.JobState
+    ) -> None:
+        """Have a final job's rows tidied."""
+        noted_at = self.ledger.versions.get(id, 0)
+        cancelled_at = state.version if state.cancelled else 0
+        final = progress.choose_final(noted, noted_at, cancelled_at)
+        self.tidier.add(id, self.places[id], final, state.version, noted_at)
 
     def note_sick(self, run: vm.Run, what: str, now: float) -> None:
         """Take note that a run stands still or is slow; its VM may be sick."""
--- a/wigeonhitch/pool/ledger.py
+++ b/wigeonhitch/pool/ledger.py
@@ -47,6 +47,8 @@
 
     done: bool
     deposed: bool = False
+    settled: tuple[str, ...] = ()
+    """Final jobs whose end an earlier try has made durable without an answer."""
 
 
 class Ledger:
@@ -149,7 +151,14 @@
         for one in rows.list_gone(batch.transaction.conditions, change.conflicts):
             self._learn(one.table, one.key, 0)
         self._forget_gone(batch.spent)
-        return Result(False)
+        settled = tuple(
+            row.key
+            for row in change.conflicts
+            if row.key in batch.finals and _is_final(row)
+        )
+        for id in settled:
+            self._dirty.pop(id, None)
+        return Result(False, settled=settled)
 
     def _learn(self, table: str, key: str, version: int) -> None:
         """Take a row's version as the store has it, 0 if there is no row."""
@@ -187,6 +196,12 @@
             self.versions.pop(id, None)
 
 
+def _is_final(row: rows.Row) -> bool:
+    """Whether a row is one of progress that holds a final state."""
+    is_progress = row.table == pool_record.PROGRESS_TABLE and row.value is not None
+    return is_progress and record.read_final(row.value or b"") is not None
+
+
 class _Builder:
     """Collects the conditions and writes of one transaction."""
 
--- a/wigeonhitch/pool/task.py
+++ b/wigeonhitch/pool/task.py
@@ -236,6 +236,7 @@
             listed = {row.key: row.version for row in change.conflicts}
             self._tell("commit of ends conflicts", fence=self.pool.fence, found=listed)
         if not result.done:
+            self.pool.on_settled(result.settled)
             return conflict
         for id in batch.vms:
             if id in self.pool.vms:
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -98,6 +98,18 @@
     assert state.final is model.JobState.COMPLETED
 
 
+def test_a_cancellation_after_the_end_writes_nothing_anew(bench, ended):
+    one = bench.add_vm()
+    state = bench.add_job()
+    (run,) = bench.start()
+    bench.answer(one, ended=[ended(1, run)])
+    bench.pool.ledger.collect(bench.pool.jobs, bench.pool.vms)
+
+    bench.pool.on_job("j", record.JobRecord(state.job, NOW, True), 30, PLACE)
+
+    assert not bench.pool.ledger.collect(bench.pool.jobs, {}).jobs
+
+
 def test_tasks_of_a_silent_vm_start_elsewhere_only_after_all_its_leases(bench):
     one = bench.add_vm("w1")
     bench.add_job()
--- a/wigeonhitch/pool/tests/test_ledger.py
+++ b/wigeonhitch/pool/tests/test_ledger.py
@@ -38,6 +38,25 @@
     }
 
 
+def test_a_final_state_that_was_done_without_an_answer_is_not_written_again(
+    book, make_state
+):
+    """A later version would put the end behind a cancellation that came after it."""
+    state = make_state(model.Step(1))
+    state.final = model.JobState.COMPLETED
+    book.mark("j")
+    batch = collect(book, {"j": state})
+    book.on_result(batch, UNKNOWN)
+    again = collect(book, {"j": state})
+    row = rows.Row("progress", "p", "j", record.write_progress(state), 40)
+
+    result = book.on_result(again, conflict(row))
+
+    assert result.settled == ("j",)
+    assert book.versions["j"] == 40
+    assert not book.has_work
+
+
 def test_what_was_not_done_is_written_again(book, make_state):
     jobs = {"j": make_state(model.Step(1))}
     book.mark("j")
--- a/wigeonhitch/pool/tests/test_tidy.py
+++ b/wigeonhitch/pool/tests/test_tidy.py
@@ -30,6 +30,27 @@
     assert (read.final, read.finished) == (model.JobState.COMPLETED, 50.0)
 
 
+@pytest.mark.parametrize(
+    ("noted", "state"),
+    [(7, model.JobState.COMPLETED), (9, model.JobState.CANCELLED)],
+    ids=["after", "before"],
+)
+def test_a_job_that_was_cancelled_before_its_end_was_noted_stays_cancelled(
+    noted, state
+):
+    tidier = tidy.Tidier("p")
+    tidier.add("a", PLACE, model.JobState.COMPLETED, 3, noted)
+    work = tidier.collect(50.0, KEPT)
+    job = model.Job("a", "q", "", (model.Step(1),))
+    value = record.write_job(job, "p", 1.0, cancelled=True)
+    row = rows.Row(*PLACE, "a", value, 8)
+    tidier.on_result(work, rows.Change(table.Outcome.NOT_DONE, 0, (row,), "conflict"))
+
+    work = tidier.collect(50.0, KEPT)
+
+    assert record.read_job("a", work.transaction.writes[0].value).final is state
+
+
 def test_the_progress_row_may_go_after_the_jobs_row_was_shrunk(tidier):
     work = tidier.collect(50.0, KEPT)
 
--- a/wigeonhitch/pool/tidy.py
+++ b/wigeonhitch/pool/tidy.py
@@ -9,7 +9,7 @@
 import collections
 from typing import NamedTuple
 
-from wigeonhitch.jobs import model, record
+from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import rows, table
 from wigeonhitch.pool import record as pool_record
 
@@ -30,6 +30,7 @@
     place: JobPlace
     state: model.JobState
     version: int
+    noted_at: int
 
 
 class _Kept(NamedTuple):
@@ -63,10 +64,15 @@
         """Versions of rows that were shrunk and haven't been read since."""
 
     def add(
-        self, id: str, place: JobPlace, state: model.JobState, version: int
+        self,
+        id: str,
+        place: JobPlace,
+        state: model.JobState,
+        version: int,
+        noted_at: int = 0,
     ) -> None:
-        """Note a final job, and the version of its row."""
-        self._finals[id] = _Final(place, state, version)
+        """Note a final job, its row's version and that at which its end was noted."""
+        self._finals[id] = _Final(place, state, version, noted_at)
 
     def on_final_row(
         self, id: str, place: JobPlace, version: int, finished: float
@@ -140,7 +146,11 @@
         """Take the version of a row that was cancelled or shrunk meanwhile."""
         final = self._finals.get(row.key)
         if final is not None:
-            self._finals[row.key] = final._replace(version=row.version)
+            is_cancelled = row.value is not None and record.is_cancelled(row.value)
+            state = progress.choose_final(
+                final.state, final.noted_at, row.version if is_cancelled else 0
+            )
+            self._finals[row.key] = final._replace(state=state, version=row.version)
         kept = self._kept.get(row.key)
         if kept is not None:
             self._kept[row.key] = kept._replace(version=row.version)
--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from wigeonhitch.jobs import model, record
+from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import http, rows, table
 from wigeonhitch.pool import record as pool_record
 from wigeonhitch.site import acceptance, jobrows, message
@@ -95,7 +95,7 @@
             return found
         if found.read.final is not None:
             return message.Answer(message.Verdict.FOUND, found.read.final)
-        state = _judge(found.read, noted.rows if noted else ())
+        state = _judge(found, noted.rows if noted else ())
         return message.Answer(message.Verdict.FOUND, state)
 
     async def cancel(self, queue: model.Queue, id: str) -> message.Answer:
@@ -191,17 +191,14 @@
     return found.outcome is table.Outcome.DONE
 
 
-def _judge(read: record.JobRecord, noted: tuple[rows.Row, ...]) -> model.JobState:
-    """Return the state of a job by its own row and the leader's.
-
-    A final state that the leader noted goes before a cancellation that came
-    after it.
-    """
+def _judge(found: jobrows.Found, noted: tuple[rows.Row, ...]) -> model.JobState:
+    """Return the state of a job by its own row and the leader's."""
+    cancelled_at = found.row.version if found.read.cancelled else 0
     for row in noted:
         if row.value is not None:
             final = record.read_final(row.value)
             if final is not None:
-                return final
-    if read.cancelled:
+                return progress.choose_final(final, row.version, cancelled_at)
+    if found.read.cancelled:
         return model.JobState.CANCELLED
     return model.JobState.RUNNING if noted else model.JobState.QUEUED
--- a/wigeonhitch/site/tests/history.py
+++ b/wigeonhitch/site/tests/history.py
@@ -13,7 +13,7 @@
 
 import orjson
 
-from wigeonhitch.jobs import model
+from wigeonhitch.jobs import model, progress
 from wigeonhitch.leadership.tests import simulated
 from wigeonhitch.platform import http, rows, table
 from wigeonhitch.pool import record as pool_record
@@ -287,9 +287,11 @@
                     continue
                 due = began.setdefault(row.key, self.now + rng.uniform(0.5, 8.0))
                 if self.now >= due and not tidier.is_waiting(row.key):
-                    state = await self._finish(port, pool, row.key, fields)
-                    if state is not None:
-                        tidier.add(row.key, place, state, row.version)
+                    ended = await self._finish(port, pool, row.key, fields)
+                    if ended is not None:
+                        cancelled_at = row.version if fields.get("cancelled") else 0
+                        state = progress.choose_final(*ended, cancelled_at)
+                        tidier.add(row.key, place, state, row.version, ended[1])
             work = tidier.collect(self.now, KEPT)
             if work is not None:
                 change = await port.commit(work.transaction, timeout=1.0)
@@ -302,18 +304,20 @@
 
     async def _finish(
         self, port: simulated.Port, pool: str, id: str, fields: dict[str, Any]
-    ) -> model.JobState | None:
+    ) -> tuple[model.JobState, int] | None:
         """Make a final state durable, as a leader does before it tidies."""
         place = (pool_record.PROGRESS_TABLE, pool, id)
         known = self.store.rows.get(place)
         if known is not None:
-            return model.JobState(orjson.loads(known.value or b"")["final"])
+            state = model.JobState(orjson.loads(known.value or b"")["final"])
+            return state, known.version
         is_cancelled = fields.get("cancelled", False)
         state = FINAL[2] if is_cancelled else FINAL[0]
         write = rows.Write(*place, orjson.dumps({"final": state.value}))
         absent = rows.Condition(*place, 0)
         change = await port.commit(rows.Transaction((absent,), (write,)), timeout=1.0)
-        return state if change.outcome is table.Outcome.DONE else None
+        is_done = change.outcome is table.Outcome.DONE
+        return (state, change.version) if is_done else None
 
     def _list_rows(self, pool: str) -> list[rows.Row]:
         return [one for one in self.store.rows.values() if find_pool(one) == pool]
--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -174,6 +174,25 @@
     assert (await site.desk.show(QUEUE, "j")).state is state
 
 
+async def test_a_job_that_is_shown_as_cancelled_stays_so(site):
+    """What was seen: a cancelled job shown as cancelled, and then as completed.
+
+    How: its last task ended while its leader hadn't heard of the cancellation, and what
+    the leader noted went first. Cause: which of two rows goes first was fixed, and not
+    by which was written first; their versions tell.
+    """
+    await site.desk.submit(QUEUE, JOB)
+    await site.desk.cancel(QUEUE, "j")
+    assert (await site.desk.show(QUEUE, "j")).state is model.JobState.CANCELLED
+
+    noted = progress.Progress(JOB, 1, 0.0)
+    noted.final = model.JobState.COMPLETED
+    value = record.write_progress(noted)
+    site.store.put(pool_record.PROGRESS_TABLE, "p", "j", value)
+
+    assert (await site.desk.show(QUEUE, "j")).state is model.JobState.CANCELLED
+
+
 async def test_a_job_nobody_submitted_is_missing(site):
     assert (await site.desk.show(QUEUE, "j")).verdict is message.Verdict.MISSING
     assert (await site.desk.cancel(QUEUE, "j")).verdict is message.Verdict.MISSING
