Remove the progress of jobs that are done with at a takeover

Nothing that callers saw: rows of progress stayed for good, and each leader read them all. The test failed before.

Cause: a leader that ended between shrinking a job's row and removing its progress left the latter, and the next one knew no open job for it; a write done late after the removal does the same. Ruled out: removing both in one transaction, as they lie in two parts. The removal has the version that was read as its condition.

--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -128,14 +128,19 @@
         self.changed.add(id)
 
     def on_progress(self, id: str, value: bytes, version: int) -> None:
-        """Take a progress row, read at the takeover."""
+        """Take a progress row, read at the takeover after all jobs.
+
+        That of a job that isn't open has been left behind, and is removed.
+        """
         state = self.jobs.get(id)
-        if state is not None:
-            record.read_progress(state, value)
-            self.ledger.versions[id] = version
-            self.changed.add(id)
-            if state.final is not None:
-                self.on_settled([id])
+        self.ledger.versions[id] = version
+        if state is None:
+            self.ledger.spend([id])
+            return
+        record.read_progress(state, value)
+        self.changed.add(id)
+        if state.final is not None:
+            self.on_settled([id])
 
     def on_queues(self, queues: Iterable[model.Queue]) -> None:
         """Take the queues of the configuration in force."""
--- a/wigeonhitch/pool/source.py
+++ b/wigeonhitch/pool/source.py
@@ -48,6 +48,8 @@
         self._wake = wake
         self._tell = pool.tell
         self._job_table = pool_record.name_job_table(pool.name)
+        self._unread: set[str] = set()
+        """Jobs whose rows can't be read; what is noted of them is left."""
         self._job_parts = frozenset(pool_record.list_job_parts())
 
     def take_closings(self, closed: list[maintenance.Closing], version: int) -> None:
@@ -73,6 +75,8 @@
         version = await self._load_jobs()
         progress = await self._read_all(pool_record.PROGRESS_TABLE, part)
         for row in progress.rows:
+            if row.key in self._unread:
+                continue
             self._pool.on_progress(row.key, row.value or b"{}", row.version)
         roster = await self._read_all(pool_record.ROSTER_TABLE, part)
         now = http.read_clock()
@@ -117,6 +121,7 @@
             read = record.read_job(row.key, row.value)
         except (ValueError, KeyError, TypeError) as error:
             log.log_problem("job row left out", job=row.key, reason=str(error))
+            self._unread.add(row.key)
             return
         if read.pool != self._pool.name:
             return  # the table holds jobs of other pools too
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -98,6 +98,19 @@
     assert state.final is model.JobState.COMPLETED
 
 
+def test_progress_of_a_job_that_is_done_with_is_removed_at_the_takeover(bench):
+    """Rows stayed for good where a leader ended after it had shrunk a job's row.
+
+    Each later leader read them all, and left them.
+    """
+    bench.pool.on_progress("gone", b'{"final":"completed"}', 33)
+
+    batch = bench.pool.ledger.collect(bench.pool.jobs, {})
+
+    assert rows.Write("progress", "p", "gone", None) in batch.transaction.writes
+    assert rows.Condition("progress", "p", "gone", 33) in batch.transaction.conditions
+
+
 def test_a_cancellation_after_the_end_writes_nothing_anew(bench, ended):
     one = bench.add_vm()
     state = bench.add_job()
