Lead pools that the configuration has dropped, for the jobs that they hold

What callers saw: a job that was accepted and stands still for good. Its queue had moved, the configuration had dropped the former pool, and that pool's leader had ended. The test failed before, with a successor that knew the pool and with one that started later.

Cause: only pools of the configuration in force were claimed. Evidence: the pool's owner row names a daemon whose lease has run out, and nobody claims it. Ruled out: keeping the pools of former configurations in memory, which a restart loses; refusing configurations, which are the operator's.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -47,7 +47,7 @@
     store : rows.RowStore
         The platform's store.
     list_pools : callable
-        Returns the pools that need a leader.
+        Returns the pools of the configuration in force; none before there is one.
     on_led : callable
         Takes the owner row of a pool that this daemon leads from now on.
     on_lost : callable
@@ -303,7 +303,11 @@
 
     async def _read_owners(self) -> int:
         """Read the owner of each pool; return a version to follow from, or 0."""
-        return await feed.read_parts(self._read_owner, self._list_pools())
+        led = await self._store.list_parts(record.OWNER_TABLE, timeout=TIMEOUT)
+        if led.names is None:
+            return 0
+        pools = dict.fromkeys((*self._list_pools(), *led.names))
+        return await feed.read_parts(self._read_owner, pools)
 
     async def _read_owner(self, pool: str) -> rows.Range:
         read = await self._store.read(record.OWNER_TABLE, pool, timeout=TIMEOUT)
@@ -330,9 +334,19 @@
 
     # -- claims
 
+    def _list_led(self) -> list[str]:
+        """Return the pools that need a leader, and those that have had one.
+
+        The configuration may drop a pool that still holds open jobs.
+        """
+        wanted = self._list_pools()
+        if not wanted:
+            return []
+        return list(dict.fromkeys((*wanted, *self.leadership.owners)))
+
     async def _claim_forever(self) -> None:
         while True:
-            pools = self._list_pools() if self.leadership.is_candidate else []
+            pools = self._list_led() if self.leadership.is_candidate else []
             for pool in [one for one in pools if one not in self._read]:
                 await self._read_owner(pool)
             now = http.read_clock()
--- a/wigeonhitch/site/tests/conftest.py
+++ b/wigeonhitch/site/tests/conftest.py
@@ -171,9 +171,16 @@
         self.across = True
         self._scopes = {}
 
+    def configure(self, pool):
+        """Have the queue's jobs run by another pool, in place of its present one."""
+        route = {**CONFIGURATION["routes"][0], "service": pool}
+        changed = {"version": 2, "routes": [route], "services": [{"name": pool}]}
+        value = orjson.dumps(changed)
+        self.store.put(entries.OPERATOR_TABLE, "", entries.CATALOGUE_KEY, value)
+
     @contextlib.asynccontextmanager
-    async def run(self, names):
-        """Run daemons from the moment that one leads until the block ends."""
+    async def run(self, names, pool="p"):
+        """Run daemons from the moment that one leads a pool until the block ends."""
         ones = [
             make_daemon(one, self.links[one], self.reach[one], across=self.across)
             for one in names
@@ -182,7 +189,7 @@
             group.start_soon(self.calls.run)
             for one in ones:
                 group.start_soon(self._run_one, one)
-            await self.wait_for(lambda: self.find_leader(ones) is not None)
+            await self.wait_for(lambda: self.find_leader(ones, pool) is not None)
             yield ones
             group.cancel_scope.cancel()
 
@@ -195,8 +202,8 @@
         self._scopes[one].cancel()
 
     @staticmethod
-    def find_leader(daemons):
-        return next((one for one in daemons if "p" in one._runners), None)
+    def find_leader(daemons, pool="p"):
+        return next((one for one in daemons if pool in one._runners), None)
 
     @staticmethod
     async def wait_for(condition):
--- a/wigeonhitch/site/tests/test_daemon.py
+++ b/wigeonhitch/site/tests/test_daemon.py
@@ -45,6 +45,32 @@
     assert http.read_clock() - began < 1.5
 
 
+@pytest.mark.parametrize("is_restarted", [False, True], ids=["", "restarted"])
+async def test_a_job_of_a_pool_that_the_configuration_drops_is_still_run(
+    site, is_restarted
+):
+    """What could be seen: an accepted job that stands still for good.
+
+    How: its queue moved to another pool, the configuration dropped the former one, and
+    that pool's leader ended. Cause: only the configuration's pools were led.
+    """
+    async with site.run("ab" if not is_restarted else "a") as ones:
+        leader = site.find_leader(ones)
+        await site.submit(leader, "j0")
+        await anyio.sleep(0.1)
+        site.configure("other")
+        await site.wait_for(lambda: leader._follower.catalogue.version == 2)
+        site.kill(leader)
+        if not is_restarted:
+            (other,) = [one for one in ones if one is not leader]
+            await site.wait_until(other, ["j0"])
+    if is_restarted:
+        async with site.run("c", "other") as (other,):
+            await site.wait_until(other, ["j0"])
+
+    assert site.count_starts() == 4
+
+
 async def test_an_outage_of_the_store_loses_no_work(site):
     async with site.run("a") as (one,):
         await site.submit(one, "j0")
