Do nothing on a store whose rows another version has laid out

Both tests failed before: a daemon with another number of parts was ready and answered.

Cause: where a job lies follows from constants, and the store didn't tell by which version it was written.

Owners without a layout are those of an earlier version, also where the row is written between the two looks. Refusing daemons aren't ready, so an update stops at its first VM.

--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -12,7 +12,7 @@
 from wigeonhitch.platform import advice, fleet, http, node, rows, workers
 from wigeonhitch.pool import belief, caller, surroundings
 from wigeonhitch.pool import task as pool_task
-from wigeonhitch.site import catalogue, closings, contact, desk, directory
+from wigeonhitch.site import catalogue, closings, contact, desk, directory, layout
 from wigeonhitch.telemetry import log, metric
 
 __all__ = ["Daemon"]
@@ -93,7 +93,8 @@
         return self.stopped.is_set()
 
     async def run(self) -> None:
-        """Run all parts until cancelled."""
+        """Run all parts until cancelled, once the store has rows of this layout."""
+        await layout.await_layout(self._store)
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self._follower.run)
--- a/wigeonhitch/site/tests/conftest.py
+++ b/wigeonhitch/site/tests/conftest.py
@@ -169,6 +169,7 @@
         self.links = collections.defaultdict(lambda: storelink.StoreLink(store))
         self.reach = collections.defaultdict(lambda: Reach(calls))
         self.across = True
+        self.group = None
         self._scopes = {}
 
     def configure(self, pool):
@@ -181,18 +182,21 @@
     @contextlib.asynccontextmanager
     async def run(self, names, pool="p"):
         """Run daemons from the moment that one leads a pool until the block ends."""
-        ones = [
-            make_daemon(one, self.links[one], self.reach[one], across=self.across)
-            for one in names
-        ]
         async with anyio.create_task_group() as group:
+            self.group = group
             group.start_soon(self.calls.run)
-            for one in ones:
-                group.start_soon(self._run_one, one)
+            ones = [self.start(one) for one in names]
             await self.wait_for(lambda: self.find_leader(ones, pool) is not None)
             yield ones
             group.cancel_scope.cancel()
 
+    def start(self, name):
+        """Start one more daemon beside those that run."""
+        link, reach = self.links[name], self.reach[name]
+        made = make_daemon(name, link, reach, across=self.across)
+        self.group.start_soon(self._run_one, made)
+        return made
+
     async def _run_one(self, one):
         with anyio.CancelScope() as self._scopes[one]:
             await one.run()
--- a/wigeonhitch/site/tests/test_daemon.py
+++ b/wigeonhitch/site/tests/test_daemon.py
@@ -5,7 +5,9 @@
 import anyio
 import pytest
 
+from wigeonhitch.leadership import record
 from wigeonhitch.platform import http
+from wigeonhitch.pool import record as pool_record
 from wigeonhitch.site import message
 
 pytestmark = pytest.mark.anyio
@@ -71,6 +73,40 @@
     assert site.count_starts() == 4
 
 
+async def test_a_daemon_of_another_layout_leaves_open_jobs_alone(site, monkeypatch):
+    """What was seen: LOST 3106 times, TWICE 10 times, UNASKED 17 times on one day.
+
+    How: daemons came back from a loss of power with another version of the code, which
+    spreads jobs over another number of parts. They found none of the open jobs, said so
+    to callers, and accepted those that came again. Cause: nothing in the store told
+    how its rows lie.
+    """
+    async with site.run("a") as (one,):
+        await site.submit(one, "j0")
+        monkeypatch.setattr(pool_record, "JOB_PARTS", pool_record.JOB_PARTS - 1)
+        other = site.start("b")
+        await anyio.sleep(1.5)
+        answer = other.desk.find_queue("h", "/q/j0")
+
+        assert isinstance(answer, message.Answer)
+        assert answer.verdict is message.Verdict.NOT_RUN
+        assert not other.is_ready
+        assert not other._runners
+
+
+async def test_jobs_of_a_version_that_notes_no_layout_are_left_alone(site, store):
+    claim = record.Owner("p", "old", "life", 1, 0)
+    store.put(record.OWNER_TABLE, "p", record.OWNER_KEY, record.write_owner(claim))
+    async with anyio.create_task_group() as group:
+        site.group = group
+        one = site.start("a")
+        await anyio.sleep(1.5)
+
+        assert not one.is_ready
+        assert not one._runners
+        group.cancel_scope.cancel()
+
+
 async def test_an_outage_of_the_store_loses_no_work(site):
     async with site.run("a") as (one,):
         await site.submit(one, "j0")
