Count a queue's waiting jobs in all pools that hold some

What callers saw: a queue that had moved said that none of its jobs waits, while they wait in its former pool. Two tests failed before (2 in place of 6; a count though the former pool's board couldn't be read).

Cause: only the present pool's board was read.

--- a/wigeonhitch/site/desk.py
+++ b/wigeonhitch/site/desk.py
@@ -12,8 +12,7 @@
 
 from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import http, rows, table
-from wigeonhitch.pool import record as pool_record
-from wigeonhitch.site import acceptance, jobrows, message
+from wigeonhitch.site import acceptance, jobrows, message, waiting
 from wigeonhitch.telemetry import log, metric
 
 __all__ = ["Desk"]
@@ -46,6 +45,7 @@
         self._get_catalogue = get_catalogue
         self._instruments = instruments
         self._jobs = jobrows.JobRows(store)
+        self._waiting = waiting.WaitingCounts(store)
         self._acceptance = acceptance.Acceptance(store, is_store_lost)
 
     @property
@@ -119,16 +119,10 @@
 
     async def count(self, queue: model.Queue) -> message.Answer:
         """Return how many accepted jobs have not begun."""
-        read = await self._store.read(
-            pool_record.BOARD_TABLE, queue.pool, timeout=jobrows.TIMEOUT
-        )
-        if read.outcome is not table.Outcome.DONE:
-            return message.refuse(read.reason)
-        pending = 0
-        for row in read.rows:
-            board = pool_record.read_board(row.value or b"")
-            pending += board.waiting.get(queue.name, 0)
-        return message.Answer(message.Verdict.FOUND, pending=pending)
+        counted = await self._waiting.count(queue)
+        if isinstance(counted, rows.Range):
+            return message.refuse(counted.reason)
+        return message.Answer(message.Verdict.FOUND, pending=counted)
 
     async def _mark_cancelled(self, found: jobrows.Found) -> rows.Change:
         row = found.row
--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -219,6 +219,53 @@
     assert (await site.desk.count(QUEUE)).pending == 4
 
 
+def show_board(site, pool, **waiting):
+    value = pool_record.write_board(pool_record.Board(waiting))
+    site.store.put(pool_record.BOARD_TABLE, pool, pool_record.BOARD_TABLE, value)
+
+
+async def test_the_count_holds_what_waits_in_former_pools(site):
+    """What could be seen: a queue with 4 waiting jobs said that none waits.
+
+    How: it had moved, and its jobs wait where they were accepted. Cause: only the
+    board of its present pool was read.
+    """
+    show_board(site, "p", q=4, r=1)
+    show_board(site, "other", q=2)
+
+    assert (await site.desk.count(MOVED)).pending == 6
+    show_board(site, "p", r=1)
+    assert (await site.desk.count(MOVED)).pending == 2
+
+
+async def test_a_count_without_a_move_reads_one_board(site):
+    show_board(site, "p", q=4)
+    show_board(site, "other", r=9)
+    await site.desk.count(QUEUE)
+    calls = site.store.calls
+
+    assert (await site.desk.count(QUEUE)).pending == 4
+    assert site.store.calls == calls + 1
+
+
+async def test_a_count_is_refused_while_a_pool_that_holds_some_can_not_be_read(
+    site, monkeypatch
+):
+    show_board(site, "p", q=4)
+    show_board(site, "other", q=2)
+    await site.desk.count(MOVED)
+    read = site.store.read
+
+    async def refuse(name, part, **named):
+        if part == "p":
+            return rows.Range(table.Outcome.UNKNOWN, reason="timeout")
+        return await read(name, part, **named)
+
+    monkeypatch.setattr(site.store, "read", refuse)
+
+    assert (await site.desk.count(MOVED)).verdict is message.Verdict.NOT_RUN
+
+
 def make_configuration(version, pool="p"):
     route = f'"name":"q","host":"h","path_prefix":"/q/","service":"{pool}"'
     text = f'{{"version":{version},"routes":[{{{route}}}],"services":[]}}'
