Hold that jobs stay one on a store that takes one part a transaction

What callers saw: with the platform's setting for transactions across parts off, both failures of a moved queue as they once were.

Cause: the rows that kept a job in one pool went over several parts and were left out where the store takes no such transaction.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -30,12 +30,15 @@
         Transactions that were held back; `apply_late` carries them out.
     holds_back : int
         So many of the next transactions are held back, without an answer.
+    is_across : bool
+        Whether transactions may go over several parts; others are refused.
     """
 
     def __init__(self) -> None:
         self.is_down = False
         self.loses = 0
         self.holds_back = 0
+        self.is_across = True
         self.late: list[rows.Transaction] = []
         self.calls = 0
         self.version = 0
@@ -69,6 +72,9 @@
         self.calls += 1
         if self.is_down:
             return rows.Change(NOT_DONE, reason="down")
+        parts = {one.part for one in (*change.conditions, *change.writes)}
+        if len(parts) > 1 and not self.is_across:
+            return rows.Change(NOT_DONE, reason="status 400")
         if self.holds_back:
             self.holds_back -= 1
             self.late.append(change)
--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -409,6 +409,27 @@
     assert list_accepting_pools(site.store) == ["other"]
 
 
+@pytest.mark.parametrize("late", [0, 1000], ids=["restart", "late"])
+async def test_a_job_of_a_former_pool_stays_one_where_the_store_takes_one_part(
+    site, moved_desk, late
+):
+    """What was seen: both failures of a moved queue as they once were.
+
+    How: a store that takes no transaction over several parts. Cause: the word in former
+    pools needed one, and where there are none it was left out.
+    """
+    site.store.is_across = False
+    site.store.holds_back = late
+    await site.desk.submit(QUEUE, JOB)
+    site.store.holds_back = 0
+    answer = await moved_desk("other").submit(MOVED, JOB)
+
+    site.store.apply_late()
+
+    assert answer.verdict is message.Verdict.ACCEPTED
+    assert len(list_accepting_pools(site.store)) == 1
+
+
 async def test_a_daemon_that_restarted_shows_and_cancels_a_job_of_a_former_pool(
     site, moved_desk
 ):
