Hold that a job stays one after its route was replaced

What callers saw: a job that was accepted through one route was accepted a second time, in another pool, through a route of another name for the same path.

Cause: where a job may lie was kept by its queue's name.

--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -430,6 +430,25 @@
     assert len(list_accepting_pools(site.store)) == 1
 
 
+async def test_a_job_stays_one_after_its_route_was_replaced(site, moved_desk):
+    """One job in two pools: a route of another name and pool had taken over its path.
+
+    Cause: the pools of a job were known by the name of its queue. A caller repeats a
+    path, and an id names one job in whichever queue it arrives.
+    """
+    await site.desk.submit(QUEUE, JOB)
+    renamed = MOVED._replace(name="renamed")
+    restarted = moved_desk("other")
+
+    answer = await restarted.submit(renamed, JOB)
+
+    assert answer.verdict is message.Verdict.ACCEPTED
+    assert list_accepting_pools(site.store) == ["p"]
+    assert (await restarted.show(renamed, "j")).state is model.JobState.QUEUED
+    await restarted.cancel(renamed, "j")
+    assert (await site.desk.show(QUEUE, "j")).state is model.JobState.CANCELLED
+
+
 async def test_a_daemon_that_restarted_shows_and_cancels_a_job_of_a_former_pool(
     site, moved_desk
 ):
