Have the soak's configurations move its queues, and name a mechanism that is there

Each configuration of the soak's plan has the queues exchange their pools by its version.

The mechanism that refuses lost submissions named a function that had gone, so that a soak without it couldn't start; a test now takes out each mechanism that there is.

--- a/standins/soak/scene.py
+++ b/standins/soak/scene.py
@@ -134,8 +134,14 @@
         self.links: dict[str, relay.Relay] = {}
 
     def write_catalogue(self, version: int, extra: int = 0) -> None:
-        """Put a configuration in force; ``extra`` routes lead to the first pool."""
-        routes = [_write_route(queue) for queue in QUEUES]
+        """Put a configuration in force; ``extra`` routes lead to the first pool.
+
+        Each version has the queues exchange their pools.
+        """
+        pools = [one.pool for one in QUEUES]
+        first = (version - 1) % len(pools)
+        moved = zip(QUEUES, pools[first:] + pools[:first], strict=True)
+        routes = [_write_route(queue._replace(pool=pool)) for queue, pool in moved]
         for number in range(extra):
             more = Queue(f"more-{number}", f"more{number}.example", "/", "alpha")
             routes.append(_write_route(more))
--- a/standins/soak/without.py
+++ b/standins/soak/without.py
@@ -12,7 +12,7 @@
 from wigeonhitch.leadership import record, term
 from wigeonhitch.platform import entries
 from wigeonhitch.pool import core, ledger, vm
-from wigeonhitch.site import desk, main, message
+from wigeonhitch.site import acceptance, main, message
 
 __all__ = ["MECHANISMS", "run"]
 
@@ -47,15 +47,15 @@
 
 def refuse_lost_submissions() -> None:
     """Say of a job whose write had no answer that it never runs."""
-    original = desk.Desk._write_job
+    original = acceptance.Acceptance.accept
 
-    async def write_job(self: Any, *given: Any) -> message.Answer:
+    async def accept(self: Any, *given: Any) -> message.Answer:
         answer = await original(self, *given)
         if answer.verdict is message.Verdict.UNKNOWN:
             return answer._replace(verdict=message.Verdict.NOT_RUN, retry_after=1)
         return answer
 
-    desk.Desk._write_job = write_job
+    acceptance.Acceptance.accept = accept
 
 
 def stand_still_at_gone_rows() -> None:
@@ -84,6 +84,16 @@
     term.Term.end = lambda self: None
 
 
+def accept_without_condition() -> None:
+    """Accept a job whether or not a pool holds it."""
+    original = acceptance._plan_rows
+
+    def plan_rows(*given: Any) -> Any:
+        return original(*given)._replace(conditions=())
+
+    acceptance._plan_rows = plan_rows
+
+
 MECHANISMS: dict[str, Callable[[], None]] = {
     one.__name__: one
     for one in (
@@ -96,6 +106,7 @@
         keep_what_was_led,
         claim_by_owner_alone,
         order_after_the_end,
+        accept_without_condition,
     )
 }
 
--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -1,6 +1,8 @@
 """The soak: its relays and its checks, and a short seeded run of it all."""
 
 import random
+import subprocess
+import sys
 
 import anyio
 import pytest
@@ -59,6 +61,13 @@
 )
 
 
+def test_each_mechanism_to_switch_off_is_there():
+    text = (
+        "from standins.soak import without as w; [m() for m in w.MECHANISMS.values()]"
+    )
+    subprocess.run([sys.executable, "-c", text], check=True)
+
+
 def test_a_good_history_shows_nothing():
     assert audit.check(make_seen(make_job(), GOOD)) == []
 
