Keep with a job whether its tasks need tickets

What callers would see: an accepted job that never runs. Its queue's policy asks for tickets, the configuration dropped the queue, and its tasks were started without; workers refuse each. Found by reading, while a replaced route's jobs were looked at; no deployment at hand has such a queue, so it was never seen.

Cause: the policy was looked up in the configuration in force only. The tests failed before, as the row had no such field; without the field a job of a queue that is gone is started at once. The row keeps it beside the failed runs that are allowed.

--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -155,6 +155,8 @@
     attempts: int = 1
     """Failed runs that a task may have, as the queue said at the submission:
     holds once the queue is no longer in the configuration."""
+    is_advised: bool = False
+    """Whether its tasks start with a ticket of the queue's policy; holds as above."""
 
     @property
     def occurrences(self) -> int:
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -65,6 +65,8 @@
         row["times"] = [job.times, job.first_due, job.interval]
     if job.attempts > 1:
         row["attempts"] = job.attempts
+    if job.is_advised:
+        row["advised"] = True
     if cancelled:
         row["cancelled"] = True
     return orjson.dumps(row)
@@ -91,7 +93,8 @@
     times, first_due, interval = row.get("times", (0, 0.0, 0.0))
     steps = tuple(_read_step(fields) for fields in row["steps"])
     due = (times, first_due, interval)
-    job = model.Job(id, row["queue"], row["spec"], steps, *due, row.get("attempts", 1))
+    kept = (row.get("attempts", 1), row.get("advised", False))
+    job = model.Job(id, row["queue"], row["spec"], steps, *due, *kept)
     cancelled = row.get("cancelled", False)
     return JobRecord(job, row["accepted"], cancelled, pool=row["pool"])
 
--- a/wigeonhitch/jobs/tests/test_jobs.py
+++ b/wigeonhitch/jobs/tests/test_jobs.py
@@ -99,6 +99,13 @@
     assert again.checkpoints == state.checkpoints
 
 
+@pytest.mark.parametrize("is_advised", [False, True])
+def test_a_row_tells_whether_its_tasks_need_tickets(is_advised):
+    job = model.Job("j", "q", "", (model.Step(1),), is_advised=is_advised)
+
+    assert record.read_job("j", record.write_job(job, "p", 9.5)).job == job
+
+
 def test_a_final_row_keeps_only_the_state():
     value = record.write_final(model.JobState.FAILED, "p", 12.25)
 
--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -328,7 +328,7 @@
     def needs_ticket(self, state: progress.Progress) -> bool:
         """Whether the queue's policy allows only some VMs for each step."""
         queue = self.queues.get(state.job.queue)
-        return queue is not None and queue.advice is not None
+        return state.job.is_advised if queue is None else queue.advice is not None
 
     def get_max_attempts(self, state: progress.Progress) -> int:
         """Return how many failed runs a task of the job may have."""
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -111,6 +111,20 @@
     assert rows.Condition("progress", "p", "gone", 33) in batch.transaction.conditions
 
 
+def test_tasks_of_a_queue_that_is_gone_still_wait_for_their_tickets(bench):
+    """What could be seen: an accepted job that never runs.
+
+    How: its queue's policy asks for tickets, and the configuration dropped the queue.
+    Its tasks were started without, and each start was refused. Cause: what the policy
+    asks for was known only by the configuration in force.
+    """
+    bench.add_vm()
+    bench.add_job(queue="gone", is_advised=True)
+
+    assert bench.start() == []
+    assert bench.pool.tickets.take_wanted() is not None
+
+
 def test_a_cancellation_after_the_end_writes_nothing_anew(bench, ended):
     one = bench.add_vm()
     state = bench.add_job()
--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -430,6 +430,15 @@
     assert len(list_accepting_pools(site.store)) == 1
 
 
+async def test_a_job_is_kept_with_what_its_queue_asks_of_its_tasks(site):
+    queue = QUEUE._replace(max_attempts=4, advice=model.Advice(0.1, 0.0, 1.0))
+
+    await site.desk.submit(queue, JOB)
+
+    job = record.read_job("j", site.store.get(TABLE, PART, "j")).job
+    assert (job.attempts, job.is_advised) == (4, True)
+
+
 async def test_a_job_stays_one_after_its_route_was_replaced(site, moved_desk):
     """One job in two pools: a route of another name and pool had taken over its path.
 
