Ask for VMs of their own for lasting tasks that must be apart

What callers would see: a lasting task that stays away while VMs are off. The test failed before: the board missed nothing where two tasks lack a VM each.

Cause: VMs are asked for by processors, and such a task takes a small part of a VM's. Ruled out: summing over steps, which share VMs and would ask for several times too many; counting all tasks that don't run, which at a takeover are all of them.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -6,6 +6,9 @@
 waiting work costs one look a step and not one a task.
 """
 
+import collections
+import math
+
 from wigeonhitch.jobs import model, progress
 from wigeonhitch.platform import advice, workers
 from wigeonhitch.pool import (
@@ -52,6 +55,8 @@
         self._next_due: dict[str, float] = {}
         self._figures: dict[str, order.Figures] = {}
         self._next_scan = 0.0
+        self._lacking = 0
+        """VMs that lasting tasks lack to be apart."""
         self._listed_elsewhere: frozenset[model.Task] = frozenset()
         """Tasks of which a VM lists a run that isn't this leader's."""
 
@@ -226,6 +231,7 @@
     ) -> list[message.Start]:
         starts: list[message.Start] = []
         self.unmet = 0
+        self._lacking = 0
         self._listed_elsewhere = self.pool.list_stray_tasks()
         keyed = [
             (self._get_key(id, wall), id) for id, tasks in self._open.items() if tasks
@@ -237,8 +243,13 @@
             left = self._place_job(table, state, now, starts)
             if key.group <= order.IN_TIME:
                 self.unmet += left
+        self.unmet = max(self.unmet, self._lacking * self._find_size())
         return starts
 
+    def _find_size(self) -> int:
+        """Return the processors of the largest VM."""
+        return max((one.entry.room.cpu for one in self.pool.vms.values()), default=0)
+
     def _is_free(self, task: model.Task) -> bool:
         """Whether no run of a task is known, be it ours or one being stopped."""
         return task not in self.pool.live and task not in self._listed_elsewhere
@@ -258,11 +269,13 @@
         """Start what can be started; return the processors still asked for."""
         unmet = 0
         full: set[tuple[int, int]] = set()
+        left: collections.Counter[int] = collections.Counter()
         for task in self._open[state.job.id]:
             step = state.job.steps[task.step]
             if not self._is_free(task):
                 continue
             if task[1:3] in full or step.reserved.cpu > table.widest:
+                left[task.step] += 1
                 unmet += step.reserved.cpu
                 continue
             if now < self.pool.not_before.get(task, 0.0):
@@ -276,9 +289,24 @@
                 starts.append(start)
                 continue
             full.add(task[1:3])
+            left[task.step] += 1
             unmet += step.reserved.cpu
+        self._note_lacking(state, left)
         return unmet
 
+    def _note_lacking(
+        self, state: progress.Progress, left: collections.Counter[int]
+    ) -> None:
+        """Take note of the VMs that lasting tasks lack to be apart.
+
+        Jobs share VMs, so the most that one of them lacks will do for all.
+        """
+        for number, count in left.items():
+            step = state.job.steps[number]
+            if step.lasting and step.spread:
+                vms = math.ceil(count / step.spread)
+                self._lacking = max(self._lacking, vms)
+
     def _place_task(
         self,
         table: place.Table,
--- a/wigeonhitch/pool/tests/test_planner.py
+++ b/wigeonhitch/pool/tests/test_planner.py
@@ -153,6 +153,25 @@
     assert bench.plan() == []
 
 
+@pytest.mark.parametrize(("spread", "vms"), [(1, 2), (2, 1)])
+def test_lasting_tasks_that_must_be_apart_ask_for_vms_of_their_own(bench, spread, vms):
+    """What could be seen: a lasting task that stays away beside VMs that are off.
+
+    How: its pool lent VMs or lost some, the others have tasks of its step already, and
+    a task's processors are a small part of a VM's. Cause: VMs were asked for by
+    processors only, so for less than one.
+    """
+    for number in range(3):
+        bench.add_vm(f"w{number}")
+    step = model.Step(
+        3 * spread + 2, model.Room(1000, 100), spread=spread, lasting=True
+    )
+    bench.add_job("j", step)
+
+    assert len(bench.start()) == 3 * spread
+    assert bench.planner.make_board(NOW, NOW).unmet == vms * 8000
+
+
 def test_a_task_is_moved_only_when_there_is_room_elsewhere(bench, listed):
     bench.add_vm("w1")
     place_lasting(bench, 2, max_unavailable=1)
