List two faults of jobs whose route is dropped or replaced

What callers see: jobs that wait are counted for no queue once a route of another name has taken over their path; jobs of a dropped queue go after all others of their pool, though they are owed in time.

--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -8,6 +8,7 @@
 from standins import rowstore
 from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import rows, table
+from wigeonhitch.pool import belief, core, tidy
 from wigeonhitch.pool import record as pool_record
 from wigeonhitch.site import catalogue, desk, message
 from wigeonhitch.telemetry import metric
@@ -266,6 +267,27 @@
     assert (await site.desk.count(MOVED)).verdict is message.Verdict.NOT_RUN
 
 
+async def test_the_count_holds_what_a_replaced_route_has_accepted(site):
+    """Jobs that wait are counted for no queue once their route has another name."""
+    show_board(site, "p", q=4)
+
+    assert (await site.desk.count(QUEUE._replace(name="renamed"))).pending == 4
+
+
+async def test_a_job_of_a_dropped_queue_keeps_its_objective(site):
+    """It goes after all others of its pool, though its caller is owed it in time."""
+    queue = QUEUE._replace(stretch=2.0, objective=3.0)
+    await site.desk.submit(queue, JOB)
+    read = record.read_job("j", site.store.get(TABLE, PART, "j"))
+    times = belief.Times(6.5, 1.0)
+    pool = core.Pool("p", 1, 1, times, 0.0, lambda *given, **named: None)
+    pool.on_job("j", read, 2, tidy.JobPlace(TABLE, PART))
+
+    figures = pool.get_figures(pool.jobs["j"])
+
+    assert figures.due == read.accepted + 3.0
+
+
 def make_configuration(version, pool="p"):
     route = f'"name":"q","host":"h","path_prefix":"/q/","service":"{pool}"'
     text = f'{{"version":{version},"routes":[{{{route}}}],"services":[]}}'
