Keep with a job what its queue promised for it

What callers see: jobs of a queue that the configuration has dropped go after all others of their pool, though they are owed in time.

Cause: priority, stretch and objective were looked up in the configuration in force; without the queue a job counted as due at its acceptance, in the year 1970 to be exact. What the configuration in force says goes first, as before; the row takes some 25 bytes more.

--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -19,6 +19,7 @@
     "Room",
     "Step",
     "Task",
+    "Terms",
 ]
 
 
@@ -134,6 +135,14 @@
         return self.room._replace(cpu=0) if self.fills else self.room
 
 
+class Terms(NamedTuple):
+    """What a queue promises for a job, as at its acceptance; see `Queue`."""
+
+    priority: int = 0
+    stretch: float = 1.0
+    objective: float = 0.0
+
+
 class Job(NamedTuple):
     """One submitted job.
 
@@ -157,6 +166,8 @@
     holds once the queue is no longer in the configuration."""
     is_advised: bool = False
     """Whether its tasks start with a ticket of the queue's policy; holds as above."""
+    terms: Terms = Terms()
+    """What its queue promised at the submission; holds as above."""
 
     @property
     def occurrences(self) -> int:
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -65,6 +65,8 @@
         row["times"] = [job.times, job.first_due, job.interval]
     if job.attempts > 1:
         row["attempts"] = job.attempts
+    if job.terms != model.Terms():
+        row["terms"] = list(job.terms)
     if job.is_advised:
         row["advised"] = True
     if cancelled:
@@ -93,7 +95,8 @@
     times, first_due, interval = row.get("times", (0, 0.0, 0.0))
     steps = tuple(_read_step(fields) for fields in row["steps"])
     due = (times, first_due, interval)
-    kept = (row.get("attempts", 1), row.get("advised", False))
+    terms = model.Terms(*row.get("terms", ()))
+    kept = (row.get("attempts", 1), row.get("advised", False), terms)
     job = model.Job(id, row["queue"], row["spec"], steps, *due, *kept)
     cancelled = row.get("cancelled", False)
     return JobRecord(job, row["accepted"], cancelled, pool=row["pool"])
--- a/wigeonhitch/pool/belief.py
+++ b/wigeonhitch/pool/belief.py
@@ -315,15 +315,9 @@
         return not state.is_done(run.task)
 
     def get_figures(self, state: progress.Progress) -> order.Figures:
-        """Return what a job's sort key is made of; without a queue it is late.
-
-        A lasting job stays first: it is owed until it is cancelled.
-        """
+        """Return what a job's sort key is made of, also where its queue is gone."""
         queue = self.queues.get(state.job.queue)
-        if queue is None:
-            lasts, accepted = state.job.is_lasting, state.accepted
-            return order.Figures(lasts, 99, accepted, 0.0, 0.0, 1.0, 1.0, 0.0)
-        return order.compute_figures(state, queue)
+        return order.compute_figures(state, queue or state.job.terms)
 
     def needs_ticket(self, state: progress.Progress) -> bool:
         """Whether the queue's policy allows only some VMs for each step."""
--- a/wigeonhitch/pool/order.py
+++ b/wigeonhitch/pool/order.py
@@ -68,19 +68,23 @@
     return min(WORTH_MOST, BASE_WORTH + (1 - BASE_WORTH) * share)
 
 
-def compute_due(job: model.Job, queue: model.Queue, accepted: float) -> float:
+def compute_due(
+    job: model.Job, terms: model.Queue | model.Terms, accepted: float
+) -> float:
     """Return when the job should be done, seconds since 1970."""
-    return accepted + queue.stretch * job.compute_chain() + queue.objective
+    return accepted + terms.stretch * job.compute_chain() + terms.objective
 
 
-def compute_figures(state: progress.Progress, queue: model.Queue) -> Figures:
+def compute_figures(
+    state: progress.Progress, terms: model.Queue | model.Terms
+) -> Figures:
     """Return what the key of a job is made of; it holds until the job changes."""
     job = state.job
     accepted = max(job.first_due, state.accepted) if job.times else state.accepted
-    due = compute_due(job, queue, accepted)
+    due = compute_due(job, terms, accepted)
     return Figures(
         job.is_lasting,
-        queue.priority,
+        terms.priority,
         accepted,
         due,
         accepted + LATE_MOST * (due - accepted),
--- a/wigeonhitch/site/acceptance.py
+++ b/wigeonhitch/site/acceptance.py
@@ -73,8 +73,11 @@
 
 def _plan_rows(queue: model.Queue, job: model.Job) -> rows.Transaction:
     """Return the writing of a job's rows, in its queue's present pool."""
-    is_advised = queue.advice is not None
-    kept = job._replace(attempts=queue.max_attempts, is_advised=is_advised)
+    kept = job._replace(
+        attempts=queue.max_attempts,
+        is_advised=queue.advice is not None,
+        terms=model.Terms(queue.priority, queue.stretch, queue.objective),
+    )
     place = (pool_record.name_job_part(job.id), job.id)
     absent = rows.Condition(pool_record.HOLDER_TABLE, *place, 0)
     value = record.write_job(kept, queue.pool, time.time())
