Log which runs ended with their VM, and whether an order ended it

The lines of the incident could not tell a crashed VM from one that was ended by an order: both were logged as 'ended by a move or maintenance', since the fleet's leader reports a lost VM with the same kind of row. Which runs were on the VM was not logged at all.

A row without wave and pool now means that the VM was found lost; 'VM gone' has the cause and the rack, and one line for each of its runs follows, with the run's age. No decision changes.

--- a/wigeonhitch/maintenance/record.py
+++ b/wigeonhitch/maintenance/record.py
@@ -38,6 +38,11 @@
     pool: str = ""
     ended: bool = False
 
+    @property
+    def is_ordered(self) -> bool:
+        """Whether it was closed for a move or maintenance, and not found lost."""
+        return bool(self.wave or self.pool)
+
 
 class WaveRecord(NamedTuple):
     """Progress of a wave: VMs that are done, and VMs with an order.
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -46,10 +46,11 @@
         """Apply the answer to a renewal, unless the VM is gone by now."""
         if machine.gone:
             return
+        self.latest_time = now
         if reply.verdict is workers.Verdict.FENCED:
             self._depose(machine)
         if reply.verdict is workers.Verdict.GONE:
-            self.drop_vm(machine, "another incarnation of the VM answered")
+            self.drop_vm(machine, vm.VmEnd.REPLACED)
         if reply.verdict is not workers.Verdict.DONE:
             return
         machine.update_clock(reply.clock, reply.received)
@@ -84,7 +85,7 @@
         elif verdict is workers.Verdict.FENCED:
             self._depose(run.vm)
         elif verdict is workers.Verdict.GONE:
-            self.drop_vm(run.vm, "another incarnation of the VM answered")
+            self.drop_vm(run.vm, vm.VmEnd.REPLACED)
         else:
             self._handle_refusal(run, verdict, now)
 
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -70,7 +70,7 @@
         wall_time : float
             Unix time.
         """
-        self.pool.wall_time = wall_time
+        self.pool.wall_time, self.pool.latest_time = wall_time, now
         self.pool.expire_leases(now)
         for work in self.pool.submitted_work:
             self._arrivals.record(work, now)
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -66,6 +66,11 @@
 """The same in seconds when VMs have become empty or a burst has begun: each tenth of a
 second of a burst of 4.5 s matters to the VMs that are moved for it."""
 
+COUNTED_EVENTS = frozenset(
+    {"VM gone", "run ended with its VM", "run lapsed", "run failed", "job failed"}
+)
+"""Log events that are also counted: some lines are left out in a burst."""
+
 
 class Runner:
     """Leads one pool from its claim until leadership is given up or lost."""
@@ -315,3 +320,7 @@
 
     def _log_event(self, event: str, **fields: object) -> None:
         log.log_change(event, pool=self.owner.pool, **fields)
+        if event in COUNTED_EVENTS:
+            self.deps.instruments.count(
+                "pool_events_total", "Events of led pools by kind.", event=event
+            )
--- a/wigeonhitch/pool/source.py
+++ b/wigeonhitch/pool/source.py
@@ -8,7 +8,7 @@
 from wigeonhitch.leadership import core as leadership
 from wigeonhitch.maintenance import record as maintenance
 from wigeonhitch.platform import http, rows, table
-from wigeonhitch.pool import compaction, core
+from wigeonhitch.pool import compaction, core, vm
 from wigeonhitch.pool import record as pool_record
 from wigeonhitch.telemetry import log
 
@@ -54,7 +54,7 @@
         self._job_parts = frozenset(pool_record.list_job_parts())
 
     def take_closings(self, closed: list[maintenance.Closing], version: int) -> None:
-        """Set the workers that are closed, or that have ended by an order.
+        """Set the workers that are closed or have ended.
 
         Parameters
         ----------
@@ -65,7 +65,13 @@
         """
         self._pool.set_closed(
             frozenset(closing.worker for closing in closed),
-            frozenset(closing.worker for closing in closed if closing.ended),
+            {
+                closing.worker: (
+                    vm.VmEnd.ORDERED if closing.is_ordered else vm.VmEnd.LOST
+                )
+                for closing in closed
+                if closing.ended
+            },
             version,
         )
         self._wake()
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -186,14 +186,14 @@
     bench.add_vm("w1")
     bench.add_job("old", version=5)
 
-    bench.pool.set_closed(frozenset({"gone"}), frozenset({"gone"}))
+    bench.pool.set_closed(frozenset({"gone"}), {"gone": vm.VmEnd.ORDERED})
 
     assert [order.run.task.job for order in bench.plan()] == ["old"]
 
 
 def test_entry_of_a_vm_ended_by_an_order_is_ignored(bench):
     machine = bench.add_vm("w1")
-    bench.pool.set_closed(frozenset({"w1"}), frozenset({"w1"}))
+    bench.pool.set_closed(frozenset({"w1"}), {"w1": vm.VmEnd.ORDERED})
 
     bench.pool.on_worker(machine.entry, NOW + 1.0)
 
@@ -377,7 +377,7 @@
 
 def test_vm_that_has_not_listed_all_its_ends_is_not_published_as_empty(bench):
     machine = bench.add_vm("w1", answers=False)
-    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+    bench.pool.set_closed(frozenset({"w1"}), {})
 
     list_max_ends(bench, machine)
 
@@ -465,7 +465,7 @@
     machine = bench.add_vm("w1", answers=False)
     bench.add_job("old", version=5)
     running = workers.Running(model.Task("old", 0, 0, 0), 0, "", 50, 0)
-    bench.pool.drop_vm(machine, "ended by an order")
+    bench.pool.drop_vm(machine, vm.VmEnd.ORDERED)
 
     bench.answer(machine, [running])
 
--- a/wigeonhitch/pool/tests/test_demand.py
+++ b/wigeonhitch/pool/tests/test_demand.py
@@ -94,7 +94,7 @@
     bench.add_job("l", model.Step(1, model.Room(24000), lasting=True))
     bench.start()
     bench.add_vm("w2", cpu=64000)
-    bench.pool.set_closed(frozenset({"w2"}), frozenset())
+    bench.pool.set_closed(frozenset({"w2"}), {})
 
     assert bench.planner.build_status(NOW, NOW).batch_capacity == 40000
 
--- a/wigeonhitch/pool/tests/test_planner.py
+++ b/wigeonhitch/pool/tests/test_planner.py
@@ -108,7 +108,7 @@
     leaving = bench.pool.vms["w1"].entry._replace(leaving=True)
     bench.pool.on_worker(leaving, NOW)
     bench.add_vm("w2")
-    bench.pool.set_closed(frozenset({"w2"}), frozenset())
+    bench.pool.set_closed(frozenset({"w2"}), {})
     bench.add_job("j")
 
     assert bench.plan() == []
@@ -134,7 +134,7 @@
     place_lasting(bench, 4, max_unavailable=1)
     bench.add_vm("w3")
     report_available(bench, listed)
-    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+    bench.pool.set_closed(frozenset({"w1"}), {})
 
     assert len(bench.plan()) == 1
     assert bench.plan() == []
@@ -148,7 +148,7 @@
     report_available(bench, listed)
     unavailable = next(run for run in runs if run.vm.id == "w2")
     unavailable.work = 0.0
-    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+    bench.pool.set_closed(frozenset({"w1"}), {})
 
     assert bench.plan() == []
 
@@ -175,7 +175,7 @@
     bench.add_vm("w1")
     place_lasting(bench, 2, max_unavailable=1)
     report_available(bench, listed)
-    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+    bench.pool.set_closed(frozenset({"w1"}), {})
 
     assert bench.plan() == []
 
@@ -185,7 +185,7 @@
     bench.add_job()
     (run,) = bench.start()
     bench.answer(machine, [listed(run, 10)])
-    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+    bench.pool.set_closed(frozenset({"w1"}), {})
     assert bench.planner.build_status(NOW, NOW).empty == ()
 
     bench.answer(machine, ended=[ended(1, run)])
@@ -262,7 +262,7 @@
     report_available(bench, listed)
     for run in runs:
         run.work = 100.0 if run.vm.id == "w2" else 0.0
-    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+    bench.pool.set_closed(frozenset({"w1"}), {})
 
     assert bench.plan() == []
 
@@ -275,7 +275,7 @@
     bench.add_vm("w3")
     report_available(bench, listed)
     bench.pool.vms["w2"].is_silent = True
-    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+    bench.pool.set_closed(frozenset({"w1"}), {})
 
     assert bench.plan() == []
 
@@ -295,7 +295,7 @@
         ]
         bench.answer(bench.pool.vms[name], [*listed, entry], now=NOW + 0.01)
     bench.answer(bench.pool.vms["w3"], now=NOW + 0.01)
-    bench.pool.set_closed(frozenset({"w1"}), frozenset())
+    bench.pool.set_closed(frozenset({"w1"}), {})
     assert bench.plan(NOW + 0.02) == []
 
     sure = NOW + 0.2 + core.ADOPTION_GRACE_SECONDS + 0.02
@@ -367,6 +367,6 @@
 def test_vm_that_is_gone_blocks_no_task(bench):
     second = list_two_runs(bench)
 
-    bench.pool.drop_vm(second, "another incarnation of the VM answered")
+    bench.pool.drop_vm(second, vm.VmEnd.REPLACED)
 
     assert len(bench.start(NOW + 0.1)) == 1
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -1,6 +1,6 @@
 """The leader's view of its pool's jobs and VMs, from stored rows and elapsed time."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from wigeonhitch.jobs import model, progress, record
@@ -92,10 +92,12 @@
         """Tasks that were restarted on another VM because their VM was degraded."""
         self.wall_time = 0.0
         """Unix time of the last round, for the ages of jobs in the log."""
+        self.latest_time = now
+        """This daemon's time of the last round or answer."""
         self.closings_version = 0
         """The store's version up to which the closed VMs are known."""
         self._closed_workers: frozenset[str] = frozenset()
-        self._ended_workers: frozenset[str] = frozenset()
+        self._ended_workers: Mapping[str, vm.VmEnd] = {}
         self._takeover_time = now
         self.run_number_base = (epoch - 1) * RUN_NUMBERS_PER_LEADER
         self.run_numbers: dict[model.Task, int] = {}
@@ -180,9 +182,12 @@
             machine.update_clock(entry.clock, now)
 
     def set_closed(
-        self, ids: frozenset[str], ended: frozenset[str], version: int = 0
+        self,
+        ids: frozenset[str],
+        ended: Mapping[str, vm.VmEnd],
+        version: int = 0,
     ) -> None:
-        """Set the workers that are closed and those that have ended.
+        """Set the workers that are closed, and those that have ended, with the cause.
 
         All others are open. A set with an older store version than the last one is
         ignored: it would reopen VMs that are already published as empty.
@@ -192,8 +197,8 @@
         self.closings_version = version
         self._closed_workers, self._ended_workers = ids, ended
         self.must_scan = True
-        for id in ended & self.vms.keys():
-            self.drop_vm(self.vms[id], "ended by a move or maintenance")
+        for id in ended.keys() & self.vms.keys():
+            self.drop_vm(self.vms[id], ended[id])
         for machine in self.vms.values():
             if machine.closed != (machine.id in ids):
                 machine.closed = not machine.closed
@@ -243,7 +248,7 @@
                     waited=round(seconds_waited, 2),
                 )
             if lapsed and not machine.listed:
-                self.drop_vm(machine, "entry removed and leases lapsed")
+                self.drop_vm(machine, vm.VmEnd.EXPIRED)
 
     # -- questions
 
@@ -354,23 +359,41 @@
         queue = self.queues.get(state.job.queue)
         return queue.max_attempts if queue else state.job.attempts
 
-    def drop_vm(self, machine: vm.Vm, reason: str) -> None:
+    def drop_vm(self, machine: vm.Vm, end: vm.VmEnd) -> None:
         """Remove a VM that has ended, and with it all its runs."""
         if machine.gone:
             return
         machine.gone = True
         self.unresolved.discard(machine.id)
-        self.log_event("VM gone", vm=machine.id, runs=len(machine.runs), reason=reason)
+        self.log_event(
+            "VM gone",
+            vm=machine.id,
+            rack=machine.rack,
+            runs=len(machine.runs),
+            reason=end.value,
+        )
         for run in list(machine.runs.values()):
+            self.log_event(
+                "run ended with its VM",
+                age=self._compute_run_age(run),
+                **describe_run(run),
+            )
             self.remove_run(run)
         self.ledger.remove_vm(machine.id)
         self.vms.pop(machine.id, None)
 
     # -- internals
 
+    def _compute_run_age(self, run: vm.Run) -> float:
+        """Return the seconds from a run's start to the last event of the pool."""
+        return round(self.latest_time - run.started_at, 3)
+
     def _remove_lapsed_runs(self, machine: vm.Vm) -> None:
         self.log_event("leases lapsed", vm=machine.id, runs=len(machine.runs))
         for run in list(machine.runs.values()):
+            self.log_event(
+                "run lapsed", age=self._compute_run_age(run), **describe_run(run)
+            )
             self.remove_run(run)
         machine.orphans.clear()
 
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -10,7 +10,7 @@
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import entries, workers
 
-__all__ = ["MAX_CLOCK_DRIFT", "Run", "RunState", "Vm"]
+__all__ = ["MAX_CLOCK_DRIFT", "Run", "RunState", "Vm", "VmEnd"]
 
 MAX_CLOCK_DRIFT = 0.02
 """Fraction by which a worker's clock may be slow (platform's rules)."""
@@ -56,6 +56,15 @@
     STOPPING = "stopping"
 
 
+class VmEnd(enum.Enum):
+    """How the leader learned that an incarnation of a VM has ended."""
+
+    ORDERED = "ended by a move or maintenance"
+    LOST = "listed as down or with another incarnation"
+    REPLACED = "another incarnation of the VM answered"
+    EXPIRED = "entry removed and leases lapsed"
+
+
 class Run:
     """One start of a task on a VM.
 
