Apply the answer to a commit of the ledger in one place

The runner and the simulated histories each applied a committed batch by themselves: recorded VMs, final jobs and acknowledged ends. PoolView.on_commit does both now, so that what is to follow a commit is added once.

--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -229,7 +229,8 @@
     async def _commit_once(self) -> bool:
         batch = self.pool.ledger.collect(self.pool.jobs, self.pool.vms)
         if not batch.transaction.writes:
-            self._record_commit(batch.processed_ends)
+            self.pool.on_ends_durable(batch.processed_ends)
+            self._announce_commit()
             return True
         change = await self.deps.store.commit(
             batch.transaction, timeout=COMMIT_TIMEOUT_SECONDS
@@ -238,12 +239,11 @@
         self._is_store_quick = (
             answered and change.received - change.sent < QUICK_COMMIT_SECONDS
         )
-        result = self.pool.ledger.on_result(batch, change)
+        result = self.pool.on_commit(batch, change)
         if result.deposed:
             self._log_event(
                 "deposed: owner row has a newer claim", fence=self.pool.fence
             )
-            self.pool.deposed = True
             self._wake()
         conflict = change.reason == "conflict"
         self._commits.record(
@@ -255,22 +255,13 @@
                 "commit of ends conflicts", fence=self.pool.fence, found=found_versions
             )
         if not result.done:
-            self.pool.on_finals_durable(result.durable_finals)
             return conflict
-        for id in batch.vms:
-            if id in self.pool.vms:
-                self.pool.vms[id].recorded = True
-        self.pool.on_finals_durable(batch.final_jobs)
-        self._record_commit(batch.processed_ends)
+        self._announce_commit()
         if batch.vms or batch.final_jobs:
             self._wake()
         return True
 
-    def _record_commit(self, processed_ends: dict[str, int]) -> None:
-        for id, number in processed_ends.items():
-            machine = self.pool.vms.get(id)
-            if machine is not None:
-                machine.committed_end = max(machine.committed_end, number)
+    def _announce_commit(self) -> None:
         self._committed.set()
         self._committed = anyio.Event()
 
--- a/wigeonhitch/pool/tests/history.py
+++ b/wigeonhitch/pool/tests/history.py
@@ -181,7 +181,7 @@
             return
         batch = self.pool.ledger.collect(self.pool.jobs, self.pool.vms)
         if not batch.transaction.writes:
-            self._record_commit(batch.processed_ends)
+            self.pool.on_ends_durable(batch.processed_ends)
             return
         self.committing = True
         self.world.send_commit(self, batch)
@@ -189,20 +189,7 @@
     def on_committed(self, batch: Any, change: rows.Change) -> None:
         """Apply the answer to a commit."""
         self.committing = False
-        result = self.pool.ledger.on_result(batch, change)
-        self.pool.deposed = self.pool.deposed or result.deposed
-        if not result.done:
-            return
-        for id in batch.vms:
-            if id in self.pool.vms:
-                self.pool.vms[id].recorded = True
-        self.pool.on_finals_durable(batch.final_jobs)
-        self._record_commit(batch.processed_ends)
-
-    def _record_commit(self, processed_ends: dict[str, int]) -> None:
-        for id, number in processed_ends.items():
-            if id in self.pool.vms:
-                self.pool.vms[id].committed_end = number
+        self.pool.on_commit(batch, change)
 
 
 class World:
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from wigeonhitch.jobs import model, progress, record
-from wigeonhitch.platform import entries
+from wigeonhitch.platform import entries, rows
 from wigeonhitch.pool import compaction, ledger, priority, ticket, vm
 
 __all__ = ["PoolView", "TimeBounds", "describe_run"]
@@ -226,6 +226,30 @@
         machine.recorded = True
         self.vms[id] = machine
 
+    # -- commits
+
+    def on_commit(self, batch: ledger.Batch, change: rows.Change) -> ledger.Result:
+        """Apply the answer to a transaction of the ledger."""
+        result = self.ledger.on_result(batch, change)
+        if result.deposed:
+            self.deposed = True
+        if not result.done:
+            self.on_finals_durable(result.durable_finals)
+            return result
+        for id in batch.vms:
+            if id in self.vms:
+                self.vms[id].recorded = True
+        self.on_finals_durable(batch.final_jobs)
+        self.on_ends_durable(batch.processed_ends)
+        return result
+
+    def on_ends_durable(self, processed_ends: Mapping[str, int]) -> None:
+        """Record up to which number the ends of each VM are durable."""
+        for id, number in processed_ends.items():
+            machine = self.vms.get(id)
+            if machine is not None:
+                machine.committed_end = max(machine.committed_end, number)
+
     # -- time
 
     def expire_leases(self, now: float) -> None:
