--- a/standins/siteworker.py
+++ b/standins/siteworker.py
@@ -12,10 +12,13 @@
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import workers
 
-__all__ = ["Event", "Worker"]
+__all__ = ["CRASHING_SPEC", "Event", "Worker"]
 
 MAX_LEASE_SECONDS = 10.0
 
+CRASHING_SPEC = "crash"
+"""Text of a job whose tasks crash each worker that starts them."""
+
 
 class Event(NamedTuple):
     """Event on a worker.
@@ -125,8 +128,14 @@
         duration, outcome = self.draw_end(order)
         self.runs[order.task] = _Run(order.task, order.run, now + duration, outcome)
         self.events.append(Event(now, "start", self.id, order.task, order.run))
+        if self.crashes_under(order):
+            self.crash(now)
         return workers.Verdict.DONE
 
+    def crashes_under(self, order: workers.Start) -> bool:
+        """Return whether the run crashes the worker."""
+        return order.spec == CRASHING_SPEC
+
     def draw_end(self, order: workers.Start) -> tuple[float, model.End]:
         """Return after how many seconds a run ends, and its outcome."""
         failed = self._rng.random() < self._failure_rate
--- a/wigeonhitch/jobs/progress.py
+++ b/wigeonhitch/jobs/progress.py
@@ -37,6 +37,14 @@
         self.done: dict[tuple[int, int], set[int]] = {}
         self.failed_runs: dict[model.Task, set[int]] = {}
         self.checkpoints: dict[model.Task, str] = {}
+        self.crashed_vms: dict[model.Task, set[str]] = {}
+        """Incarnations of VMs that crashed while they ran each task."""
+        self.assigned_vms: dict[model.Task, str] = {}
+        """The VM on which each task with crashes may be started next, or runs."""
+        self.crash_revision = 0
+        """Number of changes of the crashes and of the assigned VMs."""
+        self.recorded_crash_revision = 0
+        """The same as of the last write that is known to be durable."""
 
     def is_done(self, task: model.Task) -> bool:
         """Return whether a run of the task has completed."""
@@ -112,6 +120,53 @@
         """Return the number of failed runs of the task or its gang."""
         return len(self.failed_runs.get(self._get_attempt_key(task), ()))
 
+    def record_crash(self, task: model.Task, vm: str) -> bool:
+        """Record that a VM crashed under a task; return whether that is new."""
+        vms = self.crashed_vms.setdefault(task, set())
+        if vm in vms:
+            return False
+        vms.add(vm)
+        self.crash_revision += 1
+        return True
+
+    def withdraw_crash(self, task: model.Task, vm: str) -> bool:
+        """Remove a recorded crash; return whether there was one."""
+        if vm not in self.crashed_vms.get(task, ()):
+            return False
+        self.crashed_vms[task].discard(vm)
+        if not self.crashed_vms[task]:
+            del self.crashed_vms[task]
+        self.crash_revision += 1
+        return True
+
+    def clear_crashes(self, task: model.Task) -> bool:
+        """Remove all crashes of a task; return whether there were any."""
+        if self.crashed_vms.pop(task, None) is None:
+            return False
+        self.crash_revision += 1
+        return True
+
+    def count_crashes(self, task: model.Task) -> int:
+        """Return the number of VMs that crashed under a task."""
+        return len(self.crashed_vms.get(task, ()))
+
+    def assign_vm(self, task: model.Task, vm: str) -> None:
+        """Set the VM on which a task may be started next."""
+        self.assigned_vms[task] = vm
+        self.crash_revision += 1
+
+    def release_vm(self, task: model.Task) -> bool:
+        """Remove the VM of a task; return whether there was one."""
+        if self.assigned_vms.pop(task, None) is None:
+            return False
+        self.crash_revision += 1
+        return True
+
+    @property
+    def are_crashes_recorded(self) -> bool:
+        """Whether all crashes and assigned VMs are durable."""
+        return self.recorded_crash_revision >= self.crash_revision
+
     def record_checkpoint(self, task: model.Task, checkpoint: str) -> None:
         """Keep the newest checkpoint of a task; a gang has one for all members."""
         if checkpoint:
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -118,6 +118,9 @@
     failed = {_write_task(t): sorted(runs) for t, runs in state.failed_runs.items()}
     saved = {_write_task(t): text for t, text in state.checkpoints.items()}
     row = {"started": state.started, "done": done, "failed": failed, "saved": saved}
+    crashed = {_write_task(t): sorted(vms) for t, vms in state.crashed_vms.items()}
+    assigned = {_write_task(t): vm for t, vm in state.assigned_vms.items()}
+    row.update(crashed=crashed, assigned=assigned)
     return orjson.dumps({key: part for key, part in row.items() if part})
 
 
@@ -140,6 +143,10 @@
         state.failed_runs[_read_task(state.job.id, key)] = set(runs)
     for key, text in row.get("saved", {}).items():
         state.checkpoints[_read_task(state.job.id, key)] = text
+    for key, vms in row.get("crashed", {}).items():
+        state.crashed_vms[_read_task(state.job.id, key)] = set(vms)
+    for key, vm in row.get("assigned", {}).items():
+        state.assigned_vms[_read_task(state.job.id, key)] = vm
 
 
 def _write_step(step: model.Step) -> dict[str, Any]:
--- /dev/null
+++ b/wigeonhitch/pool/assignment.py
@@ -0,0 +1,138 @@
+"""Choice of the VM on which a suspect is started.
+
+A suspect is a task that may crash its VM. The VM is recorded in the job's progress
+before the start. One that is assigned for a test gets no other task until the test is
+over.
+"""
+
+from wigeonhitch.jobs import model
+from wigeonhitch.pool import core, placement, suspect, vm
+
+__all__ = ["find_vm"]
+
+MAX_TEST_VM_DIVISOR = 3
+"""Divisor of the open VMs that gives the most VMs that are kept for tests: each test
+may cost its VM for some seconds, and the pool's other tasks need the rest."""
+
+DOUBT_SECONDS = 4.0
+"""Seconds after the leases of a silent VM have lapsed during which its suspects aren't
+started elsewhere: by then its next incarnation or the removal of its entry usually
+tells whether it has crashed."""
+
+
+def find_vm(
+    pool: core.Pool,
+    placer: placement.Placer,
+    task: model.Task,
+    allowed: frozenset[str] | None,
+    now: float,
+) -> vm.Vm | None:
+    """Return the VM on which a suspect may be started now.
+
+    Without one a VM is assigned; the task can be started there once that is durable
+    and, for a test, the VM's other tasks have ended.
+
+    Parameters
+    ----------
+    allowed : frozenset of str, optional
+        VMs that the queue's policy allows.
+    """
+    state = pool.jobs[task.job]
+    is_test = pool.suspects.must_be_tested(task)
+    id = state.assigned_vms.get(task)
+    if id is not None and id not in pool.vms:
+        if pool.suspects.on_missing_vm(task, pool.get_end(id)):
+            pool.give_up(task)
+        return None
+    if id is not None:
+        machine = pool.vms[id]
+        if _is_usable(placer, machine, allowed, now):
+            is_ready = state.are_crashes_recorded
+            if is_test:
+                is_ready = is_ready and _is_alone(machine, state.job.steps[task.step])
+            return machine if is_ready else None
+        if _is_in_doubt(machine, now):
+            return None
+        pool.suspects.release(task)
+    choose = _choose_for_test if is_test else _choose_apart
+    chosen = choose(pool, placer, task, allowed)
+    if chosen is not None:
+        pool.suspects.assign(task, chosen.id)
+    return None
+
+
+def _choose_apart(
+    pool: core.Pool,
+    placer: placement.Placer,
+    task: model.Task,
+    allowed: frozenset[str] | None,
+) -> vm.Vm | None:
+    step = pool.jobs[task.job].job.steps[task.step]
+    avoid = pool.failed_on.get(task, "")
+    is_suspect = pool.suspects.count(task) > 0
+    return placer.choose(
+        task, step, avoid=avoid, allowed=allowed, is_suspect=is_suspect
+    )
+
+
+def _choose_for_test(
+    pool: core.Pool,
+    placer: placement.Placer,
+    task: model.Task,
+    allowed: frozenset[str] | None,
+) -> vm.Vm | None:
+    """Choose the VM with the fewest tasks that would have to end first."""
+    if len(placer.kept) >= max(1, placer.open_count // MAX_TEST_VM_DIVISOR):
+        return None
+    step = pool.jobs[task.job].job.steps[task.step]
+    candidates = [
+        machine
+        for machine in placer.vms
+        if placer.is_eligible(machine, task, step)
+        and (allowed is None or machine.id in allowed)
+        and _fits_beside_proven(machine, step)
+    ]
+    if not candidates:
+        return None
+    chosen = min(
+        candidates,
+        key=lambda machine: (
+            placer.suspects.get(machine.id, 0),
+            len(_list_unproven(machine)),
+            len(machine.runs),
+        ),
+    )
+    placer.keep(chosen)
+    return chosen
+
+
+def _is_usable(
+    placer: placement.Placer,
+    machine: vm.Vm,
+    allowed: frozenset[str] | None,
+    now: float,
+) -> bool:
+    """Return whether a task may still be started on its assigned VM."""
+    is_healthy = machine.is_open(now) and not machine.is_quarantined(now)
+    is_allowed = allowed is None or machine.id in allowed
+    return is_healthy and is_allowed and placer.has_room(machine)
+
+
+def _is_alone(machine: vm.Vm, step: model.Step) -> bool:
+    """Return whether only tasks that are no cause of a crash run on a VM."""
+    is_free = step.reserved.fits_in(machine.compute_free_room())
+    return is_free and not _list_unproven(machine)
+
+
+def _is_in_doubt(machine: vm.Vm, now: float) -> bool:
+    """Return whether a VM may have crashed without being known as gone."""
+    return machine.is_silent and not machine.is_lapsed(now, DOUBT_SECONDS)
+
+
+def _list_unproven(machine: vm.Vm) -> list[vm.Run]:
+    return [run for run in machine.runs.values() if not suspect.is_proven(run)]
+
+
+def _fits_beside_proven(machine: vm.Vm, step: model.Step) -> bool:
+    proven = [run for run in machine.runs.values() if suspect.is_proven(run)]
+    return step.reserved.fits_in(machine.compute_room_beside(proven))
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -54,7 +54,8 @@
         if reply.verdict is not workers.Verdict.DONE:
             return
         machine.update_clock(reply.clock, reply.received)
-        machine.last_answer = now
+        self.suspects.on_vm_answered(machine.id)
+        machine.last_answer = machine.last_contact = now
         machine.reported_clock = reply.clock
         if not machine.answered:
             machine.answered = True
@@ -67,6 +68,7 @@
                 machine.processed_end = end.number
         if len(reply.ended) < MAX_ENDS_PER_REPLY:
             self._reconcile(machine, reply, now)
+            self.suspects.on_vm_listed(machine.id)
             # Only a complete answer tells which runs are there and which have ended.
             machine.reconciled = True
             self.unresolved.discard(machine.id)
@@ -111,6 +113,7 @@
         self, run: vm.Run, verdict: workers.Verdict, now: float
     ) -> None:
         self.remove_run(run)
+        self.suspects.release(run.task)
         self.not_before[run.task] = now + START_RETRY_DELAY_SECONDS
         if verdict is workers.Verdict.UNHEALTHY:
             run.vm.quarantine(now)
@@ -140,6 +143,7 @@
         if state is None or state.final is not None or not state.has_task(end.task):
             return
         self.changed_jobs.add(end.task.job)
+        self.suspects.release(end.task)
         step = state.job.steps[end.task.step]
         run_seconds = now - run.started_at if is_own_run else SHORT_RUN_SECONDS
         if (not step.lasting or run_seconds < SHORT_RUN_SECONDS) and machine.record_end(
@@ -185,11 +189,7 @@
         self.ledger.mark_dirty(end.task.job)
         self.log_event("run failed", job=end.task.job, task=end.task[1:], vm=machine.id)
         if state.is_exhausted(end.task, self.get_max_attempts(state)):
-            state.final = model.JobState.FAILED
-            self.must_scan = True
-            self.log_event(
-                "job failed", job=end.task.job, task=end.task[1:], vm=machine.id
-            )
+            self.fail_job(state, end.task, reason="attempts used up", vm=machine.id)
 
     def _compute_age(self, state: progress.Progress) -> float:
         return round(self.wall_time - state.accepted, 3)
@@ -240,6 +240,8 @@
             self._confirm_start(run, now)
         run.record_work(entry.work, run.vm.reported_clock)
         run.load = entry.load
+        run.listed_at = now
+        self.suspects.on_run_listed(run)
         if entry.checkpoint and run.task.job in self.jobs:
             self.jobs[run.task.job].record_checkpoint(run.task, entry.checkpoint)
 
--- a/wigeonhitch/pool/ledger.py
+++ b/wigeonhitch/pool/ledger.py
@@ -41,6 +41,8 @@
     removed_vms: tuple[str, ...]
     dropped: tuple[str, ...]
     processed_ends: dict[str, int]
+    crash_revisions: dict[str, int] = {}
+    """Revision of the crashes and assigned VMs that each job's row holds."""
 
 
 class Result(NamedTuple):
@@ -144,6 +146,7 @@
             removed,
             dropped,
             processed_ends,
+            {id: jobs[id].crash_revision for id in chosen if jobs[id].crash_revision},
         )
 
     def on_result(self, batch: Batch, change: rows.Change) -> Result:
--- a/wigeonhitch/pool/placement.py
+++ b/wigeonhitch/pool/placement.py
@@ -6,19 +6,50 @@
 to the most free room.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from wigeonhitch.jobs import model
-from wigeonhitch.pool import vm
+from wigeonhitch.pool import suspect, vm
 
 __all__ = ["Placer"]
 
 
-class Placer:
-    """Free room of the open VMs during one placement round."""
+MAX_SUSPECT_VM_DIVISOR = 2
+"""Divisor of the open VMs that gives the most VMs on which suspects run: tasks that
+crash their VMs leave the other half of the pool alone."""
+
 
-    def __init__(self, vms: Iterable[vm.Vm], now: float) -> None:
+class Placer:
+    """Free room of the open VMs during one placement round.
+
+    Parameters
+    ----------
+    vms : iterable of vm.Vm
+        The pool's VMs.
+    now : float
+        This daemon's time.
+    kept : collection of str
+        VMs that are kept free of other tasks for tests of suspects.
+    suspects : mapping of str to int, optional
+        Number of suspects that run on each VM.
+    assigned : iterable of suspect.Assigned
+        Suspects that wait for their start, and whose room is reserved.
+    """
+
+    def __init__(
+        self,
+        vms: Iterable[vm.Vm],
+        now: float,
+        kept: Collection[str] = (),
+        suspects: Mapping[str, int] | None = None,
+        assigned: Iterable[suspect.Assigned] = (),
+    ) -> None:
         open_vms = [machine for machine in vms if machine.is_open(now)]
+        self.open_count = len(open_vms)
+        self.suspects = dict(suspects or {})
+        """Number of suspects by VM, for VMs with at least one."""
+        self.kept = set(kept)
+        open_vms = [machine for machine in open_vms if machine.id not in self.kept]
         healthy = [machine for machine in open_vms if not machine.is_quarantined(now)]
         # Never exclude more than half of a pool: failures on most VMs are caused by
         # the tasks themselves, and an empty pool would serve nobody.
@@ -30,6 +61,10 @@
         for machine in self.vms:
             for task in machine.runs:
                 self._add_to_count(machine, task, 1)
+        by_id = {machine.id: machine for machine in self.vms}
+        for item in assigned:
+            if item.vm in by_id:
+                self._reserve_for_suspect(by_id[item.vm], item.task, item.step)
 
     def choose(
         self,
@@ -39,6 +74,7 @@
         avoid: str = "",
         rack: str = "",
         allowed: frozenset[str] | None = None,
+        is_suspect: bool = False,
     ) -> vm.Vm | None:
         """Choose a VM for a task and reserve its room; return None if none fits.
 
@@ -50,6 +86,9 @@
             Rack that the VM must be in; empty: any.
         allowed : frozenset of str, optional
             VMs that the queue's policy allows.
+        is_suspect : bool
+            Whether a VM has crashed under the task: it is placed apart from other
+            suspects, on a VM that has some only if no other may get any.
         """
         candidates = [
             machine
@@ -57,18 +96,47 @@
             if self._fits(machine, task, step)
             and (not rack or machine.rack == rack)
             and (allowed is None or machine.id in allowed)
+            and (not is_suspect or self._may_get_suspect(machine))
         ]
+        if not candidates and is_suspect:
+            return None
         if not candidates:
             self.max_free_cpu = max(
                 (room.cpu for room in self.free.values()), default=-1
             )
             return None
+        if is_suspect:
+            fewest = min(self.suspects.get(machine.id, 0) for machine in candidates)
+            candidates = [
+                machine
+                for machine in candidates
+                if self.suspects.get(machine.id, 0) == fewest
+            ]
         chosen = min(
             candidates, key=lambda machine: self._score(machine, task, step, avoid)
         )
-        self.reserve(chosen, task, step)
+        if is_suspect:
+            self._reserve_for_suspect(chosen, task, step)
+        else:
+            self.reserve(chosen, task, step)
         return chosen
 
+    def keep(self, machine: vm.Vm) -> None:
+        """Keep a VM free of further tasks for the rest of the round."""
+        self.vms.remove(machine)
+        self.kept.add(machine.id)
+
+    def has_room(self, machine: vm.Vm) -> bool:
+        """Return whether a VM has the room for all that is reserved on it."""
+        free = self.free.get(machine.id)
+        return free is None or model.Room().fits_in(free)
+
+    def _reserve_for_suspect(
+        self, machine: vm.Vm, task: model.Task, step: model.Step
+    ) -> None:
+        self.reserve(machine, task, step)
+        self.suspects[machine.id] = self.suspects.get(machine.id, 0) + 1
+
     def reserve(self, machine: vm.Vm, task: model.Task, step: model.Step) -> None:
         """Reserve a task's room on a VM."""
         self._change(machine, task, step, 1)
@@ -86,11 +154,19 @@
             )
         return sorted(free_by_rack, key=lambda rack: -free_by_rack[rack])
 
+    def _may_get_suspect(self, machine: vm.Vm) -> bool:
+        limit = max(1, self.open_count // MAX_SUSPECT_VM_DIVISOR)
+        return machine.id in self.suspects or len(self.suspects) < limit
+
     def _fits(self, machine: vm.Vm, task: model.Task, step: model.Step) -> bool:
+        return self.is_eligible(machine, task, step) and step.reserved.fits_in(
+            self.free[machine.id]
+        )
+
+    def is_eligible(self, machine: vm.Vm, task: model.Task, step: model.Step) -> bool:
+        """Return whether a VM may run a task as soon as it has the room."""
         if step.label and step.label not in machine.entry.labels:
             return False
-        if not step.reserved.fits_in(self.free[machine.id]):
-            return False
         if step.spread and self._get_count(machine, task) >= step.spread:
             return False
         return task not in machine.runs
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -12,6 +12,7 @@
 from wigeonhitch.jobs import model, progress
 from wigeonhitch.platform import advice, workers
 from wigeonhitch.pool import (
+    assignment,
     core,
     demand,
     health,
@@ -77,7 +78,14 @@
         self.pool.submitted_work.clear()
         self._refresh_jobs(wall_time)
         orders: list[message.Start | message.Stop] = self._stop_orphans(now)
-        placer = placement.Placer(self.pool.vms.values(), now)
+        suspects = self.pool.suspects
+        placer = placement.Placer(
+            self.pool.vms.values(),
+            now,
+            suspects.list_test_vms(),
+            suspects.count_by_vm(),
+            [assigned for assigned in suspects.list_assigned() if not assigned.is_test],
+        )
         orders.extend(self._plan_stops(placer, now))
         orders.extend(self._plan_starts(placer, now, wall_time))
         return orders
@@ -239,6 +247,10 @@
         self.unmet = 0
         self._missing_vms = 0
         self._orphaned_tasks = self.pool.list_orphaned_tasks()
+        for task in self.pool.suspects.list_waiting_tests():
+            state = self.pool.jobs[task.job]
+            if self._is_free(task) and not self.pool.may_have_run(state):
+                starts.extend(self._place_recorded(placer, state, task, now))
         keyed = [
             (self._get_key(id, wall_time), id)
             for id, tasks in self._open_tasks.items()
@@ -278,18 +290,32 @@
     ) -> int:
         """Start the tasks that fit; return the millicores that the others lack."""
         unmet = 0
-        full_steps: set[tuple[int, int]] = set()
+        full_steps: set[tuple[int, int, bool]] = set()
         unplaced: collections.Counter[int] = collections.Counter()
+        may_crash = self.pool.may_crash_vms(state)
         for task in self._open_tasks[state.job.id]:
             step = state.job.steps[task.step]
             if not self._is_free(task):
                 continue
-            if task[1:3] in full_steps or step.reserved.cpu > placer.max_free_cpu:
+            is_recorded = may_crash and self.pool.must_record_start(state, task)
+            if is_recorded and self.pool.suspects.must_be_tested(task):
+                continue
+            if is_recorded and task in state.assigned_vms:
+                starts.extend(self._place_recorded(placer, state, task, now))
+                continue
+            is_suspect = may_crash and state.count_crashes(task) > 0
+            group = (task.occurrence, task.step, is_suspect)
+            if group in full_steps or step.reserved.cpu > placer.max_free_cpu:
                 unplaced[task.step] += 1
-                unmet += step.reserved.cpu
+                unmet += 0 if is_suspect else step.reserved.cpu
                 continue
             if now < self.pool.not_before.get(task, 0.0):
                 continue
+            if is_recorded:
+                self._place_recorded(placer, state, task, now)
+                if task not in state.assigned_vms:
+                    full_steps.add(group)
+                continue
             if step.gang:
                 if task.index == 0:
                     self._place_gang(placer, state, task, now, starts)
@@ -298,7 +324,7 @@
             if start is not None:
                 starts.append(start)
                 continue
-            full_steps.add(task[1:3])
+            full_steps.add(group)
             unplaced[task.step] += 1
             unmet += step.reserved.cpu
         self._record_missing_vms(state, unplaced)
@@ -317,6 +343,25 @@
                 vms = math.ceil(count / step.spread)
                 self._missing_vms = max(self._missing_vms, vms)
 
+    def _place_recorded(
+        self,
+        placer: placement.Placer,
+        state: progress.Progress,
+        task: model.Task,
+        now: float,
+    ) -> list[message.Start]:
+        """Start a task that may crash its VM, once that VM is recorded."""
+        if now < self.pool.not_before.get(task, 0.0):
+            return []
+        tickets = self._get_tickets(state, task, now)
+        allowed = None if tickets is None else frozenset(tickets)
+        chosen = assignment.find_vm(self.pool, placer, task, allowed, now)
+        if chosen is None:
+            return []
+        number = self.pool.next_run_number(task)
+        ticket = tickets[chosen.id] if tickets else ""
+        return [self._start(state, task, number, chosen, now, ticket)]
+
     def _place_task(
         self,
         placer: placement.Placer,
@@ -356,6 +401,8 @@
         tasks = [first._replace(index=index) for index in range(step.count)]
         if not all(self._is_free(task) for task in tasks):
             return
+        if not state.are_crashes_recorded:
+            return
         racks = placer.list_racks() if step.same_rack else [""]
         tickets = self._get_tickets(state, first, now)
         allowed = None if tickets is None else frozenset(tickets)
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -67,7 +67,14 @@
 second of a burst of 4.5 s matters to the VMs that are moved for it."""
 
 COUNTED_EVENTS = frozenset(
-    {"VM gone", "run ended with its VM", "run lapsed", "run failed", "job failed"}
+    {
+        "VM gone",
+        "VM crashed under a task",
+        "run ended with its VM",
+        "run lapsed",
+        "run failed",
+        "job failed",
+    }
 )
 """Log events that are also counted: some lines are left out in a burst."""
 
@@ -257,7 +264,7 @@
         if not result.done:
             return conflict
         self._announce_commit()
-        if batch.vms or batch.final_jobs:
+        if batch.vms or batch.final_jobs or batch.crash_revisions:
             self._wake()
         return True
 
--- /dev/null
+++ b/wigeonhitch/pool/suspect.py
@@ -0,0 +1,337 @@
+"""Tasks under which VMs have crashed, and which of them are given up.
+
+A task may crash each VM that starts it. A VM that crashes lists no ends, and the tasks
+that merely ran beside the culprit look the same. Therefore:
+
+- Each task on a crashed VM is a suspect. The incarnation of the VM is recorded in the
+  job's progress, so that it counts once, and for later leaders too.
+- A suspect is assigned to a VM, and that is recorded before it is started there, so
+  that a later leader knows which VM to ask for. So are tasks that an earlier leader may
+  have started on a VM of which only the end is known.
+- Suspects are placed apart from each other, on at most half of the pool's VMs.
+- A task under which two VMs have crashed is tested: it is started only alone, and a
+  third of the pool at most is used for that.
+- At the fourth crash the task is given up, and its job has failed.
+- A run that has worked for some seconds counts only if its task isn't lasting and its
+  VM wasn't lost with a whole rack.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from wigeonhitch.jobs import model, progress
+from wigeonhitch.pool import ledger, vm
+
+__all__ = ["Assigned", "Suspects", "is_proven"]
+
+CRASHES_BEFORE_TEST = 2
+"""Crashes under a task after which it is started only alone. After a first crash all
+the tasks of the VM are suspects, some 20 of them; testing each would hold up more work
+than a second crash costs."""
+
+MAX_CRASHES = 4
+"""Crashes after which a task is given up: two under tests, since on a day with many
+crashes a task may meet three by chance. The users' bound is fewer than six."""
+
+PROVEN_SECONDS = 5.0
+"""Seconds that a run must have worked on its VM to be an unlikely cause of a later
+crash: tasks that crash their VM mostly do so as they start."""
+
+MASS_LOSS_SECONDS = 3.0
+"""Seconds within which VMs that lose power together give their last answers: up to 1.7
+s apart, and more while this daemon is slow."""
+
+LOSS_RETENTION_SECONDS = 20.0
+"""Seconds for which a lost VM is remembered: the loss of others at the same time may be
+found only once their leases have lapsed."""
+
+
+class Assigned(NamedTuple):
+    """A suspect that waits for its start on a VM; ``is_test`` if it must be alone."""
+
+    task: model.Task
+    vm: str
+    step: model.Step
+    is_test: bool
+
+
+class _Loss(NamedTuple):
+    """A VM that crashed; ``had_suspects`` tells whether a suspect ran on it."""
+
+    last_contact: float
+    rack: str
+    had_suspects: bool
+
+
+class Suspects:
+    """Suspects among the tasks of one pool.
+
+    Parameters
+    ----------
+    jobs, vms, live : mapping
+        Those of the pool's view, which keeps them up to date.
+    writer : ledger.Ledger
+        Records changed progress.
+    log_event : callable
+        Writes a log line; takes the text and the fields.
+    """
+
+    def __init__(
+        self,
+        jobs: Mapping[str, progress.Progress],
+        vms: Mapping[str, vm.Vm],
+        live: Mapping[model.Task, vm.Run],
+        writer: ledger.Ledger,
+        log_event: Callable[..., None],
+    ) -> None:
+        self._jobs = jobs
+        self._vms = vms
+        self._live = live
+        self._writer = writer
+        self._log_event = log_event
+        self._suspect_jobs: set[str] = set()
+        self._doubtful: dict[str, set[model.Task]] = {}
+        """Tasks by VMs that are counted as crashed and may yet answer."""
+        self._inherited: set[model.Task] = set()
+        """Tasks that an earlier leader may have started on their assigned VM."""
+        self._losses: list[_Loss] = []
+
+    # -- events
+
+    def on_progress_read(self, state: progress.Progress) -> None:
+        """Take over what earlier leaders have recorded of a job."""
+        for task, ids in state.crashed_vms.items():
+            self._suspect_jobs.add(state.job.id)
+            for id in ids:
+                self._doubtful.setdefault(id, set()).add(task)
+        if state.assigned_vms:
+            self._suspect_jobs.add(state.job.id)
+        self._inherited.update(state.assigned_vms)
+
+    def on_vm_answered(self, id: str) -> None:
+        """Withdraw what was counted for a VM that answers: it has not crashed."""
+        for task in self._doubtful.pop(id, ()):
+            state = self._jobs.get(task.job)
+            if state is not None and state.withdraw_crash(task, id):
+                self._writer.mark_dirty(task.job)
+                self._log_event("crash withdrawn", vm=id, **describe_task(task))
+
+    def on_vm_listed(self, id: str) -> None:
+        """Record that a VM has listed all its runs to this leader."""
+        self._inherited.difference_update(self._list_inherited_on(id))
+
+    def on_leases_lapsed(self, machine: vm.Vm) -> None:
+        """Count a silent VM as crashed, until it answers."""
+        if not (machine.closed or machine.entry.leaving):
+            tasks = self._count_all(machine)
+            self._doubtful.setdefault(machine.id, set()).update(tasks)
+
+    def on_vm_ended(self, machine: vm.Vm, end: vm.VmEnd) -> list[model.Task]:
+        """Count the end of a VM; return the tasks that are to be given up."""
+        if end is vm.VmEnd.ORDERED or machine.closed or machine.entry.leaving:
+            self._release_vm(machine.id)
+            return []
+        tasks = self._count_all(machine)
+        if end is vm.VmEnd.EXPIRED:
+            tasks |= self._doubtful.setdefault(machine.id, set())
+            self._doubtful[machine.id] = set(tasks)
+        else:
+            tasks |= self._doubtful.pop(machine.id, set())
+        self._release_vm(machine.id)
+        return [task for task in tasks if self.count(task) >= MAX_CRASHES]
+
+    def on_missing_vm(self, task: model.Task, end: vm.VmEnd | None) -> bool:
+        """Count a task's assigned VM, which was gone before this leader's term.
+
+        Return whether the task is to be given up.
+        """
+        id = self._get_assigned_vm(task)
+        if task in self._inherited and end is not vm.VmEnd.ORDERED:
+            self._count(task, id)
+            self._doubtful.setdefault(id, set()).add(task)
+        self.release(task)
+        return self.count(task) >= MAX_CRASHES
+
+    def on_run_listed(self, run: vm.Run) -> None:
+        """Clear a task that has worked long enough to be no cause of a crash."""
+        state = self._jobs.get(run.task.job)
+        if state is None or not (state.crashed_vms or state.assigned_vms):
+            return
+        if not is_proven(run):
+            return
+        self.release(run.task)
+        if run.step.lasting and run.work >= 100 and state.clear_crashes(run.task):
+            self._writer.mark_dirty(run.task.job)
+            self._log_event("suspect cleared", **describe_task(run.task))
+
+    def assign(self, task: model.Task, id: str) -> None:
+        """Record the VM on which a suspect is to be started."""
+        self._inherited.discard(task)
+        self._suspect_jobs.add(task.job)
+        self._jobs[task.job].assign_vm(task, id)
+        self._writer.mark_dirty(task.job)
+        crashes = self.count(task)
+        self._log_event(
+            "suspect assigned", vm=id, crashes=crashes, **describe_task(task)
+        )
+
+    def release(self, task: model.Task) -> None:
+        """Withdraw the assignment of a task to a VM."""
+        self._inherited.discard(task)
+        state = self._jobs.get(task.job)
+        if state is not None and state.release_vm(task):
+            self._writer.mark_dirty(task.job)
+
+    def forget_job(self, id: str) -> None:
+        """Drop what is known of the tasks of a job."""
+        self._suspect_jobs.discard(id)
+        self._inherited = {task for task in self._inherited if task.job != id}
+        for vm_id, tasks in list(self._doubtful.items()):
+            tasks -= {task for task in tasks if task.job == id}
+            if not tasks:
+                del self._doubtful[vm_id]
+
+    # -- questions
+
+    def count(self, task: model.Task) -> int:
+        """Return how many VMs have crashed under a task."""
+        state = self._jobs.get(task.job)
+        return state.count_crashes(task) if state is not None else 0
+
+    def must_be_tested(self, task: model.Task) -> bool:
+        """Return whether a task may only be started alone.
+
+        A gang isn't tested: its members run together, on as many VMs as they need.
+        """
+        state = self._jobs[task.job]
+        is_gang = state.job.steps[task.step].gang
+        return not is_gang and state.count_crashes(task) >= CRASHES_BEFORE_TEST
+
+    def list_waiting_tests(self) -> list[model.Task]:
+        """Return the tasks that may only be started alone and don't run.
+
+        Those with the fewest crashes come first, as they are the least likely culprits.
+        """
+        waiting = [
+            (state.count_crashes(task), state.accepted, task)
+            for state in self._list_open_jobs()
+            for task in state.crashed_vms
+            if self.must_be_tested(task)
+            and task not in self._live
+            and not state.is_done(task)
+        ]
+        return [task for _, _, task in sorted(waiting)]
+
+    def list_test_vms(self) -> set[str]:
+        """Return the VMs that are kept for tests."""
+        return {
+            id
+            for state in self._list_open_jobs()
+            for task, id in state.assigned_vms.items()
+            if self.must_be_tested(task)
+        }
+
+    def list_assigned(self) -> list[Assigned]:
+        """Return the suspects that wait for their start on a VM."""
+        return [
+            Assigned(task, id, state.job.steps[task.step], self.must_be_tested(task))
+            for state in self._list_open_jobs()
+            for task, id in state.assigned_vms.items()
+            if task not in self._live
+        ]
+
+    def count_by_vm(self) -> dict[str, int]:
+        """Return the number of suspects that run on each VM."""
+        counts: dict[str, int] = {}
+        for state in self._list_open_jobs():
+            for task in state.crashed_vms:
+                run = self._live.get(task)
+                if run is not None and not is_proven(run):
+                    counts[run.vm.id] = counts.get(run.vm.id, 0) + 1
+        return counts
+
+    # -- internals
+
+    def _list_open_jobs(self) -> list[progress.Progress]:
+        states = (self._jobs.get(id) for id in self._suspect_jobs)
+        return [state for state in states if state is not None and _is_open(state)]
+
+    def _get_assigned_vm(self, task: model.Task) -> str:
+        state = self._jobs.get(task.job)
+        return state.assigned_vms.get(task, "") if state is not None else ""
+
+    def _list_inherited_on(self, id: str) -> list[model.Task]:
+        return [task for task in self._inherited if self._get_assigned_vm(task) == id]
+
+    def _release_vm(self, id: str) -> None:
+        for state in self._list_open_jobs():
+            for task in [t for t, held in state.assigned_vms.items() if held == id]:
+                self.release(task)
+
+    def _count_all(self, machine: vm.Vm) -> set[model.Task]:
+        """Count a VM's crash for all tasks that it may have run; return these."""
+        is_mass_loss = self._is_mass_loss(machine)
+        suspected = [
+            run.task
+            for run in machine.runs.values()
+            if not is_proven(run) or not (run.step.lasting or is_mass_loss)
+        ]
+        suspected += self._list_inherited_on(machine.id)
+        had_suspects = any(self.count(task) for task in suspected)
+        self._losses = [
+            loss
+            for loss in self._losses
+            if machine.last_contact - loss.last_contact <= LOSS_RETENTION_SECONDS
+        ]
+        loss = _Loss(machine.last_contact, machine.rack, had_suspects)
+        self._losses.append(loss)
+        return {task for task in suspected if self._count(task, machine.id)}
+
+    def _count(self, task: model.Task, id: str) -> bool:
+        state = self._jobs.get(task.job)
+        if state is None or not _is_open(state):
+            return False
+        if state.is_done(task) or not state.record_crash(task, id):
+            return False
+        self._suspect_jobs.add(task.job)
+        self._writer.mark_dirty(task.job)
+        self._log_event(
+            "VM crashed under a task",
+            vm=id,
+            crashes=state.count_crashes(task),
+            **describe_task(task),
+        )
+        return True
+
+    def _is_mass_loss(self, machine: vm.Vm) -> bool:
+        """Return whether other VMs of the rack were lost with it, and none is left."""
+        lost_at = machine.last_contact
+        peers = [
+            other
+            for other in self._vms.values()
+            if other.rack == machine.rack
+            and other is not machine
+            and other.joined_at <= lost_at
+        ]
+        if any(not peer.is_silent for peer in peers):
+            return False
+        return bool(peers) or any(
+            loss.rack == machine.rack
+            and not loss.had_suspects
+            and abs(loss.last_contact - lost_at) <= MASS_LOSS_SECONDS
+            for loss in self._losses
+        )
+
+
+def is_proven(run: vm.Run) -> bool:
+    """Return whether a run was listed long enough after its start."""
+    return run.listed_at - run.started_at >= PROVEN_SECONDS
+
+
+def describe_task(task: model.Task) -> dict[str, object]:
+    """Return the log fields that identify a task."""
+    return {"job": task.job, "task": task[1:]}
+
+
+def _is_open(state: progress.Progress) -> bool:
+    return state.final is None and not state.cancelled
--- a/wigeonhitch/pool/tests/conftest.py
+++ b/wigeonhitch/pool/tests/conftest.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wigeonhitch.jobs import model, progress, record
-from wigeonhitch.platform import entries, workers
+from wigeonhitch.platform import entries, rows, table, workers
 from wigeonhitch.pool import compaction, core, planner, view
 
 NOW = 100.0
@@ -17,6 +17,8 @@
 
     def __init__(self, *, fence=10, epoch=1):
         self.logged = []
+        self.version = 1000
+        self.rows = {}
         self.pool = core.Pool(
             "p",
             fence,
@@ -56,6 +58,15 @@
         self.pool.on_job(id, row, version, LOCATION)
         return self.pool.jobs[id]
 
+    def commit(self):
+        """Write what is pending, and apply the answer."""
+        batch = self.pool.ledger.collect(self.pool.jobs, self.pool.vms)
+        self.version += 1
+        change = rows.Change(table.Outcome.DONE, self.version)
+        self.pool.on_commit(batch, change)
+        for write in batch.transaction.writes:
+            self.rows[write.table, write.key] = (write.value, self.version)
+
     def plan(self, now=NOW):
         return self.planner.plan(now, now)
 
--- a/wigeonhitch/pool/tests/history.py
+++ b/wigeonhitch/pool/tests/history.py
@@ -3,10 +3,12 @@
 Drives the real decisions (`core`, `planner`, `ledger`) of any number of leaders that
 succeed each other and overlap, against workers in the same process, under one seeded
 schedule. Calls take time, are lost in either direction or arrive seconds late;
-workers fall silent, crash and come back; leaders are killed, paused and cut off.
-`check` then verifies the events that the workers recorded.
+workers fall silent, crash and come back; leaders are killed, paused and cut off. Some
+jobs crash each worker that starts them. `check` then verifies the events that the
+workers recorded, and `check_crashes` who was given up.
 """
 
+import collections
 import random
 from typing import Any, NamedTuple
 
@@ -15,7 +17,7 @@
 from wigeonhitch.jobs import model, record
 from wigeonhitch.leadership import record as leader_record
 from wigeonhitch.platform import entries, rows, table, workers
-from wigeonhitch.pool import compaction, core, dispatcher, message, planner, view
+from wigeonhitch.pool import compaction, core, dispatcher, message, planner, view, vm
 from wigeonhitch.pool import record as pool_record
 
 POOL = "pool"
@@ -24,6 +26,8 @@
 STEP_CPU = (2500, 3000)
 """Millicores that a task of each step takes."""
 LOCATION = compaction.RowLocation("job", POOL)
+MAX_CRASHED_VMS = 5
+"""Most VMs that one task may crash: three, and then fewer than three further starts."""
 START_DEADLINE_SECONDS = dispatcher.START_DEADLINE_SECONDS
 
 
@@ -39,6 +43,19 @@
     stop_at_lease_end: bool = True
 
 
+class Crashes(NamedTuple):
+    """How often VMs crash.
+
+    ``share`` is the share of jobs whose first task crashes its VM, ``rate`` the mean
+    number of VMs that crash by themselves each second, ``mass_rate`` the same of losses
+    of a whole rack.
+    """
+
+    share: float = 0.0
+    rate: float = 0.0
+    mass_rate: float = 0.0
+
+
 class Store:
     """Rows in memory, with conditional transactions."""
 
@@ -104,6 +121,7 @@
         self._load()
         self.planner = planner.Planner(self.pool)
         self.next_hold: dict[str, float] = {}
+        self.ended: dict[str, vm.VmEnd] = {}
         self.committing = False
 
     def _load(self) -> None:
@@ -115,10 +133,7 @@
         for worker in self.world.workers:
             if worker.alive:
                 clock = worker.read_clock(max(0.0, now - 1.0))
-                entry = entries.WorkerEntry(
-                    worker.id, POOL, worker.id, "", False, ROOM, ("r1",), clock
-                )
-                self.pool.on_worker(entry, now)
+                self.pool.on_worker(self.world.make_entry(worker, clock), now)
         if not self.world.mechanisms.wait_after_takeover:
             return
         for id, _, version in store.list_rows(pool_record.ROSTER_TABLE):
@@ -196,7 +211,13 @@
     """Time, workers, store, leaders and the calls in flight between them."""
 
     def __init__(
-        self, seed: int, mechanisms: Mechanisms, *, fault_rate: float = 1.0
+        self,
+        seed: int,
+        mechanisms: Mechanisms,
+        *,
+        fault_rate: float = 1.0,
+        crashes: Crashes | None = None,
+        vms: int = 3,
     ) -> None:
         self.rng = random.Random(seed)
         self.mechanisms = mechanisms
@@ -204,7 +225,12 @@
         self.now = 100.0
         self.events: list[siteworker.Event] = []
         self.store = Store()
-        self.workers = [self._make_worker(number) for number in range(3)]
+        self.crashes = crashes or Crashes()
+        self.guilty: set[str] = set()
+        self._crashed: set[str] = set()
+        self._successors: set[str] = set()
+        """Workers whose VM has a newer incarnation."""
+        self.workers = [self._make_worker(number) for number in range(vms)]
         self.leaders: list[Leader] = []
         self.silent: dict[str, float] = {}
         self._queue: list[tuple[float, int, Any]] = []
@@ -231,6 +257,7 @@
                 action()
             for worker in self.workers:
                 worker.advance(self.now)
+            self._replace_crashed()
             for leader in self.leaders:
                 if leader.alive and self._is_led_by(leader):
                     leader.lease_until = self.now + 2.0
@@ -248,6 +275,65 @@
             worker = self.rng.choice(self.workers)
             self.silent[worker.id] = self.now + self.rng.uniform(0.5, 8.0)
 
+    def make_entry(
+        self, worker: siteworker.Worker, clock: float | None
+    ) -> entries.WorkerEntry:
+        """Return the registration of a worker."""
+        rack = f"r{int(worker.id[1:]) % 2}"
+        return entries.WorkerEntry(
+            worker.id, POOL, worker.id, "", False, ROOM, (rack,), clock
+        )
+
+    def _crash_some(self) -> None:
+        alive = [worker for worker in self.workers if worker.alive]
+        if alive and self.rng.random() < STEP * self.crashes.rate:
+            self.rng.choice(alive).crash(self.now)
+        if self.rng.random() < STEP * self.crashes.mass_rate:
+            rack = self.rng.choice(("r0", "r1"))
+            for worker in alive:
+                if self.make_entry(worker, None).labels == (rack,):
+                    worker.crash(self.now)
+
+    def _replace_crashed(self) -> None:
+        """Start a new incarnation of each crashed worker, and spread the news."""
+        if self.fault_rate and self.crashes != Crashes():
+            self._crash_some()
+        for worker in list(self.workers):
+            if worker.alive or worker.id in self._crashed:
+                continue
+            self._crashed.add(worker.id)
+            number = 2 * len(self.workers) + int(worker.id[1:]) % 2  # the same rack
+            self.workers.append(self._make_worker(number))
+            self.workers[-1].alive = False
+            self._crashed.add(self.workers[-1].id)
+            returns = self.rng.uniform(0.5, 5.0)
+            self._later(returns, self._make_return(worker, self.workers[-1]))
+            self._later(4.5, self._make_notice(worker.id, listed=False))
+            if self.rng.random() < 0.5:
+                self._later(0.3, self._make_notice(worker.id, listed=True))
+
+    def _make_return(self, former: siteworker.Worker, worker: siteworker.Worker) -> Any:
+        def start_again() -> None:
+            worker.alive = True
+            self._crashed.discard(worker.id)
+            self._successors.add(former.id)
+            for leader in self.leaders:
+                entry = self.make_entry(worker, worker.read_clock(self.now))
+                leader.pool.on_worker(entry, self.now)
+
+        return start_again
+
+    def _make_notice(self, id: str, *, listed: bool) -> Any:
+        def tell() -> None:
+            for leader in self.leaders:
+                if listed and leader.alive:
+                    leader.ended[id] = vm.VmEnd.LOST
+                    leader.pool.set_closed(frozenset(leader.ended), leader.ended)
+                elif leader.alive:
+                    leader.pool.on_worker_removed(id)
+
+        return tell
+
     def _change_leader(self) -> None:
         for leader in self.leaders[-1:]:
             fault = self.rng.choice(("kill", "pause", "cut"))
@@ -264,7 +350,12 @@
         id = f"j{self._jobs}"
         step = model.Step(self.rng.randint(1, 4), model.Room(STEP_CPU[0], 1000), 0.6)
         after = model.Step(1, model.Room(STEP_CPU[1], 1000), 0.6, after=(0,))
-        job = model.Job(id, "q", "", (step, after)[: self.rng.randint(1, 2)])
+        steps = (step, after)[: self.rng.randint(1, 2)]
+        spec = ""
+        if self.crashes.share and self.rng.random() < self.crashes.share:
+            self.guilty.add(id)
+            spec, steps = siteworker.CRASHING_SPEC, (step._replace(count=1),)
+        job = model.Job(id, "q", spec, steps)
         row = record.write_job(job, POOL, self.now)
         write = rows.Write("job", POOL, id, row)
         change = self.store.commit(rows.Transaction((), (write,)))
@@ -281,8 +372,11 @@
         self._count += 1
         self._queue.append((self.now + delay, self._count, action))
 
-    def _send(self, worker_id: str, call: Any, answer: Any) -> None:
-        """Deliver a call and its answer, or None if the answer is lost."""
+    def _send(self, worker_id: str, call: Any, answer: Any, gone: Any = None) -> None:
+        """Deliver a call and its answer, or None if the answer is lost.
+
+        A newer incarnation of the VM answers ``gone``.
+        """
         worker = next(
             candidate for candidate in self.workers if candidate.id == worker_id
         )
@@ -294,9 +388,14 @@
 
         def deliver() -> None:
             silent = self.silent.get(worker_id, 0.0) > self.now and not late
+            if worker_id in self._successors and not silent:
+                self._later(0.01, lambda: give(gone, 0.0))
+                return
             if silent or not worker.alive:
                 return
             result = call(worker)
+            if not worker.alive:
+                return
             clock = worker.read_clock(self.now)
             if not (lost or late):
                 back = self.rng.uniform(0.001, 0.05)
@@ -322,7 +421,12 @@
             reply = workers.OrderReply(verdict, clock, sent, self.now)
             leader.pool.on_start(run, reply, self.now)
 
-        self._send(run.vm.id, lambda worker: worker.start(order, self.now), answer)
+        self._send(
+            run.vm.id,
+            lambda worker: worker.start(order, self.now),
+            answer,
+            workers.Verdict.GONE,
+        )
 
     def send_stop(self, leader: Leader, order: message.Stop) -> None:
         """Send a stop."""
@@ -352,6 +456,7 @@
             machine.id,
             lambda worker: worker.hold(fence, deadline, acknowledged, self.now),
             answer,
+            (workers.Verdict.GONE, (), ()),
         )
 
     def send_commit(self, leader: Leader, batch: Any) -> None:
@@ -382,6 +487,29 @@
     return runs.check_task_runs(events, lambda task: STEP_CPU[task.step], ROOM.cpu)
 
 
+def check_crashes(world: World) -> list[str]:
+    """Return the tasks that crashed too many VMs, and the jobs that failed for them."""
+    starts = collections.Counter(
+        event.task for event in world.events if event.kind == "start"
+    )
+    violations = [
+        f"{task} crashed {count} VMs"
+        for task, count in starts.items()
+        if task.job in world.guilty and count > MAX_CRASHED_VMS
+    ]
+    failed_runs = collections.Counter(
+        event.task
+        for event in world.events
+        if event.kind == "end" and event.outcome == model.End.FAILED.value
+    )
+    exhausted = {task.job for task, count in failed_runs.items() if count >= 3}
+    for id, value, _ in world.store.list_rows(pool_record.PROGRESS_TABLE):
+        is_failed = record.read_final(value) is model.JobState.FAILED
+        if is_failed and id not in world.guilty | exhausted:
+            violations.append(f"{id} was given up without cause")
+    return violations
+
+
 def find_unfinished(world: World) -> list[str]:
     """Return the jobs whose rows aren't final."""
     progress = world.store.list_rows(pool_record.PROGRESS_TABLE)
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -151,6 +151,8 @@
     assert machine.runs
 
     bench.pool.vms["w2"].last_answer = NOW + lapse
+    assert bench.plan(NOW + lapse + 0.2) == []
+    bench.commit()  # the VM may have crashed: recorded before the next start
     assert [order.run.vm.id for order in bench.plan(NOW + lapse + 0.2)] == ["w2"]
 
 
@@ -178,6 +180,8 @@
 
     waited = 6.5 * (1 + vm.MAX_CLOCK_DRIFT) + 0.2 + view.LAPSE_MARGIN_SECONDS + 0.01
     bench.pool.vms["w1"].last_answer = NOW + waited
+    assert bench.plan(NOW + waited) == []
+    bench.commit()  # the VM may have crashed: the next VM is recorded first
     assert [o.run.task.job for o in bench.plan(NOW + waited)] == ["old"]
 
 
@@ -208,6 +212,8 @@
     bench.pool.on_hold(machine, workers.HoldReply(workers.Verdict.GONE), NOW + 1.0)
     bench.add_vm("w2")
 
+    assert bench.plan(NOW + 1.0) == []
+    bench.commit()  # the crash is recorded before the next start
     assert [order.run.vm.id for order in bench.plan(NOW + 1.0)] == ["w2"]
 
 
@@ -406,6 +412,9 @@
     bench.pool.vms["w2"].last_answer = NOW + lapse
 
     assert bench.plan(NOW + lapse - 0.1) == []
+    assert bench.pool.unresolved
+    assert bench.plan(NOW + lapse + 0.1) == []
+    bench.commit()  # the VM may have crashed: the next VM is recorded first
     assert [order.run.vm.id for order in bench.plan(NOW + lapse + 0.1)] == ["w2"]
 
 
@@ -427,9 +436,12 @@
 
     bench.pool.vms["w2"].last_answer = NOW + lapse
     assert bench.plan(NOW + lapse) == []
+    assert bench.pool.unresolved
 
     sure = lapse / (1 - vm.MAX_CLOCK_DRIFT) + 0.2 + view.LAPSE_MARGIN_SECONDS + 0.1
     bench.pool.vms["w2"].last_answer = NOW + sure
+    assert bench.plan(NOW + sure) == []
+    bench.commit()  # the VM may have crashed: the next VM is recorded first
     assert [run.vm.id for run in bench.start(NOW + sure)] == ["w2"]
 
 
--- a/wigeonhitch/pool/tests/test_history.py
+++ b/wigeonhitch/pool/tests/test_history.py
@@ -36,6 +36,30 @@
     assert history.check(world.events) == []
 
 
+CRASHES = {
+    "tasks": history.Crashes(share=0.2),
+    "tasks and VMs": history.Crashes(share=0.1, rate=0.1),
+    "racks": history.Crashes(share=0.05, rate=0.05, mass_rate=0.1),
+}
+
+
+@pytest.mark.parametrize("kind", CRASHES)
+@pytest.mark.parametrize("seed", range(10))
+def test_only_tasks_that_crash_their_vms_are_given_up(kind, seed):
+    """Guards against VMs that one task crashes without end, and against jobs that fail
+    for crashes that other tasks or losses of power have caused."""
+    world = history.World(seed, history.Mechanisms(), crashes=CRASHES[kind], vms=6)
+    world.run(60.0)
+    world.fault_rate = 0.0
+    world._submit = lambda: None
+    world.run(60.0)
+
+    assert history.check_crashes(world) == []
+    assert history.check(world.events) == []
+    assert history.find_unfinished(world) == []
+    assert world.guilty
+
+
 @pytest.mark.parametrize(
     "mechanism",
     [
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -5,7 +5,7 @@
 
 from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import entries, rows
-from wigeonhitch.pool import compaction, ledger, priority, ticket, vm
+from wigeonhitch.pool import compaction, ledger, priority, suspect, ticket, vm
 
 __all__ = ["PoolView", "TimeBounds", "describe_run"]
 
@@ -72,12 +72,17 @@
         self.vms: dict[str, vm.Vm] = {}
         self.live: dict[model.Task, vm.Run] = {}
         self.ledger = ledger.Ledger(name, fence)
+        self.suspects = suspect.Suspects(
+            self.jobs, self.vms, self.live, self.ledger, log_event
+        )
         self.compactor = compaction.Compactor(name)
         self.job_locations: dict[str, compaction.RowLocation] = {}
         """Locations of the rows of open jobs."""
         self.deposed = False
         self.unresolved: set[str] = set()
         """VMs that an earlier leader may have used and that aren't reconciled yet."""
+        self.has_unseen_crashes = False
+        """Whether such a VM has ended, or can't be reached, with unknown runs."""
         self.changed_jobs: set[str] = set()
         """Jobs whose open tasks must be recomputed."""
         self.submitted_work: list[float] = []
@@ -149,6 +154,7 @@
             self.ledger.drop_progress([id])
             return
         record.read_progress(state, value)
+        self.suspects.on_progress_read(state)
         self.changed_jobs.add(id)
         if state.final is not None:
             self.on_finals_durable([id])
@@ -206,6 +212,10 @@
                     "VM closed" if machine.closed else "VM open", vm=machine.id
                 )
 
+    def get_end(self, id: str) -> vm.VmEnd | None:
+        """Return how a worker has ended, as far as the fleet's leader has told."""
+        return self._ended_workers.get(id)
+
     def on_worker_removed(self, id: str) -> None:
         """Record that a worker's entry was removed; its runs may go on."""
         machine = self.vms.get(id)
@@ -239,6 +249,9 @@
         for id in batch.vms:
             if id in self.vms:
                 self.vms[id].recorded = True
+        for id, revision in batch.crash_revisions.items():
+            if id in self.jobs:
+                self.jobs[id].recorded_crash_revision = revision
         self.on_finals_durable(batch.final_jobs)
         self.on_ends_durable(batch.processed_ends)
         return result
@@ -266,6 +279,7 @@
                 self._remove_lapsed_runs(machine)
             if lapsed and machine.id in self.unresolved:
                 self.unresolved.discard(machine.id)
+                self.has_unseen_crashes = True
                 self.log_event(
                     "VM waited out",
                     vm=machine.id,
@@ -289,6 +303,24 @@
         is_older = state.version < self.fence or self.times.leaders_overlap
         return bool(self.unresolved) and is_older
 
+    def may_crash_vms(self, state: progress.Progress) -> bool:
+        """Return whether a task of the job has crashed a VM or may have done so."""
+        if self.has_unseen_crashes and state.version < self.fence:
+            return True
+        return bool(state.crashed_vms or state.assigned_vms)
+
+    def must_record_start(self, state: progress.Progress, task: model.Task) -> bool:
+        """Return whether a task is started only on a VM that is recorded before.
+
+        These are the tasks under which a VM has crashed, and those of which an earlier
+        leader may have seen that without recording it. A gang has too many VMs.
+        """
+        if state.job.steps[task.step].gang:
+            return False
+        if self.has_unseen_crashes and state.version < self.fence:
+            return True
+        return state.count_crashes(task) > 0 or task in state.assigned_vms
+
     def list_orphaned_tasks(self) -> frozenset[model.Task]:
         """Return the tasks of which a VM lists an orphaned run.
 
@@ -388,6 +420,8 @@
         if machine.gone:
             return
         machine.gone = True
+        if machine.id in self.unresolved and end is not vm.VmEnd.ORDERED:
+            self.has_unseen_crashes = True
         self.unresolved.discard(machine.id)
         self.log_event(
             "VM gone",
@@ -396,6 +430,7 @@
             runs=len(machine.runs),
             reason=end.value,
         )
+        guilty = self.suspects.on_vm_ended(machine, end)
         for run in list(machine.runs.values()):
             self.log_event(
                 "run ended with its VM",
@@ -405,6 +440,26 @@
             self.remove_run(run)
         self.ledger.remove_vm(machine.id)
         self.vms.pop(machine.id, None)
+        for task in guilty:
+            self.give_up(task)
+
+    def give_up(self, task: model.Task) -> None:
+        """Fail the job of a task under which too many VMs have crashed."""
+        state = self.jobs[task.job]
+        vms = sorted(state.crashed_vms.get(task, ()))
+        self.fail_job(state, task, reason="VMs crashed", vms=vms)
+
+    def fail_job(
+        self, state: progress.Progress, task: model.Task, **fields: object
+    ) -> None:
+        """Make a job final because of one of its tasks."""
+        if state.final is not None:
+            return
+        state.final = model.JobState.FAILED
+        self.must_scan = True
+        self.changed_jobs.add(task.job)
+        self.ledger.mark_dirty(task.job)
+        self.log_event("job failed", job=task.job, task=task[1:], **fields)
 
     # -- internals
 
@@ -414,6 +469,7 @@
 
     def _remove_lapsed_runs(self, machine: vm.Vm) -> None:
         self.log_event("leases lapsed", vm=machine.id, runs=len(machine.runs))
+        self.suspects.on_leases_lapsed(machine)
         for run in list(machine.runs.values()):
             self.log_event(
                 "run lapsed", age=self._compute_run_age(run), **describe_run(run)
@@ -440,6 +496,7 @@
         if state is None:
             return
         self.tickets.forget_job(id)
+        self.suspects.forget_job(id)
         self.relocated = {task for task in self.relocated if task.job != id}
         for table in (self.run_numbers, self.not_before, self.failed_on):
             for task in [task for task in table if task.job == id]:
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from collections.abc import Iterable
 
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import entries, workers
@@ -81,6 +82,7 @@
         "deadline",
         "is_degraded",
         "last_progress_clock",
+        "listed_at",
         "load",
         "number",
         "pace",
@@ -108,6 +110,8 @@
         self.state = RunState.STARTING
         self.deadline = 0.0
         self.started_at = now
+        self.listed_at = now
+        """This daemon's time of the last answer that lists it."""
         self.last_progress_clock = 0.0
         self.work = 0.0
         self.load = 0.0
@@ -163,6 +167,10 @@
         self.recorded = False
         """Whether its roster row is committed."""
         self.gone = False
+        self.joined_at = now
+        """This daemon's time at which it was first known."""
+        self.last_contact = now
+        """This daemon's time of the last list of runs, or of the first entry."""
         self.last_answer = 0.0
         self.reported_clock = 0.0
         """The worker's time of its last list of runs."""
@@ -236,9 +244,12 @@
 
     def compute_free_room(self) -> model.Room:
         """Return the free room; runs that are being stopped still count as running."""
-        room = self.entry.room
-        cpu, memory, gpus = room
-        for run in self.runs.values():
+        return self.compute_room_beside(self.runs.values())
+
+    def compute_room_beside(self, runs: Iterable[Run]) -> model.Room:
+        """Return the room that some of its runs leave; below 0 if it has shrunk."""
+        cpu, memory, gpus = self.entry.room
+        for run in runs:
             cpu -= run.room.cpu
             memory -= run.room.memory
             gpus -= run.room.gpus
