Spread suspects one to a VM, and excuse a task that was seen at work once

The soak showed a job that never became final: in a pool of three VMs all suspects of a crash were put on the one VM that suspects might use, the culprit among them crashed that too, and all nine had to be tested one after the other, 0.75 s each. A test on a VM that had fallen silent also kept the only place for tests for 10 s.

Suspects now get a VM each, on half of the pool rounded up, and silent VMs don't count as kept for tests. A task that was listed at least 0.3 s after its start is excused for its first crash, since culprits crash as they start; one that crashes later is given up one VM later.

--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -4,6 +4,7 @@
 repeats a request of unknown outcome with the same id at another daemon.
 """
 
+import json
 import random
 import time
 from typing import Any, NamedTuple
@@ -35,6 +36,9 @@
 POLL_SECONDS = 0.005
 """Interval of checks whether a pool was claimed."""
 
+CRASHING_SHARE = 0.02
+"""Share of the jobs whose task crashes each worker that starts it."""
+
 QUERY_SECONDS = 0.7
 """Mean interval at which a caller queries its job."""
 
@@ -69,6 +73,8 @@
         self.cancel_sent: float | None = None
         self.cancelled: float | None = None
         self.final = ""
+        self.crashes_vms = False
+        """Whether its task crashes each worker that starts it."""
 
     @property
     def is_lasting(self) -> bool:
@@ -169,12 +175,17 @@
                 steps.append({**step, "count": 1, "estimate_ms": 400, "after": [0]})
         seconds = 1e6 if is_lasting else self._rng.uniform(*TASK_SECONDS)
         fail = self._rng.choice((0.0, 0.0, 0.1))
-        spec = f'{{"seconds":{seconds:.3f},"fail":{0.0 if is_lasting else fail}}}'
-        body = {"spec": spec, "steps": steps}
+        fields = {"seconds": round(seconds, 3), "fail": 0.0 if is_lasting else fail}
+        crashes = not is_lasting and self._rng.random() < CRASHING_SHARE
+        if crashes:
+            fields["crash"] = True
+            steps = [{**steps[0], "count": 1}]
+        body = {"spec": json.dumps(fields), "steps": steps}
         if not is_lasting and self._rng.random() < 0.1:
             body["times"], body["interval_ms"] = 2, 1000
             body["start_at_ms"] = int(time.time() * 1000) + 1500
         job = SubmittedJob(id, queue, body)
+        job.crashes_vms = crashes
         self.jobs.append(job)
         return job
 
--- a/standins/soak/vmfleet.py
+++ b/standins/soak/vmfleet.py
@@ -11,7 +11,16 @@
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import entries, fleet, http, workers
 
-__all__ = ["STANDBY", "VM_MILLICORES", "Order", "Vm", "VmFleet"]
+__all__ = [
+    "HEARTBEAT_SECONDS",
+    "SHRUNK_SHARES",
+    "STANDBY",
+    "VM_MILLICORES",
+    "Capacity",
+    "Order",
+    "Vm",
+    "VmFleet",
+]
 
 VM_MILLICORES = 8000
 
@@ -27,6 +36,12 @@
 ENTRY_TTL_SECONDS = 3 * HEARTBEAT_SECONDS
 """Time without a write after which the store removes an entry."""
 
+SHRUNK_SHARES = (0.1, 0.6)
+"""Range of the share of its capacity that a VM keeps when it shrinks."""
+
+CRASH_SECONDS = (0.5, 4.0)
+"""Range of the time after which a worker that a task has crashed is back."""
+
 REJOIN_SECONDS = 1.5
 """Time after which a VM serves again after a move, maintenance or drain."""
 
@@ -47,6 +62,14 @@
     fence: int
 
 
+class Capacity(NamedTuple):
+    """The millicores of a worker from a time on."""
+
+    time: float
+    worker: str
+    millicores: int
+
+
 class _DelayedCall(NamedTuple):
     """A call that a worker carries out later without answering it."""
 
@@ -59,6 +82,10 @@
 class Worker(siteworker.Worker):
     """A worker whose runs end as their ``spec`` specifies."""
 
+    def crashes_under(self, order: workers.Start) -> bool:
+        """Return whether the run crashes the worker."""
+        return orjson.loads(order.spec).get("crash", False)
+
     def draw_end(self, order: workers.Start) -> tuple[float, model.End]:
         """Return after how many seconds a run ends, and its outcome."""
         spec = orjson.loads(order.spec)
@@ -81,6 +108,7 @@
         self.leaves_at: float | None = None
         self.fence = 0
         self.is_late = False
+        self.millicores = VM_MILLICORES
         self.runs_changed = anyio.Event()
 
 
@@ -95,6 +123,8 @@
         Moves and maintenance that were carried out.
     drained : dict of str to float
         Times at which workers wrote that they leave, by worker.
+    capacities : list of Capacity
+        Changes of the capacity of workers.
     """
 
     def __init__(self, rows: rowstore.RowStore, rng: random.Random) -> None:
@@ -102,6 +132,7 @@
         self.events: list[siteworker.Event] = []
         self.orders: list[Order] = []
         self.drained: dict[str, float] = {}
+        self.capacities: list[Capacity] = []
         self.vms: dict[str, Vm] = {}
         self._rng = rng
         self._delayed_calls: list[_DelayedCall] = []
@@ -137,6 +168,17 @@
             self._stop_worker(vm, now := http.read_clock())
             vm.returns_at = now + duration
 
+    def resize(self, vm: Vm, share: float) -> None:
+        """Change a VM's capacity to a share of its usual one, and write its entry."""
+        vm.millicores = int(VM_MILLICORES * share)
+        if vm.worker is not None:
+            now = http.read_clock()
+            self._record_capacity(vm, now)
+            self._write_entry(vm, now)
+
+    def _record_capacity(self, vm: Vm, now: float) -> None:
+        self.capacities.append(Capacity(now, vm.worker.id, vm.millicores))
+
     def drain(self, vm: Vm) -> None:
         """Let a worker announce that it leaves; its next incarnation starts later."""
         now = http.read_clock()
@@ -193,6 +235,7 @@
         vm.worker = Worker(id, self.events, self._rng, drift=drift)
         vm.state = fleet.VmState.UP
         vm.returns_at = vm.leaves_at = None
+        self._record_capacity(vm, http.read_clock())
         self._write_entry(vm, http.read_clock())
 
     def _stop_worker(self, vm: Vm, now: float, kind: str = "") -> None:
@@ -211,6 +254,8 @@
         vm.state = fleet.VmState.DOWN
 
     def _advance(self, vm: Vm, now: float) -> None:
+        if vm.worker is not None and not vm.worker.alive:
+            self.crash(vm, self._rng.uniform(*CRASH_SECONDS))  # under a task
         if vm.worker is not None:
             run_count = len(vm.worker.runs)
             vm.worker.advance(now)
@@ -236,7 +281,7 @@
             "address": vm.address,
             "zone": "dc",
             "state": "ready" if vm.leaves_at is None else "draining",
-            "capacity": _encode_capacity(),
+            "capacity": _encode_capacity(vm),
             "labels": ["kind", "r1"],
             "clock_ms": int(vm.worker.read_clock(now) * 1000),
         }
@@ -263,6 +308,8 @@
             verdict = worker.start(order, now)
         else:
             verdict = workers.Verdict.DONE
+        if not worker.alive:
+            return store.Answer(0)
         return self._build_answer(worker, verdict)
 
     async def _hold(self, vm: Vm, worker: Worker, body: Any) -> store.Answer:
@@ -295,8 +342,8 @@
         return store.Answer(409, {**body, "reason": reasons[verdict]})
 
 
-def _encode_capacity() -> dict[str, int]:
-    return {"cpu": VM_MILLICORES, "mem_mb": 65536, "gpus": 0}
+def _encode_capacity(vm: Vm) -> dict[str, int]:
+    return {"cpu": vm.millicores, "mem_mb": 65536, "gpus": 0}
 
 
 def _encode_vm(vm: Vm) -> dict[str, Any]:
@@ -306,7 +353,7 @@
         "state": vm.state.value,
         "zone": "dc",
         "labels": ["kind", "r1"],
-        "capacity": _encode_capacity(),
+        "capacity": _encode_capacity(vm),
         "id": vm.worker.id if vm.worker is not None else "",
     }
 
--- a/wigeonhitch/pool/assignment.py
+++ b/wigeonhitch/pool/assignment.py
@@ -46,11 +46,11 @@
         return None
     if id is not None:
         machine = pool.vms[id]
-        if _is_usable(placer, machine, allowed, now):
-            is_ready = state.are_crashes_recorded
-            if is_test:
-                is_ready = is_ready and _is_alone(machine, state.job.steps[task.step])
-            return machine if is_ready else None
+        is_allowed = allowed is None or machine.id in allowed
+        is_usable = _is_healthy(machine, now) if is_test else placer.has_room(machine)
+        if is_allowed and is_usable:
+            is_ready = not is_test or _is_alone(machine, state.job.steps[task.step])
+            return machine if is_ready and state.are_crashes_recorded else None
         if _is_in_doubt(machine, now):
             return None
         pool.suspects.release(task)
@@ -88,7 +88,8 @@
     candidates = [
         machine
         for machine in placer.vms
-        if placer.is_eligible(machine, task, step)
+        if machine.id not in placer.suspects
+        and placer.is_eligible(machine, task, step)
         and (allowed is None or machine.id in allowed)
         and _fits_beside_proven(machine, step)
     ]
@@ -96,26 +97,14 @@
         return None
     chosen = min(
         candidates,
-        key=lambda machine: (
-            placer.suspects.get(machine.id, 0),
-            len(_list_unproven(machine)),
-            len(machine.runs),
-        ),
+        key=lambda machine: (len(_list_unproven(machine)), len(machine.runs)),
     )
     placer.keep(chosen)
     return chosen
 
 
-def _is_usable(
-    placer: placement.Placer,
-    machine: vm.Vm,
-    allowed: frozenset[str] | None,
-    now: float,
-) -> bool:
-    """Return whether a task may still be started on its assigned VM."""
-    is_healthy = machine.is_open(now) and not machine.is_quarantined(now)
-    is_allowed = allowed is None or machine.id in allowed
-    return is_healthy and is_allowed and placer.has_room(machine)
+def _is_healthy(machine: vm.Vm, now: float) -> bool:
+    return machine.is_open(now) and not machine.is_quarantined(now)
 
 
 def _is_alone(machine: vm.Vm, step: model.Step) -> bool:
--- a/wigeonhitch/pool/placement.py
+++ b/wigeonhitch/pool/placement.py
@@ -6,6 +6,7 @@
 to the most free room.
 """
 
+import math
 from collections.abc import Collection, Iterable, Mapping
 
 from wigeonhitch.jobs import model
@@ -15,8 +16,8 @@
 
 
 MAX_SUSPECT_VM_DIVISOR = 2
-"""Divisor of the open VMs that gives the most VMs on which suspects run: tasks that
-crash their VMs leave the other half of the pool alone."""
+"""Divisor of the open VMs that gives, rounded up, the most VMs on which suspects run:
+tasks that crash their VMs leave the rest of the pool alone."""
 
 
 class Placer:
@@ -46,9 +47,10 @@
     ) -> None:
         open_vms = [machine for machine in vms if machine.is_open(now)]
         self.open_count = len(open_vms)
+        self.kept = {machine.id for machine in open_vms if machine.id in kept}
+        """Open VMs that are kept for tests."""
         self.suspects = dict(suspects or {})
         """Number of suspects by VM, for VMs with at least one."""
-        self.kept = set(kept)
         open_vms = [machine for machine in open_vms if machine.id not in self.kept]
         healthy = [machine for machine in open_vms if not machine.is_quarantined(now)]
         # Never exclude more than half of a pool: failures on most VMs are caused by
@@ -87,8 +89,8 @@
         allowed : frozenset of str, optional
             VMs that the queue's policy allows.
         is_suspect : bool
-            Whether a VM has crashed under the task: it is placed apart from other
-            suspects, on a VM that has some only if no other may get any.
+            Whether a VM has crashed under the task: it is placed on a VM without other
+            suspects, as long as enough VMs without any are left.
         """
         candidates = [
             machine
@@ -105,13 +107,6 @@
                 (room.cpu for room in self.free.values()), default=-1
             )
             return None
-        if is_suspect:
-            fewest = min(self.suspects.get(machine.id, 0) for machine in candidates)
-            candidates = [
-                machine
-                for machine in candidates
-                if self.suspects.get(machine.id, 0) == fewest
-            ]
         chosen = min(
             candidates, key=lambda machine: self._score(machine, task, step, avoid)
         )
@@ -127,9 +122,9 @@
         self.kept.add(machine.id)
 
     def has_room(self, machine: vm.Vm) -> bool:
-        """Return whether a VM has the room for all that is reserved on it."""
+        """Return whether a VM may be used and has the room for all reservations."""
         free = self.free.get(machine.id)
-        return free is None or model.Room().fits_in(free)
+        return free is not None and model.Room().fits_in(free)
 
     def _reserve_for_suspect(
         self, machine: vm.Vm, task: model.Task, step: model.Step
@@ -155,8 +150,8 @@
         return sorted(free_by_rack, key=lambda rack: -free_by_rack[rack])
 
     def _may_get_suspect(self, machine: vm.Vm) -> bool:
-        limit = max(1, self.open_count // MAX_SUSPECT_VM_DIVISOR)
-        return machine.id in self.suspects or len(self.suspects) < limit
+        limit = math.ceil(self.open_count / MAX_SUSPECT_VM_DIVISOR)
+        return machine.id not in self.suspects and len(self.suspects) < limit
 
     def _fits(self, machine: vm.Vm, task: model.Task, step: model.Step) -> bool:
         return self.is_eligible(machine, task, step) and step.reserved.fits_in(
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -3,12 +3,13 @@
 A task may crash each VM that starts it. A VM that crashes lists no ends, and the tasks
 that merely ran beside the culprit look the same. Therefore:
 
-- Each task on a crashed VM is a suspect. The incarnation of the VM is recorded in the
-  job's progress, so that it counts once, and for later leaders too.
+- Each task on a crashed VM is a suspect; one that was seen at work there is excused
+  once. The incarnation of the VM is recorded in the job's progress, so that it counts
+  once, and for later leaders too.
 - A suspect is assigned to a VM, and that is recorded before it is started there, so
   that a later leader knows which VM to ask for. So are tasks that an earlier leader may
   have started on a VM of which only the end is known.
-- Suspects are placed apart from each other, on at most half of the pool's VMs.
+- Suspects are placed apart from each other, on about half of the pool's VMs.
 - A task under which two VMs have crashed is tested: it is started only alone, and a
   third of the pool at most is used for that.
 - At the fourth crash the task is given up, and its job has failed.
@@ -25,9 +26,9 @@
 __all__ = ["Assigned", "Suspects", "is_proven"]
 
 CRASHES_BEFORE_TEST = 2
-"""Crashes under a task after which it is started only alone. After a first crash all
-the tasks of the VM are suspects, some 20 of them; testing each would hold up more work
-than a second crash costs."""
+"""Crashes under a task after which it is started only alone. A task that is first on a
+crashed VM is mostly innocent; testing each of these would hold up more work than a
+second crash costs."""
 
 MAX_CRASHES = 4
 """Crashes after which a task is given up: two under tests, since on a day with many
@@ -37,6 +38,9 @@
 """Seconds that a run must have worked on its VM to be an unlikely cause of a later
 crash: tasks that crash their VM mostly do so as they start."""
 
+JUST_STARTED_SECONDS = 0.3
+"""Seconds after its start from which a run that is listed counts as seen at work."""
+
 MASS_LOSS_SECONDS = 3.0
 """Seconds within which VMs that lose power together give their last answers: up to 1.7
 s apart, and more while this daemon is slow."""
@@ -94,6 +98,8 @@
         """Tasks by VMs that are counted as crashed and may yet answer."""
         self._inherited: set[model.Task] = set()
         """Tasks that an earlier leader may have started on their assigned VM."""
+        self._excused: set[model.Task] = set()
+        """Tasks that were seen at work on a VM that crashed, and excused for it."""
         self._losses: list[_Loss] = []
 
     # -- events
@@ -186,6 +192,7 @@
         """Drop what is known of the tasks of a job."""
         self._suspect_jobs.discard(id)
         self._inherited = {task for task in self._inherited if task.job != id}
+        self._excused = {task for task in self._excused if task.job != id}
         for vm_id, tasks in list(self._doubtful.items()):
             tasks -= {task for task in tasks if task.job == id}
             if not tasks:
@@ -270,12 +277,7 @@
 
     def _count_all(self, machine: vm.Vm) -> set[model.Task]:
         """Count a VM's crash for all tasks that it may have run; return these."""
-        is_mass_loss = self._is_mass_loss(machine)
-        suspected = [
-            run.task
-            for run in machine.runs.values()
-            if not is_proven(run) or not (run.step.lasting or is_mass_loss)
-        ]
+        suspected = self._list_suspected(machine)
         suspected += self._list_inherited_on(machine.id)
         had_suspects = any(self.count(task) for task in suspected)
         self._losses = [
@@ -287,6 +289,23 @@
         self._losses.append(loss)
         return {task for task in suspected if self._count(task, machine.id)}
 
+    def _list_suspected(self, machine: vm.Vm) -> list[model.Task]:
+        """Return the tasks that may have crashed a VM; the others are excused once."""
+        is_mass_loss = self._is_mass_loss(machine)
+        runs = [
+            run
+            for run in machine.runs.values()
+            if not is_proven(run) or not (run.step.lasting or is_mass_loss)
+        ]
+        seen_at_work = {
+            run.task
+            for run in runs
+            if run.listed_at - run.started_at >= JUST_STARTED_SECONDS
+        }
+        excused = seen_at_work - self._excused
+        self._excused |= excused
+        return [run.task for run in runs if run.task not in excused]
+
     def _count(self, task: model.Task, id: str) -> bool:
         state = self._jobs.get(task.job)
         if state is None or not _is_open(state):
