Count no room below zero on a VM whose capacity has shrunk

The room of a VM may shrink below what runs there. The status of a pool summed the free room of its VMs, so that the overhang of one hid free room of others, and the fleet's leader moved VMs in for work that had room. Starts were and are right: a VM without free room gets none (test_nothing_is_started_on_a_vm_whose_ capacity_has_shrunk passed before).

test_vm_whose_capacity_has_shrunk_hides_no_room_of_others failed before (16000 in place of 24000 idle millicores) and passes.

--- a/wigeonhitch/pool/status.py
+++ b/wigeonhitch/pool/status.py
@@ -14,7 +14,7 @@
 ) -> record.PoolStatus:
     """Return the status to publish; ``unmet`` is in millicores."""
     idle = sum(
-        machine.compute_free_room().cpu
+        max(0, machine.compute_free_room().cpu)
         for machine in pool.vms.values()
         if machine.listed and not machine.closed and not machine.entry.leaving
     )
@@ -42,7 +42,7 @@
     for machine in pool.vms.values():
         if machine.listed and not machine.closed and not machine.entry.leaving:
             lasting = (run for run in machine.runs.values() if run.step.lasting)
-            room += machine.entry.room.cpu - sum(run.room.cpu for run in lasting)
+            room += max(0, machine.compute_room_beside(lasting).cpu)
     return room
 
 
--- a/wigeonhitch/pool/tests/test_crashes.py
+++ b/wigeonhitch/pool/tests/test_crashes.py
@@ -4,7 +4,7 @@
 
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import workers
-from wigeonhitch.pool import suspect, vm
+from wigeonhitch.pool import status, suspect, vm
 
 NOW = 100.0
 CLOCK = 5000.0
@@ -440,6 +440,19 @@
     assert state.final is model.JobState.FAILED
 
 
+def test_vm_whose_capacity_has_shrunk_hides_no_room_of_others(site):
+    """Guards against VMs that are moved in vain, or not, beside a shrunk one."""
+    site.bench.add_job("first", step(8))
+    (full,) = {run.vm for run in site.start()}
+    before = status.compute_batch_capacity(site.pool)
+    site.pool.on_worker(full.entry._replace(room=model.Room(2000, 65536)), site.now)
+
+    published = site.bench.planner.build_status(site.now, site.now)
+
+    assert published.idle == 3 * 8000
+    assert before - status.compute_batch_capacity(site.pool) == 6000
+
+
 def test_nothing_is_started_on_a_vm_whose_capacity_has_shrunk(site):
     """Guards against starts beyond a VM's room, which runs and stops still take."""
     (machine,) = site.vms[:1]
