--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -320,5 +320,8 @@
         log.log_change(event, pool=self.owner.pool, **fields)
         if event in COUNTED_EVENTS:
             self.deps.instruments.count(
-                "pool_events_total", "Events of led pools by kind.", event=event
+                "pool_events_total",
+                "Events of led pools by kind and reason.",
+                event=event,
+                reason=str(fields.get("reason", "")),
             )
