Reserve the room of tasks that are only recorded without calling them suspects

After a takeover with a VM that ended unseen, older tasks are recorded before their start. While they waited their VMs counted as taken by a suspect, so that real suspects and tests got none.

--- a/wigeonhitch/pool/placement.py
+++ b/wigeonhitch/pool/placement.py
@@ -34,7 +34,7 @@
     suspects : mapping of str to int, optional
         Number of suspects that run on each VM.
     assigned : iterable of suspect.Assigned
-        Suspects that wait for their start, and whose room is reserved.
+        Tasks that wait for their start, and whose room is reserved.
     """
 
     def __init__(
@@ -65,8 +65,10 @@
                 self._add_to_count(machine, task, 1)
         by_id = {machine.id: machine for machine in self.vms}
         for item in assigned:
-            if item.vm in by_id:
+            if item.vm in by_id and item.crashes:
                 self._reserve_for_suspect(by_id[item.vm], item.task, item.step)
+            elif item.vm in by_id:
+                self.reserve(by_id[item.vm], item.task, item.step)
 
     def choose(
         self,
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -84,7 +84,7 @@
             now,
             suspects.list_test_vms(),
             suspects.count_by_vm(),
-            [assigned for assigned in suspects.list_assigned() if not assigned.is_test],
+            suspects.list_assigned(),
         )
         orders.extend(self._plan_stops(placer, now))
         orders.extend(self._plan_starts(placer, now, wall_time))
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -51,12 +51,12 @@
 
 
 class Assigned(NamedTuple):
-    """A suspect that waits for its start on a VM; ``is_test`` if it must be alone."""
+    """A task that waits for its start on a recorded VM, and the crashes under it."""
 
     task: model.Task
     vm: str
     step: model.Step
-    is_test: bool
+    crashes: int
 
 
 class _Loss(NamedTuple):
@@ -239,12 +239,12 @@
         }
 
     def list_assigned(self) -> list[Assigned]:
-        """Return the suspects that wait for their start on a VM."""
+        """Return the tasks that wait for their start on a VM, but for tests."""
         return [
-            Assigned(task, id, state.job.steps[task.step], self.must_be_tested(task))
+            Assigned(task, id, state.job.steps[task.step], state.count_crashes(task))
             for state in self._list_open_jobs()
             for task, id in state.assigned_vms.items()
-            if task not in self._live
+            if task not in self._live and not self.must_be_tested(task)
         ]
 
     def count_by_vm(self) -> dict[str, int]:
