Let suspects share VMs where there are more of them than VMs

Lasting tasks kept such a VM for 5 s each.

Suspects go where the fewest others are now, on any VM. Tests may take half of the pool, rounded up, in place of a third, and a run that has worked for 2 s in place of 5 s is no cause of a crash any more.

--- a/wigeonhitch/pool/assignment.py
+++ b/wigeonhitch/pool/assignment.py
@@ -5,14 +5,16 @@
 over.
 """
 
+import math
+
 from wigeonhitch.jobs import model
 from wigeonhitch.pool import core, placement, suspect, vm
 
 __all__ = ["find_vm"]
 
-MAX_TEST_VM_DIVISOR = 3
-"""Divisor of the open VMs that gives the most VMs that are kept for tests: each test
-may cost its VM for some seconds, and the pool's other tasks need the rest."""
+TEST_VM_DIVISOR = 2
+"""Divisor of the open VMs that gives, rounded up, the most VMs that are kept for tests:
+each test may cost its VM for some seconds, and the pool's other tasks need the rest."""
 
 DOUBT_SECONDS = 4.0
 """Seconds after the leases of a silent VM have lapsed during which its suspects aren't
@@ -82,7 +84,7 @@
     allowed: frozenset[str] | None,
 ) -> vm.Vm | None:
     """Choose the VM with the fewest tasks that would have to end first."""
-    if len(placer.kept) >= max(1, placer.open_count // MAX_TEST_VM_DIVISOR):
+    if len(placer.kept) >= math.ceil(placer.open_count / TEST_VM_DIVISOR):
         return None
     step = pool.jobs[task.job].job.steps[task.step]
     candidates = [
--- a/wigeonhitch/pool/placement.py
+++ b/wigeonhitch/pool/placement.py
@@ -6,7 +6,6 @@
 to the most free room.
 """
 
-import math
 from collections.abc import Collection, Iterable, Mapping
 
 from wigeonhitch.jobs import model
@@ -15,11 +14,6 @@
 __all__ = ["Placer"]
 
 
-MAX_SUSPECT_VM_DIVISOR = 2
-"""Divisor of the open VMs that gives, rounded up, the most VMs on which suspects run:
-tasks that crash their VMs leave the rest of the pool alone."""
-
-
 class Placer:
     """Free room of the open VMs during one placement round.
 
@@ -91,8 +85,8 @@
         allowed : frozenset of str, optional
             VMs that the queue's policy allows.
         is_suspect : bool
-            Whether a VM has crashed under the task: it is placed on a VM without other
-            suspects, as long as enough VMs without any are left.
+            Whether a VM has crashed under the task: it is placed where the fewest
+            other suspects are.
         """
         candidates = [
             machine
@@ -100,15 +94,19 @@
             if self._fits(machine, task, step)
             and (not rack or machine.rack == rack)
             and (allowed is None or machine.id in allowed)
-            and (not is_suspect or self._may_get_suspect(machine))
         ]
-        if not candidates and is_suspect:
-            return None
         if not candidates:
             self.max_free_cpu = max(
                 (room.cpu for room in self.free.values()), default=-1
             )
             return None
+        if is_suspect:
+            fewest = min(self.suspects.get(machine.id, 0) for machine in candidates)
+            candidates = [
+                machine
+                for machine in candidates
+                if self.suspects.get(machine.id, 0) == fewest
+            ]
         chosen = min(
             candidates, key=lambda machine: self._score(machine, task, step, avoid)
         )
@@ -151,10 +149,6 @@
             )
         return sorted(free_by_rack, key=lambda rack: -free_by_rack[rack])
 
-    def _may_get_suspect(self, machine: vm.Vm) -> bool:
-        limit = math.ceil(self.open_count / MAX_SUSPECT_VM_DIVISOR)
-        return machine.id not in self.suspects and len(self.suspects) < limit
-
     def _fits(self, machine: vm.Vm, task: model.Task, step: model.Step) -> bool:
         return self.is_eligible(machine, task, step) and step.reserved.fits_in(
             self.free[machine.id]
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -9,9 +9,9 @@
 - A suspect is assigned to a VM, and that is recorded before it is started there, so
   that a later leader knows which VM to ask for. So are tasks that an earlier leader may
   have started on a VM of which only the end is known.
-- Suspects are placed apart from each other, on about half of the pool's VMs.
-- A task under which two VMs have crashed is tested: it is started only alone, and a
-  third of the pool at most is used for that.
+- Suspects are placed apart from each other.
+- A task under which two VMs have crashed is tested: it is started only alone, and about
+  half of the pool at most is used for that.
 - At the fourth crash the task is given up, and its job has failed.
 - A run that has worked for some seconds counts only if its task isn't lasting and its
   VM wasn't lost with a whole rack.
@@ -34,9 +34,10 @@
 """Crashes after which a task is given up: two under tests, since on a day with many
 crashes a task may meet three by chance. The users' bound is fewer than six."""
 
-PROVEN_SECONDS = 5.0
+PROVEN_SECONDS = 2.0
 """Seconds that a run must have worked on its VM to be an unlikely cause of a later
-crash: tasks that crash their VM mostly do so as they start."""
+crash: tasks that crash their VM mostly do so as they start. A test of a lasting task
+takes as long, and lasting tasks must not be away for more than 6 s."""
 
 JUST_STARTED_SECONDS = 0.3
 """Seconds after its start from which a run that is listed counts as seen at work."""
