Call a recorded start again once its worker is usable

In the product's own protocol a job stayed STARTING for ever: a holder that took over while the worker rebooted dropped the start that its predecessor had recorded and not called, as nothing could be called then, and the worker's return added no call. The callers of the job waited without end.

update_fleet now adds the calls of each worker that is usable again.

The program of the users' platform doesn't load this package.

--- a/wigeonhitch/placement/state.py
+++ b/wigeonhitch/placement/state.py
@@ -195,6 +195,9 @@
         unusable = {
             vm for vm, names in self.on_vm.items() if names and vm not in usable
         }
+        # Calls about jobs on an unusable worker are dropped from the pending ones.
+        for vm in self.unusable_since.keys() & usable:
+            self.pending_calls |= self.on_vm.get(vm, set())
         self.unusable_since = {vm: self.unusable_since.get(vm, now) for vm in unusable}
         for vm in unusable:
             self.unreconciled |= self.on_vm[vm]
