Say in plain terms who is at fault, and what the tests of crashes guard against

From a last reading of the whole change: figurative words for tasks in comments and a local name, a bound told by its source, four tests without the failure that they guard against.

No decision changes.

--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -1,7 +1,7 @@
 """Tasks under which VMs have crashed, and which of them are given up.
 
 A task may crash each VM that starts it. A VM that crashes lists no ends, and the tasks
-that merely ran beside the culprit look the same. Therefore:
+that merely ran beside the one at fault look the same. Therefore:
 
 - Each task on a crashed VM is a suspect; one that was seen at work there is excused
   once. The incarnation of the VM is recorded in the job's progress, so that it counts
@@ -26,13 +26,14 @@
 __all__ = ["Assigned", "Suspects", "is_proven"]
 
 CRASHES_BEFORE_TEST = 2
-"""Crashes under a task after which it is started only alone. A task that is first on a
-crashed VM is mostly innocent; testing each of these would hold up more work than a
-second crash costs."""
+"""Crashes under a task after which it is started only alone. Most tasks on a crashed VM
+have not caused the crash; testing each of them would hold up more work than a second
+crash costs."""
 
 MAX_CRASHES = 4
 """Crashes after which a task is given up: two under tests, since on a day with many
-crashes a task may meet three by chance. The users' bound is fewer than six."""
+crashes a task may meet three by chance. The platform's rules allow five, which leaves
+one that no leader has seen."""
 
 PROVEN_SECONDS = 2.0
 """Seconds that a run must have worked on its VM to be an unlikely cause of a later
@@ -218,7 +219,7 @@
     def list_waiting_tests(self) -> list[model.Task]:
         """Return the tasks that may only be started alone and don't run.
 
-        Those with the fewest crashes come first, as they are the least likely culprits.
+        Those with the fewest crashes, the least likely ones to be at fault, come first.
         """
         waiting = [
             (state.count_crashes(task), state.accepted, task)
--- a/wigeonhitch/pool/tests/test_crashes.py
+++ b/wigeonhitch/pool/tests/test_crashes.py
@@ -9,8 +9,8 @@
 NOW = 100.0
 CLOCK = 5000.0
 MAX_CRASHED_VMS = 5
-"""Most VMs that one task may crash: a sixth start breaks the users' bound of three
-more after three crashes."""
+"""Most VMs that one task may crash: the platform's rules allow fewer than three
+starts after three crashes."""
 
 
 def step(count=1, cpu=1000, **fields):
@@ -173,6 +173,7 @@
 
 
 def test_crash_that_is_reported_twice_counts_once(site):
+    """Guards against a job that fails early, as a crash was reported twice."""
     state = site.bench.add_job()
     (run,) = site.start()
     site.crash(run.vm, vm.VmEnd.REPLACED)
@@ -318,6 +319,7 @@
 
 
 def test_tested_task_waits_until_others_have_left_its_vm(site):
+    """Guards against a test that proves nothing, as other tasks run on its VM."""
     site.bench.add_job("other", step(28))
     site.bench.start(site.now)
     state = count_crashes(site, "bad", 2)
@@ -419,6 +421,7 @@
 
 
 def test_lasting_task_that_works_again_is_cleared(site):
+    """Guards against lasting jobs that fail for crashes long ago."""
     lasting = site.bench.add_job("l", step(lasting=True))
     site.crash(site.start()[0].vm)
     (run,) = site.start()
@@ -431,6 +434,7 @@
 
 
 def test_cancelled_job_is_not_shown_as_failed(site):
+    """Guards against two final states of a job cancelled as its VM crashes."""
     state = site.bench.add_job()
     (run,) = site.start()
     state.cancelled = True
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -430,7 +430,7 @@
             runs=len(machine.runs),
             reason=end.value,
         )
-        guilty = self.suspects.on_vm_ended(machine, end)
+        exhausted = self.suspects.on_vm_ended(machine, end)
         for run in list(machine.runs.values()):
             self.log_event(
                 "run ended with its VM",
@@ -440,7 +440,7 @@
             self.remove_run(run)
         self.ledger.remove_vm(machine.id)
         self.vms.pop(machine.id, None)
-        for task in guilty:
+        for task in exhausted:
             self.give_up(task)
 
     def give_up(self, task: model.Task) -> None:
