Keep a VM on the roster until the crashes under its tasks are durable

A leader that was lost with more than 20 changed jobs left no trace of a VM that had crashed: one transaction holds 20 jobs, and it removed the VM's roster row although the count of the task that had run there was in the next one. The successor asks only the VMs that are listed, so it took the task for one that no VM had ended under, and started it without a record. Callers lose one VM more with each such change of leaders.

The removal now waits for a batch in which no changed job is left out.

--- a/wigeonhitch/pool/ledger.py
+++ b/wigeonhitch/pool/ledger.py
@@ -124,13 +124,15 @@
         added = tuple(self._added_vms)[: builder.count_free()]
         for id in added:
             builder.put_vm(id, self._added_vms[id], self._roster.get(id, 0))
-        removed = tuple(self._gone_vms)[: builder.count_free()]
+        is_complete = len(chosen) == len(self._dirty)
+        # A successor asks the VMs that are listed: the crashes under tasks of a VM must
+        # be durable before it is removed.
+        removed = tuple(self._gone_vms)[: builder.count_free() if is_complete else 0]
         for id in removed:
             builder.remove(pool_record.ROSTER_TABLE, id, self._roster.get(id, 0))
         dropped = tuple(self._dropped)[: builder.count_free()]
         for id in dropped:
             builder.remove(pool_record.PROGRESS_TABLE, id, self.versions.get(id, 0))
-        is_complete = len(chosen) == len(self._dirty)
         processed_ends = (
             {machine.id: machine.processed_end for machine in vms.values()}
             if is_complete
--- /dev/null
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -0,0 +1,260 @@
+"""Orders of events in which a crash of a VM isn't counted, or is for the wrong task.
+
+Each test forces one order, over leaders of which each reads only what its predecessors
+have committed. A guilty task crashes each VM that starts it, and may crash five.
+"""
+
+import pytest
+
+from wigeonhitch.jobs import model, record
+from wigeonhitch.platform import workers
+from wigeonhitch.pool import compaction, vm
+from wigeonhitch.pool import record as pool_record
+
+NOW = 100.0
+CLOCK = 5000.0
+LOCATION = compaction.RowLocation("job00", "p.0")
+MAX_CRASHED_VMS = 5
+"""Most VMs that one task may crash: the platform's rules allow fewer than three
+starts after three crashes."""
+
+LEASE_SECONDS = 3.8
+MAX_ROUNDS = 80
+JOBS_PER_BATCH = 20
+
+
+def step(count=1, cpu=1000, **fields):
+    return model.Step(count, model.Room(cpu, 100), **{"estimate": 1.0, **fields})
+
+
+class Succession:
+    """Leaders of one pool that follow each other, its rows and its VMs.
+
+    Each leader counts time from `NOW`. A VM that has crashed is replaced at once by
+    another incarnation in its rack.
+    """
+
+    def __init__(
+        self, make_bench, count=4, *, racks=("r1", "r2"), leaders_overlap=False
+    ):
+        self._make_bench = make_bench
+        self._leaders_overlap = leaders_overlap
+        self._epoch = 0
+        self._count = 0
+        self.bench = None
+        self.jobs = {}
+        self.racks = {}
+        """Racks of the VMs that run."""
+        self.unreachable = set()
+        """Listed VMs that don't answer."""
+        self.ended = {}
+        self.crashed = []
+        for number in range(count):
+            self._replace(racks[number % len(racks)])
+        self.lead()
+
+    # -- leaders and jobs
+
+    def lead(self):
+        """Replace the leader; what it hasn't committed is lost."""
+        former, self.now = self.bench, NOW
+        version = former.version + 1 if former else 1000
+        self._epoch += 1
+        self.bench = self._make_bench(fence=version, epoch=self._epoch)
+        self.bench.version = version
+        self.bench.rows = dict(former.rows) if former else {}
+        pool = self.bench.pool
+        pool.times = pool.times._replace(leaders_overlap=self._leaders_overlap)
+        for id, (job, accepted, row_version) in self.jobs.items():
+            row = record.JobRecord(job, accepted, False)
+            pool.on_job(id, row, row_version, LOCATION)
+        for id, value, row_version in self._list_rows(pool_record.PROGRESS_TABLE):
+            pool.on_progress(id, value, row_version)
+        for id, value, row_version in self._list_rows(pool_record.ROSTER_TABLE):
+            pool.on_roster(id, pool_record.read_roster(value), row_version, NOW)
+        pool.set_closed(frozenset(self.ended), dict(self.ended), version)
+        for id in self.racks:
+            self._join(id)
+        self.bench.commit()
+        self.advance(0.0)
+
+    def _list_rows(self, table):
+        listed = [(k, *row) for (t, k), row in self.bench.rows.items() if t == table]
+        return [row for row in listed if row[1] is not None]
+
+    def submit(self, id, *steps, version=0):
+        self.bench.version += 1
+        version = version or self.bench.version
+        state = self.bench.add_job(id, *(steps or (step(),)), version=version)
+        self.jobs[id] = (state.job, state.accepted, version)
+        return state
+
+    def get_final(self, id="bad"):
+        """Return a job's final state; the leader forgets it once that is durable."""
+        if id in self.bench.pool.jobs:
+            return self.bench.pool.jobs[id].final
+        return record.read_final(self.bench.rows[pool_record.PROGRESS_TABLE, id][0])
+
+    # -- VMs
+
+    def _replace(self, rack):
+        id = f"w{self._count}"
+        self._count += 1
+        self.racks[id] = rack
+        return id
+
+    def _join(self, id):
+        labels = ("a", self.racks[id])
+        machine = self.bench.add_vm(id, labels=labels, answers=False)
+        machine.is_silent = id in self.unreachable
+        return machine
+
+    def answer(self, machine, ended=()):
+        listed = [
+            workers.Running(run.task, run.number, "", 50, 0)
+            for run in machine.runs.values()
+            if run.state is vm.RunState.RUNNING
+            and run.task not in [end.task for end in ended]
+        ]
+        self.bench.answer(machine, listed, ended, now=self.now)
+
+    def list_reachable(self):
+        return [
+            machine
+            for id, machine in list(self.bench.pool.vms.items())
+            if id in self.racks and id not in self.unreachable
+        ]
+
+    def advance(self, seconds=0.5):
+        """Let time pass, with an answer of each VM that can be reached."""
+        self.now += seconds
+        for machine in self.list_reachable():
+            deadline = machine.compute_deadline(self.now, LEASE_SECONDS)
+            machine.record_lease_deadline(deadline)
+            self.answer(machine)
+        self.bench.pool.expire_leases(self.now)
+
+    def start(self, id="bad", *, sent=True, answered=True):
+        """Let rounds pass until a task of the job starts; return its runs."""
+        for _ in range(MAX_ROUNDS):
+            if sent:
+                started = self.bench.start(self.now, answered=answered)
+            else:
+                orders = self.bench.plan(self.now)
+                started = [order.run for order in orders if hasattr(order, "run")]
+            if runs := [run for run in started if run.task.job == id]:
+                return runs
+            self.bench.commit()
+            if self.get_final(id) is not None:
+                return []
+            self.advance()
+        return []
+
+    def work(self, seconds):
+        """Let the VMs list their runs for some seconds."""
+        while seconds > 0:
+            self.advance(min(0.25, seconds))
+            seconds -= 0.25
+
+    def crash(self, id, *, seen=True, way=vm.VmEnd.LOST):
+        """Crash a VM; unless it is seen, the leader learns nothing of it."""
+        rack = self.racks.pop(id)
+        self.crashed.append(id)
+        self.ended[id] = way
+        successor = self._replace(rack)
+        if seen:
+            self.tell_closings()
+            self._join(successor)
+            self.advance(0.0)
+
+    def tell_closings(self, closed=()):
+        """Tell the leader which VMs have ended, and which others are closed."""
+        ids = frozenset(self.ended) | set(closed)
+        self.bench.version += 1
+        self.bench.pool.set_closed(ids, dict(self.ended), self.bench.version)
+
+    def crash_until_given_up(self, seconds=0.0):
+        """Let each VM crash in sight of the leader until the task isn't started."""
+        while len(self.crashed) <= MAX_CRASHED_VMS and (runs := self.start()):
+            self.work(seconds)
+            self.crash(runs[0].vm.id)
+            self.bench.commit()
+
+
+@pytest.fixture
+def make_succession(make_bench):
+    def make(count=4, **fields):
+        return Succession(make_bench, count, **fields)
+
+    return make
+
+
+@pytest.fixture
+def succession(make_succession):
+    return make_succession()
+
+
+# -- crashes that aren't counted
+
+
+@pytest.mark.parametrize("losses", [0, 1])
+def test_succession_itself_keeps_to_the_limit(succession, losses):
+    """Guards against a `Succession` that shows faults of its own."""
+    succession.submit("bad")
+    for _ in range(losses):
+        succession.crash(succession.start()[0].vm.id, seen=False)
+        succession.lead()
+
+    succession.crash_until_given_up()
+
+    assert len(succession.crashed) == 4 + losses
+    assert succession.get_final() is model.JobState.FAILED
+
+
+def test_roster_row_is_not_removed_before_the_count_is_durable(succession):
+    """Guards against a count that waits behind 20 jobs while its VM's row goes."""
+    succession.submit("bad")
+    for number in range(6):
+        (run,) = succession.start()
+        others = [f"j{number}-{index}" for index in range(JOBS_PER_BATCH)]
+        for id in others:
+            succession.submit(id, step(cpu=100))
+        succession.bench.start(succession.now)
+        succession.bench.commit()
+        for machine in succession.list_reachable():
+            done = [task for task in machine.runs if task.job != "bad"]
+            first = machine.processed_end + 1
+            ends = [
+                workers.Ended(
+                    first + index, t, machine.runs[t].number, model.End.DONE, ""
+                )
+                for index, t in enumerate(done)
+            ]
+            succession.answer(machine, ends)
+        succession.crash(run.vm.id)
+        succession.bench.commit()  # one batch, of which the count is no part
+        for id in others:
+            del succession.jobs[id]
+        succession.lead()
+        if succession.get_final() is not None:
+            break
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+# -- crashes that are counted for a task that didn't cause them
+
+
+def lose_rack(succession, rack, *, first=""):
+    """Crash all VMs of a rack at once; ``first`` is listed before the others."""
+    lost = [id for id, other in succession.racks.items() if other == rack]
+    for id in sorted(lost, key=lambda id: id != first):
+        succession.crash(id, seen=False)
+        if id == first:
+            succession.tell_closings()
+    succession.tell_closings()
+    for id, other in succession.racks.items():
+        if other == rack:
+            succession._join(id)
+    succession.bench.commit()
+    succession.advance(0.0)
