Record unseen ends of VMs before anything starts, and weigh crashes under tests

Callers lost up to two VMs more than the platform's rules allow under one task that crashes its VMs, and jobs that did no harm were given up: both ends of one decision, a fixed count of four crashes that could be short by what no leader saw and long by what the task hadn't caused.

Where leaders overlap, a job that is newer than the claim was taken for one that no leader had started. Now the ended VMs stay on the roster until it is known what runs on the others; then each open task that runs nowhere is recorded as one that may have one crash more. From then on each of its starts is recorded, so at most one crash is ever missing.

Now a test starts only on a VM that has answered within 0.25 s, and is near proof: two crashes under tests give a task up. Other crashes are weak: only when a further one would exceed the platform's limit of five, the possible missing one included, is the task given up. A task that has reached it while a VM of its count may yet answer isn't started.

--- a/wigeonhitch/jobs/progress.py
+++ b/wigeonhitch/jobs/progress.py
@@ -5,7 +5,7 @@
 view of its pool, not of the job's progress.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from wigeonhitch.jobs import model
 
@@ -39,6 +39,10 @@
         self.checkpoints: dict[model.Task, str] = {}
         self.crashed_vms: dict[model.Task, set[str]] = {}
         """Incarnations of VMs that crashed while they ran each task."""
+        self.test_crashes: dict[model.Task, set[str]] = {}
+        """Those of them that crashed as the task was started there alone."""
+        self.maybe_uncounted: set[model.Task] = set()
+        """Tasks under which one more VM may have crashed, unseen by any leader."""
         self.assigned_vms: dict[model.Task, str] = {}
         """The VM on which each task with crashes may be started next, or runs."""
         self.crash_revision = 0
@@ -120,12 +124,14 @@
         """Return the number of failed runs of the task or its gang."""
         return len(self.failed_runs.get(self._get_attempt_key(task), ()))
 
-    def record_crash(self, task: model.Task, vm: str) -> bool:
+    def record_crash(self, task: model.Task, vm: str, *, is_test: bool = False) -> bool:
         """Record that a VM crashed under a task; return whether that is new."""
         vms = self.crashed_vms.setdefault(task, set())
         if vm in vms:
             return False
         vms.add(vm)
+        if is_test:
+            self.test_crashes.setdefault(task, set()).add(vm)
         self.crash_revision += 1
         return True
 
@@ -133,16 +139,21 @@
         """Remove a recorded crash; return whether there was one."""
         if vm not in self.crashed_vms.get(task, ()):
             return False
-        self.crashed_vms[task].discard(vm)
-        if not self.crashed_vms[task]:
-            del self.crashed_vms[task]
+        for crashes in (self.crashed_vms, self.test_crashes):
+            if task in crashes:
+                crashes[task].discard(vm)
+                if not crashes[task]:
+                    del crashes[task]
         self.crash_revision += 1
         return True
 
     def clear_crashes(self, task: model.Task) -> bool:
         """Remove all crashes of a task; return whether there were any."""
-        if self.crashed_vms.pop(task, None) is None:
+        if task not in self.crashed_vms and task not in self.maybe_uncounted:
             return False
+        self.crashed_vms.pop(task, None)
+        self.test_crashes.pop(task, None)
+        self.maybe_uncounted.discard(task)
         self.crash_revision += 1
         return True
 
@@ -150,6 +161,16 @@
         """Return the number of VMs that crashed under a task."""
         return len(self.crashed_vms.get(task, ()))
 
+    def record_uncounted(self, tasks: Iterable[model.Task]) -> bool:
+        """Record tasks under which a VM may have crashed unseen; return if any is new.
+
+        Tasks that are suspects already are left out: each of their starts is recorded.
+        """
+        new = [task for task in tasks if not self.is_suspect(task)]
+        self.maybe_uncounted.update(new)
+        self.crash_revision += bool(new)
+        return bool(new)
+
     def assign_vm(self, task: model.Task, vm: str) -> None:
         """Set the VM on which a task may be started next."""
         self.assigned_vms[task] = vm
@@ -162,6 +183,16 @@
         self.crash_revision += 1
         return True
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether a VM has crashed under one of the tasks, or may have."""
+        return bool(self.crashed_vms or self.assigned_vms or self.maybe_uncounted)
+
+    def is_suspect(self, task: model.Task) -> bool:
+        """Return whether a VM has crashed under a task, or may have."""
+        recorded = (self.crashed_vms, self.assigned_vms, self.maybe_uncounted)
+        return any(task in tasks for tasks in recorded)
+
     @property
     def are_crashes_recorded(self) -> bool:
         """Whether all crashes and assigned VMs are durable."""
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -120,7 +120,9 @@
     row = {"started": state.started, "done": done, "failed": failed, "saved": saved}
     crashed = {_write_task(t): sorted(vms) for t, vms in state.crashed_vms.items()}
     assigned = {_write_task(t): vm for t, vm in state.assigned_vms.items()}
-    row.update(crashed=crashed, assigned=assigned)
+    tested = {_write_task(t): sorted(vms) for t, vms in state.test_crashes.items()}
+    uncounted = sorted(_write_task(t) for t in state.maybe_uncounted)
+    row.update(crashed=crashed, assigned=assigned, tested=tested, uncounted=uncounted)
     return orjson.dumps({key: part for key, part in row.items() if part})
 
 
@@ -145,6 +147,10 @@
         state.checkpoints[_read_task(state.job.id, key)] = text
     for key, vms in row.get("crashed", {}).items():
         state.crashed_vms[_read_task(state.job.id, key)] = set(vms)
+    for key, vms in row.get("tested", {}).items():
+        state.test_crashes[_read_task(state.job.id, key)] = set(vms)
+    for key in row.get("uncounted", ()):
+        state.maybe_uncounted.add(_read_task(state.job.id, key))
     for key, vm in row.get("assigned", {}).items():
         state.assigned_vms[_read_task(state.job.id, key)] = vm
 
--- a/wigeonhitch/pool/assignment.py
+++ b/wigeonhitch/pool/assignment.py
@@ -51,8 +51,11 @@
         is_allowed = allowed is None or machine.id in allowed
         is_usable = _is_healthy(machine, now) if is_test else placer.has_room(machine)
         if is_allowed and is_usable:
-            is_ready = not is_test or _is_alone(machine, state.job.steps[task.step])
-            return machine if is_ready and state.are_crashes_recorded else None
+            if not state.are_crashes_recorded:
+                return None
+            if is_test:
+                return _begin_test(pool, machine, task, now)
+            return machine
         if _is_in_doubt(machine, now):
             return None
         pool.suspects.release(task)
@@ -105,6 +108,18 @@
     return chosen
 
 
+def _begin_test(
+    pool: core.Pool, machine: vm.Vm, task: model.Task, now: float
+) -> vm.Vm | None:
+    """Return the VM if a test can begin there now."""
+    if not _is_alone(machine, pool.jobs[task.job].job.steps[task.step]):
+        return None
+    if now - machine.last_contact > suspect.MAX_CONTACT_AGE_SECONDS:
+        return None
+    pool.suspects.on_test_started(task, machine.id)
+    return machine
+
+
 def _is_healthy(machine: vm.Vm, now: float) -> bool:
     return machine.is_open(now) and not machine.is_quarantined(now)
 
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -76,6 +76,7 @@
         for work in self.pool.submitted_work:
             self._arrivals.record(work, now)
         self.pool.submitted_work.clear()
+        self.pool.record_unseen_ends(wall_time)
         self._refresh_jobs(wall_time)
         orders: list[message.Start | message.Stop] = self._stop_orphans(now)
         suspects = self.pool.suspects
@@ -247,6 +248,9 @@
         self.unmet = 0
         self._missing_vms = 0
         self._orphaned_tasks = self.pool.list_orphaned_tasks()
+        for task in self.pool.suspects.list_given_up():
+            if not self.pool.suspects.is_in_doubt(task):
+                self.pool.give_up(task)
         for task in self.pool.suspects.list_waiting_tests():
             state = self.pool.jobs[task.job]
             if self._is_free(task) and not self.pool.may_have_run(state):
@@ -258,7 +262,7 @@
         ]
         for key, id in sorted(keyed):
             state = self.pool.jobs[id]
-            if self.pool.may_have_run(state):
+            if state.final is not None or self.pool.may_have_run(state):
                 continue
             unmet = self._place_job(placer, state, now, starts)
             if key.group <= priority.ON_TIME:
@@ -292,18 +296,18 @@
         unmet = 0
         full_steps: set[tuple[int, int, bool]] = set()
         unplaced: collections.Counter[int] = collections.Counter()
-        may_crash = self.pool.may_crash_vms(state)
+        has_suspects = state.has_suspects
         for task in self._open_tasks[state.job.id]:
             step = state.job.steps[task.step]
             if not self._is_free(task):
                 continue
-            is_recorded = may_crash and self.pool.must_record_start(state, task)
+            is_recorded = has_suspects and self.pool.must_record_start(state, task)
             if is_recorded and self.pool.suspects.must_be_tested(task):
                 continue
             if is_recorded and task in state.assigned_vms:
                 starts.extend(self._place_recorded(placer, state, task, now))
                 continue
-            is_suspect = may_crash and state.count_crashes(task) > 0
+            is_suspect = has_suspects and state.count_crashes(task) > 0
             group = (task.occurrence, task.step, is_suspect)
             if group in full_steps or step.reserved.cpu > placer.max_free_cpu:
                 unplaced[task.step] += 1
@@ -403,6 +407,8 @@
             return
         if not state.are_crashes_recorded:
             return
+        if any(self.pool.suspects.must_be_given_up(task) for task in tasks):
+            return
         racks = placer.list_racks() if step.same_rack else [""]
         tickets = self._get_tickets(state, first, now)
         allowed = None if tickets is None else frozenset(tickets)
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -8,16 +8,20 @@
   once, and for later leaders too.
 - A suspect is assigned to a VM, and that is recorded before it is started there, so
   that a later leader knows which VM to ask for. So are tasks that an earlier leader may
-  have started on a VM of which only the end is known.
+  have started on a VM of which only the end is known; for these it is recorded that one
+  crash may be missing from their count.
 - Suspects are placed apart from each other.
-- A task under which two VMs have crashed is tested: it is started only alone, and about
-  half of the pool at most is used for that.
-- At the fourth crash the task is given up, and its job has failed.
+- A task under which two VMs have crashed is tested: it is started only alone, on a VM
+  that has just answered, and about half of the pool at most is used for that.
+- A task is given up, and its job has failed, at the second crash of a test, or when a
+  further crash would exceed the platform's limit. The first is near proof; the second
+  also counts crashes beside other tasks, of racks, and of VMs that may have been down
+  before the start.
 - A run that has worked for some seconds counts only if its task isn't lasting and its
   VM wasn't lost with a whole rack.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from wigeonhitch.jobs import model, progress
@@ -30,10 +34,16 @@
 have not caused the crash; testing each of them would hold up more work than a second
 crash costs."""
 
-MAX_CRASHES = 4
-"""Crashes after which a task is given up: two under tests, since on a day with many
-crashes a task may meet three by chance. The platform's rules allow five, which leaves
-one that no leader has seen."""
+MAX_TEST_CRASHES = 2
+"""Crashes of VMs under tests after which a task is given up: one may be chance."""
+
+MAX_CRASHES = 5
+"""Most VMs that may crash under a task, by the platform's rules; one that no leader may
+have seen is included."""
+
+MAX_CONTACT_AGE_SECONDS = 0.25
+"""Seconds since a VM's last answer within which a test is started there: a VM that is
+already down would count against the task. A silent VM is noticed only after 0.7 s."""
 
 PROVEN_SECONDS = 2.0
 """Seconds that a run must have worked on its VM to be an unlikely cause of a later
@@ -100,6 +110,8 @@
         """Tasks by VMs that are counted as crashed and may yet answer."""
         self._inherited: set[model.Task] = set()
         """Tasks that an earlier leader may have started on their assigned VM."""
+        self._tests: dict[model.Task, str] = {}
+        """VM of the last test that this leader started, by task."""
         self._excused: set[model.Task] = set()
         """Tasks that were seen at work on a VM that crashed, and excused for it."""
         self._losses: list[_Loss] = []
@@ -109,10 +121,9 @@
     def on_progress_read(self, state: progress.Progress) -> None:
         """Take over what earlier leaders have recorded of a job."""
         for task, ids in state.crashed_vms.items():
-            self._suspect_jobs.add(state.job.id)
             for id in ids:
                 self._doubtful.setdefault(id, set()).add(task)
-        if state.assigned_vms:
+        if state.has_suspects:
             self._suspect_jobs.add(state.job.id)
         self._inherited.update(state.assigned_vms)
 
@@ -128,6 +139,24 @@
         """Record that a VM has listed all its runs to this leader."""
         self._inherited.difference_update(self._list_inherited_on(id))
 
+    def on_unseen_ends(self, states: Iterable[progress.Progress], now: float) -> None:
+        """Record which tasks may have crashed a VM that ended before this term.
+
+        Parameters
+        ----------
+        states : iterable of progress.Progress
+            The jobs that an earlier leader may have known.
+        now : float
+            Unix time.
+        """
+        for state in states:
+            if not _is_open(state):
+                continue
+            tasks = [t for t in state.list_open_tasks(now) if t not in self._live]
+            if state.record_uncounted(tasks):
+                self._suspect_jobs.add(state.job.id)
+                self._writer.mark_dirty(state.job.id)
+
     def on_leases_lapsed(self, machine: vm.Vm) -> None:
         """Count a silent VM as crashed, until it answers."""
         if not (machine.closed or machine.entry.leaving):
@@ -146,7 +175,7 @@
         else:
             tasks |= self._doubtful.pop(machine.id, set())
         self._release_vm(machine.id)
-        return [task for task in tasks if self.count(task) >= MAX_CRASHES]
+        return [task for task in tasks if self.must_be_given_up(task)]
 
     def on_missing_vm(self, task: model.Task, end: vm.VmEnd | None) -> bool:
         """Count a task's assigned VM, which was gone before this leader's term.
@@ -158,12 +187,16 @@
             self._count(task, id)
             self._doubtful.setdefault(id, set()).add(task)
         self.release(task)
-        return self.count(task) >= MAX_CRASHES
+        return self.must_be_given_up(task)
+
+    def on_test_started(self, task: model.Task, id: str) -> None:
+        """Record on which VM a task is being tested."""
+        self._tests[task] = id
 
     def on_run_listed(self, run: vm.Run) -> None:
         """Clear a task that has worked long enough to be no cause of a crash."""
         state = self._jobs.get(run.task.job)
-        if state is None or not (state.crashed_vms or state.assigned_vms):
+        if state is None or not state.is_suspect(run.task):
             return
         if not is_proven(run):
             return
@@ -195,6 +228,7 @@
         self._suspect_jobs.discard(id)
         self._inherited = {task for task in self._inherited if task.job != id}
         self._excused = {task for task in self._excused if task.job != id}
+        self._tests = {task: vm for task, vm in self._tests.items() if task.job != id}
         for vm_id, tasks in list(self._doubtful.items()):
             tasks -= {task for task in tasks if task.job == id}
             if not tasks:
@@ -207,6 +241,36 @@
         state = self._jobs.get(task.job)
         return state.count_crashes(task) if state is not None else 0
 
+    def must_be_given_up(self, task: model.Task) -> bool:
+        """Return whether a task has to be taken for the cause of its crashes.
+
+        The starts of a gang aren't recorded, so a crash may always be missing.
+        """
+        state = self._jobs.get(task.job)
+        if state is None:
+            return False
+        if len(state.test_crashes.get(task, ())) >= MAX_TEST_CRASHES:
+            return True
+        is_gang = state.job.steps[task.step].gang
+        maybe_uncounted = is_gang or task in state.maybe_uncounted
+        return state.count_crashes(task) + maybe_uncounted >= MAX_CRASHES
+
+    def is_in_doubt(self, task: model.Task) -> bool:
+        """Return whether a VM that counts as crashed under a task may yet answer."""
+        state = self._jobs[task.job]
+        return any(id in self._vms for id in state.crashed_vms.get(task, ()))
+
+    def list_given_up(self) -> list[model.Task]:
+        """Return the tasks that must not be started again."""
+        return [
+            task
+            for state in self._list_open_jobs()
+            for task in state.crashed_vms
+            if task not in self._live
+            and not state.is_done(task)
+            and self.must_be_given_up(task)
+        ]
+
     def must_be_tested(self, task: model.Task) -> bool:
         """Return whether a task may only be started alone.
 
@@ -228,6 +292,7 @@
             if self.must_be_tested(task)
             and task not in self._live
             and not state.is_done(task)
+            and not self.must_be_given_up(task)
         ]
         return [task for _, _, task in sorted(waiting)]
 
@@ -289,7 +354,18 @@
         ]
         loss = _Loss(machine.last_contact, machine.rack, had_suspects)
         self._losses.append(loss)
-        return {task for task in suspected if self._count(task, machine.id)}
+        return {
+            task
+            for task in suspected
+            if self._count(task, machine.id, is_test=self._was_test(task, machine))
+        }
+
+    def _was_test(self, task: model.Task, machine: vm.Vm) -> bool:
+        """Return whether a VM crashed at the start of a test, and not with its rack."""
+        run = machine.runs.get(task)
+        if run is None or self._tests.get(task) != machine.id:
+            return False
+        return not _was_seen_at_work(run) and not self._is_mass_loss(machine)
 
     def _list_suspected(self, machine: vm.Vm) -> list[model.Task]:
         """Return the tasks that may have crashed a VM; the others are excused once."""
@@ -299,20 +375,16 @@
             for run in machine.runs.values()
             if not is_proven(run) or not (run.step.lasting or is_mass_loss)
         ]
-        seen_at_work = {
-            run.task
-            for run in runs
-            if run.listed_at - run.started_at >= JUST_STARTED_SECONDS
-        }
+        seen_at_work = {run.task for run in runs if _was_seen_at_work(run)}
         excused = seen_at_work - self._excused
         self._excused |= excused
         return [run.task for run in runs if run.task not in excused]
 
-    def _count(self, task: model.Task, id: str) -> bool:
+    def _count(self, task: model.Task, id: str, *, is_test: bool = False) -> bool:
         state = self._jobs.get(task.job)
         if state is None or not _is_open(state):
             return False
-        if state.is_done(task) or not state.record_crash(task, id):
+        if state.is_done(task) or not state.record_crash(task, id, is_test=is_test):
             return False
         self._suspect_jobs.add(task.job)
         self._writer.mark_dirty(task.job)
@@ -320,6 +392,7 @@
             "VM crashed under a task",
             vm=id,
             crashes=state.count_crashes(task),
+            tests=len(state.test_crashes.get(task, ())),
             **describe_task(task),
         )
         return True
@@ -344,6 +417,10 @@
         )
 
 
+def _was_seen_at_work(run: vm.Run) -> bool:
+    return run.listed_at - run.started_at >= JUST_STARTED_SECONDS
+
+
 def is_proven(run: vm.Run) -> bool:
     """Return whether a run was listed long enough after its start."""
     return run.listed_at - run.started_at >= PROVEN_SECONDS
--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -211,6 +211,51 @@
     assert succession.get_final() is model.JobState.FAILED
 
 
+def test_crash_before_two_changes_of_leaders(succession):
+    """Guards against crashes without end where two leaders are lost in a row.
+
+    The second one drops the VM's roster row, and is lost before it records a start.
+    """
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        succession.crash(runs[0].vm.id, seen=False)
+        succession.lead()
+        succession.lead()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+def test_two_crashes_before_two_changes_of_leaders_each(succession):
+    """Guards against a sixth crash where only two crashes were lost."""
+    succession.submit("bad")
+    for _ in range(2):
+        succession.crash(succession.start()[0].vm.id, seen=False)
+        succession.lead()
+        succession.lead()
+
+    succession.crash_until_given_up()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+def test_refused_start_keeps_the_record_of_an_unseen_end(succession):
+    """Guards against crashes without end where a recorded start was refused.
+
+    That withdraws the VM, and the next leader knows nothing of the one that ended.
+    """
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        succession.crash(runs[0].vm.id, seen=False)
+        succession.lead()
+        for run in succession.start(answered=False):
+            refusal = workers.OrderReply(workers.Verdict.NOT_DONE)
+            succession.bench.pool.on_start(run, refusal, succession.now)
+        succession.bench.commit()
+        succession.lead()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 def test_roster_row_is_not_removed_before_the_count_is_durable(succession):
     """Guards against a count that waits behind 20 jobs while its VM's row goes."""
     succession.submit("bad")
@@ -242,6 +287,66 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_job_of_an_overlapping_leader_is_recorded_before_its_start(make_succession):
+    """Guards against two lost crashes of a job that is newer than its leader's claim.
+
+    Without transactions across parts an earlier leader may have started such a job.
+    """
+    succession = make_succession(leaders_overlap=True)
+    former = succession.bench
+    succession.submit("bad", version=former.version + 10)  # newer than the next claim
+    succession.crash(succession.start()[0].vm.id, seen=False)
+    succession.lead()
+    succession.crash(succession.start()[0].vm.id, seen=False)
+    succession.bench.version += 20
+    succession.lead()
+
+    succession.crash_until_given_up()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+def test_vm_that_was_waited_out_keeps_its_assigned_task(succession):
+    """Guards against a count that is lost as the VM's entry outlives the wait for it.
+
+    The task is withdrawn from the silent VM, whose end then counts for nothing.
+    """
+    succession.submit("bad")
+    succession.crash(succession.start()[0].vm.id)
+    succession.bench.commit()
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        lost = runs[0].vm.id
+        rack = succession.racks[lost]
+        succession.crash(lost, seen=False)
+        del succession.ended[lost]
+        succession.racks[lost], succession.unreachable = rack, {lost}
+        succession.lead()
+        runs = succession.start()
+        del succession.racks[lost]
+        succession.unreachable.clear()
+        succession.ended[lost] = vm.VmEnd.LOST
+        succession.tell_closings()
+        succession.bench.commit()
+        if runs and len(succession.crashed) <= MAX_CRASHED_VMS:
+            succession.crash(runs[0].vm.id)
+            succession.bench.commit()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+def test_task_whose_vms_stay_listed_after_the_fourth_crash(make_succession):
+    """Guards against a sixth crash where VMs fall silent and their entries remain."""
+    succession = make_succession(8)
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        machine = runs[0].vm
+        succession.crashed.append(machine.id)
+        succession.unreachable.add(machine.id)
+        machine.is_silent = True
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 # -- crashes that are counted for a task that didn't cause them
 
 
@@ -258,3 +363,24 @@
             succession._join(id)
     succession.bench.commit()
     succession.advance(0.0)
+
+
+def test_long_task_of_an_earlier_leader_as_its_rack_is_lost(succession):
+    """Guards against a long job whose time at work is forgotten with its leader."""
+    succession.submit("good")
+    for _ in range(4):
+        for run in succession.start("good"):
+            succession.work(30.0)
+            succession.bench.commit()
+            succession.unreachable = {run.vm.id}  # until it lists its run
+            succession.lead()
+            succession.unreachable.clear()
+            machine = succession.bench.pool.vms[run.vm.id]
+            listed = [workers.Running(run.task, run.number, "", 50, 0)]
+            succession.bench.answer(machine, listed, now=succession.now)
+            assert run.task in succession.bench.pool.live
+            for peer in succession.list_reachable():
+                peer.is_silent = peer.rack == machine.rack
+            lose_rack(succession, machine.rack)
+
+    assert succession.get_final("good") is None
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -81,8 +81,8 @@
         self.deposed = False
         self.unresolved: set[str] = set()
         """VMs that an earlier leader may have used and that aren't reconciled yet."""
-        self.has_unseen_crashes = False
-        """Whether such a VM has ended, or can't be reached, with unknown runs."""
+        self._unseen_ends: set[str] = set()
+        """Such VMs that have ended, or can't be reached, with unknown runs."""
         self.changed_jobs: set[str] = set()
         """Jobs whose open tasks must be recomputed."""
         self.submitted_work: list[float] = []
@@ -279,7 +279,8 @@
                 self._remove_lapsed_runs(machine)
             if lapsed and machine.id in self.unresolved:
                 self.unresolved.discard(machine.id)
-                self.has_unseen_crashes = True
+                self.suspects.on_leases_lapsed(machine)
+                self._unseen_ends.add(machine.id)
                 self.log_event(
                     "VM waited out",
                     vm=machine.id,
@@ -300,14 +301,7 @@
 
     def may_have_run(self, state: progress.Progress) -> bool:
         """Return whether an earlier leader may have started tasks of the job."""
-        is_older = state.version < self.fence or self.times.leaders_overlap
-        return bool(self.unresolved) and is_older
-
-    def may_crash_vms(self, state: progress.Progress) -> bool:
-        """Return whether a task of the job has crashed a VM or may have done so."""
-        if self.has_unseen_crashes and state.version < self.fence:
-            return True
-        return bool(state.crashed_vms or state.assigned_vms)
+        return bool(self.unresolved) and self._is_older(state)
 
     def must_record_start(self, state: progress.Progress, task: model.Task) -> bool:
         """Return whether a task is started only on a VM that is recorded before.
@@ -315,11 +309,7 @@
         These are the tasks under which a VM has crashed, and those of which an earlier
         leader may have seen that without recording it. A gang has too many VMs.
         """
-        if state.job.steps[task.step].gang:
-            return False
-        if self.has_unseen_crashes and state.version < self.fence:
-            return True
-        return state.count_crashes(task) > 0 or task in state.assigned_vms
+        return state.is_suspect(task) and not state.job.steps[task.step].gang
 
     def list_orphaned_tasks(self) -> frozenset[model.Task]:
         """Return the tasks of which a VM lists an orphaned run.
@@ -363,6 +353,20 @@
             id, self.job_locations[id], final, state.version, recorded_at
         )
 
+    def record_unseen_ends(self, wall_time: float) -> None:
+        """Record which tasks may have run on VMs that ended before this term.
+
+        It waits until it is known what runs on the other VMs. Until then the ended VMs
+        stay on the roster, so that a successor finds them too.
+        """
+        if self.unresolved or not self._unseen_ends:
+            return
+        older = [state for state in self.jobs.values() if self._is_older(state)]
+        self.suspects.on_unseen_ends(older, wall_time)
+        for id in self._unseen_ends - self.vms.keys():
+            self.ledger.remove_vm(id)
+        self._unseen_ends.clear()
+
     def record_degraded_run(self, run: vm.Run, reason: str, now: float) -> None:
         """Record that a run is stuck or slow; its VM may be quarantined for it."""
         if run.is_degraded:
@@ -421,7 +425,7 @@
             return
         machine.gone = True
         if machine.id in self.unresolved and end is not vm.VmEnd.ORDERED:
-            self.has_unseen_crashes = True
+            self._unseen_ends.add(machine.id)
         self.unresolved.discard(machine.id)
         self.log_event(
             "VM gone",
@@ -438,7 +442,8 @@
                 **describe_run(run),
             )
             self.remove_run(run)
-        self.ledger.remove_vm(machine.id)
+        if machine.id not in self._unseen_ends:
+            self.ledger.remove_vm(machine.id)
         self.vms.pop(machine.id, None)
         for task in exhausted:
             self.give_up(task)
@@ -463,6 +468,10 @@
 
     # -- internals
 
+    def _is_older(self, state: progress.Progress) -> bool:
+        """Return whether an earlier leader may have known a job."""
+        return state.version < self.fence or self.times.leaders_overlap
+
     def _compute_run_age(self, run: vm.Run) -> float:
         """Return the seconds from a run's start to the last event of the pool."""
         return round(self.latest_time - run.started_at, 3)
