Judge by the worker's clock whether a run was seen at work

A task that crashes its VM at once could count as seen at work there, and be excused: the age of a run was taken from this daemon's times, and a list that the worker made 20 ms after the start may be processed half a second later. The opposite held too: a list was ignored up to 0.3 s after the start. Both ends of the age are now times of the worker's clock, from its answers, and 0.1 s are enough. A crash under a test is near proof only if no answer has listed the run.

The added test failed before (6 VMs) and passes.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -80,7 +80,7 @@
         verdict = reply.verdict
         if verdict is workers.Verdict.DONE:
             run.vm.update_clock(reply.clock, reply.received)
-            self._confirm_start(run, now)
+            self._confirm_start(run, reply.clock, now)
         elif verdict is workers.Verdict.UNKNOWN:
             run.state = vm.RunState.UNKNOWN
             self.log_event("start without an answer", **view.describe_run(run))
@@ -93,10 +93,10 @@
 
     # -- internals
 
-    def _confirm_start(self, run: vm.Run, now: float) -> None:
+    def _confirm_start(self, run: vm.Run, clock: float, now: float) -> None:
         if run.state is not vm.RunState.STOPPING:
             run.state = vm.RunState.RUNNING
-        run.started_at = now
+        run.started_at, run.started_clock = now, clock
         run.last_progress_clock = run.rate_start_clock = run.vm.compute_clock(now)
         state = self.jobs.get(run.task.job)
         if state is not None and not state.started:
@@ -237,10 +237,10 @@
 
     def _update_running(self, run: vm.Run, entry: workers.Running, now: float) -> None:
         if run.state in (vm.RunState.STARTING, vm.RunState.UNKNOWN):
-            self._confirm_start(run, now)
+            self._confirm_start(run, run.vm.reported_clock, now)
         run.record_work(entry.work, run.vm.reported_clock)
         run.load = entry.load
-        run.listed_at = now
+        run.listed_at, run.listed_clock = now, run.vm.reported_clock
         self.suspects.on_run_listed(run)
         if entry.checkpoint and run.task.job in self.jobs:
             self.jobs[run.task.job].record_checkpoint(run.task, entry.checkpoint)
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -50,8 +50,9 @@
 crash: tasks that crash their VM mostly do so as they start. A test of a lasting task
 takes as long, and lasting tasks must not be away for more than 6 s."""
 
-JUST_STARTED_SECONDS = 0.3
-"""Seconds after its start from which a run that is listed counts as seen at work."""
+JUST_STARTED_SECONDS = 0.1
+"""Seconds after its start, by the worker's clock, from which a listed run counts as
+seen at work: tasks that crash their VM mostly do so within 0.01 s."""
 
 MASS_LOSS_SECONDS = 3.0
 """Seconds within which VMs that lose power together give their last answers: up to 1.7
@@ -365,7 +366,7 @@
         run = machine.runs.get(task)
         if run is None or self._tests.get(task) != machine.id:
             return False
-        return not _was_seen_at_work(run) and not self._is_mass_loss(machine)
+        return not run.listed_clock and not self._is_mass_loss(machine)
 
     def _list_suspected(self, machine: vm.Vm) -> list[model.Task]:
         """Return the tasks that may have crashed a VM; the others are excused once."""
@@ -418,7 +419,7 @@
 
 
 def _was_seen_at_work(run: vm.Run) -> bool:
-    return run.listed_at - run.started_at >= JUST_STARTED_SECONDS
+    return run.listed_clock - run.started_clock >= JUST_STARTED_SECONDS
 
 
 def is_proven(run: vm.Run) -> bool:
--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -287,6 +287,29 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_list_of_runs_that_is_processed_late_excuses_no_task(succession):
+    """Guards against a task that counts as seen at work as its leader was slow.
+
+    The list was made 20 ms after the start, and processed 0.5 s later.
+    """
+    succession.submit("bad")
+    succession.crash(succession.start()[0].vm.id, seen=False)
+    succession.lead()
+    for _ in range(5):
+        if runs := succession.start():
+            (run,), now = runs, succession.now
+            clock = CLOCK + now - NOW + 0.02
+            listed = (workers.Running(run.task, run.number, "", 1, 0),)
+            reply = workers.HoldReply(
+                workers.Verdict.DONE, clock, now, now + 0.03, listed
+            )
+            succession.bench.pool.on_hold(run.vm, reply, now + 0.5)
+            succession.crash(run.vm.id)
+            succession.bench.commit()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 def test_job_of_an_overlapping_leader_is_recorded_before_its_start(make_succession):
     """Guards against two lost crashes of a job that is newer than its leader's claim.
 
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -83,6 +83,7 @@
         "is_degraded",
         "last_progress_clock",
         "listed_at",
+        "listed_clock",
         "load",
         "number",
         "pace",
@@ -91,6 +92,7 @@
         "rate_start_work",
         "room",
         "started_at",
+        "started_clock",
         "state",
         "step",
         "stop_sent_at",
@@ -112,6 +114,10 @@
         self.started_at = now
         self.listed_at = now
         """This daemon's time of the last answer that lists it."""
+        self.started_clock = 0.0
+        """The worker's time of the answer that confirmed the start."""
+        self.listed_clock = 0.0
+        """The worker's time of the last answer that lists it, 0 if there is none."""
         self.last_progress_clock = 0.0
         self.work = 0.0
         self.load = 0.0
@@ -322,6 +328,7 @@
         run = Run(listed.task, listed.run, self, step, now)
         run.state = RunState.RUNNING
         run.last_progress_clock = run.rate_start_clock = self.reported_clock
+        run.started_clock = run.listed_clock = self.reported_clock
         run.work = run.rate_start_work = listed.work
         run.adopted = True
         if step.fills and step.lasting:
