Count no crash for a start that never reached its VM

Jobs that did no harm were given up for VMs that had never got their start: where the VM's next incarnation answered it, or the start had been planned and not yet sent when the VM was listed as lost. Both are now dropped without a count; a run whose start was answered before still counts when another incarnation answers. The two cases of the added test failed before (the job failed after four such starts) and pass.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -87,6 +87,8 @@
         elif verdict is workers.Verdict.FENCED:
             self._depose(run.vm)
         elif verdict is workers.Verdict.GONE:
+            if run.state is vm.RunState.STARTING:
+                self.remove_run(run)  # the start met the VM's next incarnation only
             self.drop_vm(run.vm, vm.VmEnd.REPLACED)
         else:
             self._handle_refusal(run, verdict, now)
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -374,7 +374,8 @@
         runs = [
             run
             for run in machine.runs.values()
-            if not is_proven(run) or not (run.step.lasting or is_mass_loss)
+            if not _is_unsent(run)
+            and (not is_proven(run) or not (run.step.lasting or is_mass_loss))
         ]
         seen_at_work = {run.task for run in runs if _was_seen_at_work(run)}
         excused = seen_at_work - self._excused
@@ -418,6 +419,10 @@
         )
 
 
+def _is_unsent(run: vm.Run) -> bool:
+    return run.state is vm.RunState.STARTING and not run.deadline
+
+
 def _was_seen_at_work(run: vm.Run) -> bool:
     return run.listed_clock - run.started_clock >= JUST_STARTED_SECONDS
 
--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -373,6 +373,24 @@
 # -- crashes that are counted for a task that didn't cause them
 
 
+@pytest.mark.parametrize("answer", ["successor", "unsent"])
+def test_start_that_never_reached_its_vm_is_no_crash(succession, answer):
+    """Guards against a job that fails for VMs that never got its start.
+
+    The VM's next incarnation answered the start, or it wasn't sent yet.
+    """
+    succession.submit("good")
+    for _ in range(4):
+        for run in succession.start("good", sent=answer != "unsent", answered=False):
+            if answer == "successor":
+                gone = workers.OrderReply(workers.Verdict.GONE)
+                succession.bench.pool.on_start(run, gone, succession.now)
+            succession.crash(run.vm.id)
+        succession.bench.commit()
+
+    assert succession.get_final("good") is None
+
+
 def lose_rack(succession, rack, *, first=""):
     """Crash all VMs of a rack at once; ``first`` is listed before the others."""
     lost = [id for id, other in succession.racks.items() if other == rack]
