--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -310,6 +310,27 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_end_of_an_earlier_run_keeps_the_assigned_vm(succession):
+    """Guards against a late end of an earlier run that withdraws the recorded VM."""
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        (earlier,) = runs
+        succession.unreachable = {earlier.vm.id}
+        succession.lead()
+        runs = succession.start()
+        if not runs:
+            break
+        succession.unreachable.clear()
+        machine = succession.bench.pool.vms[earlier.vm.id]
+        end = workers.Ended(1, earlier.task, earlier.number, model.End.LAPSED, "")
+        succession.answer(machine, [end])
+        succession.bench.commit()
+        succession.crash(runs[0].vm.id, seen=False)
+        succession.lead()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 def test_job_of_an_overlapping_leader_is_recorded_before_its_start(make_succession):
     """Guards against two lost crashes of a job that is newer than its leader's claim.
 
