Recognise the loss of a rack also when its VMs are listed one after the other

Jobs that had worked for long were given up for losses of power: the VMs of a list that shows a whole rack as lost were dropped one by one, and counted as working until their turn; a VM that an earlier list showed was taken for a crash of its own. Now all VMs of a list are silent before the first is dropped, and what counted for a proven run on a VM is withdrawn once its rack is known to be lost with it. A VM lost with its rack is no proof under a test either. The three added tests failed before and pass.

--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -73,11 +73,17 @@
 
 
 class _Loss(NamedTuple):
-    """A VM that crashed; ``had_suspects`` tells whether a suspect ran on it."""
+    """A VM that crashed.
 
+    ``had_suspects`` tells whether a suspect ran on it, ``proven`` are the tasks that
+    count although they had worked for some time.
+    """
+
+    vm: str
     last_contact: float
     rack: str
     had_suspects: bool
+    proven: frozenset[model.Task]
 
 
 class Suspects:
@@ -345,32 +351,53 @@
 
     def _count_all(self, machine: vm.Vm) -> set[model.Task]:
         """Count a VM's crash for all tasks that it may have run; return these."""
-        suspected = self._list_suspected(machine)
-        suspected += self._list_inherited_on(machine.id)
+        is_mass_loss = self._is_mass_loss(machine)
+        if is_mass_loss:
+            self._withdraw_proven(machine)
+        suspected = self._list_suspected(machine, is_mass_loss)
         had_suspects = any(self.count(task) for task in suspected)
-        self._losses = [
-            loss
-            for loss in self._losses
-            if machine.last_contact - loss.last_contact <= LOSS_RETENTION_SECONDS
-        ]
-        loss = _Loss(machine.last_contact, machine.rack, had_suspects)
-        self._losses.append(loss)
-        return {
+        counted = {
             task
             for task in suspected
-            if self._count(task, machine.id, is_test=self._was_test(task, machine))
+            if self._count(
+                task,
+                machine.id,
+                is_test=not is_mass_loss and self._was_test(task, machine),
+            )
         }
+        runs = machine.runs
+        proven = frozenset(t for t in counted if t in runs and is_proven(runs[t]))
+        lost_at = machine.last_contact
+        loss = _Loss(machine.id, lost_at, machine.rack, had_suspects, proven)
+        self._losses = [
+            loss,
+            *(
+                earlier
+                for earlier in self._losses
+                if lost_at - earlier.last_contact <= LOSS_RETENTION_SECONDS
+            ),
+        ]
+        return counted
 
     def _was_test(self, task: model.Task, machine: vm.Vm) -> bool:
-        """Return whether a VM crashed at the start of a test, and not with its rack."""
+        """Return whether a VM crashed at the start of a test."""
         run = machine.runs.get(task)
         if run is None or self._tests.get(task) != machine.id:
             return False
-        return not run.listed_clock and not self._is_mass_loss(machine)
+        return not run.listed_clock
+
+    def _withdraw_proven(self, machine: vm.Vm) -> None:
+        """Withdraw what counted for VMs that were lost with the same rack before."""
+        for loss in self._losses:
+            if not _is_lost_together(loss, machine):
+                continue
+            for task in loss.proven:
+                state = self._jobs.get(task.job)
+                if state is not None and state.withdraw_crash(task, loss.vm):
+                    self._writer.mark_dirty(task.job)
 
-    def _list_suspected(self, machine: vm.Vm) -> list[model.Task]:
+    def _list_suspected(self, machine: vm.Vm, is_mass_loss: bool) -> list[model.Task]:
         """Return the tasks that may have crashed a VM; the others are excused once."""
-        is_mass_loss = self._is_mass_loss(machine)
         runs = [
             run
             for run in machine.runs.values()
@@ -380,7 +407,8 @@
         seen_at_work = {run.task for run in runs if _was_seen_at_work(run)}
         excused = seen_at_work - self._excused
         self._excused |= excused
-        return [run.task for run in runs if run.task not in excused]
+        suspected = [run.task for run in runs if run.task not in excused]
+        return suspected + self._list_inherited_on(machine.id)
 
     def _count(self, task: model.Task, id: str, *, is_test: bool = False) -> bool:
         state = self._jobs.get(task.job)
@@ -419,6 +447,12 @@
         )
 
 
+def _is_lost_together(loss: _Loss, machine: vm.Vm) -> bool:
+    """Return whether a VM was lost at the same time as another one of its rack."""
+    passed = abs(loss.last_contact - machine.last_contact)
+    return loss.rack == machine.rack and passed <= MASS_LOSS_SECONDS
+
+
 def _is_unsent(run: vm.Run) -> bool:
     return run.state is vm.RunState.STARTING and not run.deadline
 
--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -427,6 +427,46 @@
     succession.advance(0.0)
 
 
+def test_rack_of_which_one_vm_is_listed_first_is_a_loss_of_power(succession):
+    """Guards against a long job that fails as its rack's other VMs are listed later."""
+    succession.submit("good")
+    for _ in range(6):
+        if runs := succession.start("good"):
+            succession.work(3.0)
+            lose_rack(succession, runs[0].vm.rack, first=runs[0].vm.id)
+
+    assert succession.get_final("good") is None
+
+
+def test_rack_that_one_list_shows_as_lost_is_a_loss_of_power(make_succession):
+    """Guards against a long job that fails as its rack is dropped VM by VM.
+
+    The VMs that the same list shows as lost count as working until their turn.
+    """
+    succession = make_succession(3, racks=("r1",))
+    succession.submit("good", step(3, spread=1))
+    for _ in range(20):
+        if succession.start("good"):
+            succession.work(3.0)
+            lose_rack(succession, "r1")
+
+    assert succession.get_final("good") is None
+
+
+def test_task_that_has_just_started_as_its_rack_is_lost(make_succession):
+    """Guards against a short job that fails for four losses of power.
+
+    Each takes four VMs at once, of which the task was on one.
+    """
+    succession = make_succession(8)
+    succession.submit("good")
+    for _ in range(4):
+        if runs := succession.start("good"):
+            lose_rack(succession, runs[0].vm.rack)
+
+    assert succession.get_final("good") is None
+
+
 def test_long_task_of_an_earlier_leader_as_its_rack_is_lost(succession):
     """Guards against a long job whose time at work is forgotten with its leader."""
     succession.submit("good")
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -203,8 +203,11 @@
         self.closings_version = version
         self._closed_workers, self._ended_workers = ids, ended
         self.must_scan = True
-        for id in ended.keys() & self.vms.keys():
-            self.drop_vm(self.vms[id], ended[id])
+        lost = [self.vms[id] for id in sorted(ended.keys() & self.vms.keys())]
+        for machine in lost:
+            machine.is_silent = True  # a rack that is lost is recognised by this
+        for machine in lost:
+            self.drop_vm(machine, ended[machine.id])
         for machine in self.vms.values():
             if machine.closed != (machine.id in ids):
                 machine.closed = not machine.closed
