Record excuses, so that a task is excused once over all leaders

A task that crashes its VM only after some work was excused once by each leader, since the excuse was kept in memory; its recorded VM was withdrawn after 2 s, so that a leader that was lost with it left no trace; a lasting one that had worked for 2 s never counted; and a crash of a VM that was to be emptied counted as planned. With changes of leaders each crashed VMs without end.

An excuse now takes the place of the one crash that may be missing from the count, in the job's row: count and excuse together keep to the platform's limit. A task on a closed VM whose end wasn't ordered is excused likewise. The recorded VM stays while the task runs; its VM is no longer kept for the test once the task has worked for 2 s. A lasting task is cleared after 5 s of work, as before after 2 s.

--- a/wigeonhitch/jobs/progress.py
+++ b/wigeonhitch/jobs/progress.py
@@ -42,7 +42,8 @@
         self.test_crashes: dict[model.Task, set[str]] = {}
         """Those of them that crashed as the task was started there alone."""
         self.maybe_uncounted: set[model.Task] = set()
-        """Tasks under which one more VM may have crashed, unseen by any leader."""
+        """Tasks under which one more VM may have crashed: a crash that no leader has
+        seen, or one that was left out as the task had worked there."""
         self.assigned_vms: dict[model.Task, str] = {}
         """The VM on which each task with crashes may be started next, or runs."""
         self.crash_revision = 0
@@ -171,6 +172,14 @@
         self.crash_revision += bool(new)
         return bool(new)
 
+    def excuse(self, task: model.Task) -> bool:
+        """Leave one crash out of a task's count; return False if one was before."""
+        if task in self.maybe_uncounted:
+            return False
+        self.maybe_uncounted.add(task)
+        self.crash_revision += 1
+        return True
+
     def assign_vm(self, task: model.Task, vm: str) -> None:
         """Set the VM on which a task may be started next."""
         self.assigned_vms[task] = vm
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -4,8 +4,8 @@
 that merely ran beside the one at fault look the same. Therefore:
 
 - Each task on a crashed VM is a suspect; one that was seen at work there is excused
-  once. The incarnation of the VM is recorded in the job's progress, so that it counts
-  once, and for later leaders too.
+  once. Both is recorded in the job's progress, a crash under the name of the VM's
+  incarnation, so that each counts once, and for later leaders too.
 - A suspect is assigned to a VM, and that is recorded before it is started there, so
   that a later leader knows which VM to ask for. So are tasks that an earlier leader may
   have started on a VM of which only the end is known; for these it is recorded that one
@@ -17,8 +17,8 @@
   further crash would exceed the platform's limit. The first is near proof; the second
   also counts crashes beside other tasks, of racks, and of VMs that may have been down
   before the start.
-- A run that has worked for some seconds counts only if its task isn't lasting and its
-  VM wasn't lost with a whole rack.
+- A run that has worked for some seconds doesn't count if its VM was lost with a whole
+  rack. A lasting task that has worked for longer is no suspect any more.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -54,6 +54,10 @@
 """Seconds after its start, by the worker's clock, from which a listed run counts as
 seen at work: tasks that crash their VM mostly do so within 0.01 s."""
 
+CLEARED_SECONDS = 5.0
+"""Seconds of work after which the crashes under a lasting task are forgotten: it runs
+for long, and meets crashes that it doesn't cause."""
+
 MASS_LOSS_SECONDS = 3.0
 """Seconds within which VMs that lose power together give their last answers: up to 1.7
 s apart, and more while this daemon is slow."""
@@ -119,8 +123,6 @@
         """Tasks that an earlier leader may have started on their assigned VM."""
         self._tests: dict[model.Task, str] = {}
         """VM of the last test that this leader started, by task."""
-        self._excused: set[model.Task] = set()
-        """Tasks that were seen at work on a VM that crashed, and excused for it."""
         self._losses: list[_Loss] = []
 
     # -- events
@@ -166,13 +168,13 @@
 
     def on_leases_lapsed(self, machine: vm.Vm) -> None:
         """Count a silent VM as crashed, until it answers."""
-        if not (machine.closed or machine.entry.leaving):
+        if not machine.entry.leaving:
             tasks = self._count_all(machine)
             self._doubtful.setdefault(machine.id, set()).update(tasks)
 
     def on_vm_ended(self, machine: vm.Vm, end: vm.VmEnd) -> list[model.Task]:
         """Count the end of a VM; return the tasks that are to be given up."""
-        if end is vm.VmEnd.ORDERED or machine.closed or machine.entry.leaving:
+        if end is vm.VmEnd.ORDERED or machine.entry.leaving:
             self._release_vm(machine.id)
             return []
         tasks = self._count_all(machine)
@@ -201,14 +203,15 @@
         self._tests[task] = id
 
     def on_run_listed(self, run: vm.Run) -> None:
-        """Clear a task that has worked long enough to be no cause of a crash."""
+        """Clear a lasting task that has worked too long to be the cause of a crash."""
         state = self._jobs.get(run.task.job)
         if state is None or not state.is_suspect(run.task):
             return
-        if not is_proven(run):
+        worked = run.listed_at - run.started_at
+        if not run.step.lasting or worked < CLEARED_SECONDS or run.work < 100:
             return
         self.release(run.task)
-        if run.step.lasting and run.work >= 100 and state.clear_crashes(run.task):
+        if state.clear_crashes(run.task):
             self._writer.mark_dirty(run.task.job)
             self._log_event("suspect cleared", **describe_task(run.task))
 
@@ -234,7 +237,6 @@
         """Drop what is known of the tasks of a job."""
         self._suspect_jobs.discard(id)
         self._inherited = {task for task in self._inherited if task.job != id}
-        self._excused = {task for task in self._excused if task.job != id}
         self._tests = {task: vm for task, vm in self._tests.items() if task.job != id}
         for vm_id, tasks in list(self._doubtful.items()):
             tasks -= {task for task in tasks if task.job == id}
@@ -309,7 +311,7 @@
             id
             for state in self._list_open_jobs()
             for task, id in state.assigned_vms.items()
-            if self.must_be_tested(task)
+            if self.must_be_tested(task) and not self._has_passed_test(task)
         }
 
     def list_assigned(self) -> list[Assigned]:
@@ -337,6 +339,10 @@
         states = (self._jobs.get(id) for id in self._suspect_jobs)
         return [state for state in states if state is not None and _is_open(state)]
 
+    def _has_passed_test(self, task: model.Task) -> bool:
+        run = self._live.get(task)
+        return run is not None and is_proven(run)
+
     def _get_assigned_vm(self, task: model.Task) -> str:
         state = self._jobs.get(task.job)
         return state.assigned_vms.get(task, "") if state is not None else ""
@@ -397,18 +403,31 @@
                     self._writer.mark_dirty(task.job)
 
     def _list_suspected(self, machine: vm.Vm, is_mass_loss: bool) -> list[model.Task]:
-        """Return the tasks that may have crashed a VM; the others are excused once."""
-        runs = [
-            run
-            for run in machine.runs.values()
-            if not _is_unsent(run)
-            and (not is_proven(run) or not (run.step.lasting or is_mass_loss))
+        """Return the tasks that may have crashed a VM.
+
+        Those that were seen at work there, or were on a VM that was to be emptied, are
+        excused once.
+        """
+        suspected = []
+        for run in machine.runs.values():
+            if _is_unsent(run) or (is_proven(run) and is_mass_loss):
+                continue
+            is_unlikely = machine.closed or _was_seen_at_work(run)
+            if not (is_unlikely and self._excuse(run.task)):
+                suspected.append(run.task)
+        inherited = self._list_inherited_on(machine.id)
+        return suspected + [
+            task for task in inherited if not (machine.closed and self._excuse(task))
         ]
-        seen_at_work = {run.task for run in runs if _was_seen_at_work(run)}
-        excused = seen_at_work - self._excused
-        self._excused |= excused
-        suspected = [run.task for run in runs if run.task not in excused]
-        return suspected + self._list_inherited_on(machine.id)
+
+    def _excuse(self, task: model.Task) -> bool:
+        """Leave a crash out of a task's count; return False if one was before."""
+        state = self._jobs.get(task.job)
+        if state is None or not _is_open(state) or not state.excuse(task):
+            return False
+        self._suspect_jobs.add(task.job)
+        self._writer.mark_dirty(task.job)
+        return True
 
     def _count(self, task: model.Task, id: str, *, is_test: bool = False) -> bool:
         state = self._jobs.get(task.job)
@@ -439,10 +458,10 @@
         ]
         if any(not peer.is_silent for peer in peers):
             return False
-        return bool(peers) or any(
-            loss.rack == machine.rack
-            and not loss.had_suspects
-            and abs(loss.last_contact - lost_at) <= MASS_LOSS_SECONDS
+        return any(
+            abs(peer.last_contact - lost_at) <= MASS_LOSS_SECONDS for peer in peers
+        ) or any(
+            not loss.had_suspects and _is_lost_together(loss, machine)
             for loss in self._losses
         )
 
--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -287,6 +287,34 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+@pytest.mark.parametrize("changes", [1, 6])
+def test_task_that_was_seen_at_work_is_excused_once(succession, changes):
+    """Guards against a task that each leader excuses anew for having worked 0.5 s."""
+    succession.submit("bad")
+    for _ in range(changes):
+        if runs := succession.start():
+            succession.work(0.5)
+            succession.crash(runs[0].vm.id)
+            succession.bench.commit()
+            succession.lead()
+
+    if len(succession.crashed) <= MAX_CRASHED_VMS:
+        succession.crash_until_given_up(0.5)
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+def test_excuse_after_a_crash_that_no_leader_saw(succession):
+    """Guards against a sixth crash where one was unseen and another was excused."""
+    succession.submit("bad")
+    succession.crash(succession.start()[0].vm.id, seen=False)
+    succession.lead()
+
+    succession.crash_until_given_up(0.5)
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 def test_list_of_runs_that_is_processed_late_excuses_no_task(succession):
     """Guards against a task that counts as seen at work as its leader was slow.
 
@@ -310,6 +338,45 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_assigned_vm_is_kept_while_the_task_works_there(succession):
+    """Guards against a task that crashes its VM after 2 s, each time with the leader.
+
+    Its recorded VM is withdrawn after 2 s, so that the successor counts nothing.
+    """
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        succession.work(2.5)
+        succession.bench.commit()
+        succession.crash(runs[0].vm.id, seen=False)
+        succession.lead()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+def test_lasting_task_that_crashes_each_vm_after_some_seconds(succession):
+    """Guards against a lasting task that crashes VMs without end after 2 s of work."""
+    succession.submit("bad", step(lasting=True))
+
+    succession.crash_until_given_up(2.5)
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+def test_late_crash_beside_a_silent_vm_is_no_loss_of_power(succession):
+    """Guards against a task that crashes VMs without end after 2 s of work.
+
+    The only other VM of the rack is silent, so that each crash counts as a rack's.
+    """
+    succession.submit("bad")
+    succession.unreachable = {"w2", "w3"}
+    for id in succession.unreachable:
+        succession.bench.pool.vms[id].is_silent = True
+
+    succession.crash_until_given_up(2.5)
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 def test_end_of_an_earlier_run_keeps_the_assigned_vm(succession):
     """Guards against a late end of an earlier run that withdraws the recorded VM."""
     succession.submit("bad")
@@ -391,6 +458,20 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_crash_of_a_vm_that_is_closed_after_the_start(succession):
+    """Guards against a crash that counts as planned, as the VM was to be emptied."""
+    succession.submit("bad")
+    for _ in range(2):
+        (run,) = succession.start()
+        succession.tell_closings([run.vm.id])
+        succession.crash(run.vm.id)
+        succession.bench.commit()
+
+    succession.crash_until_given_up()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 # -- crashes that are counted for a task that didn't cause them
 
 
