Record the VMs of a suspected gang before it starts

A gang whose member crashes its VM, with its leader, was started for ever: the starts of a gang weren't recorded, as it takes many VMs, so a successor counted nothing. And a gang that ran beside four tasks that crash their VMs failed, since one crash was always taken as missing from its count. Nothing changes for gangs that aren't suspects.

--- a/wigeonhitch/pool/assignment.py
+++ b/wigeonhitch/pool/assignment.py
@@ -10,7 +10,7 @@
 from wigeonhitch.jobs import model
 from wigeonhitch.pool import core, placement, suspect, vm
 
-__all__ = ["find_vm"]
+__all__ = ["find_gang_vms", "find_vm"]
 
 TEST_VM_DIVISOR = 2
 """Divisor of the open VMs that gives, rounded up, the most VMs that are kept for tests:
@@ -66,6 +66,42 @@
     return None
 
 
+def find_gang_vms(
+    pool: core.Pool,
+    placer: placement.Placer,
+    tasks: list[model.Task],
+    allowed: frozenset[str] | None,
+    now: float,
+) -> list[vm.Vm]:
+    """Return the recorded VMs of a gang of suspects, if it can be started there now.
+
+    They are withdrawn if one of them can't be used, so that others can be recorded.
+    """
+    state = pool.jobs[tasks[0].job]
+    for task in tasks:
+        id = state.assigned_vms.get(task)
+        if id is None or id in pool.vms:
+            continue
+        if pool.suspects.on_missing_vm(task, pool.get_end(id)):
+            pool.give_up(task)
+            return []
+    machines = [
+        pool.vms[state.assigned_vms[task]]
+        for task in tasks
+        if task in state.assigned_vms
+    ]
+    is_usable = len(machines) == len(tasks) and all(
+        placer.has_room(machine) and (allowed is None or machine.id in allowed)
+        for machine in machines
+    )
+    if is_usable:
+        return machines if state.are_crashes_recorded else []
+    if not any(_is_in_doubt(machine, now) for machine in machines):
+        for task in tasks:
+            pool.suspects.release(task)
+    return []
+
+
 def _choose_apart(
     pool: core.Pool,
     placer: placement.Placer,
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -307,6 +307,10 @@
             if is_recorded and task in state.assigned_vms:
                 starts.extend(self._place_recorded(placer, state, task, now))
                 continue
+            if step.gang and task in state.assigned_vms:
+                if task.index == 0:
+                    self._place_gang(placer, state, task, now, starts)
+                continue
             is_suspect = has_suspects and state.count_crashes(task) > 0
             group = (task.occurrence, task.step, is_suspect)
             if group in full_steps or step.reserved.cpu > placer.max_free_cpu:
@@ -409,19 +413,22 @@
             return
         if any(self.pool.suspects.must_be_given_up(task) for task in tasks):
             return
-        racks = placer.list_racks() if step.same_rack else [""]
         tickets = self._get_tickets(state, first, now)
         allowed = None if tickets is None else frozenset(tickets)
-        for rack in racks:
-            chosen = _choose_gang_vms(placer, tasks, step, rack, allowed)
-            if chosen:
-                number = self.pool.next_gang_run_number(tasks)
-                for task, machine in zip(tasks, chosen, strict=True):
-                    ticket = tickets[machine.id] if tickets else ""
-                    starts.append(
-                        self._start(state, task, number, machine, now, ticket)
-                    )
+        if any(task in state.assigned_vms for task in tasks):
+            chosen = assignment.find_gang_vms(self.pool, placer, tasks, allowed, now)
+        else:
+            chosen = _choose_gang_vms(placer, tasks, step, allowed)
+            if any(state.is_suspect(task) for task in tasks):
+                for task, machine in zip(tasks, chosen, strict=False):
+                    self.pool.suspects.assign(task, machine.id)
                 return
+        if not chosen:
+            return
+        number = self.pool.next_gang_run_number(tasks)
+        for task, machine in zip(tasks, chosen, strict=True):
+            ticket = tickets[machine.id] if tickets else ""
+            starts.append(self._start(state, task, number, machine, now, ticket))
 
     def _start(
         self,
@@ -447,7 +454,20 @@
     placer: placement.Placer,
     tasks: list[model.Task],
     step: model.Step,
+    allowed: frozenset[str] | None,
+) -> list[vm.Vm]:
+    """Choose a VM for each of the tasks, or none; in one rack if the step requires."""
+    for rack in placer.list_racks() if step.same_rack else [""]:
+        if chosen := _choose_vms_in(rack, placer, tasks, step, allowed):
+            return chosen
+    return []
+
+
+def _choose_vms_in(
     rack: str,
+    placer: placement.Placer,
+    tasks: list[model.Task],
+    step: model.Step,
     allowed: frozenset[str] | None,
 ) -> list[vm.Vm]:
     """Choose a VM for each of the tasks, or release all room and return none."""
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -251,17 +251,13 @@
         return state.count_crashes(task) if state is not None else 0
 
     def must_be_given_up(self, task: model.Task) -> bool:
-        """Return whether a task has to be taken for the cause of its crashes.
-
-        The starts of a gang aren't recorded, so a crash may always be missing.
-        """
+        """Return whether a task has to be taken for the cause of its crashes."""
         state = self._jobs.get(task.job)
         if state is None:
             return False
         if len(state.test_crashes.get(task, ())) >= MAX_TEST_CRASHES:
             return True
-        is_gang = state.job.steps[task.step].gang
-        maybe_uncounted = is_gang or task in state.maybe_uncounted
+        maybe_uncounted = task in state.maybe_uncounted
         return state.count_crashes(task) + maybe_uncounted >= MAX_CRASHES
 
     def is_in_doubt(self, task: model.Task) -> bool:
--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -287,6 +287,17 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_gang_whose_leader_is_lost_with_each_crash(succession):
+    """Guards against a gang that is started for ever, as its VMs aren't recorded."""
+    succession.submit("bad", step(2, gang=True))
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        crashed = runs[0].vm.id
+        succession.crash(crashed, seen=False)
+        succession.lead()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 @pytest.mark.parametrize("changes", [1, 6])
 def test_task_that_was_seen_at_work_is_excused_once(succession, changes):
     """Guards against a task that each leader excuses anew for having worked 0.5 s."""
@@ -567,3 +578,25 @@
             lose_rack(succession, machine.rack)
 
     assert succession.get_final("good") is None
+
+
+def test_gang_beside_tasks_that_crash_their_vms(make_succession):
+    """Guards against a gang that fails for four other jobs, since it isn't tested."""
+    succession = make_succession(2)
+    succession.submit("good", step(2, gang=True, spread=1))
+    for number in range(4):
+        runs = succession.start("good")
+        if not runs:
+            break
+        id = f"bad{number}"
+        succession.submit(id, step(cpu=7000))
+        (guilty,) = succession.start(id)
+        assert guilty.vm in [run.vm for run in runs]
+        succession.crash(guilty.vm.id)
+        for run in runs:
+            succession.bench.pool.remove_run(run)
+        del succession.jobs[id]
+        succession.bench.pool.jobs[id].cancelled = True
+        succession.bench.commit()
+
+    assert succession.get_final("good") is None
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -310,7 +310,7 @@
         """Return whether a task is started only on a VM that is recorded before.
 
         These are the tasks under which a VM has crashed, and those of which an earlier
-        leader may have seen that without recording it. A gang has too many VMs.
+        leader may have seen that without recording it. A gang's are recorded together.
         """
         return state.is_suspect(task) and not state.job.steps[task.step].gang
 
