Return a VM and drain the next one in the round that finds it back

Operators saw waves over a pool with one spare VM take two rounds longer for each VM than its reboot and drain need. In test_waves_end_in_time_after_a_daemon_is_lost_and_a_pool_shrinks VM v002 was still rebooting after the 40 rounds of the check; all was done after 52.

Cause, from a trace of each round: a round decided what to look at from the rows before its own steps. The VMs to check were chosen before a VM's return, when the pool had no spare VM; so nobody was checked, the budget read "0 up, 3 must be up", and the next stop began a round later, after 2 s since nothing was under way. And a VM listed with its new boot number was marked as checking, but checked only in the next round. So each of the eight stops of pool a took five rounds: drain, reboot, one in which it reboots, check, return.

Ruled out by the same trace: lost or late reboot requests (14 requested in the rounds of their commits, each once); the 78 s of the lost daemon waited more than once (rounds 1 to 13, all four drains together, later drains one round); a move that blocks a wave (v008 arrives in the round of the first reboots); a budget charged twice (four VMs, three required: one at a time).

A return is still two commits, check and return, with the same conditions, after a check made in this round and after the list that shows the new boot number; a stop still needs the pool's required VMs checked in this round. The same change mends the wait of a pool without a spare VM for its round after a borrowed VM arrived.

Of the five new test cases four failed before; the fifth, a VM that is back but not healthy, passed before and after.

--- a/wigeonhitch/fleet/observer.py
+++ b/wigeonhitch/fleet/observer.py
@@ -232,14 +232,16 @@
     """Return the VMs whose health the next decisions depend on.
 
     These are all VMs of pools in which a drain is under way, or in which a stop
-    could begin if every listed VM were healthy; in other pools only VMs that have
-    returned from a stop. During a wave over the whole fleet, this avoids checks
-    in pools that wait for a rebooting VM and have no further spare VM.
+    could begin in this round if every listed VM were healthy; in other pools only
+    VMs that have returned from a stop. A VM that returns or arrives in this round
+    can make a stop possible, so the round's steps are assumed to be done. During a
+    wave over the whole fleet, this avoids checks in pools that wait for a rebooting
+    VM and have no further spare VM.
     """
     view = snapshot.view
     listed = frozenset(snapshot.observation.machines)
-    optimistic = snapshot._replace(
-        observation=snapshot.observation._replace(healthy=listed)
+    optimistic = assume_steps(
+        snapshot._replace(observation=snapshot.observation._replace(healthy=listed))
     )
     possible_stops = (
         *move.pick_moves(optimistic).changes,
@@ -255,9 +257,19 @@
     )
 
 
+def assume_steps(snapshot: wave.Snapshot) -> wave.Snapshot:
+    """Return the snapshot after all steps of stops that it allows."""
+    if all(row.state is state.VmState.UP for row in snapshot.view.vms.values()):
+        return snapshot
+    assumed = snapshot._replace(view=snapshot.view.copy())
+    while steps := wave.advance(assumed)[0]:
+        assumed.view.vms.update((step.row.vm, step.row) for step in steps)
+    return assumed
+
+
 def has_returned(row: state.VmRow, observation: state.Observation) -> bool:
     """Return whether a stopped VM is live with a higher boot number."""
-    stopped = (state.VmState.CHECKING, state.VmState.DOWN)
-    if row.state not in stopped or not observation.is_live(row.vm):
+    in_use = (state.VmState.UP, state.VmState.DRAINING)
+    if row.state in in_use or not observation.is_live(row.vm):
         return False
     return observation.machines[row.vm].boot > row.boot
--- a/wigeonhitch/fleet/runner.py
+++ b/wigeonhitch/fleet/runner.py
@@ -24,7 +24,7 @@
 
 # Time between rounds without a stop under way.
 ROUND_INTERVAL_SECONDS = 2.0
-# Time between rounds while a stop is under way. Each stop takes four rounds, so
+# Time between rounds while a stop is under way. Each stop takes three rounds, so
 # the interval adds to every roll-out. At 4 to 5 reads per round this costs ten
 # reads per second on one daemon, only while a wave or move runs.
 BUSY_ROUND_INTERVAL_SECONDS = 0.5
@@ -98,9 +98,11 @@
 
     async def _execute(self, snapshot: wave.Snapshot) -> str:
         """Commit every step that the snapshot allows, each on the latest view."""
-        steps = wave.advance(snapshot)[0]
-        if not await self._commit_all(steps):
-            return "a step was not committed"
+        # A VM that is back and healthy is checked and returned in one round: a step
+        # that waits for the next round leaves the pool's spare VM unused.
+        while steps := wave.advance(snapshot)[0]:
+            if not await self._commit_all(steps):
+                return "a step was not committed"
         await self._request_reboots(snapshot)
         membership_changes = move.release(
             snapshot, self.seen.missing
--- a/wigeonhitch/fleet/state.py
+++ b/wigeonhitch/fleet/state.py
@@ -218,6 +218,13 @@
         """Return the revision up to which the rows of all prefixes are included."""
         return min(self.revisions.values())
 
+    def copy(self) -> "FleetView":
+        """Return a view with the same rows, which changes independently."""
+        view = FleetView()
+        view.vms, view.pools = dict(self.vms), dict(self.pools)
+        view.waves, view.revisions = dict(self.waves), dict(self.revisions)
+        return view
+
     def apply_scan(self, prefix: str, result: table.ReadResult) -> None:
         """Apply the rows of one successful scan of ``prefix``."""
         self.apply_rows(result.rows)
--- a/wigeonhitch/fleet/tests/test_decisions.py
+++ b/wigeonhitch/fleet/tests/test_decisions.py
@@ -239,6 +239,20 @@
     assert names[8] in observer.list_vms_to_check(snapshot)
 
 
+@pytest.mark.parametrize("name", ["REBOOTING", "CHECKING"])
+def test_pool_is_checked_when_a_vm_that_is_back_makes_a_stop_possible(name):
+    rows = build_rows({"a": 3, "b": 3})
+    rows[0] = rows[0]._replace(state=state.VmState[name], boot=0, wave="w")
+    snapshot = build_snapshot(
+        [build_pool(name, 3, 2) for name in "ab"], rows, waves=(build_wave("a"),)
+    )
+    assert observer.list_vms_to_check(snapshot) == []
+    listed = snapshot.observation.machines
+    listed["v000"] = listed["v000"]._replace(boot=1)
+    assert observer.list_vms_to_check(snapshot) == ["v000", "v001", "v002"]
+    assert snapshot.view.vms["v000"] == rows[0]
+
+
 @pytest.mark.parametrize("name", ["REBOOTING", "CHECKING", "DOWN"])
 def test_stopped_vm_returns_only_with_a_higher_boot_number(name):
     # A late reboot request for this boot number could still cut requests off.
--- a/wigeonhitch/fleet/tests/test_runner.py
+++ b/wigeonhitch/fleet/tests/test_runner.py
@@ -1,5 +1,7 @@
 import pytest
 
+from standins import platformfleet
+from wigeonhitch.configuration import document
 from wigeonhitch.fleet import move, state, view
 from wigeonhitch.fleet.tests import conftest
 
@@ -217,3 +219,65 @@
     )
     await fleet_runner.step()
     assert {row.state for row in world.vms().values()} == {state.VmState.UP}
+
+
+async def test_vm_returns_and_the_next_stop_begins_in_the_round_that_lists_it(world):
+    """A pool with one spare VM waited two rounds for each of its VMs.
+
+    A VM that was listed with its new boot was checked only in the next round, and the
+    rest of its pool, without which no stop may begin, in the one after that.
+    """
+    fleet_runner = world.build()
+    await run_rounds(world, fleet_runner, 2)
+    world.start("x")
+    await run_rounds(world, fleet_runner, 2)
+    (first,) = (vm for vm, row in world.vms().items() if row.state.value == "rebooting")
+    world.fake.advance(platformfleet.DEFAULT_REBOOT_SECONDS)
+    await fleet_runner.step()
+    rows = world.vms()
+    assert (rows[first].state, rows[first].done) == (state.VmState.UP, ("x",))
+    (second,) = (row for row in rows.values() if row.state is state.VmState.DRAINING)
+    assert (second.pool, second.wave) == ("a", "x")
+    # The history keeps both steps of the return.
+    steps = [
+        row.value["what"]
+        for row in world.store.scan("history/fleet/", 0)
+        if row.value.get("vm") == first
+    ]
+    assert steps[-4:] == ["take", "reboot", "check", "return"]
+
+
+async def test_vm_that_is_back_but_not_healthy_stays_under_its_stop(world):
+    fleet_runner = world.build()
+    await run_rounds(world, fleet_runner, 2)
+    world.start("x")
+    await run_rounds(world, fleet_runner, 2)
+    (first,) = (vm for vm, row in world.vms().items() if row.state.value == "rebooting")
+    world.sick.add(first)
+    world.fake.advance(platformfleet.DEFAULT_REBOOT_SECONDS)
+    await run_rounds(world, fleet_runner, 5)
+    rows = world.vms()
+    assert rows.pop(first).state is state.VmState.CHECKING
+    assert {row.state for row in rows.values()} == {state.VmState.UP}
+
+
+async def test_stop_begins_in_the_round_in_which_a_borrowed_vm_arrives(world):
+    """A pool without a spare VM was checked only in the round after the arrival."""
+    without_spare, buffer = world.accepted.pools
+    world.accepted = world.accepted._replace(
+        pools=(
+            without_spare._replace(must_be_up=document.Budget(number=4)),
+            buffer._replace(must_be_up=document.Budget(number=0)),
+        ),
+        weights=document.Weights(moves=2.0),  # one VM is lent, not two
+    )
+    fleet_runner = world.build()
+    await run_rounds(world, fleet_runner, 2)
+    world.start("x")
+    await run_rounds(world, fleet_runner, 1)
+    (borrowed,) = (row for row in world.vms().values() if row.target)
+    assert (borrowed.pool, borrowed.target) == ("b", "a")
+    await fleet_runner.step()
+    rows = world.vms()
+    assert rows[borrowed.vm].pool == "a"
+    assert [row.pool for row in rows.values() if row.wave] == ["a"]
