Keep fields of progress rows that a newer version has written, and keep rows small

A daemon of an earlier version that leads a pool during an update dropped what newer ones had recorded in the progress rows, as it wrote only the fields that it knew: crashes began to count anew. Fields that aren't known are now kept as they were read. It helps from this version on; one before it still drops what it doesn't know. Tasks of which a crash may be missing are written as bits by step, as done ones are: a step of 4,000 tasks took some 30 KB of the store's 64 KB a row. Two tests, of which the first failed before; the second failed on the list of names.

--- a/wigeonhitch/jobs/progress.py
+++ b/wigeonhitch/jobs/progress.py
@@ -46,6 +46,8 @@
         seen, or one that was left out as the task had worked there."""
         self.assigned_vms: dict[model.Task, str] = {}
         """The VM on which each task with crashes may be started next, or runs."""
+        self.unknown_fields: dict[str, object] = {}
+        """Fields of the progress row that a newer version has written."""
         self.crash_revision = 0
         """Number of changes of the crashes and of the assigned VMs."""
         self.recorded_crash_revision = 0
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -34,6 +34,21 @@
     "max_unavailable",
 )
 
+PROGRESS_FIELDS = frozenset(
+    {
+        "final",
+        "started",
+        "done",
+        "failed",
+        "saved",
+        "crashed",
+        "tested",
+        "uncounted",
+        "assigned",
+    }
+)
+"""Fields of a progress row that this version reads."""
+
 
 class JobRecord(NamedTuple):
     """Content of a job row: an open job, or only the final state of one.
@@ -111,19 +126,20 @@
     """Return the progress row of a job; once it is final, only its final state."""
     if state.final is not None:
         return orjson.dumps({"final": state.final.value})
-    done = {
-        f"{occurrence}.{step}": _write_set(indices)
-        for (occurrence, step), indices in state.done.items()
-    }
+    done = _write_sets(state.done)
+    uncounted: dict[tuple[int, int], set[int]] = {}
+    for task in state.maybe_uncounted:
+        uncounted.setdefault((task.occurrence, task.step), set()).add(task.index)
     failed = {_write_task(t): sorted(runs) for t, runs in state.failed_runs.items()}
     saved = {_write_task(t): text for t, text in state.checkpoints.items()}
     row = {"started": state.started, "done": done, "failed": failed, "saved": saved}
     crashed = {_write_task(t): sorted(vms) for t, vms in state.crashed_vms.items()}
     assigned = {_write_task(t): vm for t, vm in state.assigned_vms.items()}
     tested = {_write_task(t): sorted(vms) for t, vms in state.test_crashes.items()}
-    uncounted = sorted(_write_task(t) for t in state.maybe_uncounted)
-    row.update(crashed=crashed, assigned=assigned, tested=tested, uncounted=uncounted)
-    return orjson.dumps({key: part for key, part in row.items() if part})
+    row.update(crashed=crashed, assigned=assigned, tested=tested)
+    row["uncounted"] = _write_sets(uncounted)
+    known = {key: part for key, part in row.items() if part}
+    return orjson.dumps(state.unknown_fields | known)
 
 
 def read_final(value: bytes) -> model.JobState | None:
@@ -133,14 +149,16 @@
 
 
 def read_progress(state: progress.Progress, value: bytes) -> None:
-    """Update ``state`` from a progress row."""
+    """Update ``state`` from a progress row.
+
+    Fields that a newer version has added are kept for the next write.
+    """
     state.final = read_final(value)
     state.is_final_durable = state.final is not None
     row = orjson.loads(value)
+    state.unknown_fields = {k: v for k, v in row.items() if k not in PROGRESS_FIELDS}
     state.started = row.get("started", False)
-    for key, mask in row.get("done", {}).items():
-        occurrence, step = key.split(".")
-        state.done[int(occurrence), int(step)] = _read_set(mask)
+    state.done.update(_read_sets(row.get("done", {})))
     for key, runs in row.get("failed", {}).items():
         state.failed_runs[_read_task(state.job.id, key)] = set(runs)
     for key, text in row.get("saved", {}).items():
@@ -149,8 +167,10 @@
         state.crashed_vms[_read_task(state.job.id, key)] = set(vms)
     for key, vms in row.get("tested", {}).items():
         state.test_crashes[_read_task(state.job.id, key)] = set(vms)
-    for key in row.get("uncounted", ()):
-        state.maybe_uncounted.add(_read_task(state.job.id, key))
+    for (occurrence, number), indices in _read_sets(row.get("uncounted", {})).items():
+        state.maybe_uncounted.update(
+            model.Task(state.job.id, occurrence, number, index) for index in indices
+        )
     for key, vm in row.get("assigned", {}).items():
         state.assigned_vms[_read_task(state.job.id, key)] = vm
 
@@ -181,6 +201,18 @@
     return model.Task(job, int(occurrence), int(step), int(index))
 
 
+def _write_sets(sets: dict[tuple[int, int], set[int]]) -> dict[str, str]:
+    return {f"{k}.{step}": _write_set(indices) for (k, step), indices in sets.items()}
+
+
+def _read_sets(fields: dict[str, str]) -> dict[tuple[int, int], set[int]]:
+    sets = {}
+    for key, mask in fields.items():
+        occurrence, step = key.split(".")
+        sets[int(occurrence), int(step)] = _read_set(mask)
+    return sets
+
+
 def _write_set(indices: set[int]) -> str:
     return format(sum(1 << index for index in indices), "x")
 
--- a/wigeonhitch/jobs/tests/test_jobs.py
+++ b/wigeonhitch/jobs/tests/test_jobs.py
@@ -116,3 +116,24 @@
         model.JobState.FAILED,
         12.25,
     )
+
+
+def test_progress_keeps_fields_of_a_newer_version():
+    """Guards against records that are lost while daemons of two versions lead."""
+    state = make_state(model.Step(1))
+    record.read_progress(state, b'{"started":true,"later":{"0.0.0":["w1"]}}')
+
+    assert b'"later":{"0.0.0":["w1"]}' in record.write_progress(state)
+
+
+def test_progress_row_of_a_wide_step_stays_small():
+    """Guards against rows beyond the store's limit where all tasks are marked."""
+    state = make_state(model.Step(4000))
+    tasks = set(state.list_open_tasks(0.0))
+    state.record_uncounted(tasks)
+    value = record.write_progress(state)
+    restored = progress.Progress(state.job, 1, 0.0)
+    record.read_progress(restored, value)
+
+    assert len(value) < 2000
+    assert restored.maybe_uncounted == tasks
