Ask in the soak that a job whose task crashes VMs becomes final in time

The soak asked only that such a task crashes five workers at most; a job that was never given up, and tested for ever or not at all, went unseen. It must now be final within 14 s after the last VM of its pool that a task has crashed, with the crashes of a task beyond its fifth left out. For all other jobs the 14 s after the last fault stay as they were, also where tasks crash the VMs of their pool. Tests on a simulated clock hold both sides.

--- a/standins/soak/audit.py
+++ b/standins/soak/audit.py
@@ -3,7 +3,7 @@
 import collections
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from standins import siteworker, taskhistory
@@ -11,7 +11,11 @@
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import http
 
-__all__ = ["Observations", "check"]
+__all__ = ["SETTLE_SECONDS", "Observations", "check", "compute_deadline"]
+
+SETTLE_SECONDS = 14.0
+"""Time after the last fault in which every accepted job becomes final; one whose own
+task crashes VMs has it from the last VM that a task has crashed."""
 
 RECOVERY_SECONDS = 3.0
 """Time after a fault until time limits are guaranteed again."""
@@ -42,12 +46,18 @@
 
 
 class Observations(NamedTuple):
-    """Records of a run."""
+    """Records of a run.
+
+    No fault is injected and no job is submitted after ``settled_from``.
+    ``queue_pools`` are the pools in which the jobs of a queue may be.
+    """
 
     jobs: list[caller.SubmittedJob]
     calls: list[caller.Call]
     spans: list[fault.Span]
     vm_fleet: vmfleet.VmFleet
+    queue_pools: Mapping[str, set[str]]
+    settled_from: float
     ended: float
 
     def is_disturbed(self, begin: float, end: float, target: str = "") -> bool:
@@ -84,6 +94,39 @@
     ]
 
 
+def compute_deadline(observed: Observations, job: caller.SubmittedJob) -> float:
+    """Return the time by which an accepted job must be final.
+
+    A job whose task crashes VMs is tested on several, each of which is down for some
+    seconds, so its time is counted anew from the return of each VM of its pool that a
+    task has crashed. Workers beyond `MAX_CRASHED_VMS` of one task are left out: it
+    should have been given up by then.
+    """
+    deadline = observed.settled_from + SETTLE_SECONDS
+    if not job.crashes_vms:
+        return deadline
+    pools = observed.queue_pools[job.queue.name]
+    for outage in sorted(_list_allowed_outages(observed)):
+        if outage.pool in pools and outage.begin < deadline:
+            deadline = max(deadline, outage.end + SETTLE_SECONDS)
+    return deadline
+
+
+def _list_allowed_outages(observed: Observations) -> list[vmfleet.Outage]:
+    """Return the outages by tasks that have crashed no more workers than they may."""
+    crashing = {job.id for job in observed.jobs if job.crashes_vms}
+    outages = {outage.worker: outage for outage in observed.vm_fleet.outages}
+    counts: collections.Counter[model.Task] = collections.Counter()
+    allowed = []
+    for event in observed.vm_fleet.events:
+        if event.kind != "start" or event.task.job not in crashing:
+            continue
+        counts[event.task] += 1
+        if counts[event.task] <= MAX_CRASHED_VMS and event.worker in outages:
+            allowed.append(outages[event.worker])
+    return allowed
+
+
 def _check_shrunk_capacity(
     observed: Observations, get_size: Callable[[model.Task], int]
 ) -> list[str]:
@@ -323,7 +366,7 @@
             continue
         if job.is_lasting:
             violations.extend(_check_lasting_running(observed, job, name))
-        elif not job.final and not job.crashes_vms:
+        elif not job.final and observed.ended >= compute_deadline(observed, job):
             violations.append(f"accepted job never became final: {name}")
         if job.final == "completed" and len(ends.get(job.id, ())) < _count_tasks(job):
             violations.append(f"completed without all ends: {name}")
--- a/standins/soak/environment.py
+++ b/standins/soak/environment.py
@@ -125,6 +125,8 @@
     daemons : list of Daemon
     links : dict of str to relay.Relay
         Links to the workers, by VM.
+    queue_pools : dict of str to set of str
+        Pools that a configuration has assigned to each queue.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -132,6 +134,7 @@
         self.vm_fleet = vmfleet.VmFleet(self.store.rows, rng)
         self.daemons: list[Daemon] = []
         self.links: dict[str, relay.Relay] = {}
+        self.queue_pools: dict[str, set[str]] = {}
 
     def write_catalogue(self, version: int, extra: int = 0) -> None:
         """Write a configuration; ``extra`` additional routes lead to the first pool.
@@ -141,7 +144,10 @@
         pools = [queue.pool for queue in QUEUES]
         first = (version - 1) % len(pools)
         reassigned = zip(QUEUES, pools[first:] + pools[:first], strict=True)
-        routes = [_write_route(queue._replace(pool=pool)) for queue, pool in reassigned]
+        routes = []
+        for queue, pool in reassigned:
+            self.queue_pools.setdefault(queue.name, set()).add(pool)
+            routes.append(_write_route(queue._replace(pool=pool)))
         for number in range(extra):
             extra_queue = Queue(f"more-{number}", f"more{number}.example", "/", "alpha")
             routes.append(_write_route(extra_queue))
--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -22,8 +22,8 @@
 START_TIMEOUT_SECONDS = 20.0
 """Time in which a daemon becomes ready, also on a busy machine."""
 
-SETTLE_SECONDS = 14.0
-"""Time after the last fault in which every accepted job becomes final."""
+MIN_SETTLE_SECONDS = audit.SETTLE_SECONDS / 2
+"""Time after the last fault that lasting tasks get to run."""
 
 MAX_CONNECTIONS = 200
 """Connections of the callers; each is kept until the daemon's process exits."""
@@ -141,13 +141,17 @@
             if leaders:
                 group.start_soon(callers.run_at_claims, seconds)
             await injector.run(faults)
-        await _settle(callers)
-        observed = audit.Observations(
-            callers.jobs,
-            callers.calls,
-            injector.spans,
-            site.vm_fleet,
-            http.read_clock(),
+        observed = await _settle(
+            callers,
+            audit.Observations(
+                callers.jobs,
+                callers.calls,
+                injector.spans,
+                site.vm_fleet,
+                site.queue_pools,
+                settled_from=http.read_clock(),
+                ended=0.0,
+            ),
         )
         return Result(
             seed,
@@ -180,22 +184,31 @@
     return answer.status_code == 200
 
 
-async def _settle(callers: caller.Callers) -> None:
-    """Query all jobs until they are final, and give lasting ones time to run."""
-    started = http.read_clock()
-    while http.read_clock() < started + SETTLE_SECONDS:
+async def _settle(
+    callers: caller.Callers, observed: audit.Observations
+) -> audit.Observations:
+    """Query all jobs until they are final or one is overdue; lasting ones may run.
+
+    Return the observations with the time of the end.
+    """
+    while True:
         unfinished = [
             job
-            for job in callers.jobs
+            for job in observed.jobs
             if job.accepted
             and not job.final
             and not job.is_lasting
             and not job.cancelled
         ]
+        now = http.read_clock()
+        end = min(
+            (audit.compute_deadline(observed, job) for job in unfinished),
+            default=observed.settled_from + MIN_SETTLE_SECONDS,
+        )
+        if now >= end:
+            return observed._replace(ended=now)
         for job in unfinished:
             await callers.query(job)
-        if not unfinished and http.read_clock() > started + SETTLE_SECONDS / 2:
-            return
         await anyio.sleep(0.3)
 
 
--- a/standins/soak/vmfleet.py
+++ b/standins/soak/vmfleet.py
@@ -18,6 +18,7 @@
     "VM_MILLICORES",
     "Capacity",
     "Order",
+    "Outage",
     "Vm",
     "VmFleet",
 ]
@@ -70,6 +71,15 @@
     millicores: int
 
 
+class Outage(NamedTuple):
+    """Time for which a VM is down because a task has crashed its worker."""
+
+    begin: float
+    end: float
+    worker: str
+    pool: str
+
+
 class _DelayedCall(NamedTuple):
     """A call that a worker carries out later without answering it."""
 
@@ -125,6 +135,8 @@
         Times at which workers wrote that they leave, by worker.
     capacities : list of Capacity
         Changes of the capacity of workers.
+    outages : list of Outage
+        Outages that tasks have caused.
     """
 
     def __init__(self, rows: rowstore.RowStore, rng: random.Random) -> None:
@@ -133,6 +145,7 @@
         self.orders: list[Order] = []
         self.drained: dict[str, float] = {}
         self.capacities: list[Capacity] = []
+        self.outages: list[Outage] = []
         self.vms: dict[str, Vm] = {}
         self._rng = rng
         self._delayed_calls: list[_DelayedCall] = []
@@ -255,7 +268,9 @@
 
     def _advance(self, vm: Vm, now: float) -> None:
         if vm.worker is not None and not vm.worker.alive:
-            self.crash(vm, self._rng.uniform(*CRASH_SECONDS))  # under a task
+            duration = self._rng.uniform(*CRASH_SECONDS)
+            self.outages.append(Outage(now, now + duration, vm.worker.id, vm.pool))
+            self.crash(vm, duration)
         if vm.worker is not None:
             run_count = len(vm.worker.runs)
             vm.worker.advance(now)
--- a/standins/soak/without.py
+++ b/standins/soak/without.py
@@ -12,7 +12,7 @@
 from wigeonhitch.leadership import core as leadership
 from wigeonhitch.leadership import record, term
 from wigeonhitch.platform import entries
-from wigeonhitch.pool import core, ledger, vm
+from wigeonhitch.pool import core, ledger, suspect, vm
 from wigeonhitch.site import acceptance, main, message
 
 __all__ = ["MECHANISMS", "run"]
@@ -97,6 +97,11 @@
     acceptance._build_transaction = build_transaction
 
 
+def keep_crashing_tasks() -> None:
+    """Never give up a task that crashes its VMs."""
+    suspect.MAX_TEST_CRASHES = suspect.MAX_CRASHES = sys.maxsize
+
+
 MECHANISMS: dict[str, Callable[[], None]] = {
     mechanism.__name__: mechanism
     for mechanism in (
@@ -110,6 +115,7 @@
         claim_by_owner_alone,
         order_after_the_end,
         accept_without_condition,
+        keep_crashing_tasks,
     )
 }
 
--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -44,11 +44,16 @@
     return job
 
 
-def make_observations(job, events=(), *, calls=(), spans=(), orders=()):
+def make_observations(
+    job, events=(), *, calls=(), spans=(), orders=(), settled_from=80.0
+):
     site = vmfleet.VmFleet(None, random.Random(1))
     site.events.extend(siteworker.Event(*event) for event in events)
     site.orders.extend(orders)
-    return audit.Observations([job], list(calls), list(spans), site, 100.0)
+    pools = {queue.name: {queue.pool} for queue in environment.QUEUES}
+    return audit.Observations(
+        [job], list(calls), list(spans), site, pools, settled_from, 100.0
+    )
 
 
 VALID_HISTORY = (
@@ -189,6 +194,112 @@
     )
 
 
+class SettlingCallers:
+    """Callers on a simulated clock, whose job becomes final at a given time."""
+
+    def __init__(self, monkeypatch, final_at):
+        self.now = 0.0
+        self._final_at = final_at
+        monkeypatch.setattr(main.http, "read_clock", lambda: self.now)
+        monkeypatch.setattr(main.anyio, "sleep", self._sleep)
+
+    async def _sleep(self, seconds):
+        self.now += seconds
+
+    async def query(self, job):
+        if self.now >= self._final_at:
+            job.final = "failed" if job.crashes_vms else "completed"
+
+
+async def settle(monkeypatch, job, crashed_at, *, pool="alpha", final_at=1e9):
+    """Settle a job while one task crashes a VM for 2 s at each of the given times."""
+    culprit = make_job()
+    culprit.id, culprit.crashes_vms = "00000000000000bb", True
+    observed = make_observations(job, VALID_HISTORY, settled_from=0.0)
+    observed.jobs.append(culprit)
+    guilty = job if job.crashes_vms else culprit
+    task = model.Task(guilty.id, 0, 0, 1)
+    fleet = observed.vm_fleet
+    for number, at in enumerate(crashed_at):
+        worker = f"crashed{number}"
+        fleet.outages.append(vmfleet.Outage(at, at + 2.0, worker, pool))
+        for kind in ("start", "end"):
+            fleet.events.append(siteworker.Event(at, kind, worker, task, number + 9))
+    callers = SettlingCallers(monkeypatch, final_at)
+    observed = await main._settle(callers, observed)
+    late = [line for line in audit.check(observed) if "never became final" in line]
+    return observed.ended, late
+
+
+@pytest.mark.parametrize(
+    ("crashed_at", "final_at", "ended"),
+    [
+        ((), 13.0, 13.0),
+        ((10.0,), 25.0, 25.0),
+        ((0.0, 4.0, 8.0, 12.0, 16.0), 31.0, 31.0),
+    ],
+)
+async def test_job_that_crashes_vms_has_its_time_after_the_last_one(
+    monkeypatch, crashed_at, final_at, ended
+):
+    """Guards against runs that fail though no scheduler could test the job in time."""
+    job = make_job()
+    job.final, job.crashes_vms = "", True
+
+    time, late = await settle(monkeypatch, job, crashed_at, final_at=final_at)
+
+    assert late == []
+    assert ended <= time < ended + 1.0
+
+
+@pytest.mark.parametrize(
+    ("crashed_at", "pool", "ended"),
+    [
+        ((), "alpha", 14.0),
+        ((2.0,), "alpha", 18.0),
+        ((2.0, 18.1), "alpha", 18.0),
+        ((2.0,), "beta", 14.0),
+        ((0.0, 1.0, 2.0, 3.0, 4.0, 12.0), "alpha", 20.0),
+    ],
+)
+async def test_job_that_crashes_vms_and_is_not_given_up_is_found(
+    monkeypatch, crashed_at, pool, ended
+):
+    """Guards against crashes that excuse a job of another pool, one that had time
+    enough between them, or a task that isn't given up."""
+    job = make_job()
+    job.final, job.crashes_vms = "", True
+
+    time, late = await settle(monkeypatch, job, crashed_at, pool=pool)
+
+    assert len(late) == 1
+    assert ended <= time < ended + 1.0
+
+
+async def test_job_beside_tasks_that_crash_vms_has_no_more_time(monkeypatch):
+    job = make_job()
+    job.final = ""
+
+    time, late = await settle(monkeypatch, job, (2.0, 10.0))
+
+    assert len(late) == 1
+    assert 14.0 <= time < 15.0
+
+
+@pytest.mark.parametrize(("final_at", "count"), [(24.0, 0), (1e9, 1)])
+async def test_job_whose_task_crashes_workers_without_end_is_found(
+    monkeypatch, final_at, count
+):
+    job = make_job()
+    job.final, job.crashes_vms = "", True
+    crashed_at = [4.0 * number for number in range(25)]
+
+    time, late = await settle(monkeypatch, job, crashed_at, final_at=final_at)
+
+    assert len(late) == count
+    assert time < 33.0
+
+
 def test_truncated_answer_is_found_unless_its_daemon_had_a_fault():
     call = caller.Call("d", 10.0, 10.5, "GET", JOB, 0, None, error_name="ReadError")
     kill = fault.Span(10.2, 10.2, "kill", "d")
