Count VMs that tests have crashed as used by tests while others wait

Tests were to take half of a pool at most, but a VM that a test had crashed no longer counted, neither as used nor as part of the pool, and the next test took one of those that were left.

A test is now assigned a VM only if, with the VMs that tests have crashed in the last 4 s, no more than half of the pool is used. A VM that all other tasks leave without work may still be assigned by the former count, so that the queue of tests isn't held up beside idle VMs. What is recorded, counted and given up is unchanged.

--- a/wigeonhitch/pool/assignment.py
+++ b/wigeonhitch/pool/assignment.py
@@ -13,8 +13,8 @@
 __all__ = ["find_gang_vms", "find_vm"]
 
 TEST_VM_DIVISOR = 2
-"""Divisor of the open VMs that gives, rounded up, the most VMs that are kept for tests:
-each test may cost its VM for some seconds, and the pool's other tasks need the rest."""
+"""Divisor of the VMs that gives, rounded up, the most VMs that tests may use: each test
+may cost its VM for some seconds, and the pool's other tasks need the rest."""
 
 DOUBT_SECONDS = 4.0
 """Seconds after the leases of a silent VM have lapsed during which its suspects aren't
@@ -28,6 +28,8 @@
     task: model.Task,
     allowed: frozenset[str] | None,
     now: float,
+    *,
+    are_others_placed: bool = False,
 ) -> vm.Vm | None:
     """Return the VM on which a suspect may be started now.
 
@@ -38,6 +40,9 @@
     ----------
     allowed : frozenset of str, optional
         VMs that the queue's policy allows.
+    are_others_placed : bool
+        Whether the round has placed all other tasks, so that a VM that none of them
+        needs may be assigned for a test even if tests have just crashed others.
     """
     state = pool.jobs[task.job]
     is_test = pool.suspects.must_be_tested(task)
@@ -59,8 +64,13 @@
         if _is_in_doubt(machine, now):
             return None
         pool.suspects.release(task)
-    choose = _choose_for_test if is_test else _choose_apart
-    chosen = choose(pool, placer, task, allowed)
+    if not is_test:
+        chosen = _choose_apart(pool, placer, task, allowed)
+    elif are_others_placed:
+        chosen = _choose_for_test(pool, placer, task, allowed, must_be_idle=True)
+    else:
+        lost = _count_lost_to_tests(pool, placer, now)
+        chosen = _choose_for_test(pool, placer, task, allowed, lost=lost)
     if chosen is not None:
         pool.suspects.assign(task, chosen.id)
     return None
@@ -116,14 +126,34 @@
     )
 
 
+def _count_lost_to_tests(pool: core.Pool, placer: placement.Placer, now: float) -> int:
+    """Return how many VMs tests have crashed, including those not yet known as gone."""
+    silent = (pool.suspects.list_test_vms() & pool.vms.keys()) - placer.kept
+    return pool.suspects.count_test_losses(now) + len(silent)
+
+
 def _choose_for_test(
     pool: core.Pool,
     placer: placement.Placer,
     task: model.Task,
     allowed: frozenset[str] | None,
+    *,
+    lost: int = 0,
+    must_be_idle: bool = False,
 ) -> vm.Vm | None:
-    """Choose the VM with the fewest tasks that would have to end first."""
-    if len(placer.kept) >= math.ceil(placer.open_count / TEST_VM_DIVISOR):
+    """Choose the VM with the fewest tasks that would have to end first.
+
+    Parameters
+    ----------
+    lost : int
+        VMs that tests have crashed and that count as used by tests.
+    must_be_idle : bool
+        Whether the VM must have no other task that may crash it, neither running nor
+        placed in this round.
+    """
+    if len(placer.kept) + lost >= math.ceil(
+        (placer.open_count + lost) / TEST_VM_DIVISOR
+    ):
         return None
     step = pool.jobs[task.job].job.steps[task.step]
     candidates = [
@@ -133,6 +163,7 @@
         and placer.is_eligible(machine, task, step)
         and (allowed is None or machine.id in allowed)
         and _fits_beside_proven(machine, step)
+        and (not must_be_idle or _is_idle(placer, machine))
     ]
     if not candidates:
         return None
@@ -176,5 +207,14 @@
 
 
 def _fits_beside_proven(machine: vm.Vm, step: model.Step) -> bool:
+    return step.reserved.fits_in(_compute_room_beside_proven(machine))
+
+
+def _is_idle(placer: placement.Placer, machine: vm.Vm) -> bool:
+    """Return whether no room is taken but by tasks that are no cause of a crash."""
+    return placer.free[machine.id] == _compute_room_beside_proven(machine)
+
+
+def _compute_room_beside_proven(machine: vm.Vm) -> model.Room:
     proven = [run for run in machine.runs.values() if suspect.is_proven(run)]
-    return step.reserved.fits_in(machine.compute_room_beside(proven))
+    return machine.compute_room_beside(proven)
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -251,10 +251,7 @@
         for task in self.pool.suspects.list_given_up():
             if not self.pool.suspects.is_in_doubt(task):
                 self.pool.give_up(task)
-        for task in self.pool.suspects.list_waiting_tests():
-            state = self.pool.jobs[task.job]
-            if self._is_free(task) and not self.pool.may_have_run(state):
-                starts.extend(self._place_recorded(placer, state, task, now))
+        self._place_tests(placer, now, starts)
         keyed = [
             (self._get_key(id, wall_time), id)
             for id, tasks in self._open_tasks.items()
@@ -267,9 +264,29 @@
             unmet = self._place_job(placer, state, now, starts)
             if key.group <= priority.ON_TIME:
                 self.unmet += unmet
+        self._place_tests(placer, now, starts, are_others_placed=True)
         self.unmet = max(self.unmet, self._missing_vms * self._get_largest_vm_cpu())
         return starts
 
+    def _place_tests(
+        self,
+        placer: placement.Placer,
+        now: float,
+        starts: list[message.Start],
+        *,
+        are_others_placed: bool = False,
+    ) -> None:
+        """Start the tests whose VM is recorded and ready, and assign VMs to others."""
+        for task in self.pool.suspects.list_waiting_tests():
+            state = self.pool.jobs[task.job]
+            if not self._is_free(task) or self.pool.may_have_run(state):
+                continue
+            starts.extend(
+                self._place_recorded(
+                    placer, state, task, now, are_others_placed=are_others_placed
+                )
+            )
+
     def _get_largest_vm_cpu(self) -> int:
         """Return the millicores of the largest VM."""
         return max(
@@ -357,13 +374,17 @@
         state: progress.Progress,
         task: model.Task,
         now: float,
+        *,
+        are_others_placed: bool = False,
     ) -> list[message.Start]:
         """Start a task that may crash its VM, once that VM is recorded."""
         if now < self.pool.not_before.get(task, 0.0):
             return []
         tickets = self._get_tickets(state, task, now)
         allowed = None if tickets is None else frozenset(tickets)
-        chosen = assignment.find_vm(self.pool, placer, task, allowed, now)
+        chosen = assignment.find_vm(
+            self.pool, placer, task, allowed, now, are_others_placed=are_others_placed
+        )
         if chosen is None:
             return []
         number = self.pool.next_run_number(task)
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -12,7 +12,8 @@
   crash may be missing from their count.
 - Suspects are placed apart from each other.
 - A task under which two VMs have crashed is tested: it is started only alone, on a VM
-  that has just answered, and about half of the pool at most is used for that.
+  that has just answered, and about half of the pool at most is used for that. While
+  other tasks wait, VMs that tests have crashed count as part of that half.
 - A task is given up, and its job has failed, at the second crash of a test, or when a
   further crash would exceed the platform's limit. The first is near proof; the second
   also counts crashes beside other tasks, of racks, and of VMs that may have been down
@@ -45,6 +46,10 @@
 """Seconds since a VM's last answer within which a test is started there: a VM that is
 already down would count against the task. A silent VM is noticed only after 0.7 s."""
 
+TEST_LOSS_SECONDS = 4.0
+"""Seconds from the last answer of a VM that crashed under a test for which the pool is
+taken to lack it: the VM is back about 3.3 s after its crash."""
+
 PROVEN_SECONDS = 2.0
 """Seconds that a run must have worked on its VM to be an unlikely cause of a later
 crash: tasks that crash their VM mostly do so as they start. A test of a lasting task
@@ -79,14 +84,16 @@
 class _Loss(NamedTuple):
     """A VM that crashed.
 
-    ``had_suspects`` tells whether a suspect ran on it, ``proven`` are the tasks that
-    count although they had worked for some time.
+    ``had_suspects`` tells whether a suspect ran on it, ``had_test`` whether one was
+    being tested there, and ``proven`` are the tasks that count although they had worked
+    for some time.
     """
 
     vm: str
     last_contact: float
     rack: str
     had_suspects: bool
+    had_test: bool
     proven: frozenset[model.Task]
 
 
@@ -310,6 +317,13 @@
             if self.must_be_tested(task) and not self._has_passed_test(task)
         }
 
+    def count_test_losses(self, now: float) -> int:
+        """Return how many VMs have crashed under tests and are hardly back yet."""
+        return sum(
+            loss.had_test and now - loss.last_contact < TEST_LOSS_SECONDS
+            for loss in self._losses
+        )
+
     def list_assigned(self) -> list[Assigned]:
         """Return the tasks that wait for their start on a VM, but for tests."""
         return [
@@ -370,7 +384,14 @@
         runs = machine.runs
         proven = frozenset(t for t in counted if t in runs and is_proven(runs[t]))
         lost_at = machine.last_contact
-        loss = _Loss(machine.id, lost_at, machine.rack, had_suspects, proven)
+        loss = _Loss(
+            machine.id,
+            lost_at,
+            machine.rack,
+            had_suspects,
+            any(self._tests.get(task) == machine.id for task in runs),
+            proven,
+        )
         self._losses = [
             loss,
             *(
--- a/wigeonhitch/pool/tests/test_crashes.py
+++ b/wigeonhitch/pool/tests/test_crashes.py
@@ -360,6 +360,44 @@
     assert len(site.pool.suspects.list_test_vms()) == 4
 
 
+@pytest.mark.parametrize("do_others_wait", [True, False])
+def test_tests_leave_a_vm_to_others_while_crashed_ones_are_away(
+    make_bench, make_site, do_others_wait
+):
+    """Guards against a small pool that does nothing but test suspects.
+
+    A VM that a test had crashed no longer counted as used by tests, and the next test
+    took one of those that were left, until the pool had none for other tasks.
+    """
+    site = make_site(make_bench(), 3)
+    for number in range(3):
+        count_crashes(site, f"bad{number}", 2)
+    if do_others_wait:
+        site.bench.add_job("other", step(40))
+    tested = [run.vm for run in site.start() if run.task.job != "other"]
+    while len(tested) < 2:
+        tested += [run.vm for run in site.start() if run.task.job != "other"]
+    for machine in tested:
+        site.vms.remove(machine)
+        site.report(machine, vm.VmEnd.LOST)
+    (left,) = site.vms
+    for run in list(left.runs.values()):
+        site.finish(run)
+    site.bench.commit()
+
+    started = site.bench.start(site.now)
+
+    used = {left.id} - {run.vm.id for run in started}
+    assert site.pool.suspects.list_test_vms() == used
+    assert bool(started) == do_others_wait
+
+    site.advance(suspect.TEST_LOSS_SECONDS)
+    for run in started:
+        site.finish(run)
+    site.bench.start(site.now)
+    assert site.pool.suspects.list_test_vms() == {left.id}
+
+
 def test_suspects_are_spread_over_the_vms(make_bench, make_site):
     """Guards against suspects that make each other suspect by sharing a VM."""
     site = make_site(make_bench(), 8)
