Read fewer parts of a pool at a time while the store doesn't answer

A new leader reads all 64 parts of its pool at once.

Two connections are now left to other calls, and each failed read halves the number that may wait at a time, down to 4; each success adds one. While the store answers nothing changes: 64 parts still take three rounds of reads.

--- a/wigeonhitch/platform/http.py
+++ b/wigeonhitch/platform/http.py
@@ -15,7 +15,13 @@
 
 from wigeonhitch.platform import table
 
-__all__ = ["Client", "Reply", "open_client", "read_clock"]
+__all__ = [
+    "MAX_CONNECTIONS_PER_ADDRESS",
+    "Client",
+    "Reply",
+    "open_client",
+    "read_clock",
+]
 
 MAX_CONNECTIONS_PER_ADDRESS = 24
 """A worker accepts 64 connections in all, and two leaders may overlap at a
--- a/wigeonhitch/pool/source.py
+++ b/wigeonhitch/pool/source.py
@@ -27,6 +27,13 @@
 RETRY_DELAY_SECONDS = 0.1
 """Seconds before a failed call is retried."""
 
+MAX_PARALLEL_READS = http.MAX_CONNECTIONS_PER_ADDRESS - 2
+"""Parts of a pool that are read at a time; the other connections are left to renewals
+of the lease."""
+
+MIN_PARALLEL_READS = 4
+"""The same while the store doesn't answer in time."""
+
 
 class Source:
     """Reads and follows the rows of one pool.
@@ -49,6 +56,7 @@
         self._wake = wake
         self._log_event = pool.log_event
         self._job_table = pool_record.get_job_table(pool.name)
+        self._reads = anyio.CapacityLimiter(MAX_PARALLEL_READS)
         self._unreadable: set[str] = set()
         """Jobs whose rows can't be read; their progress rows are left alone."""
         self._job_parts = frozenset(pool_record.list_job_parts())
@@ -99,7 +107,7 @@
         return version
 
     async def _load_jobs(self) -> int:
-        """Read all parts of the jobs in parallel; return the oldest version."""
+        """Read all parts of the jobs, many in parallel; return the oldest version."""
         versions: list[int] = []
 
         async def load(part: str) -> None:
@@ -114,12 +122,21 @@
         return min(versions)
 
     async def _read_all(self, table_name: str, part: str) -> rows.Range:
+        """Read a part until that succeeds, with fewer others at a time after failures.
+
+        A store that can't answer all reads in time would answer none: they time out
+        together and are all repeated.
+        """
         while True:
-            read_range = await self._store.read(
-                table_name, part, timeout=READ_TIMEOUT_SECONDS
-            )
+            async with self._reads:
+                read_range = await self._store.read(
+                    table_name, part, timeout=READ_TIMEOUT_SECONDS
+                )
+            limit = self._reads.total_tokens
             if read_range.outcome is table.Outcome.DONE:
+                self._reads.total_tokens = min(MAX_PARALLEL_READS, limit + 1)
                 return read_range
+            self._reads.total_tokens = max(MIN_PARALLEL_READS, limit // 2)
             self._log_event(
                 "rows could not be read", table=table_name, reason=read_range.reason
             )
