Count waiting jobs by the path by which they were submitted

What callers saw: once a configuration had replaced a route by one of another name for the same host and path, GET of the path said that 0 jobs wait, while 4 did.

Cause: a pool's status counts waiting jobs by the name of the queue that accepted them, and the count read the present name only. What stays the same for callers is the path, and neither a job's row nor the status held it, so no daemon that had started since could know which names belong together.

Now the row of an open job keeps the path of its submission, leaders count by name and path, and a job counts for the route that has its path, or, if the asked daemon's configuration has none, for the one that has its queue's name. That is right after a restart of all daemons, since it needs nothing but rows; whichever configuration the leader has; and for queues that share a pool, whose paths differ. Jobs whose rows hold no path, of an earlier version, count by name, and by the names that the daemon has seen for the path and that no other route has. Earlier versions ignore the new fields.

Ruled out: names that daemons remember (lost when all restart), and counts of names without a route given to the pool's routes (a removed queue's jobs would be another queue's).

Left: a job without a path in its row whose route was replaced before the asked daemon started, and one whose route got another name and path at once, count for no queue; a former pool is found up to 10 s late, as after a move.

--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -9,6 +9,7 @@
 __all__ = [
     "MAX_VALUE",
     "MAX_OPEN_TASKS",
+    "UNKNOWN_PATH",
     "Advice",
     "Catalogue",
     "End",
@@ -17,6 +18,7 @@
     "Pool",
     "Queue",
     "Room",
+    "RoutePath",
     "Step",
     "Task",
     "Terms",
@@ -207,6 +209,21 @@
     validity: float
 
 
+class RoutePath(NamedTuple):
+    """Host and path prefix by which callers reach a queue.
+
+    Callers know nothing else of a queue: a configuration may give its name, its pool
+    and its terms to another one.
+    """
+
+    host: str = ""
+    prefix: str = ""
+
+
+UNKNOWN_PATH = RoutePath()
+"""Path of jobs that an earlier version accepted without recording it."""
+
+
 class Queue(NamedTuple):
     """One queue of the configuration in force.
 
@@ -225,6 +242,11 @@
     timeout: float = 0.0
     advice: Advice | None = None
 
+    @property
+    def path(self) -> RoutePath:
+        """The path by which callers reach it."""
+        return RoutePath(self.host, self.prefix)
+
 
 class Pool(NamedTuple):
     """One pool of VMs; the VMs of a standby pool are powered off."""
--- a/wigeonhitch/jobs/progress.py
+++ b/wigeonhitch/jobs/progress.py
@@ -23,10 +23,19 @@
         Version of the job's row; it changes when the job is cancelled.
     accepted : float
         Unix time of its acceptance.
+    path : model.RoutePath
+        Path by which it was submitted, empty if unknown.
     """
 
-    def __init__(self, job: model.Job, version: int, accepted: float) -> None:
+    def __init__(
+        self,
+        job: model.Job,
+        version: int,
+        accepted: float,
+        path: model.RoutePath = model.UNKNOWN_PATH,
+    ) -> None:
         self.job = job
+        self.path = path
         self.version = version
         self.accepted = accepted
         self.cancelled = False
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -39,7 +39,8 @@
     """Content of a job row: an open job, or only the final state of one.
 
     ``finished`` is the store's time in seconds when the row was reduced to the final
-    state, ``pool`` the pool that accepted the job.
+    state, ``pool`` the pool that accepted the job. ``path`` is the path by which it was
+    submitted; rows of earlier versions have none.
     """
 
     job: model.Job | None
@@ -48,10 +49,15 @@
     final: model.JobState | None = None
     finished: float = 0.0
     pool: str = ""
+    path: model.RoutePath = model.UNKNOWN_PATH
 
 
 def write_job(
-    job: model.Job, pool: str, accepted: float, cancelled: bool = False
+    job: model.Job,
+    pool: str,
+    accepted: float,
+    cancelled: bool = False,
+    path: model.RoutePath = model.UNKNOWN_PATH,
 ) -> bytes:
     """Return the row of an open job; ``accepted`` is a Unix time."""
     row: dict[str, Any] = {
@@ -69,6 +75,8 @@
         row["terms"] = list(job.terms)
     if job.is_advised:
         row["advised"] = True
+    if path != model.UNKNOWN_PATH:
+        row["path"] = list(path)
     if cancelled:
         row["cancelled"] = True
     return orjson.dumps(row)
@@ -99,7 +107,8 @@
     policy = (row.get("attempts", 1), row.get("advised", False), terms)
     job = model.Job(id, row["queue"], row["spec"], steps, *schedule, *policy)
     cancelled = row.get("cancelled", False)
-    return JobRecord(job, row["accepted"], cancelled, pool=row["pool"])
+    path = model.RoutePath(*row.get("path", ()))
+    return JobRecord(job, row["accepted"], cancelled, pool=row["pool"], path=path)
 
 
 def is_cancelled(value: bytes) -> bool:
--- a/wigeonhitch/pool/record.py
+++ b/wigeonhitch/pool/record.py
@@ -5,12 +5,15 @@
 
 import orjson
 
+from wigeonhitch.jobs import model
+
 __all__ = [
     "STATUS_TABLE",
     "HOLDER_TABLE",
     "JOB_TABLE",
     "PROGRESS_TABLE",
     "ROSTER_TABLE",
+    "PathCount",
     "PoolStatus",
     "list_job_parts",
     "get_job_part",
@@ -56,6 +59,14 @@
     return [f"~job.{number}" for number in range(JOB_PARTS)]
 
 
+class PathCount(NamedTuple):
+    """Number of jobs without a started task that a queue accepted by one path."""
+
+    queue: str
+    path: model.RoutePath
+    jobs: int
+
+
 class PoolStatus(NamedTuple):
     """Status of a pool as published by its leader.
 
@@ -84,6 +95,9 @@
     closings: int = 0
     """The store's version up to which the leader knew the closed VMs; published with
     ``empty``."""
+    waiting_by_path: tuple[PathCount, ...] = ()
+    """Those of ``waiting`` whose path is known. A configuration may give a queue's name
+    or its path to another queue while the jobs wait."""
 
 
 def write_roster(address: str) -> bytes:
@@ -106,6 +120,10 @@
         status.batch_capacity,
         status.arriving_demand,
     ]
+    if status.waiting_by_path:
+        row["paths"] = [
+            [queue, *path, jobs] for queue, path, jobs in status.waiting_by_path
+        ]
     if status.empty:
         row["empty"] = list(status.empty)
         row["closings"] = status.closings
@@ -126,4 +144,10 @@
     status = PoolStatus(
         row["waiting"], *figures, empty, light, bare, *row.get("need", ())
     )
-    return status._replace(closings=row.get("closings", 0))
+    waiting_by_path = tuple(
+        PathCount(queue, model.RoutePath(host, prefix), jobs)
+        for queue, host, prefix, jobs in row.get("paths", ())
+    )
+    return status._replace(
+        closings=row.get("closings", 0), waiting_by_path=waiting_by_path
+    )
--- a/wigeonhitch/pool/status.py
+++ b/wigeonhitch/pool/status.py
@@ -1,5 +1,7 @@
 """Status of a pool that its leader publishes to other daemons."""
 
+import collections
+
 from wigeonhitch.jobs import model
 from wigeonhitch.pool import demand, record, view, vm
 
@@ -20,9 +22,13 @@
     )
     empty = tuple(sorted(machine.id for machine in list_empty_vms(pool)))
     light = [machine for machine in pool.vms.values() if _is_light(machine)]
+    waiting: collections.Counter[str] = collections.Counter()
+    counts = _count_waiting(pool)
+    for entry in counts:
+        waiting[entry.queue] += entry.jobs
     # Figures are rounded, so that the row isn't rewritten for each small change.
     return record.PoolStatus(
-        _count_waiting(pool),
+        dict(waiting),
         _round_down(unmet),
         _round_down(idle),
         empty,
@@ -33,6 +39,7 @@
         _round_down(compute_batch_capacity(pool)),
         _round_down(demanded.arriving),
         pool.closings_version if empty else 0,
+        tuple(entry for entry in counts if entry.path != model.UNKNOWN_PATH),
     )
 
 
@@ -65,14 +72,15 @@
     ]
 
 
-def _count_waiting(pool: view.PoolView) -> dict[str, int]:
-    """Return the number of jobs without a started task, by queue."""
-    waiting: dict[str, int] = {}
-    for state in pool.jobs.values():
-        if state.state is model.JobState.QUEUED and not state.job.times:
-            queue = state.job.queue
-            waiting[queue] = waiting.get(queue, 0) + 1
-    return waiting
+def _count_waiting(pool: view.PoolView) -> list[record.PathCount]:
+    """Return the number of jobs without a started task, by queue and path."""
+    counts = collections.Counter(
+        (state.job.queue, state.path)
+        for state in pool.jobs.values()
+        if state.state is model.JobState.QUEUED and not state.job.times
+    )
+    # Sorted, so that an equal status isn't written again.
+    return [record.PathCount(*key, counts[key]) for key in sorted(counts)]
 
 
 def _is_light(machine: vm.Vm) -> bool:
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -125,7 +125,7 @@
         if job_state is None and self.compactor.is_final(id, version):
             return  # the row is an older copy, from a read that began earlier
         if job_state is None:
-            job_state = progress.Progress(row.job, version, row.accepted)
+            job_state = progress.Progress(row.job, version, row.accepted, row.path)
             self.job_locations[id] = location
             self.jobs[id] = job_state
             self._update_mean_work(row.job)
--- a/wigeonhitch/site/acceptance.py
+++ b/wigeonhitch/site/acceptance.py
@@ -89,7 +89,7 @@
     )
     location = (pool_record.get_job_part(job.id), job.id)
     no_holder = rows.Condition(pool_record.HOLDER_TABLE, *location, 0)
-    value = record.write_job(stored_job, queue.pool, time.time())
+    value = record.write_job(stored_job, queue.pool, time.time(), path=queue.path)
     return rows.Transaction(
         (no_holder,),
         (
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -128,6 +128,7 @@
         return catalogue.queues if catalogue else ()
 
     def _on_catalogue(self) -> None:
+        self.handler.on_catalogue()
         for runner in self._runners.values():
             runner.on_queues(self._get_queues())
 
--- a/wigeonhitch/site/handler.py
+++ b/wigeonhitch/site/handler.py
@@ -45,7 +45,7 @@
         self._get_catalogue = get_catalogue
         self._instruments = instruments
         self._jobs = jobrows.JobReader(store)
-        self._waiting = waiting.WaitingJobCounter(store)
+        self._waiting = waiting.WaitingJobCounter(store, get_catalogue)
         self._acceptance = acceptance.Acceptance(store, is_store_unreachable)
 
     @property
@@ -70,6 +70,10 @@
             return message.Answer(message.Verdict.NO_QUEUE)
         return max(candidates, key=lambda queue: len(queue.prefix))
 
+    def on_catalogue(self) -> None:
+        """Take note of a new configuration in force."""
+        self._waiting.on_catalogue()
+
     async def submit(self, queue: model.Queue, job: model.Job) -> message.Answer:
         """Accept a job durably, once."""
         started_at = http.read_clock()
@@ -129,7 +133,11 @@
         row = stored.row
         parsed = stored.parsed
         value = record.write_job(
-            parsed.job, parsed.pool, parsed.accepted, cancelled=True
+            parsed.job,
+            parsed.pool,
+            parsed.accepted,
+            cancelled=True,
+            path=parsed.path,
         )
         condition = rows.Condition(row.table, row.part, row.key, row.version)
         write = rows.Write(row.table, row.part, row.key, value)
--- a/wigeonhitch/site/waiting.py
+++ b/wigeonhitch/site/waiting.py
@@ -1,4 +1,11 @@
-"""Counts the jobs of a queue that have not started, in all pools that hold some."""
+"""Counts the jobs of a queue that have not started, in all pools that hold some.
+
+Callers ask by a path. A job belongs to the route of the path by which it was
+submitted, whatever the name and the pool of that route are by now. Where no route has
+that path any more, it belongs to the route that has its queue's name.
+"""
+
+from collections.abc import Callable
 
 import anyio
 
@@ -20,19 +27,37 @@
     ----------
     store : rows.RowStore
         The platform's store.
+    get_catalogue : callable
+        Returns the configuration in force, if any.
     """
 
-    def __init__(self, store: rows.RowStore) -> None:
+    def __init__(
+        self,
+        store: rows.RowStore,
+        get_catalogue: Callable[[], model.Catalogue | None],
+    ) -> None:
         self._store = store
-        self._queues_by_pool: dict[str, frozenset[str]] = {}
-        """Names of the queues with waiting jobs in each pool, as last read."""
+        self._get_catalogue = get_catalogue
+        self._statuses: dict[str, pool_record.PoolStatus] = {}
+        """Status of each pool as last read."""
+        self._names_by_path: dict[model.RoutePath, set[str]] = {}
+        """Names that the route of each path had in the configurations seen so far.
+        Only jobs of rows without a path are counted by them."""
         self._scanned_at: float | None = None
 
+    def on_catalogue(self) -> None:
+        """Take note of the names in the configuration in force."""
+        for queue in self._list_queues():
+            self._names_by_path.setdefault(queue.path, set()).add(queue.name)
+
     async def count(self, queue: model.Queue) -> int | rows.Range:
         """Return how many jobs wait, or the failed read of a pool's status."""
+        self.on_catalogue()
         await self._scan_statuses()
         holding_pools = (
-            pool for pool, names in self._queues_by_pool.items() if queue.name in names
+            pool
+            for pool, status in self._statuses.items()
+            if self._count_in_status(status, queue)
         )
         total = 0
         for pool in dict.fromkeys((queue.pool, *holding_pools)):
@@ -41,9 +66,37 @@
                 return result
             for row in result.rows:
                 status = pool_record.read_status(row.value or b"")
-                total += status.waiting.get(queue.name, 0)
+                total += self._count_in_status(status, queue)
+        return total
+
+    def _list_queues(self) -> tuple[model.Queue, ...]:
+        catalogue = self._get_catalogue()
+        return catalogue.queues if catalogue else ()
+
+    def _count_in_status(
+        self, status: pool_record.PoolStatus, queue: model.Queue
+    ) -> int:
+        """Return how many of a pool's waiting jobs belong to a queue."""
+        total = 0
+        without_path = dict(status.waiting)
+        paths_in_force = {other.path for other in self._list_queues()}
+        for entry in status.waiting_by_path:
+            without_path[entry.queue] = without_path.get(entry.queue, 0) - entry.jobs
+            has_no_route = entry.path not in paths_in_force
+            if entry.path == queue.path or (has_no_route and entry.queue == queue.name):
+                total += entry.jobs
+        for name in self._list_names(queue):
+            total += max(0, without_path.get(name, 0))
         return total
 
+    def _list_names(self, queue: model.Queue) -> set[str]:
+        """Return the names that a queue has or had, unless another queue has them."""
+        former = self._names_by_path.get(queue.path, set())
+        taken = {
+            other.name for other in self._list_queues() if other.path != queue.path
+        }
+        return {queue.name, *(former - taken)}
+
     async def _scan_statuses(self) -> None:
         """Read the status of each pool, unless the last scan is recent."""
         now = http.read_clock()
@@ -67,6 +120,5 @@
             pool_record.STATUS_TABLE, pool, timeout=jobrows.CALL_TIMEOUT_SECONDS
         )
         for row in result.rows:
-            status = pool_record.read_status(row.value or b"")
-            self._queues_by_pool[pool] = frozenset(status.waiting)
+            self._statuses[pool] = pool_record.read_status(row.value or b"")
         return result
