Put a refused start back among the calls once it may be repeated

In the product's own protocol a job could stay STARTING for ever on a usable worker. A holder learns that an unconfirmed start was refused, and its lease lapses in the same step: nothing is placed, and the job leaves the set of those with a call to make, since a refused start is none. The lease is renewed under the same token, no other worker has room, and the start is allowed again on its worker; but nothing put the job back into the set.

Where no other worker has room, the job is put back now. The usual order, with both in one step, kept the job in the set and is unchanged.

Found by going through the sets from which something is dropped, after.

--- a/wigeonhitch/placement/reassignment.py
+++ b/wigeonhitch/placement/reassignment.py
@@ -36,6 +36,8 @@
             pool_round.candidates.values(), (item.cores, item.memory), **options
         )
         if candidate is None:
+            # The call was dropped if the refused start stood for more than a step.
+            shard.pending_calls.add(name)
             entry.refused = False
             continue
         candidate.allocate(item.cores, item.memory)
--- a/wigeonhitch/placement/tests/test_controller.py
+++ b/wigeonhitch/placement/tests/test_controller.py
@@ -63,6 +63,44 @@
     assert [run["task"] for run in log(world)] == ["coffee/one/1"]
 
 
+def test_a_start_refused_as_the_lease_lapsed_is_repeated(make_world, monkeypatch):
+    """Guards against a job that stays STARTING for ever on a usable worker.
+
+    The holder learned of the refusal in a step in which its lease lapsed, so that it
+    dropped the call and placed nothing. The lease was renewed, no other worker had
+    room, and the start was allowed again without being put back among the calls.
+    """
+    world = make_world(vms=1)
+    world.take_duty("d1")
+    world.submit("one")
+    world.step("d1", calls=False)
+    world.take_duty("d2")
+    world.pending_calls["d1"].clear()
+    scheduler = world.fake.engine.tasks
+    with monkeypatch.context() as patch:
+        patch.setattr(scheduler, "start", lambda *args: "room")
+        world.step("d2")
+    shard_controller = world.get_controller("d2")
+    leases = shard_controller._platform.leases
+    refresh = shard_controller._refresh
+
+    async def lapse_after_refresh():
+        refreshed = await refresh()
+        lapsed.update(leases.held)
+        leases.held.clear()
+        return refreshed
+
+    lapsed = {}
+    with monkeypatch.context() as patch:
+        patch.setattr(shard_controller, "_refresh", lapse_after_refresh)
+        world.step("d2")
+    leases.held.update(lapsed)
+
+    world.play("d2", 60)
+
+    assert world.read_job("one").state is S.FINISHED
+
+
 def test_a_holder_whose_lease_lapsed_makes_no_call(world):
     world.submit("one")
     world.step("d1", calls=False)
