Refuse a job whose pool was removed after its first attempt

In the product's own protocol a job waited for ever in a pool that the document no longer has. A job may name an unknown pool for 30 s, since documents arrive at different times. A job in a later one was never refused, and its caller wasn't told.

--- a/wigeonhitch/placement/core.py
+++ b/wigeonhitch/placement/core.py
@@ -110,12 +110,12 @@
         for name, entry in self.state.jobs.items():
             item = entry.job
             is_unseen = item.state is job.JobState.RUNNING and entry.listed is None
-            is_first = item.state is job.JobState.QUEUED and item.attempt == 1
+            is_queued = item.state is job.JobState.QUEUED
             leaving = item.vm in self.state.unusable_since
             starting = item.state is job.JobState.STARTING
             if is_unseen or leaving or starting or item.paused:
                 self.state.unreconciled.add(name)
-            elif is_first and self.state.policy is not None:
+            elif is_queued and self.state.policy is not None:
                 has_kind = item.asked.pool in self.state.policy.kinds
                 if not has_kind or item.asked.team not in self.state.policy.teams:
                     self.state.unreconciled.add(name)
--- a/wigeonhitch/placement/tests/test_policy.py
+++ b/wigeonhitch/placement/tests/test_policy.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wigeonhitch.placement import job, quarantine, size
+from wigeonhitch.placement import job, quarantine, reconciliation, size
 
 S = job.JobState
 
@@ -24,6 +24,29 @@
     assert world.read_job("small").state is S.RUNNING
 
 
+def test_a_job_whose_pool_is_removed_after_its_first_attempt_is_refused(make_world):
+    """Guards against a job that waits for ever in a pool that doesn't exist.
+
+    The pool was removed within the time for which a job may name an unknown pool. Once
+    that had passed, only jobs in their first attempt were considered again.
+    """
+    world = make_world(vms=2)
+    world.take_duty("d1")
+    world.submit("one", work={"duration": 300.0})
+    world.play("d1", 3)
+    world.fake.change_fleet(failing=[world.read_job("one").vm])
+    world.unusable = {"w0", "w1"}
+    world.play("d1", 12)
+    waiting = world.read_job("one")
+    assert (waiting.state, waiting.attempt) == (S.QUEUED, 2)
+    pools = tuple(pool._replace(name="other") for pool in world.document.pools)
+    world.document = world.document._replace(pools=pools)
+
+    world.play("d1", reconciliation.POLICY_GRACE_SECONDS)
+
+    assert world.read_job("one").state is S.REFUSED
+
+
 def test_a_job_that_fails_everywhere_is_refused_and_quarantines_no_worker(world):
     bad = [f"bad{number}" for number in range(6)]
     for name in bad:
