Replace a VM that goes down on its way to a pool

A pool could lack a VM for good: one that went down while it moved counted as on its way until it was listed as up, and only VMs beyond those on their way are moved. If it never came back, its pool's unmet work of that size stayed without a VM, although others were off or idle.

A VM that is listed as down after its order is no longer on its way. If it comes back it is listed in a pool like any other.

Evidence: a new test failed before (no move in place of one) and passes; another holds that a VM listed as moving or in upkeep isn't replaced.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -163,6 +163,10 @@
             self._first_listed_at = now
         for id, moving in list(self.moving.items()):
             vm = self.vms.get(id)
+            if vm is not None and vm.state is fleet.VmState.DOWN and now > moving.since:
+                # It may never arrive, and others may be moved in its place.
+                del self.moving[id]
+                continue
             arrived = vm is not None and vm.state is fleet.VmState.UP
             if vm is None or (arrived and now > moving.since):
                 del self.moving[id]
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -401,6 +401,41 @@
     assert first.closing.vm not in [action.closing.vm for action in later]
 
 
+def test_vm_that_is_lost_on_its_way_is_replaced_by_another(state):
+    """Guards against a pool that lacks a VM for good.
+
+    A VM that went down while it moved counted as on its way until it was up again.
+    """
+    set_burst_in_a(state)
+    status = state.pool_statuses["a"]
+    state.pool_statuses["a"] = status._replace(
+        unmet=ROOM.cpu // 2, peak_demand=0, min_demand=0
+    )
+    (first,) = select(demand.plan_moves(state, NOW), core.Move)
+    assert demand.plan_moves(state, NOW) == []
+    lost = state.vms[first.vm]._replace(state=fleet.VmState.DOWN, worker="")
+    vms = {**state.vms, first.vm: lost}
+    state.on_vms(tuple(vms.values()), NOW + 1)
+
+    (second,) = select(demand.plan_moves(state, NOW + 1), core.Move)
+
+    assert second.vm != first.vm
+
+
+@pytest.mark.parametrize("listed", [fleet.VmState.MOVING, fleet.VmState.UPKEEP])
+def test_vm_on_its_way_is_not_replaced(state, listed):
+    set_burst_in_a(state)
+    status = state.pool_statuses["a"]
+    state.pool_statuses["a"] = status._replace(
+        unmet=ROOM.cpu // 2, peak_demand=0, min_demand=0
+    )
+    (first,) = select(demand.plan_moves(state, NOW), core.Move)
+    moving = state.vms[first.vm]._replace(state=listed, worker="")
+    state.on_vms(tuple({**state.vms, first.vm: moving}.values()), NOW + 1)
+
+    assert demand.plan_moves(state, NOW + 1) == []
+
+
 def test_surplus_vms_move_from_idle_pool_to_busy_one(state):
     spare = make_vm("spare", "b")
     state.on_vms((*state.vms.values(), spare), NOW)
