Try a refused move again with a VM of another kind

A pool could stay without VMs that it may have: a move that the platform refused, since the pool has VMs of other kinds, was never tried again with that VM.

The labels of the VM, which name its kind, are kept with the refusal, which stands while they are the same.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -122,7 +122,8 @@
         self._vm_by_worker: dict[str, str] = {}
         """VM of each worker that was listed as up, until the worker is marked ended."""
         self._blocked_until: dict[str, float] = {}
-        self._refused_moves: set[tuple[str, str]] = set()
+        self._refused_moves: dict[tuple[str, str], tuple[str, ...]] = {}
+        """Labels of each VM, which name its kind, at a refused move to a pool."""
 
     def on_order_by_earlier_leader(self, vm: str, until: float) -> None:
         """Record that an earlier leader gave an order about a VM.
@@ -135,12 +136,19 @@
         self._blocked_until[vm] = until
 
     def on_move_refused(self, vm: str, pool: str) -> None:
-        """Record that a VM can never move to a pool, which has VMs of other kinds."""
-        self._refused_moves.add((vm, pool))
+        """Record that a VM can't move to a pool, which has VMs of other kinds."""
+        self._refused_moves[vm, pool] = self._get_labels(vm)
 
     def is_move_refused(self, vm: str, pool: str) -> bool:
-        """Return whether a VM can't move to a pool."""
-        return (vm, pool) in self._refused_moves
+        """Return whether a VM can't move to a pool.
+
+        It may come back from a crash as one of another kind.
+        """
+        return self._refused_moves.get((vm, pool)) == self._get_labels(vm)
+
+    def _get_labels(self, vm: str) -> tuple[str, ...]:
+        listed = self.vms.get(vm)
+        return listed.labels if listed else ()
 
     def on_order_abandoned(self, vm: str) -> None:
         """Record that a planned order was not given or not carried out."""
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -436,6 +436,23 @@
     assert demand.plan_moves(state, NOW + 1) == []
 
 
+def test_refused_move_is_tried_again_with_a_vm_of_another_kind(state):
+    """Guards against a pool that is never given VMs that it may have.
+
+    A VM may come back from a crash as one of another kind.
+    """
+    set_burst_in_a(state)
+    for vm in ("off0", "off1"):
+        state.on_move_refused(vm, "a")
+    assert select(demand.plan_moves(state, NOW), core.Move) == []
+    other = state.vms["off0"]._replace(labels=("other kind",))
+    state.on_vms(tuple({**state.vms, "off0": other}.values()), NOW + 1)
+
+    (move,) = select(demand.plan_moves(state, NOW + 1), core.Move)
+
+    assert (move.vm, move.pool) == ("off0", "a")
+
+
 def test_surplus_vms_move_from_idle_pool_to_busy_one(state):
     spare = make_vm("spare", "b")
     state.on_vms((*state.vms.values(), spare), NOW)
