Remove the roster row of a VM that is gone before its write was answered

A leader could wait up to 6.5 s for a VM that had gone long before: the roster row of a new VM was written, the answer was lost, and the VM went. Its removal was left out, as no row was known, and the pending addition was dropped with it, so that nothing asked for the row any more. The next leader reads the row and keeps the tasks of older jobs until the VM answers or its longest lease has passed.

The addition is repeated now until its answer tells whether there is a row, which is then removed. That costs one to three small writes in this case.

How the store takes the removal of a row that doesn't exist is unspecified, so none is sent.

--- a/wigeonhitch/pool/ledger.py
+++ b/wigeonhitch/pool/ledger.py
@@ -73,6 +73,10 @@
         self._dirty: dict[str, None] = {}
         self._added_vms: dict[str, str] = {}
         self._gone_vms: set[str] = set()
+        self._unanswered_vms: dict[str, str] = {}
+        """Addresses in roster rows that were sent and may be written or not."""
+        self._abandoned_vms: set[str] = set()
+        """Those of them whose VM is gone; the write is repeated to learn the row."""
         self._roster: dict[str, int] = {}
         """Versions of roster rows, for VMs that have one."""
         self._dropped: dict[str, None] = {}
@@ -92,6 +96,7 @@
         It is also written if a row exists, as that row may be about to be removed.
         """
         self._gone_vms.discard(id)
+        self._abandoned_vms.discard(id)
         self._added_vms[id] = address
 
     def remove_vm(self, id: str) -> None:
@@ -99,6 +104,9 @@
         self._added_vms.pop(id, None)
         if id in self._roster:
             self._gone_vms.add(id)
+        elif id in self._unanswered_vms:
+            self._added_vms[id] = self._unanswered_vms[id]
+            self._abandoned_vms.add(id)
 
     def on_roster_row(self, id: str, version: int) -> None:
         """Record a roster row that was read."""
@@ -124,6 +132,7 @@
         added = tuple(self._added_vms)[: builder.count_free()]
         for id in added:
             builder.put_vm(id, self._added_vms[id], self._roster.get(id, 0))
+            self._unanswered_vms[id] = self._added_vms[id]
         removed = tuple(self._gone_vms)[: builder.count_free()]
         for id in removed:
             builder.remove(pool_record.ROSTER_TABLE, id, self._roster.get(id, 0))
@@ -169,6 +178,7 @@
         ):
             self._update_version(condition.table, condition.key, 0)
         self._drop_removed_rows(batch.dropped)
+        self._resolve_additions(batch.vms)
         durable = tuple(
             row.key
             for row in change.conflicts
@@ -200,13 +210,21 @@
                 self.versions.pop(id, None)
         self._gone_vms &= self._roster.keys()
 
+    def _resolve_additions(self, vms: Iterable[str]) -> None:
+        """Record that it is known which of these VMs have a roster row."""
+        for id in vms:
+            self._unanswered_vms.pop(id, None)
+            if id in self._abandoned_vms:
+                self._abandoned_vms.discard(id)
+                self.remove_vm(id)
+
     def _on_committed(self, batch: Batch, version: int) -> None:
         for id in batch.jobs:
             self.versions[id] = version
         for id in batch.vms:
             self._roster[id] = version
-            if self._added_vms.pop(id, None) is None:
-                self._gone_vms.add(id)  # the VM was dropped during the write
+            self._added_vms.pop(id, None)
+        self._resolve_additions(batch.vms)
         for id in batch.removed_vms:
             self._gone_vms.discard(id)
             self._roster.pop(id, None)
--- a/wigeonhitch/pool/tests/test_ledger.py
+++ b/wigeonhitch/pool/tests/test_ledger.py
@@ -342,6 +342,50 @@
     assert store.get(*ROSTER) is None
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("dropped", ["during", "after"])
+@pytest.mark.parametrize("is_applied", [False, True], ids=["lost", "applied"])
+async def test_vm_dropped_with_its_addition_unanswered_leaves_no_row(
+    stored_ledger, store, dropped, is_applied
+):
+    """Guards against a leader that waits for a VM that is gone.
+
+    The roster row of the VM was written, but the answer was lost, and the VM was
+    dropped. The removal was left out as no row was known, so that the next leader
+    waited for the VM's longest lease.
+    """
+    stored_ledger.add_vm("w1", "w1:1")
+    store.lost_answers = int(is_applied)
+    store.deferred_commits = int(not is_applied)
+    batch = collect(stored_ledger, {})
+    if dropped == "during":
+        stored_ledger.remove_vm("w1")
+    change = await store.commit(batch.transaction, timeout=1.0)
+    stored_ledger.on_result(batch, change)
+    stored_ledger.remove_vm("w1")
+
+    for _ in range(3):
+        await commit(stored_ledger, store)
+
+    assert not stored_ledger.has_work
+    assert store.get(*ROSTER) is None
+
+
+@pytest.mark.anyio
+async def test_vm_back_after_an_unanswered_addition_keeps_its_row(stored_ledger, store):
+    stored_ledger.add_vm("w1", "w1:1")
+    store.lost_answers = 1
+    await commit(stored_ledger, store)
+    stored_ledger.remove_vm("w1")
+    stored_ledger.add_vm("w1", "w1:2")
+
+    for _ in range(3):
+        await commit(stored_ledger, store)
+
+    assert not stored_ledger.has_work
+    assert b"w1:2" in store.get(*ROSTER)
+
+
 @pytest.mark.anyio
 async def test_vm_back_while_its_row_is_removed_is_written(stored_ledger, store):
     stored_ledger.add_vm("w1", "w1:1")
