Request tickets again once all their VMs are lost

A step could wait for its tickets to expire beside idle VMs: the VMs that it had tickets for were gone, closed, leaving or without an entry, and tickets were requested again only after their validity or if no VM had got one.

Tickets don't count now if none of their VMs is left in the pool. A VM that is silent or set aside counts as left: it usually answers within the validity, and each request delays those of other steps.

Left: a step whose ticketed VMs are all full, or too few for its gang, still waits for the expiry; asking for others costs the service a call each time.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -386,7 +386,8 @@
         """Return the tickets of a task's step by VM, or None if it needs none."""
         if not self.pool.needs_ticket(state):
             return None
-        return self.pool.tickets.get(advice.StepName(*task[:3]), now)
+        step = advice.StepName(*task[:3])
+        return self.pool.tickets.get(step, now, self.pool.vms)
 
     def _place_gang(
         self,
--- a/wigeonhitch/pool/tests/test_ticket.py
+++ b/wigeonhitch/pool/tests/test_ticket.py
@@ -4,7 +4,7 @@
 
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import advice, workers
-from wigeonhitch.pool import ticket
+from wigeonhitch.pool import ticket, vm
 
 NOW = 100.0
 STEP = advice.StepName("j", 0, 0)
@@ -57,6 +57,39 @@
     assert advised_bench.pool.tickets.pop_requested() == STEP
 
 
+@pytest.mark.parametrize("loss", ["gone", "closed", "leaving", "removed"])
+def test_tickets_are_requested_again_if_all_their_vms_are_lost(advised_bench, loss):
+    """Guards against a step that waits for its tickets to expire beside idle VMs.
+
+    The only VMs with tickets went, and the step asked for others only after the
+    tickets' validity.
+    """
+    answer(advised_bench, {"w2": "t2"})
+    machine = advised_bench.pool.vms["w2"]
+    if loss == "gone":
+        advised_bench.pool.drop_vm(machine, vm.VmEnd.REPLACED)
+    elif loss == "closed":
+        advised_bench.pool.set_closed(frozenset({"w2"}), {})
+    elif loss == "leaving":
+        machine.entry = machine.entry._replace(leaving=True)
+    else:
+        advised_bench.pool.on_worker_removed("w2")
+
+    assert advised_bench.plan(NOW + ticket.ASK_AGAIN_SECONDS) == []
+
+    assert advised_bench.pool.tickets.pop_requested() == STEP
+
+
+def test_tickets_of_a_silent_vm_are_kept(advised_bench):
+    """A new request would delay other steps, and the VM may answer at once."""
+    answer(advised_bench, {"w2": "t2"})
+    advised_bench.pool.vms["w2"].is_silent = True
+
+    assert advised_bench.plan(NOW + ticket.ASK_AGAIN_SECONDS) == []
+
+    assert advised_bench.pool.tickets.pop_requested() is None
+
+
 def test_refused_ticket_is_dropped(advised_bench):
     answer(advised_bench, {"w2": "t2"})
     (run,) = advised_bench.start(answered=False)
--- a/wigeonhitch/pool/ticket.py
+++ b/wigeonhitch/pool/ticket.py
@@ -2,10 +2,10 @@
 
 The service handles one call at a time from each daemon and takes some time for each
 worker in a call. A step's tickets are therefore requested once, for the VMs with
-most free room, and again only when they expire or no VM got one.
+most free room, and again only when they expire or no VM of the pool has one.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from wigeonhitch.platform import advice
@@ -38,13 +38,21 @@
         self._requested: dict[advice.StepName, None] = {}
         self._not_before: dict[advice.StepName, float] = {}
 
-    def get(self, step: advice.StepName, now: float) -> dict[str, str]:
-        """Return a step's valid tickets by VM; without any, schedule a request."""
+    def get(
+        self,
+        step: advice.StepName,
+        now: float,
+        vms: Mapping[str, vm.Vm] | None = None,
+    ) -> dict[str, str]:
+        """Return a step's valid tickets by VM; without any, schedule a request.
+
+        With ``vms``, the pool's VMs, tickets don't count if none of theirs is left.
+        """
         valid = self._valid.get(step)
         if (
             valid is not None
             and now < valid.expiry - EXPIRY_MARGIN_SECONDS
-            and valid.tickets
+            and _has_vm_left(valid.tickets, vms)
         ):
             return valid.tickets
         if now >= self._not_before.get(step, 0.0):
@@ -79,6 +87,20 @@
                 del table[step]
 
 
+def _has_vm_left(tickets: Mapping[str, str], vms: Mapping[str, vm.Vm] | None) -> bool:
+    """Return whether a VM with a ticket is in the pool and may get tasks again.
+
+    A VM that is silent or set aside usually may within the validity of its ticket.
+    """
+    if vms is None:
+        return bool(tickets)
+    machines = (vms[id] for id in tickets if id in vms)
+    return any(
+        machine.listed and not (machine.closed or machine.entry.leaving)
+        for machine in machines
+    )
+
+
 def select_vms(vms: Iterable[vm.Vm], now: float) -> list[str]:
     """Return the VMs to request tickets for: open ones, most free room first."""
     open_vms = [machine for machine in vms if machine.is_open(now)]
