Finish a wave only once no stop of another holds a VM of it

In the product's own protocol a wave was done without one of its VMs: only VMs that are up counted as pending, and only those under the wave's own stops as under way. The last VM could be under a stop of another wave of its pool, or on its way out of or into the pool. It is pending again once that has ended, but a wave that is done isn't looked at again.

A VM that is drained, rebooted or checked for anything keeps the waves of its pools open now, as far as they haven't finished with it. One that is down doesn't, as before: its wave goes on without it.

--- a/wigeonhitch/fleet/batch.py
+++ b/wigeonhitch/fleet/batch.py
@@ -91,19 +91,28 @@
 
 
 def list_finished(snapshot: wave.Snapshot) -> list[document.Wave]:
-    """Return the running waves with no VM pending or under a planned stop."""
+    """Return the running waves with no VM pending or under a planned stop.
+
+    A VM that another wave or a move has stopped is pending again when it is back.
+    """
     active = (VmState.DRAINING, VmState.REBOOTING, VmState.CHECKING)
-    active_waves = {
-        row.wave for row in snapshot.view.vms.values() if row.state in active
-    }
+    stopped = [row for row in snapshot.view.vms.values() if row.state in active]
     rows_by_pool = snapshot.group_rows()
     finished = []
     for wave_spec in snapshot.document.waves:
         row = snapshot.view.waves.get(wave_spec.name)
         if row is None or row.status is not state.WaveStatus.RUNNING:
             continue
-        if wave_spec.name not in active_waves and not list_pending(
-            snapshot, wave_spec, rows_by_pool
-        ):
+        if any(_may_return_to(wave_spec, stopped_row) for stopped_row in stopped):
+            continue
+        if not list_pending(snapshot, wave_spec, rows_by_pool):
             finished.append(wave_spec)
     return finished
+
+
+def _may_return_to(wave_spec: document.Wave, row: state.VmRow) -> bool:
+    """Return whether a stopped VM is the wave's, or may be pending in it later."""
+    if row.wave == wave_spec.name:
+        return True
+    is_in_pools = row.pool in wave_spec.pools or row.target in wave_spec.pools
+    return is_in_pools and wave_spec.name not in row.done
--- a/wigeonhitch/fleet/tests/test_decisions.py
+++ b/wigeonhitch/fleet/tests/test_decisions.py
@@ -248,3 +248,42 @@
         listed = snapshot.observation.machines
         listed["v000"] = listed["v000"]._replace(boot=boot)
         assert len(wave.advance(snapshot)[0]) == count
+
+
+STOPS = [
+    {"state": state.VmState.DRAINING, "wave": "x"},
+    {"state": state.VmState.REBOOTING, "wave": "x"},
+    {"state": state.VmState.CHECKING, "wave": "x"},
+    {"state": state.VmState.DRAINING, "target": "b"},
+    {"state": state.VmState.DRAINING, "pool": "b", "target": "a"},
+]
+
+
+@pytest.mark.parametrize(
+    "stop", STOPS, ids=["drains", "reboots", "is checked", "leaves", "joins"]
+)
+def test_wave_is_not_finished_while_its_last_vm_is_under_another_stop(stop):
+    """Guards against a wave that is done without one of its VMs.
+
+    Only VMs that are up counted as pending. One that another wave or a move had
+    stopped came back later, and a wave that is done isn't looked at again.
+    """
+    rows = [
+        state.VmRow("v000", "a", done=("w",)),
+        state.VmRow("v001", "a")._replace(**stop),
+    ]
+    pools = [build_pool("a", 2, 0), build_pool("b", 1, 0)]
+    waves = (build_wave("a"), build_wave("a")._replace(name="x"))
+    snapshot = build_snapshot(pools, rows, waves=waves)
+    finished = {item.name for item in batch.list_finished(snapshot)}
+    assert "w" not in finished
+
+    snapshot.view.vms["v001"] = rows[1]._replace(done=("w",))
+    assert "w" in {item.name for item in batch.list_finished(snapshot)}
+
+
+def test_wave_is_finished_without_a_vm_that_is_down():
+    rows = [state.VmRow("v000", "a", state.VmState.DOWN, "x")]
+    snapshot = build_snapshot([build_pool("a", 1, 0)], rows, waves=(build_wave("a"),))
+
+    assert [item.name for item in batch.list_finished(snapshot)] == ["w"]
