Keep a worker closed while a list leaves out its VM

The row that closes a worker was removed as soon as one list of VMs was without its VM, if it had been closed for over 5 s, although a list that changes between its pages may leave one out. The pool's leader then started tasks on a VM that was about to go down, and it had to be drained anew.

Without its VM's entry the row is kept until the VM is gone from several lists.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -280,10 +280,18 @@
         )
 
     def list_expired_closings(self, now: float) -> list[str]:
-        """Return ended workers whose rows have outlived the retention period."""
+        """Return ended workers whose rows have outlived the retention period.
+
+        Without its VM's entry in the list, a worker has ended only if the VM is gone.
+        """
         live_workers = {vm.worker for vm in self.vms.values()}
         return [
             worker
             for worker, since in self.closed_since.items()
-            if worker not in live_workers and now - since > CLOSING_RETENTION_SECONDS
+            if worker not in live_workers
+            and now - since > CLOSING_RETENTION_SECONDS
+            and self._is_listed_or_gone(self.closings[worker].vm)
         ]
+
+    def _is_listed_or_gone(self, vm: str) -> bool:
+        return vm in self.vms or self.is_gone(vm)
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -510,6 +510,25 @@
     assert not state.is_closing("a0")
 
 
+def test_worker_stays_closed_while_a_list_leaves_out_its_vm(state):
+    """Guards against tasks that start on a VM that is about to go down.
+
+    The row of a worker that had been drained for over 5 s was taken for that of an
+    ended one as soon as one list was without its VM.
+    """
+    close_workers(state, "a0")
+    later = NOW + core.CLOSING_RETENTION_SECONDS + 1
+    listed = tuple(state.vms.values())
+    others = tuple(vm for vm in listed if vm.id != "a0")
+    state.on_vms(listed, later)
+    state.on_vms(others, later + 0.3)
+    assert state.list_expired_closings(later + 0.3) == []
+
+    for age in (1.0, 2.0, 3.0):
+        state.on_vms(others, later + age)
+    assert state.list_expired_closings(later + 3) == ["w-a0"]
+
+
 def test_only_vms_ordered_about_by_earlier_leader_are_blocked(state):
     start_wave(state, ["a0", "a1"])
     close_workers(state, "a0", "a1")
