--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -25,6 +25,14 @@
 shows the remaining unmet demand."""
 
 
+GONE_AFTER_SECONDS = 1.5
+"""Minimum time for which a VM must be missing from the lists of VMs to count as gone:
+a list that changes between its pages may leave one out."""
+
+GONE_AFTER_LISTS = 3
+"""Minimum number of successive lists without it, since lists may fail for longer."""
+
+
 class Close(NamedTuple):
     """Close a worker: start no task there and drain it."""
 
@@ -83,6 +91,11 @@
         self.max_concurrent_moves = max_concurrent_moves
         self.vms: dict[str, fleet.Vm] = {}
         self.listed_at = 0.0
+        self._lists = 0
+        """Number of lists of VMs so far."""
+        self._last_listings: dict[str, tuple[float, int]] = {}
+        """Time and number of the last list with each VM."""
+        self._first_listed_at: float | None = None
         self.pools: dict[str, model.Pool] = {}
         self.pool_statuses: dict[str, pool_record.PoolStatus] = {}
         self.closings: dict[str, record.Closing] = {}
@@ -109,7 +122,8 @@
         self._vm_by_worker: dict[str, str] = {}
         """VM of each worker that was listed as up, until the worker is marked ended."""
         self._blocked_until: dict[str, float] = {}
-        self._refused_moves: set[tuple[str, str]] = set()
+        self._refused_moves: dict[tuple[str, str], tuple[str, ...]] = {}
+        """Labels of each VM, which name its kind, at a refused move to a pool."""
 
     def on_order_by_earlier_leader(self, vm: str, until: float) -> None:
         """Record that an earlier leader gave an order about a VM.
@@ -122,12 +136,19 @@
         self._blocked_until[vm] = until
 
     def on_move_refused(self, vm: str, pool: str) -> None:
-        """Record that a VM can never move to a pool, which has VMs of other kinds."""
-        self._refused_moves.add((vm, pool))
+        """Record that a VM can't move to a pool, which has VMs of other kinds."""
+        self._refused_moves[vm, pool] = self._get_labels(vm)
 
     def is_move_refused(self, vm: str, pool: str) -> bool:
-        """Return whether a VM can't move to a pool."""
-        return (vm, pool) in self._refused_moves
+        """Return whether a VM can't move to a pool.
+
+        It may come back from a crash as one of another kind.
+        """
+        return self._refused_moves.get((vm, pool)) == self._get_labels(vm)
+
+    def _get_labels(self, vm: str) -> tuple[str, ...]:
+        listed = self.vms.get(vm)
+        return listed.labels if listed else ()
 
     def on_order_abandoned(self, vm: str) -> None:
         """Record that a planned order was not given or not carried out."""
@@ -144,8 +165,16 @@
             if vm.state is fleet.VmState.UP and vm.worker:
                 self._vm_by_worker[vm.worker] = vm.id
         self.listed_at = now
+        self._lists += 1
+        self._last_listings.update(dict.fromkeys(self.vms, (now, self._lists)))
+        if self._first_listed_at is None:
+            self._first_listed_at = now
         for id, moving in list(self.moving.items()):
             vm = self.vms.get(id)
+            if vm is not None and vm.state is fleet.VmState.DOWN and now > moving.since:
+                # It may never arrive, and others may be moved in its place.
+                del self.moving[id]
+                continue
             arrived = vm is not None and vm.state is fleet.VmState.UP
             if vm is None or (arrived and now > moving.since):
                 del self.moving[id]
@@ -154,6 +183,16 @@
             if now - moving.since > ARRIVAL_GRACE_SECONDS:
                 del self.arrived[id]
 
+    def is_gone(self, vm: str) -> bool:
+        """Return whether a VM is missing from enough lists to be gone for good."""
+        if self._first_listed_at is None:
+            return False
+        listed_at, number = self._last_listings.get(vm, (self._first_listed_at, 0))
+        return (
+            self.listed_at - listed_at >= GONE_AFTER_SECONDS
+            and self._lists - number >= GONE_AFTER_LISTS
+        )
+
     def on_wave(self, wave: entries.WaveOrder, now: float) -> None:
         """Record an operator's order of a wave."""
         if wave.number not in self.waves:
@@ -241,10 +280,18 @@
         )
 
     def list_expired_closings(self, now: float) -> list[str]:
-        """Return ended workers whose rows have outlived the retention period."""
+        """Return ended workers whose rows have outlived the retention period.
+
+        Without its VM's entry in the list, a worker has ended only if the VM is gone.
+        """
         live_workers = {vm.worker for vm in self.vms.values()}
         return [
             worker
             for worker, since in self.closed_since.items()
-            if worker not in live_workers and now - since > CLOSING_RETENTION_SECONDS
+            if worker not in live_workers
+            and now - since > CLOSING_RETENTION_SECONDS
+            and self._is_listed_or_gone(self.closings[worker].vm)
         ]
+
+    def _is_listed_or_gone(self, vm: str) -> bool:
+        return vm in self.vms or self.is_gone(vm)
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -161,6 +161,48 @@
     assert select(wave.plan_waves(state, NOW, MAINTENANCE_S), core.Show) == []
 
 
+def test_wave_is_not_completed_while_a_list_leaves_out_its_last_vm(state):
+    """Guards against a wave shown as completed with a VM that hasn't begun.
+
+    A list of VMs that changes between its pages may leave one out. A wave that was
+    shown as completed is never looked at again, so the VM kept its old state, and its
+    worker, if it was closed, stayed closed.
+    """
+    start_wave(state, ["a0"])
+    close_workers(state, "a0")
+    mark_empty(state, "w-a0")
+    listed = tuple(state.vms.values())
+    for age in (0.3, 0.6):
+        state.on_vms(tuple(vm for vm in listed if vm.id != "a0"), NOW + age)
+        assert wave.plan_waves(state, NOW + age, MAINTENANCE_S) == []
+    state.on_vms(listed, NOW + 0.9)
+
+    (order,) = select(wave.plan_waves(state, NOW + 0.9, MAINTENANCE_S), core.Maintain)
+
+    assert order.vm == "a0"
+
+
+def test_wave_is_completed_without_a_vm_that_is_gone_from_all_lists(state):
+    start_wave(state, ["a0", "never listed"])
+    listed = tuple(vm for vm in state.vms.values() if vm.id != "a0")
+    shown = []
+    for age in (0.5, 1.0, 1.5, 2.0, 2.5):
+        state.on_vms(listed, NOW + age)
+        shown.extend(
+            select(wave.plan_waves(state, NOW + age, MAINTENANCE_S), core.Show)
+        )
+
+    assert core.Show(1, completed=True) in shown
+
+
+def test_one_list_after_a_long_silence_does_not_show_that_a_vm_is_gone(state):
+    start_wave(state, ["a0"])
+    listed = tuple(vm for vm in state.vms.values() if vm.id != "a0")
+    state.on_vms(listed, NOW + 10)
+
+    assert select(wave.plan_waves(state, NOW + 10, MAINTENANCE_S), core.Show) == []
+
+
 def test_few_vms_of_a_pool_are_drained_at_once(state):
     start_wave(state, [f"a{n}" for n in range(6)], ceiling=6)
 
@@ -359,6 +401,58 @@
     assert first.closing.vm not in [action.closing.vm for action in later]
 
 
+def test_vm_that_is_lost_on_its_way_is_replaced_by_another(state):
+    """Guards against a pool that lacks a VM for good.
+
+    A VM that went down while it moved counted as on its way until it was up again.
+    """
+    set_burst_in_a(state)
+    status = state.pool_statuses["a"]
+    state.pool_statuses["a"] = status._replace(
+        unmet=ROOM.cpu // 2, peak_demand=0, min_demand=0
+    )
+    (first,) = select(demand.plan_moves(state, NOW), core.Move)
+    assert demand.plan_moves(state, NOW) == []
+    lost = state.vms[first.vm]._replace(state=fleet.VmState.DOWN, worker="")
+    vms = {**state.vms, first.vm: lost}
+    state.on_vms(tuple(vms.values()), NOW + 1)
+
+    (second,) = select(demand.plan_moves(state, NOW + 1), core.Move)
+
+    assert second.vm != first.vm
+
+
+@pytest.mark.parametrize("listed", [fleet.VmState.MOVING, fleet.VmState.UPKEEP])
+def test_vm_on_its_way_is_not_replaced(state, listed):
+    set_burst_in_a(state)
+    status = state.pool_statuses["a"]
+    state.pool_statuses["a"] = status._replace(
+        unmet=ROOM.cpu // 2, peak_demand=0, min_demand=0
+    )
+    (first,) = select(demand.plan_moves(state, NOW), core.Move)
+    moving = state.vms[first.vm]._replace(state=listed, worker="")
+    state.on_vms(tuple({**state.vms, first.vm: moving}.values()), NOW + 1)
+
+    assert demand.plan_moves(state, NOW + 1) == []
+
+
+def test_refused_move_is_tried_again_with_a_vm_of_another_kind(state):
+    """Guards against a pool that is never given VMs that it may have.
+
+    A VM may come back from a crash as one of another kind.
+    """
+    set_burst_in_a(state)
+    for vm in ("off0", "off1"):
+        state.on_move_refused(vm, "a")
+    assert select(demand.plan_moves(state, NOW), core.Move) == []
+    other = state.vms["off0"]._replace(labels=("other kind",))
+    state.on_vms(tuple({**state.vms, "off0": other}.values()), NOW + 1)
+
+    (move,) = select(demand.plan_moves(state, NOW + 1), core.Move)
+
+    assert (move.vm, move.pool) == ("off0", "a")
+
+
 def test_surplus_vms_move_from_idle_pool_to_busy_one(state):
     spare = make_vm("spare", "b")
     state.on_vms((*state.vms.values(), spare), NOW)
@@ -416,6 +510,25 @@
     assert not state.is_closing("a0")
 
 
+def test_worker_stays_closed_while_a_list_leaves_out_its_vm(state):
+    """Guards against tasks that start on a VM that is about to go down.
+
+    The row of a worker that had been drained for over 5 s was taken for that of an
+    ended one as soon as one list was without its VM.
+    """
+    close_workers(state, "a0")
+    later = NOW + core.CLOSING_RETENTION_SECONDS + 1
+    listed = tuple(state.vms.values())
+    others = tuple(vm for vm in listed if vm.id != "a0")
+    state.on_vms(listed, later)
+    state.on_vms(others, later + 0.3)
+    assert state.list_expired_closings(later + 0.3) == []
+
+    for age in (1.0, 2.0, 3.0):
+        state.on_vms(others, later + age)
+    assert state.list_expired_closings(later + 3) == ["w-a0"]
+
+
 def test_only_vms_ordered_about_by_earlier_leader_are_blocked(state):
     start_wave(state, ["a0", "a1"])
     close_workers(state, "a0", "a1")
