Release a recorded VM only when that VM lists the end

A successor that hears first of the end of an earlier run, from a VM that was cut off, dropped the record of the VM on which the task ran last. If that VM was lost with the former leader, its crash was neither counted nor flagged, as the task has an older crash: with each such change of leaders one more VM crashes, without end.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -145,7 +145,7 @@
         if state is None or state.final is not None or not state.has_task(end.task):
             return
         self.changed_jobs.add(end.task.job)
-        if is_own_run or end.task not in self.live:
+        if state.assigned_vms.get(end.task) == machine.id:
             self.suspects.release(end.task)
         step = state.job.steps[end.task.step]
         run_seconds = now - run.started_at if is_own_run else SHORT_RUN_SECONDS
--- /dev/null
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -0,0 +1,82 @@
+"""Orders of events around the records of crashes that a review has found.
+
+Each test forces one order. A guilty task crashes each VM that starts it, and may crash
+five; a task that does no harm must start, and must not be given up.
+"""
+
+import pytest
+
+from wigeonhitch.jobs import model
+from wigeonhitch.platform import workers
+from wigeonhitch.pool import vm
+from wigeonhitch.pool.tests import test_uncounted_crashes as crashes
+
+MAX_CRASHED_VMS = crashes.MAX_CRASHED_VMS
+NOW = crashes.NOW
+step = crashes.step
+
+
+@pytest.fixture
+def make_succession(make_bench):
+    def make(count=4, **fields):
+        return crashes.Succession(make_bench, count, **fields)
+
+    return make
+
+
+@pytest.fixture
+def succession(make_succession):
+    return make_succession()
+
+
+def end(succession, run, how=model.End.DONE):
+    """Let a run's VM list its end."""
+    ended = workers.Ended(run.vm.processed_end + 1, run.task, run.number, how, "")
+    succession.answer(run.vm, [ended])
+
+
+def fill(succession, machine):
+    """Let a lasting task run on a VM, so that no large task fits there any more."""
+    id = f"lasting-{machine.id}"
+    succession.submit(id, step(lasting=True))
+    run = vm.Run(model.Task(id, 0, 0, 0), 1, machine, step(lasting=True), NOW)
+    run.state = vm.RunState.RUNNING
+    machine.runs[run.task] = succession.bench.pool.live[run.task] = run
+
+
+def test_end_of_an_earlier_run_keeps_what_a_leader_inherits(succession):
+    """Guards against a late end of an earlier run that withdraws an inherited record.
+
+    The task was started on its recorded VM, which was lost with the leader; another VM
+    lists the end of an earlier run to the successor first.
+    """
+    succession.submit("bad")
+    succession.crash(succession.start()[0].vm.id)
+    succession.bench.commit()
+    for _ in range(8):
+        if len(succession.crashed) > MAX_CRASHED_VMS or not (
+            runs := succession.start()
+        ):
+            break
+        (earlier,) = runs
+        succession.unreachable = {earlier.vm.id}
+        succession.lead()
+        runs = succession.start()
+        if not runs:
+            break
+        lost = runs[0].vm.id
+        succession.crash(lost, seen=False)
+        del succession.ended[lost]
+        succession.racks[lost], succession.unreachable = "r1", {lost}
+        succession.lead()
+        machine = succession.bench.pool.vms[earlier.vm.id]
+        lapsed = workers.Ended(1, earlier.task, earlier.number, model.End.LAPSED, "")
+        succession.answer(machine, [lapsed])
+        succession.bench.commit()
+        del succession.racks[lost]
+        succession.unreachable.clear()
+        succession.ended[lost] = vm.VmEnd.LOST
+        succession.tell_closings()
+        succession.bench.commit()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
