Flag tasks of later steps too after an unseen end of a VM

A step may be opened by an end that is lost with its VM and the leader before the commit. The successor then took the next step for one that never began, and started it without a record.

--- a/wigeonhitch/jobs/progress.py
+++ b/wigeonhitch/jobs/progress.py
@@ -92,18 +92,16 @@
 
     def list_open_tasks(self, wall_time: float) -> Iterator[model.Task]:
         """Yield the tasks that may run at a Unix time and aren't done."""
-        for occurrence in range(self.job.occurrences):
-            if self.compute_due(occurrence) > wall_time:
-                return
-            for number, step in enumerate(self.job.steps):
-                if self.is_step_done(occurrence, number):
-                    continue
-                if not self.is_step_ready(occurrence, number):
-                    continue
-                done = self.done.get((occurrence, number), ())
-                for index in range(step.count):
-                    if index not in done:
-                        yield model.Task(self.job.id, occurrence, number, index)
+        for occurrence in self._list_due_occurrences(wall_time):
+            for number in range(len(self.job.steps)):
+                if self.is_step_ready(occurrence, number):
+                    yield from self._list_undone_of(occurrence, number)
+
+    def list_undone_tasks(self, wall_time: float) -> Iterator[model.Task]:
+        """Yield the tasks due at a Unix time that aren't done, of all steps."""
+        for occurrence in self._list_due_occurrences(wall_time):
+            for number in range(len(self.job.steps)):
+                yield from self._list_undone_of(occurrence, number)
 
     def compute_next_due(self, wall_time: float) -> float | None:
         """Return the Unix time of the next occurrence, or None after the last one."""
@@ -250,6 +248,20 @@
             return model.JobState.CANCELLED
         return model.JobState.RUNNING if self.started else model.JobState.QUEUED
 
+    def _list_due_occurrences(self, wall_time: float) -> Iterator[int]:
+        for occurrence in range(self.job.occurrences):
+            if self.compute_due(occurrence) > wall_time:
+                return
+            yield occurrence
+
+    def _list_undone_of(self, occurrence: int, step: int) -> Iterator[model.Task]:
+        if self.is_step_done(occurrence, step):
+            return
+        done = self.done.get((occurrence, step), ())
+        for index in range(self.job.steps[step].count):
+            if index not in done:
+                yield model.Task(self.job.id, occurrence, step, index)
+
     def _get_attempt_key(self, task: model.Task) -> model.Task:
         if self.job.steps[task.step].gang:
             return task._replace(index=0)
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -168,7 +168,8 @@
         for state in states:
             if not _is_open(state):
                 continue
-            tasks = [t for t in state.list_open_tasks(now) if t not in self._live]
+            # Ends that opened a later step may have been lost with their VM.
+            tasks = [t for t in state.list_undone_tasks(now) if t not in self._live]
             if state.record_uncounted(tasks):
                 self._suspect_jobs.add(state.job.id)
                 self._writer.mark_dirty(state.job.id)
--- a/wigeonhitch/pool/tests/test_crash_review.py
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -44,6 +44,30 @@
     machine.runs[run.task] = succession.bench.pool.live[run.task] = run
 
 
+def test_step_that_is_opened_by_an_end_that_is_lost_with_the_leader(succession):
+    """Guards against crashes of a second step that no later leader can know of.
+
+    It is started in the round of the first step's end. The end is lost with the VM and
+    the leader, so that the successor takes the second step for one that never began.
+    """
+    succession.submit("bad", step(), step(after=(0,)))
+    for _ in range(2):
+        (first,) = succession.start()
+        end(succession, first)
+        (second,) = succession.start()
+        assert second.task.step == 1
+        assert second.vm is first.vm
+        succession.crash(second.vm.id, seen=False)
+        succession.lead()
+    (first,) = succession.start()
+    end(succession, first)
+    succession.bench.commit()
+
+    succession.crash_until_given_up()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 def test_end_of_an_earlier_run_keeps_what_a_leader_inherits(succession):
     """Guards against a late end of an earlier run that withdraws an inherited record.
 
