Never give up a task that is done

The end of a VM of its count failed the job, although the task had completed on a VM that had only been cut off. The added test forces that.

--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -261,7 +261,7 @@
     def must_be_given_up(self, task: model.Task) -> bool:
         """Return whether a task has to be taken for the cause of its crashes."""
         state = self._jobs.get(task.job)
-        if state is None:
+        if state is None or state.is_done(task):
             return False
         if len(state.test_crashes.get(task, ())) >= MAX_TEST_CRASHES:
             return True
@@ -279,9 +279,7 @@
             task
             for state in self._list_open_jobs()
             for task in state.crashed_vms
-            if task not in self._live
-            and not state.is_done(task)
-            and self.must_be_given_up(task)
+            if task not in self._live and self.must_be_given_up(task)
         ]
 
     def must_be_tested(self, task: model.Task) -> bool:
--- a/wigeonhitch/pool/tests/test_crash_review.py
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -104,3 +104,23 @@
         succession.bench.commit()
 
     assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+def test_done_task_is_not_given_up(succession):
+    """Guards against a job that fails for a task that has completed.
+
+    It completed on a VM that was counted as crashed; the end of another VM of its
+    count is told afterwards.
+    """
+    state = succession.submit("good", step(), step(after=(0,)))
+    task = model.Task("good", 0, 0, 0)
+    machines = list(succession.bench.pool.vms.values())
+    for machine in machines[:3]:
+        state.record_crash(task, machine.id, is_test=machine is not machines[0])
+    succession.bench.pool.suspects.on_progress_read(state)
+    done = workers.Ended(1, task, 1, model.End.DONE, "")
+    succession.answer(machines[0], [done])
+    assert state.is_done(task)
+    succession.crash(machines[1].id)
+
+    assert succession.get_final("good") is None
