Give no task up while VMs of its count may answer

`Planner` waits for such VMs, the end of another VM didn't: a job whose VMs were cut off three times failed at its first real crash. The added test failed before and passes.

--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -192,7 +192,12 @@
         else:
             tasks |= self._doubtful.pop(machine.id, set())
         self._release_vm(machine.id)
-        return [task for task in tasks if self.must_be_given_up(task)]
+        return [
+            task
+            for task in tasks
+            if self.must_be_given_up(task)
+            and not self.is_in_doubt(task, but_for=machine.id)
+        ]
 
     def on_missing_vm(self, task: model.Task, end: vm.VmEnd | None) -> bool:
         """Count a task's assigned VM, which was gone before this leader's term.
@@ -204,7 +209,7 @@
             self._count(task, id)
             self._doubtful.setdefault(id, set()).add(task)
         self.release(task)
-        return self.must_be_given_up(task)
+        return self.must_be_given_up(task) and not self.is_in_doubt(task)
 
     def on_test_started(self, task: model.Task, id: str) -> None:
         """Record on which VM a task is being tested."""
@@ -268,10 +273,14 @@
         maybe_uncounted = task in state.maybe_uncounted
         return state.count_crashes(task) + maybe_uncounted >= MAX_CRASHES
 
-    def is_in_doubt(self, task: model.Task) -> bool:
-        """Return whether a VM that counts as crashed under a task may yet answer."""
+    def is_in_doubt(self, task: model.Task, *, but_for: str = "") -> bool:
+        """Return whether a VM that counts as crashed under a task may yet answer.
+
+        ``but_for`` names a VM that is known to have ended.
+        """
         state = self._jobs[task.job]
-        return any(id in self._vms for id in state.crashed_vms.get(task, ()))
+        ids = state.crashed_vms.get(task, set()) - {but_for}
+        return any(id in self._vms for id in ids)
 
     def list_given_up(self) -> list[model.Task]:
         """Return the tasks that must not be started again."""
--- a/wigeonhitch/pool/tests/test_crash_review.py
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -106,6 +106,27 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_task_is_not_given_up_while_vms_of_its_count_may_answer(make_succession):
+    """Guards against a job that fails while VMs of its count are only cut off."""
+    succession = make_succession(12)
+    succession.submit("good")
+    cut_off = []
+    while len(cut_off) < 3 and (runs := succession.start("good")):
+        machine = runs[0].vm
+        succession.unreachable.add(machine.id)
+        machine.is_silent = True
+        cut_off.append(machine)
+    for run in succession.start("good"):
+        succession.crash(run.vm.id)
+        succession.bench.commit()
+    for machine in cut_off:
+        succession.unreachable.discard(machine.id)
+        machine.is_silent = False
+        succession.answer(machine)
+
+    assert succession.get_final("good") is None
+
+
 def test_done_task_is_not_given_up(succession):
     """Guards against a job that fails for a task that has completed.
 
