Take no ordered end for a sign that a rack is lost

All VMs of a list of ended ones were marked silent, also those moved or rebooted by order. A crash 2.5 s after the start beside one of these counted as the loss of the rack. The added test crashed 6 VMs before and passes.

--- a/wigeonhitch/pool/tests/test_crash_review.py
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -106,6 +106,31 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_late_crash_beside_the_ordered_end_of_a_vm_of_the_rack(succession):
+    """Guards against an ordered end that makes a crash look like the loss of a rack.
+
+    The same list shows both VMs of the rack as ended, one of them by an order.
+    """
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        succession.work(2.5)
+        crashed = runs[0].vm
+        (peer,) = (
+            id
+            for id, rack in succession.racks.items()
+            if rack == crashed.rack and id != crashed.id
+        )
+        succession.racks.pop(peer)
+        succession.ended[peer] = vm.VmEnd.ORDERED
+        successor = succession._replace(crashed.rack)
+        succession.crash(crashed.id)
+        succession._join(successor)
+        succession.advance(0.0)
+        succession.bench.commit()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 def test_task_is_not_given_up_while_vms_of_its_count_may_answer(make_succession):
     """Guards against a job that fails while VMs of its count are only cut off."""
     succession = make_succession(12)
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -203,10 +203,12 @@
         self.closings_version = version
         self._closed_workers, self._ended_workers = ids, ended
         self.must_scan = True
-        lost = [self.vms[id] for id in sorted(ended.keys() & self.vms.keys())]
-        for machine in lost:
-            machine.is_silent = True  # a rack that is lost is recognised by this
-        for machine in lost:
+        dropped = [self.vms[id] for id in sorted(ended.keys() & self.vms.keys())]
+        # An ordered end is no sign that a rack is lost; the others together may be.
+        dropped.sort(key=lambda machine: ended[machine.id] is not vm.VmEnd.ORDERED)
+        for machine in dropped:
+            machine.is_silent = ended[machine.id] is not vm.VmEnd.ORDERED
+        for machine in dropped:
             self.drop_vm(machine, ended[machine.id])
         for machine in self.vms.values():
             if machine.closed != (machine.id in ids):
