Let a gang that lost a recorded VM give the others back

The first member, whose VM had ended, was passed over while no VM had room for it; the VMs of the other members stayed reserved, and neither the gang nor another job could start there.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -324,7 +324,7 @@
             if is_recorded and task in state.assigned_vms:
                 starts.extend(self._place_recorded(placer, state, task, now))
                 continue
-            if step.gang and task in state.assigned_vms:
+            if step.gang and self._holds_vms(state, task):
                 if task.index == 0:
                     self._place_gang(placer, state, task, now, starts)
                 continue
@@ -355,6 +355,14 @@
         self._record_missing_vms(state, unplaced)
         return unmet
 
+    def _holds_vms(self, state: progress.Progress, task: model.Task) -> bool:
+        """Return whether VMs are recorded for some of a gang's members.
+
+        The other members' VMs may have ended. The gang must then be visited even if it
+        finds no room, so that it gives the rest back.
+        """
+        return any(task[:3] == other[:3] for other in state.assigned_vms)
+
     def _record_missing_vms(
         self, state: progress.Progress, unplaced: collections.Counter[int]
     ) -> None:
--- a/wigeonhitch/pool/tests/test_crash_review.py
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -170,3 +170,35 @@
     succession.crash(machines[1].id)
 
     assert succession.get_final("good") is None
+
+
+def test_gang_that_lost_one_recorded_vm_gives_the_others_back(make_succession):
+    """Guards against a VM that is held for ever for one member of a gang.
+
+    The other member's VM has ended and has no room any more; a job that needs the held
+    VM comes first in each round.
+    """
+    succession = make_succession(2, racks=("r1",))
+    pool = succession.bench.pool
+    state = succession.submit("gang", step(2, cpu=8000, gang=True))
+    pool.suspects.on_unseen_ends([state], NOW)
+    succession.bench.commit()
+    succession.bench.plan(succession.now)
+    assert len(state.assigned_vms) == 2
+    lost = state.assigned_vms[model.Task("gang", 0, 0, 0)]
+    succession.crash(lost)
+    assert len(state.assigned_vms) == 1
+    (fresh,) = (
+        machine
+        for machine in pool.vms.values()
+        if machine.id not in state.assigned_vms.values()
+    )
+    fill(succession, fresh)
+    succession.submit("first", step(cpu=8000))
+    started = []
+    for _ in range(10):
+        started += [run.task.job for run in succession.bench.start(succession.now)]
+        succession.bench.commit()
+        succession.advance()
+
+    assert started
