Keep no room and no VM for tasks that are done

A task may complete in an earlier run while the start of a later one gets no answer. Its recorded VM stayed reserved, or kept for its test, while the job was open; in the added test the next step never started.

--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -322,7 +322,9 @@
             id
             for state in self._list_open_jobs()
             for task, id in state.assigned_vms.items()
-            if self.must_be_tested(task) and not self._has_passed_test(task)
+            if self.must_be_tested(task)
+            and not self._has_passed_test(task)
+            and not state.is_done(task)
         }
 
     def count_test_losses(self, now: float) -> int:
@@ -338,7 +340,9 @@
             Assigned(task, id, state.job.steps[task.step], state.count_crashes(task))
             for state in self._list_open_jobs()
             for task, id in state.assigned_vms.items()
-            if task not in self._live and not self.must_be_tested(task)
+            if task not in self._live
+            and not state.is_done(task)
+            and not self.must_be_tested(task)
         ]
 
     def count_by_vm(self) -> dict[str, int]:
--- a/wigeonhitch/pool/tests/test_crash_review.py
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -202,3 +202,29 @@
         succession.advance()
 
     assert started
+
+
+def test_done_task_holds_no_vm(make_succession):
+    """Guards against room that stays reserved for a task that has completed.
+
+    An earlier run completes while the start of a later one gets no answer.
+    """
+    succession = make_succession(2, racks=("r1",))
+    state = succession.submit("good", step(cpu=8000), step(cpu=8000, after=(0,)))
+    (earlier,) = succession.start("good")
+    succession.unreachable = {earlier.vm.id}
+    succession.lead()
+    state = succession.bench.pool.jobs["good"]
+    (later,) = succession.start("good", answered=False)
+    assert later.vm.id != earlier.vm.id
+    later.state = vm.RunState.UNKNOWN
+    succession.unreachable.clear()
+    machine = succession.bench.pool.vms[earlier.vm.id]
+    machine.is_silent = False
+    done = workers.Ended(1, earlier.task, earlier.number, model.End.DONE, "")
+    succession.answer(machine, [done])
+    assert state.is_done(earlier.task)
+    succession.bench.commit()
+    fill(succession, machine)
+
+    assert [run.task.step for run in succession.start("good")] == [1]
