Count recorded tasks that find no VM as demand

The first one of a step wasn't counted, so that a lasting task that lacks one VM because of its spread limit asked for none and waited for ever. After an unseen end of a VM that holds for all older tasks.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -340,6 +340,8 @@
                 self._place_recorded(placer, state, task, now)
                 if task not in state.assigned_vms:
                     full_steps.add(group)
+                    unplaced[task.step] += 1
+                    unmet += 0 if is_suspect else step.reserved.cpu
                 continue
             if step.gang:
                 if task.index == 0:
--- a/wigeonhitch/pool/tests/test_crash_review.py
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -228,3 +228,19 @@
     fill(succession, machine)
 
     assert [run.task.step for run in succession.start("good")] == [1]
+
+
+@pytest.mark.parametrize("unseen", [False, True])
+def test_spread_task_that_may_have_crashed_a_vm_shows_as_demand(succession, unseen):
+    """Guards against a lasting task that waits for ever, as no VM is asked for."""
+    succession.submit("good", step(5, lasting=True, spread=1))
+    if unseen:
+        succession.crash(next(iter(succession.racks)), seen=False)
+        succession.lead()
+    for _ in range(4):
+        succession.bench.start(succession.now)
+        succession.bench.commit()
+        succession.advance(0.1)
+    assert len(succession.bench.pool.live) == 4
+
+    assert succession.bench.planner.unmet > 0
