--- a/wigeonhitch/pool/tests/test_crash_review.py
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -6,11 +6,15 @@
 
 import pytest
 
-from wigeonhitch.jobs import model
+from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import workers
 from wigeonhitch.pool import vm
 from wigeonhitch.pool.tests import test_uncounted_crashes as crashes
 
+MAX_ROW_BYTES = 65536
+MAX_RUNS = 600
+"""Runs of a pool of 40 VMs."""
+
 MAX_CRASHED_VMS = crashes.MAX_CRASHED_VMS
 NOW = crashes.NOW
 step = crashes.step
@@ -244,3 +248,15 @@
     assert len(succession.bench.pool.live) == 4
 
     assert succession.bench.planner.unmet > 0
+
+
+def test_progress_row_of_a_large_job_fits_into_the_store(succession):
+    """Guards against a row that the store refuses, with each batch that holds it."""
+    state = succession.submit("good", step(model.MAX_OPEN_TASKS, cpu=1))
+    succession.bench.pool.suspects.on_unseen_ends([state], NOW)
+    sizes = [len(record.write_progress(state))]
+    for index in range(MAX_RUNS):
+        state.assign_vm(model.Task("good", 0, 0, index), "0123456789abcdef")
+    sizes.append(len(record.write_progress(state)))
+
+    assert max(sizes) <= MAX_ROW_BYTES, sizes
