--- a/wigeonhitch/pool/tests/test_crash_review.py
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -72,6 +72,31 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_start_before_the_withdrawal_of_a_crash_is_durable(succession):
+    """Guards against an unrecorded start of a task that its row shows as a suspect.
+
+    A VM answers after its leases have lapsed; the withdrawn crash is still in the row,
+    so that the successor takes each of the task's starts for recorded.
+    """
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        (earlier,) = runs
+        succession.unreachable = {earlier.vm.id}
+        earlier.vm.is_silent = True
+        for _ in range(20):
+            succession.advance()
+            succession.bench.commit()
+        succession.unreachable.clear()
+        earlier.vm.is_silent = False
+        succession.answer(earlier.vm)
+        earlier.vm.quarantine(succession.now)
+        runs = succession.start()
+        succession.crash(runs[0].vm.id, seen=False)
+        succession.lead()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 def test_end_of_an_earlier_run_keeps_what_a_leader_inherits(succession):
     """Guards against a late end of an earlier run that withdraws an inherited record.
 
@@ -110,6 +135,18 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_crash_of_a_vm_that_is_leaving_after_the_start(succession):
+    """Guards against a crash that counts as planned, as the VM was to leave later."""
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        machine = runs[0].vm
+        machine.entry = machine.entry._replace(leaving=True, remaining=60.0)
+        succession.crash(machine.id)
+        succession.bench.commit()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 def test_late_crash_beside_the_ordered_end_of_a_vm_of_the_rack(succession):
     """Guards against an ordered end that makes a crash look like the loss of a rack.
 
@@ -135,6 +172,48 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_two_tasks_that_crash_both_vms_of_a_rack_after_some_seconds(make_succession):
+    """Guards against two guilty tasks whose crashes look like a loss of their rack."""
+    succession = make_succession(2, racks=("r1",))
+    succession.submit("bad", step(2, spread=1))
+    for _ in range(8):
+        runs = succession.start()
+        if not runs:
+            break
+        for _ in range(4):
+            if len(succession.bench.pool.live) < 2:
+                succession.bench.commit()
+                succession.advance(0.1)
+                runs += succession.bench.start(succession.now)
+        succession.work(2.5)
+        crashed = {run.vm.id for run in runs if not run.vm.gone}
+        for id in crashed:
+            succession.crash(id, seen=False)
+        succession.tell_closings()
+        for id in succession.racks:
+            succession._join(id)
+        succession.advance(0.0)
+        succession.bench.commit()
+
+    assert len(succession.crashed) <= 2 * MAX_CRASHED_VMS
+
+
+def test_excuse_is_withdrawn_when_its_vm_answers(succession):
+    """Guards against a partition that counts as a crash that was left out."""
+    state = succession.submit("good")
+    (run,) = succession.start("good")
+    succession.work(0.5)
+    succession.unreachable = {run.vm.id}
+    run.vm.is_silent = True
+    for _ in range(20):
+        succession.advance()
+    succession.unreachable.clear()
+    run.vm.is_silent = False
+    succession.answer(run.vm)
+
+    assert not state.is_suspect(run.task)
+
+
 def test_task_is_not_given_up_while_vms_of_its_count_may_answer(make_succession):
     """Guards against a job that fails while VMs of its count are only cut off."""
     succession = make_succession(12)
