--- a/wigeonhitch/pool/tests/test_history.py
+++ b/wigeonhitch/pool/tests/test_history.py
@@ -37,7 +37,7 @@
 
 
 SEED_DISTANCE = 1000
-"""Distance of the further seeds that are played until one has a job that crashes VMs."""
+"""Distance of the further seeds, played until one has a job that crashes VMs."""
 
 CRASHES = {
     "tasks": history.Crashes(share=0.2),
