Count one end of a closed VM once for a task that it was recorded for

A task recorded for a VM that was closed was excused as the VM's leases lapsed and counted as its end was told: two for one. An excused task no longer counts as one that an earlier leader may have started there. Some names say more: use_excuse, has_doubtful_crash.

--- a/wigeonhitch/jobs/progress.py
+++ b/wigeonhitch/jobs/progress.py
@@ -181,7 +181,7 @@
         self.crash_revision += bool(new)
         return bool(new)
 
-    def excuse(self, task: model.Task) -> bool:
+    def use_excuse(self, task: model.Task) -> bool:
         """Leave one crash out of a task's count; return False if one was before."""
         if task in self.maybe_uncounted:
             return False
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -249,7 +249,7 @@
         self._missing_vms = 0
         self._orphaned_tasks = self.pool.list_orphaned_tasks()
         for task in self.pool.suspects.list_given_up():
-            if not self.pool.suspects.is_in_doubt(task):
+            if not self.pool.suspects.has_doubtful_crash(task):
                 self.pool.give_up(task)
         self._place_tests(placer, now, starts)
         keyed = [
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -196,7 +196,7 @@
             task
             for task in tasks
             if self.must_be_given_up(task)
-            and not self.is_in_doubt(task, but_for=machine.id)
+            and not self.has_doubtful_crash(task, ended_vm=machine.id)
         ]
 
     def on_missing_vm(self, task: model.Task, end: vm.VmEnd | None) -> bool:
@@ -209,7 +209,7 @@
             self._count(task, id)
             self._doubtful.setdefault(id, set()).add(task)
         self.release(task)
-        return self.must_be_given_up(task) and not self.is_in_doubt(task)
+        return self.must_be_given_up(task) and not self.has_doubtful_crash(task)
 
     def on_test_started(self, task: model.Task, id: str) -> None:
         """Record on which VM a task is being tested."""
@@ -273,13 +273,13 @@
         maybe_uncounted = task in state.maybe_uncounted
         return state.count_crashes(task) + maybe_uncounted >= MAX_CRASHES
 
-    def is_in_doubt(self, task: model.Task, *, but_for: str = "") -> bool:
+    def has_doubtful_crash(self, task: model.Task, *, ended_vm: str = "") -> bool:
         """Return whether a VM that counts as crashed under a task may yet answer.
 
-        ``but_for`` names a VM that is known to have ended.
+        ``ended_vm`` is one that is known to have ended.
         """
         state = self._jobs[task.job]
-        ids = state.crashed_vms.get(task, set()) - {but_for}
+        ids = state.crashed_vms.get(task, set()) - {ended_vm}
         return any(id in self._vms for id in ids)
 
     def list_given_up(self) -> list[model.Task]:
@@ -452,8 +452,9 @@
     def _excuse(self, task: model.Task) -> bool:
         """Leave a crash out of a task's count; return False if one was before."""
         state = self._jobs.get(task.job)
-        if state is None or not _is_open(state) or not state.excuse(task):
+        if state is None or not _is_open(state) or not state.use_excuse(task):
             return False
+        self._inherited.discard(task)
         self._suspect_jobs.add(task.job)
         self._writer.mark_dirty(task.job)
         return True
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -312,7 +312,8 @@
         """Return whether a task is started only on a VM that is recorded before.
 
         These are the tasks under which a VM has crashed, and those of which an earlier
-        leader may have seen that without recording it. A gang's are recorded together.
+        leader may have seen that without recording it. The VMs of a gang are
+        recorded together when it is placed.
         """
         return state.is_suspect(task) and not state.job.steps[task.step].gang
 
