Follow the members from a read of the own part, so that the first daemon can join

A daemon joins when the feed of members answers, and followed it from the lowest version of the members' rows; with no row, from the beginning. A store that has dropped its history refuses that, and the daemon read the members anew for ever.

Now it reads its own part first, also without a row, and follows from that version: no member that joins later is missed, and there always is one. The added test fails before without a member's row (led nothing in 5 s) and passes; with one it passed before.

--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -259,11 +259,21 @@
         return True
 
     async def _read_members(self) -> int:
-        """Read all members; return a version to follow from, or 0."""
+        """Read all members; return a version to follow from, or 0.
+
+        The own part is read first, also without a row: its version is one from which
+        no member that joins is missed, and there may be no other part.
+        """
+        own = await self._read_member(self.leadership.name)
         parts = await self._store.list_parts(
             record.MEMBER_TABLE, timeout=CALL_TIMEOUT_SECONDS
         )
-        return await feed.read_parts(self._read_member, parts.names or ())
+        if own.outcome is not table.Outcome.DONE or parts.names is None:
+            return 0
+        if not parts.names:
+            return own.version
+        version = await feed.read_parts(self._read_member, parts.names)
+        return min(own.version, version)
 
     async def _read_member(self, part: str) -> rows.Range:
         read = await self._store.read(
--- a/wigeonhitch/leadership/tests/test_task.py
+++ b/wigeonhitch/leadership/tests/test_task.py
@@ -6,6 +6,7 @@
 from standins import rowstore
 from wigeonhitch.leadership import core, record, task
 from wigeonhitch.leadership.tests import conftest
+from wigeonhitch.platform import http
 
 pytestmark = pytest.mark.anyio
 
@@ -120,3 +121,33 @@
 
     assert store.get(record.MEMBER_TABLE, "b", "b") is None
     assert store.get(record.MEMBER_TABLE, "c", "c") is not None
+
+
+@pytest.mark.parametrize("members", [0, 1])
+async def test_daemon_becomes_a_candidate_after_the_store_has_dropped_its_history(
+    store, members
+):
+    """Guards against pools that nobody leads, as the table of members was empty.
+
+    Without a row there was no version to follow from, and the history from the start
+    was gone, so that no daemon ever joined.
+    """
+    for number in range(members):
+        gone = record.Member(f"gone{number}", "life", 0.0)
+        value = record.write_member(gone)
+        store.put(record.MEMBER_TABLE, gone.name, gone.name, value)
+    store.put("other", "", "key", b"1")
+    store.expire_history()
+    leadership = core.Leadership("a", "life", http.read_clock())
+    elector = task.LeaderElector(
+        leadership, store, lambda: ["p"], lambda _: None, lambda _: None, lambda _: 1.0
+    )
+
+    with anyio.move_on_after(5.0):
+        async with anyio.create_task_group() as group:
+            group.start_soon(elector.run)
+            while not leadership.is_leader("p"):
+                await anyio.sleep(0.02)
+            group.cancel_scope.cancel()
+
+    assert leadership.is_leader("p")
