Count a crash under an unanswered start although an order ended the VM next

A start that was sent and has no answer when its VM ends by an order now uses the task's excuse, and counts if there is none left. Answered runs on such a VM don't count, as before. The added test crashed VMs without end before (6), and passes.

--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -183,8 +183,9 @@
     def on_vm_ended(self, machine: vm.Vm, end: vm.VmEnd) -> list[model.Task]:
         """Count the end of a VM; return the tasks that are to be given up."""
         if end is vm.VmEnd.ORDERED or machine.entry.leaving:
+            tasks = self._count_unanswered(machine) if end is vm.VmEnd.ORDERED else []
             self._release_vm(machine.id)
-            return []
+            return [task for task in tasks if self.must_be_given_up(task)]
         tasks = self._count_all(machine)
         if end is vm.VmEnd.EXPIRED:
             tasks |= self._doubtful.setdefault(machine.id, set())
@@ -414,6 +415,19 @@
         ]
         return counted
 
+    def _count_unanswered(self, machine: vm.Vm) -> list[model.Task]:
+        """Excuse or count the tasks that may have crashed a VM just before an order."""
+        tasks = [
+            run.task
+            for run in machine.runs.values()
+            if run.state in (vm.RunState.STARTING, vm.RunState.UNKNOWN)
+            and not _is_unsent(run)
+        ]
+        for task in tasks:
+            if not self._excuse(task):
+                self._count(task, machine.id)
+        return tasks
+
     def _was_test(self, task: model.Task, machine: vm.Vm) -> bool:
         """Return whether a VM crashed at the start of a test."""
         run = machine.runs.get(task)
--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -483,6 +483,18 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_crash_under_an_unanswered_start_before_an_order(succession):
+    """Guards against crashes without end where each VM is moved by an order at once."""
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (
+        runs := succession.start(answered=False)
+    ):
+        succession.crash(runs[0].vm.id, way=vm.VmEnd.ORDERED)
+        succession.bench.commit()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
 # -- crashes that are counted for a task that didn't cause them
 
 
