Log and count what a daemon receives of the operator's rows

The only line was 'configuration in force'. It couldn't tell a lost call from a transfer that was given up, nor how old the daemon's knowledge was meanwhile. Now each answer with rows is logged with its size, its time and the time since the last confirmation, the first of several failed calls with its reason, and lost history. The version, the time of the last confirmation and the calls by outcome are metrics.

--- a/wigeonhitch/feed.py
+++ b/wigeonhitch/feed.py
@@ -31,6 +31,10 @@
     pass
 
 
+def _ignore_answer(answer: rows.Feed) -> None:
+    pass
+
+
 async def follow(
     store: rows.RowStore,
     table_name: str,
@@ -39,6 +43,7 @@
     timing: FollowTiming,
     is_enabled: Callable[[], bool] = _always,
     on_version: Callable[[int], None] = _ignore_version,
+    on_answer: Callable[[rows.Feed], None] = _ignore_answer,
 ) -> None:
     """Read a table, then follow its changes, until cancelled.
 
@@ -60,6 +65,8 @@
     on_version : callable
         Receives, after each answer, the store's version up to which all changes
         are known.
+    on_answer : callable
+        Receives the outcome of each call to the feed, before its rows are applied.
     """
     after_version = 0
     while True:
@@ -75,6 +82,7 @@
         feed = await store.follow(
             table_name, after_version, wait=timing.wait, timeout=timing.timeout
         )
+        on_answer(feed)
         if feed.expired:
             after_version = 0
         elif feed.outcome is table.Outcome.DONE:
--- a/wigeonhitch/platform/http.py
+++ b/wigeonhitch/platform/http.py
@@ -77,6 +77,7 @@
         self.calls += 1
         data = None if body is None else orjson.dumps(body)
         sent = read_clock()
+        has_begun = False
         try:
             async with self._session.request(
                 method,
@@ -87,13 +88,15 @@
                 timeout=aiohttp.ClientTimeout(total=timeout),
                 allow_redirects=False,
             ) as response:
+                has_begun = True
                 raw = await response.read()
                 parsed = _parse(raw)
                 status = response.status
         except aiohttp.ClientConnectorError as error:
             return _fail(table.Outcome.NOT_DONE, f"connect: {error.strerror}", sent)
         except TimeoutError:
-            return _fail(table.Outcome.UNKNOWN, "timeout", sent)
+            reason = "timeout in transfer" if has_begun else "timeout"
+            return _fail(table.Outcome.UNKNOWN, reason, sent)
         except (aiohttp.ClientError, OSError) as error:
             return _fail(table.Outcome.UNKNOWN, type(error).__name__, sent)
         return Reply(table.Outcome.DONE, status, parsed, "", sent, read_clock())
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -57,7 +57,10 @@
         self._group: anyio.abc.TaskGroup | None = None
         self._runners: dict[str, pool_runner.Runner] = {}
         self._configuration = configuration.ConfigurationFollower(
-            store, self._on_catalogue, settings.bounds.configuration_deadline
+            store,
+            self._on_catalogue,
+            settings.bounds.configuration_deadline,
+            instruments,
         )
         self._registry = registry.WorkerRegistry(
             store, lambda: bool(self._runners), self._on_worker, self._on_removed
