Give up no answer of the store that is being received

A caller of a daemon on a narrow link was served by a dropped route: the daemon had missed a document of 1.1 MB (CONFIG). Cause: the timeout of a call covered the transfer, so that an answer that began late in the wait was given up and transferred again; with a second version behind the first one, no call lasted long enough and the daemon stayed with what it had.

The timeout of reads and feed calls now ends when the answer begins; from then on it may take as long as bytes arrive at least each second. The same holds for all reads of the store: a new leader's reads and the workers' entries were given up half received as well.

The stand-in link follows the same contract.

--- a/standins/storelink.py
+++ b/standins/storelink.py
@@ -1,5 +1,6 @@
 """Links of one daemon to an in-process row store, with faults."""
 
+import math
 from collections.abc import Awaitable, Coroutine
 from typing import Any
 
@@ -167,21 +168,25 @@
         is_lost = name in self.silent_tables
         self._lost_calls[number] = "" if is_lost else name
         try:
-            with anyio.move_on_after(timeout):
+            with anyio.move_on_after(timeout) as scope:
                 await anyio.sleep(self._latency / 2)
                 answer = await call
                 formed = http.read_clock()
+                await anyio.sleep(self._latency / 2)
+                if not self._lost_calls[number]:
+                    await anyio.sleep_forever()
+                scope.deadline = math.inf  # the answer has begun
                 size = sum(len(row.value or b"") for row in getattr(answer, "rows", ()))
-                transfer = size * BASE64_RATIO / self._bytes_per_second
-                await anyio.sleep(self._latency / 2 + transfer)
-                if self._lost_calls[number]:
-                    received = http.read_clock()
-                    return answer._replace(
-                        store_time=formed + STORE_CLOCK_OFFSET_SECONDS,
-                        sent=sent,
-                        received=received,
-                    )
-                await anyio.sleep_forever()
+                await anyio.sleep(size * BASE64_RATIO / self._bytes_per_second)
+                if not self._lost_calls[number]:
+                    await anyio.sleep(rows.MAX_IDLE_SECONDS)
+                    reason = http.TIMEOUT_IN_TRANSFER
+                    return kind(table.Outcome.UNKNOWN, reason=reason)
+                return answer._replace(
+                    store_time=formed + STORE_CLOCK_OFFSET_SECONDS,
+                    sent=sent,
+                    received=http.read_clock(),
+                )
         finally:
             call.close()
             del self._lost_calls[number]
--- a/wigeonhitch/platform/http.py
+++ b/wigeonhitch/platform/http.py
@@ -11,12 +11,14 @@
 from typing import Any, NamedTuple
 
 import aiohttp
+import anyio
 import orjson
 
 from wigeonhitch.platform import table
 
 __all__ = [
     "MAX_CONNECTIONS_PER_ADDRESS",
+    "TIMEOUT_IN_TRANSFER",
     "Client",
     "Reply",
     "open_client",
@@ -35,6 +37,10 @@
 """Time that an idle connection is kept; the platform closes it after 15 s."""
 
 
+TIMEOUT_IN_TRANSFER = "timeout in transfer"
+"""Reason of a failed call whose answer had begun."""
+
+
 def read_clock() -> float:
     """Return the seconds of a clock that includes time in suspension."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -72,30 +78,43 @@
         body: Any = None,
         query: Mapping[str, str] | None = None,
         headers: Mapping[str, str] | None = None,
+        max_idle: float | None = None,
     ) -> Reply:
-        """Make one call; ``timeout`` in seconds covers the whole call."""
+        """Make one call.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds for the whole call, or, with ``max_idle``, until its answer begins.
+        max_idle : float, optional
+            Seconds without further bytes after which an answer that has begun counts
+            as lost. An answer takes as long as it is being received: repeating the
+            call would transfer the same bytes again.
+        """
         self.calls += 1
         data = None if body is None else orjson.dumps(body)
+        total = timeout if max_idle is None else None
         sent = read_clock()
         has_begun = False
         try:
-            async with self._session.request(
-                method,
-                f"http://{address}{path}",
-                params=query,
-                data=data,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=timeout),
-                allow_redirects=False,
-            ) as response:
-                has_begun = True
-                raw = await response.read()
-                parsed = _parse(raw)
-                status = response.status
+            with anyio.fail_after(None if max_idle is None else timeout) as scope:
+                async with self._session.request(
+                    method,
+                    f"http://{address}{path}",
+                    params=query,
+                    data=data,
+                    headers=headers,
+                    timeout=aiohttp.ClientTimeout(total=total),
+                    allow_redirects=False,
+                ) as response:
+                    has_begun = True
+                    raw = await _receive(response, scope, max_idle)
+                    parsed = _parse(raw)
+                    status = response.status
         except aiohttp.ClientConnectorError as error:
             return _fail(table.Outcome.NOT_DONE, f"connect: {error.strerror}", sent)
         except TimeoutError:
-            reason = "timeout in transfer" if has_begun else "timeout"
+            reason = TIMEOUT_IN_TRANSFER if has_begun else "timeout"
             return _fail(table.Outcome.UNKNOWN, reason, sent)
         except (aiohttp.ClientError, OSError) as error:
             return _fail(table.Outcome.UNKNOWN, type(error).__name__, sent)
@@ -121,6 +140,20 @@
     return Client(session)
 
 
+async def _receive(
+    response: aiohttp.ClientResponse, scope: anyio.CancelScope, max_idle: float | None
+) -> bytes:
+    """Return a body, each part of which has to follow within ``max_idle`` seconds."""
+    if max_idle is None:
+        return await response.read()
+    parts = []
+    scope.deadline = anyio.current_time() + max_idle
+    async for part in response.content.iter_any():
+        parts.append(part)
+        scope.deadline = anyio.current_time() + max_idle
+    return b"".join(parts)
+
+
 def _parse(raw: bytes) -> Any:
     if not raw:
         return None
--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -25,6 +25,11 @@
 ]
 
 
+MAX_IDLE_SECONDS = 1.0
+"""Time without further bytes after which an answer that has begun counts as lost: a
+slow store's pauses are a quarter of that."""
+
+
 class Row(NamedTuple):
     """One row; ``value`` is None when it was removed."""
 
@@ -128,7 +133,12 @@
 
 
 class RowStore(Protocol):
-    """Operations on the row store."""
+    """Operations on the row store.
+
+    The timeout of a read or of a feed call, in seconds, ends when the answer begins:
+    rows that are being received are not given up. That of other calls covers the whole
+    call.
+    """
 
     async def commit(self, change: Transaction, *, timeout: float) -> Change:
         """Make one attempt; ``UNKNOWN`` may still be applied seconds later."""
@@ -263,7 +273,13 @@
         query: dict[str, str] | None = None,
     ) -> http.Reply:
         return await self._client.call(
-            method, self._address, path, timeout=timeout, body=body, query=query
+            method,
+            self._address,
+            path,
+            timeout=timeout,
+            body=body,
+            query=query,
+            max_idle=MAX_IDLE_SECONDS if method == "GET" else None,
         )
 
 
--- /dev/null
+++ b/wigeonhitch/platform/tests/test_http.py
@@ -0,0 +1,78 @@
+"""Calls whose answers begin late, take long or stop."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from wigeonhitch.platform import http, rows, table
+
+pytestmark = pytest.mark.anyio
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+)
+BODY = b'{"rows": [], "ver": 7, "now_ms": 5}'
+
+
+@pytest.fixture
+async def make_store():
+    """Serve one answer in parts, with pauses in seconds before each of them."""
+    async with contextlib.AsyncExitStack() as stack:
+        group = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(group.cancel_scope.cancel)
+
+        async def make(*paused_parts):
+            async def answer(stream):
+                async with stream:
+                    await stream.receive()
+                    for pause, part in paused_parts:
+                        await anyio.sleep(pause)
+                        await stream.send(part)
+                    await anyio.sleep_forever()
+
+            async def serve():
+                async with listener:
+                    await listener.serve(answer)
+
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            group.start_soon(serve)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            client = await http.open_client(stack)
+            return rows.Rows(client, f"127.0.0.1:{port}")
+
+        yield make
+
+
+def split(body, count):
+    size = -(-len(body) // count)
+    return [body[start : start + size] for start in range(0, len(body), size)]
+
+
+async def test_long_answer_is_received_to_its_end(make_store):
+    """Guards against a document whose transfer is given up and repeated for ever."""
+    parts = [(0.1, part) for part in split(BODY, 6)]
+    store = await make_store((0.0, HEAD % len(BODY)), *parts)
+
+    feed = await store.follow("op", 3, wait=0.1, timeout=0.3)
+
+    assert (feed.outcome, feed.version) == (table.Outcome.DONE, 7)
+    assert feed.received - feed.sent > 0.5
+
+
+async def test_answer_that_does_not_begin_in_time_is_lost(make_store):
+    store = await make_store((0.6, HEAD % len(BODY) + BODY))
+
+    feed = await store.follow("op", 3, wait=0.1, timeout=0.3)
+
+    assert (feed.outcome, feed.reason) == (table.Outcome.UNKNOWN, "timeout")
+
+
+async def test_answer_that_stops_is_lost(make_store, monkeypatch):
+    monkeypatch.setattr(rows, "MAX_IDLE_SECONDS", 0.2)
+    store = await make_store((0.0, HEAD % len(BODY) + BODY[:10]))
+
+    with anyio.fail_after(3):
+        feed = await store.follow("op", 3, wait=0.1, timeout=0.3)
+
+    assert feed.reason == http.TIMEOUT_IN_TRANSFER
