Leave time for the transfer after a lost call for the operator's rows

A lost feed call used up the whole bound: wait 2.5 s, margin 0.4 s and delay 0.1 s of 3.0 s, so that a document of 1,650 routes was in force 3.61 s after the store was back on a link of 5 Mbit/s (2.64 s of 2.0 s, 4.09 s of 4.0 s).

The wait now leaves time for a transfer of 0.8 s, or 1.2 times that of the last document. After a lost call the store is asked to answer at once, so that a second loss is noticed after 0.4 s; all rows are read with a timeout of 0.8 s until the answer begins, not 1.9 s in all. The time of a confirmation is the earliest at which the store can have formed the answer; a read of several pages has the times of the first page.

The price is calls: one each 1.7 s and daemon instead of each 2.5 s where the bound is 3.0 s, one each 0.7 s instead of 1.5 s where it is 2.0 s.

--- a/wigeonhitch/feed.py
+++ b/wigeonhitch/feed.py
@@ -15,8 +15,8 @@
 
     wait: float
     """Time that a call waits for changes; a dead connection is detected after it."""
-    timeout: float
-    """Time after which a call counts as failed."""
+    margin: float
+    """Time beyond the wait after which a call without an answer counts as failed."""
     retry: float
     """Delay before a failed call is retried."""
     pause: float = 0.0
@@ -44,6 +44,7 @@
     is_enabled: Callable[[], bool] = _always,
     on_version: Callable[[int], None] = _ignore_version,
     on_answer: Callable[[rows.Feed], None] = _ignore_answer,
+    get_wait: Callable[[], float] | None = None,
 ) -> None:
     """Read a table, then follow its changes, until cancelled.
 
@@ -67,6 +68,8 @@
         are known.
     on_answer : callable
         Receives the outcome of each call to the feed, before its rows are applied.
+    get_wait : callable, optional
+        Returns the wait of the next call, instead of that of ``timing``.
     """
     after_version = 0
     while True:
@@ -79,8 +82,9 @@
             if not after_version:
                 await anyio.sleep(timing.retry)
             continue
+        wait = timing.wait if get_wait is None else get_wait()
         feed = await store.follow(
-            table_name, after_version, wait=timing.wait, timeout=timing.timeout
+            table_name, after_version, wait=wait, timeout=wait + timing.margin
         )
         on_answer(feed)
         if feed.expired:
--- a/wigeonhitch/leadership/task.py
+++ b/wigeonhitch/leadership/task.py
@@ -320,7 +320,7 @@
     async def _follow_owners(self) -> None:
         times = feed.FollowTiming(
             OWNERS_FEED_WAIT_SECONDS,
-            OWNERS_FEED_WAIT_SECONDS + CALL_TIMEOUT_SECONDS,
+            CALL_TIMEOUT_SECONDS,
             RETRY_DELAY_SECONDS,
         )
         await feed.follow(
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -146,7 +146,7 @@
             self._apply_pool_statuses,
             feed.FollowTiming(
                 STATUS_FEED_WAIT_SECONDS,
-                STATUS_FEED_WAIT_SECONDS + CALL_TIMEOUT_SECONDS / 2,
+                CALL_TIMEOUT_SECONDS / 2,
                 ROUND_INTERVAL_SECONDS,
             ),
         )
--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -83,7 +83,11 @@
 
 
 class Range(NamedTuple):
-    """Rows of one table and part as of one moment."""
+    """Rows of one table and part.
+
+    ``version``, ``store_time`` and ``sent`` are those of the first page: all changes up
+    to then are listed, and later ones may be.
+    """
 
     outcome: table.Outcome
     rows: tuple[Row, ...] = ()
@@ -210,7 +214,7 @@
     ) -> Range:
         """Read all pages of the keys from ``first`` to ``last``, which is excluded."""
         listed: list[Row] = []
-        version = 0
+        first_page: http.Reply | None = None
         while True:
             query = {"table": table, "part": part}
             if first:
@@ -225,13 +229,13 @@
             listed.extend(_read_rows(reply))
             # Changes made after the first page may be on no page. The feed returns
             # them if it starts at the version of the first page.
-            version = version or reply.body["ver"]
+            first_page = first_page or reply
             if limit or not reply.body.get("truncated") or not listed:
                 break
             first = listed[-1].key + "\0"
-        clock = _read_time(reply)
+        version, clock = first_page.body["ver"], _read_time(first_page)
         rows = tuple(listed)
-        return Range(_DONE, rows, version, "", clock, reply.sent, reply.received)
+        return Range(_DONE, rows, version, "", clock, first_page.sent, reply.received)
 
     async def follow(
         self, table: str, after: int, *, wait: float, timeout: float
--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -224,18 +224,20 @@
     client = Client()
     row = {"table": "t", "part": "p", "key": "k", "value": "dg==", "ver": 3}
     pages = [
-        {"rows": [row], "truncated": True, "ver": 10},
-        {"rows": [{**row, "key": "l"}], "truncated": False, "ver": 12},
+        {"rows": [row], "truncated": True, "ver": 10, "now_ms": 1500},
+        {"rows": [{**row, "key": "l"}], "truncated": False, "ver": 12, "now_ms": 3500},
     ]
+    times = iter([(1.0, 2.0), (3.0, 4.0)])
 
     async def call(method, address, path, **fields):
-        return http.Reply(DONE, 200, pages.pop(0), "", 1.0, 2.0)
+        return http.Reply(DONE, 200, pages.pop(0), "", *next(times))
 
     client.call = call
     row_range = await rows.Rows(client, "a").read("t", "p", timeout=1.0)
 
     assert [row.key for row in row_range.rows] == ["k", "l"]
     assert row_range.version == 10
+    assert (row_range.store_time, row_range.sent, row_range.received) == (1.5, 1.0, 4.0)
 
 
 @pytest.mark.anyio
--- a/wigeonhitch/site/closings.py
+++ b/wigeonhitch/site/closings.py
@@ -52,7 +52,7 @@
         """Follow until cancelled."""
         timing = feed.FollowTiming(
             FEED_WAIT_SECONDS,
-            FEED_WAIT_SECONDS + FEED_MARGIN_SECONDS,
+            FEED_MARGIN_SECONDS,
             RETRY_DELAY_SECONDS,
             FEED_PAUSE_SECONDS,
         )
--- a/wigeonhitch/site/configuration.py
+++ b/wigeonhitch/site/configuration.py
@@ -13,18 +13,29 @@
 MAX_FEED_WAIT_SECONDS = 3.0
 """Maximum time that a feed call waits for changes."""
 
-FEED_MARGIN_SECONDS = 0.4
-"""Time beyond the wait after which a feed call counts as failed."""
-
-READ_ALL_SECONDS = 0.1
-"""Time that it takes to read all rows again."""
+MIN_FEED_WAIT_SECONDS = 0.25
+"""Minimum time that a feed call waits, however long documents take."""
 
-READ_TIMEOUT_SECONDS = 1.9
-"""Timeout of reading all rows."""
+FEED_MARGIN_SECONDS = 0.4
+"""Time beyond the wait after which a feed call without an answer counts as lost: a slow
+store takes 0.25 s."""
 
 RETRY_DELAY_SECONDS = 0.1
 """Delay before a failed call is retried."""
 
+READ_TIMEOUT_SECONDS = 0.8
+"""Timeout of reading all rows, until the answer begins."""
+
+TRANSFER_SECONDS = 0.8
+"""Time that a document of 1,600 routes, 450 KB in an answer, takes on a link of 5
+Mbit/s, with some other traffic beside it."""
+
+TRANSFER_MARGIN_RATIO = 1.2
+"""Time that is left for the next document, in times of that of the last one."""
+
+MAX_CLOCK_DRIFT = 0.02
+"""Maximum difference between the rates of the store's clock and of this daemon's."""
+
 
 class ConfigurationFollower:
     """Keeps the configuration in force; its version never decreases.
@@ -50,21 +61,29 @@
         instruments: metric.Instruments | None = None,
     ) -> None:
         self._store = store
-        self._wait = min(
-            MAX_FEED_WAIT_SECONDS, max_delay - FEED_MARGIN_SECONDS - READ_ALL_SECONDS
-        )
+        self._max_delay = max_delay
         self._on_change = on_change
         self._instruments = instruments or metric.Instruments()
         self._outages = log.OutageLogger("configuration feed")
         self._confirmed_at = 0.0
-        """When the store's last answer on the operator's rows was received."""
+        """Earliest time at which the store can have formed its last answer on the
+        operator's rows; older versions than that answer's have been replaced since."""
+        self._confirmed_store_time = 0.0
+        """The store's clock in that answer."""
+        self._transfer_seconds = 0.0
+        """Longest time that the last answer with rows can have taken."""
+        self._last_wait = 0.0
         self.catalogue: model.Catalogue | None = None
         self.wave_orders: dict[int, entries.WaveOrder] = {}
 
+    def compute_age(self, now: float) -> float:
+        """Return for how long the configuration may have been replaced, in seconds."""
+        return now - self._confirmed_at
+
     async def run(self) -> None:
         """Follow until cancelled."""
         timing = feed.FollowTiming(
-            self._wait, self._wait + FEED_MARGIN_SECONDS, RETRY_DELAY_SECONDS
+            MAX_FEED_WAIT_SECONDS, FEED_MARGIN_SECONDS, RETRY_DELAY_SECONDS
         )
         await feed.follow(
             self._store,
@@ -73,8 +92,24 @@
             self._apply_rows,
             timing,
             on_answer=self._record_answer,
+            get_wait=self._choose_wait,
         )
 
+    def _choose_wait(self) -> float:
+        """Return how long the next feed call may wait, in seconds.
+
+        If it is lost, the time that is left until a change has to be in force must
+        suffice to notice that and to transfer the document. While the last
+        confirmation is older than a call should take, the store is asked to answer at
+        once.
+        """
+        transfer = max(TRANSFER_SECONDS, TRANSFER_MARGIN_RATIO * self._transfer_seconds)
+        spare = self._max_delay - FEED_MARGIN_SECONDS - RETRY_DELAY_SECONDS - transfer
+        wait = min(MAX_FEED_WAIT_SECONDS, max(MIN_FEED_WAIT_SECONDS, spare))
+        is_late = self.compute_age(http.read_clock()) > wait + FEED_MARGIN_SECONDS
+        self._last_wait = 0.0 if is_late else wait
+        return self._last_wait
+
     async def _read_snapshot(self) -> int:
         snapshot = await self._store.read(
             entries.OPERATOR_TABLE, "", timeout=READ_TIMEOUT_SECONDS
@@ -94,25 +129,34 @@
             "Reads of the operator's rows by outcome.",
             outcome="history lost" if is_expired else answer.reason or "done",
         )
-        now = http.read_clock()
-        unconfirmed = round(now - self._confirmed_at, 3) if self._confirmed_at else 0.0
-        self._outages.record(is_done, answer.reason, unconfirmed_seconds=unconfirmed)
+        age = round(self.compute_age(http.read_clock()), 3) if self._confirmed_at else 0
+        self._outages.record(is_done, answer.reason, unconfirmed_seconds=age)
         if is_expired:
-            log.log_change(
-                "configuration history lost", unconfirmed_seconds=unconfirmed
-            )
+            log.log_change("configuration history lost", unconfirmed_seconds=age)
         elif is_done:
-            self._record_documents(answer, unconfirmed)
-            self._confirmed_at = now
-            self._instruments.set(
-                "configuration_confirmed_timestamp_seconds",
-                "Unix time of the last answer on the operator's rows.",
-                time.time(),
-            )
-
-    def _record_documents(
-        self, answer: rows.Feed | rows.Range, unconfirmed: float
-    ) -> None:
+            self._record_confirmation(answer)
+            self._record_documents(answer, age)
+
+    def _record_confirmation(self, answer: rows.Feed | rows.Range) -> None:
+        """Record that the store has answered with all changes so far."""
+        earliest = answer.sent
+        if isinstance(answer, rows.Feed) and not answer.rows:
+            earliest += self._last_wait  # the store waited for changes as long as that
+        if self._confirmed_store_time:
+            passed = answer.store_time - self._confirmed_store_time
+            by_store = self._confirmed_at + passed * (1 - MAX_CLOCK_DRIFT)
+            earliest = max(earliest, by_store)
+        self._confirmed_at = min(earliest, answer.received)
+        self._confirmed_store_time = answer.store_time
+        if answer.rows:
+            self._transfer_seconds = answer.received - self._confirmed_at
+        self._instruments.set(
+            "configuration_confirmed_timestamp_seconds",
+            "Unix time of the last answer on the operator's rows.",
+            time.time(),
+        )
+
+    def _record_documents(self, answer: rows.Feed | rows.Range, age: float) -> None:
         """Log what an answer holds that changes the operator's rows."""
         if not answer.rows:
             return
@@ -121,7 +165,8 @@
             rows=len(answer.rows),
             bytes=sum(len(row.value or b"") for row in answer.rows),
             call_seconds=round(answer.received - answer.sent, 3),
-            unconfirmed_seconds=unconfirmed,
+            transfer_seconds=round(self._transfer_seconds, 3),
+            unconfirmed_seconds=age,
         )
 
     def _apply_rows(self, changed_rows: tuple[rows.Row, ...]) -> None:
--- a/wigeonhitch/site/registry.py
+++ b/wigeonhitch/site/registry.py
@@ -68,7 +68,7 @@
             self._apply_rows,
             feed.FollowTiming(
                 FEED_WAIT_SECONDS,
-                FEED_WAIT_SECONDS + FEED_MARGIN_SECONDS,
+                FEED_MARGIN_SECONDS,
                 RETRY_DELAY_SECONDS,
                 FEED_PAUSE_SECONDS,
             ),
--- a/wigeonhitch/tests/test_feed.py
+++ b/wigeonhitch/tests/test_feed.py
@@ -9,7 +9,7 @@
 
 pytestmark = pytest.mark.anyio
 
-TIMES = feed.FollowTiming(wait=0.05, timeout=0.2, retry=0.01)
+TIMES = feed.FollowTiming(wait=0.05, margin=0.15, retry=0.01)
 
 
 class Reader:
