Refuse requests while the configuration may be older than allowed

A daemon handled requests by the version that it had, however old its knowledge was: with the operator's rows away and all others served, a dropped route was served without end; as long as a newer document was being received, too.

A daemon knows the earliest time at which the store can have formed its last answer. Once that is longer ago than a change may take, requests are refused at once with a time to come back, and the daemon leaves the rotation. While the store gives no answers that limit is longer by the time that the platform allows for it (5 s): changes can hardly be confirmed then either, and refusing everybody would add to the outage. An answer that is being received is no such failure.

--- a/wigeonhitch/platform/node.py
+++ b/wigeonhitch/platform/node.py
@@ -40,6 +40,8 @@
     maintenance_seconds: float
     configuration_deadline: float = 2.0
     """Maximum time from accepting a configuration until it is in force."""
+    configuration_outage: float = 5.0
+    """Time by which that limit is extended while the store fails."""
 
 
 class StoreRates(NamedTuple):
@@ -133,6 +135,7 @@
             maintenance_seconds=reader.number("parameters.maintenance_s", 2),
             configuration_deadline=reader.number("parameters.config_apply_ms", 2000)
             / 1000,
+            configuration_outage=reader.number("parameters.skew_max_ms", 5000) / 1000,
         ),
         rates=StoreRates(
             reader.number("platform.writes_per_s", 800),
--- a/wigeonhitch/site/configuration.py
+++ b/wigeonhitch/site/configuration.py
@@ -33,6 +33,10 @@
 TRANSFER_MARGIN_RATIO = 1.2
 """Time that is left for the next document, in times of that of the last one."""
 
+FAILING_SECONDS = 1.0
+"""Time since the last call without an answer for which the store counts as failing; a
+call that fails takes at most 0.9 s with the delay before it."""
+
 MAX_CLOCK_DRIFT = 0.02
 """Maximum difference between the rates of the store's clock and of this daemon's."""
 
@@ -49,6 +53,8 @@
     max_delay : float
         Seconds within which a new configuration has to be in force, also if the feed's
         connection went silent before it arrived.
+    max_outage : float
+        Seconds by which ``max_delay`` is extended while the store fails.
     instruments : metric.Instruments, optional
         Receives the version in force, when it was last confirmed, and the calls.
     """
@@ -58,10 +64,12 @@
         store: rows.RowStore,
         on_change: Callable[[], None],
         max_delay: float = 2.0,
+        max_outage: float = 5.0,
         instruments: metric.Instruments | None = None,
     ) -> None:
         self._store = store
         self._max_delay = max_delay
+        self._max_outage = max_outage
         self._on_change = on_change
         self._instruments = instruments or metric.Instruments()
         self._outages = log.OutageLogger("configuration feed")
@@ -73,6 +81,8 @@
         self._transfer_seconds = 0.0
         """Longest time that the last answer with rows can have taken."""
         self._last_wait = 0.0
+        self._last_unanswered_at = 0.0
+        """When the last call ended to which the store gave no answer."""
         self.catalogue: model.Catalogue | None = None
         self.wave_orders: dict[int, entries.WaveOrder] = {}
 
@@ -80,6 +90,21 @@
         """Return for how long the configuration may have been replaced, in seconds."""
         return now - self._confirmed_at
 
+    def is_usable(self) -> bool:
+        """Return whether requests may be handled by the configuration in force.
+
+        It may be older than allowed if it was confirmed too long ago. While the store
+        fails, changes can hardly be accepted either, and refusing all requests would
+        only add to the outage; so the limit is longer. An answer that is being received
+        is no failure: it holds a newer version.
+        """
+        now = http.read_clock()
+        age = self.compute_age(now)
+        if age <= self._max_delay:
+            return True
+        is_failing = now - self._last_unanswered_at <= FAILING_SECONDS
+        return is_failing and age <= self._max_delay + self._max_outage
+
     async def run(self) -> None:
         """Follow until cancelled."""
         timing = feed.FollowTiming(
@@ -131,6 +156,8 @@
         )
         age = round(self.compute_age(http.read_clock()), 3) if self._confirmed_at else 0
         self._outages.record(is_done, answer.reason, unconfirmed_seconds=age)
+        if not is_done and answer.reason != http.TIMEOUT_IN_TRANSFER:
+            self._last_unanswered_at = http.read_clock()
         if is_expired:
             log.log_change("configuration history lost", unconfirmed_seconds=age)
         elif is_done:
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -60,6 +60,7 @@
             store,
             self._on_catalogue,
             settings.bounds.configuration_deadline,
+            settings.bounds.configuration_outage,
             instruments,
         )
         self._registry = registry.WorkerRegistry(
@@ -88,6 +89,7 @@
             lambda: self._configuration.catalogue,
             instruments,
             self._monitored_store.is_unreachable,
+            self._configuration.is_usable,
         )
 
     @property
@@ -95,6 +97,8 @@
         """Whether this daemon accepts new connections."""
         if self.stopped.is_set() or self._configuration.catalogue is None:
             return False
+        if not self._configuration.is_usable():
+            return False
         return not self._monitored_store.is_unreachable()
 
     @property
--- a/wigeonhitch/site/handler.py
+++ b/wigeonhitch/site/handler.py
@@ -31,6 +31,8 @@
         Whether this daemon hasn't reached the store for some time. Requests are
         then refused at once, since another daemon may reach it; waiting for a
         timeout on each would take up most of the callers' time.
+    is_configuration_usable : callable
+        Whether the configuration in force can't be older than allowed.
     """
 
     def __init__(
@@ -39,8 +41,10 @@
         get_catalogue: Callable[[], model.Catalogue | None],
         instruments: metric.Instruments,
         is_store_unreachable: Callable[[], bool] = lambda: False,
+        is_configuration_usable: Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
+        self._is_configuration_usable = is_configuration_usable
         self._is_store_unreachable = is_store_unreachable
         self._get_catalogue = get_catalogue
         self._instruments = instruments
@@ -61,6 +65,8 @@
             return self._refuse_path(path, "no configuration")
         if self._is_store_unreachable():
             return self._refuse_path(path, "store lost")
+        if not self._is_configuration_usable():
+            return self._refuse_path(path, "configuration not confirmed")
         candidates = [
             queue
             for queue in catalogue.queues
