Keep the tasks at work of a lasting job of which a task is given up

Callers of a lasting service lost every task of it as one of them was given up: the job became final, and what it ran was stopped at once, beyond what the service may miss (AVAIL). The same held for a batch step that was out of attempts beside lasting tasks.

The task alone is never started again. Callers are shown 'failed', so that they act; what works is kept, started again where it ends, and stopped when the job is cancelled. The tasks that are given up are recorded in the progress row, which an older version keeps. A job without lasting tasks, or with none left, is final as before.

--- a/wigeonhitch/jobs/progress.py
+++ b/wigeonhitch/jobs/progress.py
@@ -55,6 +55,8 @@
         seen, or one that was left out as the task had worked there."""
         self.assigned_vms: dict[model.Task, str] = {}
         """The VM on which each task with crashes may be started next, or runs."""
+        self.given_up: set[model.Task] = set()
+        """Tasks that are never started again although the job has others at work."""
         self.unknown_fields: dict[str, object] = {}
         """Fields of the progress row that a newer version has written."""
         self.crash_revision = 0
@@ -91,14 +93,14 @@
         )
 
     def list_open_tasks(self, wall_time: float) -> Iterator[model.Task]:
-        """Yield the tasks that may run at a Unix time and aren't done."""
+        """Yield the tasks that may run at a Unix time, neither done nor given up."""
         for occurrence in self._list_due_occurrences(wall_time):
             for number in range(len(self.job.steps)):
                 if self.is_step_ready(occurrence, number):
                     yield from self._list_undone_of(occurrence, number)
 
     def list_undone_tasks(self, wall_time: float) -> Iterator[model.Task]:
-        """Yield the tasks due at a Unix time that aren't done, of all steps."""
+        """Yield the due tasks of all steps, neither done nor given up."""
         for occurrence in self._list_due_occurrences(wall_time):
             for number in range(len(self.job.steps)):
                 yield from self._list_undone_of(occurrence, number)
@@ -157,6 +159,22 @@
         self.crash_revision += 1
         return True
 
+    def give_up(self, task: model.Task) -> None:
+        """Record that a task, and with it its whole gang, is never started again."""
+        step = self.job.steps[task.step]
+        indices = range(step.count) if step.gang else [task.index]
+        self.given_up.update(task._replace(index=index) for index in indices)
+
+    @property
+    def can_serve(self) -> bool:
+        """Whether a lasting task may be at work, now or later."""
+        return any(
+            step.lasting
+            and self.is_step_ready(0, number)
+            and any(self._list_undone_of(0, number))
+            for number, step in enumerate(self.job.steps)
+        )
+
     def clear_crashes(self, task: model.Task) -> bool:
         """Remove all crashes of a task; return whether there were any."""
         if task not in self.crashed_vms and task not in self.maybe_uncounted:
@@ -246,6 +264,8 @@
             return self.final
         if self.cancelled:
             return model.JobState.CANCELLED
+        if self.given_up:
+            return model.JobState.FAILED
         return model.JobState.RUNNING if self.started else model.JobState.QUEUED
 
     def _list_due_occurrences(self, wall_time: float) -> Iterator[int]:
@@ -259,8 +279,11 @@
             return
         done = self.done.get((occurrence, step), ())
         for index in range(self.job.steps[step].count):
-            if index not in done:
-                yield model.Task(self.job.id, occurrence, step, index)
+            if index in done:
+                continue
+            task = model.Task(self.job.id, occurrence, step, index)
+            if task not in self.given_up:
+                yield task
 
     def _get_attempt_key(self, task: model.Task) -> model.Task:
         if self.job.steps[task.step].gang:
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -6,6 +6,7 @@
 batch of ended runs and holds the final state too.
 """
 
+from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
 import orjson
@@ -14,6 +15,7 @@
 
 __all__ = [
     "JobRecord",
+    "has_given_up",
     "is_cancelled",
     "read_final",
     "read_job",
@@ -45,6 +47,7 @@
         "tested",
         "uncounted",
         "assigned",
+        "given_up",
     }
 )
 """Fields of a progress row that this version reads."""
@@ -136,9 +139,6 @@
     if state.final is not None:
         return orjson.dumps({"final": state.final.value})
     done = _write_sets(state.done)
-    uncounted: dict[tuple[int, int], set[int]] = {}
-    for task in state.maybe_uncounted:
-        uncounted.setdefault((task.occurrence, task.step), set()).add(task.index)
     failed = {_write_task(t): sorted(runs) for t, runs in state.failed_runs.items()}
     saved = {_write_task(t): text for t, text in state.checkpoints.items()}
     row = {"started": state.started, "done": done, "failed": failed, "saved": saved}
@@ -146,7 +146,8 @@
     assigned = {_write_task(t): vm for t, vm in state.assigned_vms.items()}
     tested = {_write_task(t): sorted(vms) for t, vms in state.test_crashes.items()}
     row.update(crashed=crashed, assigned=assigned, tested=tested)
-    row["uncounted"] = _write_sets(uncounted)
+    row["uncounted"] = _write_tasks(state.maybe_uncounted)
+    row["given_up"] = _write_tasks(state.given_up)
     known = {key: part for key, part in row.items() if part}
     return orjson.dumps(state.unknown_fields | known)
 
@@ -157,6 +158,11 @@
     return model.JobState(final) if final else None
 
 
+def has_given_up(value: bytes) -> bool:
+    """Return whether a progress row names tasks that are never started again."""
+    return bool(orjson.loads(value).get("given_up"))
+
+
 def read_progress(state: progress.Progress, value: bytes) -> None:
     """Update ``state`` from a progress row.
 
@@ -176,10 +182,8 @@
         state.crashed_vms[_read_task(state.job.id, key)] = set(vms)
     for key, vms in row.get("tested", {}).items():
         state.test_crashes[_read_task(state.job.id, key)] = set(vms)
-    for (occurrence, number), indices in _read_sets(row.get("uncounted", {})).items():
-        state.maybe_uncounted.update(
-            model.Task(state.job.id, occurrence, number, index) for index in indices
-        )
+    state.maybe_uncounted.update(_read_tasks(state.job.id, row.get("uncounted", {})))
+    state.given_up.update(_read_tasks(state.job.id, row.get("given_up", {})))
     for key, vm in row.get("assigned", {}).items():
         state.assigned_vms[_read_task(state.job.id, key)] = vm
 
@@ -222,6 +226,19 @@
     return sets
 
 
+def _write_tasks(tasks: Iterable[model.Task]) -> dict[str, str]:
+    sets: dict[tuple[int, int], set[int]] = {}
+    for task in tasks:
+        sets.setdefault((task.occurrence, task.step), set()).add(task.index)
+    return _write_sets(sets)
+
+
+def _read_tasks(job: str, fields: dict[str, str]) -> Iterator[model.Task]:
+    for (occurrence, step), indices in _read_sets(fields).items():
+        for index in indices:
+            yield model.Task(job, occurrence, step, index)
+
+
 def _write_set(indices: set[int]) -> str:
     return format(sum(1 << index for index in indices), "x")
 
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -74,6 +74,7 @@
         "run lapsed",
         "run failed",
         "job failed",
+        "task given up",
     }
 )
 """Log events that are also counted: some lines are left out in a burst."""
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -269,6 +269,8 @@
         state = self._jobs.get(task.job)
         if state is None or state.is_done(task):
             return False
+        if task in state.given_up:
+            return True
         if len(state.test_crashes.get(task, ())) >= MAX_TEST_CRASHES:
             return True
         maybe_uncounted = task in state.maybe_uncounted
@@ -284,12 +286,14 @@
         return any(id in self._vms for id in ids)
 
     def list_given_up(self) -> list[model.Task]:
-        """Return the tasks that must not be started again."""
+        """Return the tasks that are to be given up and don't run."""
         return [
             task
             for state in self._list_open_jobs()
             for task in state.crashed_vms
-            if task not in self._live and self.must_be_given_up(task)
+            if task not in self._live
+            and task not in state.given_up
+            and self.must_be_given_up(task)
         ]
 
     def must_be_tested(self, task: model.Task) -> bool:
--- a/wigeonhitch/pool/tests/test_given_up_lasting.py
+++ b/wigeonhitch/pool/tests/test_given_up_lasting.py
@@ -85,16 +85,22 @@
     """Guards against the same at a change of leaders, which read the job as final."""
     story.play(100)
     site = story.site
-    listed = {
-        machine.id: [
+    former, bench = site.bench, make_bench(epoch=2)
+    state = former.pool.jobs["l"]
+    job = record.JobRecord(state.job, state.accepted, False)
+    bench.pool.on_job("l", job, state.version, former.pool.job_locations["l"])
+    bench.pool.on_progress("l", *former.rows["progress", "l"])
+    vms = [
+        (machine, bench.add_vm(machine.id, labels=machine.entry.labels, answers=False))
+        for machine in site.vms
+    ]
+    for machine, adopted in vms:
+        listed = [
             workers.Running(run.task, run.number, "", 100, 0)
             for run in machine.runs.values()
         ]
-        for machine in site.vms
-    }
-    site.take_over(make_bench(epoch=2))
-    for machine in site.vms:
-        site.bench.answer(machine, listed[machine.id], now=site.now)
+        bench.answer(adopted, listed, now=site.now)
+    site.bench, site.vms = bench, [adopted for _, adopted in vms]
     successor = Story(site)
 
     successor.play(40)
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -463,14 +463,25 @@
     def fail_job(
         self, state: progress.Progress, task: model.Task, **fields: object
     ) -> None:
-        """Make a job final because of one of its tasks."""
-        if state.final is not None:
+        """Let a job fail because of one of its tasks.
+
+        The task is never started again. A job without lasting tasks is final, and what
+        it runs is stopped. Otherwise its lasting tasks are kept until it is cancelled:
+        callers of a service lose no more than the task that has failed, and stopping
+        the others would exceed what the service may miss.
+        """
+        if state.final is not None or task in state.given_up:
             return
-        state.final = model.JobState.FAILED
-        self.must_scan = True
+        event = "task given up" if state.given_up else "job failed"
+        state.give_up(task)
+        self.suspects.release(task)
+        if not state.can_serve:
+            state.final = model.JobState.FAILED
+            self.must_scan = True
         self.changed_jobs.add(task.job)
         self.ledger.mark_dirty(task.job)
-        self.log_event("job failed", job=task.job, task=task[1:], **fields)
+        is_kept = state.final is None
+        self.log_event(event, job=task.job, task=task[1:], kept=is_kept, **fields)
 
     # -- internals
 
--- a/wigeonhitch/site/handler.py
+++ b/wigeonhitch/site/handler.py
@@ -215,4 +215,6 @@
                 return progress.resolve_final_state(final, row.version, cancelled_at)
     if stored.parsed.cancelled:
         return model.JobState.CANCELLED
+    if any(record.has_given_up(row.value or b"{}") for row in progress_rows):
+        return model.JobState.FAILED
     return model.JobState.RUNNING if progress_rows else model.JobState.QUEUED
--- a/wigeonhitch/site/tests/test_desk.py
+++ b/wigeonhitch/site/tests/test_desk.py
@@ -628,3 +628,21 @@
     monkeypatch.setattr(site.store, "read", compact_before)
 
     assert (await site.handler.show(QUEUE, "j")).state is model.JobState.COMPLETED
+
+
+LASTING_JOB = model.Job(
+    "s", "q", "", (model.Step(2, model.Room(1000, 10), lasting=True),)
+)
+
+
+async def test_job_with_a_given_up_task_is_shown_as_failed_until_it_is_cancelled(site):
+    """Guards against callers who aren't told that their service lacks a task."""
+    await site.handler.submit(QUEUE, LASTING_JOB)
+    state = progress.Progress(LASTING_JOB, 1, 0.0)
+    state.give_up(model.Task("s", 0, 0, 1))
+    value = record.write_progress(state)
+    site.store.put(pool_record.PROGRESS_TABLE, QUEUE.pool, "s", value)
+
+    assert (await site.handler.show(QUEUE, "s")).state is model.JobState.FAILED
+    await site.handler.cancel(QUEUE, "s")
+    assert (await site.handler.show(QUEUE, "s")).state is model.JobState.CANCELLED
