--- a/wigeonhitch/site/handler.py
+++ b/wigeonhitch/site/handler.py
@@ -12,7 +12,7 @@
 
 from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import http, rows, table
-from wigeonhitch.site import acceptance, jobrows, message, waiting
+from wigeonhitch.site import acceptance, jobrows, message, routes, waiting
 from wigeonhitch.telemetry import log, metric
 
 __all__ = ["RequestHandler"]
@@ -49,7 +49,9 @@
         self._get_catalogue = get_catalogue
         self._instruments = instruments
         self._jobs = jobrows.JobReader(store)
-        self._waiting = waiting.WaitingJobCounter(store, get_catalogue)
+        self._indexed: model.Catalogue | None = None
+        self._index = routes.RouteIndex()
+        self._waiting = waiting.WaitingJobCounter(store, self._get_routes)
         self._acceptance = acceptance.Acceptance(store, is_store_unreachable)
 
     @property
@@ -67,14 +69,8 @@
             return self._refuse_path(path, "store lost")
         if not self._is_configuration_usable():
             return self._refuse_path(path, "configuration not confirmed")
-        candidates = [
-            queue
-            for queue in catalogue.queues
-            if queue.host == host and path.startswith(queue.prefix)
-        ]
-        if not candidates:
-            return message.Answer(message.Verdict.NO_QUEUE)
-        return max(candidates, key=lambda queue: len(queue.prefix))
+        queue = self._get_routes().find(host, path)
+        return queue or message.Answer(message.Verdict.NO_QUEUE)
 
     def on_catalogue(self) -> None:
         """Take note of a new configuration in force."""
@@ -135,6 +131,14 @@
             return message.refuse(count.reason)
         return message.Answer(message.Verdict.FOUND, pending=count)
 
+    def _get_routes(self) -> routes.RouteIndex:
+        """Return the index of the configuration in force."""
+        catalogue = self._get_catalogue()
+        if catalogue is not self._indexed:
+            self._index = routes.RouteIndex(catalogue.queues if catalogue else ())
+            self._indexed = catalogue
+        return self._index
+
     async def _mark_cancelled(self, stored: jobrows.StoredJob) -> rows.Change:
         row = stored.row
         parsed = stored.parsed
--- a/wigeonhitch/site/tests/test_waiting.py
+++ b/wigeonhitch/site/tests/test_waiting.py
@@ -217,3 +217,36 @@
         counts = [await count(daemon.handler, queue) for daemon in daemons]
 
     assert (queue.name, counts) == ("renamed", [4, 4])
+
+
+class CountedRoutes(tuple):
+    """Counts how often all routes are gone through."""
+
+    passes = 0
+
+    def __iter__(self):
+        CountedRoutes.passes += 1
+        return super().__iter__()
+
+
+async def test_requests_do_not_go_through_all_routes(shared):
+    """Guards against a daemon that is busy for 0.1 s with each count of waiting jobs.
+
+    Its configuration had 4,450 routes. Meanwhile it applied no newer one.
+    """
+    queues = [model.Queue(f"r{n}", f"h{n}", "/r/", "p") for n in range(100)]
+    routes = CountedRoutes([QUEUE, *queues])
+    await shared.submit(QUEUE, 1)
+    shared.publish("p", queues=(QUEUE,))
+    catalogue = model.Catalogue(1, routes, ())
+    request_handler = handler.RequestHandler(
+        shared.store, lambda: catalogue, metric.Instruments()
+    )
+    request_handler.on_catalogue()
+    CountedRoutes.passes = 0
+
+    for _ in range(10):
+        queue = request_handler.find_queue("h", "/q/")
+        assert (await request_handler.count(queue)).pending == 1
+
+    assert CountedRoutes.passes == 0
--- a/wigeonhitch/site/waiting.py
+++ b/wigeonhitch/site/waiting.py
@@ -12,7 +12,7 @@
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import http, rows, table
 from wigeonhitch.pool import record as pool_record
-from wigeonhitch.site import jobrows
+from wigeonhitch.site import jobrows, routes
 
 __all__ = ["WaitingJobCounter"]
 
@@ -27,17 +27,19 @@
     ----------
     store : rows.RowStore
         The platform's store.
-    get_catalogue : callable
-        Returns the configuration in force, if any.
+    get_routes : callable
+        Returns the index of the configuration in force.
     """
 
     def __init__(
         self,
         store: rows.RowStore,
-        get_catalogue: Callable[[], model.Catalogue | None],
+        get_routes: Callable[[], routes.RouteIndex],
     ) -> None:
         self._store = store
-        self._get_catalogue = get_catalogue
+        self._get_routes = get_routes
+        self._noted: routes.RouteIndex | None = None
+        """Index of the configuration whose names have been noted last."""
         self._statuses: dict[str, pool_record.PoolStatus] = {}
         """Status of each pool as last read."""
         self._names_by_path: dict[model.RoutePath, set[str]] = {}
@@ -47,8 +49,12 @@
 
     def on_catalogue(self) -> None:
         """Take note of the names in the configuration in force."""
-        for queue in self._list_queues():
-            self._names_by_path.setdefault(queue.path, set()).add(queue.name)
+        index = self._get_routes()
+        if index is self._noted:
+            return
+        self._noted = index
+        for path, name in index.names_by_path.items():
+            self._names_by_path.setdefault(path, set()).add(name)
 
     async def count(self, queue: model.Queue) -> int | rows.Range:
         """Return how many jobs wait, or the failed read of a pool's status."""
@@ -69,17 +75,13 @@
                 total += self._count_in_status(status, queue)
         return total
 
-    def _list_queues(self) -> tuple[model.Queue, ...]:
-        catalogue = self._get_catalogue()
-        return catalogue.queues if catalogue else ()
-
     def _count_in_status(
         self, status: pool_record.PoolStatus, queue: model.Queue
     ) -> int:
         """Return how many of a pool's waiting jobs belong to a queue."""
         total = 0
         without_path = dict(status.waiting)
-        paths_in_force = {other.path for other in self._list_queues()}
+        paths_in_force = self._get_routes().names_by_path
         for entry in status.waiting_by_path:
             without_path[entry.queue] = without_path.get(entry.queue, 0) - entry.jobs
             has_no_route = entry.path not in paths_in_force
@@ -91,11 +93,10 @@
 
     def _list_names(self, queue: model.Queue) -> set[str]:
         """Return the names that a queue has or had, unless another queue has them."""
+        index = self._get_routes()
         former = self._names_by_path.get(queue.path, set())
-        taken = {
-            other.name for other in self._list_queues() if other.path != queue.path
-        }
-        return {queue.name, *(former - taken)}
+        kept = {n for n in former if not index.is_name_of_another(n, queue.path)}
+        return {queue.name, *kept}
 
     async def _scan_statuses(self) -> None:
         """Read the status of each pool, unless the last scan is recent."""
