Ask the store at once after a lost feed call, in all followers

The class of the fault: a bound that one call may use up, so that nothing is left for a second one. The other followers notice a lost call after 1.3 to 1.6 s of bounds of 2 to 3 s, and a second one only after as long again. After a lost call all of them now ask the store to answer at once. The leader's feed of jobs was a copy of the loop and uses the common one. test_call_after_a_lost_one_does_not_wait_for_changes failed before.

--- a/wigeonhitch/feed.py
+++ b/wigeonhitch/feed.py
@@ -45,6 +45,7 @@
     on_version: Callable[[int], None] = _ignore_version,
     on_answer: Callable[[rows.Feed], None] = _ignore_answer,
     get_wait: Callable[[], float] | None = None,
+    after: int = 0,
 ) -> None:
     """Read a table, then follow its changes, until cancelled.
 
@@ -69,9 +70,18 @@
     on_answer : callable
         Receives the outcome of each call to the feed, before its rows are applied.
     get_wait : callable, optional
-        Returns the wait of the next call, instead of that of ``timing``.
+        Returns the wait of the next call, instead of that of ``timing``. Isn't called
+        before a call that doesn't wait.
+    after : int
+        Version to follow from; 0 reads a snapshot first.
+
+    Notes
+    -----
+    A lost call is noticed only after its wait. The next one asks the store to answer at
+    once, so that the loss of that one too is noticed after the margin.
     """
-    after_version = 0
+    after_version = after
+    is_lost = False
     while True:
         if not is_enabled():
             after_version = 0
@@ -82,10 +92,13 @@
             if not after_version:
                 await anyio.sleep(timing.retry)
             continue
-        wait = timing.wait if get_wait is None else get_wait()
+        wait = 0.0
+        if not is_lost:
+            wait = timing.wait if get_wait is None else get_wait()
         feed = await store.follow(
             table_name, after_version, wait=wait, timeout=wait + timing.margin
         )
+        is_lost = feed.outcome is table.Outcome.UNKNOWN
         on_answer(feed)
         if feed.expired:
             after_version = 0
--- a/wigeonhitch/pool/source.py
+++ b/wigeonhitch/pool/source.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from wigeonhitch import feed
 from wigeonhitch.jobs import record
 from wigeonhitch.leadership import core as leadership
 from wigeonhitch.maintenance import record as maintenance
@@ -160,23 +161,27 @@
 
     async def follow(self, after: int) -> None:
         """Follow the jobs after a version, until cancelled."""
-        while True:
-            feed = await self._store.follow(
-                self._job_table,
-                after,
-                wait=FEED_WAIT_SECONDS,
-                timeout=FEED_WAIT_SECONDS + FEED_MARGIN_SECONDS,
-            )
-            if feed.expired:
-                self._log_event("job feed expired; rows read again", after=after)
-                after = await self._load_jobs()
-                self._wake()
-                continue
-            if feed.outcome is not table.Outcome.DONE:
-                await anyio.sleep(RETRY_DELAY_SECONDS)
-                continue
-            after = max(after, feed.version)
-            for row in feed.rows:
-                self._take_job(row)
-            if feed.rows:
-                self._wake()
+        timing = feed.FollowTiming(
+            FEED_WAIT_SECONDS, FEED_MARGIN_SECONDS, RETRY_DELAY_SECONDS
+        )
+        await feed.follow(
+            self._store,
+            self._job_table,
+            self._read_again,
+            self._apply_job_rows,
+            timing,
+            after=after,
+        )
+
+    async def _read_again(self) -> int:
+        """Read all jobs, as the feed no longer has the latest changes."""
+        self._log_event("job feed expired; rows read again")
+        version = await self._load_jobs()
+        self._wake()
+        return version
+
+    def _apply_job_rows(self, changed: tuple[rows.Row, ...]) -> None:
+        for row in changed:
+            self._take_job(row)
+        if changed:
+            self._wake()
--- a/wigeonhitch/site/configuration.py
+++ b/wigeonhitch/site/configuration.py
@@ -80,7 +80,8 @@
         """The store's clock in that answer."""
         self._transfer_seconds = 0.0
         """Longest time that the last answer with rows can have taken."""
-        self._last_wait = 0.0
+        self._wait = 0.0
+        """Time that the store waits for changes before it answers the current call."""
         self._last_unanswered_at = 0.0
         """When the last call ended to which the store gave no answer."""
         self.catalogue: model.Catalogue | None = None
@@ -125,15 +126,15 @@
 
         If it is lost, the time that is left until a change has to be in force must
         suffice to notice that and to transfer the document. While the last
-        confirmation is older than a call should take, the store is asked to answer at
-        once.
+        confirmation is older than a call should take, as after a long transfer, the
+        store is asked to answer at once.
         """
         transfer = max(TRANSFER_SECONDS, TRANSFER_MARGIN_RATIO * self._transfer_seconds)
         spare = self._max_delay - FEED_MARGIN_SECONDS - RETRY_DELAY_SECONDS - transfer
         wait = min(MAX_FEED_WAIT_SECONDS, max(MIN_FEED_WAIT_SECONDS, spare))
         is_late = self.compute_age(http.read_clock()) > wait + FEED_MARGIN_SECONDS
-        self._last_wait = 0.0 if is_late else wait
-        return self._last_wait
+        self._wait = 0.0 if is_late else wait
+        return self._wait
 
     async def _read_snapshot(self) -> int:
         snapshot = await self._store.read(
@@ -156,6 +157,8 @@
         )
         age = round(self.compute_age(http.read_clock()), 3) if self._confirmed_at else 0
         self._outages.record(is_done, answer.reason, unconfirmed_seconds=age)
+        if not is_done:
+            self._wait = 0.0  # the call after a lost one doesn't wait
         if not is_done and answer.reason != http.TIMEOUT_IN_TRANSFER:
             self._last_unanswered_at = http.read_clock()
         if is_expired:
@@ -168,7 +171,7 @@
         """Record that the store has answered with all changes so far."""
         earliest = answer.sent
         if isinstance(answer, rows.Feed) and not answer.rows:
-            earliest += self._last_wait  # the store waited for changes as long as that
+            earliest += self._wait  # the store waited for changes as long as that
         if self._confirmed_store_time:
             passed = answer.store_time - self._confirmed_store_time
             by_store = self._confirmed_at + passed * (1 - MAX_CLOCK_DRIFT)
--- a/wigeonhitch/tests/test_feed.py
+++ b/wigeonhitch/tests/test_feed.py
@@ -102,3 +102,31 @@
     assert await feed.read_parts(read_part, ["four", "two", "seven"]) == 3
     assert await feed.read_parts(read_part, ["four", "bad"]) == 0
     assert await feed.read_parts(read_part, []) == 0
+
+
+class SilentStore:
+    """Loses the first calls of a feed and records how long each was to wait."""
+
+    def __init__(self, lost_calls):
+        self.lost_calls = lost_calls
+        self.waits = []
+
+    async def follow(self, table_name, after, *, wait, timeout):
+        self.waits.append(wait)
+        await anyio.sleep(0.001)
+        if len(self.waits) <= self.lost_calls:
+            return rows.Feed(table.Outcome.UNKNOWN, reason="timeout")
+        return rows.Feed(table.Outcome.DONE, (), after)
+
+
+async def test_call_after_a_lost_one_does_not_wait_for_changes():
+    """Guards against a second lost call that is noticed only after the whole wait."""
+    store = SilentStore(2)
+
+    async def read_snapshot():
+        return 1
+
+    with anyio.move_on_after(0.2):
+        await feed.follow(store, "t", read_snapshot, lambda changed: None, TIMES)
+
+    assert store.waits[:5] == [TIMES.wait, 0.0, 0.0, TIMES.wait, TIMES.wait]
