Count the early end of a leaving VM, and withdraw an excuse when its VM answers

The entry of a leaving VM tells the minimum time that is left; an end before that, with 1 s for the worker's clock, counts as a crash.

A VM that was only cut off left the excuse of its task used up, so that the task was nearer to being given up. It is withdrawn with what was counted for such a VM.

--- a/wigeonhitch/jobs/progress.py
+++ b/wigeonhitch/jobs/progress.py
@@ -207,6 +207,14 @@
         self.crash_revision += 1
         return True
 
+    def withdraw_excuse(self, task: model.Task) -> bool:
+        """Undo `use_excuse`, as no VM has crashed; return whether it was used."""
+        if task not in self.maybe_uncounted:
+            return False
+        self.maybe_uncounted.discard(task)
+        self.crash_revision += 1
+        return True
+
     def assign_vm(self, task: model.Task, vm: str) -> None:
         """Set the VM on which a task may be started next."""
         self.assigned_vms[task] = vm
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -126,6 +126,8 @@
         self._suspect_jobs: set[str] = set()
         self._doubtful: dict[str, set[model.Task]] = {}
         """Tasks by VMs that are counted as crashed and may yet answer."""
+        self._doubtful_excuses: dict[str, set[model.Task]] = {}
+        """Tasks that were excused for such a VM by this leader."""
         self._inherited: set[model.Task] = set()
         """Tasks that an earlier leader may have started on their assigned VM."""
         self._tests: dict[model.Task, str] = {}
@@ -145,6 +147,10 @@
 
     def on_vm_answered(self, id: str) -> None:
         """Withdraw what was counted for a VM that answers: it has not crashed."""
+        for task in self._doubtful_excuses.pop(id, ()):
+            state = self._jobs.get(task.job)
+            if state is not None and state.withdraw_excuse(task):
+                self._writer.mark_dirty(task.job)
         for task in self._doubtful.pop(id, ()):
             state = self._jobs.get(task.job)
             if state is not None and state.withdraw_crash(task, id):
@@ -174,16 +180,19 @@
                 self._suspect_jobs.add(state.job.id)
                 self._writer.mark_dirty(state.job.id)
 
-    def on_leases_lapsed(self, machine: vm.Vm) -> None:
+    def on_leases_lapsed(self, machine: vm.Vm, now: float) -> None:
         """Count a silent VM as crashed, until it answers."""
-        if not machine.entry.leaving:
+        if not machine.may_leave_by(now):
             tasks = self._count_all(machine)
             self._doubtful.setdefault(machine.id, set()).update(tasks)
 
-    def on_vm_ended(self, machine: vm.Vm, end: vm.VmEnd) -> list[model.Task]:
+    def on_vm_ended(
+        self, machine: vm.Vm, end: vm.VmEnd, now: float
+    ) -> list[model.Task]:
         """Count the end of a VM; return the tasks that are to be given up."""
-        if end is vm.VmEnd.ORDERED or machine.entry.leaving:
+        if end is vm.VmEnd.ORDERED or machine.may_leave_by(now):
             tasks = self._count_unanswered(machine) if end is vm.VmEnd.ORDERED else []
+            self._doubtful_excuses.pop(machine.id, None)
             self._release_vm(machine.id)
             return [task for task in tasks if self.must_be_given_up(task)]
         tasks = self._count_all(machine)
@@ -192,6 +201,7 @@
             self._doubtful[machine.id] = set(tasks)
         else:
             tasks |= self._doubtful.pop(machine.id, set())
+            self._doubtful_excuses.pop(machine.id, None)
         self._release_vm(machine.id)
         return [
             task
@@ -252,10 +262,11 @@
         self._suspect_jobs.discard(id)
         self._inherited = {task for task in self._inherited if task.job != id}
         self._tests = {task: vm for task, vm in self._tests.items() if task.job != id}
-        for vm_id, tasks in list(self._doubtful.items()):
-            tasks -= {task for task in tasks if task.job == id}
-            if not tasks:
-                del self._doubtful[vm_id]
+        for by_vm in (self._doubtful, self._doubtful_excuses):
+            for vm_id, tasks in list(by_vm.items()):
+                tasks -= {task for task in tasks if task.job == id}
+                if not tasks:
+                    del by_vm[vm_id]
 
     # -- questions
 
@@ -428,7 +439,7 @@
             and not _is_unsent(run)
         ]
         for task in tasks:
-            if not self._excuse(task):
+            if not self._excuse(task, machine.id):
                 self._count(task, machine.id)
         return tasks
 
@@ -460,20 +471,23 @@
             if _is_unsent(run) or (is_proven(run) and is_mass_loss):
                 continue
             is_unlikely = machine.closed or _was_seen_at_work(run)
-            if not (is_unlikely and self._excuse(run.task)):
+            if not (is_unlikely and self._excuse(run.task, machine.id)):
                 suspected.append(run.task)
         inherited = self._list_inherited_on(machine.id)
         return suspected + [
-            task for task in inherited if not (machine.closed and self._excuse(task))
+            task
+            for task in inherited
+            if not (machine.closed and self._excuse(task, machine.id))
         ]
 
-    def _excuse(self, task: model.Task) -> bool:
+    def _excuse(self, task: model.Task, id: str) -> bool:
         """Leave a crash out of a task's count; return False if one was before."""
         state = self._jobs.get(task.job)
         if state is None or not _is_open(state) or not state.use_excuse(task):
             return False
         self._inherited.discard(task)
         self._suspect_jobs.add(task.job)
+        self._doubtful_excuses.setdefault(id, set()).add(task)
         self._writer.mark_dirty(task.job)
         return True
 
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -281,10 +281,10 @@
             if not machine.answered:
                 lapsed = lapsed and seconds_waited > longest + grace
             if lapsed and (machine.runs or machine.orphans):
-                self._remove_lapsed_runs(machine)
+                self._remove_lapsed_runs(machine, now)
             if lapsed and machine.id in self.unresolved:
                 self.unresolved.discard(machine.id)
-                self.suspects.on_leases_lapsed(machine)
+                self.suspects.on_leases_lapsed(machine, now)
                 self._unseen_ends.add(machine.id)
                 self.log_event(
                     "VM waited out",
@@ -440,7 +440,7 @@
             runs=len(machine.runs),
             reason=end.value,
         )
-        exhausted = self.suspects.on_vm_ended(machine, end)
+        exhausted = self.suspects.on_vm_ended(machine, end, self.latest_time)
         for run in list(machine.runs.values()):
             self.log_event(
                 "run ended with its VM",
@@ -493,9 +493,9 @@
         """Return the seconds from a run's start to the last event of the pool."""
         return round(self.latest_time - run.started_at, 3)
 
-    def _remove_lapsed_runs(self, machine: vm.Vm) -> None:
+    def _remove_lapsed_runs(self, machine: vm.Vm, now: float) -> None:
         self.log_event("leases lapsed", vm=machine.id, runs=len(machine.runs))
-        self.suspects.on_leases_lapsed(machine)
+        self.suspects.on_leases_lapsed(machine, now)
         for run in list(machine.runs.values()):
             self.log_event(
                 "run lapsed", age=self._compute_run_age(run), **describe_run(run)
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -66,6 +66,10 @@
     EXPIRED = "entry removed and leases lapsed"
 
 
+MAX_CLOCK_LEAD_SECONDS = 1.0
+"""Time by which a worker's clock may be ahead of the last one that was received."""
+
+
 class Run:
     """One start of a task on a VM.
 
@@ -232,6 +236,18 @@
         passed = max(0.0, now - self._clock_received)
         return self._clock + passed * (1 - MAX_CLOCK_DRIFT)
 
+    def may_leave_by(self, now: float) -> bool:
+        """Return whether the VM is leaving and may have ended by now as announced.
+
+        Its entry tells the minimum time that is left. The worker's clock may be ahead
+        of what is known of it.
+        """
+        entry = self.entry
+        if not entry.leaving or entry.remaining is None or entry.clock is None:
+            return entry.leaving
+        clock = self.compute_clock(now) + MAX_CLOCK_LEAD_SECONDS
+        return clock >= entry.clock + entry.remaining
+
     def compute_deadline(self, now: float, lease: float) -> float:
         """Return the worker's time at which a lease from now ends.
 
