Keep the time of the last document when another row follows

The order of a wave made the wait of the next feed calls as long as for a short document, so that after a lost call a long one was late: 3.95 s of 3.0 s in test_short_row_after_a_long_document_leaves_time_for_the_next_one, which failed before.

--- a/wigeonhitch/site/configuration.py
+++ b/wigeonhitch/site/configuration.py
@@ -31,7 +31,7 @@
 Mbit/s, with some other traffic beside it."""
 
 TRANSFER_MARGIN_RATIO = 1.2
-"""Time that is left for the next document, in times of that of the last one."""
+"""Time that is left for the next document, as a multiple of that of the last one."""
 
 FAILING_SECONDS = 1.0
 """Time since the last call without an answer for which the store counts as failing; a
@@ -79,7 +79,7 @@
         self._confirmed_store_time = 0.0
         """The store's clock in that answer."""
         self._transfer_seconds = 0.0
-        """Longest time that the last answer with rows can have taken."""
+        """Longest time that the transfer of the last document can have taken."""
         self._wait = 0.0
         """Time that the store waits for changes before it answers the current call."""
         self._last_unanswered_at = 0.0
@@ -178,7 +178,7 @@
             earliest = max(earliest, by_store)
         self._confirmed_at = min(earliest, answer.received)
         self._confirmed_store_time = answer.store_time
-        if answer.rows:
+        if any(row.key == entries.CATALOGUE_KEY for row in answer.rows):
             self._transfer_seconds = answer.received - self._confirmed_at
         self._instruments.set(
             "configuration_confirmed_timestamp_seconds",
--- a/wigeonhitch/site/tests/test_configuration.py
+++ b/wigeonhitch/site/tests/test_configuration.py
@@ -175,6 +175,32 @@
     assert delay <= 3.0
 
 
+async def test_short_row_after_a_long_document_leaves_time_for_the_next_one():
+    """Guards against a change that is late after a lost call, as a wave came between.
+
+    The wait of the feed's calls went by the transfer of the wave's order.
+    """
+
+    pauses = iter([3.0 + phase * 3.0 / PHASES for phase in range(PHASES)])
+
+    async def lose_one_call_after_a_wave(site):
+        site.put(2, VERY_LONG_DOCUMENT_ROUTES)
+        await anyio.sleep(6.0)
+        order = {"wave": 1, "machines": [], "duration_s": 9, "ceiling": 1}
+        key = entries.get_wave_key(1)
+        site.store.put(entries.OPERATOR_TABLE, "", key, orjson.dumps(order))
+        await anyio.sleep(next(pauses))
+        site.link.silence(entries.OPERATOR_TABLE)
+        site.put(3, VERY_LONG_DOCUMENT_ROUTES)
+        site.link.restore()
+
+    delay = await measure_worst_delay(
+        3.0, NARROW_LINK_BYTES_PER_SECOND, lose_one_call_after_a_wave, version=3
+    )
+
+    assert delay <= 3.0
+
+
 class RunningDaemon:
     """A daemon whose configuration drops a route.
 
