Withdraw an excuse only for the VM that it was used for

A task was excused for a silent VM, cleared by its work elsewhere, and excused again for a VM that had crashed; as the silent VM answered, the second excuse was withdrawn too, and a crash was missing from the count, so that the task could crash a sixth VM. Each task now has the one VM of its last excuse. test_excuse_is_kept_when_a_vm_of_an_earlier_one_answers failed before.

--- a/wigeonhitch/platform/tests/test_http.py
+++ b/wigeonhitch/platform/tests/test_http.py
@@ -61,6 +61,7 @@
 
 
 async def test_answer_that_does_not_begin_in_time_is_lost(make_store):
+    """Guards against a follower that waits for a silent store without a limit."""
     store = await make_store((0.6, HEAD % len(BODY) + BODY))
 
     feed = await store.follow("op", 3, wait=0.1, timeout=0.3)
@@ -69,6 +70,7 @@
 
 
 async def test_answer_that_stops_is_lost(make_store, monkeypatch):
+    """Guards against a follower that waits for the rest of an answer for ever."""
     monkeypatch.setattr(rows, "MAX_IDLE_SECONDS", 0.2)
     store = await make_store((0.0, HEAD % len(BODY) + BODY[:10]))
 
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -126,8 +126,8 @@
         self._suspect_jobs: set[str] = set()
         self._doubtful: dict[str, set[model.Task]] = {}
         """Tasks by VMs that are counted as crashed and may yet answer."""
-        self._doubtful_excuses: dict[str, set[model.Task]] = {}
-        """Tasks that were excused for such a VM by this leader."""
+        self._excused_vms: dict[model.Task, str] = {}
+        """VM for which this leader has excused each task, while it may yet answer."""
         self._inherited: set[model.Task] = set()
         """Tasks that an earlier leader may have started on their assigned VM."""
         self._tests: dict[model.Task, str] = {}
@@ -147,7 +147,7 @@
 
     def on_vm_answered(self, id: str) -> None:
         """Withdraw what was counted for a VM that answers: it has not crashed."""
-        for task in self._doubtful_excuses.pop(id, ()):
+        for task in self._take_excused(id):
             state = self._jobs.get(task.job)
             if state is not None and state.withdraw_excuse(task):
                 self._writer.mark_dirty(task.job)
@@ -192,7 +192,7 @@
         """Count the end of a VM; return the tasks that are to be given up."""
         if end is vm.VmEnd.ORDERED or machine.may_leave_by(now):
             tasks = self._count_unanswered(machine) if end is vm.VmEnd.ORDERED else []
-            self._doubtful_excuses.pop(machine.id, None)
+            self._take_excused(machine.id)
             self._release_vm(machine.id)
             return [task for task in tasks if self.must_be_given_up(task)]
         tasks = self._count_all(machine)
@@ -201,7 +201,7 @@
             self._doubtful[machine.id] = set(tasks)
         else:
             tasks |= self._doubtful.pop(machine.id, set())
-            self._doubtful_excuses.pop(machine.id, None)
+            self._take_excused(machine.id)
         self._release_vm(machine.id)
         return [
             task
@@ -262,11 +262,13 @@
         self._suspect_jobs.discard(id)
         self._inherited = {task for task in self._inherited if task.job != id}
         self._tests = {task: vm for task, vm in self._tests.items() if task.job != id}
-        for by_vm in (self._doubtful, self._doubtful_excuses):
-            for vm_id, tasks in list(by_vm.items()):
-                tasks -= {task for task in tasks if task.job == id}
-                if not tasks:
-                    del by_vm[vm_id]
+        self._excused_vms = {
+            task: vm for task, vm in self._excused_vms.items() if task.job != id
+        }
+        for vm_id, tasks in list(self._doubtful.items()):
+            tasks -= {task for task in tasks if task.job == id}
+            if not tasks:
+                del self._doubtful[vm_id]
 
     # -- questions
 
@@ -480,6 +482,13 @@
             if not (machine.closed and self._excuse(task, machine.id))
         ]
 
+    def _take_excused(self, id: str) -> list[model.Task]:
+        """Return the tasks that were excused for a VM, and forget that."""
+        tasks = [task for task, vm in self._excused_vms.items() if vm == id]
+        for task in tasks:
+            del self._excused_vms[task]
+        return tasks
+
     def _excuse(self, task: model.Task, id: str) -> bool:
         """Leave a crash out of a task's count; return False if one was before."""
         state = self._jobs.get(task.job)
@@ -487,7 +496,7 @@
             return False
         self._inherited.discard(task)
         self._suspect_jobs.add(task.job)
-        self._doubtful_excuses.setdefault(id, set()).add(task)
+        self._excused_vms[task] = id
         self._writer.mark_dirty(task.job)
         return True
 
--- a/wigeonhitch/pool/tests/test_crash_review.py
+++ b/wigeonhitch/pool/tests/test_crash_review.py
@@ -339,3 +339,21 @@
     sizes.append(len(record.write_progress(state)))
 
     assert max(sizes) <= MAX_ROW_BYTES, sizes
+
+
+def test_excuse_is_kept_when_a_vm_of_an_earlier_one_answers(succession):
+    """Guards against a crash that is lost from the count, so that a sixth VM crashes.
+
+    A task was excused for a silent VM, cleared by its work elsewhere, and excused again
+    for a VM that crashed. Then the silent one answers.
+    """
+    state = succession.submit("l", step(lasting=True))
+    (run,) = succession.start("l")
+    suspects = succession.bench.pool.suspects
+    suspects._excuse(run.task, "silent")
+    state.clear_crashes(run.task)
+    suspects._excuse(run.task, "crashed")
+
+    suspects.on_vm_answered("silent")
+
+    assert state.is_suspect(run.task)
--- a/wigeonhitch/pool/tests/test_given_up_lasting.py
+++ b/wigeonhitch/pool/tests/test_given_up_lasting.py
@@ -17,7 +17,7 @@
     return crashes.Site(bench, 8, racks=("r1", "r2", "r3", "r4"))
 
 
-class Story:
+class Rounds:
     """Rounds of a pool in which the guilty task crashes each VM that starts it.
 
     Attributes
@@ -33,14 +33,18 @@
         self.stops = []
         self.starts = []
 
-    def play(self, rounds):
+    def plan(self):
+        """Plan one round, and let the workers confirm its starts."""
+        for order in self.site.bench.plan(self.site.now):
+            if isinstance(order, message.Stop):
+                self.stops.append(order)
+            elif isinstance(order, message.Start):
+                self._start(order.run)
+
+    def play(self, count):
         site = self.site
-        for _ in range(rounds):
-            for order in site.bench.plan(site.now):
-                if isinstance(order, message.Stop):
-                    self.stops.append(order)
-                elif isinstance(order, message.Start):
-                    self._start(order.run)
+        for _ in range(count):
+            self.plan()
             guilty = site.pool.live.get(GUILTY)
             if guilty is not None:
                 site.crash(guilty.vm)
@@ -60,31 +64,31 @@
 
 
 @pytest.fixture
-def story(site):
+def rounds(site):
     site.bench.add_job("l", SERVICE)
-    return Story(site)
+    return Rounds(site)
 
 
-def test_tasks_at_work_are_not_stopped_as_another_of_their_job_is_given_up(story):
+def test_tasks_at_work_are_not_stopped_as_another_of_their_job_is_given_up(rounds):
     """Guards against a service that loses all its tasks since one of them crashes VMs.
 
     The job was final then, and what still ran of it was stopped at once.
     """
-    story.play(100)
+    rounds.play(100)
 
-    state = story.site.pool.jobs["l"]
-    assert story.starts.count(GUILTY) <= crashes.MAX_CRASHED_VMS
+    state = rounds.site.pool.jobs["l"]
+    assert rounds.starts.count(GUILTY) <= crashes.MAX_CRASHED_VMS
     assert state.state is model.JobState.FAILED
-    assert story.stops == []
-    assert story.list_at_work() == {1, 2, 3, 4}
+    assert rounds.stops == []
+    assert rounds.list_at_work() == {1, 2, 3, 4}
 
 
 def test_successor_keeps_the_other_tasks_of_a_job_with_a_given_up_one(
-    story, make_bench
+    rounds, make_bench
 ):
     """Guards against the same at a change of leaders, which read the job as final."""
-    story.play(100)
-    site = story.site
+    rounds.play(100)
+    site = rounds.site
     former, bench = site.bench, make_bench(epoch=2)
     state = former.pool.jobs["l"]
     job = record.JobRecord(state.job, state.accepted, False)
@@ -101,7 +105,7 @@
         ]
         bench.answer(adopted, listed, now=site.now)
     site.bench, site.vms = bench, [adopted for _, adopted in vms]
-    successor = Story(site)
+    successor = Rounds(site)
 
     successor.play(40)
 
@@ -110,52 +114,50 @@
     assert site.pool.jobs["l"].state is model.JobState.FAILED
 
 
-def test_ended_task_of_a_job_with_a_given_up_one_is_started_again(story):
+def test_ended_task_of_a_job_with_a_given_up_one_is_started_again(rounds):
     """Guards against a service that shrinks until its caller has acted."""
-    story.play(100)
-    site = story.site
+    rounds.play(100)
+    site = rounds.site
     run = site.pool.live[GUILTY._replace(index=3)]
     site.crash(run.vm)
 
-    story.play(20)
+    rounds.play(20)
 
-    assert 3 in story.list_at_work()
-    assert story.stops == []
+    assert 3 in rounds.list_at_work()
+    assert rounds.stops == []
 
 
 def test_job_of_which_all_tasks_are_given_up_is_final(site):
+    """Guards against a job without any task left that stays open for ever."""
     site.bench.add_job("l", crashes.step(1, lasting=True))
-    story = Story(site)
+    rounds = Rounds(site)
 
-    story.play(100)
+    rounds.play(100)
 
-    assert story.starts.count(GUILTY) <= crashes.MAX_CRASHED_VMS
+    assert rounds.starts.count(GUILTY) <= crashes.MAX_CRASHED_VMS
     value, _ = site.bench.rows["progress", "l"]
     assert record.read_final(value) is model.JobState.FAILED
 
 
-def test_cancelling_stops_what_a_job_with_a_given_up_task_has_left(story):
-    story.play(100)
-    state = story.site.pool.jobs["l"]
+def test_cancelling_stops_what_a_job_with_a_given_up_task_has_left(rounds):
+    """Guards against tasks that nobody can stop, since their job counts as failed."""
+    rounds.play(100)
+    state = rounds.site.pool.jobs["l"]
     state.cancelled = True
-    story.site.pool.must_scan = True
+    rounds.site.pool.must_scan = True
 
-    story.play(1)
+    rounds.play(1)
 
-    assert {stop.task.index for stop in story.stops} == {1, 2, 3, 4}
+    assert {stop.task.index for stop in rounds.stops} == {1, 2, 3, 4}
 
 
 def test_lasting_tasks_are_not_stopped_as_a_batch_task_is_out_of_attempts(site):
     """Guards against the same for a job that also has a step of batch work."""
     site.bench.add_job("l", crashes.step(), SERVICE)
-    story = Story(site)
+    rounds = Rounds(site)
     failed = 0
     for _ in range(20):
-        for order in site.bench.plan(site.now):
-            if isinstance(order, message.Stop):
-                story.stops.append(order)
-            elif isinstance(order, message.Start):
-                story._start(order.run)
+        rounds.plan()
         batch = site.pool.live.get(GUILTY)
         if batch is not None and batch.state is vm.RunState.RUNNING:
             number = batch.vm.processed_end + 1
@@ -166,6 +168,6 @@
         site.advance()
 
     assert failed == 2
-    assert story.stops == []
-    assert len(story.list_at_work()) == 5
+    assert rounds.stops == []
+    assert len(rounds.list_at_work()) == 5
     assert site.pool.jobs["l"].state is model.JobState.FAILED
