Refuse requests whose key no configuration holds

Now each verb is authorized after its body is read; the team of the key is stored with the job. Keys are kept as keyed digests only. A daemon that can't rule out that a key was revoked for longer than the strict bound refuses keyed requests as not run; the bound is not extended while the store fails, since it may fail for this daemon only. Anonymous routes go by the bound of before.

--- a/wigeonhitch/jobs/__init__.py
+++ b/wigeonhitch/jobs/__init__.py
@@ -1,7 +1,7 @@
 """Jobs of dependent steps: what callers submit, and how far each has come.
 
-Public: `model` (types), `progress` (state of one job) and `record` (durable
-rows). Nothing here does I/O or reads a clock.
+Public: `model` (types), `progress` (state of one job), `record` (durable rows) and
+`credential` (digests of callers' keys). Nothing here does I/O or reads a clock.
 """
 
-__all__ = ["model", "progress", "record"]
+__all__ = ["credential", "model", "progress", "record"]
--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -171,6 +171,8 @@
     """Whether its tasks need a ticket of the advice service; used as above."""
     terms: Terms = Terms()
     """Terms of its queue at the submission; used as above."""
+    team: str = ""
+    """Team whose key it was submitted with; empty for none."""
 
     @property
     def occurrences(self) -> int:
@@ -224,6 +226,25 @@
 """Path of jobs that an earlier version accepted without recording it."""
 
 
+class Team(NamedTuple):
+    """One team of callers of the configuration in force.
+
+    ``ceiling`` is the most that the team may have running in all pools together; a
+    resource of 0 is unlimited. ``weight`` is its share of capacity that is contended
+    for.
+    """
+
+    name: str
+    key_digests: frozenset[bytes] = frozenset()
+    """Digests by `credential.compute_digest` of the keys that its callers may use."""
+    weight: float = 1.0
+    ceiling: Room = Room()
+
+
+ANONYMOUS = Team("")
+"""Callers without a key."""
+
+
 class Queue(NamedTuple):
     """One queue of the configuration in force.
 
@@ -241,6 +262,8 @@
     objective: float = 0.0
     timeout: float = 0.0
     advice: Advice | None = None
+    is_anonymous: bool = True
+    """Whether callers need no key."""
 
     @property
     def path(self) -> RoutePath:
@@ -265,3 +288,4 @@
     pools: tuple[Pool, ...]
     body_limit: int = 262144
     """Largest request body in bytes."""
+    teams: tuple[Team, ...] = ()
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -95,6 +95,8 @@
         row["advised"] = True
     if path != model.UNKNOWN_PATH:
         row["path"] = list(path)
+    if job.team:
+        row["team"] = job.team
     if cancelled:
         row["cancelled"] = True
     return orjson.dumps(row)
@@ -123,7 +125,8 @@
     schedule = (times, first_due, interval)
     terms = model.Terms(*row.get("terms", ()))
     policy = (row.get("attempts", 1), row.get("advised", False), terms)
-    job = model.Job(id, row["queue"], row["spec"], steps, *schedule, *policy)
+    team = row.get("team", "")
+    job = model.Job(id, row["queue"], row["spec"], steps, *schedule, *policy, team)
     cancelled = row.get("cancelled", False)
     path = model.RoutePath(*row.get("path", ()))
     return JobRecord(job, row["accepted"], cancelled, pool=row["pool"], path=path)
--- a/wigeonhitch/platform/entries.py
+++ b/wigeonhitch/platform/entries.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from wigeonhitch.jobs import model
+from wigeonhitch.jobs import credential, model
 
 __all__ = [
     "CATALOGUE_KEY",
@@ -111,11 +111,13 @@
     try:
         fields = orjson.loads(value)
         limits = fields.get("limits") or {}
+        has_teams = "tenants" in fields
         return model.Catalogue(
             int(fields["version"]),
-            tuple(_read_queue(route) for route in fields["routes"]),
+            tuple(_read_queue(route, has_teams) for route in fields["routes"]),
             tuple(_read_pool(service) for service in fields["services"]),
             int(limits.get("body_bytes", 262144)),
+            tuple(_read_team(tenant) for tenant in fields.get("tenants") or ()),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return InvalidEntry(CATALOGUE_KEY, f"{type(error).__name__}: {error}")
@@ -159,7 +161,19 @@
     return int(number) if prefix == "wave" and number.isdigit() else None
 
 
-def _read_queue(fields: dict[str, Any]) -> model.Queue:
+def _read_team(fields: dict[str, Any]) -> model.Team:
+    return model.Team(
+        _read_text(fields["name"]),
+        frozenset(
+            credential.compute_digest(_read_text(key))
+            for key in fields.get("api_keys") or ()
+        ),
+        float(fields.get("weight") or 1),
+        read_room(fields.get("ceiling") or {}),
+    )
+
+
+def _read_queue(fields: dict[str, Any], has_teams: bool) -> model.Queue:
     hint = fields.get("hint")
     advice = None
     if hint:
@@ -179,6 +193,7 @@
         objective=float(fields.get("slo_ms", 0)) / 1000,
         timeout=float(fields.get("timeout_ms", 0)) / 1000,
         advice=advice,
+        is_anonymous=bool(fields.get("allow_anonymous", not has_teams)),
     )
 
 
--- a/wigeonhitch/platform/ingress.py
+++ b/wigeonhitch/platform/ingress.py
@@ -6,13 +6,16 @@
 
 import orjson
 
-from wigeonhitch.jobs import model
+from wigeonhitch.jobs import credential, model
 from wigeonhitch.site import message
 
-__all__ = ["Ingress", "read_job"]
+__all__ = ["Ingress", "read_job", "read_key"]
 
 READINESS_PATH = "/v1/readiness"
 
+KEY_SCHEME = "Token"
+"""Scheme of the header that holds a caller's key."""
+
 STATUS_BY_VERDICT = {
     message.Verdict.ACCEPTED: 200,
     message.Verdict.FOUND: 200,
@@ -21,6 +24,7 @@
     message.Verdict.NOT_RUN: 503,
     message.Verdict.UNKNOWN: 504,
     message.Verdict.INVALID: 400,
+    message.Verdict.UNAUTHORIZED: 401,
 }
 
 
@@ -57,8 +61,11 @@
         host = _find_host(scope["headers"])
         queue = self._handler.find_queue(host, scope["path"])
         body = await _read_body(receive, self._handler.max_body_bytes)
-        answer = await self._answer(scope["method"], queue, scope["path"], body)
+        key = read_key(scope["headers"])
+        answer = await self._answer(scope["method"], queue, scope["path"], key, body)
         headers = {}
+        if answer.verdict is message.Verdict.UNAUTHORIZED:
+            headers["WWW-Authenticate"] = KEY_SCHEME
         if answer.retry_after:
             headers["Retry-After"] = str(max(1, math.ceil(answer.retry_after)))
         if self._is_closing():
@@ -72,10 +79,14 @@
         method: str,
         queue: model.Queue | message.Answer,
         path: str,
+        key: bytes | credential.InvalidKey,
         body: bytes | None,
     ) -> message.Answer:
         if isinstance(queue, message.Answer):
             return queue
+        team = self._handler.authorize(queue, key)
+        if isinstance(team, message.Answer):
+            return team
         id = path[len(queue.prefix) :]
         if method == "GET" and not id:
             return await self._handler.count(queue)
@@ -95,7 +106,7 @@
             OverflowError,
         ) as error:
             return message.Answer(message.Verdict.INVALID, reason=str(error))
-        return await self._handler.submit(queue, job)
+        return await self._handler.submit(queue, job._replace(team=team.name))
 
 
 def read_job(id: str, queue: str, body: bytes) -> model.Job:
@@ -124,6 +135,22 @@
     )
 
 
+def read_key(headers: list[tuple[bytes, bytes]]) -> bytes | credential.InvalidKey:
+    """Return the digest of the key in a request's headers, or why there is none."""
+    values = [value for name, value in headers if name == b"authorization"]
+    if not values:
+        return credential.NO_KEY
+    if len(values) > 1:
+        return credential.InvalidKey("several credentials")
+    scheme, _, key = values[0].decode("latin-1").strip().partition(" ")
+    key = key.strip()
+    if scheme.lower() != KEY_SCHEME.lower() or not key:
+        return credential.InvalidKey("malformed credential")
+    if len(key) > credential.MAX_KEY_CHARACTERS:
+        return credential.InvalidKey("credential too long")
+    return credential.compute_digest(key)
+
+
 def _read_step(fields: dict[str, Any]) -> model.Step:
     return model.Step(
         count=max(1, _read_count(fields, "count")),
--- a/wigeonhitch/platform/node.py
+++ b/wigeonhitch/platform/node.py
@@ -1,5 +1,6 @@
 """The settings file that the platform provides to each process."""
 
+import math
 import pathlib
 from typing import NamedTuple
 
@@ -42,6 +43,9 @@
     """Maximum time from accepting a configuration until it is in force."""
     configuration_outage: float = 5.0
     """Time by which that limit is extended while the store fails."""
+    revocation_deadline: float = math.inf
+    """Maximum time from revoking a caller's key until it is refused, for daemons that
+    are cut off too; infinite if those are exempt."""
 
 
 class StoreRates(NamedTuple):
@@ -136,6 +140,7 @@
             configuration_deadline=reader.number("parameters.config_apply_ms", 2000)
             / 1000,
             configuration_outage=reader.number("parameters.skew_max_ms", 5000) / 1000,
+            revocation_deadline=_read_revocation_deadline(reader),
         ),
         rates=StoreRates(
             reader.number("platform.writes_per_s", 800),
@@ -158,6 +163,12 @@
     return share * reader.number("limits.cores", 1.0)
 
 
+def _read_revocation_deadline(reader: "_Reader") -> float:
+    if not reader.flag("parameters.strict_revoke", False):
+        return math.inf
+    return reader.number("parameters.revoke_ms", 5000) / 1000
+
+
 class _Reader:
     """Reads typed fields and collects every problem."""
 
--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -5,7 +5,7 @@
 import orjson
 import pytest
 
-from wigeonhitch.jobs import model
+from wigeonhitch.jobs import credential, model
 from wigeonhitch.platform import (
     entries,
     fleet,
@@ -322,12 +322,16 @@
 
     def __init__(self, answer):
         self.answer = answer
+        self.refusal = None
 
     def find_queue(self, host, path):
         if path.startswith("/p/"):
             return model.Queue("r", host, "/p/", "s")
         return message.Answer(message.Verdict.NO_QUEUE)
 
+    def authorize(self, queue, key):
+        return model.ANONYMOUS if self.refusal is None else self.refusal
+
     async def submit(self, queue, job):
         return self.answer
 
@@ -342,9 +346,12 @@
 
 
 async def request(answer, method, path, body=b"", *, closing=False, ready=True):
-    application = ingress.Ingress(
-        FakeRequestHandler(answer), lambda: ready, lambda: closing
-    )
+    handler = FakeRequestHandler(answer)
+    return await request_of(handler, method, path, body, closing=closing, ready=ready)
+
+
+async def request_of(handler, method, path, body=b"", *, closing=False, ready=True):
+    application = ingress.Ingress(handler, lambda: ready, lambda: closing)
     sent = []
 
     async def receive():
@@ -404,3 +411,60 @@
     assert (await request(answer, "GET", "/v1/readiness", ready=False))[0] == 503
     headers = (await request(answer, "GET", "/p/j", closing=True))[1]
     assert headers[b"Connection"] == b"close"
+
+
+@pytest.mark.anyio
+async def test_every_request_with_an_invalid_key_gets_401_and_the_scheme():
+    """Guards against a call that is carried out without a look at its key."""
+    handler = FakeRequestHandler(message.Answer(message.Verdict.ACCEPTED))
+    handler.refusal = message.Answer(message.Verdict.UNAUTHORIZED)
+
+    calls = [("POST", "/p/j"), ("GET", "/p/j"), ("DELETE", "/p/j"), ("GET", "/p/")]
+    for method, path in calls:
+        status, headers, _ = await request_of(handler, method, path, JOB)
+        assert status == 401
+        assert headers[b"WWW-Authenticate"] == b"Token"
+
+
+@pytest.mark.parametrize(
+    ("values", "reason"),
+    [
+        ([], "no key"),
+        ([b""], "malformed credential"),
+        ([b"Token"], "malformed credential"),
+        ([b"Token  "], "malformed credential"),
+        ([b"Bearer key"], "malformed credential"),
+        ([b"Token key", b"Token key"], "several credentials"),
+        ([b"Token " + b"k" * 10_000], "credential too long"),
+    ],
+)
+def test_credential_that_cannot_be_looked_up_is_told_by_its_reason(values, reason):
+    """Guards against a traceback, or a key that is guessed at, for a bad header."""
+    headers = [(b"host", b"h"), *((b"authorization", value) for value in values)]
+
+    assert ingress.read_key(headers) == credential.InvalidKey(reason)
+
+
+def test_key_is_read_as_its_digest():
+    digest = ingress.read_key([(b"authorization", b"token  \xe9key ")])
+
+    assert digest == credential.compute_digest("\xe9key")
+    assert b"key" not in digest
+
+
+def test_teams_of_a_configuration_hold_digests_and_ceilings():
+    tenant = {"name": "t", "api_keys": ["k1", "k2"], "weight": 86}
+    tenant["ceiling"] = {"cpu": 7000, "mem_mb": 900, "gpus": 0}
+    route = {"name": "q", "host": "h", "path_prefix": "/q/", "service": "p"}
+    routes = [route, {**route, "allow_anonymous": True}]
+    fields = {"version": 1, "routes": routes, "services": [], "tenants": [tenant]}
+
+    catalogue = entries.read_catalogue(orjson.dumps(fields))
+
+    (team,) = catalogue.teams
+    assert team.key_digests == {credential.compute_digest(k) for k in ("k1", "k2")}
+    assert (team.weight, team.ceiling) == (86, model.Room(7000, 900, 0))
+    assert [queue.is_anonymous for queue in catalogue.queues] == [False, True]
+    del fields["tenants"]
+    without_teams = entries.read_catalogue(orjson.dumps(fields))
+    assert all(queue.is_anonymous for queue in without_teams.queues)
--- a/wigeonhitch/site/configuration.py
+++ b/wigeonhitch/site/configuration.py
@@ -1,5 +1,7 @@
 """Follows the operator's rows: the configuration and the wave orders."""
 
+import enum
+import math
 import time
 from collections.abc import Callable
 
@@ -8,7 +10,7 @@
 from wigeonhitch.platform import entries, http, rows, table
 from wigeonhitch.telemetry import log, metric
 
-__all__ = ["ConfigurationFollower"]
+__all__ = ["ConfigurationFollower", "Currency"]
 
 MAX_FEED_WAIT_SECONDS = 3.0
 """Maximum time that a feed call waits for changes."""
@@ -41,6 +43,16 @@
 """Maximum difference between the rates of the store's clock and of this daemon's."""
 
 
+class Currency(enum.Enum):
+    """How current the configuration in force is known to be."""
+
+    CONFIRMED = "confirmed"
+    UNCONFIRMED_KEYS = "unconfirmed keys"
+    """Only keys may have been revoked for longer than allowed."""
+    EXPIRED = "expired"
+    """It may have been replaced for longer than allowed."""
+
+
 class ConfigurationFollower:
     """Keeps the configuration in force; its version never decreases.
 
@@ -55,6 +67,9 @@
         connection went silent before it arrived.
     max_outage : float
         Seconds by which ``max_delay`` is extended while the store fails.
+    max_key_age : float
+        Seconds after which a revoked key has to be refused, whether the store fails or
+        not; infinite for no such limit.
     instruments : metric.Instruments, optional
         Receives the version in force, when it was last confirmed, and the calls.
     """
@@ -66,8 +81,10 @@
         max_delay: float = 2.0,
         max_outage: float = 5.0,
         instruments: metric.Instruments | None = None,
+        max_key_age: float = math.inf,
     ) -> None:
         self._store = store
+        self._max_key_age = max_key_age * (1 - MAX_CLOCK_DRIFT)
         self._max_delay = max_delay
         self._max_outage = max_outage
         self._on_change = on_change
@@ -91,20 +108,28 @@
         """Return for how long the configuration may have been replaced, in seconds."""
         return now - self._confirmed_at
 
-    def is_usable(self) -> bool:
-        """Return whether requests may be handled by the configuration in force.
+    def get_currency(self) -> Currency:
+        """Return how current the configuration in force is known to be.
 
         It may be older than allowed if it was confirmed too long ago. While the store
         fails, changes can hardly be accepted either, and refusing all requests would
         only add to the outage; so the limit is longer. An answer that is being received
-        is no failure: it holds a newer version.
+        is no failure: it holds a newer version. The limit for keys is never extended,
+        as the store may fail for this daemon only.
         """
         now = http.read_clock()
         age = self.compute_age(now)
-        if age <= self._max_delay:
-            return True
         is_failing = now - self._last_unanswered_at <= FAILING_SECONDS
-        return is_failing and age <= self._max_delay + self._max_outage
+        limit = self._max_delay + (self._max_outage if is_failing else 0.0)
+        if age > limit:
+            return Currency.EXPIRED
+        if age > self._max_key_age:
+            return Currency.UNCONFIRMED_KEYS
+        return Currency.CONFIRMED
+
+    def is_usable(self) -> bool:
+        """Return whether any request may be handled by the configuration in force."""
+        return self.get_currency() is not Currency.EXPIRED
 
     async def run(self) -> None:
         """Follow until cancelled."""
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -62,6 +62,7 @@
             settings.bounds.configuration_deadline,
             settings.bounds.configuration_outage,
             instruments,
+            settings.bounds.revocation_deadline,
         )
         self._registry = registry.WorkerRegistry(
             store, lambda: bool(self._runners), self._on_worker, self._on_removed
@@ -89,7 +90,7 @@
             lambda: self._configuration.catalogue,
             instruments,
             self._monitored_store.is_unreachable,
-            self._configuration.is_usable,
+            self._configuration.get_currency,
         )
 
     @property
@@ -97,7 +98,7 @@
         """Whether this daemon accepts new connections."""
         if self.stopped.is_set() or self._configuration.catalogue is None:
             return False
-        if not self._configuration.is_usable():
+        if self._configuration.get_currency() is not configuration.Currency.CONFIRMED:
             return False
         return not self._monitored_store.is_unreachable()
 
--- a/wigeonhitch/site/handler.py
+++ b/wigeonhitch/site/handler.py
@@ -10,9 +10,17 @@
 
 import anyio
 
-from wigeonhitch.jobs import model, progress, record
+from wigeonhitch.jobs import credential, model, progress, record
 from wigeonhitch.platform import http, rows, table
-from wigeonhitch.site import acceptance, jobrows, message, routes, waiting
+from wigeonhitch.site import (
+    acceptance,
+    authorization,
+    configuration,
+    jobrows,
+    message,
+    routes,
+    waiting,
+)
 from wigeonhitch.telemetry import log, metric
 
 __all__ = ["RequestHandler"]
@@ -31,8 +39,8 @@
         Whether this daemon hasn't reached the store for some time. Requests are
         then refused at once, since another daemon may reach it; waiting for a
         timeout on each would take up most of the callers' time.
-    is_configuration_usable : callable
-        Whether the configuration in force can't be older than allowed.
+    get_currency : callable
+        Returns how current the configuration in force is known to be.
     """
 
     def __init__(
@@ -41,10 +49,12 @@
         get_catalogue: Callable[[], model.Catalogue | None],
         instruments: metric.Instruments,
         is_store_unreachable: Callable[[], bool] = lambda: False,
-        is_configuration_usable: Callable[[], bool] = lambda: True,
+        get_currency: Callable[[], configuration.Currency] = lambda: (
+            configuration.Currency.CONFIRMED
+        ),
     ) -> None:
         self._store = store
-        self._is_configuration_usable = is_configuration_usable
+        self._get_currency = get_currency
         self._is_store_unreachable = is_store_unreachable
         self._get_catalogue = get_catalogue
         self._instruments = instruments
@@ -53,6 +63,9 @@
         self._index = routes.RouteIndex()
         self._waiting = waiting.WaitingJobCounter(store, self._get_routes)
         self._acceptance = acceptance.Acceptance(store, is_store_unreachable)
+        self._authorizer = authorization.Authorizer(
+            get_catalogue, get_currency, instruments
+        )
 
     @property
     def max_body_bytes(self) -> int:
@@ -67,11 +80,17 @@
             return self._refuse_path(path, "no configuration")
         if self._is_store_unreachable():
             return self._refuse_path(path, "store lost")
-        if not self._is_configuration_usable():
+        if self._get_currency() is configuration.Currency.EXPIRED:
             return self._refuse_path(path, "configuration not confirmed")
         queue = self._get_routes().find(host, path)
         return queue or message.Answer(message.Verdict.NO_QUEUE)
 
+    def authorize(
+        self, queue: model.Queue, key: bytes | credential.InvalidKey
+    ) -> model.Team | message.Answer:
+        """Return the team of a caller's key, or the answer to the caller."""
+        return self._authorizer.authorize(queue, key)
+
     def on_catalogue(self) -> None:
         """Take note of a new configuration in force."""
         self._waiting.on_catalogue()
--- a/wigeonhitch/site/message.py
+++ b/wigeonhitch/site/message.py
@@ -3,7 +3,7 @@
 import enum
 from typing import NamedTuple, Protocol
 
-from wigeonhitch.jobs import model
+from wigeonhitch.jobs import credential, model
 
 __all__ = ["Answer", "RequestHandler", "Verdict", "refuse"]
 
@@ -24,6 +24,8 @@
     UNKNOWN = "unknown"
     """May have been carried out; repeating it is safe."""
     INVALID = "invalid"
+    UNAUTHORIZED = "unauthorized"
+    """Not carried out, as the caller's key isn't valid."""
 
 
 class Answer(NamedTuple):
@@ -53,6 +55,12 @@
         """Return the queue of a path, or the answer to the caller if there is none."""
         ...
 
+    def authorize(
+        self, queue: model.Queue, key: bytes | credential.InvalidKey
+    ) -> model.Team | Answer:
+        """Return the team of a caller's key, or the answer to the caller."""
+        ...
+
     async def submit(self, queue: model.Queue, job: model.Job) -> Answer:
         """Accept a job durably, once."""
         ...
--- a/wigeonhitch/site/tests/conftest.py
+++ b/wigeonhitch/site/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import math
 import random
 
 import anyio
@@ -101,8 +102,9 @@
         return fleet.Listing(())
 
 
-def make_settings(name, *, across=True):
+def make_settings(name, *, across=True, revocation=math.inf):
     bounds = node.Bounds(6, 3, 10, 0.2, 3, 3, 4.5, 120, 1.5, 2)
+    bounds = bounds._replace(revocation_deadline=revocation)
     rates = node.StoreRates(800, 2000, 65536, across)
     return node.NodeSettings(
         name, "dc", "127.0.0.1", "", "", "", "", "", 1.5, bounds, rates
@@ -148,8 +150,8 @@
     return calls
 
 
-def make_daemon(name, store, calls, *, across=True):
-    settings = make_settings(name, across=across)
+def make_daemon(name, store, calls, *, across=True, revocation=math.inf):
+    settings = make_settings(name, across=across, revocation=revocation)
     instruments = metric.Instruments()
     return daemon.Daemon(
         settings, f"life-{name}", store, calls, None, EmptyFleet(), instruments
