Keep the ceilings of teams by durable shares of the pools

Each team with a ceiling has one row with the share of each pool. A leader starts tasks only within its share, raises it by one conditional write when it needs more, and returns what it hasn't used for 0.3 s. A successor counts the whole share of its predecessor until all VMs have told what they run. A new configuration is shown by the row before its reader starts anything more, so a raise by an older one is bound by the new ceiling.

A fixed part is refused for what it does to a team whose whole demand is in one pool, and as it doesn't count what runs on after a takeover.

A job that waits for room in its step's ceiling asks for no VMs. Scarce memory takes processors only in proportion: a pool had taken 798 of 798 cores of a team whose memory was used up.

The count of the predecessor's share and the order of configurations are tested directly.

--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -77,6 +77,30 @@
             and self.gpus <= other.gpus
         )
 
+    def plus(self, other: "Room") -> "Room":
+        """Return the sum of both."""
+        return Room(
+            self.cpu + other.cpu, self.memory + other.memory, self.gpus + other.gpus
+        )
+
+    def times(self, count: int) -> "Room":
+        """Return a multiple."""
+        return Room(self.cpu * count, self.memory * count, self.gpus * count)
+
+    def minus(self, other: "Room") -> "Room":
+        """Return the difference, which may be negative."""
+        return Room(
+            self.cpu - other.cpu, self.memory - other.memory, self.gpus - other.gpus
+        )
+
+    def limit_to(self, other: "Room") -> "Room":
+        """Return the smaller amount of each resource."""
+        return Room(*map(min, self, other))
+
+    def raise_to(self, other: "Room") -> "Room":
+        """Return the larger amount of each resource."""
+        return Room(*map(max, self, other))
+
 
 class Task(NamedTuple):
     """Identity of a task: the ``index``-th of a step of one occurrence of a job."""
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -267,6 +267,7 @@
         run.load = entry.load
         run.confirmed_from = now + self.times.stop_grace + ADOPTION_GRACE_SECONDS
         self.live[entry.task] = run
+        self.quotas.add(state.job.team, run)
         state.started = True
         state.record_checkpoint(entry.task, entry.checkpoint)
         return True
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -88,7 +88,10 @@
             suspects.list_assigned(),
         )
         orders.extend(self._plan_stops(placer, now))
+        orphaned = self.pool.list_orphaned_tasks()
+        self.pool.quotas.begin_round(is_certain=not (self.pool.unresolved or orphaned))
         orders.extend(self._plan_starts(placer, now, wall_time))
+        self.pool.quotas.end_round()
         return orders
 
     def plan_paces(self, machine: vm.Vm) -> list[message.Pace]:
@@ -313,6 +316,8 @@
         unmet = 0
         full_steps: set[tuple[int, int, bool]] = set()
         unplaced: collections.Counter[int] = collections.Counter()
+        held_back: set[tuple[int, int, bool]] = set()  # by the ceiling of the team
+        waiting: collections.Counter[int] = collections.Counter()
         has_suspects = state.has_suspects
         for task in self._open_tasks[state.job.id]:
             step = state.job.steps[task.step]
@@ -336,6 +341,12 @@
                 continue
             if now < self.pool.not_before.get(task, 0.0):
                 continue
+            if not step.gang:
+                if group not in held_back and not self._admits(state, step.room):
+                    held_back.add(group)
+                if group in held_back:
+                    waiting[task.step] += 1
+                    continue
             if is_recorded:
                 self._place_recorded(placer, state, task, now)
                 if task not in state.assigned_vms:
@@ -354,9 +365,20 @@
             full_steps.add(group)
             unplaced[task.step] += 1
             unmet += step.reserved.cpu
+        for number, count in waiting.items():
+            self._request_quota(state, state.job.steps[number].room.times(count))
         self._record_missing_vms(state, unplaced)
         return unmet
 
+    def _admits(self, state: progress.Progress, room: model.Room) -> bool:
+        """Return whether the ceiling of the job's team allows a start."""
+        return self.pool.quotas.admits(state.job.team, room)
+
+    def _request_quota(self, state: progress.Progress, room: model.Room) -> None:
+        """Record that tasks of a job wait for the ceiling of its team."""
+        self.pool.quotas.request(state.job.team, room)
+        self.pool.quotas.note_waiting(state.job)
+
     def _holds_vms(self, state: progress.Progress, task: model.Task) -> bool:
         """Return whether VMs are recorded for some of a gang's members.
 
@@ -390,6 +412,10 @@
         """Start a task that may crash its VM, once that VM is recorded."""
         if now < self.pool.not_before.get(task, 0.0):
             return []
+        room = state.job.steps[task.step].room
+        if not self._admits(state, room):
+            self._request_quota(state, room)
+            return []
         tickets = self._get_tickets(state, task, now)
         allowed = None if tickets is None else frozenset(tickets)
         chosen = assignment.find_vm(
@@ -445,6 +471,9 @@
             return
         if any(self.pool.suspects.must_be_given_up(task) for task in tasks):
             return
+        if not self._admits(state, step.room.times(step.count)):
+            self._request_quota(state, step.room.times(step.count))
+            return
         tickets = self._get_tickets(state, first, now)
         allowed = None if tickets is None else frozenset(tickets)
         if any(task in state.assigned_vms for task in tasks):
@@ -475,6 +504,7 @@
         run = vm.Run(task, number, chosen, step, now)
         chosen.runs[task] = run
         self.pool.live[task] = run
+        self.pool.quotas.add(state.job.team, run)
         checkpoint = state.get_checkpoint(task)
         start = workers.Start(
             task, number, state.job.spec, 0.0, self.pool.fence, checkpoint, ticket
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -16,6 +16,7 @@
     dispatcher,
     message,
     planner,
+    quota,
     source,
     ticket,
     vm,
@@ -66,6 +67,14 @@
 """The same in seconds when VMs have become empty or a burst has begun: each tenth of a
 second of a burst of 4.5 s matters to the VMs that are moved for it."""
 
+QUOTA_PERIOD_SECONDS = 0.1
+"""Longest time in seconds between two looks at shares of ceilings that could be
+returned, or that other pools may have returned."""
+
+MIN_QUOTA_INTERVAL_SECONDS = 0.02
+"""Minimum seconds between two transactions for shares, so that jobs which arrive
+together are served by one."""
+
 COUNTED_EVENTS = frozenset(
     {
         "VM gone",
@@ -102,6 +111,7 @@
         self._wake_commit = anyio.Event()
         self._committed = anyio.Event()
         self._wake_status = anyio.Event()
+        self._wake_quotas = anyio.Event()
         self._status_triggers: tuple[bool, bool, int] = (False, False, 0)
         self._commits = log.OutageLogger("commit of ends")
         self._is_store_quick = True
@@ -121,6 +131,11 @@
         self.pool.on_queues(queues)
         self._wake()
 
+    def on_teams(self, configuration: int, teams: tuple[model.Team, ...]) -> None:
+        """Apply the teams of the configuration in force."""
+        self.pool.quotas.on_teams(configuration, teams)
+        self._wake()
+
     def on_worker(self, entry: entries.WorkerEntry, read_at: float) -> None:
         """Apply a worker's entry, read at this daemon's time ``read_at``."""
         self.pool.on_worker(entry, read_at)
@@ -156,6 +171,7 @@
                 group.start_soon(self._publish_status)
                 group.start_soon(self._request_tickets)
                 group.start_soon(self._compact_rows)
+                group.start_soon(self._adjust_quotas)
                 await self._run_rounds(group)
                 group.cancel_scope.cancel()
 
@@ -186,6 +202,8 @@
         if triggers != self._status_triggers:
             self._status_triggers = triggers
             self._wake_status.set()
+        if self.pool.quotas.has_urgent_work():
+            self._wake_quotas.set()
         for order in orders:
             if isinstance(order, message.Start):
                 group.start_soon(self._dispatcher.send_start, order)
@@ -288,6 +306,32 @@
             )
             self.pool.ledger.drop_progress(self.pool.compactor.on_result(work, change))
 
+    async def _adjust_quotas(self) -> None:
+        """Keep this pool's shares of the teams' ceilings in the store."""
+        while True:
+            with anyio.move_on_after(QUOTA_PERIOD_SECONDS):
+                await self._wake_quotas.wait()
+            self._wake_quotas = anyio.Event()
+            if not self.deps.may_order():
+                continue
+            quotas = self.pool.quotas
+            now = http.read_clock()
+            transaction = quotas.collect(now)
+            if transaction is not None:
+                change = await self.deps.store.commit(
+                    transaction, timeout=COMMIT_TIMEOUT_SECONDS
+                )
+                quotas.on_result(change)
+                self._wake()
+            elif quotas.must_read(now):
+                quotas.on_read(now)
+                read = await self.deps.store.read(
+                    quota.QUOTA_TABLE, quota.QUOTA_PART, timeout=COMMIT_TIMEOUT_SECONDS
+                )
+                quotas.on_rows(read.rows)
+                self._wake()
+            await anyio.sleep(MIN_QUOTA_INTERVAL_SECONDS)
+
     async def _publish_status(self) -> None:
         published = None
         while True:
--- a/wigeonhitch/pool/tests/history.py
+++ b/wigeonhitch/pool/tests/history.py
@@ -10,6 +10,7 @@
 
 import collections
 import random
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from standins import siteworker
@@ -120,6 +121,7 @@
         self.pool.on_queues([model.Queue("q", "h", "/p/", POOL, max_attempts=3)])
         self._load()
         self.planner = planner.Planner(self.pool)
+        self.quotas = world.connect_quotas(self) if world.connect_quotas else None
         self.next_hold: dict[str, float] = {}
         self.ended: dict[str, vm.VmEnd] = {}
         self.committing = False
@@ -164,6 +166,8 @@
             if self.next_hold.get(machine.id, 0.0) <= now:
                 self._send_hold(machine)
         self._commit()
+        if self.quotas is not None:
+            self.quotas.act()
 
     def _send_start(self, start: message.Start) -> None:
         run = start.run
@@ -218,9 +222,18 @@
         fault_rate: float = 1.0,
         crashes: Crashes | None = None,
         vms: int = 3,
+        connect_quotas: Callable[[Any], Any] | None = None,
+        name: str = POOL,
+        team: str = "",
     ) -> None:
         self.rng = random.Random(seed)
         self.mechanisms = mechanisms
+        self.connect_quotas = connect_quotas
+        """Returns what keeps a leader's shares of ceilings."""
+        self.team = team
+        """Team of all jobs."""
+        self.name = name
+        """Name of the pool in the rows of ceilings, which several pools share."""
         self.fault_rate = fault_rate
         self.now = 100.0
         self.events: list[siteworker.Event] = []
@@ -236,7 +249,7 @@
         self._queue: list[tuple[float, int, Any]] = []
         self._count = 0
         self._jobs = 0
-        self._epoch = 0
+        self.epoch = 0
 
     def _make_worker(self, number: int) -> siteworker.Worker:
         drift = self.rng.choice((0.0, 0.02))
@@ -307,10 +320,10 @@
             self.workers[-1].alive = False
             self._crashed.add(self.workers[-1].id)
             returns = self.rng.uniform(0.5, 5.0)
-            self._later(returns, self._make_return(worker, self.workers[-1]))
-            self._later(4.5, self._make_notice(worker.id, listed=False))
+            self.call_later(returns, self._make_return(worker, self.workers[-1]))
+            self.call_later(4.5, self._make_notice(worker.id, listed=False))
             if self.rng.random() < 0.5:
-                self._later(0.3, self._make_notice(worker.id, listed=True))
+                self.call_later(0.3, self._make_notice(worker.id, listed=True))
 
     def _make_return(self, former: siteworker.Worker, worker: siteworker.Worker) -> Any:
         def start_again() -> None:
@@ -341,8 +354,8 @@
             if fault == "pause":
                 leader.paused_until = self.now + self.rng.uniform(0.1, 6.0)
                 leader.lease_until = self.now
-        self._epoch += 1
-        self.leaders.append(Leader(self, self._epoch))
+        self.epoch += 1
+        self.leaders.append(Leader(self, self.epoch))
         self.leaders = self.leaders[-3:]
 
     def _submit(self) -> None:
@@ -355,20 +368,21 @@
         if self.crashes.share and self.rng.random() < self.crashes.share:
             self.guilty.add(id)
             spec, steps = siteworker.CRASHING_SPEC, (step._replace(count=1),)
-        job = model.Job(id, "q", spec, steps)
+        job = model.Job(id, "q", spec, steps, team=self.team)
         row = record.write_job(job, POOL, self.now)
         write = rows.Write("job", POOL, id, row)
         change = self.store.commit(rows.Transaction((), (write,)))
         if self.leaders and self.leaders[-1].alive:
             leader = self.leaders[-1]
             read = record.read_job(id, row)
-            self._later(
+            self.call_later(
                 0.01, lambda: leader.pool.on_job(id, read, change.version, LOCATION)
             )
 
     # -- calls
 
-    def _later(self, delay: float, action: Any) -> None:
+    def call_later(self, delay: float, action: Any) -> None:
+        """Call an action after a delay in seconds."""
         self._count += 1
         self._queue.append((self.now + delay, self._count, action))
 
@@ -389,7 +403,7 @@
         def deliver() -> None:
             silent = self.silent.get(worker_id, 0.0) > self.now and not late
             if worker_id in self._successors and not silent:
-                self._later(0.01, lambda: give(gone, 0.0))
+                self.call_later(0.01, lambda: give(gone, 0.0))
                 return
             if silent or not worker.alive:
                 return
@@ -399,15 +413,15 @@
             clock = worker.read_clock(self.now)
             if not (lost or late):
                 back = self.rng.uniform(0.001, 0.05)
-                self._later(back, lambda: give(result, clock))
+                self.call_later(back, lambda: give(result, clock))
 
         def give(result: Any, clock: float) -> None:
             if not state["answered"]:
                 state["answered"] = True
                 answer(result, clock, sent)
 
-        self._later(delay, deliver)
-        self._later(0.7, lambda: give(None, 0.0))
+        self.call_later(delay, deliver)
+        self.call_later(0.7, lambda: give(None, 0.0))
 
     def send_start(self, leader: Leader, run: Any, order: workers.Start) -> None:
         """Send a start."""
@@ -477,9 +491,9 @@
             else:
                 leader.committing = False
 
-        self._later(delay, deliver)
+        self.call_later(delay, deliver)
         if late or lost:
-            self._later(0.5, lambda: answer(unknown))
+            self.call_later(0.5, lambda: answer(unknown))
 
 
 def check(events: list[siteworker.Event]) -> list[str]:
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -5,7 +5,7 @@
 
 from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import entries, rows
-from wigeonhitch.pool import compaction, ledger, priority, suspect, ticket, vm
+from wigeonhitch.pool import compaction, ledger, priority, quota, suspect, ticket, vm
 
 __all__ = ["PoolView", "TimeBounds", "describe_run"]
 
@@ -75,6 +75,7 @@
         self.suspects = suspect.Suspects(
             self.jobs, self.vms, self.live, self.ledger, log_event
         )
+        self.quotas = quota.Quotas(name, epoch, log_event)
         self.compactor = compaction.Compactor(name)
         self.job_locations: dict[str, compaction.RowLocation] = {}
         """Locations of the rows of open jobs."""
@@ -508,6 +509,7 @@
         run.vm.runs.pop(run.task, None)
         if self.live.get(run.task) is run:
             del self.live[run.task]
+            self.quotas.remove(run)
         self.changed_jobs.add(run.task.job)
 
     def _update_mean_work(self, job: model.Job) -> None:
@@ -523,6 +525,7 @@
             return
         self.tickets.forget_job(id)
         self.suspects.forget_job(id)
+        self.quotas.forget_job(id)
         self.relocated = {task for task in self.relocated if task.job != id}
         for table in (self.run_numbers, self.not_before, self.failed_on):
             for task in [task for task in table if task.job == id]:
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -101,6 +101,7 @@
         "step",
         "stop_sent_at",
         "task",
+        "team",
         "vm",
         "work",
     )
@@ -109,6 +110,8 @@
         self, task: model.Task, number: int, vm: "Vm", step: model.Step, now: float
     ) -> None:
         self.task = task
+        self.team = ""
+        """Team whose ceiling counts it."""
         self.number = number
         self.vm = vm
         self.step = step
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -135,10 +135,16 @@
         catalogue = self._configuration.catalogue
         return catalogue.queues if catalogue else ()
 
+    def _apply_catalogue(self, runner: pool_runner.Runner) -> None:
+        runner.on_queues(self._get_queues())
+        catalogue = self._configuration.catalogue
+        if catalogue is not None:
+            runner.on_teams(catalogue.version, catalogue.teams)
+
     def _on_catalogue(self) -> None:
         self.handler.on_catalogue()
         for runner in self._runners.values():
-            runner.on_queues(self._get_queues())
+            self._apply_catalogue(runner)
 
     def _on_worker(self, worker: registry.RegisteredWorker) -> None:
         for runner in self._runners.values():
@@ -162,7 +168,7 @@
             return
         pool_dependencies = self._build_pool_dependencies(owner.granted)
         runner = pool_runner.Runner(owner, pool_dependencies, http.read_clock())
-        runner.on_queues(self._get_queues())
+        self._apply_catalogue(runner)
         self._runners[owner.pool] = runner
         for worker in self._registry.workers.values():
             runner.on_worker(worker.entry, worker.read_at)
