--- a/wigeonhitch/pool/quota.py
+++ b/wigeonhitch/pool/quota.py
@@ -69,6 +69,16 @@
     shares: dict[str, Share]
 
 
+class Usage(NamedTuple):
+    """What a team runs in one pool, its share there, what waits, and its ceiling."""
+
+    team: str
+    running: model.Room
+    share: model.Room
+    waiting: model.Room
+    ceiling: model.Room
+
+
 def write_allotment(allotment: Allotment) -> bytes:
     """Return the row of a team."""
     shares = {
@@ -280,10 +290,10 @@
         """Whether a later leader of the pool has written a row."""
         return any(team.is_deposed for team in self._teams.values())
 
-    def list_usage(self) -> list[tuple[str, model.Room, model.Room, model.Room]]:
-        """Return name, running resources, share and ceiling of each limited team."""
+    def list_usage(self) -> list[Usage]:
+        """Return the usage of each team that has a ceiling, by name."""
         return [
-            (name, team.used, team.share, team.effective_ceiling)
+            Usage(name, team.used, team.share, team.wanted, team.effective_ceiling)
             for name, team in sorted(self._teams.items())
             if team.is_limited
         ]
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -75,6 +75,12 @@
 """Minimum seconds between two transactions for shares, so that jobs which arrive
 together are served by one."""
 
+QUOTA_REPORT_SECONDS = 2.0
+"""Seconds between two updates of the metrics of teams."""
+
+MAX_REPORTED_TEAMS = 50
+"""Teams with series of their own; each has eight a pool."""
+
 COUNTED_EVENTS = frozenset(
     {
         "VM gone",
@@ -308,9 +314,13 @@
 
     async def _adjust_quotas(self) -> None:
         """Keep this pool's shares of the teams' ceilings in the store."""
+        next_report = 0.0
         while True:
             with anyio.move_on_after(QUOTA_PERIOD_SECONDS):
                 await self._wake_quotas.wait()
+            if http.read_clock() >= next_report:
+                next_report = http.read_clock() + QUOTA_REPORT_SECONDS
+                self._report_quotas()
             self._wake_quotas = anyio.Event()
             if not self.deps.may_order():
                 continue
@@ -332,6 +342,22 @@
                 self._wake()
             await anyio.sleep(MIN_QUOTA_INTERVAL_SECONDS)
 
+    def _report_quotas(self) -> None:
+        """Set the gauges of the teams' usage, for a bounded number of teams."""
+        for usage in self.pool.quotas.list_usage()[:MAX_REPORTED_TEAMS]:
+            for kind in ("running", "share", "waiting", "ceiling"):
+                room = getattr(usage, kind)
+                for resource, value in (("cpu", room.cpu), ("memory", room.memory)):
+                    self.deps.instruments.set(
+                        "team_resources",
+                        "Millicores and megabytes of a team in a led pool by kind.",
+                        value,
+                        team=usage.team,
+                        pool=self.owner.pool,
+                        kind=kind,
+                        resource=resource,
+                    )
+
     async def _publish_status(self) -> None:
         published = None
         while True:
