--- a/wigeonhitch/pool/quota.py
+++ b/wigeonhitch/pool/quota.py
@@ -285,11 +285,6 @@
         self._next_read = 0.0
         self._waiting_jobs: set[str] = set()
 
-    @property
-    def is_deposed(self) -> bool:
-        """Whether a later leader of the pool has written a row."""
-        return any(team.is_deposed for team in self._teams.values())
-
     def list_usage(self) -> list[Usage]:
         """Return the usage of each team that has a ceiling, by name."""
         return [
--- a/wigeonhitch/site/handler.py
+++ b/wigeonhitch/site/handler.py
@@ -102,7 +102,7 @@
         self._instruments.observe(
             "submit_seconds", "Time to accept a job.", http.read_clock() - started_at
         )
-        self._record_outcome("job submitted", queue, job.id, answer)
+        self._record_outcome("job submitted", queue, job.id, answer, team=job.team)
         return answer
 
     async def show(self, queue: model.Queue, id: str) -> message.Answer:
@@ -199,7 +199,12 @@
         return message.refuse(reason)
 
     def _record_outcome(
-        self, event: str, queue: model.Queue, id: str, answer: message.Answer
+        self,
+        event: str,
+        queue: model.Queue,
+        id: str,
+        answer: message.Answer,
+        **fields: str,
     ) -> None:
         self._instruments.count(
             "requests_total", "Requests by verdict.", verdict=answer.verdict.value
@@ -211,6 +216,7 @@
             pool=queue.pool,
             verdict=answer.verdict.value,
             reason=answer.reason,
+            **fields,
         )
 
 
