Start jobs of teams that use less of their ceiling first

Cause: when a pool is full, a team that hands in more than the others took every VM that became free as long as its jobs cost less for their value. Now equally urgent jobs go by the level of their team's dominant resource in the pool, in eighths of its ceiling, and then by value as before. A team that has no share yet asks for one task's while the pool is full, so that it can take the next free room.

Without teams the order is as before.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -8,6 +8,7 @@
 
 import collections
 import math
+from collections.abc import Mapping
 
 from wigeonhitch.jobs import model, progress
 from wigeonhitch.platform import advice, workers
@@ -255,8 +256,9 @@
             if not self.pool.suspects.has_doubtful_crash(task):
                 self.pool.give_up(task)
         self._place_tests(placer, now, starts)
+        levels = self.pool.quotas.compute_usage_levels()
         keyed = [
-            (self._get_key(id, wall_time), id)
+            (self._get_key(id, wall_time, levels), id)
             for id, tasks in self._open_tasks.items()
             if tasks
         ]
@@ -300,10 +302,14 @@
         """Return whether a task has neither a live nor an orphaned run."""
         return task not in self.pool.live and task not in self._orphaned_tasks
 
-    def _get_key(self, id: str, wall_time: float) -> priority.SortKey:
-        queue = self.pool.jobs[id].job.queue
-        mean_work = self.pool.get_mean_work(queue)
-        return priority.compute_sort_key(self._sort_inputs[id], wall_time, mean_work)
+    def _get_key(
+        self, id: str, wall_time: float, levels: Mapping[str, int]
+    ) -> priority.SortKey:
+        job = self.pool.jobs[id].job
+        mean_work = self.pool.get_mean_work(job.queue)
+        return priority.compute_sort_key(
+            self._sort_inputs[id], wall_time, mean_work, levels.get(job.team, 0)
+        )
 
     def _place_job(
         self,
@@ -336,6 +342,8 @@
             is_suspect = has_suspects and state.count_crashes(task) > 0
             group = (task.occurrence, task.step, is_suspect)
             if group in full_steps or step.reserved.cpu > placer.max_free_cpu:
+                if not (unplaced[task.step] or self._admits(state, step.room)):
+                    waiting[task.step] += 1  # a share for when room becomes free
                 unplaced[task.step] += 1
                 unmet += 0 if is_suspect else step.reserved.cpu
                 continue
--- a/wigeonhitch/pool/priority.py
+++ b/wigeonhitch/pool/priority.py
@@ -36,6 +36,8 @@
 
     group: int
     priority: int
+    usage_level: int
+    """Level of what the job's team runs, relative to its ceiling."""
     cost: float
     """Core-seconds per unit of value."""
     accepted: float
@@ -92,10 +94,12 @@
     )
 
 
-def compute_sort_key(inputs: SortInputs, wall_time: float, mean_work: float) -> SortKey:
+def compute_sort_key(
+    inputs: SortInputs, wall_time: float, mean_work: float, usage_level: int = 0
+) -> SortKey:
     """Return the sort key of a job at a Unix time."""
     if inputs.is_lasting:
-        return SortKey(LASTING, inputs.priority, 0.0, inputs.accepted)
+        return SortKey(LASTING, inputs.priority, 0, 0.0, inputs.accepted)
     cost = inputs.work_left / compute_value(inputs.work, mean_work)
     end = wall_time + inputs.critical_path_left
     group = EXPIRED
@@ -103,7 +107,7 @@
         group = ON_TIME
     elif end <= inputs.expiry:
         group = LATE
-    return SortKey(group, inputs.priority, cost, inputs.accepted)
+    return SortKey(group, inputs.priority, usage_level, cost, inputs.accepted)
 
 
 def _compute_work_left(state: progress.Progress) -> float:
--- a/wigeonhitch/pool/quota.py
+++ b/wigeonhitch/pool/quota.py
@@ -47,6 +47,10 @@
 REFRESH_SECONDS = 0.1
 """Time between reads of the rows while a task waits for a ceiling."""
 
+USAGE_LEVELS = 8
+"""Levels into which a ceiling is divided. Within a level jobs go by their value, so
+that small differences between teams don't decide."""
+
 NOTHING = model.Room()
 
 UNLIMITED = model.Room()
@@ -293,6 +297,23 @@
             if team.is_limited
         ]
 
+    def compute_usage_levels(self) -> dict[str, int]:
+        """Return the level of each team's dominant resource in this pool.
+
+        Of equally urgent jobs those of teams that use less of their ceiling go first.
+        """
+        return {
+            usage.team: max(
+                (
+                    USAGE_LEVELS * used // most
+                    for used, most in zip(usage.running, usage.ceiling, strict=True)
+                    if most
+                ),
+                default=0,
+            )
+            for usage in self.list_usage()
+        }
+
     # -- events
 
     def on_teams(self, configuration: int, teams: Iterable[model.Team]) -> None:
@@ -350,10 +371,11 @@
 
     def note_waiting(self, job: model.Job) -> None:
         """Log once that other tasks of its team keep a job waiting."""
-        quota = self._get(job.team)
-        is_served_soon = quota.must_write(may_release=False)
-        if is_served_soon or job.id in self._waiting_jobs:
+        if job.id in self._waiting_jobs:
             return
+        quota = self._get(job.team)
+        if quota.must_write(may_release=False):
+            return  # the next write lets more of them start
         self._waiting_jobs.add(job.id)
         self._log_event(
             "job waits for its team's ceiling",
--- a/wigeonhitch/pool/tests/test_quota.py
+++ b/wigeonhitch/pool/tests/test_quota.py
@@ -226,3 +226,26 @@
     bench.plan()
     assert bench.logged.count("job waits for its team's ceiling") == 2
     assert bench.planner.unmet == 0
+
+
+def test_team_that_floods_a_full_pool_goes_after_the_others(make_bench):
+    """Pattern: one team hands in far more than the others while its pool is full."""
+    bench = make_bench()
+    ceiling = model.Room(16000, 160000)
+    teams = [model.Team(name, ceiling=ceiling) for name in ("flood", "calm")]
+    bench.pool.quotas.on_teams(1, teams)
+    bench.add_vm("w1", cpu=8000)
+    for number in range(12):
+        bench.add_job(f"f{number}", team="flood")
+    bench.start()
+    bench.pool.quotas.collect(conftest.NOW)
+    bench.pool.quotas.on_result(rows.Change(table.Outcome.DONE, 1))
+    running = bench.start()
+    bench.add_job("calm", team="calm")
+    bench.start()
+    bench.pool.quotas.collect(conftest.NOW)
+    bench.pool.quotas.on_result(rows.Change(table.Outcome.DONE, 2))
+
+    assert len(running) == 8
+    bench.pool.remove_run(running[0])
+    assert [run.task.job for run in bench.start()] == ["calm"]
