Take and return shares of ceilings in sixty-fourths, and only for what can start

So the request is withdrawn and the quantum is a sixty-fourth; an unused part that reaches it is returned whole.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -342,8 +342,6 @@
             is_suspect = has_suspects and state.count_crashes(task) > 0
             group = (task.occurrence, task.step, is_suspect)
             if group in full_steps or step.reserved.cpu > placer.max_free_cpu:
-                if not (unplaced[task.step] or self._admits(state, step.room)):
-                    waiting[task.step] += 1  # a share for when room becomes free
                 unplaced[task.step] += 1
                 unmet += 0 if is_suspect else step.reserved.cpu
                 continue
--- a/wigeonhitch/pool/quota.py
+++ b/wigeonhitch/pool/quota.py
@@ -36,9 +36,10 @@
 """Rows that one transaction replaces; with their conditions it holds 80 entries of at
 most 100."""
 
-GRANT_DIVISOR = 16
-"""Divisor of a ceiling that gives the quantum of a share, so that most starts find
-their pool's share large enough already."""
+GRANT_DIVISOR = 64
+"""Divisor of a ceiling that gives the quantum of a share. Each pool may hold up to one
+quantum that it doesn't use; with several pools a sixteenth would keep a tight ceiling
+from being used."""
 
 RELEASE_WINDOW_SECONDS = 0.3
 """Time over which the unused part of a share is measured before it is returned: half
@@ -219,7 +220,7 @@
         needed = occupied.plus(self.wanted)
         kept = self.share
         if may_release and self.least_idle is not None:
-            kept = kept.minus(_round_down(self.least_idle, self.effective_ceiling))
+            kept = kept.minus(_drop_small(self.least_idle, self.effective_ceiling))
         ceiling, free = self.effective_ceiling, self.compute_free()
         rounded = _round_up(needed, ceiling)
         if self.wanted == NOTHING:
@@ -484,11 +485,11 @@
     )
 
 
-def _round_down(room: model.Room, ceiling: model.Room) -> model.Room:
-    """Return the last multiple of the quantum of each resource."""
+def _drop_small(room: model.Room, ceiling: model.Room) -> model.Room:
+    """Return the amounts that reach the quantum of their resource, and 0 for others."""
     return model.Room(
         *(
-            quantum * (value // quantum) if quantum else value
+            value if value >= quantum else 0
             for value, quantum in zip(room, _compute_quanta(ceiling), strict=True)
         )
     )
