Read what other pools return of a ceiling also while shares are written

Cause: a leader read the rows only in a pass without a write of its own. In a pool's turn the shares of some team change in each pass, and a team that waited for what it had run in another pool never heard that it was free. Seen in the log as a job that waits for its team's ceiling with nothing free after the team's last job elsewhere was complete.

--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -322,26 +322,38 @@
                 next_report = http.read_clock() + QUOTA_REPORT_SECONDS
                 self._report_quotas()
             self._wake_quotas = anyio.Event()
-            if not self.deps.may_order():
-                continue
-            quotas = self.pool.quotas
-            now = http.read_clock()
-            transaction = quotas.collect(now)
-            if transaction is not None:
-                change = await self.deps.store.commit(
-                    transaction, timeout=COMMIT_TIMEOUT_SECONDS
-                )
-                quotas.on_result(change)
-                self._wake()
-            elif quotas.must_read(now):
-                quotas.on_read(now)
-                read = await self.deps.store.read(
-                    quota.QUOTA_TABLE, quota.QUOTA_PART, timeout=COMMIT_TIMEOUT_SECONDS
-                )
-                quotas.on_rows(read.rows)
-                self._wake()
+            if self.deps.may_order():
+                await self._write_shares()
+                await self._read_shares()
             await anyio.sleep(MIN_QUOTA_INTERVAL_SECONDS)
 
+    async def _write_shares(self) -> None:
+        """Write the shares that have to be changed."""
+        transaction = self.pool.quotas.collect(http.read_clock())
+        if transaction is None:
+            return
+        change = await self.deps.store.commit(
+            transaction, timeout=COMMIT_TIMEOUT_SECONDS
+        )
+        self.pool.quotas.on_result(change)
+        self._wake()
+
+    async def _read_shares(self) -> None:
+        """Read what other pools have returned, if a team waits for that.
+
+        A write tells about the rows that it replaces only, so this is needed however
+        often the shares of other teams are written.
+        """
+        now = http.read_clock()
+        if not self.pool.quotas.must_read(now):
+            return
+        self.pool.quotas.on_read(now)
+        read = await self.deps.store.read(
+            quota.QUOTA_TABLE, quota.QUOTA_PART, timeout=COMMIT_TIMEOUT_SECONDS
+        )
+        self.pool.quotas.on_rows(read.rows)
+        self._wake()
+
     def _report_quotas(self) -> None:
         """Set the gauges of the teams' usage, for a bounded number of teams."""
         for usage in self.pool.quotas.list_usage()[:MAX_REPORTED_TEAMS]:
--- a/wigeonhitch/pool/tests/test_quota.py
+++ b/wigeonhitch/pool/tests/test_quota.py
@@ -1,11 +1,18 @@
 """Shares of a team's ceiling: taken, returned, handed over and never exceeded."""
 
+import itertools
+
+import anyio
 import pytest
 
+from standins import rowstore
 from wigeonhitch.jobs import model
-from wigeonhitch.platform import rows, table
-from wigeonhitch.pool import quota, vm
+from wigeonhitch.leadership import record as leader_record
+from wigeonhitch.platform import http, rows, table
+from wigeonhitch.pool import dependencies, quota, view, vm
+from wigeonhitch.pool import runner as pool_runner
 from wigeonhitch.pool.tests import conftest, history
+from wigeonhitch.telemetry import metric
 
 TASK = model.Room(1000, 2000)
 CEILING = model.Room(16000, 32000)
@@ -249,3 +256,56 @@
     bench.pool.remove_run(running["c1"])
     ended.final = model.JobState.COMPLETED
     assert [run.task.job for run in bench.start()] == ["c2"]
+
+
+@pytest.mark.anyio
+async def test_team_hears_of_returned_shares_while_those_of_others_change():
+    """Guards against a team that stands still for good beside a busy one.
+
+    Pattern: in a pool's turn the shares of some teams are written all the time, while
+    one waits for what it ran in the pool whose turn is over.
+    """
+    store = rowstore.RowStore()
+    place = (quota.QUOTA_TABLE, quota.QUOTA_PART, "t")
+    full = {"b": quota.Share(1, CEILING)}
+    store.put(*place, quota.write_allotment(quota.Allotment(1, CEILING, full)))
+    runner = make_runner(store)
+    quotas = runner.pool.quotas
+    busy = [f"busy{number}" for number in range(1000)]
+    teams = [model.Team(name, ceiling=CEILING) for name in ("t", *busy)]
+    quotas.on_teams(1, teams)
+    async with anyio.create_task_group() as group:
+        group.start_soon(runner._adjust_quotas)
+        with anyio.fail_after(3):
+            for number in itertools.count():
+                quotas.begin_round(is_certain=True)
+                quotas.request(busy[number], TASK)
+                if quotas.admits("t", TASK):
+                    break
+                quotas.request("t", TASK)
+                quotas.end_round()
+                runner._wake_quotas.set()
+                if number == 20:
+                    row = (await store.read(*place[:2], timeout=1)).rows[0]
+                    allotment = quota.read_allotment(row.value)
+                    shares = allotment.shares | {"b": quota.Share(1, model.Room())}
+                    returned = allotment._replace(shares=shares)
+                    store.put(*place, quota.write_allotment(returned))
+                await anyio.sleep(0.005)
+        group.cancel_scope.cancel()
+
+
+def make_runner(store):
+    owner = leader_record.Owner("a", "daemon", "life", 1, 10)
+    deps = dependencies.Dependencies(
+        store,
+        None,
+        None,
+        metric.Instruments(),
+        lambda: True,
+        http.read_clock,
+        http.read_clock,
+        120.0,
+        view.TimeBounds(6.5, 0.2),
+    )
+    return pool_runner.Runner(owner, deps, http.read_clock())
