Return shares of ceilings although other pools change rows at the same time

Cause: all that a pool could return went into one transaction, which failed if any of its rows had changed since, and the next try came 0.3 s later with versions as old as that.

Now raises go alone and first, what can be returned is kept until a write has succeeded, and a conflict is followed by another try at once with the versions that it has told. The test, where some row changes before each pass, failed before.

--- a/wigeonhitch/pool/quota.py
+++ b/wigeonhitch/pool/quota.py
@@ -265,6 +265,10 @@
             or self.compute_target(may_release=may_release) != self.share
         )
 
+    def is_urgent(self) -> bool:
+        """Return whether tasks may wait for the row to be replaced."""
+        return self.must_write(may_release=False)
+
 
 class Quotas:
     """The shares of all teams in one leader's pool.
@@ -406,11 +410,7 @@
 
     def has_urgent_work(self) -> bool:
         """Return whether a write would let a task start."""
-        return any(
-            (not team.is_current or team.wanted != NOTHING)
-            and team.must_write(may_release=False)
-            for team in self._teams.values()
-        )
+        return any(team.is_urgent() for team in self._teams.values())
 
     def must_read(self, now: float) -> bool:
         """Return whether tasks wait for what other pools hold."""
@@ -423,26 +423,39 @@
         self._next_read = now + REFRESH_SECONDS
 
     def collect(self, now: float) -> rows.Transaction | None:
-        """Return the next transaction, None if there is nothing to change."""
-        may_release = now >= self._window_end
-        self._pending = []
-        conditions, writes = [], []
+        """Return the next transaction, None if there is nothing to change.
+
+        Raises, for which tasks wait, aren't held up by conflicts on other rows. What
+        can be returned stays so until a transaction has succeeded: with several pools
+        some of the rows have nearly always changed since they were last seen.
+        """
+        self._pending = [
+            name for name, team in self._teams.items() if team.is_urgent()
+        ][:MAX_ROWS_PER_TRANSACTION]
+        if self._pending:
+            return self._build_transaction(may_release=False)
+        if now < self._window_end:
+            return None
         for name, team in self._teams.items():
-            if len(writes) == MAX_ROWS_PER_TRANSACTION:
-                break
-            if not team.must_write(may_release=may_release):
-                continue
+            if team.must_write(may_release=True):
+                self._pending.append(name)
+            else:
+                team.least_idle = None
+        self._pending = self._pending[:MAX_ROWS_PER_TRANSACTION]
+        if not self._pending:
+            self._window_end = now + RELEASE_WINDOW_SECONDS
+            return None
+        return self._build_transaction(may_release=True)
+
+    def _build_transaction(self, *, may_release: bool) -> rows.Transaction:
+        """Return the transaction that writes the rows of the pending teams."""
+        conditions, writes = [], []
+        for name in self._pending:
+            team = self._teams[name]
             team.sent = team.compute_target(may_release=may_release)
-            self._pending.append(name)
             place = (QUOTA_TABLE, QUOTA_PART, name)
             conditions.append(rows.Condition(*place, team.version))
             writes.append(rows.Write(*place, write_allotment(_build_allotment(team))))
-        if may_release:
-            self._window_end = now + RELEASE_WINDOW_SECONDS
-            for team in self._teams.values():
-                team.least_idle = None
-        if not writes:
-            return None
         return rows.Transaction(tuple(conditions), tuple(writes))
 
     def on_result(self, change: rows.Change) -> None:
@@ -451,7 +464,7 @@
             team = self._teams[name]
             if change.outcome is table.Outcome.DONE:
                 team.allotment, team.version = _build_allotment(team), change.version
-                team.doubtful = None
+                team.doubtful = team.least_idle = None
             elif change.outcome is table.Outcome.UNKNOWN and team.sent is not None:
                 lowest = team.doubtful or team.sent
                 team.doubtful = lowest.limit_to(team.sent)
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -75,6 +75,10 @@
 """Minimum seconds between two transactions for shares, so that jobs which arrive
 together are served by one."""
 
+MAX_QUOTA_ATTEMPTS = 4
+"""Attempts to write shares without a delay while other pools change the same rows; each
+has the versions that the one before has found."""
+
 QUOTA_REPORT_SECONDS = 2.0
 """Seconds between two updates of the metrics of teams."""
 
@@ -329,14 +333,17 @@
 
     async def _write_shares(self) -> None:
         """Write the shares that have to be changed."""
-        transaction = self.pool.quotas.collect(http.read_clock())
-        if transaction is None:
-            return
-        change = await self.deps.store.commit(
-            transaction, timeout=COMMIT_TIMEOUT_SECONDS
-        )
-        self.pool.quotas.on_result(change)
-        self._wake()
+        for _ in range(MAX_QUOTA_ATTEMPTS):
+            transaction = self.pool.quotas.collect(http.read_clock())
+            if transaction is None or not self.deps.may_order():
+                return
+            change = await self.deps.store.commit(
+                transaction, timeout=COMMIT_TIMEOUT_SECONDS
+            )
+            self.pool.quotas.on_result(change)
+            self._wake()
+            if change.reason != "conflict":
+                return
 
     async def _read_shares(self) -> None:
         """Read what other pools have returned, if a team waits for that.
--- a/wigeonhitch/pool/tests/test_quota.py
+++ b/wigeonhitch/pool/tests/test_quota.py
@@ -309,3 +309,27 @@
         view.TimeBounds(6.5, 0.2),
     )
     return pool_runner.Runner(owner, deps, http.read_clock())
+
+
+def test_shares_are_returned_although_other_rows_change_all_the_time(store):
+    """Guards against a team that stands still as no release of its share succeeds.
+
+    Pattern: a pool whose turn is over returns the shares of many teams at once, and
+    pools in their turn change some of these rows in each of its passes.
+    """
+    one = Leader(store)
+    teams = [model.Team(name, ceiling=CEILING) for name in ("t", "u")]
+    one.quotas.on_teams(1, teams)
+    one.run(10)
+    one.end(10)
+    place = (quota.QUOTA_TABLE, quota.QUOTA_PART, "u")
+
+    for _ in range(4):
+        one.round()
+        one.now += 0.2
+        value, version = store.rows[quota.QUOTA_TABLE, "u"]
+        store.commit(rows.Transaction((), (rows.Write(*place, value),)))
+        while (transaction := one.quotas.collect(one.now)) is not None:
+            one.quotas.on_result(store.commit(transaction))
+
+    assert Leader(store, "b").run(16) == 16
