Reject invalid keys of a configuration without naming them

Cause, found by reading the change: an entry of api_keys that isn't a text was named in the reason for which the configuration is rejected, and that reason is logged; a text in place of the list made each of its characters a valid key. Now the list is checked as a whole and the reason names none of it.

--- a/wigeonhitch/platform/entries.py
+++ b/wigeonhitch/platform/entries.py
@@ -164,15 +164,19 @@
 def _read_team(fields: dict[str, Any]) -> model.Team:
     return model.Team(
         _read_text(fields["name"]),
-        frozenset(
-            credential.compute_digest(_read_text(key))
-            for key in fields.get("api_keys") or ()
-        ),
+        _read_keys(fields.get("api_keys") or []),
         float(fields.get("weight") or 1),
         read_room(fields.get("ceiling") or {}),
     )
 
 
+def _read_keys(keys: Any) -> frozenset[bytes]:
+    """Return the digests of a team's keys; no message holds any of them."""
+    if not isinstance(keys, list) or not all(isinstance(key, str) for key in keys):
+        raise TypeError("api_keys of a team; expected a list of texts")
+    return frozenset(credential.compute_digest(key) for key in keys)
+
+
 def _read_queue(fields: dict[str, Any], has_teams: bool) -> model.Queue:
     hint = fields.get("hint")
     advice = None
--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -446,6 +446,7 @@
 
 
 def test_key_is_read_as_its_digest():
+    """Guards against a key that is kept in the clear."""
     digest = ingress.read_key([(b"authorization", b"token  \xe9key ")])
 
     assert digest == credential.compute_digest("\xe9key")
@@ -453,6 +454,7 @@
 
 
 def test_teams_of_a_configuration_hold_digests_and_ceilings():
+    """Guards against keyed routes that are served as anonymous ones."""
     tenant = {"name": "t", "api_keys": ["k1", "k2"], "weight": 86}
     tenant["ceiling"] = {"cpu": 7000, "mem_mb": 900, "gpus": 0}
     route = {"name": "q", "host": "h", "path_prefix": "/q/", "service": "p"}
@@ -468,3 +470,18 @@
     del fields["tenants"]
     without_teams = entries.read_catalogue(orjson.dumps(fields))
     assert all(queue.is_anonymous for queue in without_teams.queues)
+
+
+@pytest.mark.parametrize(
+    "keys", ["secret", ["good", 4711], [["secret"]], {"secret": 1}]
+)
+def test_invalid_keys_are_rejected_without_being_named(keys):
+    """Guards against keys in the log of an invalid configuration, and against a text
+    of which each character counts as a key."""
+    tenant = {"name": "t", "api_keys": keys}
+    fields = {"version": 1, "routes": [], "services": [], "tenants": [tenant]}
+
+    found = entries.read_catalogue(orjson.dumps(fields))
+
+    assert isinstance(found, entries.InvalidEntry)
+    assert not any(text in found.reason for text in ("secret", "good", "4711"))
--- a/wigeonhitch/pool/quota.py
+++ b/wigeonhitch/pool/quota.py
@@ -42,8 +42,8 @@
 from being used."""
 
 RELEASE_WINDOW_SECONDS = 0.3
-"""Time over which the unused part of a share is measured before it is returned: half
-the run time of a small task."""
+"""Time over which the unused part of a share is measured before it is returned. Other
+pools may wait for it that long; a shorter one returns what the next tasks need."""
 
 REFRESH_SECONDS = 0.1
 """Time between reads of the rows while a task waits for a ceiling."""
--- a/wigeonhitch/pool/tests/test_quota.py
+++ b/wigeonhitch/pool/tests/test_quota.py
@@ -143,6 +143,7 @@
 
 
 def test_adopted_runs_are_not_counted_twice(store):
+    """Guards against a successor that counts a run in the inherited share as well."""
     former = Leader(store)
     assert former.run(12) == 12
     successor = Leader(store, epoch=2)
@@ -218,6 +219,7 @@
 
 
 def test_rows_of_teams_are_read_as_written():
+    """Guards against a successor that reads another share than was written."""
     shares = {"a": quota.Share(3, model.Room(1, 2, 3))}
     allotment = quota.Allotment(7, CEILING, shares)
 
--- a/wigeonhitch/pool/tests/test_quota_history.py
+++ b/wigeonhitch/pool/tests/test_quota_history.py
@@ -51,6 +51,7 @@
 
 
 def test_team_without_a_ceiling_is_not_held_back():
+    """Guards against rows, and starts that wait, for teams that have no ceiling."""
     site, _ = quotahistory.simulate(3, seconds=5.0, ceilings=(0,))
 
     assert site.configured[0].ceiling == model.Room()
--- a/wigeonhitch/site/tests/test_authorization.py
+++ b/wigeonhitch/site/tests/test_authorization.py
@@ -85,6 +85,7 @@
 
 
 def test_anonymous_queue_serves_all_and_takes_the_team_of_a_valid_key(door):
+    """Guards against anonymous callers who are refused, and teams that go uncounted."""
     assert door.ask("old", OPEN) == "t"
     assert door.ask("never", OPEN) == door.ask(credential.NO_KEY, OPEN) == ""
     door.currency = configuration.Currency.UNCONFIRMED_KEYS
