Preempt late runs that have a checkpoint, and vacate closed VMs at once

Change: pool/preemption chooses runs to stop, only those of steps with a checkpoint. Late runs make room for tasks on time, and leave closed VMs at once; runs on time leave a closed VM if there is room elsewhere and the job stays on time. VMs that are empty first are given away first.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -20,8 +20,10 @@
     message,
     pacing,
     placement,
+    preemption,
     priority,
     status,
+    view,
     vm,
 )
 from wigeonhitch.pool import record as pool_record
@@ -61,6 +63,12 @@
         """Further VMs that lasting tasks need because of their spread limit."""
         self._orphaned_tasks: frozenset[model.Task] = frozenset()
         """Tasks of which a VM lists an orphaned run."""
+        self._preemptor = preemption.Preemptor(pool.not_before)
+        self._next_preemption = 0.0
+        self._keys: dict[str, priority.SortKey] = {}
+        """Sort keys of the open jobs in the current round."""
+        self._waiting: list[preemption.WaitingTasks] = []
+        """Tasks that found no room in the current round."""
 
     def plan(self, now: float, wall_time: float) -> list[message.Start | message.Stop]:
         """Return the orders to give now; the runs to start are recorded as starting.
@@ -93,6 +101,7 @@
         self.pool.quotas.begin_round(is_certain=not (self.pool.unresolved or orphaned))
         orders.extend(self._plan_starts(placer, now, wall_time))
         self.pool.quotas.end_round()
+        orders.extend(self._plan_preemptions(placer, now))
         return orders
 
     def plan_paces(self, machine: vm.Vm) -> list[message.Pace]:
@@ -137,6 +146,7 @@
             self._sort_inputs.pop(id, None)
             state = self.pool.jobs.get(id)
             if state is None:
+                self._preemptor.forget_job(id)
                 continue
             if state.cancelled or state.final is not None:
                 self._finalize_cancelled(state)
@@ -181,8 +191,67 @@
                 or self._must_restart_elsewhere(run, placer, now)
             ):
                 stops.append(self._stop(run, now))
+            elif self._may_vacate(run, placer):
+                stops.append(self._preempt(run, now, "vacating", is_delayed=False))
         return stops
 
+    def _may_vacate(self, run: vm.Run, placer: placement.Placer) -> bool:
+        """Return whether a batch run should leave its VM, which is closed or leaving.
+
+        Its room elsewhere is reserved for this round.
+        """
+        machine = run.vm
+        inputs = self._sort_inputs.get(run.task.job)
+        if (
+            inputs is None
+            or not (machine.closed or machine.entry.leaving)
+            or not self._is_preemptible(run)
+        ):
+            return False
+        return self._preemptor.may_vacate(
+            inputs,
+            self.pool.wall_time,
+            has_room=placer.choose(run.task, run.step) is not None,
+        )
+
+    def _is_preemptible(self, run: vm.Run) -> bool:
+        state = self.pool.jobs.get(run.task.job)
+        return (
+            state is not None
+            and not state.has_suspects  # each start of theirs is recorded before
+            and self._preemptor.is_preemptible(run)
+        )
+
+    def _plan_preemptions(
+        self, placer: placement.Placer, now: float
+    ) -> list[message.Stop]:
+        """Stop less urgent runs for the tasks that found no room in this round."""
+        if not self._waiting or now < self._next_preemption:
+            return []
+        self._next_preemption = now + SCAN_PERIOD_SECONDS
+        candidates = [
+            preemption.Candidate(self._keys[run.task.job], run)
+            for run in self.pool.live.values()
+            if run.task.job in self._keys
+            and (run.state is vm.RunState.STOPPING or self._is_preemptible(run))
+        ]
+        victims = self._preemptor.choose_victims(candidates, self._waiting, placer.free)
+        return [self._preempt(run, now, "late", is_delayed=True) for run in victims]
+
+    def _preempt(
+        self, run: vm.Run, now: float, reason: str, *, is_delayed: bool
+    ) -> message.Stop:
+        key = self._keys.get(run.task.job)
+        self.pool.log_event(
+            "run preempted",
+            reason=reason,
+            group=key.group if key else None,
+            work=run.work,
+            **view.describe_run(run),
+        )
+        self._preemptor.record(run, now, is_delayed=is_delayed)
+        return self._stop(run, now)
+
     def _must_restart_elsewhere(
         self, run: vm.Run, placer: placement.Placer, now: float
     ) -> bool:
@@ -262,6 +331,8 @@
             for id, tasks in self._open_tasks.items()
             if tasks
         ]
+        self._keys = {id: key for key, id in keyed}
+        self._waiting = []
         for key, id in sorted(keyed):
             state = self.pool.jobs[id]
             if state.final is not None or self.pool.may_have_run(state):
@@ -374,6 +445,7 @@
         for number, count in waiting.items():
             self._request_quota(state, state.job.steps[number].room.times(count))
         self._record_missing_vms(state, unplaced)
+        self._record_waiting(state, unplaced)
         return unmet
 
     def _admits(self, state: progress.Progress, room: model.Room) -> bool:
@@ -393,6 +465,19 @@
         """
         return any(task[:3] == other[:3] for other in state.assigned_vms)
 
+    def _record_waiting(
+        self, state: progress.Progress, unplaced: collections.Counter[int]
+    ) -> None:
+        """Record the tasks that any VM with enough room could run."""
+        if state.has_suspects:
+            return
+        for number, count in unplaced.items():
+            step = state.job.steps[number]
+            if not (step.lasting or step.spread or step.label or step.gang):
+                key = self._keys[state.job.id]
+                tasks = preemption.WaitingTasks(key, step.reserved, count)
+                self._waiting.append(tasks)
+
     def _record_missing_vms(
         self, state: progress.Progress, unplaced: collections.Counter[int]
     ) -> None:
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -92,6 +92,7 @@
         "run ended with its VM",
         "run lapsed",
         "run failed",
+        "run preempted",
         "job failed",
         "task given up",
     }
--- a/wigeonhitch/pool/status.py
+++ b/wigeonhitch/pool/status.py
@@ -1,6 +1,7 @@
 """Status of a pool that its leader publishes to other daemons."""
 
 import collections
+import math
 
 from wigeonhitch.jobs import model
 from wigeonhitch.pool import demand, record, view, vm
@@ -10,6 +11,9 @@
 STATUS_STEP_MILLICORES = 4000
 """Millicores to which published figures are rounded down: an eighth of a VM."""
 
+TIME_STEP_SECONDS = 0.5
+"""Step to which the time until a VM is empty is rounded up: a third of a move."""
+
 
 def build_status(
     pool: view.PoolView, unmet: int, demanded: demand.Demand
@@ -32,7 +36,7 @@
         _round_down(unmet),
         _round_down(idle),
         empty,
-        tuple(machine.id for machine in sorted(light, key=_rank_by_runs)),
+        tuple(machine.id for machine in sorted(light, key=_rank_by_time_to_empty)),
         tuple(sorted(machine.id for machine in light if not machine.runs)),
         _round_down(demanded.peak),
         _round_down(demanded.minimum),
@@ -53,8 +57,25 @@
     return room
 
 
-def _rank_by_runs(machine: vm.Vm) -> tuple[int, str]:
-    return (len(machine.runs), machine.id)
+def _rank_by_time_to_empty(machine: vm.Vm) -> tuple[int, int, str]:
+    """Rank a VM by how long its last task will run if the VM is closed.
+
+    Runs with a checkpoint are continued elsewhere. Times are rounded, so that the row
+    isn't rewritten for each small change.
+    """
+    longest = max(
+        (
+            run.step.estimate * (1 - run.work / 100)
+            for run in machine.runs.values()
+            if not run.step.checkpoint
+        ),
+        default=0.0,
+    )
+    return (
+        math.ceil(longest / TIME_STEP_SECONDS),
+        len(machine.runs),
+        machine.id,
+    )
 
 
 def _round_down(millicores: int) -> int:
--- /dev/null
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -0,0 +1,177 @@
+"""Which runs are stopped so that more urgent tasks can start, and when VMs empty."""
+
+import pytest
+
+from wigeonhitch.jobs import model
+from wigeonhitch.platform import workers
+from wigeonhitch.pool import message, preemption
+
+NOW = 100.0
+LATE = NOW - 6
+"""Acceptance of a job of 4 s that is late at `NOW` and still has some value."""
+
+
+def step(count=1, *, cpu=1000, estimate=4.0, checkpoint=True, **fields):
+    room = model.Room(cpu, 100)
+    return model.Step(count, room, estimate, checkpoint=checkpoint, **fields)
+
+
+@pytest.fixture
+def start_late(bench):
+    """Let a job that can't be on time fill a VM of four cores."""
+
+    def start(*, vm="w1", **fields):
+        bench.add_vm(vm, cpu=4000)
+        bench.add_job("late", step(4, **fields), accepted=LATE)
+        return bench.start(NOW)
+
+    return start
+
+
+def list_stopped(orders):
+    return [order.task for order in orders if isinstance(order, message.Stop)]
+
+
+def list_started(orders):
+    return [order.run.task.job for order in orders if isinstance(order, message.Start)]
+
+
+def end_stopped(bench, machine, now):
+    """Let a worker list the ends of the runs that it was told to stop."""
+    ended, running = [], []
+    for run in machine.runs.values():
+        if run.stop_sent_at:
+            number = machine.processed_end + len(ended) + 1
+            end = model.End.STOPPED
+            ended.append(workers.Ended(number, run.task, run.number, end, "c1"))
+        else:
+            running.append(workers.Running(run.task, run.number, "", 10, 0.0))
+    bench.answer(machine, tuple(running), tuple(ended), now=now)
+
+
+def test_late_runs_make_room_for_tasks_on_time(bench, start_late):
+    """Half of a full pool ran jobs without value while others became late."""
+    start_late()
+    bench.add_job("urgent", step(2, estimate=2.0))
+
+    assert len(list_stopped(bench.plan())) == 2
+
+
+@pytest.mark.parametrize(
+    "fields", [{"checkpoint": False}, {"gang": True}, {"fills": True}]
+)
+def test_runs_that_would_lose_work_are_not_stopped(bench, start_late, fields):
+    start_late(**fields)
+    bench.add_job("urgent", step(2, estimate=2.0))
+
+    assert not list_stopped(bench.plan())
+
+
+def test_runs_of_jobs_on_time_are_not_stopped_for_their_equals(bench):
+    """Each stop would delay one job to speed up another."""
+    bench.add_vm(cpu=4000)
+    bench.add_job("first", step(4))
+    bench.start()
+    bench.add_job("second", step(2, estimate=2.0))
+
+    assert not list_stopped(bench.plan())
+
+
+def test_a_queue_with_precedence_preempts_jobs_on_time(bench):
+    queues = [
+        model.Queue("q", "h", "/q/", "p", priority=1),
+        model.Queue("first", "h", "/f/", "p", priority=0),
+    ]
+    bench.pool.on_queues(queues)
+    bench.add_vm(cpu=4000)
+    bench.add_job("other", step(4))
+    bench.start()
+    bench.add_job("urgent", step(3, estimate=2.0), queue="first")
+
+    assert len(list_stopped(bench.plan())) == 3
+
+
+def test_no_further_runs_are_stopped_while_stops_are_under_way(bench, start_late):
+    """A stop takes up to half a second, in which some fifty rounds are planned."""
+    start_late()
+    bench.add_job("urgent", step(2, estimate=2.0))
+    bench.plan()
+
+    assert not list_stopped(bench.plan(NOW + 0.2))
+
+
+def test_a_stop_that_leaves_too_little_room_is_not_made(bench, start_late):
+    start_late()
+    bench.add_job("urgent", step(1, cpu=5000, estimate=2.0))
+
+    assert not list_stopped(bench.plan())
+
+
+def test_preempted_tasks_resume_from_their_checkpoint_after_the_urgent_ones(
+    bench, start_late
+):
+    machine = start_late()[0].vm
+    bench.add_job("urgent", step(2, estimate=2.0))
+    bench.plan()
+    end_stopped(bench, machine, NOW + 0.2)
+
+    assert list_started(bench.plan(NOW + 0.21)) == ["urgent", "urgent"]
+
+    bench.add_vm("w2", cpu=4000)
+    assert not list_started(bench.plan(NOW + 0.5))
+    bench.answer(bench.pool.vms["w2"], now=NOW + 1.3)
+    starts = bench.plan(NOW + 1.3)
+    assert list_started(starts) == ["late", "late"]
+    assert {start.order.checkpoint for start in starts} == {"c1"}
+
+
+def test_a_task_is_preempted_a_bounded_number_of_times(start_late):
+    """A late job must end at some time, however many bursts follow one another."""
+    run = start_late()[0]
+    preemptor = preemption.Preemptor({})
+    for _ in range(preemption.MAX_PREEMPTIONS):
+        assert preemptor.is_preemptible(run)
+        preemptor.record(run, NOW, is_delayed=True)
+
+    assert not preemptor.is_preemptible(run)
+
+
+def test_late_runs_leave_a_closed_vm_at_once(bench, start_late):
+    """VMs moved to a burst arrived 3 s late, as each waited for its last task."""
+    start_late()
+    bench.pool.set_closed(frozenset({"w1"}), {}, 5)
+
+    assert len(list_stopped(bench.plan())) == 4
+
+
+def test_runs_on_time_leave_a_closed_vm_only_for_room_elsewhere(bench):
+    bench.pool.on_queues([model.Queue("q", "h", "/q/", "p", stretch=2.0)])
+    bench.add_vm("w1", cpu=4000)
+    bench.add_job("j", step(4))
+    bench.start()
+    bench.add_vm("w2", cpu=2000)
+    bench.pool.set_closed(frozenset({"w1"}), {}, 5)
+
+    assert len(list_stopped(bench.plan())) == 2
+
+
+def test_runs_that_a_restart_would_make_late_stay_on_a_closed_vm(bench):
+    bench.add_vm("w1", cpu=4000)
+    bench.add_job("j", step(4))
+    bench.start()
+    bench.add_vm("w2", cpu=4000)
+    bench.pool.set_closed(frozenset({"w1"}), {}, 5)
+
+    assert not list_stopped(bench.plan())
+
+
+def test_the_vm_that_is_empty_first_is_given_away_first(bench):
+    """A VM with many short tasks empties before one with a single long one."""
+    bench.add_vm("w1", cpu=1000)
+    bench.add_job("long", step(1, checkpoint=False))
+    bench.start()
+    bench.add_vm("w2", cpu=4000)
+    bench.add_job("short", step(4, estimate=0.4, checkpoint=False))
+    bench.start()
+
+    assert bench.planner.build_status(NOW, NOW).light == ("w2", "w1")
