Show the load of each pool by urgency, and explain hard load

No metric or log line showed how much of a pool runs for jobs on time, late or lasting, how much is idle or closed for a move, and how much waits. So the cause of a late job under hard load couldn't be found from its id.

pool/load.py computes these figures from the leader's view and the group of each open job, which the planner returns by list_groups. The runner sets the gauge pool_millicores each 2 s (eight series for each led pool; 0 once leadership ends, so that a pool isn't shown by two daemons), and writes the line "pool load" while a task fits on no VM that takes tasks or the planner's unmet demand isn't 0. It writes none for tasks that wait only for a ceiling, a ticket or a retry. Runs of cancelled and final jobs count as expired; waiting lasting tasks count as on time; VMs that are neither open nor closed or leaving are in no use.

The command explain prints "pool load" and "run preempted" of a job's pool, and "store path changed" of the daemons that wrote the job's lines, between its first and last line. A line on another job's run names that job.

The whole suite wasn't run. No existing test was changed.

--- a/wigeonhitch/command/story.py
+++ b/wigeonhitch/command/story.py
@@ -22,10 +22,15 @@
     "commit of ends lost",
     "commit of ends back",
     "commit of ends conflicts",
+    "pool load",
+    "run preempted",
 )
 """Log texts of pool events that affect every job in the pool at the time."""
 
-HIDDEN_FIELDS = {"time", "level", "change", "daemon", "job"}
+DAEMON_CHANGES = ("store path changed",)
+"""Log texts of events that affect every job that a daemon handles at the time."""
+
+HIDDEN_FIELDS = {"time", "level", "change", "daemon"}
 
 
 class Line(NamedTuple):
@@ -41,7 +46,8 @@
     """Print what all daemons logged about one job, in order.
 
     Lines on the job's pool stand between the first and the last of the job's
-    own: who led it, what was lost meanwhile.
+    own: who led it, what was lost meanwhile, what ran and waited. So do lines on the
+    way to the store of the daemons that wrote the job's lines.
 
     Parameters
     ----------
@@ -59,7 +65,8 @@
         body = {"status": "NOT_FOUND", "reason": f"no line names the job {id!r}"}
         return report.Report(report.Exit.NOT_FOUND, body, (body["reason"],))
     shown = [line._asdict() for line in story]
-    return report.Report(report.Exit.DONE, shown, tuple(map(_format_line, story)))
+    text = tuple(_format_line(line, id) for line in story)
+    return report.Report(report.Exit.DONE, shown, text)
 
 
 def read_lines(texts: Iterable[str]) -> Iterator[Line]:
@@ -84,21 +91,24 @@
 
 
 def find_story(lines: Iterable[Line], id: str) -> list[Line]:
-    """Return the lines about a job, and about its pool meanwhile, sorted by time."""
+    """Return the lines about a job, its pool and its daemons meanwhile, by time."""
     ordered = sorted(lines, key=lambda line: line.time)
     own = [line for line in ordered if line.fields.get("job") == id]
     if not own:
         return []
     pools = {line.fields["pool"] for line in own if "pool" in line.fields}
+    daemons = {line.daemon for line in own}
     first, last = own[0].time, own[-1].time
     return [
         line
         for line in ordered
         if line.fields.get("job") == id
         or (
-            line.change in POOL_CHANGES
-            and line.fields.get("pool") in pools
-            and first <= line.time <= last
+            first <= line.time <= last
+            and (
+                (line.change in POOL_CHANGES and line.fields.get("pool") in pools)
+                or (line.change in DAEMON_CHANGES and line.daemon in daemons)
+            )
         )
     ]
 
@@ -110,11 +120,14 @@
         yield from pathlib.Path(file).read_text(encoding="utf-8").splitlines()
 
 
-def _format_line(line: Line) -> str:
+def _format_line(line: Line, id: str) -> str:
+    """Return the text of a line; a job is only named if it is another one."""
     rest = " ".join(
         f"{name}={value}"
         for name, value in line.fields.items()
-        if name not in HIDDEN_FIELDS and value not in ("", None)
+        if name not in HIDDEN_FIELDS
+        and value not in ("", None)
+        and (name, value) != ("job", id)
     )
     return f"{line.time}  {line.daemon}  {line.change}  {rest}".rstrip()
 
--- a/wigeonhitch/command/tests/test_story.py
+++ b/wigeonhitch/command/tests/test_story.py
@@ -81,3 +81,47 @@
     history = story.find_story(story.read_lines(lines), "j1")
 
     assert "leadership lapsed" in [entry.change for entry in history]
+
+
+HARD_LOAD_LINES = [
+    *LINES,
+    line("10:00:02", "d2", "pool load", pool="p", late=9000, waiting_on_time=700),
+    line("10:00:02", "d2", "pool load", pool="other", late=1),
+    line("10:00:04", "d2", "run preempted", job="j9", pool="p", reason="late"),
+    line("10:00:05", "d2", "run preempted", job="j1", pool="p", reason="vacating"),
+    line("10:00:06", "d1", "store path changed", path="relayed", peer="d3"),
+    line("10:00:06", "d7", "store path changed", path="relayed", peer="d3"),
+    line("10:00:20", "d2", "pool load", pool="p", late=8000),
+    line("10:00:20", "d1", "store path changed", path="direct"),
+]
+
+
+def test_history_includes_load_preemptions_and_store_paths_of_its_time():
+    """Lines of other pools, of daemons that wrote none of its lines, and later ones."""
+    history = story.find_story(story.read_lines(HARD_LOAD_LINES), "j1")
+
+    added = ("pool load", "run preempted", "store path changed")
+    assert [
+        (entry.time, entry.daemon, entry.change)
+        for entry in history
+        if entry.change in added
+    ] == [
+        ("10:00:02", "d2", "pool load"),
+        ("10:00:04", "d2", "run preempted"),
+        ("10:00:05", "d2", "run preempted"),
+        ("10:00:06", "d1", "store path changed"),
+    ]
+
+
+def test_preempted_run_of_another_job_is_shown_with_that_job(tmp_path, capsys):
+    """Guards against another job's stopped run being taken for this job's own."""
+    path = tmp_path / "all.log"
+    path.write_text("\n".join(HARD_LOAD_LINES))
+
+    main.main(["explain", "j1", "--files", str(path)])
+
+    other, own = (
+        text for text in capsys.readouterr().out.splitlines() if "preempted" in text
+    )
+    assert "job=j9" in other
+    assert "job=" not in own
--- a/wigeonhitch/pool/__init__.py
+++ b/wigeonhitch/pool/__init__.py
@@ -4,8 +4,9 @@
 workers change it), `vm` (one VM), `planner` (one scheduling round), `priority`
 (order of the jobs), `placement` (choice of the VM), `demand` (processors that the
 pool needs), `health` and `pacing` (degraded VMs, filling tasks), `ticket`, `ledger`
-and `compaction` (rows to write), `status` and `record` (rows), `message` and
-`dependencies`, and with I/O `source`, `dispatcher` and `runner`.
+and `compaction` (rows to write), `status` and `record` (rows), `load` (processors by
+use, for operators), `message` and `dependencies`, and with I/O `source`, `dispatcher`
+and `runner`.
 """
 
 __all__ = [
@@ -16,6 +17,7 @@
     "dispatcher",
     "health",
     "ledger",
+    "load",
     "message",
     "pacing",
     "placement",
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -517,6 +517,16 @@
         )
         return message.Start(run, start)
 
+    # -- questions
+
+    def list_groups(self, wall_time: float) -> dict[str, int]:
+        """Return the group in `priority` of each open job at a Unix time, by id."""
+        return {
+            id: priority.compute_sort_key(inputs, wall_time, mean_work=0.0).group
+            for id, inputs in self._sort_inputs.items()
+            if id in self.pool.jobs and self.pool.jobs[id].final is None
+        }
+
 
 def _choose_gang_vms(
     placer: placement.Placer,
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -14,6 +14,7 @@
     core,
     dependencies,
     dispatcher,
+    load,
     message,
     planner,
     quota,
@@ -82,6 +83,9 @@
 QUOTA_REPORT_SECONDS = 2.0
 """Seconds between two updates of the metrics of teams."""
 
+LOAD_REPORT_SECONDS = 2.0
+"""Seconds between two reports of a pool's load: a turn of a queue takes some 9 s."""
+
 MAX_REPORTED_TEAMS = 50
 """Teams with series of their own; each has eight a pool."""
 
@@ -182,6 +186,7 @@
                 group.start_soon(self._request_tickets)
                 group.start_soon(self._compact_rows)
                 group.start_soon(self._adjust_quotas)
+                group.start_soon(self._report_loads)
                 await self._run_rounds(group)
                 group.cancel_scope.cancel()
 
@@ -377,6 +382,35 @@
                         resource=resource,
                     )
 
+    async def _report_loads(self) -> None:
+        """Report the pool's load until leadership ends."""
+        try:
+            while True:
+                await anyio.sleep(LOAD_REPORT_SECONDS)
+                self._report_load()
+        finally:
+            # The successor reports this pool; its figures must not be added to these.
+            self._set_load(load.PoolLoad())
+
+    def _report_load(self) -> None:
+        """Set the gauges of the pool's load; log it while tasks wait for room."""
+        wall_time = time.time()
+        groups = self.planner.list_groups(wall_time)
+        figures = load.compute_load(self.pool, groups, http.read_clock(), wall_time)
+        self._set_load(figures)
+        if figures.lacks_room or self.planner.unmet > 0:
+            self._log_event("pool load", **figures.describe())
+
+    def _set_load(self, figures: load.PoolLoad) -> None:
+        for use, millicores in figures.list_uses().items():
+            self.deps.instruments.set(
+                "pool_millicores",
+                "Millicores of a led pool by use.",
+                millicores,
+                pool=self.owner.pool,
+                use=use,
+            )
+
     async def _publish_status(self) -> None:
         published = None
         while True:
