Keep VMs that have just joined a pool through the rise of its burst

Change: a VM that was moved isn't returned while idle for 4 s after it joined. Pools that lack VMs get them as before. A new fleet leader doesn't know when VMs joined, and returns them as before. Checked: tests of the fleet leader's decisions pass (50), the new one fails without the change.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -110,6 +110,8 @@
         """VMs whose move was ordered and that have not arrived yet."""
         self.arrived: dict[str, Moving] = {}
         """VMs that have just arrived in a pool; its status doesn't include them yet."""
+        self.joined_at: dict[str, float] = {}
+        """Time at which each VM that was moved under this leader joined its pool."""
         self.initial_sizes: dict[str, int] = {}
         """Number of VMs that each pool had when it was first seen, as operators set
         it."""
@@ -179,6 +181,7 @@
             if vm is None or (arrived and now > moving.since):
                 del self.moving[id]
                 self.arrived[id] = moving._replace(since=now)
+                self.joined_at[id] = now
         for id, moving in list(self.arrived.items()):
             if now - moving.since > ARRIVAL_GRACE_SECONDS:
                 del self.arrived[id]
--- a/wigeonhitch/maintenance/demand.py
+++ b/wigeonhitch/maintenance/demand.py
@@ -10,6 +10,8 @@
 from there they can be moved faster than out of a pool, where tasks must end first.
 """
 
+import math
+
 from wigeonhitch.maintenance import core, record
 from wigeonhitch.platform import fleet
 from wigeonhitch.pool import record as pool_record
@@ -27,6 +29,11 @@
 """Time for which a pool must have had free capacity for more than one VM's work
 before a VM returns to standby: a lull within a burst is shorter."""
 
+MIN_STAY_SECONDS = 4.0
+"""Time for which a VM that was moved to a pool isn't returned while idle. A burst rises
+over some seconds: VMs that were requested at its beginning are idle for a second or two
+before its peak, and a return and a second move would take 3 s."""
+
 IDLE_RESERVE_MILLICORES = 8000
 """Free capacity that stays in a pool when a VM returns to standby: a job between
 bursts takes that much."""
@@ -129,7 +136,12 @@
         if now - since < IDLE_BEFORE_STANDBY_SECONDS:
             continue
         count = min(1 + spare // max(1, size), _count_surplus(state, pool))
-        for vm in _list_available(state, pool, status.bare)[: max(0, count)]:
+        settled = [
+            vm
+            for vm in _list_available(state, pool, status.bare)
+            if now - state.joined_at.get(vm.id, -math.inf) >= MIN_STAY_SECONDS
+        ]
+        for vm in settled[: max(0, count)]:
             target = lenders.pop(0) if lenders else standby
             actions.append(core.Close(record.Closing(vm.worker, vm.id, 0, target)))
     return actions
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -479,6 +479,20 @@
     assert closing.closing.pool == "off"
 
 
+def test_vms_that_have_just_joined_are_not_returned_in_the_rise_of_a_burst(state):
+    """A pool gave back 40 VMs 1.2 s after they had joined and lacked them 1 s later."""
+    state.moving["spare"] = core.Moving("b", NOW - 1)
+    state.on_vms((*state.vms.values(), make_vm("spare", "b")), NOW)
+    status = state.pool_statuses["b"]
+    state.pool_statuses["b"] = status._replace(idle=64000, bare=("w-spare",))
+    demand.plan_moves(state, NOW)
+
+    rise = NOW + demand.MIN_STAY_SECONDS - 0.1
+    assert demand.plan_moves(state, rise) == []
+    (closing,) = demand.plan_moves(state, NOW + demand.MIN_STAY_SECONDS)
+    assert closing.closing.vm == "spare"
+
+
 def test_vm_that_cannot_be_drained_is_reopened(state):
     state.on_closing(record.Closing("w-a0", "a0", 0, "b"), NOW)
 
