Learn the run times of tasks from their progress

Cause: whether a job can be on time, and the order of jobs, were computed from the submitted estimates, which are off by up to nine tenths in some queues, even when tasks of the step had ended or reported progress.

Change: pool/estimate.py keeps the observed run times for each step of an open job. Their median replaces the submitted estimate in the sort inputs (work, work left, critical path left, due and expiry), within a tenth and ten times of it. The inputs of a job are recomputed at once when it changes, and each 0.25 s at most while its tasks only progress. Resumed, paced, filling, lasting and gang runs and those on quarantined VMs aren't observed; adopted runs count from their first list. The mean work of a queue follows the learned work: mixed with the submitted figures it counts a job of a queue that is estimated at a tenth as up to four times too valuable.

--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+from collections.abc import Sequence
 from typing import NamedTuple
 
 __all__ = [
@@ -208,18 +209,32 @@
         """Whether the job ends only by cancellation."""
         return any(step.lasting for step in self.steps)
 
-    def compute_critical_path(self) -> float:
-        """Return the estimated seconds of the longest chain of dependent steps."""
+    @property
+    def estimates(self) -> tuple[float, ...]:
+        """Submitted run time of a task of each step, in seconds."""
+        return tuple(step.estimate for step in self.steps)
+
+    def compute_critical_path(self, estimates: Sequence[float] | None = None) -> float:
+        """Return the estimated seconds of the longest chain of dependent steps.
+
+        ``estimates`` replaces the submitted run times of the steps.
+        """
         ends: list[float] = []
-        for step in self.steps:
+        for step, seconds in zip(self.steps, estimates or self.estimates, strict=True):
             start = max((ends[number] for number in step.after), default=0.0)
-            ends.append(start + step.estimate)
+            ends.append(start + seconds)
         return max(ends, default=0.0)
 
-    def compute_work(self) -> float:
-        """Return the estimated core-seconds of one occurrence."""
+    def compute_work(self, estimates: Sequence[float] | None = None) -> float:
+        """Return the estimated core-seconds of one occurrence.
+
+        ``estimates`` replaces the submitted run times of the steps.
+        """
         return sum(
-            step.count * step.estimate * step.room.cpu / 1000 for step in self.steps
+            step.count * seconds * step.room.cpu / 1000
+            for step, seconds in zip(
+                self.steps, estimates or self.estimates, strict=True
+            )
         )
 
 
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -99,6 +99,7 @@
         if run.state is not vm.RunState.STOPPING:
             run.state = vm.RunState.RUNNING
         run.started_at, run.started_clock = now, clock
+        run.started_work = 0.0
         run.last_progress_clock = run.rate_start_clock = run.vm.compute_clock(now)
         state = self.jobs.get(run.task.job)
         if state is not None and not state.started:
@@ -160,6 +161,8 @@
         if step.lasting:
             return
         if end.end is model.End.DONE:
+            if is_own_run and not state.is_done(end.task):
+                self.estimates.on_run_done(run, now)
             self._record_done(state, end.task)
         elif end.end is model.End.FAILED:
             self._record_failed(state, end, machine)
@@ -201,7 +204,8 @@
         queue = self.queues.get(state.job.queue)
         if queue is None:
             return 0.0
-        return round(priority.compute_due(state.job, queue, 0.0), 3)
+        estimates = self.estimates.compute_estimates(state.job)
+        return round(priority.compute_due(state.job, queue, 0.0, estimates), 3)
 
     def _reconcile(self, machine: vm.Vm, reply: workers.HoldReply, now: float) -> None:
         listed = {(entry.task, entry.run): entry for entry in reply.running}
@@ -241,10 +245,13 @@
     def _update_running(self, run: vm.Run, entry: workers.Running, now: float) -> None:
         if run.state in (vm.RunState.STARTING, vm.RunState.UNKNOWN):
             self._confirm_start(run, run.vm.reported_clock, now)
+            run.started_work = entry.work  # it may have started long before
         run.record_work(entry.work, run.vm.reported_clock)
         run.load = entry.load
         run.listed_at, run.listed_clock = now, run.vm.reported_clock
         self.suspects.on_run_listed(run)
+        if run.task.job in self.jobs:
+            self.estimates.on_run_listed(run, now)
         if entry.checkpoint and run.task.job in self.jobs:
             self.jobs[run.task.job].record_checkpoint(run.task, entry.checkpoint)
 
@@ -269,5 +276,6 @@
         self.live[entry.task] = run
         self.quotas.add(state.job.team, run)
         state.started = True
+        run.shows_run_time = not state.get_checkpoint(entry.task)
         state.record_checkpoint(entry.task, entry.checkpoint)
         return True
--- /dev/null
+++ b/wigeonhitch/pool/estimate.py
@@ -0,0 +1,157 @@
+"""Run times of tasks, learned from the progress and the ends of runs.
+
+Submitted estimates are off by up to nine tenths in some queues. Whether a job can be on
+time and its place in the order therefore follow the run times that its tasks have
+shown. They are kept in the memory of the pool's leader only; a successor learns them
+again from the runs that it adopts.
+
+All times of a run are those of its worker's clock, since this daemon or the link may
+have been slow.
+"""
+
+import statistics
+from collections.abc import Iterable
+
+from wigeonhitch.jobs import model
+from wigeonhitch.pool import vm
+
+__all__ = ["RunTimeEstimates"]
+
+MIN_PROGRESS_PERCENT = 10
+"""Progress from which a running task shows its run time: progress is listed in whole
+percents, so that the error is below a tenth."""
+
+MIN_AGE_SECONDS = 0.2
+"""Age from which a running task shows its run time: the time of its start is known to
+some milliseconds, on a slow link to some tens of them."""
+
+MIN_OBSERVATIONS = 3
+"""Observations below which the submitted estimate counts as one more."""
+
+MAX_OBSERVATIONS = 25
+"""Observed tasks that are kept for each step, the last ones: more don't change the
+median much, and it is computed up to a hundred times a second."""
+
+MAX_CORRECTION_FACTOR = 10.0
+"""Bound of the correction in both directions: estimates are off by up to nine
+tenths."""
+
+
+class RunTimeEstimates:
+    """Estimated run time of a task for each step of the open jobs."""
+
+    def __init__(self) -> None:
+        self._observed: dict[str, dict[int, dict[model.Task, float]]] = {}
+        """Observed seconds of tasks by job and step, the last observation last."""
+        self._progressed: set[str] = set()
+
+    def on_run_listed(self, run: vm.Run, now: float) -> None:
+        """Record the progress of a running task that its worker has listed.
+
+        Parameters
+        ----------
+        run : vm.Run
+            A run of an open job, with the listed progress.
+        now : float
+            This daemon's time.
+        """
+        if not self._is_observable(run, now):
+            self.on_run_removed(run)
+            return
+        if run.state is not vm.RunState.RUNNING:
+            return
+        seconds = _project(run, run.work)
+        if seconds is not None:
+            self._record(run.task, seconds)
+
+    def on_run_done(self, run: vm.Run, now: float) -> None:
+        """Record the run time of a task whose end was listed, at this daemon's time."""
+        if not self._is_observable(run, now):
+            return
+        seconds = run.vm.reported_clock - run.started_clock
+        if run.started_work > 0:
+            projected = _project(run, 100.0)
+            if projected is None:
+                return
+            seconds = projected
+        if run.started_clock > 0 and seconds > 0:
+            self._record(run.task, seconds)
+
+    def on_run_removed(self, run: vm.Run) -> None:
+        """Drop what a run has shown while it was running."""
+        steps = self._observed.get(run.task.job)
+        if steps is None or run.task not in steps.get(run.task.step, ()):
+            return
+        del steps[run.task.step][run.task]
+        self._progressed.add(run.task.job)
+
+    def compute_estimates(self, job: model.Job) -> tuple[float, ...]:
+        """Return the estimated run time in seconds of a task of each step of a job."""
+        steps = self._observed.get(job.id, {})
+        learned = {
+            number: _compute_estimate(job.steps[number].estimate, observed.values())
+            for number, observed in steps.items()
+            if observed and job.steps[number].estimate > 0
+        }
+        if not learned:
+            return job.estimates
+        ratio = statistics.fmean(
+            seconds / job.steps[number].estimate for number, seconds in learned.items()
+        )
+        return tuple(
+            step.estimate
+            if step.lasting
+            else learned.get(number, step.estimate * ratio)
+            for number, step in enumerate(job.steps)
+        )
+
+    def pop_progressed_jobs(self) -> set[str]:
+        """Return the jobs whose observations have changed since the last call."""
+        progressed, self._progressed = self._progressed, set()
+        return progressed
+
+    def forget_job(self, id: str) -> None:
+        """Drop the observations of a job."""
+        self._observed.pop(id, None)
+        self._progressed.discard(id)
+
+    def _is_observable(self, run: vm.Run, now: float) -> bool:
+        """Return whether a run shows the run time of its step's tasks.
+
+        A run that was slowed down at one time doesn't show it afterwards either.
+        """
+        step = run.step
+        if step.lasting or step.fills or step.gang:
+            return False
+        if run.pace < 100 or run.vm.is_quarantined(now):
+            run.shows_run_time = False
+        return run.shows_run_time
+
+    def _record(self, task: model.Task, seconds: float) -> None:
+        steps = self._observed.setdefault(task.job, {})
+        observed = steps.setdefault(task.step, {})
+        observed.pop(task, None)
+        if len(observed) >= MAX_OBSERVATIONS:
+            del observed[next(iter(observed))]
+        observed[task] = seconds
+        self._progressed.add(task.job)
+
+
+def _project(run: vm.Run, work: float) -> float | None:
+    """Return the seconds of a whole run, or None if too little of it was seen."""
+    progress = work - run.started_work
+    age = run.vm.reported_clock - run.started_clock
+    if progress < MIN_PROGRESS_PERCENT or age < MIN_AGE_SECONDS:
+        return None
+    return 100 * age / progress
+
+
+def _compute_estimate(submitted: float, observed: Iterable[float]) -> float:
+    values = list(observed)
+    if len(values) < MIN_OBSERVATIONS:
+        values.append(submitted)
+    shortest, longest = (
+        submitted / MAX_CORRECTION_FACTOR,
+        submitted * MAX_CORRECTION_FACTOR,
+    )
+    return min(longest, max(shortest, statistics.median(values)))
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -37,6 +37,10 @@
 """Seconds between scans of all runs for those to be stopped, unless a job, a VM or a
 closing has changed: a pool of 40 VMs has some 600 runs."""
 
+ESTIMATE_PERIOD_SECONDS = 0.25
+"""Seconds between two updates of the order of jobs whose tasks have only progressed:
+with 600 runs, each round has progress of some of them."""
+
 
 class Planner:
     """Plans the scheduling rounds of one pool.
@@ -57,6 +61,7 @@
         self._next_due: dict[str, float] = {}
         self._sort_inputs: dict[str, priority.SortInputs] = {}
         self._next_scan = 0.0
+        self._next_estimates = 0.0
         self._missing_vms = 0
         """Further VMs that lasting tasks need because of their spread limit."""
         self._orphaned_tasks: frozenset[model.Task] = frozenset()
@@ -79,6 +84,7 @@
         self.pool.submitted_work.clear()
         self.pool.record_unseen_ends(wall_time)
         self._refresh_jobs(wall_time)
+        self._refresh_estimates(now)
         orders: list[message.Start | message.Stop] = self._stop_orphans(now)
         suspects = self.pool.suspects
         placer = placement.Placer(
@@ -146,6 +152,15 @@
             if state.job.times and (next_due := state.compute_next_due(wall_time)):
                 self._next_due[id] = next_due
 
+    def _refresh_estimates(self, now: float) -> None:
+        """Recompute the sort inputs of the jobs whose tasks have progressed."""
+        if now < self._next_estimates:
+            return
+        self._next_estimates = now + ESTIMATE_PERIOD_SECONDS
+        for id in self.pool.estimates.pop_progressed_jobs():
+            if id in self._sort_inputs:
+                self._sort_inputs[id] = self.pool.get_sort_inputs(self.pool.jobs[id])
+
     def _finalize_cancelled(self, state: progress.Progress) -> None:
         id = state.job.id
         if any(task.job == id for task in self.pool.live):
@@ -512,6 +527,7 @@
         self.pool.live[task] = run
         self.pool.quotas.add(state.job.team, run)
         checkpoint = state.get_checkpoint(task)
+        run.shows_run_time = not checkpoint
         start = workers.Start(
             task, number, state.job.spec, 0.0, self.pool.fence, checkpoint, ticket
         )
--- a/wigeonhitch/pool/priority.py
+++ b/wigeonhitch/pool/priority.py
@@ -6,6 +6,7 @@
 that can't be on time any more come later.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from wigeonhitch.jobs import model, progress
@@ -47,7 +48,8 @@
     """Inputs of a job's sort key.
 
     ``due`` and ``expiry`` are the Unix times until which the job is on time and has
-    any value. Work is in core-seconds, ``critical_path_left`` in seconds.
+    any value. Work is in core-seconds, ``critical_path_left`` in seconds. All of them
+    follow the run times that tasks of the job have shown; see `estimate`.
     """
 
     is_lasting: bool
@@ -69,28 +71,49 @@
 
 
 def compute_due(
-    job: model.Job, terms: model.Queue | model.Terms, accepted: float
+    job: model.Job,
+    terms: model.Queue | model.Terms,
+    accepted: float,
+    estimates: Sequence[float],
 ) -> float:
-    """Return the Unix time at which the job is due."""
-    return accepted + terms.stretch * job.compute_critical_path() + terms.objective
+    """Return the Unix time at which the job is due.
+
+    The platform judges by the real run times, also those of steps that are done.
+    """
+    critical_path = job.compute_critical_path(estimates)
+    return accepted + terms.stretch * critical_path + terms.objective
 
 
 def compute_sort_inputs(
-    state: progress.Progress, terms: model.Queue | model.Terms
+    state: progress.Progress,
+    terms: model.Queue | model.Terms,
+    estimates: Sequence[float],
 ) -> SortInputs:
-    """Return the inputs of a job's sort key; they hold until the job changes."""
+    """Return the inputs of a job's sort key.
+
+    They hold until the job or the estimated run times of its steps change.
+
+    Parameters
+    ----------
+    state : progress.Progress
+        The job and its progress.
+    terms : model.Queue or model.Terms
+        Its queue, or the terms of its submission.
+    estimates : sequence of float
+        Run time of a task of each step, in seconds.
+    """
     job = state.job
     accepted = max(job.first_due, state.accepted) if job.times else state.accepted
-    due = compute_due(job, terms, accepted)
+    due = compute_due(job, terms, accepted, estimates)
     return SortInputs(
         job.is_lasting,
         terms.priority,
         accepted,
         due,
         accepted + MAX_LATENESS * (due - accepted),
-        job.compute_work(),
-        _compute_work_left(state),
-        _compute_critical_path_left(state),
+        job.compute_work(estimates),
+        _compute_work_left(state, estimates),
+        _compute_critical_path_left(state, estimates),
     )
 
 
@@ -110,18 +133,20 @@
     return SortKey(group, inputs.priority, usage_level, cost, inputs.accepted)
 
 
-def _compute_work_left(state: progress.Progress) -> float:
+def _compute_work_left(state: progress.Progress, estimates: Sequence[float]) -> float:
     left = 0.0
     for number, step in enumerate(state.job.steps):
         done = len(state.done.get((0, number), ()))
-        left += (step.count - done) * step.estimate * step.room.cpu / 1000
+        left += (step.count - done) * estimates[number] * step.room.cpu / 1000
     return left
 
 
-def _compute_critical_path_left(state: progress.Progress) -> float:
+def _compute_critical_path_left(
+    state: progress.Progress, estimates: Sequence[float]
+) -> float:
     ends: list[float] = []
     for number, step in enumerate(state.job.steps):
         start = max((ends[earlier] for earlier in step.after), default=0.0)
-        left = 0.0 if state.is_step_done(0, number) else step.estimate
+        left = 0.0 if state.is_step_done(0, number) else estimates[number]
         ends.append(start + left)
     return max(ends, default=0.0)
--- /dev/null
+++ b/wigeonhitch/pool/tests/test_estimate.py
@@ -0,0 +1,275 @@
+"""Estimates learned from the progress and the ends of tasks."""
+
+import pytest
+
+from wigeonhitch.jobs import model
+from wigeonhitch.platform import workers
+from wigeonhitch.pool import estimate, planner, priority
+
+NOW = 100.0
+
+
+def step(count=1, seconds=1.0, **fields):
+    return model.Step(count, model.Room(1000, 100), seconds, **fields)
+
+
+def run_job(bench, *steps, cpu=8000):
+    machine = bench.add_vm(cpu=cpu)
+    bench.add_job("j", *steps)
+    return machine, bench.start()
+
+
+def report(bench, listed, machine, work, now):
+    bench.answer(machine, [listed(run, work) for run in machine.runs.values()], now=now)
+
+
+def end_runs(bench, ended, runs, now):
+    ends = [ended(number, run) for number, run in enumerate(runs, 1)]
+    bench.answer(runs[0].vm, ended=ends, now=now)
+
+
+def get_estimates(bench):
+    return bench.pool.estimates.compute_estimates(bench.pool.jobs["j"].job)
+
+
+def get_inputs(bench):
+    return bench.pool.get_sort_inputs(bench.pool.jobs["j"])
+
+
+def get_submitted_inputs(bench):
+    state = bench.pool.jobs["j"]
+    queue = bench.pool.queues["q"]
+    return priority.compute_sort_inputs(state, queue, state.job.estimates)
+
+
+def get_group(inputs, now):
+    return priority.compute_sort_key(inputs, now, 0.0).group
+
+
+def test_job_estimated_at_a_tenth_is_not_taken_for_late(bench, listed, ended):
+    """Its second step would count as late 0.3 s after the end of its first one."""
+    bench.pool.on_queues([model.Queue("q", "h", "/q/", "p", objective=0.5)])
+    steps = (step(4, 0.2), step(4, 0.2, after=(0,)))
+    machine, runs = run_job(bench, *steps)
+    report(bench, listed, machine, 20, NOW + 0.4)
+
+    assert get_inputs(bench).due == pytest.approx(NOW + 4.5)
+
+    end_runs(bench, ended, runs, NOW + 2.0)
+    inputs = get_inputs(bench)
+
+    assert get_group(get_submitted_inputs(bench), NOW + 2.0) != priority.ON_TIME
+    assert get_group(inputs, NOW + 2.0) == priority.ON_TIME
+    assert inputs.due == pytest.approx(NOW + 4.5)
+    assert inputs.critical_path_left == pytest.approx(2.0)
+
+
+def test_job_estimated_at_ten_times_goes_earlier(bench, listed):
+    """It would wait behind a job of the same queue that takes six times as long."""
+    bench.pool.on_queues([model.Queue("q", "h", "/q/", "p", objective=50.0)])
+    machine, _ = run_job(bench, step(20, 10.0), cpu=4000)
+    bench.add_job("other", step(20, 6.0))
+    assert bench.planner.plan(NOW, NOW) == []
+    before = get_inputs(bench)
+    key = bench.planner._get_key
+
+    assert key("other", NOW, {}) < key("j", NOW, {})
+
+    report(bench, listed, machine, 50, NOW + 0.5)
+    bench.plan(NOW + 0.5)
+
+    assert get_inputs(bench).work_left == pytest.approx(before.work_left / 10)
+    assert key("j", NOW, {}) < key("other", NOW, {})
+
+
+def test_right_estimates_change_nothing(bench, listed, ended):
+    """Up to the rounding of progress to whole percents."""
+    machine, runs = run_job(bench, step(8), step(2, 0.4, after=(0,)))
+    submitted = get_submitted_inputs(bench)
+    for percent in (5.9, 10.9, 25.9, 60.9, 99.9):
+        report(bench, listed, machine, int(percent), NOW + percent / 100)
+        rounding = percent / int(percent) - 1
+        inputs = get_inputs(bench)
+        assert inputs[:3] == submitted[:3]
+        assert inputs[5:] == pytest.approx(submitted[5:], rel=rounding + 1e-9)
+        for learned, expected in zip(inputs[3:5], submitted[3:5], strict=True):
+            limit = (expected - NOW) * rounding
+            assert learned == pytest.approx(expected, abs=limit + 1e-9)
+
+    end_runs(bench, ended, runs, NOW + 1.0)
+
+    assert get_inputs(bench) == pytest.approx(get_submitted_inputs(bench))
+
+
+@pytest.mark.parametrize(("observed", "expected"), [(1, 2.0), (2, 3.0), (3, 3.0)])
+def test_few_observations_are_mixed_with_the_submitted_estimate(
+    bench, ended, observed, expected
+):
+    _, runs = run_job(bench, step(8))
+    end_runs(bench, ended, runs[:observed], NOW + 3.0)
+
+    assert get_estimates(bench) == pytest.approx((expected,))
+
+
+@pytest.mark.parametrize(("seconds", "expected"), [(0.01, 0.1), (30.0, 10.0)])
+def test_correction_is_bounded(bench, ended, seconds, expected):
+    _, runs = run_job(bench, step(4))
+    end_runs(bench, ended, runs, NOW + seconds)
+
+    assert get_estimates(bench) == pytest.approx((expected,))
+
+
+def test_first_percents_are_not_observed(bench, listed):
+    """The time of the start is known to some tens of milliseconds only."""
+    machine, _ = run_job(bench, step(4))
+    report(bench, listed, machine, 50, NOW + 0.1)
+    report(bench, listed, machine, 9, NOW + 0.9)
+
+    assert get_estimates(bench) == (1.0,)
+
+
+@pytest.mark.parametrize("fields", [{"gang": True}, {"fills": True}, {"lasting": True}])
+def test_tasks_that_others_pace_are_not_observed(bench, listed, fields):
+    machine, _ = run_job(bench, step(4, **fields))
+    report(bench, listed, machine, 50, NOW + 5.0)
+
+    assert get_estimates(bench) == (1.0,)
+
+
+@pytest.mark.parametrize("cause", ["resumed", "paced", "quarantined"])
+def test_runs_that_do_not_show_the_run_time_are_ignored(bench, listed, ended, cause):
+    """Also after the pace is raised again or the quarantine has ended."""
+    machine = bench.add_vm()
+    state = bench.add_job("j", step(4, checkpoint=True))
+    if cause == "resumed":
+        for index in range(4):
+            state.record_checkpoint(model.Task("j", 0, 0, index), "c")
+    runs = bench.start()
+    report(bench, listed, machine, 30, NOW + 0.3)
+    if cause == "paced":
+        for run in runs:
+            run.pace = 50
+    if cause == "quarantined":
+        machine.quarantine(NOW + 0.3)
+    report(bench, listed, machine, 35, NOW + 1.0)
+
+    assert get_estimates(bench) == (1.0,)
+
+    for run in runs:
+        run.pace = 100
+    machine.quarantined_until = 0.0
+    report(bench, listed, machine, 40, NOW + 1.6)
+    end_runs(bench, ended, runs, NOW + 4.0)
+
+    assert get_estimates(bench) == (1.0,)
+
+
+def test_projection_is_dropped_with_its_run(bench, listed, ended):
+    """A failed or stopped task starts anew, maybe on a faster VM."""
+    machine, runs = run_job(bench, step(4))
+    report(bench, listed, machine, 20, NOW + 1.0)
+    assert get_estimates(bench) == pytest.approx((5.0,))
+
+    ends = [ended(number, run, model.End.STOPPED) for number, run in enumerate(runs, 1)]
+    bench.answer(machine, ended=ends, now=NOW + 1.1)
+
+    assert get_estimates(bench) == (1.0,)
+
+
+def test_steps_without_observation_follow_the_others(bench, listed, ended):
+    steps = step(4), step(4), step(4, 0.3, after=(0, 1)), step(1, 7.0, lasting=True)
+    machine, runs = run_job(bench, *steps, cpu=16000)
+    ends = [ended(number, run) for number, run in enumerate(runs[:4], 1)]
+    bench.answer(machine, [listed(run, 50) for run in runs[4:8]], ends, now=NOW + 2.0)
+
+    assert get_estimates(bench) == pytest.approx((2.0, 4.0, 0.9, 7.0))
+
+
+def test_successor_learns_from_adopted_runs(make_bench, ended):
+    """Their age isn't known, so only the progress since the first list counts."""
+    bench = make_bench(epoch=2)
+    machine = bench.add_vm(answers=False)
+    bench.add_job("j", step(4), version=5)
+
+    def list_runs(work, now):
+        tasks = [model.Task("j", 0, 0, index) for index in range(4)]
+        running = [workers.Running(task, 1, "", work, 0) for task in tasks]
+        bench.answer(machine, running, now=now)
+
+    list_runs(50, NOW)
+    list_runs(59, NOW + 0.45)
+    assert get_estimates(bench) == (1.0,)
+
+    list_runs(62, NOW + 0.6)
+    assert get_estimates(bench) == pytest.approx((5.0,))
+
+    end_runs(bench, ended, list(machine.runs.values()), NOW + 2.0)
+    assert get_estimates(bench) == pytest.approx((4.0,))
+
+
+def test_start_without_an_answer_counts_from_the_first_list(bench, listed):
+    """It may have begun up to a second before it is listed."""
+    machine = bench.add_vm()
+    bench.add_job("j", step(4))
+    bench.start(answered=False)
+    report(bench, listed, machine, 50, NOW + 0.5)
+    report(bench, listed, machine, 75, NOW + 0.75)
+
+    assert get_estimates(bench) == pytest.approx((1.0,))
+
+
+def test_jobs_with_progress_only_are_recomputed_each_quarter_of_a_second(
+    bench, listed, monkeypatch
+):
+    """With 600 runs, each of a hundred rounds a second has some progress."""
+    machine, _ = run_job(bench, step(4))
+    computed = []
+    compute = bench.pool.get_sort_inputs
+    monkeypatch.setattr(
+        bench.pool,
+        "get_sort_inputs",
+        lambda state: computed.append(state) or compute(state),
+    )
+    bench.plan(NOW)
+    computed.clear()
+
+    for hundredth in range(1, 101):
+        report(bench, listed, machine, hundredth // 2, NOW + hundredth / 100)
+        bench.plan(NOW + hundredth / 100)
+
+    assert 2 <= len(computed) <= 1 / planner.ESTIMATE_PERIOD_SECONDS
+
+    bench.pool.changed_jobs.add("j")
+    computed.clear()
+    bench.plan(NOW + 1.001)
+    assert computed
+
+
+def test_observations_of_a_step_are_bounded(bench, ended):
+    count = 2 * estimate.MAX_OBSERVATIONS
+    _, runs = run_job(bench, step(count), cpu=1000 * count)
+    end_runs(bench, ended, runs, NOW + 2.0)
+
+    (observed,) = bench.pool.estimates._observed["j"].values()
+    assert len(observed) == estimate.MAX_OBSERVATIONS
+
+    bench.pool.forget_job("j")
+    assert not bench.pool.estimates._observed
+
+
+def test_mean_of_a_queue_follows_the_learned_work(bench, listed):
+    """Otherwise the value of a job would be four times that of one of its size.
+
+    All jobs of the queue are estimated at a tenth, so one that has shown its work seems
+    to be ten times the mean, and goes before a job of a queue with right estimates.
+    """
+    queues = [model.Queue(name, "h", f"/{name}/", "p", objective=50.0) for name in "qr"]
+    bench.pool.on_queues(queues)
+    machine, _ = run_job(bench, step(4, 0.2), cpu=4000)
+    bench.add_job("right", step(4, 1.0), queue="r")
+    report(bench, listed, machine, 25, NOW + 0.5)
+    bench.plan(NOW + 0.5)
+
+    assert bench.pool.get_mean_work("q") == pytest.approx(8.0)
+    key = bench.planner._get_key
+    assert key("right", NOW, {}) < key("j", NOW, {})
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -5,7 +5,16 @@
 
 from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import entries, rows
-from wigeonhitch.pool import compaction, ledger, priority, quota, suspect, ticket, vm
+from wigeonhitch.pool import (
+    compaction,
+    estimate,
+    ledger,
+    priority,
+    quota,
+    suspect,
+    ticket,
+    vm,
+)
 
 __all__ = ["PoolView", "TimeBounds", "describe_run"]
 
@@ -76,6 +85,7 @@
             self.jobs, self.vms, self.live, self.ledger, log_event
         )
         self.quotas = quota.Quotas(name, epoch, log_event)
+        self.estimates = estimate.RunTimeEstimates()
         self.compactor = compaction.Compactor(name)
         self.job_locations: dict[str, compaction.RowLocation] = {}
         """Locations of the rows of open jobs."""
@@ -108,6 +118,8 @@
         self.run_number_base = (epoch - 1) * RUN_NUMBERS_PER_LEADER
         self.run_numbers: dict[model.Task, int] = {}
         self._mean_work: dict[str, tuple[float, int]] = {}
+        self._counted_work: dict[str, float] = {}
+        """Core-seconds of each open job as counted in the mean of its queue."""
 
     # -- rows
 
@@ -129,7 +141,7 @@
             job_state = progress.Progress(row.job, version, row.accepted, row.path)
             self.job_locations[id] = location
             self.jobs[id] = job_state
-            self._update_mean_work(row.job)
+            self._count_work(row.job, row.job.compute_work())
             if version > self.fence and not (row.job.is_lasting or row.job.times):
                 self.submitted_work.append(row.job.compute_work())
         if version < job_state.version:
@@ -387,7 +399,12 @@
             self.log_event("VM set aside", vm=run.vm.id, until=until, reason=reason)
 
     def get_mean_work(self, queue: str) -> float:
-        """Return the mean core-seconds of the queue's jobs seen so far."""
+        """Return the mean core-seconds of the queue's jobs seen so far.
+
+        It follows the estimates, as the work of each job does. Otherwise a queue whose
+        estimates are all a tenth of the run times would count each job that has shown
+        its run time as ten times its mean, thus up to four times too valuable.
+        """
         total, count = self._mean_work.get(queue, (0.0, 0))
         return total / count if count else 0.0
 
@@ -414,7 +431,12 @@
         If its queue was removed, the terms of its submission are used.
         """
         queue = self.queues.get(state.job.queue)
-        return priority.compute_sort_inputs(state, queue or state.job.terms)
+        estimates = self.estimates.compute_estimates(state.job)
+        inputs = priority.compute_sort_inputs(
+            state, queue or state.job.terms, estimates
+        )
+        self._count_work(state.job, inputs.work)
+        return inputs
 
     def needs_ticket(self, state: progress.Progress) -> bool:
         """Return whether the job's tasks need a ticket of the advice service."""
@@ -507,14 +529,23 @@
     def remove_run(self, run: vm.Run) -> None:
         """Take a run for ended; its task may start again."""
         run.vm.runs.pop(run.task, None)
+        self.estimates.on_run_removed(run)
         if self.live.get(run.task) is run:
             del self.live[run.task]
             self.quotas.remove(run)
         self.changed_jobs.add(run.task.job)
 
-    def _update_mean_work(self, job: model.Job) -> None:
+    def _count_work(self, job: model.Job, work: float) -> None:
+        """Count a job's work in the mean of its queue, instead of its earlier work."""
         total, count = self._mean_work.get(job.queue, (0.0, 0))
-        self._mean_work[job.queue] = (total + job.compute_work(), count + 1)
+        earlier = self._counted_work.get(job.id)
+        if earlier == work:
+            return
+        self._counted_work[job.id] = work
+        self._mean_work[job.queue] = (
+            total + work - (earlier or 0.0),
+            count + (earlier is None),
+        )
 
     def forget_job(self, id: str) -> None:
         """Drop a job that is final and has no runs left."""
@@ -523,6 +554,10 @@
         self.changed_jobs.discard(id)
         if state is None:
             return
+        estimates = self.estimates.compute_estimates(state.job)
+        self._count_work(state.job, state.job.compute_work(estimates))
+        del self._counted_work[id]
+        self.estimates.forget_job(id)
         self.tickets.forget_job(id)
         self.suspects.forget_job(id)
         self.quotas.forget_job(id)
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -95,8 +95,10 @@
         "rate_start_clock",
         "rate_start_work",
         "room",
+        "shows_run_time",
         "started_at",
         "started_clock",
+        "started_work",
         "state",
         "step",
         "stop_sent_at",
@@ -123,6 +125,10 @@
         """This daemon's time of the last answer that lists it."""
         self.started_clock = 0.0
         """The worker's time of the answer that confirmed the start."""
+        self.started_work = 0.0
+        """Progress in percent at ``started_clock``."""
+        self.shows_run_time = True
+        """Whether its progress may show the run time of its step's tasks."""
         self.listed_clock = 0.0
         """The worker's time of the last answer that lists it, 0 if there is none."""
         self.last_progress_clock = 0.0
@@ -348,7 +354,7 @@
         run.state = RunState.RUNNING
         run.last_progress_clock = run.rate_start_clock = self.reported_clock
         run.started_clock = run.listed_clock = self.reported_clock
-        run.work = run.rate_start_work = listed.work
+        run.work = run.rate_start_work = run.started_work = listed.work
         run.adopted = True
         if step.fills and step.lasting:
             run.pace = int(listed.work)
