Test that adopted runs which may have resumed aren't observed

Cause: the rule for adopted runs with a known checkpoint had no test; removing it left test_estimate.py green.

Change: one test; it fails without the rule.

Checked: wigeonhitch/pool/tests/test_estimate.py, 23 passed.

--- a/wigeonhitch/pool/tests/test_estimate.py
+++ b/wigeonhitch/pool/tests/test_estimate.py
@@ -207,6 +207,19 @@
     assert get_estimates(bench) == pytest.approx((4.0,))
 
 
+def test_adopted_run_that_may_have_resumed_is_ignored(make_bench):
+    """What percent a resumed run begins with isn't known to the successor."""
+    bench = make_bench(epoch=2)
+    machine = bench.add_vm(answers=False)
+    state = bench.add_job("j", step(checkpoint=True), version=5)
+    task = model.Task("j", 0, 0, 0)
+    state.record_checkpoint(task, "c")
+    for work, now in ((50, NOW), (62, NOW + 0.6)):
+        bench.answer(machine, [workers.Running(task, 1, "d", work, 0)], now=now)
+
+    assert get_estimates(bench) == (1.0,)
+
+
 def test_start_without_an_answer_counts_from_the_first_list(bench, listed):
     """It may have begun up to a second before it is listed."""
     machine = bench.add_vm()
