Send store calls through a peer while the store refuses a daemon

A daemon that alone lost the store lost its pools after the lease of 2.2 s and refused its callers with `store lost`, although other daemons reached the store.

Such a daemon now sends its calls to a peer, which forwards the bytes to the store and returns the answer's bytes. The path becomes relayed after two failed direct calls in a row and direct again after a served probe. Reads and feeds whose answer has not begun are moved at once. A transaction is sent again within an attempt only after an answer that says that nothing was done. A peer relays at most 32 calls, over connections of its own, and never through a further peer. Member rows name the address of the listener; older rows and malformed ones name no peer.

The time without a leader under hard load was not measured.

--- a/wigeonhitch/leadership/core.py
+++ b/wigeonhitch/leadership/core.py
@@ -130,6 +130,9 @@
         Processor cores that this daemon may use.
     has_cross_part_transactions : bool
         Whether the store supports transactions across parts.
+    address, data_centre : str
+        Where this daemon relays store calls of others, and its data centre; empty if
+        it doesn't relay any.
     """
 
     def __init__(
@@ -139,8 +142,12 @@
         now: float,
         cores: float = 1.0,
         has_cross_part_transactions: bool = True,
+        address: str = "",
+        data_centre: str = "",
     ) -> None:
         self.name = name
+        self._address = address
+        self._data_centre = data_centre
         self._has_cross_part_transactions = has_cross_part_transactions
         self.cores = cores
         self._started_at = now
@@ -179,7 +186,15 @@
         since = known.since if is_unbroken else store_time
         until = store_time + LEASE_SECONDS
         return record.Member(
-            self.name, self.life, until, self.leaving, self.cores, 0, since
+            self.name,
+            self.life,
+            until,
+            self.leaving,
+            self.cores,
+            0,
+            since,
+            self._address,
+            self._data_centre,
         )
 
     def on_renewed(self, member: record.Member) -> None:
@@ -294,6 +309,18 @@
             and self.is_member_alive(member.name, member.life, now)
         ]
 
+    def list_peers(self) -> list[record.Member]:
+        """Return the other members that relay store calls.
+
+        Members whose lease has expired are included: a daemon that has lost the store
+        sees no renewals.
+        """
+        return [
+            member
+            for member in self.members.values()
+            if member.address and member.name != self.name and not member.leaving
+        ]
+
     # -- candidates
 
     def consider_joining(self, pools: int, now: float) -> bool:
--- a/wigeonhitch/leadership/record.py
+++ b/wigeonhitch/leadership/record.py
@@ -1,5 +1,6 @@
 """Row formats of members and owners, as compact JSON."""
 
+import re
 from typing import NamedTuple
 
 import orjson
@@ -24,6 +25,10 @@
 OWNER_TABLE = "owner"
 OWNER_KEY = "owner"
 
+ADDRESS_PATTERN = re.compile(r"[A-Za-z0-9.:\[\]-]+:[0-9]{1,5}")
+"""Form of the address of a peer: a call to another text would fail without an answer,
+though nothing was sent."""
+
 
 class Member(NamedTuple):
     """One daemon that holds a lease.
@@ -32,7 +37,8 @@
     lease on the store's monotonic clock in seconds; ``cores`` are the processor cores
     that the daemon may use; ``version`` is the row's version, which rises with each
     renewal. ``since`` is the time since which the lease has been held without a gap,
-    0 if unknown.
+    0 if unknown. ``address`` is where the daemon relays store calls of others, empty
+    if it doesn't.
     """
 
     name: str
@@ -42,6 +48,8 @@
     cores: float = 1.0
     version: int = 0
     since: float = 0.0
+    address: str = ""
+    data_centre: str = ""
 
 
 class Owner(NamedTuple):
@@ -78,6 +86,9 @@
     row["since"] = round(member.since, 3)
     if member.leaving:
         row["leaving"] = True
+    if member.address:
+        row["address"] = member.address
+        row["data_centre"] = member.data_centre
     return orjson.dumps(row)
 
 
@@ -86,7 +97,22 @@
     row = orjson.loads(value)
     leaving, cores = row.get("leaving", False), row.get("cores", 1.0)
     since = row.get("since", 0.0)
-    return Member(key, row["life"], row["until"], leaving, cores, version, since)
+    address, data_centre = row.get("address"), row.get("data_centre")
+    if not isinstance(address, str) or not ADDRESS_PATTERN.fullmatch(address):
+        address = ""
+    if not isinstance(data_centre, str):
+        data_centre = ""
+    return Member(
+        key,
+        row["life"],
+        row["until"],
+        leaving,
+        cores,
+        version,
+        since,
+        address,
+        data_centre,
+    )
 
 
 def write_owner(owner: Owner) -> bytes:
--- a/wigeonhitch/platform/http.py
+++ b/wigeonhitch/platform/http.py
@@ -7,12 +7,13 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Mapping
-from typing import Any, NamedTuple
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, NamedTuple, Protocol
 
 import aiohttp
 import anyio
 import orjson
+import yarl
 
 from wigeonhitch.platform import table
 
@@ -21,6 +22,7 @@
     "TIMEOUT_IN_TRANSFER",
     "Client",
     "Reply",
+    "Sink",
     "open_client",
     "read_clock",
 ]
@@ -59,6 +61,19 @@
     reason: str = ""
     sent: float = 0.0
     received: float = 0.0
+    headers: Mapping[str, str] | None = None
+
+
+class Sink(Protocol):
+    """Receives an answer while it arrives."""
+
+    async def begin(self, status: int, headers: Mapping[str, str]) -> None:
+        """Receive the status and the headers, before any part of the body."""
+        ...
+
+    async def add(self, part: bytes) -> None:
+        """Receive the next part of the body."""
+        ...
 
 
 class Client:
@@ -79,6 +94,7 @@
         query: Mapping[str, str] | None = None,
         headers: Mapping[str, str] | None = None,
         max_idle: float | None = None,
+        waiting: set[anyio.CancelScope] | None = None,
     ) -> Reply:
         """Make one call.
 
@@ -90,6 +106,9 @@
             Seconds without further bytes after which an answer that has begun counts
             as lost. An answer takes as long as it is being received: repeating the
             call would transfer the same bytes again.
+        waiting : set of anyio.CancelScope, optional
+            Holds the scope of the call until its answer begins. With ``max_idle``, a
+            scope whose deadline is set to the past ends the call as a timeout does.
         """
         self.calls += 1
         data = None if body is None else orjson.dumps(body)
@@ -97,7 +116,10 @@
         sent = read_clock()
         has_begun = False
         try:
-            with anyio.fail_after(None if max_idle is None else timeout) as scope:
+            with (
+                anyio.fail_after(None if max_idle is None else timeout) as scope,
+                _register(scope, waiting) as end_wait,
+            ):
                 async with self._session.request(
                     method,
                     f"http://{address}{path}",
@@ -108,9 +130,10 @@
                     allow_redirects=False,
                 ) as response:
                     has_begun = True
+                    end_wait()
                     raw = await _receive(response, scope, max_idle)
                     parsed = _parse(raw)
-                    status = response.status
+                    status, answered = response.status, response.headers
         except aiohttp.ClientConnectorError as error:
             return _fail(table.Outcome.NOT_DONE, f"connect: {error.strerror}", sent)
         except TimeoutError:
@@ -118,14 +141,83 @@
             return _fail(table.Outcome.UNKNOWN, reason, sent)
         except (aiohttp.ClientError, OSError) as error:
             return _fail(table.Outcome.UNKNOWN, type(error).__name__, sent)
-        return Reply(table.Outcome.DONE, status, parsed, "", sent, read_clock())
+        received = read_clock()
+        return Reply(table.Outcome.DONE, status, parsed, "", sent, received, answered)
 
+    async def forward(
+        self,
+        method: str,
+        address: str,
+        target: str,
+        sink: Sink,
+        *,
+        timeout: float,
+        max_idle: float,
+        body: bytes = b"",
+        waiting: set[anyio.CancelScope] | None = None,
+    ) -> Reply:
+        """Make one call with a given target and body, and pass on the answer's bytes.
+
+        Parameters
+        ----------
+        target : str
+            Path and query as received, which are sent unchanged.
+        timeout : float
+            Seconds until the answer begins.
+        max_idle, waiting
+            As for `call`.
 
-async def open_client(stack: contextlib.AsyncExitStack) -> Client:
+        Returns
+        -------
+        Reply
+            Without a body. A failure after the answer has begun has the reason
+            `TIMEOUT_IN_TRANSFER`, or the status of the answer.
+        """
+        self.calls += 1
+        sent = read_clock()
+        status = 0
+        try:
+            with (
+                anyio.fail_after(timeout) as scope,
+                _register(scope, waiting) as end_wait,
+            ):
+                async with self._session.request(
+                    method,
+                    yarl.URL(f"http://{address}{target}", encoded=True),
+                    data=body or None,
+                    timeout=aiohttp.ClientTimeout(total=None),
+                    allow_redirects=False,
+                ) as response:
+                    end_wait()
+                    status = response.status
+                    scope.deadline = anyio.current_time() + max_idle
+                    await sink.begin(status, response.headers)
+                    async for part in response.content.iter_any():
+                        await sink.add(part)
+                        scope.deadline = anyio.current_time() + max_idle
+        except aiohttp.ClientConnectorError as error:
+            return _fail(table.Outcome.NOT_DONE, f"connect: {error.strerror}", sent)
+        except TimeoutError:
+            reason = TIMEOUT_IN_TRANSFER if status else "timeout"
+            return Reply(
+                table.Outcome.UNKNOWN, status, None, reason, sent, read_clock()
+            )
+        except (aiohttp.ClientError, OSError) as error:
+            reason = type(error).__name__
+            return Reply(
+                table.Outcome.UNKNOWN, status, None, reason, sent, read_clock()
+            )
+        return Reply(table.Outcome.DONE, status, None, "", sent, read_clock())
+
+
+async def open_client(
+    stack: contextlib.AsyncExitStack,
+    max_connections_per_address: int = MAX_CONNECTIONS_PER_ADDRESS,
+) -> Client:
     """Open a client whose connections ``stack`` closes."""
     connector = aiohttp.TCPConnector(
         limit=MAX_CONNECTIONS,
-        limit_per_host=MAX_CONNECTIONS_PER_ADDRESS,
+        limit_per_host=max_connections_per_address,
         keepalive_timeout=KEEP_ALIVE_SECONDS,
         use_dns_cache=False,
     )
@@ -140,6 +232,21 @@
     return Client(session)
 
 
+@contextlib.contextmanager
+def _register(
+    scope: anyio.CancelScope, waiting: set[anyio.CancelScope] | None
+) -> Iterator[Callable[[], None]]:
+    """Keep a scope in a set until the returned function is called or the block ends."""
+    if waiting is None:
+        yield lambda: None
+        return
+    waiting.add(scope)
+    try:
+        yield lambda: waiting.discard(scope)
+    finally:
+        waiting.discard(scope)
+
+
 async def _receive(
     response: aiohttp.ClientResponse, scope: anyio.CancelScope, max_idle: float | None
 ) -> bytes:
--- a/wigeonhitch/platform/node.py
+++ b/wigeonhitch/platform/node.py
@@ -82,6 +82,8 @@
     """CPU cores that the process may use."""
     orders_per_second: float = 64.0
     """VM orders per second that the platform accepts from all daemons together."""
+    relay_address: str = ""
+    """Listen address for the store calls of peers; empty when they aren't relayed."""
 
 
 class CheckResult(NamedTuple):
@@ -150,6 +152,7 @@
         ),
         cores=max(MIN_CORES, _read_cores(reader)),
         orders_per_second=reader.number("cloud_api.duty_per_s", 64.0),
+        relay_address=_read_relay_address(reader),
     )
     return CheckResult(settings, tuple(reader.problems))
 
@@ -163,6 +166,33 @@
     return share * reader.number("limits.cores", 1.0)
 
 
+MIN_MACHINES_FOR_RELAY = 2
+"""Number of machines that may fail at once from which on peers relay store calls."""
+
+
+def _read_relay_address(reader: "_Reader") -> str:
+    """Return the listen address for peers, or an empty text.
+
+    Keys in a form that isn't known only leave this part inactive: the daemon doesn't
+    need it to start.
+    """
+    ip, ports = reader.text("ip", ""), reader.text("port_range", "").split(",")
+    machines = reader.text("fault_tolerance.machines", "")
+    if not ip or len(ports) != 2 or not all(_is_port(port) for port in ports):
+        return ""
+    if not machines.isdecimal() or int(machines) < MIN_MACHINES_FOR_RELAY:
+        return ""
+    address = f"{ip}:{int(ports[0])}"
+    used_keys = ("listen_addrs.frontend", "listen_addrs.ready")
+    is_used = any(reader.text(key, "") == address for key in used_keys)
+    return "" if is_used else address
+
+
+def _is_port(text: str) -> bool:
+    text = text.strip()
+    return text.isascii() and text.isdecimal() and 0 < int(text) < 65536
+
+
 def _read_revocation_deadline(reader: "_Reader") -> float:
     if not reader.flag("parameters.strict_revoke", False):
         return math.inf
--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -6,24 +6,52 @@
 """
 
 import base64
+import enum
+import math
 from typing import Any, NamedTuple, Protocol
 
+import anyio
+
 from wigeonhitch.platform import http, table
 
 __all__ = [
     "Change",
     "Condition",
     "Feed",
+    "METHODS",
     "Parts",
+    "REFUSED_HEADER",
     "Range",
     "Row",
     "RowStore",
     "Rows",
+    "Service",
+    "TIMEOUT_HEADER",
     "Transaction",
     "Write",
+    "classify",
     "list_missing",
 ]
 
+COMMIT_PATH = "/v1/rows-tx"
+READ_PATH = "/v1/rows-get"
+FOLLOW_PATH = "/v1/rows-feed"
+PARTS_PATH = "/v1/rows-parts"
+
+METHODS = {
+    COMMIT_PATH: "POST",
+    READ_PATH: "GET",
+    FOLLOW_PATH: "GET",
+    PARTS_PATH: "GET",
+}
+"""HTTP method of each call of the row store, by path."""
+
+TIMEOUT_HEADER = "Relay-Timeout-Ms"
+"""Header of a call to a peer: milliseconds until the answer has to begin."""
+
+REFUSED_HEADER = "Relay-Refused"
+"""Header of a peer's answer: why the peer has sent nothing to the store."""
+
 
 MAX_IDLE_SECONDS = 1.0
 """Time without further bytes after which an answer that has begun counts as lost: a
@@ -136,6 +164,16 @@
     reason: str = ""
 
 
+class Service(enum.Enum):
+    """How a call to the store, or through a peer, ended."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    """The call certainly had no effect, as nothing has processed it."""
+    UNANSWERED = "unanswered"
+    """The call may have had an effect and may still have one."""
+
+
 class RowStore(Protocol):
     """Operations on the row store.
 
@@ -173,11 +211,49 @@
 
 
 class Rows:
-    """Implements `RowStore` over HTTP."""
+    """Implements `RowStore` over HTTP.
+
+    Parameters
+    ----------
+    client : http.Client
+        Client that makes the calls.
+    address : str
+        Address of the store or of a peer.
+    is_peer : bool
+        Whether the address is that of a peer, which is told the timeout of each call.
+    """
 
-    def __init__(self, client: http.Client, address: str) -> None:
+    def __init__(
+        self, client: http.Client, address: str, is_peer: bool = False
+    ) -> None:
         self._client = client
         self._address = address
+        self._is_peer = is_peer
+        self._waiting_reads: set[anyio.CancelScope] = set()
+
+    def abandon_reads(self) -> None:
+        """End the reads and feed calls whose answers have not begun, as timed out."""
+        for scope in tuple(self._waiting_reads):
+            scope.deadline = -math.inf
+
+    async def forward(
+        self, path: str, query: str, body: bytes, sink: http.Sink, *, timeout: float
+    ) -> http.Reply:
+        """Forward one of the calls of `METHODS` unchanged, and its answer to a sink.
+
+        ``timeout`` is in seconds and ends when the answer begins.
+        """
+        method = METHODS[path]
+        return await self._client.forward(
+            method,
+            self._address,
+            f"{path}?{query}" if query else path,
+            sink,
+            timeout=timeout,
+            max_idle=MAX_IDLE_SECONDS,
+            body=body,
+            waiting=self._waiting_reads if method == "GET" else None,
+        )
 
     async def commit(self, change: Transaction, *, timeout: float) -> Change:
         """Make one attempt; ``UNKNOWN`` may still be applied seconds later."""
@@ -188,7 +264,7 @@
         }
         if len({item.part for item in (*change.conditions, *change.writes)}) > 1:
             body["across"] = True
-        reply = await self._call("POST", "/v1/rows-tx", timeout, body=body)
+        reply = await self._call(COMMIT_PATH, timeout, body=body)
         clock = _read_time(reply)
         if reply.status == 200 and isinstance(reply.body, dict):
             version = reply.body["ver"]
@@ -223,7 +299,7 @@
                 query["to"] = last
             if limit:
                 query["limit"] = str(limit)
-            reply = await self._call("GET", "/v1/rows-get", timeout, query=query)
+            reply = await self._call(READ_PATH, timeout, query=query)
             if reply.status != 200 or not isinstance(reply.body, dict):
                 return Range(_classify_reply(reply), reason=_get_failure_reason(reply))
             listed.extend(_read_rows(reply))
@@ -242,7 +318,7 @@
     ) -> Feed:
         """Wait up to ``wait`` seconds for changes after a version."""
         query = {"table": table, "after": str(after), "wait_ms": str(int(wait * 1000))}
-        reply = await self._call("GET", "/v1/rows-feed", timeout, query=query)
+        reply = await self._call(FOLLOW_PATH, timeout, query=query)
         if reply.status == 410:
             return Feed(_DONE, expired=True)
         if reply.status != 200 or not isinstance(reply.body, dict):
@@ -259,7 +335,7 @@
             query = {"table": table}
             if names:
                 query["after"] = names[-1]
-            reply = await self._call("GET", "/v1/rows-parts", timeout, query=query)
+            reply = await self._call(PARTS_PATH, timeout, query=query)
             if reply.status != 200 or not isinstance(reply.body, dict):
                 return Parts(None, _get_failure_reason(reply))
             page = reply.body.get("parts", ())
@@ -269,22 +345,29 @@
 
     async def _call(
         self,
-        method: str,
         path: str,
         timeout: float,
         *,
         body: Any = None,
         query: dict[str, str] | None = None,
     ) -> http.Reply:
-        return await self._client.call(
+        method = METHODS[path]
+        is_read = method == "GET"
+        headers = {TIMEOUT_HEADER: str(int(timeout * 1000))} if self._is_peer else None
+        reply = await self._client.call(
             method,
             self._address,
             path,
             timeout=timeout,
             body=body,
             query=query,
-            max_idle=MAX_IDLE_SECONDS if method == "GET" else None,
+            headers=headers,
+            max_idle=MAX_IDLE_SECONDS if is_read else None,
+            waiting=self._waiting_reads if is_read else None,
         )
+        if self._is_peer and reply.status == 404:  # not the listener of a peer
+            return reply._replace(headers={REFUSED_HEADER: "unknown path"})
+        return reply
 
 
 _DONE = table.Outcome.DONE
@@ -293,6 +376,26 @@
 """Maximum number of part names in one answer, as the platform documents."""
 
 
+def classify(result: Change | Range | Feed | Parts) -> Service:
+    """Return how a call ended, by its result.
+
+    An answer that rejects the call itself (a status of 400 to 499 other than 429)
+    counts as served: another way to the store doesn't change it.
+    """
+    if isinstance(result, Parts):
+        is_done = result.names is not None
+        is_refused = result.reason.startswith(_REFUSAL_REASONS)
+    else:
+        is_done = result.outcome is table.Outcome.DONE
+        is_refused = result.outcome is table.Outcome.NOT_DONE
+    if is_done or result.reason == "conflict" or result.reason.startswith("status 4"):
+        return Service.SERVED
+    return Service.REFUSED if is_refused else Service.UNANSWERED
+
+
+_REFUSAL_REASONS = ("busy", "down", "connect", "peer")
+
+
 def _classify_reply(reply: http.Reply) -> table.Outcome:
     """Return the outcome of a failed call; a 4xx or 503 status means no effect."""
     if reply.status in (429, 503) or 400 <= reply.status < 500:
@@ -303,6 +406,8 @@
 
 
 def _get_failure_reason(reply: http.Reply) -> str:
+    if reply.headers is not None and REFUSED_HEADER in reply.headers:
+        return f"peer: {reply.headers[REFUSED_HEADER]}"
     if reply.status == 429:
         return "busy"
     if reply.status == 503:
--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -55,6 +55,29 @@
     assert not settings.rates.has_cross_part_transactions
 
 
+@pytest.mark.parametrize(
+    ("lines", "address"),
+    [
+        ("port_range=7100,7199\nfault_tolerance.machines=2\n", "10.0.0.1:7100"),
+        ("port_range=7100,7199\nfault_tolerance.machines=1\n", ""),
+        ("port_range=7100,7199\n", ""),
+        ("fault_tolerance.machines=3\n", ""),
+        ("port_range=7100\nfault_tolerance.machines=3\n", ""),
+        ("port_range=0,x\nfault_tolerance.machines=3\n", ""),
+        ("port_range=7100,7199\nfault_tolerance.machines=many\n", ""),
+        ("port_range=1,7199\nfault_tolerance.machines=3\n", ""),
+    ],
+)
+def test_calls_of_peers_are_served_only_where_the_settings_ask_for_it(
+    settings_file, lines, address
+):
+    """Guards against a listener that nobody asked for, on a port that is in use, and
+    against a daemon that doesn't start for a key that it can do without."""
+    settings_file.write_text(settings_file.read_text() + "\n" + lines)
+
+    assert node.load(settings_file).relay_address == address
+
+
 def test_error_lists_all_problems_of_the_settings(tmp_path):
     path = tmp_path / "node.conf"
     path.write_text("node_name=n1\nparameters.grace_s=soon\nplatform.across=perhaps\n")
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -1,5 +1,7 @@
 """Assembles one daemon of a site from its components; contains no decision logic."""
 
+from collections.abc import Callable
+
 import anyio
 import anyio.abc
 
@@ -19,6 +21,8 @@
     handler,
     layout,
     registry,
+    relayedstore,
+    storepath,
 )
 from wigeonhitch.telemetry import log, metric
 
@@ -34,6 +38,15 @@
         Settings that the platform gives this process.
     life : str
         Identifier of this incarnation of the daemon.
+    open_peer : callable, optional
+        Returns the client of a peer's address. Store calls go through peers only with
+        it, and only where the settings have an address for peers; ``store`` is then a
+        `relayedstore.DirectStore`.
+
+    Attributes
+    ----------
+    relayed_store : relayedstore.RelayedStore or None
+        The store over direct calls and peers, None where calls aren't relayed.
     """
 
     def __init__(
@@ -45,10 +58,21 @@
         advice_calls: advice.AdviceCalls,
         fleet_calls: fleet.FleetCalls,
         instruments: metric.Instruments,
+        open_peer: Callable[[str], rows.RowStore] | None = None,
     ) -> None:
         self.settings = settings
         self.instruments = instruments
         self.stopped = anyio.Event()
+        self.relayed_store: relayedstore.RelayedStore | None = None
+        if settings.relay_address and open_peer is not None:
+            store = self.relayed_store = relayedstore.RelayedStore(
+                settings.name,
+                storepath.StorePath(settings.name, settings.data_centre),
+                store,
+                open_peer,
+                self._list_peers,
+                instruments,
+            )
         self._monitored_store = self._store = store = connectivity.MonitoredStore(store)
         self._calls = calls
         self._advice_calls = advice_calls
@@ -70,12 +94,14 @@
         self._closings = closings.ClosingFollower(
             store, lambda: bool(self._runners), self._on_closings
         )
+        is_relaying = self.relayed_store is not None
         self._leadership = leadership.Leadership(
             settings.name,
             life,
             http.read_clock(),
             settings.cores,
             settings.rates.has_cross_part_transactions,
+            *((settings.relay_address, settings.data_centre) if is_relaying else ()),
         )
         self._elector = election.LeaderElector(
             self._leadership,
@@ -112,6 +138,8 @@
         await layout.await_layout(self._store)
         async with anyio.create_task_group() as group:
             self._group = group
+            if self.relayed_store is not None:
+                group.start_soon(self.relayed_store.run)
             group.start_soon(self._configuration.run)
             group.start_soon(self._registry.run)
             group.start_soon(self._closings.run)
@@ -124,6 +152,18 @@
 
     # -- events
 
+    def _list_peers(self) -> list[storepath.Peer]:
+        now = http.read_clock()
+        return [
+            storepath.Peer(
+                member.name,
+                member.address,
+                member.data_centre,
+                self._leadership.is_member_alive(member.name, member.life, now),
+            )
+            for member in self._leadership.list_peers()
+        ]
+
     def _list_pools(self) -> list[str]:
         catalogue = self._configuration.catalogue
         if catalogue is None:
--- a/wigeonhitch/site/main.py
+++ b/wigeonhitch/site/main.py
@@ -10,8 +10,17 @@
 import anyio.abc
 
 from wigeonhitch.daemon import server
-from wigeonhitch.platform import advice, fleet, http, ingress, node, rows, workers
-from wigeonhitch.site import daemon, exposition
+from wigeonhitch.platform import (
+    advice,
+    fleet,
+    http,
+    ingress,
+    node,
+    relay,
+    rows,
+    workers,
+)
+from wigeonhitch.site import daemon, exposition, storepath
 from wigeonhitch.telemetry import log, metric
 
 __all__ = ["run", "serve"]
@@ -55,12 +64,18 @@
             advice.Advice(client, settings.advice),
             fleet.Fleet(client, settings.fleet),
             instruments,
+            lambda address: rows.Rows(client, address, is_peer=True),
         )
-        await _serve(settings, site_daemon)
+        # Relayed calls have connections of their own to the store.
+        relay_client = await http.open_client(stack, storepath.MAX_RELAYED_CALLS)
+        relay_store = rows.Rows(relay_client, settings.store)
+        await _serve(settings, site_daemon, relay_store)
     log.log_change("stop", life=life)
 
 
-async def _serve(settings: node.NodeSettings, site_daemon: daemon.Daemon) -> None:
+async def _serve(
+    settings: node.NodeSettings, site_daemon: daemon.Daemon, relay_store: rows.Rows
+) -> None:
     servers_closed = anyio.Event()
     callers = ingress.Ingress(
         site_daemon.handler,
@@ -81,6 +96,15 @@
                 None,
                 servers_closed.wait,
             )
+            if site_daemon.relayed_store is not None:
+                gate = site_daemon.relayed_store
+                gate.on_relayed.append(relay_store.abandon_reads)
+                servers.start_soon(
+                    _serve_peers,
+                    relay.Relay(relay_store, gate),
+                    settings.relay_address,
+                    servers_closed,
+                )
             await site_daemon.stopped.wait()
             await site_daemon.leave()
             await anyio.sleep(READINESS_PROPAGATION_SECONDS)
@@ -88,6 +112,16 @@
         group.cancel_scope.cancel()
 
 
+async def _serve_peers(
+    application: relay.Relay, address: str, closed: anyio.Event
+) -> None:
+    """Serve peers; a daemon that can't still serves its callers."""
+    try:
+        await server.serve(application, address, None, closed.wait)
+    except OSError as error:
+        log.log_warning("store calls of peers not served", reason=str(error))
+
+
 async def _handle_signals(site_daemon: daemon.Daemon) -> None:
     handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*handled_signals) as signals:
--- /dev/null
+++ b/wigeonhitch/site/storepath.py
@@ -0,0 +1,191 @@
+"""Decides whether calls to the store go directly or through a peer, without I/O.
+
+The load that it answers: the store refuses or doesn't answer the calls of some daemons
+while it serves others. A daemon that has lost the store alone would lose its pools and
+refuse its callers, though other daemons could send its calls.
+"""
+
+import collections
+from typing import NamedTuple
+
+from wigeonhitch.leadership import candidacy
+from wigeonhitch.platform import rows
+
+__all__ = ["MAX_RELAYED_CALLS", "PROBE_TIMEOUT_SECONDS", "Peer", "StorePath"]
+
+PROBE_INTERVAL_SECONDS = 0.3
+"""Interval between the starts of two direct calls while calls are relayed: with their
+timeout, the return of the store is detected within 0.8 s."""
+
+PROBE_TIMEOUT_SECONDS = 0.5
+"""Timeout of a probe: a slow store takes 0.2 to 0.4 s for a call."""
+
+PEER_BACKOFF_SECONDS = 1.0
+"""Time for which a peer that has refused or not answered isn't asked."""
+
+MAX_REPEATS = 2
+"""Maximum number of peers that are asked again within the backoff after a failure. It
+bounds the calls to peers while the store is down for all."""
+
+MAX_RELAYED_CALLS = 32
+"""Maximum number of peers' calls in progress at this daemon. A requester has five feed
+calls in progress, and a third of 45 daemons spreads over eight peers."""
+
+
+class Peer(NamedTuple):
+    """A daemon that may relay calls; ``is_live``: its lease may be valid."""
+
+    name: str
+    address: str
+    data_centre: str
+    is_live: bool = True
+
+
+class _Failure(NamedTuple):
+    """First failed direct call since one was served; times in seconds."""
+
+    sent: float
+    ended: float
+
+
+class StorePath:
+    """Path of one daemon's calls to the store, and the limit of calls for others.
+
+    Parameters
+    ----------
+    name, data_centre : str
+        Name and data centre of this daemon.
+
+    Attributes
+    ----------
+    is_relayed : bool
+        Whether calls go through a peer.
+    relayed_calls : int
+        Number of peers' calls in progress at this daemon.
+    """
+
+    def __init__(self, name: str, data_centre: str) -> None:
+        self.is_relayed = False
+        self.relayed_calls = 0
+        self._name = name
+        self._data_centre = data_centre
+        self._last_served_at = 0.0
+        """Send time of the newest direct call that was served."""
+        self._failure: _Failure | None = None
+        self._relayed_at = 0.0
+        self._probed_at = 0.0
+        self._failed_peers: dict[str, float] = {}
+        """Time of the last failure of each peer that hasn't served a call since."""
+        self._repeated: set[str] = set()
+        """Peers that are asked again after a failure and haven't answered yet."""
+        self._repeated_at: collections.deque[float] = collections.deque(
+            maxlen=MAX_REPEATS
+        )
+
+    # -- direct calls
+
+    def on_direct_call(
+        self, service: rows.Service, sent: float, now: float, peers: list[Peer]
+    ) -> bool:
+        """Record the end of a direct call; return whether the path has changed.
+
+        The path becomes relayed with the second failure in a row, if there is a peer
+        to ask. A refusal counts as the second one only if its call was sent after the
+        first failure had ended: a store that refuses some of its calls may refuse
+        several of a burst, and serves the next.
+        """
+        if service is rows.Service.SERVED:
+            return self._on_served(sent)
+        if self.is_relayed or sent <= self._last_served_at:
+            return False
+        if self._failure is None:
+            self._failure = _Failure(sent, now)
+            return False
+        is_in_burst = service is rows.Service.REFUSED and sent < self._failure.ended
+        if is_in_burst or self.find_peer(peers, now) is None:
+            return False
+        self.is_relayed = True
+        self._relayed_at = self._probed_at = now
+        self._failed_peers = {
+            name: failed_at
+            for name, failed_at in self._failed_peers.items()
+            if now - failed_at < PEER_BACKOFF_SECONDS
+        }
+        return True
+
+    def _on_served(self, sent: float) -> bool:
+        self._last_served_at = max(self._last_served_at, sent)
+        if self._failure is not None and sent > self._failure.sent:
+            self._failure = None
+        # An older call tells nothing of the path now: feed calls wait for seconds.
+        if not self.is_relayed or sent <= self._relayed_at:
+            return False
+        self.is_relayed = False
+        return True
+
+    def begin_probe(self, now: float) -> None:
+        """Record that a probe is sent."""
+        self._probed_at = now
+
+    def compute_probe_delay(self, now: float) -> float:
+        """Return the seconds until the next probe is due."""
+        return max(0.0, self._probed_at + PROBE_INTERVAL_SECONDS - now)
+
+    # -- calls through peers
+
+    def choose_peer(self, peers: list[Peer], now: float) -> Peer | None:
+        """Return the peer to ask next; None if the call goes directly.
+
+        Peers that have failed least recently, or never, go first, then those that are
+        live and those of this data centre.
+        """
+        peer = self.find_peer(peers, now) if self.is_relayed else None
+        if peer is None:
+            return None
+        if peer.name in self._failed_peers and peer.name not in self._repeated:
+            self._repeated.add(peer.name)
+            self._repeated_at.append(now)
+        return peer
+
+    def find_peer(self, peers: list[Peer], now: float) -> Peer | None:
+        """Return the peer that would be asked next, None if there is none."""
+        usable = [peer for peer in peers if self._is_usable(peer.name, now)]
+        return min(usable, key=self._rank, default=None)
+
+    def on_peer_call(self, name: str, service: rows.Service, now: float) -> None:
+        """Record the end of a call through a peer."""
+        self._repeated.discard(name)
+        if service is rows.Service.SERVED:
+            self._failed_peers.pop(name, None)
+        else:
+            self._failed_peers[name] = now
+
+    def _is_usable(self, name: str, now: float) -> bool:
+        failed_at = self._failed_peers.get(name)
+        if failed_at is None or name in self._repeated:
+            return True
+        repeats = sum(now - at < PEER_BACKOFF_SECONDS for at in self._repeated_at)
+        return repeats < MAX_REPEATS and now - failed_at >= PEER_BACKOFF_SECONDS
+
+    def _rank(self, peer: Peer) -> tuple[float, bool, bool, bytes]:
+        return (
+            self._failed_peers.get(peer.name, 0.0),
+            not peer.is_live,
+            peer.data_centre != self._data_centre,
+            candidacy.hash_text(f"{self._name}/{peer.name}"),
+        )
+
+    # -- calls of peers
+
+    def begin_relay(self) -> str:
+        """Return why a peer's call is refused, or count it and return an empty text."""
+        if self.is_relayed:
+            return "store lost"
+        if self.relayed_calls >= MAX_RELAYED_CALLS:
+            return "busy"
+        self.relayed_calls += 1
+        return ""
+
+    def end_relay(self) -> None:
+        """Record that a peer's call has ended."""
+        self.relayed_calls -= 1
