Count the age of an answer that came through a peer from the start of its attempt

Cause, found by reading: a feed call that is moved to a peer waits there only for the rest of its time, while the configuration's age adds the whole wait to the time at which the call was sent. The configuration could seem newer than known by up to the time that the answer took from the store to the daemon. Change: what a call through a peer returns is dated from the start of the attempt, which only widens the bounds of ages and clocks. Checked: the new test fails without the change; tests of the relayed store, the store path and the relayed daemon pass (24).

--- a/wigeonhitch/site/relayedstore.py
+++ b/wigeonhitch/site/relayedstore.py
@@ -156,7 +156,7 @@
                 return direct_result
             service = rows.classify(result)
             if service is rows.Service.SERVED:
-                return result
+                return _date_back(result, started_at)
             if service is rows.Service.UNANSWERED and not is_read:
                 return result
             left = started_at + timeout - http.read_clock()
@@ -230,3 +230,15 @@
         self._instruments.count(
             "store_relayed_calls_total", CALLS_HELP, side=side, outcome=outcome
         )
+
+
+def _date_back(result: Any, started_at: float) -> Any:
+    """Return an answer as sent at the start of its attempt.
+
+    A feed call that is sent again waits only for the rest of its time. Counted from
+    the second call, the whole wait would end later than the store has answered, and
+    the configuration would seem newer than it is known to be.
+    """
+    if isinstance(result, rows.Parts) or not result.sent:
+        return result
+    return result._replace(sent=min(result.sent, started_at))
--- a/wigeonhitch/site/tests/test_relayedstore.py
+++ b/wigeonhitch/site/tests/test_relayedstore.py
@@ -194,6 +194,39 @@
     assert [row.value for row in answers[0].rows] == [b"1"]
 
 
+async def test_answer_of_a_moved_feed_counts_from_the_start_of_its_attempt(
+    relayed_store, direct, peers, monkeypatch
+):
+    """Guards against a configuration that seems newer than it is known to be.
+
+    The second call waits only for the rest of the time, and the age of the
+    configuration is counted from the sending of the call and its whole wait.
+    """
+    times = []
+
+    async def answer(table, after, *, wait, timeout):
+        times.append((http.read_clock(), wait))
+        return rows.Feed(DONE, sent=http.read_clock(), received=http.read_clock())
+
+    for peer in peers.values():
+        monkeypatch.setattr(peer, "follow", answer)
+    answers = []
+
+    async def follow():
+        answers.append(await relayed_store.follow("t", 0, wait=1.0, timeout=1.4))
+
+    started_at = http.read_clock()
+    async with anyio.create_task_group() as group:
+        group.start_soon(follow)
+        await anyio.sleep(0.1)
+        direct.store = rowstore.RowStore()
+        await lose_store(relayed_store, direct)
+
+    ((sent, wait),) = times
+    assert answers[0].sent + 1.0 <= sent + wait
+    assert answers[0].sent >= started_at
+
+
 async def test_one_of_two_writers_with_one_condition_succeeds(
     relayed_store, direct, store
 ):
