Judge a job by the progress of its running tasks, and preempt no run about to end

Cause: a step that isn't done counted with its whole time, however far its tasks were, so that jobs counted as late some seconds before their end. Change: the critical path that is left counts for a step, all open tasks of which are running, the longest remaining time by their progress. A run that ends by itself within the time of a stop and a restart isn't stopped.

--- a/wigeonhitch/pool/estimate.py
+++ b/wigeonhitch/pool/estimate.py
@@ -16,7 +16,7 @@
 from wigeonhitch.jobs import model
 from wigeonhitch.pool import vm
 
-__all__ = ["RunTimeEstimates"]
+__all__ = ["RunTimeEstimates", "compute_remaining"]
 
 MIN_PROGRESS_PERCENT = 10
 """Progress from which a running task shows its run time: progress is listed in whole
@@ -220,6 +220,22 @@
         self._progressed.add(task.job)
 
 
+def compute_remaining(run: vm.Run, span: float, now: float) -> float:
+    """Return the seconds until a run ends, by its progress.
+
+    Parameters
+    ----------
+    run : vm.Run
+        A run of a batch task.
+    span : float
+        Estimated seconds of the longest task of its step.
+    now : float
+        This daemon's time.
+    """
+    since_list = max(0.0, now - run.listed_at)
+    return max(0.0, span * (1 - run.work / 100) - since_list)
+
+
 def _project(run: vm.Run, work: float) -> float | None:
     """Return the seconds of a whole run, or None if too little of it was seen."""
     progress = work - run.started_work
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -234,7 +234,7 @@
         return (
             state is not None
             and not state.has_suspects  # each start of theirs is recorded before
-            and self._preemptor.is_preemptible(run)
+            and self._preemptor.is_preemptible(run, self.pool.compute_remaining(run))
         )
 
     def _plan_preemptions(
--- a/wigeonhitch/pool/preemption.py
+++ b/wigeonhitch/pool/preemption.py
@@ -64,13 +64,18 @@
         for task in [task for task in self._counts if task.job == id]:
             del self._counts[task]
 
-    def is_preemptible(self, run: vm.Run) -> bool:
-        """Return whether a run may be stopped without losing work."""
+    def is_preemptible(self, run: vm.Run, remaining: float) -> bool:
+        """Return whether a run may be stopped without losing work.
+
+        Its room would be free as early without a stop if it ends by itself within
+        ``remaining`` seconds that are fewer than a stop and a restart take.
+        """
         step = run.step
         return (
             step.checkpoint
             and not (step.lasting or step.gang or step.fills)
             and run.state is vm.RunState.RUNNING
+            and remaining > RESTART_SECONDS
             and self._counts.get(run.task, 0) < MAX_PREEMPTIONS
         )
 
--- a/wigeonhitch/pool/priority.py
+++ b/wigeonhitch/pool/priority.py
@@ -90,6 +90,7 @@
     terms: model.Queue | model.Terms,
     estimates: Sequence[float],
     spans: Sequence[float] | None = None,
+    remaining: Sequence[float] | None = None,
 ) -> SortInputs:
     """Return the inputs of a job's sort key.
 
@@ -105,8 +106,11 @@
         Run time of a task of each step, in seconds.
     spans : sequence of float, optional
         Run time of the longest task of each step, in seconds.
+    remaining : sequence of float, optional
+        Seconds until each step would be done if its other tasks were started now.
     """
     spans = estimates if spans is None else spans
+    remaining = spans if remaining is None else remaining
     job = state.job
     accepted = max(job.first_due, state.accepted) if job.times else state.accepted
     due = compute_due(job, terms, accepted, spans)
@@ -118,7 +122,7 @@
         accepted + MAX_LATENESS * (due - accepted),
         job.compute_work(estimates),
         _compute_work_left(state, estimates),
-        _compute_critical_path_left(state, spans),
+        _compute_critical_path_left(state, remaining),
     )
 
 
@@ -147,11 +151,11 @@
 
 
 def _compute_critical_path_left(
-    state: progress.Progress, spans: Sequence[float]
+    state: progress.Progress, remaining: Sequence[float]
 ) -> float:
     ends: list[float] = []
     for number, step in enumerate(state.job.steps):
         start = max((ends[earlier] for earlier in step.after), default=0.0)
-        left = 0.0 if state.is_step_done(0, number) else spans[number]
+        left = 0.0 if state.is_step_done(0, number) else remaining[number]
         ends.append(start + left)
     return max(ends, default=0.0)
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -120,6 +120,8 @@
         self._mean_work: dict[str, tuple[float, int]] = {}
         self._counted_work: dict[str, float] = {}
         """Core-seconds of each open job as counted in the mean of its queue."""
+        self._spans: dict[str, tuple[float, ...]] = {}
+        """Estimated seconds of each step of the open jobs, as last computed."""
 
     # -- rows
 
@@ -431,16 +433,44 @@
         If its queue was removed, the terms of its submission are used.
         """
         queue = self.queues.get(state.job.queue)
-        estimates = self.estimates.compute_estimates(state.job)
+        spans = self._spans[state.job.id] = self.estimates.compute_spans(state.job)
         inputs = priority.compute_sort_inputs(
             state,
             queue or state.job.terms,
-            estimates,
-            self.estimates.compute_spans(state.job),
+            self.estimates.compute_estimates(state.job),
+            spans,
+            [
+                self._compute_step_remaining(state, number, span)
+                for number, span in enumerate(spans)
+            ],
         )
         self._count_work(state.job, inputs.work)
         return inputs
 
+    def compute_remaining(self, run: vm.Run) -> float:
+        """Return the seconds until a run of a batch task ends by itself."""
+        spans = self._spans.get(run.task.job)
+        span = spans[run.task.step] if spans else run.step.estimate
+        return estimate.compute_remaining(run, span, self.latest_time)
+
+    def _compute_step_remaining(
+        self, state: progress.Progress, number: int, span: float
+    ) -> float:
+        """Return the seconds until a step is done if all its tasks run by now."""
+        step = state.job.steps[number]
+        if step.lasting or state.job.times or not state.is_step_ready(0, number):
+            return span
+        done = state.done.get((0, number), ())
+        remaining = 0.0
+        for index in range(step.count):
+            if index in done:
+                continue
+            run = self.live.get(model.Task(state.job.id, 0, number, index))
+            if run is None:
+                return span
+            remaining = max(remaining, self.compute_remaining(run))
+        return remaining
+
     def needs_ticket(self, state: progress.Progress) -> bool:
         """Return whether the job's tasks need a ticket of the advice service."""
         queue = self.queues.get(state.job.queue)
@@ -560,6 +590,7 @@
         estimates = self.estimates.compute_estimates(state.job)
         self._count_work(state.job, state.job.compute_work(estimates))
         del self._counted_work[id]
+        self._spans.pop(id, None)
         self.estimates.forget_job(id)
         self.tickets.forget_job(id)
         self.suspects.forget_job(id)
