Play teams in the soak: keys, ceilings and their changes

The soak knew neither callers' keys nor teams, so nothing in it could find a revoked key that is served or a team above its ceiling while daemons fail.

One team submits eight times its usual for a part of the run; a key is revoked and that team's ceiling lowered in the middle of it, each by a new version of the configuration. Callers also use revoked and unknown keys all the time. The audit checks the answers to such keys, that valid ones aren't refused, and that no start exceeds what its team's ceiling was within the time in which a configuration has to apply.

--- a/standins/soak/audit.py
+++ b/standins/soak/audit.py
@@ -2,12 +2,13 @@
 
 import collections
 import itertools
+import math
 import time
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from standins import siteworker, taskhistory
-from standins.soak import caller, environment, fault, vmfleet
+from standins.soak import caller, environment, fault, team, vmfleet
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import http
 
@@ -59,6 +60,7 @@
     queue_pools: Mapping[str, set[str]]
     settled_from: float
     ended: float
+    teams: team.Teams | None = None
 
     def is_disturbed(self, begin: float, end: float, target: str = "") -> bool:
         """Whether a fault affected a time span; ``target`` restricts the daemons."""
@@ -91,6 +93,8 @@
         *_check_truncated_answers(observed),
         *_check_orders(observed),
         *_check_finals(observed),
+        *_check_keys(observed),
+        *_check_ceilings(observed, jobs, get_size),
     ]
 
 
@@ -423,3 +427,53 @@
         and (since := last_events.get(task, 0.0))
         < observed.ended - MAX_UNAVAILABLE_SECONDS
     ]
+
+
+def _check_keys(observed: Observations) -> list[str]:
+    """Check that keys are refused once they are revoked, and valid ones aren't."""
+    if observed.teams is None:
+        return []
+    violations = []
+    for call in observed.calls:
+        revoked = observed.teams.revoked.get(call.key, math.inf)
+        is_refused = call.status in (0, 401, 503)
+        if team.find_owner(call.key) is None:
+            if not is_refused:
+                violations.append(f"key that never was valid not refused: {call}")
+        elif call.sent > revoked + team.REVOKE_SECONDS and not is_refused:
+            violations.append(
+                f"key not refused {call.sent - revoked:.1f} s after revocation: {call}"
+            )
+        elif call.status == 401 and call.ended < revoked:
+            violations.append(f"valid key refused: {call}")
+    return violations
+
+
+def _check_ceilings(
+    observed: Observations,
+    jobs: dict[str, caller.SubmittedJob],
+    get_size: Callable[[model.Task], int],
+) -> list[str]:
+    """Check that no start exceeds all that its team's ceiling was of late.
+
+    Runs that were started before a ceiling was lowered may go on above it.
+    """
+    if observed.teams is None:
+        return []
+    violations = []
+    used: collections.Counter[str] = collections.Counter()
+    for event in observed.vm_fleet.events:
+        owner, size = jobs[event.task.job].team, get_size(event.task)
+        if event.kind == "end":
+            used[owner] -= size
+        if event.kind != "start":
+            continue
+        used[owner] += size
+        ceiling = observed.teams.compute_ceiling(
+            owner, event.time - team.APPLY_SECONDS, event.time
+        )
+        if ceiling is not None and used[owner] > ceiling:
+            violations.append(
+                f"{owner} runs {used[owner]} above its ceiling {ceiling}: {event}"
+            )
+    return violations
--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -12,7 +12,7 @@
 import anyio
 import httpx
 
-from standins.soak import environment
+from standins.soak import environment, team
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import http
 
@@ -39,6 +39,16 @@
 CRASHING_SHARE = 0.02
 """Share of the jobs whose task crashes each worker that starts it."""
 
+BURST_FACTOR = 8
+"""Factor by which a team submits more than usual for a time."""
+
+BURST_SHARES = (0.3, 0.45)
+"""Begin and end of that time as shares of a run; what it submits has to become final
+under a ceiling that is lowered meanwhile."""
+
+INVALID_KEY_SECONDS = 0.25
+"""Interval of the submissions with keys that are revoked or were never valid."""
+
 QUERY_SECONDS = 0.7
 """Mean interval at which a caller queries its job."""
 
@@ -58,6 +68,7 @@
     body: Any
     has_retry_after: bool = False
     error_name: str = ""
+    key: str = ""
 
 
 class SubmittedJob:
@@ -75,6 +86,9 @@
         self.final = ""
         self.crashes_vms = False
         """Whether its task crashes each worker that starts it."""
+        self.team = ""
+        self.key = ""
+        """Key that it is submitted with."""
 
     @property
     def is_lasting(self) -> bool:
@@ -113,6 +127,9 @@
         async with anyio.create_task_group() as group:
             for queue in environment.QUEUES:
                 group.start_soon(self._run_job, self._make_job(queue, is_lasting=True))
+            if self._site.teams is not None:
+                group.start_soon(self._run_burst, rate, seconds)
+                group.start_soon(self._submit_invalid_keys)
             until = http.read_clock() + seconds
             while http.read_clock() < until:
                 queue = self._rng.choice(environment.QUEUES)
@@ -137,6 +154,42 @@
             await anyio.sleep(QUERY_SECONDS)
             group.cancel_scope.cancel()
 
+    async def _run_burst(self, rate: float, seconds: float) -> None:
+        """Submit many jobs of one team for a part of the run."""
+        begin, end = (share * seconds for share in BURST_SHARES)
+        await anyio.sleep(begin)
+        until = http.read_clock() + end - begin
+        usual_rate = rate / len(team.TEAMS)
+        async with anyio.create_task_group() as group:
+            while http.read_clock() < until:
+                queue = self._rng.choice(environment.QUEUES)
+                job = self._make_job(queue, is_lasting=False)
+                self._assign(job, team.BURSTING)
+                group.start_soon(self._run_job, job)
+                await anyio.sleep(self._rng.expovariate(usual_rate * BURST_FACTOR))
+
+    async def _submit_invalid_keys(self) -> None:
+        """Submit jobs with keys that are revoked or were never valid, until cancelled.
+
+        An attempt isn't repeated, so that each of these jobs has one answer.
+        """
+        while True:
+            job = self._make_job(self._rng.choice(environment.QUEUES), is_lasting=False)
+            job.key = self._rng.choice((team.UNKNOWN_KEY, *self._site.teams.revoked))
+            owner = team.find_owner(job.key)
+            job.team = owner.name if owner else ""
+            job.submissions = 1
+            call = await self._call("POST", job, job.key)
+            if call.status == 200:
+                job.accepted = call.ended
+            job.refusals = int(call.status in (401, 429, 503))
+            await anyio.sleep(INVALID_KEY_SECONDS)
+
+    async def query_with_invalid_keys(self) -> None:
+        """Query a job with each key that is revoked or was never valid."""
+        for key in (team.UNKNOWN_KEY, *self._site.teams.revoked):
+            await self._call("GET", self._rng.choice(self.jobs), key)
+
     async def _submit_soon(self, queue: environment.Queue) -> None:
         await anyio.sleep(self._rng.uniform(0.0, MAX_CLAIM_DELAY_SECONDS))
         await self._run_job(self._make_job(queue, is_lasting=False))
@@ -186,9 +239,18 @@
             body["start_at_ms"] = int(time.time() * 1000) + 1500
         job = SubmittedJob(id, queue, body)
         job.crashes_vms = crashes
+        if self._site.teams is not None:
+            self._assign(
+                job, team.LASTING if is_lasting else self._rng.choice(team.TEAMS)
+            )
         self.jobs.append(job)
         return job
 
+    def _assign(self, job: SubmittedJob, owner: team.Team) -> None:
+        """Make a job one of a team, to be submitted with any of its valid keys."""
+        job.team = owner.name
+        job.key = self._rng.choice(self._site.teams.list_keys(owner))
+
     async def _run_job(self, job: SubmittedJob) -> None:
         """Submit a job, possibly cancel it, and query it until it is final."""
         if not await self._submit(job):
@@ -203,16 +265,31 @@
     async def _submit(self, job: SubmittedJob) -> bool:
         for _ in range(MAX_SUBMISSIONS):
             job.submissions += 1
-            call = await self._call("POST", job)
+            call = await self._call("POST", job, job.key)
             if call.status == 200:
                 job.accepted = call.ended
                 return True
-            if call.status in (429, 503):
+            if call.status in (401, 429, 503):
                 job.refusals += 1
+            if call.status == 401:
+                self._renew_key(job)
             await anyio.sleep(self._rng.uniform(0.2, 1.2))
         return False
 
-    async def _call(self, method: str, job: SubmittedJob) -> Call:
+    def _renew_key(self, job: SubmittedJob) -> None:
+        """Give a job another key of its team."""
+        owner = team.find_owner(job.key)
+        if owner is not None:
+            self._assign(job, owner)
+
+    async def _call(self, method: str, job: SubmittedJob, key: str = "") -> Call:
+        """Call any daemon, with a valid key of the job's team by default."""
+        if not key and self._site.teams is not None:
+            self._renew_key(job)
+            key = job.key
+        headers = {"Host": job.queue.host}
+        if key:
+            headers["Authorization"] = f"Token {key}"
         daemon = self._rng.choice(self._site.daemons)
         path = f"http://{daemon.callers}{job.queue.prefix}{job.id}"
         sent = http.read_clock()
@@ -221,7 +298,7 @@
             reply = await self._client.request(
                 method,
                 path,
-                headers={"Host": job.queue.host},
+                headers=headers,
                 json=job.body if method == "POST" else None,
                 timeout=TIMEOUT_SECONDS,
             )
@@ -233,7 +310,7 @@
             error_name = type(error).__name__
         call = Call(
             daemon.name, sent, http.read_clock(), method, job.id, status, body,
-            has_retry_after, error_name,
+            has_retry_after, error_name, key,
         )  # fmt: skip
         self.calls.append(call)
         return call
--- a/standins/soak/environment.py
+++ b/standins/soak/environment.py
@@ -13,7 +13,7 @@
 import orjson
 
 from standins.demo import process
-from standins.soak import application, relay, store, vmfleet
+from standins.soak import application, relay, store, team, vmfleet
 from wigeonhitch.daemon import server
 from wigeonhitch.leadership import record
 from wigeonhitch.platform import entries, http, node
@@ -127,9 +127,12 @@
         Links to the workers, by VM.
     queue_pools : dict of str to set of str
         Pools that a configuration has assigned to each queue.
+    teams : team.Teams or None
+        Teams of the configuration, if it has any.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, teams: team.Teams | None = None) -> None:
+        self.teams = teams
         self.store = store.Store()
         self.vm_fleet = vmfleet.VmFleet(self.store.rows, rng)
         self.daemons: list[Daemon] = []
@@ -154,7 +157,13 @@
         services = [
             {"name": pool, "standby": pool == vmfleet.STANDBY} for pool in POOLS
         ]
-        fields = {"version": version, "routes": routes, "services": services}
+        fields: dict[str, Any] = {
+            "version": version,
+            "routes": routes,
+            "services": services,
+        }
+        if self.teams is not None:
+            fields["tenants"] = self.teams.write_tenants()
         self.store.rows.put(
             entries.OPERATOR_TABLE, "", entries.CATALOGUE_KEY, orjson.dumps(fields)
         )
@@ -177,13 +186,17 @@
 
 @contextlib.asynccontextmanager
 async def open_environment(
-    folder: pathlib.Path, count: int, rng: random.Random, without: str = ""
+    folder: pathlib.Path,
+    count: int,
+    rng: random.Random,
+    without: str = "",
+    teams: team.Teams | None = None,
 ) -> Any:
     """Run a site with ``count`` daemons; all of it stops at the end of the block.
 
     ``without`` names a mechanism of `standins.soak.without` to disable.
     """
-    environment = Environment(rng)
+    environment = Environment(rng, teams)
     environment.write_catalogue(1)
     ports = process.Ports()
     program = (WITHOUT_MODULE, without) if without else (MODULE,)
@@ -208,6 +221,8 @@
                         daemon = _make_daemon(
                             folder, number, host, ports, (platform, calls), program
                         )
+                        if teams is not None:
+                            _require_strict_revocation(daemon.settings)
                         environment.daemons.append(daemon)
                     await _start(environment, addresses, group, stack)
                     yield environment
@@ -280,6 +295,12 @@
     return Daemon(name, host, settings, links, program)
 
 
+def _require_strict_revocation(settings: pathlib.Path) -> None:
+    with settings.open("a") as file:
+        file.write(f"parameters.revoke_ms={team.REVOKE_SECONDS * 1000:.0f}\n")
+        file.write("parameters.strict_revoke=true\n")
+
+
 def _write_route(queue: Queue) -> dict[str, Any]:
     return {
         "name": queue.name,
--- a/standins/soak/fault.py
+++ b/standins/soak/fault.py
@@ -10,11 +10,23 @@
 from standins.soak import environment, relay, vmfleet
 from wigeonhitch.platform import http
 
-__all__ = ["KINDS", "PLANNED", "Fault", "Injector", "Span", "plan"]
+__all__ = [
+    "KINDS",
+    "PLANNED",
+    "Fault",
+    "Injector",
+    "Span",
+    "plan",
+    "plan_team_changes",
+]
 
 CAPACITY_KIND = "worker shrinks"
+TEAM_KINDS = ("key revoked", "ceiling lowered")
 PLANNED = frozenset(
-    {"stop", "reload", "configuration", "wave", "worker leaves", CAPACITY_KIND}
+    {
+        *("stop", "reload", "configuration", "wave", "worker leaves", CAPACITY_KIND),
+        *TEAM_KINDS,
+    }
 )
 """Kinds that are planned operations; no guarantee is suspended for them."""
 
@@ -46,6 +58,12 @@
 CAPACITY_CHANGES_PER_SECOND = 0.2
 """Workers per second whose capacity shrinks for a time."""
 
+TEAM_CHANGE_SHARES = (0.25, 0.5)
+"""Part of a run in which the operator changes teams: with one team's burst."""
+
+WRITE_RETRY_SECONDS = 0.05
+"""Interval at which the operator repeats a write that the store refuses."""
+
 SLOW_STORE_SECONDS = 0.24
 """Additional duration of each call to a slow store: 60 times the usual 4 ms."""
 
@@ -85,6 +103,14 @@
     return sorted(fault for fault in faults if fault.at < seconds)
 
 
+def plan_team_changes(rng: random.Random, seconds: float) -> list[Fault]:
+    """Return the operator's changes of teams, in the middle of a run."""
+    return [
+        Fault(seconds * rng.uniform(*TEAM_CHANGE_SHARES), kind, 0.0, 0.0)
+        for kind in TEAM_KINDS
+    ]
+
+
 class Injector:
     """Injects faults.
 
@@ -116,6 +142,8 @@
             target = await self._inject_daemon_fault(fault)
         elif kind in STORE_KINDS:
             target = await self._inject_store_fault(fault)
+        elif kind in TEAM_KINDS:
+            target = await self._change_teams(kind)
         elif kind in OPERATOR_KINDS:
             target = self._run_operation(kind)
         else:
@@ -163,6 +191,18 @@
             store.rows.expire_history()
         return "store"
 
+    async def _change_teams(self, kind: str) -> str:
+        """Write a configuration with changed teams as soon as the store accepts it."""
+        while self._site.store.rows.is_down:
+            await anyio.sleep(WRITE_RETRY_SECONDS)
+        if kind == "key revoked":
+            target = self._site.teams.revoke(self._rng, http.read_clock())
+        else:
+            target = self._site.teams.lower_ceiling(http.read_clock())
+        self._version += 1
+        self._site.write_catalogue(self._version)
+        return target
+
     def _run_operation(self, kind: str) -> str:
         if kind == "configuration":
             self._version += self._rng.randint(1, 5)
--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -12,7 +12,7 @@
 import yaml
 
 from standins.demo import process
-from standins.soak import audit, caller, environment, fault, leaderfault
+from standins.soak import audit, caller, environment, fault, leaderfault, team
 from wigeonhitch.platform import http
 
 __all__ = ["Result", "list_recorded_seeds", "run", "run_seed"]
@@ -57,6 +57,7 @@
     kept: bool = False,
     without: str = "",
     leaders: bool = False,
+    teams: bool = False,
     folder: str = "",
 ) -> int:
     """Run seeded faults and check the records of callers and workers.
@@ -79,6 +80,8 @@
         Mechanism of `standins.soak.without` to disable.
     leaders : bool
         Run the faults that target leaders instead of all others.
+    teams : bool
+        Run teams with keys and ceilings, and change these.
     folder : str
         Folder for the daemons' logs; a temporary one if empty.
     """
@@ -89,7 +92,7 @@
         log_folder = pathlib.Path(root) / str(seed)
         log_folder.mkdir(parents=True, exist_ok=True)
         result = anyio.run(
-            run_seed, seed, log_folder, seconds, daemons, rate, without, leaders
+            run_seed, seed, log_folder, seconds, daemons, rate, without, leaders, teams
         )
         failed_count += bool(result.violations)
         print(describe(result, log_folder), flush=True)
@@ -123,15 +126,20 @@
     rate: float,
     without: str = "",
     leaders: bool = False,
+    teams: bool = False,
 ) -> Result:
     """Run one seed and check it."""
     rng = random.Random(seed)
     plan = leaderfault.plan if leaders else fault.plan
     faults = plan(random.Random(seed), seconds)
+    if teams:
+        faults += fault.plan_team_changes(random.Random(seed), seconds)
+        faults.sort()
+    written = team.Teams() if teams else None
     limits = httpx.Limits(max_connections=MAX_CONNECTIONS, keepalive_expiry=60.0)
     async with (
         httpx.AsyncClient(limits=limits, trust_env=False) as client,
-        environment.open_environment(folder, daemons, rng, without) as site,
+        environment.open_environment(folder, daemons, rng, without, written) as site,
     ):
         await _wait_until_ready(site)
         callers = caller.Callers(site, rng, client)
@@ -151,6 +159,7 @@
                 site.queue_pools,
                 settled_from=http.read_clock(),
                 ended=0.0,
+                teams=written,
             ),
         )
         return Result(
@@ -209,6 +218,8 @@
             return observed._replace(ended=now)
         for job in unfinished:
             await callers.query(job)
+        if observed.teams is not None:
+            await callers.query_with_invalid_keys()
         await anyio.sleep(0.3)
 
 
--- a/standins/soak/without.py
+++ b/standins/soak/without.py
@@ -12,7 +12,7 @@
 from wigeonhitch.leadership import core as leadership
 from wigeonhitch.leadership import record, term
 from wigeonhitch.platform import entries
-from wigeonhitch.pool import core, ledger, suspect, vm
+from wigeonhitch.pool import core, ledger, quota, suspect, vm
 from wigeonhitch.site import acceptance, main, message
 
 __all__ = ["MECHANISMS", "run"]
@@ -102,6 +102,11 @@
     suspect.MAX_TEST_CRASHES = suspect.MAX_CRASHES = sys.maxsize
 
 
+def ignore_ceilings() -> None:
+    """Start tasks regardless of their team's ceiling."""
+    quota.Quotas.admits = lambda self, team, room: True
+
+
 MECHANISMS: dict[str, Callable[[], None]] = {
     mechanism.__name__: mechanism
     for mechanism in (
@@ -116,6 +121,7 @@
         order_after_the_end,
         accept_without_condition,
         keep_crashing_tasks,
+        ignore_ceilings,
     )
 }
 
--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -18,6 +18,7 @@
     main,
     relay,
     store,
+    team,
     vmfleet,
 )
 from wigeonhitch.jobs import model
@@ -194,6 +195,57 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("sent", "status", "key", "expected"),
+    [
+        (25.1, 200, "batch-first-key", "not refused 5.1 s after revocation"),
+        (25.1, 429, "batch-first-key", "not refused 5.1 s after revocation"),
+        (25.1, 401, "batch-first-key", ""),
+        (25.1, 503, "batch-first-key", ""),
+        (24.9, 200, "batch-first-key", ""),
+        (30.0, 200, "batch-second-key", ""),
+        (30.0, 401, "batch-second-key", "valid key refused"),
+        (19.0, 401, "batch-first-key", "valid key refused"),
+        (1.0, 200, team.UNKNOWN_KEY, "never was valid"),
+        (1.0, 401, team.UNKNOWN_KEY, ""),
+    ],
+)
+def test_answer_against_the_state_of_its_key_is_found(sent, status, key, expected):
+    """Guards against invalid keys that are served, and valid ones refused."""
+    teams = team.Teams()
+    teams.revoked["batch-first-key"] = 20.0
+    call = caller.Call(
+        "d", sent, sent + 0.1, "GET", JOB, status, None, status != 200, key=key
+    )
+    observed = make_observations(make_job(), VALID_HISTORY, calls=[call])
+
+    violations = audit.check(observed._replace(teams=teams))
+
+    assert len(violations) == bool(expected)
+    assert all(expected in line for line in violations)
+
+
+@pytest.mark.parametrize(
+    ("lowered_at", "count"), [(8.1, 0), (7.9, 1), (10.5, 0), (None, 0)]
+)
+def test_start_above_a_ceiling_that_was_lowered_is_found(lowered_at, count):
+    """Guards against late starts above a lowered ceiling, and against findings by runs
+    that were started before."""
+    job = make_job()
+    job.team = "batch"
+    teams = team.Teams()
+    teams.ceilings[0] = team.Ceiling(0.0, "batch", 2000)
+    if lowered_at is not None:
+        teams.ceilings.append(team.Ceiling(lowered_at, "batch", 1500))
+    job.body["steps"][1].pop("after")
+    overlapping = (VALID_HISTORY[0], (11.0, *VALID_HISTORY[3][1:]))
+
+    observed = make_observations(job, (*overlapping, *VALID_HISTORY[1:3]))
+    violations = audit.check(observed._replace(teams=teams))
+
+    assert sum("above its ceiling 1500" in line for line in violations) == count
+
+
 class SettlingCallers:
     """Callers on a simulated clock, whose job becomes final at a given time."""
 
@@ -472,6 +524,17 @@
     assert result.starts > 20
 
 
+@pytest.mark.processes
+async def test_short_run_with_teams_has_no_violation(tmp_path):
+    result = await main.run_seed(
+        1, tmp_path, seconds=8.0, daemons=3, rate=4.0, teams=True
+    )
+
+    assert result.violations == []
+    assert {span.kind for span in result.spans} >= set(fault.TEAM_KINDS)
+    assert result.starts > 20
+
+
 async def test_overdue_fault_is_injected_immediately():
     """Guards against a busy run that lags behind its plan and ends unchecked."""
     injected = []
