Record the first seeds of the soak with teams

In 9002 three accepted jobs weren't final in time; a second run of it was ok. Cause, from the logs: after a ceiling was lowered, the shares of two pools stayed above it together, as a leader with tasks left to start doesn't give up what its share exceeds, so that the other pool started nothing of the team for 20 s. The product isn't changed.

Checked: standins/tests/test_soak.py, 57 passed, with its three runs of processes.

--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -85,7 +85,7 @@
     folder : str
         Folder for the daemons' logs; a temporary one if empty.
     """
-    selected = list_recorded_seeds() if kept else range(first, first + seeds)
+    selected = list_recorded_seeds(teams) if kept else range(first, first + seeds)
     root = folder or tempfile.mkdtemp(prefix="soak-")
     failed_count = 0
     for seed in selected:
@@ -100,9 +100,10 @@
     return 1 if failed_count else 0
 
 
-def list_recorded_seeds() -> list[int]:
-    """Return the seeds that once failed."""
-    return [entry["seed"] for entry in yaml.safe_load(SEEDS_FILE.read_text()) or ()]
+def list_recorded_seeds(teams: bool = False) -> list[int]:
+    """Return the seeds that once failed, of runs with teams or of those without."""
+    recorded = yaml.safe_load(SEEDS_FILE.read_text()) or ()
+    return [entry["seed"] for entry in recorded if entry.get("teams", False) == teams]
 
 
 def describe(result: Result, log_folder: pathlib.Path) -> str:
