--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -12,7 +12,7 @@
 import yaml
 
 from standins.demo import process
-from standins.soak import audit, caller, environment, fault, leaderfault
+from standins.soak import audit, caller, environment, fault, leaderfault, team
 from wigeonhitch.platform import http
 
 __all__ = ["Result", "list_recorded_seeds", "run", "run_seed"]
@@ -57,6 +57,7 @@
     kept: bool = False,
     without: str = "",
     leaders: bool = False,
+    teams: bool = False,
     folder: str = "",
 ) -> int:
     """Run seeded faults and check the records of callers and workers.
@@ -79,17 +80,19 @@
         Mechanism of `standins.soak.without` to disable.
     leaders : bool
         Run the faults that target leaders instead of all others.
+    teams : bool
+        Run teams with keys and ceilings, and change these.
     folder : str
         Folder for the daemons' logs; a temporary one if empty.
     """
-    selected = list_recorded_seeds() if kept else range(first, first + seeds)
+    selected = list_recorded_seeds(teams) if kept else range(first, first + seeds)
     root = folder or tempfile.mkdtemp(prefix="soak-")
     failed_count = 0
     for seed in selected:
         log_folder = pathlib.Path(root) / str(seed)
         log_folder.mkdir(parents=True, exist_ok=True)
         result = anyio.run(
-            run_seed, seed, log_folder, seconds, daemons, rate, without, leaders
+            run_seed, seed, log_folder, seconds, daemons, rate, without, leaders, teams
         )
         failed_count += bool(result.violations)
         print(describe(result, log_folder), flush=True)
@@ -97,9 +100,10 @@
     return 1 if failed_count else 0
 
 
-def list_recorded_seeds() -> list[int]:
-    """Return the seeds that once failed."""
-    return [entry["seed"] for entry in yaml.safe_load(SEEDS_FILE.read_text()) or ()]
+def list_recorded_seeds(teams: bool = False) -> list[int]:
+    """Return the seeds that once failed, of runs with teams or of those without."""
+    recorded = yaml.safe_load(SEEDS_FILE.read_text()) or ()
+    return [entry["seed"] for entry in recorded if entry.get("teams", False) == teams]
 
 
 def describe(result: Result, log_folder: pathlib.Path) -> str:
@@ -123,15 +127,20 @@
     rate: float,
     without: str = "",
     leaders: bool = False,
+    teams: bool = False,
 ) -> Result:
     """Run one seed and check it."""
     rng = random.Random(seed)
     plan = leaderfault.plan if leaders else fault.plan
     faults = plan(random.Random(seed), seconds)
+    if teams:
+        faults += fault.plan_team_changes(random.Random(seed), seconds)
+        faults.sort()
+    written = team.Teams() if teams else None
     limits = httpx.Limits(max_connections=MAX_CONNECTIONS, keepalive_expiry=60.0)
     async with (
         httpx.AsyncClient(limits=limits, trust_env=False) as client,
-        environment.open_environment(folder, daemons, rng, without) as site,
+        environment.open_environment(folder, daemons, rng, without, written) as site,
     ):
         await _wait_until_ready(site)
         callers = caller.Callers(site, rng, client)
@@ -151,6 +160,7 @@
                 site.queue_pools,
                 settled_from=http.read_clock(),
                 ended=0.0,
+                teams=written,
             ),
         )
         return Result(
@@ -209,6 +219,8 @@
             return observed._replace(ended=now)
         for job in unfinished:
             await callers.query(job)
+        if observed.teams is not None:
+            await callers.query_with_invalid_keys()
         await anyio.sleep(0.3)
 
 
