Return what pools keep above a ceiling that was lowered while tasks wait

A share was never limited below what it was, and with tasks waiting in both pools nothing counted as unused. Change: a share is limited to what the others leave of the ceiling, and covers only what runs beyond that; resources without a ceiling stay as they are. Still open: a pool whose team always has work returns nothing to another pool that waits for the same ceiling.

--- a/wigeonhitch/pool/quota.py
+++ b/wigeonhitch/pool/quota.py
@@ -230,7 +230,15 @@
         else:
             target = kept.raise_to(self._compute_partial_target(occupied, free))
         # What runs already has to be covered, also above a ceiling that was lowered.
-        return target.limit_to(self.share.raise_to(free)).raise_to(occupied)
+        # The rest of such a share is returned: with tasks waiting none of it counts as
+        # unused, and pools that keep more than the ceiling let nobody start.
+        bound = model.Room(
+            *(
+                available if most else value
+                for available, value, most in zip(free, target, ceiling, strict=True)
+            )
+        )
+        return target.limit_to(bound).raise_to(occupied)
 
     def _compute_partial_target(
         self, occupied: model.Room, free: model.Room
--- a/wigeonhitch/pool/tests/test_quota.py
+++ b/wigeonhitch/pool/tests/test_quota.py
@@ -190,6 +190,38 @@
     assert one.run(20) == 21
 
 
+def test_shares_above_a_lowered_ceiling_are_returned_while_tasks_wait(store):
+    """Two pools kept more than the new ceiling together, and one started nothing.
+
+    With tasks waiting in both, no part of a share counted as unused, so that 6 of 16
+    tasks were in use until the other pool ran out of work.
+    """
+    one, other = Leader(store), Leader(store, "b")
+    assert (one.run(12), other.run(8)) == (12, 4)
+    lowered = model.Room(10000, 20000)
+    for leader in (one, other):
+        leader.configure(lowered, 2)
+        leader.round(4)
+        leader.sync()
+
+    one.end(12)
+    other.end(4)
+    for _ in range(4):
+        for leader in (one, other):
+            leader.round(8)
+            leader.sync()
+
+    assert len(one.runs) + len(other.runs) == 10
+
+
+def test_ceiling_of_one_resource_leaves_the_other_unlimited(store):
+    """Shares of the unlimited resource must not be rewritten with each start."""
+    one = Leader(store, ceiling=model.Room(16000, 0))
+
+    assert one.run(16) == 16
+    assert one.sync() is None
+
+
 @pytest.mark.parametrize("outcome", [table.Outcome.UNKNOWN, table.Outcome.NOT_DONE])
 @pytest.mark.parametrize("is_trusted", [False, True])
 def test_no_start_goes_by_a_share_that_an_unanswered_write_may_have_lowered(
