Detect a silent path to the store before its calls time out

A daemon whose calls the store left unanswered took 1.0 to 1.3 s to go through a peer, since calls time out after 0.9 to 1.0 s.

A direct call other than a feed call that has had no answer for 0.3 s now leads to one read through a peer with a timeout of 0.15 s, unless a call that was sent later has been served. A prompt answer makes the path relayed (reason silent); a late one, as from a store that is slow for all, changes nothing at the daemon. A peer ignores relayed calls that end without an answer in under 0.5 s, since otherwise two such reads would move its own path while the store is slow.

Checked: test_storepath.py and test_relayedstore.py, 33 passed, among them a read answered through a peer in under 0.6 s with a timeout of 2 s while a pending transaction is sent once.

--- a/wigeonhitch/site/relayedstore.py
+++ b/wigeonhitch/site/relayedstore.py
@@ -74,16 +74,21 @@
         self._list_peers = list_peers
         self._instruments = instruments
         self._clients: dict[str, rows.RowStore] = {}
-        self._became_relayed = anyio.Event()
 
     async def run(self) -> None:
-        """Probe the direct path while it isn't used, until cancelled."""
+        """Probe the path that isn't used, until cancelled.
+
+        Both delays are at most as long as the interval between direct probes, so the
+        first of these is sent in time when the path changes during a delay.
+        """
         while True:
-            await self._became_relayed.wait()
-            self._became_relayed = anyio.Event()
-            while self._path.is_relayed:
-                await anyio.sleep(self._path.compute_probe_delay(http.read_clock()))
+            now = http.read_clock()
+            if self._path.is_relayed:
+                await anyio.sleep(self._path.compute_probe_delay(now))
                 await self._probe()
+            else:
+                await anyio.sleep(self._path.compute_indirect_probe_delay(now))
+                await self._probe_indirectly()
 
     async def _probe(self) -> None:
         sent = http.read_clock()
@@ -93,12 +98,34 @@
         result = await self._direct.read(table_name, name, timeout=timeout)
         self._record_direct(rows.classify(result), result.reason, sent)
 
+    async def _probe_indirectly(self) -> None:
+        sent = http.read_clock()
+        if self._path.is_relayed or self._path.compute_indirect_probe_delay(sent) > 0:
+            return
+        peers = self._list_peers()
+        peer = self._path.begin_indirect_probe(peers, sent)
+        if peer is None:
+            return
+        service = rows.Service.UNANSWERED
+        timeout = storepath.INDIRECT_PROBE_TIMEOUT_SECONDS
+        table_name, name = leader_record.MEMBER_TABLE, self._name
+        with anyio.move_on_after(timeout):
+            client = self._get_client(peer)
+            result = await client.read(table_name, name, timeout=timeout)
+            service = rows.classify(result)
+        self._count("requester", service.value)
+        now = http.read_clock()
+        if self._path.on_indirect_probe(peer.name, service, now):
+            self._on_path_relayed("silent", peers, now)
+
     # -- calls of this daemon
 
     async def commit(self, change: rows.Transaction, *, timeout: float) -> rows.Change:
         """Make one attempt; an ``UNKNOWN`` one may still be applied seconds later."""
         return await self._attempt(
-            lambda store, left: store.commit(change, timeout=left), timeout, False
+            lambda store, left: store.commit(change, timeout=left),
+            timeout,
+            is_read=False,
         )
 
     async def read(
@@ -128,7 +155,7 @@
             wait_left = max(0.0, wait - (timeout - left))
             return store.follow(table, after, wait=wait_left, timeout=left)
 
-        return await self._attempt(call, timeout)
+        return await self._attempt(call, timeout, is_feed=True)
 
     async def list_parts(self, table: str, *, timeout: float) -> rows.Parts:
         """Return the parts of a table; all pages."""
@@ -140,7 +167,9 @@
         self,
         call: Callable[[rows.RowStore, float], Awaitable[Any]],
         timeout: float,
+        *,
         is_read: bool = True,
+        is_feed: bool = False,
     ) -> Any:
         """Make one call, and again on another path as long as nothing was done."""
         started_at = http.read_clock()
@@ -151,7 +180,7 @@
             if peer is not None:
                 result = await self._call_peer(peer, call, left)
             elif direct_result is None:
-                result = direct_result = await self._call_direct(call, left)
+                result = direct_result = await self._call_direct(call, left, is_feed)
             else:
                 return direct_result
             service = rows.classify(result)
@@ -167,9 +196,16 @@
         self,
         call: Callable[[rows.RowStore, float], Awaitable[Any]],
         timeout: float,
+        is_feed: bool,
     ) -> Any:
         sent = http.read_clock()
-        result = await call(self._direct, timeout)
+        # A feed call waits on purpose.
+        number = None if is_feed else self._path.begin_direct_call(sent)
+        try:
+            result = await call(self._direct, timeout)
+        finally:
+            if number is not None:
+                self._path.end_direct_call(number)
         self._record_direct(rows.classify(result), result.reason, sent)
         return result
 
@@ -179,30 +215,37 @@
         call: Callable[[rows.RowStore, float], Awaitable[Any]],
         timeout: float,
     ) -> Any:
-        client = self._clients.get(peer.address)
-        if client is None:
-            client = self._clients[peer.address] = self._open_peer(peer.address)
-        result = await call(client, timeout)
+        result = await call(self._get_client(peer), timeout)
         service = rows.classify(result)
         self._path.on_peer_call(peer.name, service, http.read_clock())
         self._count("requester", service.value)
         return result
 
+    def _get_client(self, peer: storepath.Peer) -> rows.RowStore:
+        client = self._clients.get(peer.address)
+        if client is None:
+            client = self._clients[peer.address] = self._open_peer(peer.address)
+        return client
+
     def _record_direct(self, service: rows.Service, reason: str, sent: float) -> None:
         now = http.read_clock()
         peers = [] if service is rows.Service.SERVED else self._list_peers()
         if not self._path.on_direct_call(service, sent, now, peers):
             return
-        is_relayed = self._path.is_relayed
-        self._instruments.set("store_path_relayed", PATH_HELP, int(is_relayed))
-        if not is_relayed:
-            log.log_change("store path changed", path="direct", reason="probe served")
+        if self._path.is_relayed:
+            self._on_path_relayed(reason, peers, now)
             return
+        self._instruments.set("store_path_relayed", PATH_HELP, 0)
+        log.log_change("store path changed", path="direct", reason="probe served")
+
+    def _on_path_relayed(
+        self, reason: str, peers: list[storepath.Peer], now: float
+    ) -> None:
+        self._instruments.set("store_path_relayed", PATH_HELP, 1)
         peer = self._path.find_peer(peers, now)
         log.log_change(
             "store path changed", path="relayed", reason=reason, peer=peer and peer.name
         )
-        self._became_relayed.set()
         for notify in self.on_relayed:
             notify()
 
@@ -219,6 +262,11 @@
         """Record the end of a counted call that was sent to the store."""
         self._path.end_relay()
         self._count("peer", service.value)
+        elapsed = http.read_clock() - sent
+        is_short = elapsed < storepath.PROBE_TIMEOUT_SECONDS
+        if service is rows.Service.UNANSWERED and is_short:
+            # A slow store may answer later than the requester of a probe waits.
+            return
         self._record_direct(service, "relayed call", sent)
 
     def cancel_relay(self) -> None:
--- a/wigeonhitch/site/storepath.py
+++ b/wigeonhitch/site/storepath.py
@@ -6,12 +6,19 @@
 """
 
 import collections
+import math
 from typing import NamedTuple
 
 from wigeonhitch.leadership import candidacy
 from wigeonhitch.platform import rows
 
-__all__ = ["MAX_RELAYED_CALLS", "PROBE_TIMEOUT_SECONDS", "Peer", "StorePath"]
+__all__ = [
+    "INDIRECT_PROBE_TIMEOUT_SECONDS",
+    "MAX_RELAYED_CALLS",
+    "PROBE_TIMEOUT_SECONDS",
+    "Peer",
+    "StorePath",
+]
 
 PROBE_INTERVAL_SECONDS = 0.3
 """Interval between the starts of two direct calls while calls are relayed: with their
@@ -20,6 +27,18 @@
 PROBE_TIMEOUT_SECONDS = 0.5
 """Timeout of a probe: a slow store takes 0.2 to 0.4 s for a call."""
 
+SILENCE_SECONDS = 0.3
+"""Time without an answer after which a direct call is unanswered: a call usually takes
+4 ms, and times out only after 0.9 to 1.0 s."""
+
+INDIRECT_PROBE_INTERVAL_SECONDS = 0.3
+"""Minimum interval between the starts of two reads through peers while calls are
+direct. It bounds the additional calls to a store that is slow for all."""
+
+INDIRECT_PROBE_TIMEOUT_SECONDS = 0.15
+"""Timeout of a read through a peer while calls are direct: a store that is slow for all
+takes 0.22 to 0.35 s for a call, so its answer comes too late."""
+
 PEER_BACKOFF_SECONDS = 1.0
 """Time for which a peer that has refused or not answered isn't asked."""
 
@@ -74,6 +93,14 @@
         self._failure: _Failure | None = None
         self._relayed_at = 0.0
         self._probed_at = 0.0
+        self._calls: dict[int, float] = {}
+        """Send times of the direct calls in progress, in this order, by number."""
+        self._last_number = 0
+        self._indirectly_probed_at = -math.inf
+        self._silent_since = 0.0
+        """Send time of the unanswered call that led to the last indirect probe."""
+        self._slow_peers: dict[str, float] = {}
+        """Time of the last indirect probe that each peer didn't answer in time."""
         self._failed_peers: dict[str, float] = {}
         """Time of the last failure of each peer that hasn't served a call since."""
         self._repeated: set[str] = set()
@@ -104,14 +131,14 @@
         is_in_burst = service is rows.Service.REFUSED and sent < self._failure.ended
         if is_in_burst or self.find_peer(peers, now) is None:
             return False
+        self._leave_direct(now)
+        return True
+
+    def _leave_direct(self, now: float) -> None:
         self.is_relayed = True
         self._relayed_at = self._probed_at = now
-        self._failed_peers = {
-            name: failed_at
-            for name, failed_at in self._failed_peers.items()
-            if now - failed_at < PEER_BACKOFF_SECONDS
-        }
-        return True
+        self._failed_peers = _list_recent(self._failed_peers, now)
+        self._slow_peers = _list_recent(self._slow_peers, now)
 
     def _on_served(self, sent: float) -> bool:
         self._last_served_at = max(self._last_served_at, sent)
@@ -123,6 +150,16 @@
         self.is_relayed = False
         return True
 
+    def begin_direct_call(self, sent: float) -> int:
+        """Record that a call other than a feed call is sent; return its number."""
+        self._last_number += 1
+        self._calls[self._last_number] = sent
+        return self._last_number
+
+    def end_direct_call(self, number: int) -> None:
+        """Record that a numbered call has ended, or was cancelled."""
+        del self._calls[number]
+
     def begin_probe(self, now: float) -> None:
         """Record that a probe is sent."""
         self._probed_at = now
@@ -131,6 +168,51 @@
         """Return the seconds until the next probe is due."""
         return max(0.0, self._probed_at + PROBE_INTERVAL_SECONDS - now)
 
+    # -- reads through peers while calls are direct
+
+    def compute_indirect_probe_delay(self, now: float) -> float:
+        """Return the seconds until a read through a peer may be due, 0 if it is.
+
+        A call that is sent later can't make one due sooner.
+        """
+        sent = self._find_unanswered()
+        due_at = (now if sent is None else sent) + SILENCE_SECONDS
+        next_at = self._indirectly_probed_at + INDIRECT_PROBE_INTERVAL_SECONDS
+        return max(0.0, due_at - now, next_at - now)
+
+    def begin_indirect_probe(self, peers: list[Peer], now: float) -> Peer | None:
+        """Return the peer to read through, None if there is none or no need."""
+        if self.is_relayed or self.compute_indirect_probe_delay(now) > 0:
+            return None
+        self._indirectly_probed_at = now
+        self._silent_since = self._find_unanswered() or now
+        return self._take_peer(peers, now)
+
+    def on_indirect_probe(self, name: str, service: rows.Service, now: float) -> bool:
+        """Record the end of a read through a peer; return whether the path has changed.
+
+        A prompt answer means that the peer has a quick store. The path becomes relayed
+        unless a direct call has been served meanwhile. A late answer isn't a failure
+        of the peer, since the store may be slow for all, but others go before it.
+        """
+        is_late = now - self._indirectly_probed_at > INDIRECT_PROBE_TIMEOUT_SECONDS
+        if service is rows.Service.UNANSWERED or is_late:
+            self._repeated.discard(name)
+            self._slow_peers = _list_recent(self._slow_peers, now) | {name: now}
+            return False
+        self.on_peer_call(name, service, now)
+        if service is not rows.Service.SERVED or self.is_relayed:
+            return False
+        if self._last_served_at >= self._silent_since:
+            return False
+        self._leave_direct(now)
+        return True
+
+    def _find_unanswered(self) -> float | None:
+        """Return when the oldest call was sent that no served call has followed."""
+        last_served_at = self._last_served_at
+        return next((at for at in self._calls.values() if at > last_served_at), None)
+
     # -- calls through peers
 
     def choose_peer(self, peers: list[Peer], now: float) -> Peer | None:
@@ -139,7 +221,10 @@
         Peers that have failed least recently, or never, go first, then those that are
         live and those of this data centre.
         """
-        peer = self.find_peer(peers, now) if self.is_relayed else None
+        return self._take_peer(peers, now) if self.is_relayed else None
+
+    def _take_peer(self, peers: list[Peer], now: float) -> Peer | None:
+        peer = self.find_peer(peers, now)
         if peer is None:
             return None
         if peer.name in self._failed_peers and peer.name not in self._repeated:
@@ -157,6 +242,7 @@
         self._repeated.discard(name)
         if service is rows.Service.SERVED:
             self._failed_peers.pop(name, None)
+            self._slow_peers.pop(name, None)
         else:
             self._failed_peers[name] = now
 
@@ -167,9 +253,10 @@
         repeats = sum(now - at < PEER_BACKOFF_SECONDS for at in self._repeated_at)
         return repeats < MAX_REPEATS and now - failed_at >= PEER_BACKOFF_SECONDS
 
-    def _rank(self, peer: Peer) -> tuple[float, bool, bool, bytes]:
+    def _rank(self, peer: Peer) -> tuple[float, float, bool, bool, bytes]:
         return (
             self._failed_peers.get(peer.name, 0.0),
+            self._slow_peers.get(peer.name, 0.0),
             not peer.is_live,
             peer.data_centre != self._data_centre,
             candidacy.hash_text(f"{self._name}/{peer.name}"),
@@ -189,3 +276,8 @@
     def end_relay(self) -> None:
         """Record that a peer's call has ended."""
         self.relayed_calls -= 1
+
+
+def _list_recent(times: dict[str, float], now: float) -> dict[str, float]:
+    """Return the times that are within the backoff of peers."""
+    return {name: at for name, at in times.items() if now - at < PEER_BACKOFF_SECONDS}
--- a/wigeonhitch/site/tests/test_relayedstore.py
+++ b/wigeonhitch/site/tests/test_relayedstore.py
@@ -19,7 +19,7 @@
 class Link:
     """A way to a store, direct or through a peer; ``fault`` answers in its place.
 
-    With the fault ``"silent"`` reads wait until they are abandoned.
+    With the fault `SILENT` calls wait for their timeout, reads until abandoned.
     """
 
     def __init__(self, store, fault=None):
@@ -33,12 +33,17 @@
 
     async def commit(self, change, *, timeout):
         self.calls.append("commit")
+        if self.fault is SILENT:
+            await anyio.sleep(timeout)
         if self.fault is not None:
             return rows.Change(*self.fault)
         return await self.store.commit(change, timeout=timeout)
 
     async def read(self, table, part, *, timeout, **bounds):
         self.calls.append("read")
+        if self.fault is SILENT:
+            with anyio.move_on_after(timeout):
+                await self._abandoned.wait()
         if self.fault is not None:
             outcome, _, _, reason = self.fault
             return rows.Range(outcome, reason=reason)
@@ -63,6 +68,7 @@
 
 DOWN = (NOT_DONE, 0, (), "down")
 TIMEOUT = (UNKNOWN, 0, (), "timeout")
+SILENT = (UNKNOWN, 0, (), "timeout after silence")
 GATEWAY_TIMEOUT = (UNKNOWN, 0, (), "status 504")
 STORE_LOST = (NOT_DONE, 0, (), "peer: store lost")
 
@@ -277,3 +283,54 @@
         group.cancel_scope.cancel()
 
     assert relayed_store.begin_relay() == ""
+
+
+async def test_silent_store_is_left_before_the_calls_time_out(
+    relayed_store, direct, peers, path, store
+):
+    """Guards against callers that wait for timeouts, and a transaction sent twice."""
+    direct.fault = SILENT
+    results = {}
+
+    async def commit():
+        results["commit"] = await relayed_store.commit(write(0), timeout=1.0)
+
+    async def read():
+        started_at = http.read_clock()
+        results["read"] = await relayed_store.read("t", "p", timeout=2.0)
+        results["read seconds"] = http.read_clock() - started_at
+
+    async with anyio.create_task_group() as runner:
+        runner.start_soon(relayed_store.run)
+        async with anyio.create_task_group() as group:
+            group.start_soon(commit)
+            group.start_soon(read)
+        assert path.is_relayed
+        runner.cancel_scope.cancel()
+
+    assert results["read"].outcome is DONE
+    assert 0.3 <= results["read seconds"] < 0.6
+    assert results["commit"].outcome is UNKNOWN
+    assert direct.calls.count("commit") == 1
+    assert not any("commit" in peer.calls for peer in peers.values())
+    assert store.version == 0
+
+
+async def test_waiting_feed_call_asks_no_peer(relayed_store, peers):
+    """Guards against a quiet daemon that takes the wait of its feeds for silence."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(relayed_store.run)
+        await relayed_store.follow("t", 0, wait=0.7, timeout=1.0)
+        group.cancel_scope.cancel()
+
+    assert not any(peer.calls for peer in peers.values())
+
+
+async def test_short_calls_of_peers_do_not_move_the_path(relayed_store, path):
+    """Guards against peers' probes that a slow store answers too late."""
+    for _ in range(3):
+        assert relayed_store.begin_relay() == ""
+        relayed_store.end_relay(rows.Service.UNANSWERED, http.read_clock() - 0.15)
+        await anyio.sleep(0.001)
+
+    assert not path.is_relayed
--- a/wigeonhitch/site/tests/test_storepath.py
+++ b/wigeonhitch/site/tests/test_storepath.py
@@ -144,3 +144,87 @@
     for sent in (10.0, 10.1):
         path.on_direct_call(REFUSED, sent, sent, PEERS)
     assert path.begin_relay() == "store lost"
+
+
+@pytest.fixture
+def silent_path(path):
+    """A path with a transaction that has had no answer since 10.0."""
+    path.on_direct_call(SERVED, 9.9, 9.904, PEERS)
+    path.begin_direct_call(10.0)
+    return path
+
+
+def probe_indirectly(path, start, end, service=SERVED, peers=PEERS):
+    """Read through a peer; return whether the path has changed, None without a read."""
+    peer = path.begin_indirect_probe(peers, start)
+    if peer is None:
+        return None
+    return path.on_indirect_probe(peer.name, service, end)
+
+
+def test_silent_path_is_left_once_a_peer_answers_promptly(silent_path):
+    """Guards against callers that wait for the timeout of their calls."""
+    assert silent_path.compute_indirect_probe_delay(10.1) == pytest.approx(0.2)
+    assert probe_indirectly(silent_path, 10.29, 10.3) is None
+
+    assert probe_indirectly(silent_path, 10.31, 10.32)
+    assert silent_path.choose_peer(PEERS, 10.33) is not None
+
+
+@pytest.mark.parametrize(
+    ("service", "end"), [(UNANSWERED, 10.46), (SERVED, 10.55), (REFUSED, 10.32)]
+)
+def test_late_or_refused_answer_of_a_peer_does_not_move_the_path(
+    silent_path, service, end
+):
+    """Guards against relayed calls while the store is slow, or down, for all."""
+    assert probe_indirectly(silent_path, 10.31, end, service) is False
+    assert not silent_path.is_relayed
+    assert silent_path.find_peer(PEERS, end) is not None
+
+
+def test_served_call_that_was_sent_later_clears_the_path(silent_path):
+    """Guards against a lost or long call that moves the path of a store that serves."""
+    silent_path.on_direct_call(SERVED, 10.01, 10.014, PEERS)
+
+    assert probe_indirectly(silent_path, 10.31, 10.32) is None
+
+
+def test_direct_answer_during_the_read_through_a_peer_keeps_the_path(silent_path):
+    """Guards against a daemon that takes its own pause for a silent store."""
+    peer = silent_path.begin_indirect_probe(PEERS, 10.31)
+    silent_path.on_direct_call(SERVED, 10.0, 10.311, PEERS)
+
+    assert not silent_path.on_indirect_probe(peer.name, SERVED, 10.32)
+
+
+def test_ended_calls_are_not_unanswered(path):
+    """Guards against reads through peers for calls that have failed or been served."""
+    path.end_direct_call(path.begin_direct_call(10.0))
+
+    assert probe_indirectly(path, 10.5, 10.51) is None
+
+
+def test_no_read_through_a_peer_without_a_peer_or_while_relayed(silent_path):
+    """Guards against additional calls that can't change the path."""
+    assert probe_indirectly(silent_path, 10.31, 10.32, peers=[]) is None
+    assert silent_path.compute_indirect_probe_delay(10.31) > 0.2
+    for sent in (10.4, 10.5):
+        silent_path.on_direct_call(REFUSED, sent, sent, PEERS)
+    assert silent_path.is_relayed
+    assert probe_indirectly(silent_path, 10.9, 10.91) is None
+
+
+def test_reads_through_peers_are_limited_and_go_to_one_peer_after_the_other(
+    silent_path,
+):
+    """Guards against load on a slow store, and against a peer that is silent itself."""
+    asked = []
+    for step in range(120):
+        now = 10.0 + step * 0.01
+        if peer := silent_path.begin_indirect_probe(PEERS, now):
+            asked.append(peer.name)
+            silent_path.on_indirect_probe(peer.name, UNANSWERED, now + 0.15)
+
+    assert 2 <= len(asked) <= 3
+    assert len(set(asked)) == len(asked)
