Count a call as lost that is abandoned just as its answer begins

Cause: a call whose deadline had passed, or that was abandoned when the path to the store became relayed, got a new deadline if its answer began before the cancellation reached it. The scope then swallowed the cancellation without a timeout. A read or feed call ended with an UnboundLocalError, which ended the daemon's task group, and a relayed call was reported as done with a part of its answer. Abandoning all waiting reads at once makes this likely.

Change: a deadline is extended only while its scope isn't cancelled.

Checked: two new cases fail without the change (one with the exception, one with outcome DONE) and pass with it; tests of http and relay pass.

--- a/wigeonhitch/platform/http.py
+++ b/wigeonhitch/platform/http.py
@@ -190,11 +190,11 @@
                 ) as response:
                     end_wait()
                     status = response.status
-                    scope.deadline = anyio.current_time() + max_idle
+                    _extend(scope, max_idle)
                     await sink.begin(status, response.headers)
                     async for part in response.content.iter_any():
                         await sink.add(part)
-                        scope.deadline = anyio.current_time() + max_idle
+                        _extend(scope, max_idle)
         except aiohttp.ClientConnectorError as error:
             return _fail(table.Outcome.NOT_DONE, f"connect: {error.strerror}", sent)
         except TimeoutError:
@@ -254,13 +254,23 @@
     if max_idle is None:
         return await response.read()
     parts = []
-    scope.deadline = anyio.current_time() + max_idle
+    _extend(scope, max_idle)
     async for part in response.content.iter_any():
         parts.append(part)
-        scope.deadline = anyio.current_time() + max_idle
+        _extend(scope, max_idle)
     return b"".join(parts)
 
 
+def _extend(scope: anyio.CancelScope, seconds: float) -> None:
+    """Move the deadline of a scope, unless it has been cancelled.
+
+    A scope that is cancelled just as bytes arrive ends at its next await, and counts as
+    timed out only if its deadline is in the past.
+    """
+    if not scope.cancel_called:
+        scope.deadline = anyio.current_time() + seconds
+
+
 def _parse(raw: bytes) -> Any:
     if not raw:
         return None
--- a/wigeonhitch/platform/tests/test_http.py
+++ b/wigeonhitch/platform/tests/test_http.py
@@ -1,5 +1,6 @@
 """Calls whose answers begin late, take long or stop."""
 
+import asyncio
 import contextlib
 
 import anyio
@@ -78,3 +79,57 @@
         feed = await store.follow("op", 3, wait=0.1, timeout=0.3)
 
     assert feed.reason == http.TIMEOUT_IN_TRANSFER
+
+
+class LateSession:
+    """A session whose answers begin in the same step as the reads are abandoned."""
+
+    status, headers = 200, {}
+    store = None
+
+    @contextlib.asynccontextmanager
+    async def request(self, *args, **settings):
+        begun = asyncio.get_running_loop().create_future()
+
+        def begin():
+            begun.set_result(None)
+            self.store.abandon_reads()
+
+        asyncio.get_running_loop().call_soon(begin)
+        await begun
+        yield self
+
+    @property
+    def content(self):
+        return self
+
+    async def iter_any(self):
+        await anyio.sleep(0.01)
+        yield BODY
+
+
+class Sink:
+    """Drops an answer."""
+
+    async def begin(self, status, headers):
+        pass
+
+    async def add(self, part):
+        pass
+
+
+@pytest.mark.parametrize("name", ["read", "forward"])
+async def test_answer_that_begins_as_its_call_is_abandoned_is_lost(name):
+    """Guards against an exception that ends the daemon, and a part taken as whole."""
+    session = LateSession()
+    session.store = rows.Rows(http.Client(session), "127.0.0.1:1")
+
+    if name == "read":
+        answer = await session.store.read("t", "p", timeout=1.0)
+    else:
+        answer = await session.store.forward(
+            rows.READ_PATH, "", b"", Sink(), timeout=1.0
+        )
+
+    assert answer.outcome is table.Outcome.UNKNOWN
+    assert answer.reason == http.TIMEOUT_IN_TRANSFER
