Take no address for a peer's that can't be encoded or has no valid port

Cause: the form that a member row's address was checked against admits hosts with empty or long labels, and brackets around anything. A call to such an address ends with a UnicodeError or ValueError from the resolver, not with an error of the network, and the exception ends the daemon's task group. With port 0 or above 65535 the call counts as unanswered, though nothing was sent.

Change: labels, ports and addresses of IPv6 are checked as the row is read.

--- a/wigeonhitch/leadership/record.py
+++ b/wigeonhitch/leadership/record.py
@@ -1,5 +1,6 @@
 """Row formats of members and owners, as compact JSON."""
 
+import ipaddress
 import re
 from typing import NamedTuple
 
@@ -25,9 +26,13 @@
 OWNER_TABLE = "owner"
 OWNER_KEY = "owner"
 
-ADDRESS_PATTERN = re.compile(r"[A-Za-z0-9.:\[\]-]+:[0-9]{1,5}")
-"""Form of the address of a peer: a call to another text would fail without an answer,
-though nothing was sent."""
+ADDRESS_PATTERN = re.compile(
+    r"(?:\[(?P<ipv6>[0-9A-Fa-f:.]+)\]|(?=.{1,253}:)[A-Za-z0-9-]{1,63}"
+    r"(?:\.[A-Za-z0-9-]{1,63})*):(?P<port>[0-9]{1,5})"
+)
+"""Form of the address of a peer. A call to another text would fail without an answer,
+though nothing was sent; the encoding of a host with an empty or long label raises an
+error that isn't one of the network."""
 
 
 class Member(NamedTuple):
@@ -98,7 +103,7 @@
     leaving, cores = row.get("leaving", False), row.get("cores", 1.0)
     since = row.get("since", 0.0)
     address, data_centre = row.get("address"), row.get("data_centre")
-    if not isinstance(address, str) or not ADDRESS_PATTERN.fullmatch(address):
+    if not isinstance(address, str) or not _is_address(address):
         address = ""
     if not isinstance(data_centre, str):
         data_centre = ""
@@ -115,6 +120,16 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    match = ADDRESS_PATTERN.fullmatch(text)
+    if match is None or not 0 < int(match["port"]) < 65536:
+        return False
+    try:
+        return match["ipv6"] is None or bool(ipaddress.IPv6Address(match["ipv6"]))
+    except ValueError:
+        return False
+
+
 def write_owner(owner: Owner) -> bytes:
     """Encode an owner as a row value."""
     row = {"name": owner.name, "life": owner.life, "epoch": owner.epoch}
--- a/wigeonhitch/leadership/tests/test_record.py
+++ b/wigeonhitch/leadership/tests/test_record.py
@@ -18,6 +18,11 @@
         {"address": "10.0.0.1"},
         {"address": "10.0.0.1:7100/path"},
         {"address": "user@host:7100 "},
+        {"address": "a..b:7100"},
+        {"address": f"{'x' * 64}:7100"},
+        {"address": "[::::]:7100"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:65536"},
     ],
 )
 def test_row_without_a_usable_address_names_no_peer(fields):
@@ -30,6 +35,16 @@
     assert leadership.list_peers() == []
 
 
+@pytest.mark.parametrize(
+    "address", ["10.0.0.1:7100", "entry-1.site:1", "[fd00::1]:65535"]
+)
+def test_usable_addresses_name_a_peer(address):
+    """Guards against a check that drops peers."""
+    row = orjson.dumps({**OLD, "address": address})
+
+    assert record.read_member("b", row, 7).address == address
+
+
 def test_renewal_names_the_address_only_where_calls_are_relayed():
     """Guards against rows that change where the part is inactive."""
     plain = core.Leadership("a", "life", 0.0).plan_renewal(0.0)
