Count an answer of another form from a peer as no answer

Cause: an answer with status 200 and a JSON object was read without a check of its fields. Only the store gave such answers before; the address of a peer that has gone, or whose listener couldn't bind, may be another program's. A missing version, or fields of other types, raised KeyError, TypeError or ValueError, which ended the daemon's task group.

Change: answers from peers are checked for the form that is read from them, and count as unanswered otherwise. Answers of the store are read as before.

Checked: of 7 bodies 6 raise an exception without the change, and one is taken for served with a text as its version. All 7 cases pass with it, as do the other tests of http and relay.

--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -367,6 +367,8 @@
         )
         if self._is_peer and reply.status == 404:  # not the listener of a peer
             return reply._replace(headers={REFUSED_HEADER: "unknown path"})
+        if self._is_peer and not _is_readable(path, reply):
+            return reply._replace(body=None)
         return reply
 
 
@@ -427,6 +429,27 @@
     return tuple(_read_row(fields) for fields in reply.body.get("rows", ()))
 
 
+def _is_readable(path: str, reply: http.Reply) -> bool:
+    """Return whether an answer has the form that is read from it.
+
+    Another program may have taken over the address of a peer.
+    """
+    body = reply.body
+    if not isinstance(body, dict):
+        return False
+    if path == PARTS_PATH:
+        names = body.get("parts", [])
+        return isinstance(names, list) and all(isinstance(name, str) for name in names)
+    try:
+        _read_time(reply)
+        versions = [row.version for row in _read_rows(reply)]
+    except (AttributeError, TypeError, ValueError):
+        return False
+    if reply.status == 200:
+        versions.append(body.get("ver", 0 if path == FOLLOW_PATH else None))
+    return all(isinstance(version, int) for version in versions)
+
+
 def _read_row(fields: dict[str, Any]) -> Row:
     value = fields.get("value")
     is_deleted = bool(fields.get("deleted")) or value is None
--- a/wigeonhitch/platform/tests/test_http.py
+++ b/wigeonhitch/platform/tests/test_http.py
@@ -23,7 +23,7 @@
         group = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(group.cancel_scope.cancel)
 
-        async def make(*paused_parts):
+        async def make(*paused_parts, is_peer=False):
             async def answer(stream):
                 async with stream:
                     await stream.receive()
@@ -40,7 +40,7 @@
             group.start_soon(serve)
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             client = await http.open_client(stack)
-            return rows.Rows(client, f"127.0.0.1:{port}")
+            return rows.Rows(client, f"127.0.0.1:{port}", is_peer)
 
         yield make
 
@@ -133,3 +133,33 @@
 
     assert answer.outcome is table.Outcome.UNKNOWN
     assert answer.reason == http.TIMEOUT_IN_TRANSFER
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{}",
+        b'{"ver": "x", "rows": []}',
+        b'{"ver": 7, "rows": 3}',
+        b'{"ver": 7, "rows": [4]}',
+        b'{"ver": 7, "rows": [{"value": "abcde"}]}',
+        b'{"ver": 7, "now_ms": "soon"}',
+        b'{"ver": 7, "parts": 3}',
+    ],
+)
+async def test_answer_of_another_form_from_a_peer_is_unknown(make_store, body):
+    """Guards against an exception that ends the daemon, as another program may have
+    taken over the address of a peer that has gone."""
+    transaction, place = rows.Transaction((), ()), ("t", "p")
+    calls = [
+        lambda peer: peer.commit(transaction, timeout=1.0),
+        lambda peer: peer.read(*place, timeout=1.0),
+        lambda peer: peer.follow("t", 3, wait=0.0, timeout=1.0),
+        lambda peer: peer.list_parts("t", timeout=1.0),
+    ]
+    outcomes = []
+    for call in calls:
+        peer = await make_store((0.0, HEAD % len(body) + body), is_peer=True)
+        outcomes.append(rows.classify(await call(peer)))
+
+    assert rows.Service.UNANSWERED in outcomes
