Count no call with little time left as a failure of its peer

Cause: a feed call that moves to a peer near the end of its time has as little as 0.02 s left. If the peer takes longer, it was counted as failed, and no call went to it for 1 s. Several feed calls that move at once could rule out several peers that serve, and calls then went to the silent store.

Change: a call that times out after less than 0.15 s isn't counted.

Checked: the new case fails without the change; tests of the relayed store and of the path pass with it.

--- a/wigeonhitch/site/relayedstore.py
+++ b/wigeonhitch/site/relayedstore.py
@@ -215,9 +215,17 @@
         call: Callable[[rows.RowStore, float], Awaitable[Any]],
         timeout: float,
     ) -> Any:
+        sent = http.read_clock()
         result = await call(self._get_client(peer), timeout)
-        service = rows.classify(result)
-        self._path.on_peer_call(peer.name, service, http.read_clock())
+        service, now = rows.classify(result), http.read_clock()
+        has_timed_out = (
+            service is rows.Service.UNANSWERED
+            and now - sent > timeout - MIN_REMAINING_SECONDS
+        )
+        if has_timed_out and timeout < storepath.MIN_PEER_TIMEOUT_SECONDS:
+            self._path.on_short_call(peer.name)
+        else:
+            self._path.on_peer_call(peer.name, service, now)
         self._count("requester", service.value)
         return result
 
--- a/wigeonhitch/site/storepath.py
+++ b/wigeonhitch/site/storepath.py
@@ -15,6 +15,7 @@
 __all__ = [
     "INDIRECT_PROBE_TIMEOUT_SECONDS",
     "MAX_RELAYED_CALLS",
+    "MIN_PEER_TIMEOUT_SECONDS",
     "PROBE_TIMEOUT_SECONDS",
     "Peer",
     "StorePath",
@@ -42,6 +43,10 @@
 PEER_BACKOFF_SECONDS = 1.0
 """Time for which a peer that has refused or not answered isn't asked."""
 
+MIN_PEER_TIMEOUT_SECONDS = 0.15
+"""Timeout of a call below which a missing answer isn't a failure of the peer: a feed
+call that is moved at the end of its time has as little as 0.02 s left."""
+
 MAX_REPEATS = 2
 """Maximum number of peers that are asked again within the backoff after a failure. It
 bounds the calls to peers while the store is down for all."""
@@ -246,6 +251,10 @@
         else:
             self._failed_peers[name] = now
 
+    def on_short_call(self, name: str) -> None:
+        """Record that a call with little time left had no answer from a peer."""
+        self._repeated.discard(name)
+
     def _is_usable(self, name: str, now: float) -> bool:
         failed_at = self._failed_peers.get(name)
         if failed_at is None or name in self._repeated:
--- a/wigeonhitch/site/tests/test_relayedstore.py
+++ b/wigeonhitch/site/tests/test_relayedstore.py
@@ -334,3 +334,24 @@
         await anyio.sleep(0.001)
 
     assert not path.is_relayed
+
+
+async def test_short_remaining_time_is_no_failure_of_a_peer(
+    relayed_store, direct, peers, path, monkeypatch
+):
+    """Guards against peers that are passed over since a call to them had no time."""
+    await lose_store(relayed_store, direct)
+    address = find_first_peer(path, peers)
+    peer, follow = peers[address], peers[address].follow
+
+    async def follow_late(table, after, *, wait, timeout):
+        if timeout < 0.06:  # a busy peer in another data centre
+            await anyio.sleep(timeout)
+            return rows.Feed(UNKNOWN, reason="timeout")
+        return await follow(table, after, wait=wait, timeout=timeout)
+
+    monkeypatch.setattr(peer, "follow", follow_late)
+    answer = await relayed_store.follow("t", 0, wait=0.0, timeout=0.05)
+
+    assert answer.outcome is UNKNOWN
+    assert find_first_peer(path, peers) == address
