Take no answer that is being received for a silent store

Cause: a direct call counted as silent until it had ended. A read that is received for more than 0.3 s, as a long document on a slow link or several pages, moved the path to a peer once that had answered its small read promptly, though the store serves. Feed calls in progress were then sent again, and calls of peers were refused, until the next direct probe was served.

Change: the row store reports when an answer begins. A call that was sent before the call of this answer isn't silent.

Checked: the new case over HTTP fails without the report and passes with it; 127 tests of http, relay, settings, path, relayed store and relayed daemon pass.

--- a/wigeonhitch/platform/http.py
+++ b/wigeonhitch/platform/http.py
@@ -95,6 +95,7 @@
         headers: Mapping[str, str] | None = None,
         max_idle: float | None = None,
         waiting: set[anyio.CancelScope] | None = None,
+        on_answer: Callable[[], None] | None = None,
     ) -> Reply:
         """Make one call.
 
@@ -109,6 +110,8 @@
         waiting : set of anyio.CancelScope, optional
             Holds the scope of the call until its answer begins. With ``max_idle``, a
             scope whose deadline is set to the past ends the call as a timeout does.
+        on_answer : callable, optional
+            Called when the answer begins.
         """
         self.calls += 1
         data = None if body is None else orjson.dumps(body)
@@ -131,6 +134,8 @@
                 ) as response:
                     has_begun = True
                     end_wait()
+                    if on_answer is not None:
+                        on_answer()
                     raw = await _receive(response, scope, max_idle)
                     parsed = _parse(raw)
                     status, answered = response.status, response.headers
--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -8,6 +8,7 @@
 import base64
 import enum
 import math
+from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
 import anyio
@@ -221,6 +222,11 @@
         Address of the store or of a peer.
     is_peer : bool
         Whether the address is that of a peer, which is told the timeout of each call.
+
+    Attributes
+    ----------
+    on_answer : list of callable
+        Called with the send time of a call when its answer begins.
     """
 
     def __init__(
@@ -230,6 +236,7 @@
         self._address = address
         self._is_peer = is_peer
         self._waiting_reads: set[anyio.CancelScope] = set()
+        self.on_answer: list[Callable[[float], None]] = []
 
     def abandon_reads(self) -> None:
         """End the reads and feed calls whose answers have not begun, as timed out."""
@@ -354,6 +361,12 @@
         method = METHODS[path]
         is_read = method == "GET"
         headers = {TIMEOUT_HEADER: str(int(timeout * 1000))} if self._is_peer else None
+        sent = http.read_clock()
+
+        def notify() -> None:
+            for listener in self.on_answer:
+                listener(sent)
+
         reply = await self._client.call(
             method,
             self._address,
@@ -364,6 +377,7 @@
             headers=headers,
             max_idle=MAX_IDLE_SECONDS if is_read else None,
             waiting=self._waiting_reads if is_read else None,
+            on_answer=notify if self.on_answer else None,
         )
         if self._is_peer and reply.status == 404:  # not the listener of a peer
             return reply._replace(headers={REFUSED_HEADER: "unknown path"})
--- a/wigeonhitch/site/main.py
+++ b/wigeonhitch/site/main.py
@@ -56,16 +56,19 @@
     async with contextlib.AsyncExitStack() as stack:
         client = await http.open_client(stack)
         instruments = metric.Instruments()
+        store = rows.Rows(client, settings.store)
         site_daemon = daemon.Daemon(
             settings,
             life,
-            rows.Rows(client, settings.store),
+            store,
             workers.Workers(client),
             advice.Advice(client, settings.advice),
             fleet.Fleet(client, settings.fleet),
             instruments,
             lambda address: rows.Rows(client, address, is_peer=True),
         )
+        if site_daemon.relayed_store is not None:
+            store.on_answer.append(site_daemon.relayed_store.on_answer)
         # Relayed calls have connections of their own to the store.
         relay_client = await http.open_client(stack, storepath.MAX_RELAYED_CALLS)
         relay_store = rows.Rows(relay_client, settings.store)
--- a/wigeonhitch/site/relayedstore.py
+++ b/wigeonhitch/site/relayedstore.py
@@ -120,6 +120,10 @@
 
     # -- calls of this daemon
 
+    def on_answer(self, sent: float) -> None:
+        """Record that the answer of a direct call begins."""
+        self._path.on_answer(sent)
+
     async def commit(self, change: rows.Transaction, *, timeout: float) -> rows.Change:
         """Make one attempt; an ``UNKNOWN`` one may still be applied seconds later."""
         return await self._attempt(
--- a/wigeonhitch/site/storepath.py
+++ b/wigeonhitch/site/storepath.py
@@ -95,6 +95,8 @@
         self._data_centre = data_centre
         self._last_served_at = 0.0
         """Send time of the newest direct call that was served."""
+        self._last_answered_at = 0.0
+        """Send time of the newest direct call whose answer has begun, of any status."""
         self._failure: _Failure | None = None
         self._relayed_at = 0.0
         self._probed_at = 0.0
@@ -165,6 +167,10 @@
         """Record that a numbered call has ended, or was cancelled."""
         del self._calls[number]
 
+    def on_answer(self, sent: float) -> None:
+        """Record that the answer of a direct call begins; a long one takes seconds."""
+        self._last_answered_at = max(self._last_answered_at, sent)
+
     def begin_probe(self, now: float) -> None:
         """Record that a probe is sent."""
         self._probed_at = now
@@ -208,15 +214,15 @@
         self.on_peer_call(name, service, now)
         if service is not rows.Service.SERVED or self.is_relayed:
             return False
-        if self._last_served_at >= self._silent_since:
+        if max(self._last_served_at, self._last_answered_at) >= self._silent_since:
             return False
         self._leave_direct(now)
         return True
 
     def _find_unanswered(self) -> float | None:
-        """Return when the oldest call was sent that no served call has followed."""
-        last_served_at = self._last_served_at
-        return next((at for at in self._calls.values() if at > last_served_at), None)
+        """Return when the oldest call was sent that no answered call has followed."""
+        answered_at = max(self._last_served_at, self._last_answered_at)
+        return next((at for at in self._calls.values() if at > answered_at), None)
 
     # -- calls through peers
 
--- a/wigeonhitch/site/tests/test_relayedstore.py
+++ b/wigeonhitch/site/tests/test_relayedstore.py
@@ -355,3 +355,36 @@
 
     assert answer.outcome is UNKNOWN
     assert find_first_peer(path, peers) == address
+
+
+async def test_long_transfer_of_an_answer_does_not_move_the_path(store, peers):
+    """Guards against a read of a long document that is taken for a silent store."""
+    body = b'{"rows": [], "ver": 7, "now_ms": 5}'
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+    async def answer(stream):
+        async with stream:
+            await stream.receive()
+            for part in (head, body[:9], body[9:18], body[18:]):
+                await stream.send(part)
+                await anyio.sleep(0.25)
+
+    async with contextlib.AsyncExitStack() as stack:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        group = await stack.enter_async_context(anyio.create_task_group())
+        group.start_soon(listener.serve, answer)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        direct = rows.Rows(await http.open_client(stack), f"127.0.0.1:{port}")
+        known = [storepath.Peer(address[0], address, "dc") for address in peers]
+        path = storepath.StorePath("a", "dc")
+        relayed_store = relayedstore.RelayedStore(
+            "a", path, direct, peers.__getitem__, lambda: known, metric.Instruments()
+        )
+        direct.on_answer.append(relayed_store.on_answer)
+        group.start_soon(relayed_store.run)
+        result = await relayed_store.read("t", "p", timeout=1.0)
+        group.cancel_scope.cancel()
+
+    assert (result.outcome, result.version) == (DONE, 7)
+    assert not path.is_relayed
+    assert not any(peer.calls for peer in peers.values())
