Count 401, 403 and 405 at a peer's address as a refusal

Cause: only 404 told a server that isn't the listener of a peer. Any other status of 400 to 499 counts as served, so a daemon without the store stayed with a program at the peer's address that answers 401, 403 or 405, and each renewal failed there until the store returned. The next peer wasn't asked.

Change: these statuses count like 404. Rejections of a call by its content (400, 410, 412, 413) count as served, as before. The test of the 404 now has all four statuses.

Checked: three of its four cases fail without the change; 39 tests of relay, http and the relayed store pass.

--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -53,6 +53,9 @@
 REFUSED_HEADER = "Relay-Refused"
 """Header of a peer's answer: why the peer has sent nothing to the store."""
 
+FOREIGN_STATUSES = (401, 403, 404, 405)
+"""Statuses by which a server that isn't the listener of a peer rejects a call: it knows
+neither the path nor the sender. No row of the store is read or written then."""
 
 MAX_IDLE_SECONDS = 1.0
 """Time without further bytes after which an answer that has begun counts as lost: a
@@ -379,7 +382,7 @@
             waiting=self._waiting_reads if is_read else None,
             on_answer=notify if self.on_answer else None,
         )
-        if self._is_peer and reply.status == 404:  # not the listener of a peer
+        if self._is_peer and reply.status in FOREIGN_STATUSES:
             return reply._replace(headers={REFUSED_HEADER: "unknown path"})
         if self._is_peer and not _is_readable(path, reply):
             return reply._replace(body=None)
--- a/wigeonhitch/platform/tests/test_relay.py
+++ b/wigeonhitch/platform/tests/test_relay.py
@@ -185,10 +185,14 @@
     assert (await peer.read("t", "p", timeout=1.0)).outcome is table.Outcome.UNKNOWN
 
 
-async def test_other_server_at_the_address_counts_as_refusal(relayed):
+@pytest.mark.parametrize(
+    "status",
+    [b"401 Unauthorized", b"403 Forbidden", b"404 Not Found", b"405 Not Allowed"],
+)
+async def test_other_server_at_the_address_counts_as_refusal(relayed, status):
     """Guards against a port that another program has taken over."""
     store, _, client, _, listener = relayed
-    store.answer = ANSWER % (b"404 Not Found", 0)
+    store.answer = ANSWER % (status, 0)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     peer = rows.Rows(client, f"127.0.0.1:{port}", is_peer=True)
 
