Read directly before a silent path is left

Cause: a transaction without an answer for 0.3 s and a prompt read through a peer moved the path, though a transaction takes longer than a read. With a store whose transactions took 0.6 s and reads 4 ms, the path changed 10 times in 3.5 s: each time reads and feed calls in progress were sent again, and peers' calls refused.

Change: after the peer's prompt answer the same read is sent directly. If it is served within 0.15 s, the path stays. A path that is silent is left up to 0.15 s later than before.

--- a/wigeonhitch/site/relayedstore.py
+++ b/wigeonhitch/site/relayedstore.py
@@ -115,9 +115,25 @@
             service = rows.classify(result)
         self._count("requester", service.value)
         now = http.read_clock()
+        if service is rows.Service.SERVED:
+            await self._read_own_row()
         if self._path.on_indirect_probe(peer.name, service, now):
             self._on_path_relayed("silent", peers, now)
 
+    async def _read_own_row(self) -> None:
+        """Read directly what a peer has read, in the same time.
+
+        A transaction takes longer than a read: with a store that is slow for all, it
+        may have no answer yet while reads are prompt on both paths.
+        """
+        sent = http.read_clock()
+        timeout = storepath.INDIRECT_PROBE_TIMEOUT_SECONDS
+        table_name, name = leader_record.MEMBER_TABLE, self._name
+        with anyio.move_on_after(timeout):
+            result = await self._direct.read(table_name, name, timeout=timeout)
+            if rows.classify(result) is rows.Service.SERVED:
+                self._record_direct(rows.Service.SERVED, "", sent)
+
     # -- calls of this daemon
 
     def on_answer(self, sent: float) -> None:
--- a/wigeonhitch/site/tests/test_relayedstore.py
+++ b/wigeonhitch/site/tests/test_relayedstore.py
@@ -388,3 +388,26 @@
     assert (result.outcome, result.version) == (DONE, 7)
     assert not path.is_relayed
     assert not any(peer.calls for peer in peers.values())
+
+
+async def test_slow_transactions_do_not_move_the_path_of_prompt_reads(
+    relayed_store, direct, peers, path, monkeypatch
+):
+    """Guards against a path that changes with each transaction of a slow store."""
+    commit = direct.commit
+
+    async def commit_slowly(change, *, timeout):
+        await anyio.sleep(0.6)
+        return await commit(change, timeout=timeout)
+
+    monkeypatch.setattr(direct, "commit", commit_slowly)
+    moves = []
+    relayed_store.on_relayed.append(lambda: moves.append(1))
+    async with anyio.create_task_group() as group:
+        group.start_soon(relayed_store.run)
+        for version in range(2):
+            change = await relayed_store.commit(write(version), timeout=0.9)
+            assert change.outcome is DONE
+        group.cancel_scope.cancel()
+
+    assert not moves
