--- a/wigeonhitch/platform/http.py
+++ b/wigeonhitch/platform/http.py
@@ -95,6 +95,7 @@
         headers: Mapping[str, str] | None = None,
         max_idle: float | None = None,
         waiting: set[anyio.CancelScope] | None = None,
+        on_answer: Callable[[], None] | None = None,
     ) -> Reply:
         """Make one call.
 
@@ -109,6 +110,8 @@
         waiting : set of anyio.CancelScope, optional
             Holds the scope of the call until its answer begins. With ``max_idle``, a
             scope whose deadline is set to the past ends the call as a timeout does.
+        on_answer : callable, optional
+            Called when the answer begins.
         """
         self.calls += 1
         data = None if body is None else orjson.dumps(body)
@@ -131,6 +134,8 @@
                 ) as response:
                     has_begun = True
                     end_wait()
+                    if on_answer is not None:
+                        on_answer()
                     raw = await _receive(response, scope, max_idle)
                     parsed = _parse(raw)
                     status, answered = response.status, response.headers
@@ -190,11 +195,11 @@
                 ) as response:
                     end_wait()
                     status = response.status
-                    scope.deadline = anyio.current_time() + max_idle
+                    _extend(scope, max_idle)
                     await sink.begin(status, response.headers)
                     async for part in response.content.iter_any():
                         await sink.add(part)
-                        scope.deadline = anyio.current_time() + max_idle
+                        _extend(scope, max_idle)
         except aiohttp.ClientConnectorError as error:
             return _fail(table.Outcome.NOT_DONE, f"connect: {error.strerror}", sent)
         except TimeoutError:
@@ -254,13 +259,23 @@
     if max_idle is None:
         return await response.read()
     parts = []
-    scope.deadline = anyio.current_time() + max_idle
+    _extend(scope, max_idle)
     async for part in response.content.iter_any():
         parts.append(part)
-        scope.deadline = anyio.current_time() + max_idle
+        _extend(scope, max_idle)
     return b"".join(parts)
 
 
+def _extend(scope: anyio.CancelScope, seconds: float) -> None:
+    """Move the deadline of a scope, unless it has been cancelled.
+
+    A scope that is cancelled just as bytes arrive ends at its next await, and counts as
+    timed out only if its deadline is in the past.
+    """
+    if not scope.cancel_called:
+        scope.deadline = anyio.current_time() + seconds
+
+
 def _parse(raw: bytes) -> Any:
     if not raw:
         return None
--- a/wigeonhitch/platform/rows.py
+++ b/wigeonhitch/platform/rows.py
@@ -8,6 +8,7 @@
 import base64
 import enum
 import math
+from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
 import anyio
@@ -52,6 +53,9 @@
 REFUSED_HEADER = "Relay-Refused"
 """Header of a peer's answer: why the peer has sent nothing to the store."""
 
+FOREIGN_STATUSES = (401, 403, 404, 405)
+"""Statuses by which a server that isn't the listener of a peer rejects a call: it knows
+neither the path nor the sender. No row of the store is read or written then."""
 
 MAX_IDLE_SECONDS = 1.0
 """Time without further bytes after which an answer that has begun counts as lost: a
@@ -221,6 +225,11 @@
         Address of the store or of a peer.
     is_peer : bool
         Whether the address is that of a peer, which is told the timeout of each call.
+
+    Attributes
+    ----------
+    on_answer : list of callable
+        Called with the send time of a call when its answer begins.
     """
 
     def __init__(
@@ -230,6 +239,7 @@
         self._address = address
         self._is_peer = is_peer
         self._waiting_reads: set[anyio.CancelScope] = set()
+        self.on_answer: list[Callable[[float], None]] = []
 
     def abandon_reads(self) -> None:
         """End the reads and feed calls whose answers have not begun, as timed out."""
@@ -354,6 +364,12 @@
         method = METHODS[path]
         is_read = method == "GET"
         headers = {TIMEOUT_HEADER: str(int(timeout * 1000))} if self._is_peer else None
+        sent = http.read_clock()
+
+        def notify() -> None:
+            for listener in self.on_answer:
+                listener(sent)
+
         reply = await self._client.call(
             method,
             self._address,
@@ -364,9 +380,12 @@
             headers=headers,
             max_idle=MAX_IDLE_SECONDS if is_read else None,
             waiting=self._waiting_reads if is_read else None,
+            on_answer=notify if self.on_answer else None,
         )
-        if self._is_peer and reply.status == 404:  # not the listener of a peer
+        if self._is_peer and reply.status in FOREIGN_STATUSES:
             return reply._replace(headers={REFUSED_HEADER: "unknown path"})
+        if self._is_peer and not _is_readable(path, reply):
+            return reply._replace(body=None)
         return reply
 
 
@@ -427,6 +446,27 @@
     return tuple(_read_row(fields) for fields in reply.body.get("rows", ()))
 
 
+def _is_readable(path: str, reply: http.Reply) -> bool:
+    """Return whether an answer has the form that is read from it.
+
+    Another program may have taken over the address of a peer.
+    """
+    body = reply.body
+    if not isinstance(body, dict):
+        return False
+    if path == PARTS_PATH:
+        names = body.get("parts", [])
+        return isinstance(names, list) and all(isinstance(name, str) for name in names)
+    try:
+        _read_time(reply)
+        versions = [row.version for row in _read_rows(reply)]
+    except (AttributeError, TypeError, ValueError):
+        return False
+    if reply.status == 200:
+        versions.append(body.get("ver", 0 if path == FOLLOW_PATH else None))
+    return all(isinstance(version, int) for version in versions)
+
+
 def _read_row(fields: dict[str, Any]) -> Row:
     value = fields.get("value")
     is_deleted = bool(fields.get("deleted")) or value is None
--- a/wigeonhitch/platform/tests/test_http.py
+++ b/wigeonhitch/platform/tests/test_http.py
@@ -1,5 +1,6 @@
 """Calls whose answers begin late, take long or stop."""
 
+import asyncio
 import contextlib
 
 import anyio
@@ -22,7 +23,7 @@
         group = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(group.cancel_scope.cancel)
 
-        async def make(*paused_parts):
+        async def make(*paused_parts, is_peer=False):
             async def answer(stream):
                 async with stream:
                     await stream.receive()
@@ -39,7 +40,7 @@
             group.start_soon(serve)
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             client = await http.open_client(stack)
-            return rows.Rows(client, f"127.0.0.1:{port}")
+            return rows.Rows(client, f"127.0.0.1:{port}", is_peer)
 
         yield make
 
@@ -78,3 +79,87 @@
         feed = await store.follow("op", 3, wait=0.1, timeout=0.3)
 
     assert feed.reason == http.TIMEOUT_IN_TRANSFER
+
+
+class LateSession:
+    """A session whose answers begin in the same step as the reads are abandoned."""
+
+    status, headers = 200, {}
+    store = None
+
+    @contextlib.asynccontextmanager
+    async def request(self, *args, **settings):
+        begun = asyncio.get_running_loop().create_future()
+
+        def begin():
+            begun.set_result(None)
+            self.store.abandon_reads()
+
+        asyncio.get_running_loop().call_soon(begin)
+        await begun
+        yield self
+
+    @property
+    def content(self):
+        return self
+
+    async def iter_any(self):
+        await anyio.sleep(0.01)
+        yield BODY
+
+
+class Sink:
+    """Drops an answer."""
+
+    async def begin(self, status, headers):
+        pass
+
+    async def add(self, part):
+        pass
+
+
+@pytest.mark.parametrize("name", ["read", "forward"])
+async def test_answer_that_begins_as_its_call_is_abandoned_is_lost(name):
+    """Guards against an exception that ends the daemon, and a part taken as whole."""
+    session = LateSession()
+    session.store = rows.Rows(http.Client(session), "127.0.0.1:1")
+
+    if name == "read":
+        answer = await session.store.read("t", "p", timeout=1.0)
+    else:
+        answer = await session.store.forward(
+            rows.READ_PATH, "", b"", Sink(), timeout=1.0
+        )
+
+    assert answer.outcome is table.Outcome.UNKNOWN
+    assert answer.reason == http.TIMEOUT_IN_TRANSFER
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{}",
+        b'{"ver": "x", "rows": []}',
+        b'{"ver": 7, "rows": 3}',
+        b'{"ver": 7, "rows": [4]}',
+        b'{"ver": 7, "rows": [{"value": "abcde"}]}',
+        b'{"ver": 7, "now_ms": "soon"}',
+        b'{"ver": 7, "parts": 3}',
+    ],
+)
+async def test_answer_of_another_form_from_a_peer_is_unknown(make_store, body):
+    """Guards against an exception that ends the daemon, as another program may have
+    taken over the address of a peer that has gone."""
+    transaction, place = rows.Transaction((), ()), ("t", "p")
+    calls = [
+        lambda peer: peer.commit(transaction, timeout=1.0),
+        lambda peer: peer.read(*place, timeout=1.0),
+        lambda peer: peer.follow("t", 3, wait=0.0, timeout=1.0),
+        lambda peer: peer.list_parts("t", timeout=1.0),
+    ]
+    outcomes = []
+    for call in calls:
+        peer = await make_store((0.0, HEAD % len(body) + body), is_peer=True)
+        outcomes.append(rows.classify(await call(peer)))
+
+    assert rows.Service.UNANSWERED in outcomes
--- a/wigeonhitch/site/storepath.py
+++ b/wigeonhitch/site/storepath.py
@@ -15,6 +15,7 @@
 __all__ = [
     "INDIRECT_PROBE_TIMEOUT_SECONDS",
     "MAX_RELAYED_CALLS",
+    "MIN_PEER_TIMEOUT_SECONDS",
     "PROBE_TIMEOUT_SECONDS",
     "Peer",
     "StorePath",
@@ -42,6 +43,10 @@
 PEER_BACKOFF_SECONDS = 1.0
 """Time for which a peer that has refused or not answered isn't asked."""
 
+MIN_PEER_TIMEOUT_SECONDS = 0.15
+"""Timeout of a call below which a missing answer isn't a failure of the peer: a feed
+call that is moved at the end of its time has as little as 0.02 s left."""
+
 MAX_REPEATS = 2
 """Maximum number of peers that are asked again within the backoff after a failure. It
 bounds the calls to peers while the store is down for all."""
@@ -90,6 +95,8 @@
         self._data_centre = data_centre
         self._last_served_at = 0.0
         """Send time of the newest direct call that was served."""
+        self._last_answered_at = 0.0
+        """Send time of the newest direct call whose answer has begun, of any status."""
         self._failure: _Failure | None = None
         self._relayed_at = 0.0
         self._probed_at = 0.0
@@ -160,6 +167,10 @@
         """Record that a numbered call has ended, or was cancelled."""
         del self._calls[number]
 
+    def on_answer(self, sent: float) -> None:
+        """Record that the answer of a direct call begins; a long one takes seconds."""
+        self._last_answered_at = max(self._last_answered_at, sent)
+
     def begin_probe(self, now: float) -> None:
         """Record that a probe is sent."""
         self._probed_at = now
@@ -203,15 +214,15 @@
         self.on_peer_call(name, service, now)
         if service is not rows.Service.SERVED or self.is_relayed:
             return False
-        if self._last_served_at >= self._silent_since:
+        if max(self._last_served_at, self._last_answered_at) >= self._silent_since:
             return False
         self._leave_direct(now)
         return True
 
     def _find_unanswered(self) -> float | None:
-        """Return when the oldest call was sent that no served call has followed."""
-        last_served_at = self._last_served_at
-        return next((at for at in self._calls.values() if at > last_served_at), None)
+        """Return when the oldest call was sent that no answered call has followed."""
+        answered_at = max(self._last_served_at, self._last_answered_at)
+        return next((at for at in self._calls.values() if at > answered_at), None)
 
     # -- calls through peers
 
@@ -246,6 +257,10 @@
         else:
             self._failed_peers[name] = now
 
+    def on_short_call(self, name: str) -> None:
+        """Record that a call with little time left had no answer from a peer."""
+        self._repeated.discard(name)
+
     def _is_usable(self, name: str, now: float) -> bool:
         failed_at = self._failed_peers.get(name)
         if failed_at is None or name in self._repeated:
--- a/wigeonhitch/site/tests/test_relayedstore.py
+++ b/wigeonhitch/site/tests/test_relayedstore.py
@@ -334,3 +334,80 @@
         await anyio.sleep(0.001)
 
     assert not path.is_relayed
+
+
+async def test_short_remaining_time_is_no_failure_of_a_peer(
+    relayed_store, direct, peers, path, monkeypatch
+):
+    """Guards against peers that are passed over since a call to them had no time."""
+    await lose_store(relayed_store, direct)
+    address = find_first_peer(path, peers)
+    peer, follow = peers[address], peers[address].follow
+
+    async def follow_late(table, after, *, wait, timeout):
+        if timeout < 0.06:  # a busy peer in another data centre
+            await anyio.sleep(timeout)
+            return rows.Feed(UNKNOWN, reason="timeout")
+        return await follow(table, after, wait=wait, timeout=timeout)
+
+    monkeypatch.setattr(peer, "follow", follow_late)
+    answer = await relayed_store.follow("t", 0, wait=0.0, timeout=0.05)
+
+    assert answer.outcome is UNKNOWN
+    assert find_first_peer(path, peers) == address
+
+
+async def test_long_transfer_of_an_answer_does_not_move_the_path(store, peers):
+    """Guards against a read of a long document that is taken for a silent store."""
+    body = b'{"rows": [], "ver": 7, "now_ms": 5}'
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+    async def answer(stream):
+        async with stream:
+            await stream.receive()
+            for part in (head, body[:9], body[9:18], body[18:]):
+                await stream.send(part)
+                await anyio.sleep(0.25)
+
+    async with contextlib.AsyncExitStack() as stack:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        group = await stack.enter_async_context(anyio.create_task_group())
+        group.start_soon(listener.serve, answer)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        direct = rows.Rows(await http.open_client(stack), f"127.0.0.1:{port}")
+        known = [storepath.Peer(address[0], address, "dc") for address in peers]
+        path = storepath.StorePath("a", "dc")
+        relayed_store = relayedstore.RelayedStore(
+            "a", path, direct, peers.__getitem__, lambda: known, metric.Instruments()
+        )
+        direct.on_answer.append(relayed_store.on_answer)
+        group.start_soon(relayed_store.run)
+        result = await relayed_store.read("t", "p", timeout=1.0)
+        group.cancel_scope.cancel()
+
+    assert (result.outcome, result.version) == (DONE, 7)
+    assert not path.is_relayed
+    assert not any(peer.calls for peer in peers.values())
+
+
+async def test_slow_transactions_do_not_move_the_path_of_prompt_reads(
+    relayed_store, direct, peers, path, monkeypatch
+):
+    """Guards against a path that changes with each transaction of a slow store."""
+    commit = direct.commit
+
+    async def commit_slowly(change, *, timeout):
+        await anyio.sleep(0.6)
+        return await commit(change, timeout=timeout)
+
+    monkeypatch.setattr(direct, "commit", commit_slowly)
+    moves = []
+    relayed_store.on_relayed.append(lambda: moves.append(1))
+    async with anyio.create_task_group() as group:
+        group.start_soon(relayed_store.run)
+        for version in range(2):
+            change = await relayed_store.commit(write(version), timeout=0.9)
+            assert change.outcome is DONE
+        group.cancel_scope.cancel()
+
+    assert not moves
