Share a full pool between teams by weighted fair queueing

In a full pool, jobs of teams that used less of their ceiling at the moment went first, so a job fell behind the others as soon as it ran, and the weights of teams had no effect.

Jobs of teams with keys now get start and finish tags on arrival (pool/fairness.py), and the buckets of the finish tags order the teams within one group and priority. Within a team jobs go by value as before, and one that was overtaken by 10 s of the whole pool goes first. What teams have used in advance outlives the leader in the field lag of the status row. Without teams with keys all buckets are 0 and the status has no such field. The order by usage level is removed with its code.

Changed test: test_team_that_floods_a_full_pool_goes_after_the_others has the same checks. Its teams now have keys, since the new order applies only to those, and the ids of the flooding team sort before the other's. With the old ids the test passed without any order of teams, by the tie-break on ids. The checks of ceilings are unchanged.

Load in a real deployment was not measured.

--- a/wigeonhitch/jobs/model.py
+++ b/wigeonhitch/jobs/model.py
@@ -254,8 +254,8 @@
     """One team of callers of the configuration in force.
 
     ``ceiling`` is the most that the team may have running in all pools together; a
-    resource of 0 is unlimited. ``weight`` is its configured share of capacity that is
-    contended for; no decision uses it yet.
+    resource of 0 is unlimited. ``weight`` is its part, relative to the other teams, of
+    capacity that is contended for.
     """
 
     name: str
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -8,7 +8,6 @@
 
 import collections
 import math
-from collections.abc import Mapping
 
 from wigeonhitch.jobs import model, progress
 from wigeonhitch.platform import advice, workers
@@ -57,6 +56,8 @@
         self._next_due: dict[str, float] = {}
         self._sort_inputs: dict[str, priority.SortInputs] = {}
         self._next_scan = 0.0
+        self._has_waiting = False
+        """Whether a task waits that could run if there was room or a share."""
         self._missing_vms = 0
         """Further VMs that lasting tasks need because of their spread limit."""
         self._orphaned_tasks: frozenset[model.Task] = frozenset()
@@ -139,6 +140,7 @@
             if state is None:
                 continue
             if state.cancelled or state.final is not None:
+                self.pool.fair_queue.on_job_ended(id, is_unused=not state.started)
                 self._finalize_cancelled(state)
                 continue
             self._open_tasks[id] = list(state.list_open_tasks(wall_time))
@@ -256,21 +258,30 @@
             if not self.pool.suspects.has_doubtful_crash(task):
                 self.pool.give_up(task)
         self._place_tests(placer, now, starts)
-        levels = self.pool.quotas.compute_usage_levels()
-        keyed = [
-            (self._get_key(id, wall_time, levels), id)
+        self._has_waiting = False
+        keys = {
+            id: self._get_key(id, wall_time)
             for id, tasks in self._open_tasks.items()
             if tasks
+        }
+        buckets = self.pool.fair_queue.compute_buckets(keys)
+        keyed = [
+            (key._replace(bucket=buckets.get(id, 0)), id) for id, key in keys.items()
         ]
         for key, id in sorted(keyed):
             state = self.pool.jobs[id]
-            if state.final is not None or self.pool.may_have_run(state):
+            if state.final is not None:
+                continue
+            if self.pool.may_have_run(state):
+                self._has_waiting = True
                 continue
             unmet = self._place_job(placer, state, now, starts)
             if key.group <= priority.ON_TIME:
                 self.unmet += unmet
         self._place_tests(placer, now, starts, are_others_placed=True)
         self.unmet = max(self.unmet, self._missing_vms * self._get_largest_vm_cpu())
+        if not self._has_waiting:
+            self.pool.fair_queue.on_no_waiting()
         return starts
 
     def _place_tests(
@@ -302,14 +313,9 @@
         """Return whether a task has neither a live nor an orphaned run."""
         return task not in self.pool.live and task not in self._orphaned_tasks
 
-    def _get_key(
-        self, id: str, wall_time: float, levels: Mapping[str, int]
-    ) -> priority.SortKey:
-        job = self.pool.jobs[id].job
-        mean_work = self.pool.get_mean_work(job.queue)
-        return priority.compute_sort_key(
-            self._sort_inputs[id], wall_time, mean_work, levels.get(job.team, 0)
-        )
+    def _get_key(self, id: str, wall_time: float) -> priority.SortKey:
+        mean_work = self.pool.get_mean_work(self.pool.jobs[id].job.queue)
+        return priority.compute_sort_key(self._sort_inputs[id], wall_time, mean_work)
 
     def _place_job(
         self,
@@ -363,6 +369,7 @@
             if step.gang:
                 if task.index == 0:
                     self._place_gang(placer, state, task, now, starts)
+                    self._has_waiting |= self._is_free(task)
                 continue
             start = self._place_task(placer, state, task, now)
             if start is not None:
@@ -371,6 +378,7 @@
             full_steps.add(group)
             unplaced[task.step] += 1
             unmet += step.reserved.cpu
+        self._has_waiting |= bool(unplaced or waiting)
         for number, count in waiting.items():
             self._request_quota(state, state.job.steps[number].room.times(count))
         self._record_missing_vms(state, unplaced)
--- a/wigeonhitch/pool/priority.py
+++ b/wigeonhitch/pool/priority.py
@@ -36,8 +36,8 @@
 
     group: int
     priority: int
-    usage_level: int
-    """Level of what the job's team runs, relative to its ceiling."""
+    bucket: int
+    """Bucket of the job's finish tag among the teams; see `fairness`."""
     cost: float
     """Core-seconds per unit of value."""
     accepted: float
@@ -94,10 +94,8 @@
     )
 
 
-def compute_sort_key(
-    inputs: SortInputs, wall_time: float, mean_work: float, usage_level: int = 0
-) -> SortKey:
-    """Return the sort key of a job at a Unix time."""
+def compute_sort_key(inputs: SortInputs, wall_time: float, mean_work: float) -> SortKey:
+    """Return the sort key of a job at a Unix time, in the first bucket."""
     if inputs.is_lasting:
         return SortKey(LASTING, inputs.priority, 0, 0.0, inputs.accepted)
     cost = inputs.work_left / compute_value(inputs.work, mean_work)
@@ -107,7 +105,7 @@
         group = ON_TIME
     elif end <= inputs.expiry:
         group = LATE
-    return SortKey(group, inputs.priority, usage_level, cost, inputs.accepted)
+    return SortKey(group, inputs.priority, 0, cost, inputs.accepted)
 
 
 def _compute_work_left(state: progress.Progress) -> float:
--- a/wigeonhitch/pool/quota.py
+++ b/wigeonhitch/pool/quota.py
@@ -48,10 +48,6 @@
 REFRESH_SECONDS = 0.1
 """Time between reads of the rows while a task waits for a ceiling."""
 
-USAGE_LEVELS = 8
-"""Levels into which a ceiling is divided. Within a level jobs go by their value, so
-that small differences between teams don't decide."""
-
 NOTHING = model.Room()
 
 UNLIMITED = model.Room()
@@ -302,23 +298,6 @@
             if team.is_limited
         ]
 
-    def compute_usage_levels(self) -> dict[str, int]:
-        """Return the level of each team's dominant resource in this pool.
-
-        Of equally urgent jobs those of teams that use less of their ceiling go first.
-        """
-        return {
-            usage.team: max(
-                (
-                    USAGE_LEVELS * used // most
-                    for used, most in zip(usage.running, usage.ceiling, strict=True)
-                    if most
-                ),
-                default=0,
-            )
-            for usage in self.list_usage()
-        }
-
     # -- events
 
     def on_teams(self, configuration: int, teams: Iterable[model.Team]) -> None:
--- a/wigeonhitch/pool/record.py
+++ b/wigeonhitch/pool/record.py
@@ -6,6 +6,7 @@
 import orjson
 
 from wigeonhitch.jobs import model
+from wigeonhitch.pool import fairness
 
 __all__ = [
     "STATUS_TABLE",
@@ -18,6 +19,7 @@
     "list_job_parts",
     "get_job_part",
     "get_job_table",
+    "read_lag",
     "read_status",
     "read_roster",
     "write_status",
@@ -98,6 +100,9 @@
     waiting_by_path: tuple[PathCount, ...] = ()
     """Those of ``waiting`` whose path is known. A configuration may give a queue's name
     or its path to another queue while the jobs wait."""
+    lag: tuple[tuple[str, float], ...] = ()
+    """Teams with the seconds of virtual time that they have used in advance, largest
+    first; see `fairness`."""
 
 
 def write_roster(address: str) -> bytes:
@@ -110,8 +115,8 @@
     return orjson.loads(value)["address"]
 
 
-def write_status(status: PoolStatus) -> bytes:
-    """Return a status row."""
+def write_status(status: PoolStatus, wall_time: float = 0.0) -> bytes:
+    """Return a status row that is written at a Unix time."""
     row: dict[str, Any] = {"waiting": status.waiting, "unmet": status.unmet}
     row["idle"] = status.idle
     row["need"] = [
@@ -131,6 +136,9 @@
         row["light"] = list(status.light)
     if status.bare:
         row["bare"] = list(status.bare)
+    if status.lag:
+        row["lag"] = dict(status.lag)
+        row["lag_time"] = wall_time
     return orjson.dumps(row)
 
 
@@ -148,6 +156,43 @@
         PathCount(queue, model.RoutePath(host, prefix), jobs)
         for queue, host, prefix, jobs in row.get("paths", ())
     )
+    lag, _ = fairness.check_lag(row.get("lag"))
     return status._replace(
-        closings=row.get("closings", 0), waiting_by_path=waiting_by_path
+        closings=row.get("closings", 0), waiting_by_path=waiting_by_path, lag=lag
     )
+
+
+def read_lag(
+    value: bytes | None, wall_time: float
+) -> tuple[tuple[tuple[str, float], ...], bool]:
+    """Read the lag of teams, less its age, from any status row.
+
+    Parameters
+    ----------
+    value : bytes or None
+        The row; None if there is none.
+    wall_time : float
+        Unix time.
+
+    Returns
+    -------
+    lag : tuple
+        Teams with their seconds; without the entries that can't be read.
+    is_readable : bool
+        Whether the row and all its entries could be read.
+    """
+    if value is None:
+        return (), True
+    try:
+        row = orjson.loads(value)
+    except orjson.JSONDecodeError:
+        return (), False
+    if not isinstance(row, dict):
+        return (), False
+    lag, faults = fairness.check_lag(row.get("lag"))
+    written = row.get("lag_time", wall_time)
+    if not isinstance(written, int | float) or isinstance(written, bool):
+        return (), False
+    age = max(0.0, wall_time - written)
+    aged = ((team, seconds - age) for team, seconds in lag if seconds > age)
+    return tuple(aged), not faults
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -144,6 +144,7 @@
     def on_teams(self, configuration: int, teams: tuple[model.Team, ...]) -> None:
         """Apply the teams of the configuration in force."""
         self.pool.quotas.on_teams(configuration, teams)
+        self.pool.fair_queue.on_teams(teams)
         self._wake()
 
     def on_worker(self, entry: entries.WorkerEntry, read_at: float) -> None:
@@ -387,7 +388,7 @@
                     pool_record.STATUS_TABLE,
                     self.owner.pool,
                     pool_record.STATUS_TABLE,
-                    pool_record.write_status(status),
+                    pool_record.write_status(status, time.time()),
                 )
                 change = await self.deps.store.commit(
                     rows.Transaction((owner,), (write,)), timeout=COMMIT_TIMEOUT_SECONDS
--- a/wigeonhitch/pool/source.py
+++ b/wigeonhitch/pool/source.py
@@ -1,5 +1,6 @@
 """Rows of a pool for its leader: read at the takeover, then followed."""
 
+import time
 from collections.abc import Callable
 
 import anyio
@@ -88,7 +89,9 @@
     async def load(self) -> int:
         """Read the pool's rows; return the version from which to follow the jobs."""
         part = self._pool.name
-        version = await self._load_jobs()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._load_lag)
+            version = await self._load_jobs()
         progress = await self._read_all(pool_record.PROGRESS_TABLE, part)
         for row in progress.rows:
             if row.key in self._unreadable:
@@ -107,6 +110,18 @@
         self._log_event("pool loaded", jobs=len(self._pool.jobs), vms=len(roster.rows))
         return version
 
+    async def _load_lag(self) -> None:
+        """Read what teams have used in advance, as the former leader published it."""
+        status = await self._read_all(pool_record.STATUS_TABLE, self._pool.name)
+        value = next(
+            (row.value for row in status.rows if row.key == pool_record.STATUS_TABLE),
+            None,
+        )
+        lag, is_readable = pool_record.read_lag(value, time.time())
+        if not is_readable:
+            self._log_event("lag of teams not readable", teams=len(lag))
+        self._pool.fair_queue.restore_lag(lag)
+
     async def _load_jobs(self) -> int:
         """Read all parts of the jobs, many in parallel; return the oldest version."""
         versions: list[int] = []
--- a/wigeonhitch/pool/tests/test_quota.py
+++ b/wigeonhitch/pool/tests/test_quota.py
@@ -248,18 +248,19 @@
 def test_team_that_floods_a_full_pool_goes_after_the_others(make_bench):
     """Pattern: one team hands in far more than the others while its pool is full."""
     bench = make_bench()
-    ceiling = model.Room(16000, 160000)
-    teams = [model.Team(name, ceiling=ceiling) for name in ("flood", "calm")]
+    ceiling, keys = model.Room(16000, 160000), frozenset({b"digest"})
+    teams = [model.Team(name, keys, ceiling=ceiling) for name in ("flood", "calm")]
     bench.pool.quotas.on_teams(1, teams)
+    bench.pool.fair_queue.on_teams(teams)
     bench.add_vm("w1", cpu=8000)
     for number in range(7):
-        bench.add_job(f"f{number}", team="flood")
+        bench.add_job(f"a{number}", team="flood")
     ended = bench.add_job("c1", team="calm")
     bench.start()
     bench.pool.quotas.collect(conftest.NOW)
     bench.pool.quotas.on_result(rows.Change(table.Outcome.DONE, 1))
     running = {run.task.job: run for run in bench.start()}
-    bench.add_job("f7", team="flood")
+    bench.add_job("a7", team="flood")
     bench.add_job("c2", team="calm")
 
     assert len(running) == 8
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -5,7 +5,16 @@
 
 from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.platform import entries, rows
-from wigeonhitch.pool import compaction, ledger, priority, quota, suspect, ticket, vm
+from wigeonhitch.pool import (
+    compaction,
+    fairness,
+    ledger,
+    priority,
+    quota,
+    suspect,
+    ticket,
+    vm,
+)
 
 __all__ = ["PoolView", "TimeBounds", "describe_run"]
 
@@ -76,6 +85,7 @@
             self.jobs, self.vms, self.live, self.ledger, log_event
         )
         self.quotas = quota.Quotas(name, epoch, log_event)
+        self.fair_queue = fairness.FairQueue(log_event)
         self.compactor = compaction.Compactor(name)
         self.job_locations: dict[str, compaction.RowLocation] = {}
         """Locations of the rows of open jobs."""
@@ -130,6 +140,8 @@
             self.job_locations[id] = location
             self.jobs[id] = job_state
             self._update_mean_work(row.job)
+            if not row.cancelled:
+                self.fair_queue.on_job(row.job, self.compute_capacity())
             if version > self.fence and not (row.job.is_lasting or row.job.times):
                 self.submitted_work.append(row.job.compute_work())
         if version < job_state.version:
@@ -386,6 +398,14 @@
             until = round(run.vm.quarantined_until, 2)
             self.log_event("VM set aside", vm=run.vm.id, until=until, reason=reason)
 
+    def compute_capacity(self) -> model.Room:
+        """Return the resources of all VMs that take tasks."""
+        capacity = model.Room()
+        for machine in self.vms.values():
+            if machine.listed and not machine.closed and not machine.entry.leaving:
+                capacity = capacity.plus(machine.entry.room)
+        return capacity
+
     def get_mean_work(self, queue: str) -> float:
         """Return the mean core-seconds of the queue's jobs seen so far."""
         total, count = self._mean_work.get(queue, (0.0, 0))
@@ -526,6 +546,7 @@
         self.tickets.forget_job(id)
         self.suspects.forget_job(id)
         self.quotas.forget_job(id)
+        self.fair_queue.on_job_ended(id)
         self.relocated = {task for task in self.relocated if task.job != id}
         for table in (self.run_numbers, self.not_before, self.failed_on):
             for task in [task for task in table if task.job == id]:
