--- a/wigeonhitch/pool/tests/test_fairness.py
+++ b/wigeonhitch/pool/tests/test_fairness.py
@@ -141,21 +141,41 @@
     """Guards against a team that is stopped for what it used in a half-empty pool."""
     server = Server(make_teams(a=1, b=1))
     server.add("b", 100.0)
-    for _ in range(100):
+    for _ in range(30):
         server.add("a")
-        server.serve()
+        assert server.serve()[0] == "a"
+    assert server.queue.export_lag() == (("a", 60.0),)
     server.queue.on_no_waiting()
+    assert server.queue.export_lag() == ()
 
     for _ in range(4):
         server.add("a", 0.5)
         server.add("b", 0.5)
-    assert [server.serve()[0] for _ in range(4)].count("a") >= 2
+    assert [server.serve()[0] for _ in range(4)].count("a") == 2
+
+
+def test_quiet_time_is_no_credit():
+    """Guards against a team that takes the whole pool after a time of rest."""
+    server = Server(make_teams(a=1, b=1))
+    server.add("b")
+    for _ in range(100):
+        server.add("a")
+    for _ in range(50):
+        server.serve()
+    for _ in range(50):
+        server.add("b")
+
+    served = ""
+    for count in range(1, 21):
+        served += server.serve()[0]
+        assert abs(served.count("a") - count / 2) <= 0.5
 
 
 def test_cancelled_job_that_never_ran_costs_nothing():
     """Guards against a team that falls behind by what it has withdrawn."""
     server = Server(make_teams(a=1, b=1))
-    server.add("b")
+    for _ in range(9):
+        server.add("b")
     for _ in range(10):
         id = server.add("a", 10.0)
         del server.waiting[id]
@@ -163,7 +183,6 @@
     server.add("a")
 
     assert {server.serve()[0], server.serve()[0]} == {"a", "b"}
-    assert server.queue.export_lag() == ()
 
 
 arrivals = strategies.lists(
@@ -406,6 +425,37 @@
     assert [run.task.job for run in bench.start()] == ["first"] * 20
 
 
+def test_use_in_advance_counts_only_while_tasks_wait(pool):
+    """Guards against a lag that is forgotten in a full pool, or kept in a half-empty
+    one, and against jobs that are open for good."""
+    bench = pool("a", "b").bench
+    bench.add_job("long", model.Step(1, ONE_CORE, 10.0), team="b")
+    for number in range(39):
+        bench.add_job(f"j{number:02}", team="a")
+    lags = []
+    for _ in range(3):
+        bench.start()
+        lags.append(dict(bench.pool.fair_queue.export_lag()))
+        for run in list(bench.pool.live.values()):
+            if run.task.job != "long":
+                bench.pool.remove_run(run)
+                bench.pool.jobs[run.task.job].final = model.JobState.COMPLETED
+
+    assert lags == [{}, {"a": 1.9}, {}]
+
+
+def test_takeover_keeps_the_lag_until_jobs_may_start(pool):
+    """Guards against a lag that is forgotten as no task is placed at first."""
+    bench = pool("a", "b").bench
+    bench.pool.on_roster("w2", "w2:1", 1, conftest.NOW)
+    bench.pool.fair_queue.restore_lag([("a", 3.0)])
+    for team in "ab":
+        bench.add_job(f"{team}1", team=team, version=5)
+
+    assert bench.start() == []
+    assert bench.pool.fair_queue.export_lag() == (("a", 3.0),)
+
+
 def test_order_without_teams_is_that_of_values(pool):
     """Guards against a part that acts although no team has a key."""
     bench = pool().bench
