--- a/wigeonhitch/pool/tests/test_estimate.py
+++ b/wigeonhitch/pool/tests/test_estimate.py
@@ -73,13 +73,13 @@
     before = get_inputs(bench)
     key = bench.planner._get_key
 
-    assert key("other", NOW, {}) < key("j", NOW, {})
+    assert key("other", NOW) < key("j", NOW)
 
     report(bench, listed, machine, 50, NOW + 0.5)
     bench.plan(NOW + 0.5)
 
     assert get_inputs(bench).work_left == pytest.approx(before.work_left / 10)
-    assert key("j", NOW, {}) < key("other", NOW, {})
+    assert key("j", NOW) < key("other", NOW)
 
 
 def test_right_estimates_change_nothing(bench, listed, ended):
@@ -287,7 +287,7 @@
 
     assert bench.pool.get_mean_work("q") == pytest.approx(8.0)
     key = bench.planner._get_key
-    assert key("right", NOW, {}) < key("j", NOW, {})
+    assert key("right", NOW) < key("j", NOW)
 
 
 def run_uneven_jobs(bench, ended, count, *, seconds=1.0, longest=1.5):
