Stop no more runs than the more urgent waiting tasks can use

The amount to stop was the sum of all waiting tasks, those of late jobs included: with one urgent task and a backlog of late ones, a late run was stopped for each of them. Runs that are being stopped on closed VMs were counted as room for the waiting tasks, and VMs that are kept for tests as VMs on which they may start. Each stop is now assigned to waiting tasks that fit on its VM, most urgent first.

Waiting tasks are counted by group, priority and resources.

Two tests failed before and pass now; the tests of preemption and of the planner pass.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -244,13 +244,17 @@
         if not self._waiting or now < self._next_preemption:
             return []
         self._next_preemption = now + SCAN_PERIOD_SECONDS
-        candidates = [
-            preemption.Candidate(self._keys[run.task.job], run)
-            for run in self.pool.live.values()
-            if run.task.job in self._keys
-            and (run.state is vm.RunState.STOPPING or self._is_preemptible(run))
-        ]
-        victims = self._preemptor.choose_victims(candidates, self._waiting, placer.free)
+        candidates, stopping = [], []
+        for run in self.pool.live.values():
+            if run.state is vm.RunState.STOPPING:
+                stopping.append(run)
+            elif run.task.job in self._keys and self._is_preemptible(run):
+                key = self._keys[run.task.job]
+                candidates.append(preemption.Candidate(key, run))
+        free = {machine.id: placer.free[machine.id] for machine in placer.vms}
+        victims = self._preemptor.choose_victims(
+            candidates, self._waiting, free, stopping
+        )
         return [self._preempt(run, now, "late", is_delayed=True) for run in victims]
 
     def _preempt(
--- a/wigeonhitch/pool/preemption.py
+++ b/wigeonhitch/pool/preemption.py
@@ -9,6 +9,7 @@
 resumes from it, so that a stop costs its own time and that of the restart but no work.
 """
 
+import collections
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -84,48 +85,34 @@
         candidates: Iterable[Candidate],
         waiting: Iterable[WaitingTasks],
         free: Mapping[str, model.Room],
+        stopping: Iterable[vm.Run] = (),
     ) -> list[vm.Run]:
         """Return the runs to stop for tasks that wait, least urgent first.
 
         Parameters
         ----------
         candidates : iterable of Candidate
-            Preemptible runs, and those that are being stopped already.
+            Preemptible runs.
         waiting : iterable of WaitingTasks
             Tasks that find no room.
         free : mapping of str to model.Room
             Free resources of each VM on which tasks may be started.
-
-        Notes
-        -----
-        A run that is being stopped counts for the tasks that wait until its end is
-        listed, so that they don't have more runs stopped meanwhile.
+        stopping : iterable of vm.Run
+            Runs that are being stopped already. Their room counts for the tasks that
+            wait, so that they don't have more runs stopped meanwhile.
         """
-        ordered = sorted(candidates, key=lambda candidate: candidate.key, reverse=True)
-        missing = sorted(waiting, key=lambda tasks: tasks.key)
-        lacking = sum(tasks.room.cpu * tasks.count for tasks in missing) - sum(
-            candidate.run.room.cpu
-            for candidate in ordered
-            if candidate.run.state is vm.RunState.STOPPING
-        )
-        freed: dict[str, model.Room] = {}
+        missing = _MissingRoom(waiting, free)
+        for run in stopping:
+            missing.free_room(run)
+        missing.serve_all()
         victims = []
-        for candidate in ordered:
-            run = candidate.run
-            if lacking <= 0:
+        for candidate in sorted(candidates, key=_get_key, reverse=True):
+            if missing.is_served:
                 break
-            if run.state is vm.RunState.STOPPING or run.vm.id not in free:
-                continue
-            room = free[run.vm.id].plus(freed.get(run.vm.id, model.Room()))
-            room = room.plus(run.room)
-            if not any(
-                is_outranked(candidate.key, tasks.key) and tasks.room.fits_in(room)
-                for tasks in missing
-            ):
-                continue
-            victims.append(run)
-            freed[run.vm.id] = freed.get(run.vm.id, model.Room()).plus(run.room)
-            lacking -= run.room.cpu
+            if missing.has_use_for(candidate):
+                missing.free_room(candidate.run)
+                missing.serve(candidate.run.vm.id, candidate.key)
+                victims.append(candidate.run)
         return victims
 
     def may_vacate(
@@ -148,12 +135,93 @@
             self._not_before[run.task] = now + RESTART_DELAY_SECONDS
 
 
-def is_outranked(key: priority.SortKey, other: priority.SortKey) -> bool:
-    """Return whether a job's tasks may be preempted for another job's tasks.
+def is_outranked(key: priority.SortKey, group: int, first: int) -> bool:
+    """Return whether a job's tasks may be preempted for those of another job.
 
     Jobs that can be on time are only preempted for those of a queue that comes first:
     among themselves each stop would delay one to speed up another.
+
+    Parameters
+    ----------
+    key : priority.SortKey
+        Sort key of the job that runs.
+    group, first : int
+        Group and priority of the job that waits.
     """
     if key.group >= priority.LATE:
-        return (other.group, other.priority) < (key.group, key.priority)
-    return other.group <= key.group and other.priority < key.priority
+        return (group, first) < (key.group, key.priority)
+    return group <= key.group and first < key.priority
+
+
+class _MissingRoom:
+    """Waiting tasks for which no room is found yet, and room that is becoming free.
+
+    Tasks count by group, priority and resources: thousands of jobs may wait, and all
+    runs of a pool are compared with them.
+    """
+
+    def __init__(
+        self, waiting: Iterable[WaitingTasks], free: Mapping[str, model.Room]
+    ) -> None:
+        counts: collections.Counter[tuple[int, int, model.Room]] = collections.Counter()
+        for tasks in waiting:
+            counts[tasks.key.group, tasks.key.priority, tasks.room] += tasks.count
+        self._counts = {kind: counts[kind] for kind in sorted(counts)}
+        """Number of tasks by group, priority and resources, most urgent first."""
+        self._free = dict(free)
+        self._freed: set[str] = set()
+        """VMs of which room is becoming free."""
+
+    @property
+    def is_served(self) -> bool:
+        """Whether there will be room for all tasks."""
+        return not self._counts
+
+    def free_room(self, run: vm.Run) -> None:
+        """Count a run's room as free, if tasks may be started on its VM."""
+        id = run.vm.id
+        if id in self._free:
+            self._free[id] = self._free[id].plus(run.room)
+            self._freed.add(id)
+
+    def serve_all(self) -> None:
+        """Give the room that is becoming free to tasks, most urgent first."""
+        for id in sorted(self._freed):
+            self._serve_others(id)
+
+    def has_use_for(self, candidate: Candidate) -> bool:
+        """Return whether a more urgent task fits on a run's VM without the run."""
+        run = candidate.run
+        return run.vm.id in self._free and (
+            self._find(candidate.key, self._free[run.vm.id].plus(run.room)) is not None
+        )
+
+    def serve(self, id: str, key: priority.SortKey) -> None:
+        """Give a VM's room to a task that outranks a key, and the rest to others."""
+        kind = self._find(key, self._free[id])
+        if kind is not None:
+            self._give(id, kind, 1)
+        self._serve_others(id)
+
+    def _find(
+        self, key: priority.SortKey, room: model.Room
+    ) -> tuple[int, int, model.Room] | None:
+        for kind in self._counts:
+            if is_outranked(key, kind[0], kind[1]) and kind[2].fits_in(room):
+                return kind
+        return None
+
+    def _serve_others(self, id: str) -> None:
+        for kind in list(self._counts):
+            while kind in self._counts and kind[2].fits_in(self._free[id]):
+                self._give(id, kind, 1)
+
+    def _give(self, id: str, kind: tuple[int, int, model.Room], count: int) -> None:
+        self._free[id] = self._free[id].minus(kind[2].times(count))
+        self._counts[kind] -= count
+        if self._counts[kind] <= 0:
+            del self._counts[kind]
+
+
+def _get_key(candidate: Candidate) -> priority.SortKey:
+    return candidate.key
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -184,3 +184,26 @@
     bench.start()
 
     assert bench.planner.build_status(NOW, NOW).light == ("w2", "w1")
+
+
+def test_waiting_late_tasks_have_no_runs_stopped_for_them(bench, start_late):
+    """One urgent task had a run stopped for each late task that waited too."""
+    start_late()
+    bench.add_job("backlog", step(50), accepted=LATE)
+    bench.add_job("urgent", step(1, estimate=2.0))
+
+    assert len(list_stopped(bench.plan())) == 1
+
+
+def test_stops_on_closed_vms_do_not_count_for_waiting_tasks(bench, start_late):
+    """Their room was awaited although no task starts on a closed VM."""
+    start_late()
+    bench.add_vm("w2", cpu=4000)
+    bench.add_job("late too", step(4), accepted=LATE)
+    bench.start()
+    bench.pool.set_closed(frozenset({"w1"}), {}, 5)
+    assert len(list_stopped(bench.plan(NOW + 0.2))) == 4
+    bench.add_job("urgent", step(2, estimate=2.0), accepted=NOW + 0.4)
+
+    stopped = list_stopped(bench.plan(NOW + 0.4))
+    assert [task.job for task in stopped] == ["late too"] * 2
