Preempt no runs for tasks that a ceiling, a ticket or a delay holds back

Whether a task had room was decided before its ticket, its team's ceiling and the delay after a stop were looked at. In a full pool runs were therefore stopped for tasks that couldn't start on the freed room: tasks without a ticket, tasks above the ceiling of their team, and preempted tasks in their delay. Only as many tasks as the ceiling of their team allows count now, and those of an advised queue for the VMs of their valid tickets only. No ticket is requested for a full pool, as before.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -74,6 +74,8 @@
         """Sort keys of the open jobs in the current round."""
         self._waiting: list[preemption.WaitingTasks] = []
         """Tasks that found no room in the current round."""
+        self._waiting_rooms: dict[str, model.Room] = {}
+        """Resources of these tasks by team, for teams with a ceiling."""
 
     def plan(self, now: float, wall_time: float) -> list[message.Start | message.Stop]:
         """Return the orders to give now; the runs to start are recorded as starting.
@@ -352,6 +354,7 @@
         ]
         self._keys = {id: key for key, id in keyed}
         self._waiting = []
+        self._waiting_rooms = {}
         for key, id in sorted(keyed):
             state = self.pool.jobs[id]
             if state.final is not None or self.pool.may_have_run(state):
@@ -412,6 +415,7 @@
         unmet = 0
         full_steps: set[tuple[int, int, bool]] = set()
         unplaced: collections.Counter[int] = collections.Counter()
+        startable: collections.Counter[tuple[int, int]] = collections.Counter()
         held_back: set[tuple[int, int, bool]] = set()  # by the ceiling of the team
         waiting: collections.Counter[int] = collections.Counter()
         has_suspects = state.has_suspects
@@ -434,6 +438,8 @@
             if group in full_steps or step.reserved.cpu > placer.max_free_cpu:
                 unplaced[task.step] += 1
                 unmet += 0 if is_suspect else step.reserved.cpu
+                if now >= self.pool.not_before.get(task, 0.0):
+                    startable[task.occurrence, task.step] += 1
                 continue
             if now < self.pool.not_before.get(task, 0.0):
                 continue
@@ -460,11 +466,12 @@
                 continue
             full_steps.add(group)
             unplaced[task.step] += 1
+            startable[task.occurrence, task.step] += 1
             unmet += step.reserved.cpu
         for number, count in waiting.items():
             self._request_quota(state, state.job.steps[number].room.times(count))
         self._record_missing_vms(state, unplaced)
-        self._record_waiting(state, unplaced)
+        self._record_waiting(state, startable, now)
         return unmet
 
     def _admits(self, state: progress.Progress, room: model.Room) -> bool:
@@ -485,17 +492,47 @@
         return any(task[:3] == other[:3] for other in state.assigned_vms)
 
     def _record_waiting(
-        self, state: progress.Progress, unplaced: collections.Counter[int]
+        self,
+        state: progress.Progress,
+        unplaced: collections.Counter[tuple[int, int]],
+        now: float,
     ) -> None:
-        """Record the tasks that any VM with enough room could run."""
+        """Record the tasks that could start now on any VM with enough room.
+
+        Those of an advised queue start only on VMs for which they have a ticket, and
+        those of a team only as far as its ceiling allows.
+        """
         if state.has_suspects:
             return
-        for number, count in unplaced.items():
+        for (occurrence, number), count in unplaced.items():
             step = state.job.steps[number]
-            if not (step.lasting or step.spread or step.label or step.gang):
+            if step.lasting or step.spread or step.label or step.gang:
+                continue
+            allowed = None
+            if self.pool.needs_ticket(state):
+                name = advice.StepName(state.job.id, occurrence, number)
+                allowed = frozenset(self.pool.tickets.list_valid(name, now))
+            admitted = self._count_admitted(state.job.team, step.room, count)
+            if admitted and (allowed is None or allowed):
                 key = self._keys[state.job.id]
-                tasks = preemption.WaitingTasks(key, step.reserved, count)
-                self._waiting.append(tasks)
+                self._waiting.append(
+                    preemption.WaitingTasks(key, step.reserved, admitted, allowed)
+                )
+
+    def _count_admitted(self, team: str, room: model.Room, count: int) -> int:
+        """Return how many of the waiting tasks the ceiling of a team allows.
+
+        They count for the rest of the round.
+        """
+        if not self.pool.quotas.is_limited(team):
+            return count
+        counted = self._waiting_rooms.get(team, model.Room())
+        while count and not self.pool.quotas.admits(
+            team, counted.plus(room.times(count))
+        ):
+            count -= 1
+        self._waiting_rooms[team] = counted.plus(room.times(count))
+        return count
 
     def _record_missing_vms(
         self, state: progress.Progress, unplaced: collections.Counter[int]
--- a/wigeonhitch/pool/preemption.py
+++ b/wigeonhitch/pool/preemption.py
@@ -45,6 +45,8 @@
     room: model.Room
     """Resources of each task."""
     count: int
+    allowed: frozenset[str] | None = None
+    """VMs on which they may start; None for any."""
 
 
 class Preemptor:
@@ -153,6 +155,21 @@
     return group <= key.group and first < key.priority
 
 
+class _Kind(NamedTuple):
+    """What the waiting tasks that count together have in common."""
+
+    group: int
+    priority: int
+    room: model.Room
+    allowed: frozenset[str] | None
+
+    def fits(self, id: str, room: model.Room) -> bool:
+        """Return whether one of the tasks may start in a VM's free room."""
+        if self.allowed is not None and id not in self.allowed:
+            return False
+        return self.room.fits_in(room)
+
+
 class _MissingRoom:
     """Waiting tasks for which no room is found yet, and room that is becoming free.
 
@@ -163,11 +180,13 @@
     def __init__(
         self, waiting: Iterable[WaitingTasks], free: Mapping[str, model.Room]
     ) -> None:
-        counts: collections.Counter[tuple[int, int, model.Room]] = collections.Counter()
+        counts: collections.Counter[_Kind] = collections.Counter()
         for tasks in waiting:
-            counts[tasks.key.group, tasks.key.priority, tasks.room] += tasks.count
-        self._counts = {kind: counts[kind] for kind in sorted(counts)}
-        """Number of tasks by group, priority and resources, most urgent first."""
+            group, first = tasks.key.group, tasks.key.priority
+            counts[_Kind(group, first, tasks.room, tasks.allowed)] += tasks.count
+        ordered = sorted(counts, key=lambda kind: kind[:3])
+        self._counts = {kind: counts[kind] for kind in ordered}
+        """Number of tasks of each kind, most urgent first."""
         self._free = dict(free)
         self._freed: set[str] = set()
         """VMs of which room is becoming free."""
@@ -192,33 +211,33 @@
     def has_use_for(self, candidate: Candidate) -> bool:
         """Return whether a more urgent task fits on a run's VM without the run."""
         run = candidate.run
-        return run.vm.id in self._free and (
-            self._find(candidate.key, self._free[run.vm.id].plus(run.room)) is not None
+        id = run.vm.id
+        return id in self._free and (
+            self._find(id, candidate.key, self._free[id].plus(run.room)) is not None
         )
 
     def serve(self, id: str, key: priority.SortKey) -> None:
         """Give a VM's room to a task that outranks a key, and the rest to others."""
-        kind = self._find(key, self._free[id])
+        kind = self._find(id, key, self._free[id])
         if kind is not None:
-            self._give(id, kind, 1)
+            self._give(id, kind)
         self._serve_others(id)
 
-    def _find(
-        self, key: priority.SortKey, room: model.Room
-    ) -> tuple[int, int, model.Room] | None:
+    def _find(self, id: str, key: priority.SortKey, room: model.Room) -> "_Kind | None":
+        """Return the most urgent kind that outranks a key and fits in a VM's room."""
         for kind in self._counts:
-            if is_outranked(key, kind[0], kind[1]) and kind[2].fits_in(room):
+            if is_outranked(key, kind.group, kind.priority) and kind.fits(id, room):
                 return kind
         return None
 
     def _serve_others(self, id: str) -> None:
         for kind in list(self._counts):
-            while kind in self._counts and kind[2].fits_in(self._free[id]):
-                self._give(id, kind, 1)
+            while kind in self._counts and kind.fits(id, self._free[id]):
+                self._give(id, kind)
 
-    def _give(self, id: str, kind: tuple[int, int, model.Room], count: int) -> None:
-        self._free[id] = self._free[id].minus(kind[2].times(count))
-        self._counts[kind] -= count
+    def _give(self, id: str, kind: "_Kind") -> None:
+        self._free[id] = self._free[id].minus(kind.room)
+        self._counts[kind] -= 1
         if self._counts[kind] <= 0:
             del self._counts[kind]
 
--- a/wigeonhitch/pool/quota.py
+++ b/wigeonhitch/pool/quota.py
@@ -377,6 +377,11 @@
         quota = self._teams.get(team) if team else None
         return quota is None or quota.admits(room)
 
+    def is_limited(self, team: str) -> bool:
+        """Return whether a team has a ceiling."""
+        quota = self._teams.get(team) if team else None
+        return quota is not None and quota.is_limited
+
     def request(self, team: str, room: model.Room) -> None:
         """Record requirements of tasks that weren't admitted in this round."""
         quota = self._get(team)
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wigeonhitch.jobs import model
-from wigeonhitch.platform import workers
+from wigeonhitch.platform import advice, workers
 from wigeonhitch.pool import message, preemption
 
 NOW = 100.0
@@ -207,3 +207,30 @@
 
     stopped = list_stopped(bench.plan(NOW + 0.4))
     assert [task.job for task in stopped] == ["late too"] * 2
+
+
+def test_tasks_without_a_ticket_have_no_runs_stopped_for_them(bench, start_late):
+    """They can't start on the room that a stop frees."""
+    timing = model.Advice(0.02, 0.001, 3.0)
+    queues = [
+        model.Queue("q", "h", "/q/", "p"),
+        model.Queue("advised", "h", "/a/", "p", objective=1.0, advice=timing),
+    ]
+    bench.pool.on_queues(queues)
+    start_late()
+    bench.add_job("urgent", step(2, estimate=2.0), queue="advised")
+    assert not list_stopped(bench.plan())
+
+    name = advice.StepName("urgent", 0, 0)
+    bench.pool.tickets.on_advice(name, advice.AdviceReply({"w1": "t"}, 3.0), NOW)
+    assert len(list_stopped(bench.plan(NOW + 0.2))) == 2
+
+
+def test_tasks_above_a_ceiling_have_no_runs_stopped_for_them(bench, start_late):
+    """They can't start on the room that a stop frees."""
+    ceiling = model.Room(500, 100000)
+    bench.pool.quotas.on_teams(1, [model.Team("t", ceiling=ceiling)])
+    start_late()
+    bench.add_job("urgent", step(2, estimate=2.0), team="t")
+
+    assert not list_stopped(bench.plan())
--- a/wigeonhitch/pool/ticket.py
+++ b/wigeonhitch/pool/ticket.py
@@ -59,6 +59,13 @@
             self._requested[step] = None
         return {}
 
+    def list_valid(self, step: advice.StepName, now: float) -> list[str]:
+        """Return the VMs for which a step has a valid ticket; request none."""
+        valid = self._valid.get(step)
+        if valid is None or now >= valid.expiry - EXPIRY_MARGIN_SECONDS:
+            return []
+        return list(valid.tickets)
+
     def pop_requested(self) -> advice.StepName | None:
         """Return and remove the next step whose tickets are to be requested."""
         step = next(iter(self._requested), None)
