Reserve room elsewhere only for runs that leave a closed VM

Each scan of a closed VM reserved room on other VMs for all its preemptible runs, also for those that then stayed, since a restart would make their job late, and for late ones, which are stopped in any case. Waiting tasks didn't start on that room in the same round, counted as tasks without room, and could have other runs stopped for them.

One test failed before and passes now; the tests of preemption and of the planner pass.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -215,7 +215,7 @@
     def _may_vacate(self, run: vm.Run, placer: placement.Placer) -> bool:
         """Return whether a batch run should leave its VM, which is closed or leaving.
 
-        Its room elsewhere is reserved for this round.
+        If it is to be continued elsewhere, its room is reserved for this round.
         """
         machine = run.vm
         inputs = self._sort_inputs.get(run.task.job)
@@ -228,7 +228,7 @@
         return self._preemptor.may_vacate(
             inputs,
             self.pool.wall_time,
-            has_room=placer.choose(run.task, run.step) is not None,
+            lambda: placer.choose(run.task, run.step) is not None,
         )
 
     def _is_preemptible(self, run: vm.Run) -> bool:
--- a/wigeonhitch/pool/preemption.py
+++ b/wigeonhitch/pool/preemption.py
@@ -10,7 +10,7 @@
 """
 
 import collections
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from wigeonhitch.jobs import model
@@ -118,17 +118,21 @@
         return victims
 
     def may_vacate(
-        self, inputs: priority.SortInputs, wall_time: float, *, has_room: bool
+        self,
+        inputs: priority.SortInputs,
+        wall_time: float,
+        reserve_room: Callable[[], bool],
     ) -> bool:
         """Return whether a run should be stopped because its VM is to be emptied.
 
         The run of a job that can't be on time is stopped in any case. Another one is
-        continued elsewhere if there is room for it and the job stays on time.
+        continued elsewhere if there is room for it and the job stays on time. Only
+        then is ``reserve_room`` called, which returns whether it has found room.
         """
         end = wall_time + inputs.critical_path_left
         if end > inputs.due:
             return True
-        return has_room and end + RESTART_SECONDS <= inputs.due
+        return end + RESTART_SECONDS <= inputs.due and reserve_room()
 
     def record(self, run: vm.Run, now: float, *, is_delayed: bool) -> None:
         """Record that a run is being stopped at this daemon's time ``now``."""
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -234,3 +234,15 @@
     bench.add_job("urgent", step(2, estimate=2.0), team="t")
 
     assert not list_stopped(bench.plan())
+
+
+def test_runs_that_stay_on_a_closed_vm_reserve_no_room_elsewhere(bench):
+    """Each scan held back the free room of the other VMs from waiting tasks."""
+    bench.add_vm("w1", cpu=4000)
+    bench.add_job("j", step(4))
+    bench.start()
+    bench.add_vm("w2", cpu=4000)
+    bench.pool.set_closed(frozenset({"w1"}), {}, 5)
+    bench.add_job("next", step(4))
+
+    assert list_started(bench.plan()) == ["next"] * 4
