Preempt no runs of jobs with occurrences

The sort key of a job with times is that of its first occurrence, so that each later one counted as late or expired from its start, and its runs were stopped for others and on closed VMs, although it could be on time. The order of such jobs is as before.

One test failed before and passes now; the tests of preemption and of the planner pass.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -236,6 +236,7 @@
         return (
             state is not None
             and not state.has_suspects  # each start of theirs is recorded before
+            and not state.job.times  # the sort key is that of the first occurrence
             and self._preemptor.is_preemptible(run, self.pool.compute_remaining(run))
         )
 
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -246,3 +246,14 @@
     bench.add_job("next", step(4))
 
     assert list_started(bench.plan()) == ["next"] * 4
+
+
+def test_later_occurrences_of_a_job_are_not_taken_for_late(bench):
+    """The due time of its first occurrence was applied to all of them."""
+    bench.add_vm(cpu=4000)
+    bench.add_job("j", step(4), times=3, interval=100.0, accepted=NOW - 100)
+    bench.pool.jobs["j"].done[0, 0] = set(range(4))
+    bench.start()
+    bench.add_job("urgent", step(2, estimate=2.0))
+
+    assert not list_stopped(bench.plan())
