Forget the preemptions of a job when the planner forgets the job

The numbers of preemptions were dropped for a changed job that is no longer known. The planner itself forgets jobs, after which nothing changes them, so the numbers stayed in memory as long as the leader, one for each preempted task.

One test failed before and passes now; the tests of preemption and of the planner pass.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -154,7 +154,6 @@
             self._sort_inputs.pop(id, None)
             state = self.pool.jobs.get(id)
             if state is None:
-                self._preemptor.forget_job(id)
                 continue
             if state.cancelled or state.final is not None:
                 self._finalize_cancelled(state)
@@ -179,6 +178,7 @@
             return
         if state.is_final_durable:
             self.pool.forget_job(id)
+            self._preemptor.forget_job(id)
             return
         if state.final is not None:
             return
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -257,3 +257,19 @@
     bench.add_job("urgent", step(2, estimate=2.0))
 
     assert not list_stopped(bench.plan())
+
+
+def test_preemptions_of_finished_jobs_are_forgotten(bench, start_late):
+    """They were kept as long as the leader: forgetting the job is its last change."""
+    start_late()
+    bench.add_job("urgent", step(2, estimate=2.0))
+    bench.plan()
+    assert bench.planner._preemptor._counts
+    state = bench.pool.jobs["late"]
+    for run in [run for run in bench.pool.live.values() if run.task.job == "late"]:
+        bench.pool.remove_run(run)
+    state.final, state.is_final_durable = model.JobState.COMPLETED, True
+    bench.plan(NOW + 0.1)
+
+    assert "late" not in bench.pool.jobs
+    assert not bench.planner._preemptor._counts
