--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -273,3 +273,21 @@
 
     assert "late" not in bench.pool.jobs
     assert not bench.planner._preemptor._counts
+
+
+def test_run_that_resumed_is_not_stopped_while_it_keeps_to_its_time(bench, listed):
+    """Its progress wasn't taken over: its job counted as late as time went by."""
+    bench.pool.on_queues([model.Queue("q", "h", "/q/", "p", objective=1.0)])
+    machine = bench.add_vm(cpu=4000)
+    state = bench.add_job("j", step(4))
+    for index in range(4):
+        state.record_checkpoint(model.Task("j", 0, 0, index), "c1")
+    bench.start()
+    for passed in (0.5, 1.0, 1.5, 2.0):
+        now = NOW + passed
+        runs = [listed(run, 25 * passed) for run in machine.runs.values()]
+        bench.answer(machine, runs, now=now)
+        bench.plan(now)
+    bench.add_job("urgent", step(2, estimate=2.0), accepted=NOW + 2)
+
+    assert not list_stopped(bench.plan(NOW + 2.1))
