Bound the span of a step as a multiple of its estimate

The span took the longest run time that was shown, without a bound: one run of four that stood still at a tenth for 50 s, or a worker's clock that jumped, gave a step of 1 s a span of 500 s. The job was then due minutes later and never counted as late. The span is at most three times the estimate of the step's tasks, which is bounded itself.

--- a/wigeonhitch/pool/estimate.py
+++ b/wigeonhitch/pool/estimate.py
@@ -37,6 +37,10 @@
 """Bound of the correction in both directions: estimates are off by up to nine
 tenths."""
 
+MAX_SPREAD_FACTOR = 3.0
+"""Bound of the longest run time of a step, as a multiple of its estimate. Tasks of one
+step differ by some 30%; a run that stands still, or a worker's clock that jumps, shows
+any time."""
 
 MIN_STEPS = 5
 """Complete steps of a queue below which nothing is concluded from them for others."""
@@ -124,7 +128,8 @@
         median = statistics.median(observed.values())
         complete = self._complete.setdefault(job.queue, _CompleteSteps())
         complete.corrections.append(_limit(median / step.estimate))
-        complete.spreads.append(max(observed.values()) / median)
+        spread = max(observed.values()) / median
+        complete.spreads.append(min(MAX_SPREAD_FACTOR, spread))
 
     def on_run_removed(self, run: vm.Run) -> None:
         """Drop what a run has shown while it was running."""
@@ -186,6 +191,8 @@
             return seconds
         values = list(observed)
         longest = max(values, default=0.0)
+        if seconds > 0:
+            longest = min(longest, seconds * MAX_SPREAD_FACTOR)
         if len(values) >= step.count:
             return longest
         return max(longest, seconds * spread)
--- a/wigeonhitch/pool/tests/test_estimate.py
+++ b/wigeonhitch/pool/tests/test_estimate.py
@@ -361,3 +361,13 @@
     report(bench, listed, machine, 75, NOW + 1.5)
 
     assert get_inputs(bench).critical_path_left == pytest.approx(2.0)
+
+
+def test_span_is_bounded_with_a_run_that_stood_still(bench, listed, ended):
+    """A job with one such run was due minutes later, and never counted as late."""
+    machine, runs = run_job(bench, step(4, 1.0))
+    ends = [ended(number, run) for number, run in enumerate(runs[:3], 1)]
+    bench.answer(machine, [listed(runs[3], 5)], ends, now=NOW + 1.0)
+    bench.answer(machine, [listed(runs[3], 10)], now=NOW + 50.0)
+
+    assert bench.pool.estimates.compute_spans(bench.pool.jobs["j"].job) == (3.0,)
