Count waiting tasks only in the rounds that may preempt runs

Tasks that found no room were collected in each round, though runs are chosen at most each 0.1 s, and the estimates of a job were computed twice for its sort inputs.

The tests of estimates, preemption and of the planner pass.

--- a/wigeonhitch/pool/estimate.py
+++ b/wigeonhitch/pool/estimate.py
@@ -11,7 +11,7 @@
 
 import collections
 import statistics
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from wigeonhitch.jobs import model
 from wigeonhitch.pool import vm
@@ -164,19 +164,24 @@
             for number, step in enumerate(job.steps)
         )
 
-    def compute_spans(self, job: model.Job) -> tuple[float, ...]:
+    def compute_spans(
+        self, job: model.Job, estimates: Sequence[float] | None = None
+    ) -> tuple[float, ...]:
         """Return the estimated seconds of each step if its tasks run in parallel.
 
         A step takes as long as its longest task. With eight tasks that differ by 30%,
-        that is some 1.4 times the median.
+        that is some 1.4 times the median. ``estimates`` are those of
+        `compute_estimates`, if they are known.
         """
+        if estimates is None:
+            estimates = self.compute_estimates(job)
         complete = self._complete.get(job.queue)
         spread = complete.compute_spread() if complete is not None else 1.0
         steps = self._observed.get(job.id, {})
         return tuple(
             self._compute_span(step, seconds, steps.get(number, {}).values(), spread)
             for number, (step, seconds) in enumerate(
-                zip(job.steps, self.compute_estimates(job), strict=True)
+                zip(job.steps, estimates, strict=True)
             )
         )
 
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -417,6 +417,7 @@
         full_steps: set[tuple[int, int, bool]] = set()
         unplaced: collections.Counter[int] = collections.Counter()
         startable: collections.Counter[tuple[int, int]] = collections.Counter()
+        is_counted = now >= self._next_preemption
         held_back: set[tuple[int, int, bool]] = set()  # by the ceiling of the team
         waiting: collections.Counter[int] = collections.Counter()
         has_suspects = state.has_suspects
@@ -439,7 +440,7 @@
             if group in full_steps or step.reserved.cpu > placer.max_free_cpu:
                 unplaced[task.step] += 1
                 unmet += 0 if is_suspect else step.reserved.cpu
-                if now >= self.pool.not_before.get(task, 0.0):
+                if is_counted and now >= self.pool.not_before.get(task, 0.0):
                     startable[task.occurrence, task.step] += 1
                 continue
             if now < self.pool.not_before.get(task, 0.0):
@@ -472,7 +473,8 @@
         for number, count in waiting.items():
             self._request_quota(state, state.job.steps[number].room.times(count))
         self._record_missing_vms(state, unplaced)
-        self._record_waiting(state, startable, now)
+        if is_counted:
+            self._record_waiting(state, startable, now)
         return unmet
 
     def _admits(self, state: progress.Progress, room: model.Room) -> bool:
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -433,11 +433,13 @@
         If its queue was removed, the terms of its submission are used.
         """
         queue = self.queues.get(state.job.queue)
-        spans = self._spans[state.job.id] = self.estimates.compute_spans(state.job)
+        estimates = self.estimates.compute_estimates(state.job)
+        spans = self.estimates.compute_spans(state.job, estimates)
+        self._spans[state.job.id] = spans
         inputs = priority.compute_sort_inputs(
             state,
             queue or state.job.terms,
-            self.estimates.compute_estimates(state.job),
+            estimates,
             spans,
             [
                 self._compute_step_remaining(state, number, span)
