Keep the room of runs that leave a closed VM until they have ended

The room on another VM for which a run was stopped was reserved for one round only, while a stop takes up to half a second. Tasks that waited took it in the next round, and the stopped task, whose job was on time, waited itself. The room stays reserved until the end of the run is listed, at most for the 1.2 s after which a stop is repeated.

One test failed before and passes now; the tests of preemption and of the planner pass.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -70,6 +70,9 @@
         """Tasks of which a VM lists an orphaned run."""
         self._preemptor = preemption.Preemptor(pool.not_before)
         self._next_preemption = 0.0
+        self._vacated: dict[model.Task, tuple[vm.Run, vm.Vm, float]] = {}
+        """Runs that are being stopped to be continued elsewhere, with the VM on which
+        room is reserved for them, and until when."""
         self._keys: dict[str, priority.SortKey] = {}
         """Sort keys of the open jobs in the current round."""
         self._waiting: list[preemption.WaitingTasks] = []
@@ -104,6 +107,7 @@
             suspects.count_by_vm(),
             suspects.list_assigned(),
         )
+        self._reserve_for_vacated(placer)
         orders.extend(self._plan_stops(placer, now))
         orphaned = self.pool.list_orphaned_tasks()
         self.pool.quotas.begin_round(is_certain=not (self.pool.unresolved or orphaned))
@@ -215,7 +219,7 @@
     def _may_vacate(self, run: vm.Run, placer: placement.Placer) -> bool:
         """Return whether a batch run should leave its VM, which is closed or leaving.
 
-        If it is to be continued elsewhere, its room is reserved for this round.
+        If it is to be continued elsewhere, its room is reserved until its end.
         """
         machine = run.vm
         inputs = self._sort_inputs.get(run.task.job)
@@ -228,9 +232,29 @@
         return self._preemptor.may_vacate(
             inputs,
             self.pool.wall_time,
-            lambda: placer.choose(run.task, run.step) is not None,
+            lambda: self._reserve_next_vm(run, placer),
         )
 
+    def _reserve_next_vm(self, run: vm.Run, placer: placement.Placer) -> bool:
+        """Return whether room was found elsewhere for a run, and reserve it."""
+        chosen = placer.choose(run.task, run.step)
+        if chosen is None:
+            return False
+        until = self.pool.latest_time + STOP_RETRY_SECONDS
+        self._vacated[run.task] = run, chosen, until
+        return True
+
+    def _reserve_for_vacated(self, placer: placement.Placer) -> None:
+        """Reserve room for the runs that are being stopped to be continued elsewhere.
+
+        Tasks that wait would otherwise take it within the half second of a stop.
+        """
+        for task, (run, machine, until) in list(self._vacated.items()):
+            if self.pool.live.get(task) is not run or self.pool.latest_time > until:
+                del self._vacated[task]
+            elif placer.has_room(machine):
+                placer.reserve(machine, task, run.step)
+
     def _is_preemptible(self, run: vm.Run) -> bool:
         state = self.pool.jobs.get(run.task.job)
         return (
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -291,3 +291,19 @@
     bench.add_job("urgent", step(2, estimate=2.0), accepted=NOW + 2)
 
     assert not list_stopped(bench.plan(NOW + 2.1))
+
+
+def test_room_of_a_run_that_leaves_a_closed_vm_is_kept_until_its_end(bench):
+    """Another job's tasks took it in the next round, within the time of the stop."""
+    bench.pool.on_queues([model.Queue("q", "h", "/q/", "p", stretch=2.0)])
+    machine = bench.add_vm("w1", cpu=4000)
+    bench.add_job("j", step(4))
+    bench.start()
+    bench.add_vm("w2", cpu=4000)
+    bench.pool.set_closed(frozenset({"w1"}), {}, 5)
+    bench.add_job("next", step(4, estimate=5.0))
+    assert len(list_stopped(bench.plan())) == 4
+
+    assert not list_started(bench.plan(NOW + 0.01))
+    end_stopped(bench, machine, NOW + 0.3)
+    assert list_started(bench.plan(NOW + 0.31)) == ["j"] * 4
