Recompute what is left of all jobs with running tasks

What is left of a run falls as time passes since its last listing, but it was recomputed only after a listing. With a worker that answers a second late, a job with a second of slack counted as late, and its runs were preempted. This replaces the mark that each listing set.

--- a/wigeonhitch/pool/estimate.py
+++ b/wigeonhitch/pool/estimate.py
@@ -89,9 +89,6 @@
         now : float
             This daemon's time.
         """
-        if not run.step.lasting:
-            # Less of the job is left by now, whether or not the run is observed.
-            self._progressed.add(run.task.job)
         if not self._is_observable(run, now):
             self.on_run_removed(run)
             return
@@ -203,7 +200,7 @@
         return max(longest, seconds * spread)
 
     def pop_progressed_jobs(self) -> set[str]:
-        """Return the jobs with new observations or progress since the last call."""
+        """Return the jobs whose observations have changed since the last call."""
         progressed, self._progressed = self._progressed, set()
         return progressed
 
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -168,11 +168,17 @@
                 self._next_due[id] = next_due
 
     def _refresh_estimates(self, now: float) -> None:
-        """Recompute the sort inputs of the jobs whose tasks have progressed."""
+        """Recompute the sort inputs of the jobs with running tasks.
+
+        Less of them is left as time passes, also while their workers are silent.
+        """
         if now < self._next_estimates:
             return
         self._next_estimates = now + ESTIMATE_PERIOD_SECONDS
-        for id in self.pool.estimates.pop_progressed_jobs():
+        running = {
+            run.task.job for run in self.pool.live.values() if not run.step.lasting
+        }
+        for id in self.pool.estimates.pop_progressed_jobs() | running:
             if id in self._sort_inputs:
                 self._sort_inputs[id] = self.pool.get_sort_inputs(self.pool.jobs[id])
 
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -307,3 +307,19 @@
     assert not list_started(bench.plan(NOW + 0.01))
     end_stopped(bench, machine, NOW + 0.3)
     assert list_started(bench.plan(NOW + 0.31)) == ["j"] * 4
+
+
+def test_job_is_not_taken_for_late_while_its_worker_answers_late(bench, listed):
+    """What was left of it stayed as it was last listed, as time went by."""
+    bench.pool.on_queues([model.Queue("q", "h", "/q/", "p", objective=1.0)])
+    machine = bench.add_vm(cpu=4000)
+    bench.add_job("j", step(4))
+    runs = bench.start()
+    for passed in (0.5, 1.0):
+        work = 25 * passed
+        bench.answer(machine, [listed(run, work) for run in runs], now=NOW + passed)
+        bench.plan(NOW + passed)
+    bench.plan(NOW + 2.1)
+    bench.add_job("urgent", step(2, estimate=2.0), accepted=NOW + 2)
+
+    assert not list_stopped(bench.plan(NOW + 2.2))
