Stop several small runs of a VM for one large task

A run was stopped only if its room alone, with what was free on its VM, sufficed for a waiting task. A task on time of 3 cores therefore waited for late runs of 1 core each, for as long as these lasted. Runs of one VM are now stopped together if they make the room for a task that is more urgent than each of them.

One test failed before and passes now; the tests of preemption and of the planner pass.

--- a/wigeonhitch/pool/preemption.py
+++ b/wigeonhitch/pool/preemption.py
@@ -10,7 +10,7 @@
 """
 
 import collections
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from wigeonhitch.jobs import model
@@ -107,14 +107,23 @@
         for run in stopping:
             missing.free_room(run)
         missing.serve_all()
-        victims = []
+        victims: list[vm.Run] = []
+        kept: dict[str, list[Candidate]] = {}
         for candidate in sorted(candidates, key=_get_key, reverse=True):
             if missing.is_served:
                 break
-            if missing.has_use_for(candidate):
-                missing.free_room(candidate.run)
-                missing.serve(candidate.run.vm.id, candidate.key)
-                victims.append(candidate.run)
+            # Several small runs of a VM may have to make room for one large task.
+            together = [candidate]
+            if not missing.has_use_for(together):
+                together = [*kept.get(candidate.run.vm.id, ()), candidate]
+                if not missing.has_use_for(together):
+                    kept[candidate.run.vm.id] = together
+                    continue
+                del kept[candidate.run.vm.id]
+            for other in together:
+                missing.free_room(other.run)
+            missing.serve(candidate.run.vm.id, candidate.key)
+            victims.extend(other.run for other in together)
         return victims
 
     def may_vacate(
@@ -212,13 +221,19 @@
         for id in sorted(self._freed):
             self._serve_others(id)
 
-    def has_use_for(self, candidate: Candidate) -> bool:
-        """Return whether a more urgent task fits on a run's VM without the run."""
-        run = candidate.run
-        id = run.vm.id
-        return id in self._free and (
-            self._find(id, candidate.key, self._free[id].plus(run.room)) is not None
-        )
+    def has_use_for(self, candidates: Sequence[Candidate]) -> bool:
+        """Return whether a more urgent task fits on a VM without these runs of it.
+
+        The last run is that of the most urgent job.
+        """
+        last = candidates[-1]
+        id = last.run.vm.id
+        if id not in self._free:
+            return False
+        room = self._free[id]
+        for candidate in candidates:
+            room = room.plus(candidate.run.room)
+        return self._find(id, last.key, room) is not None
 
     def serve(self, id: str, key: priority.SortKey) -> None:
         """Give a VM's room to a task that outranks a key, and the rest to others."""
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -323,3 +323,11 @@
     bench.add_job("urgent", step(2, estimate=2.0), accepted=NOW + 2)
 
     assert not list_stopped(bench.plan(NOW + 2.2))
+
+
+def test_several_small_runs_make_room_for_a_large_task(bench, start_late):
+    """A job on time waited for late ones whose tasks were smaller than its own."""
+    start_late()
+    bench.add_job("urgent", step(1, cpu=3000, estimate=2.0))
+
+    assert len(list_stopped(bench.plan())) == 3
