Drop the times of joining of VMs that are gone

The fleet's leader kept the time at which each moved VM joined its pool, also of those that vanished during the move or were replaced later.

One test failed before and passes now; the tests of the decisions of maintenance pass.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -182,6 +182,7 @@
                 del self.moving[id]
                 self.arrived[id] = moving._replace(since=now)
                 self.joined_at[id] = now
+        self.joined_at = {id: at for id, at in self.joined_at.items() if id in self.vms}
         for id, moving in list(self.arrived.items()):
             if now - moving.since > ARRIVAL_GRACE_SECONDS:
                 del self.arrived[id]
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -493,6 +493,14 @@
     assert closing.closing.vm == "spare"
 
 
+def test_vms_that_are_gone_have_no_time_of_joining(state):
+    """Each replaced VM left one in the leader's memory."""
+    state.moving["spare"] = core.Moving("b", NOW - 1)
+    state.on_vms(tuple(state.vms.values()), NOW)
+
+    assert not state.joined_at
+
+
 def test_vm_that_cannot_be_drained_is_reopened(state):
     state.on_closing(record.Closing("w-a0", "a0", 0, "b"), NOW)
 
