Vacate runs of advised queues only to VMs with a ticket

A run on a closed VM was stopped for room on any other VM. The task of an advised queue then waited for a ticket for that VM beside the free room, though its job was on time. It is stopped now only if it has a valid ticket for a VM with room.

One test failed before and passes now; the tests of preemption, the planner and tickets pass.

--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -243,7 +243,10 @@
 
     def _reserve_next_vm(self, run: vm.Run, placer: placement.Placer) -> bool:
         """Return whether room was found elsewhere for a run, and reserve it."""
-        chosen = placer.choose(run.task, run.step)
+        state = self.pool.jobs[run.task.job]
+        name = advice.StepName(*run.task[:3])
+        allowed = self._list_allowed(state, name, self.pool.latest_time)
+        chosen = placer.choose(run.task, run.step, allowed=allowed)
         if chosen is None:
             return False
         until = self.pool.latest_time + STOP_RETRY_SECONDS
@@ -541,10 +544,8 @@
             step = state.job.steps[number]
             if step.lasting or step.spread or step.label or step.gang:
                 continue
-            allowed = None
-            if self.pool.needs_ticket(state):
-                name = advice.StepName(state.job.id, occurrence, number)
-                allowed = frozenset(self.pool.tickets.list_valid(name, now))
+            name = advice.StepName(state.job.id, occurrence, number)
+            allowed = self._list_allowed(state, name, now)
             admitted = self._count_admitted(state.job.team, step.room, count)
             if admitted and (allowed is None or allowed):
                 key = self._keys[state.job.id]
@@ -552,6 +553,17 @@
                     preemption.WaitingTasks(key, step.reserved, admitted, allowed)
                 )
 
+    def _list_allowed(
+        self, state: progress.Progress, step: advice.StepName, now: float
+    ) -> frozenset[str] | None:
+        """Return the VMs for which a step has tickets, or None if it needs none.
+
+        Unlike `_get_tickets` it requests none.
+        """
+        if not self.pool.needs_ticket(state):
+            return None
+        return frozenset(self.pool.tickets.list_valid(step, now))
+
     def _count_admitted(self, team: str, room: model.Room, count: int) -> int:
         """Return how many of the waiting tasks the ceiling of a team allows.
 
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -331,3 +331,22 @@
     bench.add_job("urgent", step(1, cpu=3000, estimate=2.0))
 
     assert len(list_stopped(bench.plan())) == 3
+
+
+def test_runs_stay_on_a_closed_vm_without_a_ticket_for_another(bench):
+    """Their tasks waited for a ticket beside the free room."""
+    timing = model.Advice(0.02, 0.001, 3.0)
+    queue = model.Queue("q", "h", "/q/", "p", stretch=2.0, advice=timing)
+    bench.pool.on_queues([queue])
+    bench.add_vm("w1", cpu=4000)
+    bench.add_job("j", step(4))
+    name = advice.StepName("j", 0, 0)
+    bench.pool.tickets.on_advice(name, advice.AdviceReply({"w1": "t"}, 3.0), NOW)
+    bench.start()
+    bench.add_vm("w2", cpu=4000)
+    bench.pool.set_closed(frozenset({"w1"}), {}, 5)
+    assert not list_stopped(bench.plan())
+
+    tickets = advice.AdviceReply({"w2": "t"}, 3.0)
+    bench.pool.tickets.on_advice(name, tickets, NOW)
+    assert len(list_stopped(bench.plan(NOW + 0.2))) == 4
