Rank VMs by the shown run times of all runs that aren't preempted

The time until a VM is empty was computed from submitted estimates, which are off by up to nine tenths in some queues, and members of gangs with a checkpoint counted as runs that leave at once, though they are never preempted. It follows the learned spans now.

Two tests failed before and pass now; the tests of preemption, the planner and of the demand pass.

--- a/wigeonhitch/pool/status.py
+++ b/wigeonhitch/pool/status.py
@@ -2,6 +2,7 @@
 
 import collections
 import math
+from collections.abc import Iterable
 
 from wigeonhitch.jobs import model
 from wigeonhitch.pool import demand, record, view, vm
@@ -36,7 +37,7 @@
         _round_down(unmet),
         _round_down(idle),
         empty,
-        tuple(machine.id for machine in sorted(light, key=_rank_by_time_to_empty)),
+        tuple(machine.id for machine in _sort_by_time_to_empty(pool, light)),
         tuple(sorted(machine.id for machine in light if not machine.runs)),
         _round_down(demanded.peak),
         _round_down(demanded.minimum),
@@ -57,25 +58,28 @@
     return room
 
 
-def _rank_by_time_to_empty(machine: vm.Vm) -> tuple[int, int, str]:
-    """Rank a VM by how long its last task will run if the VM is closed.
+def _sort_by_time_to_empty(
+    pool: view.PoolView, machines: Iterable[vm.Vm]
+) -> list[vm.Vm]:
+    """Sort VMs by how long their last task will run if they are closed.
 
-    Runs with a checkpoint are continued elsewhere. Times are rounded, so that the row
-    isn't rewritten for each small change.
+    Runs with a checkpoint are continued elsewhere, except members of gangs. Times are
+    rounded, so that the row isn't rewritten for each small change.
     """
-    longest = max(
-        (
-            run.step.estimate * (1 - run.work / 100)
-            for run in machine.runs.values()
-            if not run.step.checkpoint
-        ),
-        default=0.0,
-    )
-    return (
-        math.ceil(longest / TIME_STEP_SECONDS),
-        len(machine.runs),
-        machine.id,
-    )
+
+    def rank(machine: vm.Vm) -> tuple[int, int, str]:
+        longest = max(
+            (
+                pool.compute_remaining(run)
+                for run in machine.runs.values()
+                if run.step.gang or not run.step.checkpoint
+            ),
+            default=0.0,
+        )
+        steps = math.ceil(longest / TIME_STEP_SECONDS)
+        return steps, len(machine.runs), machine.id
+
+    return sorted(machines, key=rank)
 
 
 def _round_down(millicores: int) -> int:
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -350,3 +350,31 @@
     tickets = advice.AdviceReply({"w2": "t"}, 3.0)
     bench.pool.tickets.on_advice(name, tickets, NOW)
     assert len(list_stopped(bench.plan(NOW + 0.2))) == 4
+
+
+def test_members_of_gangs_count_for_the_time_until_a_vm_is_empty(bench):
+    """They aren't preempted, so that their VM is empty only after their end."""
+    bench.add_vm("w1", cpu=1000)
+    bench.add_job("gang", step(1, gang=True))
+    bench.start()
+    bench.add_vm("w2", cpu=4000)
+    bench.add_job("short", step(4, estimate=0.4, checkpoint=False))
+    bench.start()
+
+    assert bench.planner.build_status(NOW, NOW).light == ("w2", "w1")
+
+
+def test_time_until_a_vm_is_empty_follows_the_shown_run_times(bench, listed):
+    """The VM with the longer task by its submitted estimate was empty first."""
+    first = bench.add_vm("w1", cpu=1000)
+    bench.add_job("long", step(1, estimate=1.0, checkpoint=False))
+    bench.start()
+    bench.add_vm("w2", cpu=1000)
+    bench.add_job("short", step(1, estimate=3.0, checkpoint=False))
+    bench.start()
+    for passed in (0.5, 1.0):
+        runs = [listed(run, 10 * passed * 2) for run in first.runs.values()]
+        bench.answer(first, runs, now=NOW + passed)
+        bench.plan(NOW + passed)
+
+    assert bench.planner.build_status(NOW, NOW).light == ("w2", "w1")
