--- a/wigeonhitch/pool/estimate.py
+++ b/wigeonhitch/pool/estimate.py
@@ -11,7 +11,7 @@
 
 import collections
 import statistics
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from wigeonhitch.jobs import model
 from wigeonhitch.pool import vm
@@ -37,6 +37,10 @@
 """Bound of the correction in both directions: estimates are off by up to nine
 tenths."""
 
+MAX_SPREAD_FACTOR = 3.0
+"""Bound of the longest run time of a step, as a multiple of its estimate. Tasks of one
+step differ by some 30%; a run that stands still, or a worker's clock that jumps, shows
+any time."""
 
 MIN_STEPS = 5
 """Complete steps of a queue below which nothing is concluded from them for others."""
@@ -121,7 +125,8 @@
         median = statistics.median(observed.values())
         complete = self._complete.setdefault(job.queue, _CompleteSteps())
         complete.corrections.append(_limit(median / step.estimate))
-        complete.spreads.append(max(observed.values()) / median)
+        spread = max(observed.values()) / median
+        complete.spreads.append(min(MAX_SPREAD_FACTOR, spread))
 
     def on_run_removed(self, run: vm.Run) -> None:
         """Drop what a run has shown while it was running."""
@@ -156,19 +161,24 @@
             for number, step in enumerate(job.steps)
         )
 
-    def compute_spans(self, job: model.Job) -> tuple[float, ...]:
+    def compute_spans(
+        self, job: model.Job, estimates: Sequence[float] | None = None
+    ) -> tuple[float, ...]:
         """Return the estimated seconds of each step if its tasks run in parallel.
 
         A step takes as long as its longest task. With eight tasks that differ by 30%,
-        that is some 1.4 times the median.
+        that is some 1.4 times the median. ``estimates`` are those of
+        `compute_estimates`, if they are known.
         """
+        if estimates is None:
+            estimates = self.compute_estimates(job)
         complete = self._complete.get(job.queue)
         spread = complete.compute_spread() if complete is not None else 1.0
         steps = self._observed.get(job.id, {})
         return tuple(
             self._compute_span(step, seconds, steps.get(number, {}).values(), spread)
             for number, (step, seconds) in enumerate(
-                zip(job.steps, self.compute_estimates(job), strict=True)
+                zip(job.steps, estimates, strict=True)
             )
         )
 
@@ -183,6 +193,8 @@
             return seconds
         values = list(observed)
         longest = max(values, default=0.0)
+        if seconds > 0:
+            longest = min(longest, seconds * MAX_SPREAD_FACTOR)
         if len(values) >= step.count:
             return longest
         return max(longest, seconds * spread)
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -71,10 +71,15 @@
         """Tasks of which a VM lists an orphaned run."""
         self._preemptor = preemption.Preemptor(pool.not_before)
         self._next_preemption = 0.0
+        self._vacated: dict[model.Task, tuple[vm.Run, vm.Vm, float]] = {}
+        """Runs that are being stopped to be continued elsewhere, with the VM on which
+        room is reserved for them, and until when."""
         self._keys: dict[str, priority.SortKey] = {}
         """Sort keys of the open jobs in the current round."""
         self._waiting: list[preemption.WaitingTasks] = []
         """Tasks that found no room in the current round."""
+        self._waiting_rooms: dict[str, model.Room] = {}
+        """Resources of these tasks by team, for teams with a ceiling."""
 
     def plan(self, now: float, wall_time: float) -> list[message.Start | message.Stop]:
         """Return the orders to give now; the runs to start are recorded as starting.
@@ -103,6 +108,7 @@
             suspects.count_by_vm(),
             suspects.list_assigned(),
         )
+        self._reserve_for_vacated(placer)
         orders.extend(self._plan_stops(placer, now))
         orphaned = self.pool.list_orphaned_tasks()
         self.pool.quotas.begin_round(is_certain=not (self.pool.unresolved or orphaned))
@@ -153,7 +159,6 @@
             self._sort_inputs.pop(id, None)
             state = self.pool.jobs.get(id)
             if state is None:
-                self._preemptor.forget_job(id)
                 continue
             if state.cancelled or state.final is not None:
                 self.pool.fair_queue.on_job_ended(id, is_unused=not state.started)
@@ -165,11 +170,17 @@
                 self._next_due[id] = next_due
 
     def _refresh_estimates(self, now: float) -> None:
-        """Recompute the sort inputs of the jobs whose tasks have progressed."""
+        """Recompute the sort inputs of the jobs with running tasks.
+
+        Less of them is left as time passes, also while their workers are silent.
+        """
         if now < self._next_estimates:
             return
         self._next_estimates = now + ESTIMATE_PERIOD_SECONDS
-        for id in self.pool.estimates.pop_progressed_jobs():
+        running = {
+            run.task.job for run in self.pool.live.values() if not run.step.lasting
+        }
+        for id in self.pool.estimates.pop_progressed_jobs() | running:
             if id in self._sort_inputs:
                 self._sort_inputs[id] = self.pool.get_sort_inputs(self.pool.jobs[id])
 
@@ -179,6 +190,7 @@
             return
         if state.is_final_durable:
             self.pool.forget_job(id)
+            self._preemptor.forget_job(id)
             return
         if state.final is not None:
             return
@@ -215,7 +227,7 @@
     def _may_vacate(self, run: vm.Run, placer: placement.Placer) -> bool:
         """Return whether a batch run should leave its VM, which is closed or leaving.
 
-        Its room elsewhere is reserved for this round.
+        If it is to be continued elsewhere, its room is reserved until its end.
         """
         machine = run.vm
         inputs = self._sort_inputs.get(run.task.job)
@@ -228,14 +240,38 @@
         return self._preemptor.may_vacate(
             inputs,
             self.pool.wall_time,
-            has_room=placer.choose(run.task, run.step) is not None,
+            lambda: self._reserve_next_vm(run, placer),
         )
 
+    def _reserve_next_vm(self, run: vm.Run, placer: placement.Placer) -> bool:
+        """Return whether room was found elsewhere for a run, and reserve it."""
+        state = self.pool.jobs[run.task.job]
+        name = advice.StepName(*run.task[:3])
+        allowed = self._list_allowed(state, name, self.pool.latest_time)
+        chosen = placer.choose(run.task, run.step, allowed=allowed)
+        if chosen is None:
+            return False
+        until = self.pool.latest_time + STOP_RETRY_SECONDS
+        self._vacated[run.task] = run, chosen, until
+        return True
+
+    def _reserve_for_vacated(self, placer: placement.Placer) -> None:
+        """Reserve room for the runs that are being stopped to be continued elsewhere.
+
+        Tasks that wait would otherwise take it within the half second of a stop.
+        """
+        for task, (run, machine, until) in list(self._vacated.items()):
+            if self.pool.live.get(task) is not run or self.pool.latest_time > until:
+                del self._vacated[task]
+            elif placer.has_room(machine):
+                placer.reserve(machine, task, run.step)
+
     def _is_preemptible(self, run: vm.Run) -> bool:
         state = self.pool.jobs.get(run.task.job)
         return (
             state is not None
             and not state.has_suspects  # each start of theirs is recorded before
+            and not state.job.times  # the sort key is that of the first occurrence
             and self._preemptor.is_preemptible(run, self.pool.compute_remaining(run))
         )
 
@@ -246,13 +282,17 @@
         if not self._waiting or now < self._next_preemption:
             return []
         self._next_preemption = now + SCAN_PERIOD_SECONDS
-        candidates = [
-            preemption.Candidate(self._keys[run.task.job], run)
-            for run in self.pool.live.values()
-            if run.task.job in self._keys
-            and (run.state is vm.RunState.STOPPING or self._is_preemptible(run))
-        ]
-        victims = self._preemptor.choose_victims(candidates, self._waiting, placer.free)
+        candidates, stopping = [], []
+        for run in self.pool.live.values():
+            if run.state is vm.RunState.STOPPING:
+                stopping.append(run)
+            elif run.task.job in self._keys and self._is_preemptible(run):
+                key = self._keys[run.task.job]
+                candidates.append(preemption.Candidate(key, run))
+        free = {machine.id: placer.free[machine.id] for machine in placer.vms}
+        victims = self._preemptor.choose_victims(
+            candidates, self._waiting, free, stopping
+        )
         return [self._preempt(run, now, "late", is_delayed=True) for run in victims]
 
     def _preempt(
@@ -354,6 +394,7 @@
         ]
         self._keys = {id: key for key, id in keyed}
         self._waiting = []
+        self._waiting_rooms = {}
         for key, id in sorted(keyed):
             state = self.pool.jobs[id]
             if state.final is not None:
@@ -414,6 +455,8 @@
         unmet = 0
         full_steps: set[tuple[int, int, bool]] = set()
         unplaced: collections.Counter[int] = collections.Counter()
+        startable: collections.Counter[tuple[int, int]] = collections.Counter()
+        is_counted = now >= self._next_preemption
         held_back: set[tuple[int, int, bool]] = set()  # by the ceiling of the team
         waiting: collections.Counter[int] = collections.Counter()
         has_suspects = state.has_suspects
@@ -436,6 +479,8 @@
             if group in full_steps or step.reserved.cpu > placer.max_free_cpu:
                 unplaced[task.step] += 1
                 unmet += 0 if is_suspect else step.reserved.cpu
+                if is_counted and now >= self.pool.not_before.get(task, 0.0):
+                    startable[task.occurrence, task.step] += 1
                 continue
             if now < self.pool.not_before.get(task, 0.0):
                 continue
@@ -463,12 +508,14 @@
                 continue
             full_steps.add(group)
             unplaced[task.step] += 1
+            startable[task.occurrence, task.step] += 1
             unmet += step.reserved.cpu
         self._has_waiting |= bool(unplaced or waiting)
         for number, count in waiting.items():
             self._request_quota(state, state.job.steps[number].room.times(count))
         self._record_missing_vms(state, unplaced)
-        self._record_waiting(state, unplaced)
+        if is_counted:
+            self._record_waiting(state, startable, now)
         return unmet
 
     def _admits(self, state: progress.Progress, room: model.Room) -> bool:
@@ -489,17 +536,56 @@
         return any(task[:3] == other[:3] for other in state.assigned_vms)
 
     def _record_waiting(
-        self, state: progress.Progress, unplaced: collections.Counter[int]
+        self,
+        state: progress.Progress,
+        unplaced: collections.Counter[tuple[int, int]],
+        now: float,
     ) -> None:
-        """Record the tasks that any VM with enough room could run."""
+        """Record the tasks that could start now on any VM with enough room.
+
+        Those of an advised queue start only on VMs for which they have a ticket, and
+        those of a team only as far as its ceiling allows.
+        """
         if state.has_suspects:
             return
-        for number, count in unplaced.items():
+        for (occurrence, number), count in unplaced.items():
             step = state.job.steps[number]
-            if not (step.lasting or step.spread or step.label or step.gang):
+            if step.lasting or step.spread or step.label or step.gang:
+                continue
+            name = advice.StepName(state.job.id, occurrence, number)
+            allowed = self._list_allowed(state, name, now)
+            admitted = self._count_admitted(state.job.team, step.room, count)
+            if admitted and (allowed is None or allowed):
                 key = self._keys[state.job.id]
-                tasks = preemption.WaitingTasks(key, step.reserved, count)
-                self._waiting.append(tasks)
+                self._waiting.append(
+                    preemption.WaitingTasks(key, step.reserved, admitted, allowed)
+                )
+
+    def _list_allowed(
+        self, state: progress.Progress, step: advice.StepName, now: float
+    ) -> frozenset[str] | None:
+        """Return the VMs for which a step has tickets, or None if it needs none.
+
+        Unlike `_get_tickets` it requests none.
+        """
+        if not self.pool.needs_ticket(state):
+            return None
+        return frozenset(self.pool.tickets.list_valid(step, now))
+
+    def _count_admitted(self, team: str, room: model.Room, count: int) -> int:
+        """Return how many of the waiting tasks the ceiling of a team allows.
+
+        They count for the rest of the round.
+        """
+        if not self.pool.quotas.is_limited(team):
+            return count
+        counted = self._waiting_rooms.get(team, model.Room())
+        while count and not self.pool.quotas.admits(
+            team, counted.plus(room.times(count))
+        ):
+            count -= 1
+        self._waiting_rooms[team] = counted.plus(room.times(count))
+        return count
 
     def _record_missing_vms(
         self, state: progress.Progress, unplaced: collections.Counter[int]
--- a/wigeonhitch/pool/preemption.py
+++ b/wigeonhitch/pool/preemption.py
@@ -9,7 +9,8 @@
 resumes from it, so that a stop costs its own time and that of the restart but no work.
 """
 
-from collections.abc import Iterable, Mapping
+import collections
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from wigeonhitch.jobs import model
@@ -44,6 +45,8 @@
     room: model.Room
     """Resources of each task."""
     count: int
+    allowed: frozenset[str] | None = None
+    """VMs on which they may start; None for any."""
 
 
 class Preemptor:
@@ -84,62 +87,61 @@
         candidates: Iterable[Candidate],
         waiting: Iterable[WaitingTasks],
         free: Mapping[str, model.Room],
+        stopping: Iterable[vm.Run] = (),
     ) -> list[vm.Run]:
         """Return the runs to stop for tasks that wait, least urgent first.
 
         Parameters
         ----------
         candidates : iterable of Candidate
-            Preemptible runs, and those that are being stopped already.
+            Preemptible runs.
         waiting : iterable of WaitingTasks
             Tasks that find no room.
         free : mapping of str to model.Room
             Free resources of each VM on which tasks may be started.
-
-        Notes
-        -----
-        A run that is being stopped counts for the tasks that wait until its end is
-        listed, so that they don't have more runs stopped meanwhile.
+        stopping : iterable of vm.Run
+            Runs that are being stopped already. Their room counts for the tasks that
+            wait, so that they don't have more runs stopped meanwhile.
         """
-        ordered = sorted(candidates, key=lambda candidate: candidate.key, reverse=True)
-        missing = sorted(waiting, key=lambda tasks: tasks.key)
-        lacking = sum(tasks.room.cpu * tasks.count for tasks in missing) - sum(
-            candidate.run.room.cpu
-            for candidate in ordered
-            if candidate.run.state is vm.RunState.STOPPING
-        )
-        freed: dict[str, model.Room] = {}
-        victims = []
-        for candidate in ordered:
-            run = candidate.run
-            if lacking <= 0:
+        missing = _MissingRoom(waiting, free)
+        for run in stopping:
+            missing.free_room(run)
+        missing.serve_all()
+        victims: list[vm.Run] = []
+        kept: dict[str, list[Candidate]] = {}
+        for candidate in sorted(candidates, key=_get_key, reverse=True):
+            if missing.is_served:
                 break
-            if run.state is vm.RunState.STOPPING or run.vm.id not in free:
-                continue
-            room = free[run.vm.id].plus(freed.get(run.vm.id, model.Room()))
-            room = room.plus(run.room)
-            if not any(
-                is_outranked(candidate.key, tasks.key) and tasks.room.fits_in(room)
-                for tasks in missing
-            ):
-                continue
-            victims.append(run)
-            freed[run.vm.id] = freed.get(run.vm.id, model.Room()).plus(run.room)
-            lacking -= run.room.cpu
+            # Several small runs of a VM may have to make room for one large task.
+            together = [candidate]
+            if not missing.has_use_for(together):
+                together = [*kept.get(candidate.run.vm.id, ()), candidate]
+                if not missing.has_use_for(together):
+                    kept[candidate.run.vm.id] = together
+                    continue
+                del kept[candidate.run.vm.id]
+            for other in together:
+                missing.free_room(other.run)
+            missing.serve(candidate.run.vm.id, candidate.key)
+            victims.extend(other.run for other in together)
         return victims
 
     def may_vacate(
-        self, inputs: priority.SortInputs, wall_time: float, *, has_room: bool
+        self,
+        inputs: priority.SortInputs,
+        wall_time: float,
+        reserve_room: Callable[[], bool],
     ) -> bool:
         """Return whether a run should be stopped because its VM is to be emptied.
 
         The run of a job that can't be on time is stopped in any case. Another one is
-        continued elsewhere if there is room for it and the job stays on time.
+        continued elsewhere if there is room for it and the job stays on time. Only
+        then is ``reserve_room`` called, which returns whether it has found room.
         """
         end = wall_time + inputs.critical_path_left
         if end > inputs.due:
             return True
-        return has_room and end + RESTART_SECONDS <= inputs.due
+        return end + RESTART_SECONDS <= inputs.due and reserve_room()
 
     def record(self, run: vm.Run, now: float, *, is_delayed: bool) -> None:
         """Record that a run is being stopped at this daemon's time ``now``."""
@@ -148,12 +150,116 @@
             self._not_before[run.task] = now + RESTART_DELAY_SECONDS
 
 
-def is_outranked(key: priority.SortKey, other: priority.SortKey) -> bool:
-    """Return whether a job's tasks may be preempted for another job's tasks.
+def is_outranked(key: priority.SortKey, group: int, first: int) -> bool:
+    """Return whether a job's tasks may be preempted for those of another job.
 
     Jobs that can be on time are only preempted for those of a queue that comes first:
     among themselves each stop would delay one to speed up another.
+
+    Parameters
+    ----------
+    key : priority.SortKey
+        Sort key of the job that runs.
+    group, first : int
+        Group and priority of the job that waits.
     """
     if key.group >= priority.LATE:
-        return (other.group, other.priority) < (key.group, key.priority)
-    return other.group <= key.group and other.priority < key.priority
+        return (group, first) < (key.group, key.priority)
+    return group <= key.group and first < key.priority
+
+
+class _Kind(NamedTuple):
+    """What the waiting tasks that count together have in common."""
+
+    group: int
+    priority: int
+    room: model.Room
+    allowed: frozenset[str] | None
+
+    def fits(self, id: str, room: model.Room) -> bool:
+        """Return whether one of the tasks may start in a VM's free room."""
+        if self.allowed is not None and id not in self.allowed:
+            return False
+        return self.room.fits_in(room)
+
+
+class _MissingRoom:
+    """Waiting tasks for which no room is found yet, and room that is becoming free.
+
+    Tasks count by group, priority and resources: thousands of jobs may wait, and all
+    runs of a pool are compared with them.
+    """
+
+    def __init__(
+        self, waiting: Iterable[WaitingTasks], free: Mapping[str, model.Room]
+    ) -> None:
+        counts: collections.Counter[_Kind] = collections.Counter()
+        for tasks in waiting:
+            group, first = tasks.key.group, tasks.key.priority
+            counts[_Kind(group, first, tasks.room, tasks.allowed)] += tasks.count
+        ordered = sorted(counts, key=lambda kind: kind[:3])
+        self._counts = {kind: counts[kind] for kind in ordered}
+        """Number of tasks of each kind, most urgent first."""
+        self._free = dict(free)
+        self._freed: set[str] = set()
+        """VMs of which room is becoming free."""
+
+    @property
+    def is_served(self) -> bool:
+        """Whether there will be room for all tasks."""
+        return not self._counts
+
+    def free_room(self, run: vm.Run) -> None:
+        """Count a run's room as free, if tasks may be started on its VM."""
+        id = run.vm.id
+        if id in self._free:
+            self._free[id] = self._free[id].plus(run.room)
+            self._freed.add(id)
+
+    def serve_all(self) -> None:
+        """Give the room that is becoming free to tasks, most urgent first."""
+        for id in sorted(self._freed):
+            self._serve_others(id)
+
+    def has_use_for(self, candidates: Sequence[Candidate]) -> bool:
+        """Return whether a more urgent task fits on a VM without these runs of it.
+
+        The last run is that of the most urgent job.
+        """
+        last = candidates[-1]
+        id = last.run.vm.id
+        if id not in self._free:
+            return False
+        room = self._free[id]
+        for candidate in candidates:
+            room = room.plus(candidate.run.room)
+        return self._find(id, last.key, room) is not None
+
+    def serve(self, id: str, key: priority.SortKey) -> None:
+        """Give a VM's room to a task that outranks a key, and the rest to others."""
+        kind = self._find(id, key, self._free[id])
+        if kind is not None:
+            self._give(id, kind)
+        self._serve_others(id)
+
+    def _find(self, id: str, key: priority.SortKey, room: model.Room) -> "_Kind | None":
+        """Return the most urgent kind that outranks a key and fits in a VM's room."""
+        for kind in self._counts:
+            if is_outranked(key, kind.group, kind.priority) and kind.fits(id, room):
+                return kind
+        return None
+
+    def _serve_others(self, id: str) -> None:
+        for kind in list(self._counts):
+            while kind in self._counts and kind.fits(id, self._free[id]):
+                self._give(id, kind)
+
+    def _give(self, id: str, kind: "_Kind") -> None:
+        self._free[id] = self._free[id].minus(kind.room)
+        self._counts[kind] -= 1
+        if self._counts[kind] <= 0:
+            del self._counts[kind]
+
+
+def _get_key(candidate: Candidate) -> priority.SortKey:
+    return candidate.key
