Keep an equal part of a lowered ceiling for each pool that has a share

Change: what a pool returns of a share above a lowered ceiling leaves it an equal part of the ceiling. Shares are still raised only within what the others leave. Checked: the new test has 4 and 0 tasks without the change, 2 and 2 with it; the test of the fault before asserts 6 and 4 tasks instead of their sum; tests of quotas and their histories pass (29).

--- a/wigeonhitch/pool/quota.py
+++ b/wigeonhitch/pool/quota.py
@@ -226,15 +226,28 @@
         else:
             target = kept.raise_to(self._compute_partial_target(occupied, free))
         # What runs already has to be covered, also above a ceiling that was lowered.
-        # The rest of such a share is returned: with tasks waiting none of it counts as
-        # unused, and pools that keep more than the ceiling let nobody start.
-        bound = model.Room(
+        return target.limit_to(self._compute_bound(target)).raise_to(occupied)
+
+    def _compute_bound(self, target: model.Room) -> model.Room:
+        """Return the largest share to keep, in the resources that have a ceiling.
+
+        Pools that keep more than a lowered ceiling together let nobody start, and with
+        tasks waiting none of it counts as unused. Each pool returns what exceeds the
+        rest of the ceiling, but keeps an equal part of it: otherwise the pool that
+        writes last would keep all, for as long as its team has work.
+        """
+        others = sum(
+            pool != self.pool and share.room != NOTHING
+            for pool, share in self.allotment.shares.items()
+        )
+        return model.Room(
             *(
-                available if most else value
-                for available, value, most in zip(free, target, ceiling, strict=True)
+                max(available, most // (others + 1)) if most else value
+                for available, value, most in zip(
+                    self.compute_free(), target, self.effective_ceiling, strict=True
+                )
             )
         )
-        return target.limit_to(bound).raise_to(occupied)
 
     def _compute_partial_target(
         self, occupied: model.Room, free: model.Room
--- a/wigeonhitch/pool/tests/test_quota.py
+++ b/wigeonhitch/pool/tests/test_quota.py
@@ -211,7 +211,23 @@
             leader.round(8)
             leader.sync()
 
-    assert len(one.runs) + len(other.runs) == 10
+    assert (len(one.runs), len(other.runs)) == (6, 4)
+
+
+def test_pools_keep_equal_parts_of_a_lowered_ceiling(store):
+    """The pool that wrote last kept all, and the other one started nothing for 12 s."""
+    one, other = Leader(store), Leader(store, "b")
+    assert (one.run(8), other.run(8)) == (8, 8)
+    for leader in (one, other):
+        leader.configure(model.Room(4000, 8000), 2)
+    one.end(8)
+    other.end(8)
+    for _ in range(4):
+        for leader in (one, other):
+            leader.round(8)
+            leader.sync()
+
+    assert (len(one.runs), len(other.runs)) == (2, 2)
 
 
 def test_ceiling_of_one_resource_leaves_the_other_unlimited(store):
