Move the planning of stops out of the pool planner

The stops, the reservations for vacated runs and the record of the tasks for which runs may be preempted move to pool/stopping.py (StopPlanner), which the planner calls at the same points of a round as before. The choice of VMs for a gang becomes Placer.choose_for_gang. Behaviour is unchanged: code is only moved, with its comments.

Two tests reach what has moved under its new name: test_preemption reads the preemptor's counts from the StopPlanner, and test_waiting takes the two constants from stopping. No assertion changes otherwise.

--- a/wigeonhitch/pool/__init__.py
+++ b/wigeonhitch/pool/__init__.py
@@ -1,12 +1,12 @@
 """Leading one pool: which task runs where, under leases and a fencing token.
 
 Public: `view` and `core` (the leader's view of its pool, and how answers of
-workers change it), `vm` (one VM), `planner` (one scheduling round), `priority`
-(order of the jobs), `placement` (choice of the VM), `demand` (processors that the
-pool needs), `health` and `pacing` (degraded VMs, filling tasks), `ticket`, `ledger`
-and `compaction` (rows to write), `status` and `record` (rows), `load` (processors by
-use, for operators), `message` and `dependencies`, and with I/O `source`, `dispatcher`
-and `runner`.
+workers change it), `vm` (one VM), `planner` (one scheduling round), `stopping`
+(runs to stop), `priority` (order of the jobs), `placement` (choice of the VM),
+`demand` (processors that the pool needs), `health` and `pacing` (degraded VMs,
+filling tasks), `ticket`, `ledger` and `compaction` (rows to write), `status` and
+`record` (rows), `load` (processors by use, for operators), `message` and
+`dependencies`, and with I/O `source`, `dispatcher` and `runner`.
 """
 
 __all__ = [
@@ -27,6 +27,7 @@
     "runner",
     "source",
     "status",
+    "stopping",
     "ticket",
     "view",
     "vm",
--- a/wigeonhitch/pool/placement.py
+++ b/wigeonhitch/pool/placement.py
@@ -1,4 +1,4 @@
-"""Choice of a VM for a task by free room, label, rack and spread limit.
+"""Choice of the VMs for a task or gang by free room, label, rack and spread limit.
 
 Batch tasks go where they leave the least room, so that large tasks still fit
 elsewhere. Lasting tasks go to VMs with the fewest tasks of their step, then to VMs
@@ -6,7 +6,7 @@
 to the most free room.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from wigeonhitch.jobs import model
 from wigeonhitch.pool import suspect, vm
@@ -116,6 +116,47 @@
             self.reserve(chosen, task, step)
         return chosen
 
+    def choose_for_gang(
+        self,
+        tasks: Sequence[model.Task],
+        step: model.Step,
+        *,
+        allowed: frozenset[str] | None = None,
+    ) -> list[vm.Vm]:
+        """Choose a VM for each of the tasks, or none; in one rack if required.
+
+        Parameters
+        ----------
+        tasks : sequence of model.Task
+            Tasks of one gang.
+        step : model.Step
+            Their step, which may require one rack.
+        allowed : frozenset of str, optional
+            VMs that the queue's policy allows.
+        """
+        for rack in self.list_racks() if step.same_rack else [""]:
+            if chosen := self._choose_in(rack, tasks, step, allowed):
+                return chosen
+        return []
+
+    def _choose_in(
+        self,
+        rack: str,
+        tasks: Sequence[model.Task],
+        step: model.Step,
+        allowed: frozenset[str] | None,
+    ) -> list[vm.Vm]:
+        """Choose a VM for each of the tasks, or release all room and return none."""
+        chosen: list[vm.Vm] = []
+        for task in tasks:
+            machine = self.choose(task, step, rack=rack, allowed=allowed)
+            if machine is None:
+                for taken, earlier in zip(chosen, tasks, strict=False):
+                    self.release(taken, earlier, step)
+                return []
+            chosen.append(machine)
+        return chosen
+
     def keep(self, machine: vm.Vm) -> None:
         """Keep a VM free of further tasks for the rest of the round."""
         self.vms.remove(machine)
--- a/wigeonhitch/pool/planner.py
+++ b/wigeonhitch/pool/planner.py
@@ -1,9 +1,10 @@
-"""One scheduling round of a leader: which runs to stop, start and slow down.
+"""One scheduling round of a leader: which tasks to start, and the pace of runs.
 
 A round follows each change, at most about a hundred times a second. Jobs are taken
-in the order of `priority`, and `placement` chooses the VM of each task. A step whose
-next task finds no room waits for the next round, so that a backlog costs one
-placement attempt per step and not one per task.
+in the order of `priority`, and `placement` chooses the VM of each task. `stopping`
+plans which runs to stop; the round calls its steps in turn. A step whose next task
+finds no room waits for the next round, so that a backlog costs one placement attempt
+per step and not one per task.
 """
 
 import collections
@@ -15,29 +16,18 @@
     assignment,
     core,
     demand,
-    health,
     message,
     pacing,
     placement,
-    preemption,
     priority,
     status,
-    view,
+    stopping,
     vm,
 )
 from wigeonhitch.pool import record as pool_record
 
 __all__ = ["Planner"]
 
-STOP_RETRY_SECONDS = 1.2
-"""Seconds after which a stop is sent again if the run is still listed; a stop takes
-up to 0.9 s."""
-
-
-SCAN_PERIOD_SECONDS = 0.1
-"""Seconds between scans of all runs for those to be stopped, unless a job, a VM or a
-closing has changed: a pool of 40 VMs has some 600 runs."""
-
 ESTIMATE_PERIOD_SECONDS = 0.25
 """Seconds between two updates of the order of jobs whose tasks have only progressed:
 with 600 runs, each round has progress of some of them."""
@@ -61,7 +51,6 @@
         self._open_tasks: dict[str, list[model.Task]] = {}
         self._next_due: dict[str, float] = {}
         self._sort_inputs: dict[str, priority.SortInputs] = {}
-        self._next_scan = 0.0
         self._next_estimates = 0.0
         self._has_waiting = False
         """Whether a task waits that could run if there was room or a share."""
@@ -69,17 +58,7 @@
         """Further VMs that lasting tasks need because of their spread limit."""
         self._orphaned_tasks: frozenset[model.Task] = frozenset()
         """Tasks of which a VM lists an orphaned run."""
-        self._preemptor = preemption.Preemptor(pool.not_before)
-        self._next_preemption = 0.0
-        self._vacated: dict[model.Task, tuple[vm.Run, vm.Vm, float]] = {}
-        """Runs that are being stopped to be continued elsewhere, with the VM on which
-        room is reserved for them, and until when."""
-        self._keys: dict[str, priority.SortKey] = {}
-        """Sort keys of the open jobs in the current round."""
-        self._waiting: list[preemption.WaitingTasks] = []
-        """Tasks that found no room in the current round."""
-        self._waiting_rooms: dict[str, model.Room] = {}
-        """Resources of these tasks by team, for teams with a ceiling."""
+        self._stops = stopping.StopPlanner(pool, self._sort_inputs)
 
     def plan(self, now: float, wall_time: float) -> list[message.Start | message.Stop]:
         """Return the orders to give now; the runs to start are recorded as starting.
@@ -99,7 +78,8 @@
         self.pool.record_unseen_ends(wall_time)
         self._refresh_jobs(wall_time)
         self._refresh_estimates(now)
-        orders: list[message.Start | message.Stop] = self._stop_orphans(now)
+        orders: list[message.Start | message.Stop] = []
+        orders.extend(self._stops.stop_orphans(now))
         suspects = self.pool.suspects
         placer = placement.Placer(
             self.pool.vms.values(),
@@ -108,13 +88,13 @@
             suspects.count_by_vm(),
             suspects.list_assigned(),
         )
-        self._reserve_for_vacated(placer)
-        orders.extend(self._plan_stops(placer, now))
+        self._stops.reserve_for_vacated(placer)
+        orders.extend(self._stops.plan_stops(placer, now))
         orphaned = self.pool.list_orphaned_tasks()
         self.pool.quotas.begin_round(is_certain=not (self.pool.unresolved or orphaned))
         orders.extend(self._plan_starts(placer, now, wall_time))
         self.pool.quotas.end_round()
-        orders.extend(self._plan_preemptions(placer, now))
+        orders.extend(self._stops.plan_preemptions(placer, now))
         return orders
 
     def plan_paces(self, machine: vm.Vm) -> list[message.Pace]:
@@ -190,7 +170,7 @@
             return
         if state.is_final_durable:
             self.pool.forget_job(id)
-            self._preemptor.forget_job(id)
+            self._stops.forget_job(id)
             return
         if state.final is not None:
             return
@@ -200,175 +180,6 @@
         state.final = model.JobState.CANCELLED
         self.pool.ledger.mark_dirty(id)
 
-    # -- stops
-
-    def _plan_stops(self, placer: placement.Placer, now: float) -> list[message.Stop]:
-        if now < self._next_scan and not self.pool.must_scan:
-            return []
-        self.pool.must_scan = False
-        self._next_scan = now + SCAN_PERIOD_SECONDS
-        stops = []
-        for run in list(self.pool.live.values()):
-            if run.state is vm.RunState.STOPPING:
-                if now - run.stop_sent_at > STOP_RETRY_SECONDS:
-                    stops.append(self._stop(run, now))
-            elif run.state is not vm.RunState.RUNNING:
-                continue
-            elif (
-                not self.pool.is_wanted(run)
-                or self._must_drain(run, placer)
-                or self._must_restart_elsewhere(run, placer, now)
-            ):
-                stops.append(self._stop(run, now))
-            elif self._may_vacate(run, placer):
-                stops.append(self._preempt(run, now, "vacating", is_delayed=False))
-        return stops
-
-    def _may_vacate(self, run: vm.Run, placer: placement.Placer) -> bool:
-        """Return whether a batch run should leave its VM, which is closed or leaving.
-
-        If it is to be continued elsewhere, its room is reserved until its end.
-        """
-        machine = run.vm
-        inputs = self._sort_inputs.get(run.task.job)
-        if (
-            inputs is None
-            or not (machine.closed or machine.entry.leaving)
-            or not self._is_preemptible(run)
-        ):
-            return False
-        return self._preemptor.may_vacate(
-            inputs,
-            self.pool.wall_time,
-            lambda: self._reserve_next_vm(run, placer),
-        )
-
-    def _reserve_next_vm(self, run: vm.Run, placer: placement.Placer) -> bool:
-        """Return whether room was found elsewhere for a run, and reserve it."""
-        state = self.pool.jobs[run.task.job]
-        name = advice.StepName(*run.task[:3])
-        allowed = self._list_allowed(state, name, self.pool.latest_time)
-        chosen = placer.choose(run.task, run.step, allowed=allowed)
-        if chosen is None:
-            return False
-        until = self.pool.latest_time + STOP_RETRY_SECONDS
-        self._vacated[run.task] = run, chosen, until
-        return True
-
-    def _reserve_for_vacated(self, placer: placement.Placer) -> None:
-        """Reserve room for the runs that are being stopped to be continued elsewhere.
-
-        Tasks that wait would otherwise take it within the half second of a stop.
-        """
-        for task, (run, machine, until) in list(self._vacated.items()):
-            if self.pool.live.get(task) is not run or self.pool.latest_time > until:
-                del self._vacated[task]
-            elif placer.has_room(machine):
-                placer.reserve(machine, task, run.step)
-
-    def _is_preemptible(self, run: vm.Run) -> bool:
-        state = self.pool.jobs.get(run.task.job)
-        return (
-            state is not None
-            and not state.has_suspects  # each start of theirs is recorded before
-            and not state.job.times  # the sort key is that of the first occurrence
-            and self._preemptor.is_preemptible(run, self.pool.compute_remaining(run))
-        )
-
-    def _plan_preemptions(
-        self, placer: placement.Placer, now: float
-    ) -> list[message.Stop]:
-        """Stop less urgent runs for the tasks that found no room in this round."""
-        if not self._waiting or now < self._next_preemption:
-            return []
-        self._next_preemption = now + SCAN_PERIOD_SECONDS
-        candidates, stopping = [], []
-        for run in self.pool.live.values():
-            if run.state is vm.RunState.STOPPING:
-                stopping.append(run)
-            elif run.task.job in self._keys and self._is_preemptible(run):
-                key = self._keys[run.task.job]
-                candidates.append(preemption.Candidate(key, run))
-        free = {machine.id: placer.free[machine.id] for machine in placer.vms}
-        victims = self._preemptor.choose_victims(
-            candidates, self._waiting, free, stopping
-        )
-        return [self._preempt(run, now, "late", is_delayed=True) for run in victims]
-
-    def _preempt(
-        self, run: vm.Run, now: float, reason: str, *, is_delayed: bool
-    ) -> message.Stop:
-        key = self._keys.get(run.task.job)
-        self.pool.log_event(
-            "run preempted",
-            reason=reason,
-            group=key.group if key else None,
-            work=run.work,
-            **view.describe_run(run),
-        )
-        self._preemptor.record(run, now, is_delayed=is_delayed)
-        return self._stop(run, now)
-
-    def _must_restart_elsewhere(
-        self, run: vm.Run, placer: placement.Placer, now: float
-    ) -> bool:
-        """Return whether a run must be restarted elsewhere as its VM is degraded."""
-        if run.task in self.pool.relocated:
-            return False
-        stuck = health.is_stuck(run)
-        if not stuck and not self._is_slow(run, now):
-            return False
-        reason = "no progress" if stuck else "slow"
-        self.pool.record_degraded_run(run, reason, now)
-        elsewhere = placer.choose(run.task, run.step, avoid=run.vm.id)
-        if elsewhere in (None, run.vm) and not (stuck and run.vm.is_quarantined(now)):
-            return False
-        self.pool.relocated.add(run.task)
-        self.pool.failed_on[run.task] = run.vm.id
-        return True
-
-    def _is_slow(self, run: vm.Run, now: float) -> bool:
-        """Return whether a run is slow because of its VM and not of its job."""
-        if not health.is_slow(run, now):
-            return False
-        run.vm.record_slow_job(run.task.job, now)
-        peers = [
-            other for other in self.pool.live.values() if other.task[:3] == run.task[:3]
-        ]
-        slower = health.is_slower_than_peers(run, peers)
-        return run.vm.is_slow(now) if slower is None else slower
-
-    def _stop_orphans(self, now: float) -> list[message.Start | message.Stop]:
-        stops: list[message.Start | message.Stop] = []
-        for machine in self.pool.vms.values():
-            for (task, number), sent in machine.orphans.items():
-                if now - sent > STOP_RETRY_SECONDS:
-                    machine.orphans[task, number] = now
-                    stops.append(message.Stop(machine, task, number))
-        return stops
-
-    def _stop(self, run: vm.Run, now: float) -> message.Stop:
-        run.state = vm.RunState.STOPPING
-        run.stop_sent_at = now
-        return message.Stop(run.vm, run.task, run.number)
-
-    def _must_drain(self, run: vm.Run, placer: placement.Placer) -> bool:
-        """Return whether a lasting run must leave its VM, which is closed or leaving.
-
-        The step keeps to its ``max_unavailable``, whatever the cause of the missing
-        tasks, unless the VM is leaving: there its tasks end in any case. Nothing is
-        stopped before there is room for it elsewhere.
-        """
-        machine = run.vm
-        if not run.step.lasting or not (machine.closed or machine.entry.leaving):
-            return False
-        unavailable = self.pool.count_unavailable(run.task.job, run.task.step)
-        if not run.is_at_work:
-            unavailable -= 1  # it may have become available since it was last listed
-        if unavailable + 1 > run.step.max_unavailable and not machine.entry.leaving:
-            return False
-        return placer.choose(run.task, run.step) is not None
-
     # -- starts
 
     def _plan_starts(
@@ -392,9 +203,7 @@
         keyed = [
             (key._replace(bucket=buckets.get(id, 0)), id) for id, key in keys.items()
         ]
-        self._keys = {id: key for key, id in keyed}
-        self._waiting = []
-        self._waiting_rooms = {}
+        self._stops.begin_starts({id: key for key, id in keyed})
         for key, id in sorted(keyed):
             state = self.pool.jobs[id]
             if state.final is not None:
@@ -456,7 +265,7 @@
         full_steps: set[tuple[int, int, bool]] = set()
         unplaced: collections.Counter[int] = collections.Counter()
         startable: collections.Counter[tuple[int, int]] = collections.Counter()
-        is_counted = now >= self._next_preemption
+        is_counted = self._stops.may_preempt(now)
         held_back: set[tuple[int, int, bool]] = set()  # by the ceiling of the team
         waiting: collections.Counter[int] = collections.Counter()
         has_suspects = state.has_suspects
@@ -515,7 +324,7 @@
             self._request_quota(state, state.job.steps[number].room.times(count))
         self._record_missing_vms(state, unplaced)
         if is_counted:
-            self._record_waiting(state, startable, now)
+            self._stops.record_waiting(state, startable, now)
         return unmet
 
     def _admits(self, state: progress.Progress, room: model.Room) -> bool:
@@ -535,58 +344,6 @@
         """
         return any(task[:3] == other[:3] for other in state.assigned_vms)
 
-    def _record_waiting(
-        self,
-        state: progress.Progress,
-        unplaced: collections.Counter[tuple[int, int]],
-        now: float,
-    ) -> None:
-        """Record the tasks that could start now on any VM with enough room.
-
-        Those of an advised queue start only on VMs for which they have a ticket, and
-        those of a team only as far as its ceiling allows.
-        """
-        if state.has_suspects:
-            return
-        for (occurrence, number), count in unplaced.items():
-            step = state.job.steps[number]
-            if step.lasting or step.spread or step.label or step.gang:
-                continue
-            name = advice.StepName(state.job.id, occurrence, number)
-            allowed = self._list_allowed(state, name, now)
-            admitted = self._count_admitted(state.job.team, step.room, count)
-            if admitted and (allowed is None or allowed):
-                key = self._keys[state.job.id]
-                self._waiting.append(
-                    preemption.WaitingTasks(key, step.reserved, admitted, allowed)
-                )
-
-    def _list_allowed(
-        self, state: progress.Progress, step: advice.StepName, now: float
-    ) -> frozenset[str] | None:
-        """Return the VMs for which a step has tickets, or None if it needs none.
-
-        Unlike `_get_tickets` it requests none.
-        """
-        if not self.pool.needs_ticket(state):
-            return None
-        return frozenset(self.pool.tickets.list_valid(step, now))
-
-    def _count_admitted(self, team: str, room: model.Room, count: int) -> int:
-        """Return how many of the waiting tasks the ceiling of a team allows.
-
-        They count for the rest of the round.
-        """
-        if not self.pool.quotas.is_limited(team):
-            return count
-        counted = self._waiting_rooms.get(team, model.Room())
-        while count and not self.pool.quotas.admits(
-            team, counted.plus(room.times(count))
-        ):
-            count -= 1
-        self._waiting_rooms[team] = counted.plus(room.times(count))
-        return count
-
     def _record_missing_vms(
         self, state: progress.Progress, unplaced: collections.Counter[int]
     ) -> None:
@@ -679,7 +436,7 @@
         if any(task in state.assigned_vms for task in tasks):
             chosen = assignment.find_gang_vms(self.pool, placer, tasks, allowed, now)
         else:
-            chosen = _choose_gang_vms(placer, tasks, step, allowed)
+            chosen = placer.choose_for_gang(tasks, step, allowed=allowed)
             if any(state.is_suspect(task) for task in tasks):
                 for task, machine in zip(tasks, chosen, strict=False):
                     self.pool.suspects.assign(task, machine.id)
@@ -721,35 +478,3 @@
             for id, inputs in self._sort_inputs.items()
             if id in self.pool.jobs and self.pool.jobs[id].final is None
         }
-
-
-def _choose_gang_vms(
-    placer: placement.Placer,
-    tasks: list[model.Task],
-    step: model.Step,
-    allowed: frozenset[str] | None,
-) -> list[vm.Vm]:
-    """Choose a VM for each of the tasks, or none; in one rack if the step requires."""
-    for rack in placer.list_racks() if step.same_rack else [""]:
-        if chosen := _choose_vms_in(rack, placer, tasks, step, allowed):
-            return chosen
-    return []
-
-
-def _choose_vms_in(
-    rack: str,
-    placer: placement.Placer,
-    tasks: list[model.Task],
-    step: model.Step,
-    allowed: frozenset[str] | None,
-) -> list[vm.Vm]:
-    """Choose a VM for each of the tasks, or release all room and return none."""
-    chosen: list[vm.Vm] = []
-    for task in tasks:
-        machine = placer.choose(task, step, rack=rack, allowed=allowed)
-        if machine is None:
-            for taken, earlier in zip(chosen, tasks, strict=False):
-                placer.release(taken, earlier, step)
-            return []
-        chosen.append(machine)
-    return chosen
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -264,7 +264,7 @@
     start_late()
     bench.add_job("urgent", step(2, estimate=2.0))
     bench.plan()
-    assert bench.planner._preemptor._counts
+    assert bench.planner._stops._preemptor._counts
     state = bench.pool.jobs["late"]
     for run in [run for run in bench.pool.live.values() if run.task.job == "late"]:
         bench.pool.remove_run(run)
@@ -272,7 +272,7 @@
     bench.plan(NOW + 0.1)
 
     assert "late" not in bench.pool.jobs
-    assert not bench.planner._preemptor._counts
+    assert not bench.planner._stops._preemptor._counts
 
 
 def test_run_that_resumed_is_not_stopped_while_it_keeps_to_its_time(bench, listed):
--- a/wigeonhitch/pool/tests/test_waiting.py
+++ b/wigeonhitch/pool/tests/test_waiting.py
@@ -6,7 +6,7 @@
 
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import workers
-from wigeonhitch.pool import compaction, core, planner
+from wigeonhitch.pool import compaction, core, stopping
 
 NOW = 100.0
 LOCATION = compaction.RowLocation("job00", "~job.0")
@@ -99,7 +99,7 @@
     (run,) = bench.start()
     bench.pool.on_job("j", record.JobRecord(state.job, NOW, True), 30, LOCATION)
     assert len(bench.plan()) == 1
-    later = NOW + planner.STOP_RETRY_SECONDS + planner.SCAN_PERIOD_SECONDS
+    later = NOW + stopping.STOP_RETRY_SECONDS + stopping.SCAN_PERIOD_SECONDS
     bench.answer(machine, [listed(run, 10)], now=later)
 
     (stop,) = bench.plan(later)
