Split the sort inputs and the roster from the pool's view

The inputs of the jobs' order (work, remaining time and the mean work of queues, with their state) move to pool/urgency.py as JobUrgency, which gets the time as an argument. Entries of workers, roster rows, closings and the ends of VMs that nobody has seen move to pool/roster.py as Roster. No behaviour is meant to change.

The attribute closings_version is now on the roster; one test line and the status follow it.

--- a/wigeonhitch/pool/__init__.py
+++ b/wigeonhitch/pool/__init__.py
@@ -1,12 +1,12 @@
 """Leading one pool: which task runs where, under leases and a fencing token.
 
 Public: `view` and `core` (the leader's view of its pool, and how answers of
-workers change it), `vm` (one VM), `planner` (one scheduling round), `priority`
-(order of the jobs), `placement` (choice of the VM), `demand` (processors that the
-pool needs), `health` and `pacing` (degraded VMs, filling tasks), `ticket`, `ledger`
-and `compaction` (rows to write), `status` and `record` (rows), `load` (processors by
-use, for operators), `message` and `dependencies`, and with I/O `source`, `dispatcher`
-and `runner`.
+workers change it), `roster` (the pool's VMs) and `vm` (one VM), `planner` (one
+scheduling round), `priority` and `urgency` (order of the jobs, and its inputs),
+`placement` (choice of the VM), `demand` (processors that the pool needs), `health`
+and `pacing` (degraded VMs, filling tasks), `ticket`, `ledger` and `compaction` (rows
+to write), `status` and `record` (rows), `load` (processors by use, for operators),
+`message` and `dependencies`, and with I/O `source`, `dispatcher` and `runner`.
 """
 
 __all__ = [
@@ -24,10 +24,12 @@
     "planner",
     "priority",
     "record",
+    "roster",
     "runner",
     "source",
     "status",
     "ticket",
+    "urgency",
     "view",
     "vm",
 ]
--- /dev/null
+++ b/wigeonhitch/pool/roster.py
@@ -0,0 +1,148 @@
+"""Which VMs a pool has, which of them are closed, and which have ended unseen.
+
+A VM is known from its entry or, at a takeover, from its roster row. The fleet's leader
+tells which VMs are closed and which have ended. No I/O and no clock.
+"""
+
+from collections.abc import Callable, Mapping
+
+from wigeonhitch.jobs import model
+from wigeonhitch.platform import entries
+from wigeonhitch.pool import ledger, vm
+
+__all__ = ["Roster"]
+
+
+class Roster:
+    """The VMs of one pool, as entries, roster rows and closings tell them.
+
+    Parameters
+    ----------
+    name : str
+        The pool.
+    vms : dict
+        The VMs by id; the roster adds them and removes them.
+    pool_ledger : ledger.Ledger
+        Where the VMs are recorded for later leaders.
+    log_event : callable
+        Writes a log line; takes the text and the fields.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        vms: dict[str, vm.Vm],
+        pool_ledger: ledger.Ledger,
+        log_event: Callable[..., None],
+    ) -> None:
+        self._name = name
+        self._vms = vms
+        self._ledger = pool_ledger
+        self._log_event = log_event
+        self.unresolved: set[str] = set()
+        """VMs that an earlier leader may have used and that aren't reconciled yet."""
+        self.unseen_ends: set[str] = set()
+        """Such VMs that have ended, or can't be reached, with unknown runs."""
+        self.closings_version = 0
+        """The store's version up to which the closed VMs are known."""
+        self._closed_workers: frozenset[str] = frozenset()
+        self._ended_workers: Mapping[str, vm.VmEnd] = {}
+
+    def on_worker(self, entry: entries.WorkerEntry, now: float) -> bool:
+        """Apply a worker's entry, and return whether its VM has begun to leave.
+
+        Workers of other pools are ignored.
+        """
+        machine = self._vms.get(entry.id)
+        if entry.id in self._ended_workers:
+            return False  # its entry in the store expires by itself
+        if entry.pool != self._name:
+            if machine is not None:
+                machine.listed = False
+            return False
+        if machine is None:
+            machine = self._vms[entry.id] = vm.Vm(entry, now)
+            machine.closed = entry.id in self._closed_workers
+            self._ledger.add_vm(entry.id, entry.address)
+            self._log_event("VM joined", vm=entry.id, rack=machine.rack)
+            return False
+        begins_to_leave = entry.leaving and not machine.entry.leaving
+        if begins_to_leave:
+            self._log_event("VM leaving", vm=entry.id, remaining=entry.remaining)
+        machine.entry = entry
+        machine.listed = True
+        if entry.clock is not None:
+            machine.update_clock(entry.clock, now)
+        return begins_to_leave
+
+    def on_worker_removed(self, id: str) -> None:
+        """Record that a worker's entry was removed; its runs may go on."""
+        machine = self._vms.get(id)
+        if machine is not None and machine.listed:
+            machine.listed = False
+            self._log_event("VM entry removed", vm=id, runs=len(machine.runs))
+
+    def on_row(self, id: str, address: str, version: int, now: float) -> None:
+        """Apply a roster row at the takeover: the VM may run tasks."""
+        self.unresolved.add(id)
+        self._ledger.on_roster_row(id, version)
+        if id in self._vms:
+            self._vms[id].recorded = True
+            return
+        entry = entries.WorkerEntry(
+            id, self._name, address, "", False, model.Room(), ()
+        )
+        machine = vm.Vm(entry, now)
+        machine.listed = False
+        machine.recorded = True
+        self._vms[id] = machine
+
+    def set_closed(
+        self, ids: frozenset[str], ended: Mapping[str, vm.VmEnd], version: int
+    ) -> list[vm.Vm]:
+        """Set the closed and the ended workers, and return the VMs to drop, in order.
+
+        `update_closed` has to follow once these are dropped.
+        """
+        self.closings_version = version
+        self._closed_workers, self._ended_workers = ids, ended
+        dropped = [self._vms[id] for id in sorted(ended.keys() & self._vms.keys())]
+        # An ordered end is no sign that a rack is lost; the others together may be.
+        dropped.sort(key=lambda machine: ended[machine.id] is not vm.VmEnd.ORDERED)
+        for machine in dropped:
+            machine.is_silent = ended[machine.id] is not vm.VmEnd.ORDERED
+        return dropped
+
+    def update_closed(self) -> None:
+        """Close and open the VMs as last set."""
+        for machine in self._vms.values():
+            if machine.closed != (machine.id in self._closed_workers):
+                machine.closed = not machine.closed
+                self._log_event(
+                    "VM closed" if machine.closed else "VM open", vm=machine.id
+                )
+
+    def get_end(self, id: str) -> vm.VmEnd | None:
+        """Return how a worker has ended, as far as the fleet's leader has told."""
+        return self._ended_workers.get(id)
+
+    def on_ended(self, id: str, end: vm.VmEnd) -> None:
+        """Record that a VM has ended; its runs may be unknown.
+
+        It stays among the VMs until it is removed.
+        """
+        if id in self.unresolved and end is not vm.VmEnd.ORDERED:
+            self.unseen_ends.add(id)
+        self.unresolved.discard(id)
+
+    def remove(self, id: str) -> None:
+        """Remove a VM; its row is kept while its runs are unknown."""
+        if id not in self.unseen_ends:
+            self._ledger.remove_vm(id)
+        self._vms.pop(id, None)
+
+    def clear_unseen_ends(self) -> None:
+        """Remove the rows of VMs that ended unseen, once their tasks are recorded."""
+        for id in self.unseen_ends - self._vms.keys():
+            self._ledger.remove_vm(id)
+        self.unseen_ends.clear()
--- a/wigeonhitch/pool/status.py
+++ b/wigeonhitch/pool/status.py
@@ -43,7 +43,7 @@
         _round_down(demanded.minimum),
         _round_down(compute_batch_capacity(pool)),
         _round_down(demanded.arriving),
-        pool.closings_version if empty else 0,
+        pool.roster.closings_version if empty else 0,
         tuple(entry for entry in counts if entry.path != model.UNKNOWN_PATH),
         pool.fair_queue.export_lag(),
     )
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -1,4 +1,7 @@
-"""The leader's view of its pool's jobs and VMs, from stored rows and elapsed time."""
+"""The leader's view of its pool's jobs and VMs, from stored rows and elapsed time.
+
+Its VMs are kept by `roster`, the inputs of the jobs' order by `urgency`.
+"""
 
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
@@ -12,8 +15,10 @@
     ledger,
     priority,
     quota,
+    roster,
     suspect,
     ticket,
+    urgency,
     vm,
 )
 
@@ -82,20 +87,20 @@
         self.vms: dict[str, vm.Vm] = {}
         self.live: dict[model.Task, vm.Run] = {}
         self.ledger = ledger.Ledger(name, fence)
+        self.roster = roster.Roster(name, self.vms, self.ledger, log_event)
+        self.unresolved = self.roster.unresolved
+        """VMs that an earlier leader may have used and that aren't reconciled yet."""
         self.suspects = suspect.Suspects(
             self.jobs, self.vms, self.live, self.ledger, log_event
         )
         self.quotas = quota.Quotas(name, epoch, log_event)
         self.estimates = estimate.RunTimeEstimates()
+        self.urgency = urgency.JobUrgency(self.live, self.queues, self.estimates)
         self.fair_queue = fairness.FairQueue(log_event)
         self.compactor = compaction.Compactor(name)
         self.job_locations: dict[str, compaction.RowLocation] = {}
         """Locations of the rows of open jobs."""
         self.deposed = False
-        self.unresolved: set[str] = set()
-        """VMs that an earlier leader may have used and that aren't reconciled yet."""
-        self._unseen_ends: set[str] = set()
-        """Such VMs that have ended, or can't be reached, with unknown runs."""
         self.changed_jobs: set[str] = set()
         """Jobs whose open tasks must be recomputed."""
         self.submitted_work: list[float] = []
@@ -112,18 +117,9 @@
         """Unix time of the last round, for the ages of jobs in the log."""
         self.latest_time = now
         """This daemon's time of the last round or answer."""
-        self.closings_version = 0
-        """The store's version up to which the closed VMs are known."""
-        self._closed_workers: frozenset[str] = frozenset()
-        self._ended_workers: Mapping[str, vm.VmEnd] = {}
         self._takeover_time = now
         self.run_number_base = (epoch - 1) * RUN_NUMBERS_PER_LEADER
         self.run_numbers: dict[model.Task, int] = {}
-        self._mean_work: dict[str, tuple[float, int]] = {}
-        self._counted_work: dict[str, float] = {}
-        """Core-seconds of each open job as counted in the mean of its queue."""
-        self._spans: dict[str, tuple[float, ...]] = {}
-        """Estimated seconds of each step of the open jobs, as last computed."""
 
     # -- rows
 
@@ -145,7 +141,7 @@
             job_state = progress.Progress(row.job, version, row.accepted, row.path)
             self.job_locations[id] = location
             self.jobs[id] = job_state
-            self._count_work(row.job, row.job.compute_work())
+            self.urgency.add_job(row.job)
             if not row.cancelled:
                 self.fair_queue.on_job(row.job, self.compute_capacity())
             if version > self.fence and not (row.job.is_lasting or row.job.times):
@@ -180,31 +176,16 @@
 
     def on_queues(self, queues: Iterable[model.Queue]) -> None:
         """Apply the queues of the configuration in force."""
-        self.queues = {queue.name: queue for queue in queues}
+        in_force = {queue.name: queue for queue in queues}
+        # The mapping is shared with the sort inputs, so it is changed in place.
+        self.queues.clear()
+        self.queues.update(in_force)
         self.changed_jobs.update(self.jobs)
 
     def on_worker(self, entry: entries.WorkerEntry, now: float) -> None:
         """Apply a worker's entry; workers of other pools are ignored."""
-        machine = self.vms.get(entry.id)
-        if entry.id in self._ended_workers:
-            return  # its entry in the store expires by itself
-        if entry.pool != self.name:
-            if machine is not None:
-                machine.listed = False
-            return
-        if machine is None:
-            self.vms[entry.id] = vm.Vm(entry, now)
-            self.vms[entry.id].closed = entry.id in self._closed_workers
-            self.ledger.add_vm(entry.id, entry.address)
-            self.log_event("VM joined", vm=entry.id, rack=self.vms[entry.id].rack)
-            return
-        if entry.leaving and not machine.entry.leaving:
+        if self.roster.on_worker(entry, now):
             self.must_scan = True
-            self.log_event("VM leaving", vm=entry.id, remaining=entry.remaining)
-        machine.entry = entry
-        machine.listed = True
-        if entry.clock is not None:
-            machine.update_clock(entry.clock, now)
 
     def set_closed(
         self,
@@ -217,48 +198,24 @@
         All others are open. A set with an older store version than the last one is
         ignored: it would reopen VMs that are already published as empty.
         """
-        if version < self.closings_version:
+        if version < self.roster.closings_version:
             return
-        self.closings_version = version
-        self._closed_workers, self._ended_workers = ids, ended
         self.must_scan = True
-        dropped = [self.vms[id] for id in sorted(ended.keys() & self.vms.keys())]
-        # An ordered end is no sign that a rack is lost; the others together may be.
-        dropped.sort(key=lambda machine: ended[machine.id] is not vm.VmEnd.ORDERED)
-        for machine in dropped:
-            machine.is_silent = ended[machine.id] is not vm.VmEnd.ORDERED
-        for machine in dropped:
+        for machine in self.roster.set_closed(ids, ended, version):
             self.drop_vm(machine, ended[machine.id])
-        for machine in self.vms.values():
-            if machine.closed != (machine.id in ids):
-                machine.closed = not machine.closed
-                self.log_event(
-                    "VM closed" if machine.closed else "VM open", vm=machine.id
-                )
+        self.roster.update_closed()
 
     def get_end(self, id: str) -> vm.VmEnd | None:
         """Return how a worker has ended, as far as the fleet's leader has told."""
-        return self._ended_workers.get(id)
+        return self.roster.get_end(id)
 
     def on_worker_removed(self, id: str) -> None:
         """Record that a worker's entry was removed; its runs may go on."""
-        machine = self.vms.get(id)
-        if machine is not None and machine.listed:
-            machine.listed = False
-            self.log_event("VM entry removed", vm=id, runs=len(machine.runs))
+        self.roster.on_worker_removed(id)
 
     def on_roster(self, id: str, address: str, version: int, now: float) -> None:
         """Apply a roster row at the takeover: the VM may run tasks."""
-        self.unresolved.add(id)
-        self.ledger.on_roster_row(id, version)
-        if id in self.vms:
-            self.vms[id].recorded = True
-            return
-        entry = entries.WorkerEntry(id, self.name, address, "", False, model.Room(), ())
-        machine = vm.Vm(entry, now)
-        machine.listed = False
-        machine.recorded = True
-        self.vms[id] = machine
+        self.roster.on_row(id, address, version, now)
 
     # -- commits
 
@@ -304,7 +261,7 @@
             if lapsed and machine.id in self.unresolved:
                 self.unresolved.discard(machine.id)
                 self.suspects.on_leases_lapsed(machine, now)
-                self._unseen_ends.add(machine.id)
+                self.roster.unseen_ends.add(machine.id)
                 self.log_event(
                     "VM waited out",
                     vm=machine.id,
@@ -384,13 +341,11 @@
         It waits until it is known what runs on the other VMs. Until then the ended VMs
         stay on the roster, so that a successor finds them too.
         """
-        if self.unresolved or not self._unseen_ends:
+        if self.unresolved or not self.roster.unseen_ends:
             return
         older = [state for state in self.jobs.values() if self._is_older(state)]
         self.suspects.on_unseen_ends(older, wall_time)
-        for id in self._unseen_ends - self.vms.keys():
-            self.ledger.remove_vm(id)
-        self._unseen_ends.clear()
+        self.roster.clear_unseen_ends()
 
     def record_degraded_run(self, run: vm.Run, reason: str, now: float) -> None:
         """Record that a run is stuck or slow; its VM may be quarantined for it."""
@@ -413,14 +368,8 @@
         return capacity
 
     def get_mean_work(self, queue: str) -> float:
-        """Return the mean core-seconds of the queue's jobs seen so far.
-
-        It follows the estimates, as the work of each job does. Otherwise a queue whose
-        estimates are all a tenth of the run times would count each job that has shown
-        its run time as ten times its mean, thus up to four times too valuable.
-        """
-        total, count = self._mean_work.get(queue, (0.0, 0))
-        return total / count if count else 0.0
+        """Return the mean core-seconds of the queue's jobs seen so far."""
+        return self.urgency.get_mean_work(queue)
 
     def count_unavailable(self, job: str, step: int) -> int:
         """Return how many tasks of a lasting step are unavailable."""
@@ -440,50 +389,12 @@
         return not state.is_done(run.task)
 
     def get_sort_inputs(self, state: progress.Progress) -> priority.SortInputs:
-        """Return the inputs of a job's sort key.
-
-        If its queue was removed, the terms of its submission are used.
-        """
-        queue = self.queues.get(state.job.queue)
-        estimates = self.estimates.compute_estimates(state.job)
-        spans = self.estimates.compute_spans(state.job, estimates)
-        self._spans[state.job.id] = spans
-        inputs = priority.compute_sort_inputs(
-            state,
-            queue or state.job.terms,
-            estimates,
-            spans,
-            [
-                self._compute_step_remaining(state, number, span)
-                for number, span in enumerate(spans)
-            ],
-        )
-        self._count_work(state.job, inputs.work)
-        return inputs
+        """Return the inputs of a job's sort key."""
+        return self.urgency.get_sort_inputs(state, self.latest_time)
 
     def compute_remaining(self, run: vm.Run) -> float:
         """Return the seconds until a run of a batch task ends by itself."""
-        spans = self._spans.get(run.task.job)
-        span = spans[run.task.step] if spans else run.step.estimate
-        return estimate.compute_remaining(run, span, self.latest_time)
-
-    def _compute_step_remaining(
-        self, state: progress.Progress, number: int, span: float
-    ) -> float:
-        """Return the seconds until a step is done if all its tasks run by now."""
-        step = state.job.steps[number]
-        if step.lasting or state.job.times or not state.is_step_ready(0, number):
-            return span
-        done = state.done.get((0, number), ())
-        remaining = 0.0
-        for index in range(step.count):
-            if index in done:
-                continue
-            run = self.live.get(model.Task(state.job.id, 0, number, index))
-            if run is None:
-                return span
-            remaining = max(remaining, self.compute_remaining(run))
-        return remaining
+        return self.urgency.compute_remaining(run, self.latest_time)
 
     def needs_ticket(self, state: progress.Progress) -> bool:
         """Return whether the job's tasks need a ticket of the advice service."""
@@ -500,9 +411,7 @@
         if machine.gone:
             return
         machine.gone = True
-        if machine.id in self.unresolved and end is not vm.VmEnd.ORDERED:
-            self._unseen_ends.add(machine.id)
-        self.unresolved.discard(machine.id)
+        self.roster.on_ended(machine.id, end)
         self.log_event(
             "VM gone",
             vm=machine.id,
@@ -518,9 +427,7 @@
                 **describe_run(run),
             )
             self.remove_run(run)
-        if machine.id not in self._unseen_ends:
-            self.ledger.remove_vm(machine.id)
-        self.vms.pop(machine.id, None)
+        self.roster.remove(machine.id)
         for task in exhausted:
             self.give_up(task)
 
@@ -582,18 +489,6 @@
             self.quotas.remove(run)
         self.changed_jobs.add(run.task.job)
 
-    def _count_work(self, job: model.Job, work: float) -> None:
-        """Count a job's work in the mean of its queue, instead of its earlier work."""
-        total, count = self._mean_work.get(job.queue, (0.0, 0))
-        earlier = self._counted_work.get(job.id)
-        if earlier == work:
-            return
-        self._counted_work[job.id] = work
-        self._mean_work[job.queue] = (
-            total + work - (earlier or 0.0),
-            count + (earlier is None),
-        )
-
     def forget_job(self, id: str) -> None:
         """Drop a job that is final and has no runs left."""
         state = self.jobs.pop(id, None)
@@ -601,10 +496,7 @@
         self.changed_jobs.discard(id)
         if state is None:
             return
-        estimates = self.estimates.compute_estimates(state.job)
-        self._count_work(state.job, state.job.compute_work(estimates))
-        del self._counted_work[id]
-        self._spans.pop(id, None)
+        self.urgency.forget_job(state.job)
         self.estimates.forget_job(id)
         self.tickets.forget_job(id)
         self.suspects.forget_job(id)
--- a/wigeonhitch/site/tests/test_closings.py
+++ b/wigeonhitch/site/tests/test_closings.py
@@ -96,7 +96,7 @@
 
     follower._on_version(store.version)
 
-    assert pool.closings_version == store.version
+    assert pool.roster.closings_version == store.version
 
 
 async def test_a_status_names_the_version_at_which_a_vm_was_empty(
