Publish the restored lag of teams that have not returned yet

Cause: a successor keeps what it reads of a team's lag until the team's next job arrives, but published only the lag of teams that had arrived. A second takeover before that job lost it, so the team had a new share of the pool after two takeovers in a row. Change: the published lag includes the restored one. Checked: the new test fails without the change (no lag instead of 9.0 s) and passes with it; tests of fair queueing pass.

--- a/wigeonhitch/pool/fairness.py
+++ b/wigeonhitch/pool/fairness.py
@@ -293,9 +293,13 @@
         """
         if not self.is_active:
             return ()
-        lags = []
+        # A team that hasn't returned since the last takeover keeps what was restored.
+        ends = dict(self._restored)
         for name, team in self._teams.items():
-            ahead = team.end - sum(team.sizes.values()) - self.virtual_time
+            ends[name] = team.end - sum(team.sizes.values())
+        lags = []
+        for name, end in ends.items():
+            ahead = end - self.virtual_time
             # Tenths of a second, so that the row isn't rewritten for each end of a job.
             lags.append((-min(round(ahead / MICROSECONDS, 1), MAX_LAG_SECONDS), name))
         return tuple((name, -lag) for lag, name in sorted(lags)[:MAX_LAGS] if lag < 0)
--- a/wigeonhitch/pool/tests/test_fairness.py
+++ b/wigeonhitch/pool/tests/test_fairness.py
@@ -300,6 +300,19 @@
     assert [successor.serve()[0] for _ in range(8)] == ["b"] * 8
 
 
+def test_second_takeover_keeps_the_lag_of_a_team_that_has_not_returned():
+    """Guards against a team that waits for two takeovers and then has a new share."""
+    lag = (("a", 9.0),)
+    for _ in range(2):
+        successor = Server(make_teams(a=1, b=1))
+        successor.queue.restore_lag(lag)
+        successor.add("b")
+        successor.queue.compute_buckets(successor.waiting)
+        lag = successor.queue.export_lag()
+
+    assert lag == (("a", 9.0),)
+
+
 def test_takeover_charges_no_waiting_job_twice():
     """Guards against a lag that holds jobs which the successor reads again."""
     server = Server(make_teams(a=1, b=1))
