Open the connections for relayed calls only where calls are relayed

Cause: each daemon opened the client for peers' calls, also where the settings name no address for peers. Change: the client belongs to the listener for peers and is closed with it. Checked: tests of the site pass, among them those of relaying daemons with processes.

--- a/wigeonhitch/site/main.py
+++ b/wigeonhitch/site/main.py
@@ -20,7 +20,7 @@
     rows,
     workers,
 )
-from wigeonhitch.site import daemon, exposition, storepath
+from wigeonhitch.site import daemon, exposition, relayedstore, storepath
 from wigeonhitch.telemetry import log, metric
 
 __all__ = ["run", "serve"]
@@ -69,16 +69,11 @@
         )
         if site_daemon.relayed_store is not None:
             store.on_answer.append(site_daemon.relayed_store.on_answer)
-        # Relayed calls have connections of their own to the store.
-        relay_client = await http.open_client(stack, storepath.MAX_RELAYED_CALLS)
-        relay_store = rows.Rows(relay_client, settings.store)
-        await _serve(settings, site_daemon, relay_store)
+        await _serve(settings, site_daemon)
     log.log_change("stop", life=life)
 
 
-async def _serve(
-    settings: node.NodeSettings, site_daemon: daemon.Daemon, relay_store: rows.Rows
-) -> None:
+async def _serve(settings: node.NodeSettings, site_daemon: daemon.Daemon) -> None:
     servers_closed = anyio.Event()
     callers = ingress.Ingress(
         site_daemon.handler,
@@ -100,13 +95,8 @@
                 servers_closed.wait,
             )
             if site_daemon.relayed_store is not None:
-                gate = site_daemon.relayed_store
-                gate.on_relayed.append(relay_store.abandon_reads)
                 servers.start_soon(
-                    _serve_peers,
-                    relay.Relay(relay_store, gate),
-                    settings.relay_address,
-                    servers_closed,
+                    _serve_peers, settings, site_daemon.relayed_store, servers_closed
                 )
             await site_daemon.stopped.wait()
             await site_daemon.leave()
@@ -116,13 +106,21 @@
 
 
 async def _serve_peers(
-    application: relay.Relay, address: str, closed: anyio.Event
+    settings: node.NodeSettings,
+    gate: relayedstore.RelayedStore,
+    closed: anyio.Event,
 ) -> None:
     """Serve peers; a daemon that can't still serves its callers."""
-    try:
-        await server.serve(application, address, None, closed.wait)
-    except OSError as error:
-        log.log_warning("store calls of peers not served", reason=str(error))
+    async with contextlib.AsyncExitStack() as stack:
+        # Relayed calls have connections of their own to the store.
+        client = await http.open_client(stack, storepath.MAX_RELAYED_CALLS)
+        store = rows.Rows(client, settings.store)
+        gate.on_relayed.append(store.abandon_reads)
+        application = relay.Relay(store, gate)
+        try:
+            await server.serve(application, settings.relay_address, None, closed.wait)
+        except OSError as error:
+            log.log_warning("store calls of peers not served", reason=str(error))
 
 
 async def _handle_signals(site_daemon: daemon.Daemon) -> None:
