Say in each new test which failure it guards against

Cause: 21 of the new tests had it in their name at most, and two pairs of tests repeated the same arrangement. Change: a line for each; the pairs share one function each. No assertion, bound or figure is changed. A comment on the interval of the load reports no longer names the length of one deployment's bursts.

--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -526,6 +526,7 @@
 
 @pytest.mark.processes
 async def test_short_run_with_teams_has_no_violation(tmp_path):
+    """Guards against a plan that leaves out a kind of change of the teams."""
     result = await main.run_seed(
         1, tmp_path, seconds=8.0, daemons=3, rate=4.0, teams=True
     )
--- a/wigeonhitch/leadership/tests/test_clock.py
+++ b/wigeonhitch/leadership/tests/test_clock.py
@@ -48,6 +48,7 @@
 
 
 def test_a_clock_that_jumps_is_followed_at_once(store_clock):
+    """Guards against kept bounds that no longer hold, and leases judged by them."""
     answer(store_clock, 100.0, 100.01)
     answer(store_clock, 101.0, 101.01, offset=OFFSET + 60)
 
@@ -55,6 +56,7 @@
 
 
 def test_an_older_answer_changes_nothing(store_clock):
+    """Guards against a slow call that replaces what a later one has told."""
     answer(store_clock, 101.0, 101.01)
     before = store_clock.compute_latest(102.0)
     answer(store_clock, 100.0, 100.01, offset=OFFSET - 60)
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -340,6 +340,7 @@
 
 
 def test_idle_pool_keeps_four_of_its_initial_vms(state):
+    """Guards against a small pool that has no VM at its own next burst."""
     set_burst_in_a(state)
 
     closed = select(demand.plan_moves(state, NOW), core.Close)
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -86,7 +86,7 @@
 """Seconds between two updates of the metrics of teams."""
 
 LOAD_REPORT_SECONDS = 2.0
-"""Seconds between two reports of a pool's load: a turn of a queue takes some 9 s."""
+"""Seconds between two reports of a pool's load: several in a burst of some seconds."""
 
 MAX_REPORTED_TEAMS = 50
 """Teams with series of their own; each has eight a pool."""
--- a/wigeonhitch/pool/tests/test_estimate.py
+++ b/wigeonhitch/pool/tests/test_estimate.py
@@ -107,6 +107,7 @@
 def test_few_observations_are_mixed_with_the_submitted_estimate(
     bench, ended, observed, expected
 ):
+    """Guards against one unusual task that decides on its whole step."""
     _, runs = run_job(bench, step(8))
     end_runs(bench, ended, runs[:observed], NOW + 3.0)
 
@@ -115,6 +116,7 @@
 
 @pytest.mark.parametrize(("seconds", "expected"), [(0.01, 0.1), (30.0, 10.0)])
 def test_correction_is_bounded(bench, ended, seconds, expected):
+    """Guards against a run that stood still and makes all others late."""
     _, runs = run_job(bench, step(4))
     end_runs(bench, ended, runs, NOW + seconds)
 
@@ -132,6 +134,7 @@
 
 @pytest.mark.parametrize("fields", [{"gang": True}, {"fills": True}, {"lasting": True}])
 def test_tasks_that_others_pace_are_not_observed(bench, listed, fields):
+    """Guards against learning the time for which a task is to run, or is held."""
     machine, _ = run_job(bench, step(4, **fields))
     report(bench, listed, machine, 50, NOW + 5.0)
 
@@ -179,6 +182,7 @@
 
 
 def test_steps_without_observation_follow_the_others(bench, listed, ended):
+    """Guards against a job that is judged by wrong estimates of later steps."""
     steps = step(4), step(4), step(4, 0.3, after=(0, 1)), step(1, 7.0, lasting=True)
     machine, runs = run_job(bench, *steps, cpu=16000)
     ends = [ended(number, run) for number, run in enumerate(runs[:4], 1)]
@@ -261,6 +265,7 @@
 
 
 def test_observations_of_a_step_are_bounded(bench, ended):
+    """Guards against memory and medians that grow with the number of tasks."""
     count = 2 * estimate.MAX_OBSERVATIONS
     _, runs = run_job(bench, step(count), cpu=1000 * count)
     end_runs(bench, ended, runs, NOW + 2.0)
@@ -324,6 +329,7 @@
 
 
 def test_too_few_complete_steps_correct_nothing(bench, ended):
+    """Guards against a queue that is judged by its first few steps."""
     run_uneven_jobs(bench, ended, estimate.MIN_STEPS - 1, seconds=0.5)
     bench.add_job("j", step(4, 2.0))
 
@@ -332,6 +338,7 @@
 
 
 def test_a_span_is_known_once_all_tasks_are_observed(bench, listed, ended):
+    """Guards against the spread of a queue that is added to known run times."""
     now = run_uneven_jobs(bench, ended, estimate.MIN_STEPS, longest=3.0)
     bench.add_job("j", step(4), accepted=now)
     runs = bench.start(now)
@@ -357,27 +364,30 @@
 
 
 def test_a_step_with_a_task_that_is_not_running_takes_its_whole_time(bench, listed):
+    """Guards against a step that counts as nearly done with a task yet to start."""
     machine, _ = run_job(bench, step(4, 2.0), cpu=3000)
     report(bench, listed, machine, 75, NOW + 1.5)
 
     assert get_inputs(bench).critical_path_left == pytest.approx(2.0)
 
 
-def test_span_is_bounded_with_a_run_that_stood_still(bench, listed, ended):
-    """A job with one such run was due minutes later, and never counted as late."""
+def run_with_one_slow_task(bench, listed, ended, progress, seconds):
+    """Return the spans of a job of which three tasks end in 1 s and one goes on.
+
+    ``progress`` is what the worker lists of it after 1 s and after ``seconds``.
+    """
     machine, runs = run_job(bench, step(4, 1.0))
     ends = [ended(number, run) for number, run in enumerate(runs[:3], 1)]
-    bench.answer(machine, [listed(runs[3], 5)], ends, now=NOW + 1.0)
-    bench.answer(machine, [listed(runs[3], 10)], now=NOW + 50.0)
+    bench.answer(machine, [listed(runs[3], progress[0])], ends, now=NOW + 1.0)
+    bench.answer(machine, [listed(runs[3], progress[1])], now=NOW + seconds)
+    return bench.pool.estimates.compute_spans(bench.pool.jobs["j"].job)
+
 
-    assert bench.pool.estimates.compute_spans(bench.pool.jobs["j"].job) == (10.0,)
+def test_span_is_bounded_with_a_run_that_stood_still(bench, listed, ended):
+    """A job with one such run was due minutes later, and never counted as late."""
+    assert run_with_one_slow_task(bench, listed, ended, (5, 10), 50.0) == (10.0,)
 
 
 def test_a_task_that_takes_seven_times_as_long_counts_whole(bench, listed, ended):
     """Guards against jobs that count as late since one of their tasks is long."""
-    machine, runs = run_job(bench, step(4, 1.0))
-    ends = [ended(number, run) for number, run in enumerate(runs[:3], 1)]
-    bench.answer(machine, [listed(runs[3], 14)], ends, now=NOW + 1.0)
-    bench.answer(machine, [listed(runs[3], 50)], now=NOW + 3.5)
-
-    assert bench.pool.estimates.compute_spans(bench.pool.jobs["j"].job) == (7.0,)
+    assert run_with_one_slow_task(bench, listed, ended, (14, 50), 3.5) == (7.0,)
--- a/wigeonhitch/pool/tests/test_fairness.py
+++ b/wigeonhitch/pool/tests/test_fairness.py
@@ -361,10 +361,12 @@
     ],
 )
 def test_unreadable_status_counts_as_no_lag(row):
+    """Guards against a takeover that fails at a row of another form."""
     assert record.read_lag(row, 100.0) == ((), False)
 
 
 def test_missing_status_is_no_fault():
+    """Guards against a warning at each first start and after each upgrade."""
     assert record.read_lag(None, 100.0) == ((), True)
     assert record.read_lag(b'{"waiting": {}}', 100.0) == ((), True)
 
--- a/wigeonhitch/pool/tests/test_load.py
+++ b/wigeonhitch/pool/tests/test_load.py
@@ -153,6 +153,7 @@
 
 @pytest.mark.anyio
 async def test_load_is_logged_only_while_tasks_wait_for_room(bench, lines, monkeypatch):
+    """Guards against lines each 2 s of pools that lack nothing."""
     led, instruments = lead(bench)
     monkeypatch.setattr(http, "read_clock", lambda: NOW)
     monkeypatch.setattr(runner.time, "time", lambda: NOW)
--- a/wigeonhitch/pool/tests/test_preemption.py
+++ b/wigeonhitch/pool/tests/test_preemption.py
@@ -49,6 +49,16 @@
     bench.answer(machine, tuple(running), tuple(ended), now=now)
 
 
+def start_beside_short_tasks(bench, long_step):
+    """Start a long task on one VM, and four short ones on another."""
+    bench.add_vm("w1", cpu=1000)
+    bench.add_job("long", long_step)
+    bench.start()
+    bench.add_vm("w2", cpu=4000)
+    bench.add_job("short", step(4, estimate=0.4, checkpoint=False))
+    bench.start()
+
+
 def test_late_runs_make_room_for_tasks_on_time(bench, start_late):
     """Half of a full pool ran jobs without value while others became late."""
     start_late()
@@ -61,6 +71,7 @@
     "fields", [{"checkpoint": False}, {"gang": True}, {"fills": True}]
 )
 def test_runs_that_would_lose_work_are_not_stopped(bench, start_late, fields):
+    """Guards against a stop without a checkpoint, or of one member of a gang."""
     start_late(**fields)
     bench.add_job("urgent", step(2, estimate=2.0))
 
@@ -78,6 +89,7 @@
 
 
 def test_a_queue_with_precedence_preempts_jobs_on_time(bench):
+    """Guards against a queue of priority 0 that waits for one of priority 1."""
     queues = [
         model.Queue("q", "h", "/q/", "p", priority=1),
         model.Queue("first", "h", "/f/", "p", priority=0),
@@ -101,6 +113,7 @@
 
 
 def test_a_stop_that_leaves_too_little_room_is_not_made(bench, start_late):
+    """Guards against stops that help no task that waits."""
     start_late()
     bench.add_job("urgent", step(1, cpu=5000, estimate=2.0))
 
@@ -110,6 +123,7 @@
 def test_preempted_tasks_resume_from_their_checkpoint_after_the_urgent_ones(
     bench, start_late
 ):
+    """Guards against lost work, and a task that takes its room back at once."""
     machine = start_late()[0].vm
     bench.add_job("urgent", step(2, estimate=2.0))
     bench.plan()
@@ -154,6 +168,7 @@
 
 
 def test_runs_on_time_leave_a_closed_vm_only_for_room_elsewhere(bench):
+    """Guards against runs that are stopped and then wait."""
     bench.pool.on_queues([model.Queue("q", "h", "/q/", "p", stretch=2.0)])
     bench.add_vm("w1", cpu=4000)
     bench.add_job("j", step(4))
@@ -165,6 +180,7 @@
 
 
 def test_runs_that_a_restart_would_make_late_stay_on_a_closed_vm(bench):
+    """Guards against a move of a VM that makes a job late."""
     bench.add_vm("w1", cpu=4000)
     bench.add_job("j", step(4))
     bench.start()
@@ -176,12 +192,7 @@
 
 def test_the_vm_that_is_empty_first_is_given_away_first(bench):
     """A VM with many short tasks empties before one with a single long one."""
-    bench.add_vm("w1", cpu=1000)
-    bench.add_job("long", step(1, checkpoint=False))
-    bench.start()
-    bench.add_vm("w2", cpu=4000)
-    bench.add_job("short", step(4, estimate=0.4, checkpoint=False))
-    bench.start()
+    start_beside_short_tasks(bench, step(1, checkpoint=False))
 
     assert bench.planner.build_status(NOW, NOW).light == ("w2", "w1")
 
@@ -354,12 +365,7 @@
 
 def test_members_of_gangs_count_for_the_time_until_a_vm_is_empty(bench):
     """They aren't preempted, so that their VM is empty only after their end."""
-    bench.add_vm("w1", cpu=1000)
-    bench.add_job("gang", step(1, gang=True))
-    bench.start()
-    bench.add_vm("w2", cpu=4000)
-    bench.add_job("short", step(4, estimate=0.4, checkpoint=False))
-    bench.start()
+    start_beside_short_tasks(bench, step(1, gang=True))
 
     assert bench.planner.build_status(NOW, NOW).light == ("w2", "w1")
 
