Review: workers that join a full list are never asked about

Cause: the advice on a step is asked for the 30 VMs with the most free room, which in an idle pool are always the same.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A worker is lost for good, and a gang that needs its room waits for it.
+"""The workers that a queue's policy allows crash, and are back under new ids.
 
 Exits with 1 if the rule LOST was broken, 0 if it held and 2 if the case couldn't run.
 """
@@ -6,56 +6,55 @@
 import asyncio
 import json
 import pathlib
+import random
 import time
+from typing import Any
 
 from review.support import caller, case, checks, site
 
-BEFORE_SECONDS, AFTER_SECONDS = 12.0, 12.0
-GANG_AT_SECONDS = 8.0
-GANG_TASKS, GANG_CPU = 98, 500
-GANG_MS, GANG_ESTIMATE_MS = 12_000, 30_000
+BEFORE_SECONDS, AFTER_SECONDS = 10.0, 12.0
+DOWN_SECONDS = 2.0
 WATCH_SECONDS = 4.0
+WORKERS = 36
+TASKS, TASK_MS = 2, 540
 
-GANG = {
-    "spec": json.dumps({"ms": GANG_MS, "gang": GANG_TASKS}),
-    "steps": [
-        {
-            "count": GANG_TASKS,
-            "cpu": GANG_CPU,
-            "mem_mb": 256,
-            "estimate_ms": GANG_ESTIMATE_MS,
-            "gang": True,
-        }
-    ],
-}
-"""It fits on seven workers of 8,000 millicores each, and not on six."""
+
+def make_body(rng: random.Random) -> dict[str, Any]:
+    """Return a job of a queue with a policy."""
+    step = {"count": TASKS, "cpu": 500, "mem_mb": 256, "estimate_ms": TASK_MS}
+    return {"spec": json.dumps({"ms": TASK_MS, "advised": True}), "steps": [step]}
 
 
 async def disturb(deployment: site.Site, crashes: list[case.Crash]) -> None:
-    """Lose one worker for good."""
+    """Crash the allowed workers; they are back with new ids after two seconds."""
     await asyncio.sleep(BEFORE_SECONDS)
-    lost = deployment.workers[-1]
-    crashes.append(case.Crash(time.time(), lost.id, lost.born))
-    await lost.close()
+    allowed = deployment.workers[: site.ADVISED_MACHINES]
+    for worker in allowed:
+        crashes.append(case.Crash(time.time(), worker.id, worker.born))
+        await worker.close()
+    await asyncio.sleep(DOWN_SECONDS)
+    for number, worker in enumerate(allowed):
+        await worker.open(f"i-{0xC000 + number:04x}")
 
 
-async def submit_gang(callers: caller.Callers) -> None:
-    """Submit the gang's job to the queue with the higher priority."""
-    await asyncio.sleep(GANG_AT_SECONDS)
-    await callers.submit_one(GANG, site.FIRST_PREFIX, seconds=1.0)
+async def submit(callers: caller.Callers) -> None:
+    """Submit one job a second to the queue with a policy."""
+    seconds = BEFORE_SECONDS + DOWN_SECONDS + AFTER_SECONDS
+    await callers.submit_for(seconds, 1.0, make_body, site.ADVISED_PREFIX)
 
 
 async def play(folder: pathlib.Path, has_trouble: bool) -> case.Play:
     """Play the case."""
     return await case.play(
         folder,
-        BEFORE_SECONDS + AFTER_SECONDS,
+        0.0,
         disturb if has_trouble else None,
         WATCH_SECONDS,
-        submit_gang,
-        parameters=case.ALTIPLANO,
-        tolerated=1,
+        submit,
+        parameters=case.ALTIPLANO_GROWN,
+        tolerated=2,
         are_workers_local=True,
+        workers=WORKERS,
     )
 
 
--- a/review/support/caller.py
+++ b/review/support/caller.py
@@ -60,13 +60,17 @@
         self._turn = itertools.count()
 
     async def submit_for(
-        self, seconds: float, per_second: float, make_body: Any
+        self,
+        seconds: float,
+        per_second: float,
+        make_body: Any,
+        prefix: str = site.PREFIX,
     ) -> None:
         """Submit jobs at an even rate for a time; each is queried until it is final."""
         async with aiohttp.ClientSession() as session, asyncio.TaskGroup() as group:
             until = time.monotonic() + seconds
             while time.monotonic() < until:
-                job = self._make_job(make_body(self._rng), site.PREFIX)
+                job = self._make_job(make_body(self._rng), prefix)
                 group.create_task(self._run_job(session, job, until))
                 await asyncio.sleep(1 / per_second)
 
--- a/review/support/case.py
+++ b/review/support/case.py
@@ -65,6 +65,9 @@
 }
 """Bounds on the sheet of `altiplano-cuadre`."""
 
+ALTIPLANO_GROWN = TATRA | {"far_x": 1.5, "save_s": 2}
+"""Bounds on the sheet of `altiplano-cuadre-grown`."""
+
 DAEMONS, WORKERS = 3, 7
 JOBS_PER_SECOND = 4.0
 TASKS, TASK_MS, TASK_CPU = 6, 540, 500
@@ -113,6 +116,7 @@
     parameters: dict[str, Any],
     tolerated: int,
     are_workers_local: bool = False,
+    workers: int = WORKERS,
 ) -> Play:
     """Play traffic for a time, with a disruption beside it, and wait for the jobs.
 
@@ -121,14 +125,16 @@
     `site.Site`.
     """
     deployment = site.Site(
-        folder, parameters, DAEMONS, WORKERS, tolerated, are_workers_local
+        folder, parameters, DAEMONS, workers, tolerated, are_workers_local
     )
     crashes: list[Crash] = []
     try:
         await deployment.open()
         callers = caller.Callers(deployment, 1)
         async with asyncio.TaskGroup() as group:
-            group.create_task(callers.submit_for(seconds, JOBS_PER_SECOND, make_body))
+            if seconds:
+                even = callers.submit_for(seconds, JOBS_PER_SECOND, make_body)
+                group.create_task(even)
             if submit_more is not None:
                 group.create_task(submit_more(callers))
             if disturb is not None:
@@ -181,6 +187,8 @@
     lines.append(f"{played.asked:.3f} end of the time in which jobs are asked for")
     for at, states in played.deployment.lists:
         lines.append(f"{at:.3f} machines listed: {json.dumps(states)}")
+    for at, step, asked, good in played.deployment.advice.calls:
+        lines.append(f"{at:.3f} advice on {step}: {asked} workers, {good} may run it")
     for at, method, id, status in played.callers.calls:
         lines.append(f"{at:.3f} {method} {id} -> {status}")
     for job in played.callers.jobs:
--- a/review/support/site.py
+++ b/review/support/site.py
@@ -23,7 +23,7 @@
 import orjson
 from aiohttp import web
 
-from review.support import worker
+from review.support import advice, worker
 from standins.soak import store
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -40,6 +40,9 @@
 FIRST_PREFIX = "/settle/"
 """Prefix of the queue with the higher priority."""
 
+ADVISED_PREFIX, ADVISED_MACHINES = "/audit/", 4
+"""Prefix of the queue with a policy, and number of the machines that it allows."""
+
 SETTINGS = """\
 node_name={name}
 role=daemon
@@ -71,7 +74,7 @@
 fault_tolerance.regions=0
 {parameters}
 control_mode=push
-hint=
+hint={hint}
 platform.address={store}
 platform.form=table
 platform.writes_per_s=1200
@@ -136,11 +139,13 @@
         self.machine = f"m-{number:04x}"
         self.port = find_port()
         self.is_up = False
+        self.born = 0
         self._site = site
         self._server: worker.Server | None = None
 
-    async def open(self) -> None:
-        """Start it."""
+    async def open(self, id: str = "") -> None:
+        """Start it; under another id, if one is given."""
+        self.id = id or self.id
         config = worker.Config(
             self.id,
             POOL,
@@ -216,6 +221,9 @@
         self.gangs: dict[tuple[str, int], worker.Gang] = {}
         make = LocalWorker if are_workers_local else WorkerProcess
         self.workers = [make(self, number + 1) for number in range(workers)]
+        self.advice_address = f"127.0.0.1:{find_port()}"
+        allowed = frozenset(item.machine for item in self.workers[:ADVISED_MACHINES])
+        self.advice = advice.Advice(allowed, self._find_worker)
         network = find_network(daemons)
         self.daemons = [
             Daemon(self, number, f"{network}.{number}")
@@ -241,6 +249,9 @@
         application.router.add_get("/v1/machines", self._list_machines)
         application.router.add_post("/v1/{name}", self._refuse_order)
         await self._listen(application, self.machines_address)
+        application = web.Application()
+        application.router.add_post("/v1/advise", self.advice.answer)
+        await self._listen(application, self.advice_address)
         for started in self.workers:
             if isinstance(started, LocalWorker):
                 await started.open()
@@ -309,8 +320,9 @@
                 "max_attempts": 3,
                 "stretch": 1.6,
             }
-            for priority, prefix in enumerate((FIRST_PREFIX, PREFIX))
+            for priority, prefix in enumerate((FIRST_PREFIX, PREFIX, ADVISED_PREFIX))
         ]
+        routes[-1]["hint"] = self.advice.hint._asdict()
         services = [
             {"name": POOL, "admission_control": False, "standby": False},
             {"name": SPARE, "admission_control": False, "standby": True},
@@ -323,6 +335,13 @@
         lines = self.events_file.read_text().splitlines()
         return sorted(map(json.loads, lines), key=lambda event: event["t"])
 
+    def _find_worker(self, id: str) -> tuple[str, int] | None:
+        """Return the machine and the start of a worker, None if it isn't up."""
+        for item in self.workers:
+            if item.id == id and isinstance(item, LocalWorker) and item.is_up:
+                return item.machine, item.born
+        return None
+
     def _write_settings(self, daemon: Daemon) -> str:
         parameters = {
             name: str(value).lower() if isinstance(value, bool) else value
@@ -338,6 +357,7 @@
             ),
             store=self.store_address,
             machines=self.machines_address,
+            hint=self.advice_address,
         )
 
     async def _listen(self, application: web.Application, address: str) -> None:
@@ -350,10 +370,9 @@
     # -- the platform
 
     async def _answer_store(self, request: web.Request) -> web.Response:
-        body = await request.read()
-        answer = await self.store.answer(
-            request.path, dict(request.query), orjson.loads(body) if body else None
-        )
+        raw = await request.read()
+        body = orjson.loads(raw) if raw else None
+        answer = await self.store.answer(request.path, dict(request.query), body)
         return web.Response(
             status=answer.status,
             body=b"" if answer.body is None else orjson.dumps(answer.body),
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -9,7 +9,8 @@
 
 The text of a task is JSON: ``{"ms": 300}`` is its run time, and ``{"gang": 8}`` tells
 that it works only together with the others of a step of eight tasks. The members of a
-gang have to run on workers of one process.
+gang have to run on workers of one process. ``{"advised": true}`` tells that its queue
+needs tickets of the advice service.
 """
 
 import argparse
@@ -22,6 +23,8 @@
 import aiohttp
 from aiohttp import web
 
+from review.support import advice
+
 MAX_LEASE_MS = 10_000
 HEARTBEAT_SECONDS = 1.5
 STEP_SECONDS = 0.01
@@ -212,9 +215,15 @@
         if current is not None or number <= self._refused.get(task, 0):
             return self._refuse("old")
         spec = json.loads(body["spec"])
+        step = task.rpartition(".")[0]
+        ticket = body.get("ticket", "")
+        if spec.get("advised") and not advice.check_ticket(
+            ticket, step, self.id, self.born_ms
+        ):
+            return self._refuse("ticket")
         gang = None
         if size := spec.get("gang"):
-            key = task.rpartition(".")[0], number
+            key = step, number
             wait = self.config.gang_wait_seconds
             gang = self._gangs.setdefault(key, Gang(size, wait))
             gang.join(task)
