Review: stand-ins listen on a loopback address of their own

Change: ports are taken in order at a random loopback address, SIGTERM ends what a script has started, and a run has at most 110 s.

--- a/review/support/case.py
+++ b/review/support/case.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -73,6 +74,9 @@
 TASKS, TASK_MS, TASK_CPU = 6, 540, 500
 FINISH_SECONDS = TATRA["finish_s"]
 
+MAX_SECONDS = 110.0
+"""Time after which a case that hasn't ended counts as one that couldn't run."""
+
 
 class Crash(NamedTuple):
     """The end of one life of a worker."""
@@ -156,11 +160,13 @@
     check: Callable[[Play], list[str]],
 ) -> None:
     """Play a case in a temporary folder, write its record and exit with its status."""
+    # Processes that were started are ended on SIGTERM too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = pathlib.Path(script).with_name("record.txt")
     with tempfile.TemporaryDirectory() as name:
         try:
-            played = asyncio.run(play_case(pathlib.Path(name), has_trouble))
+            played = asyncio.run(_limit(play_case(pathlib.Path(name), has_trouble)))
             breaches = check(played)
             record.write_text("\n".join(_list_lines(played, breaches)) + "\n")
         except (OSError, TimeoutError) as error:
@@ -178,6 +184,11 @@
     sys.exit(1 if breaches else 0)
 
 
+async def _limit(played: Awaitable[Play]) -> Play:
+    """Return what was seen in a play, which has a limited time."""
+    return await asyncio.wait_for(played, MAX_SECONDS)
+
+
 def _list_lines(played: Play, breaches: list[str]) -> list[str]:
     """Return the record: what was sent, answered and run, and what was broken."""
     lines = [f"{len(breaches)} breaches", *breaches]
--- a/review/support/site.py
+++ b/review/support/site.py
@@ -29,7 +29,10 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
 CALLERS_PORT, READY_PORT, CONTROL_PORT, METRICS_PORT = 8624, 8622, 8623, 7070
-FIRST_INNER_PORT, LAST_INNER_PORT = 7060, 7075
+FIRST_INNER_PORT = 7060
+
+FIRST_PORT, STAND_INS_NUMBER = 10_001, 200
+"""First port of the stand-ins, and the last number of their loopback address."""
 
 HEARTBEAT_SECONDS = 1.5
 ENTRY_TTL_SECONDS = 3 * HEARTBEAT_SECONDS
@@ -100,7 +103,7 @@
     def __init__(self, site: "Site", number: int) -> None:
         self.id = f"i-{number:04x}"
         self.machine = f"m-{number:04x}"
-        self.port = find_port()
+        self.port = site.allocate_port()
         self._site = site
         self._popen: subprocess.Popen[bytes] | None = None
 
@@ -119,6 +122,7 @@
             "rack": "r1-1",
             "store": self._site.store_address,
             "events": self._site.events_file,
+            "host": self._site.host,
         }
         command = [sys.executable, "-m", "review.support.worker"]
         for name, value in arguments.items():
@@ -137,7 +141,7 @@
     def __init__(self, site: "Site", number: int) -> None:
         self.id = f"i-{number:04x}"
         self.machine = f"m-{number:04x}"
-        self.port = find_port()
+        self.port = site.allocate_port()
         self.is_up = False
         self.born = 0
         self._site = site
@@ -153,6 +157,7 @@
             "r1-1",
             self._site.store_address,
             str(self._site.events_file),
+            self._site.host,
             self.port,
             gang_wait_seconds=self._site.parameters["gang_wait_ms"] / 1000,
         )
@@ -216,15 +221,17 @@
         self.events_file = folder / "events.jsonl"
         self.events_file.touch()
         self.store = store.Store()
-        self.store_address = f"127.0.0.1:{find_port()}"
-        self.machines_address = f"127.0.0.1:{find_port()}"
+        network = find_network(daemons)
+        self.host = f"{network}.{STAND_INS_NUMBER}"
+        self._last_port = FIRST_PORT - 1
+        self.store_address = f"{self.host}:{self.allocate_port()}"
+        self.machines_address = f"{self.host}:{self.allocate_port()}"
         self.gangs: dict[tuple[str, int], worker.Gang] = {}
         make = LocalWorker if are_workers_local else WorkerProcess
         self.workers = [make(self, number + 1) for number in range(workers)]
-        self.advice_address = f"127.0.0.1:{find_port()}"
+        self.advice_address = f"{self.host}:{self.allocate_port()}"
         allowed = frozenset(item.machine for item in self.workers[:ADVISED_MACHINES])
         self.advice = advice.Advice(allowed, self._find_worker)
-        network = find_network(daemons)
         self.daemons = [
             Daemon(self, number, f"{network}.{number}")
             for number in range(1, daemons + 1)
@@ -285,6 +292,13 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    def allocate_port(self) -> int:
+        """Return a port of the stand-ins' address that is free."""
+        self._last_port += 1
+        while not _is_free(self.host, self._last_port):
+            self._last_port += 1
+        return self._last_port
+
     def spawn(
         self, command: list[str], environment: dict[str, str], name: str
     ) -> subprocess.Popen[bytes]:
@@ -428,13 +442,6 @@
                 await asyncio.sleep(1.0)
 
 
-def find_port() -> int:
-    """Return a port of the loopback address that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def find_network(count: int) -> str:
     """Return a loopback network of which the first addresses have free ports."""
     for _ in range(50):
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -41,6 +41,7 @@
     rack: str
     store: str
     events: str
+    host: str
     port: int
     cpu: int = 8000
     gang_wait_seconds: float = 4.0
@@ -140,7 +141,7 @@
         self._sequence += 1
         return {
             "service": self.config.pool,
-            "address": f"127.0.0.1:{self.config.port}",
+            "address": f"{self.config.host}:{self.config.port}",
             "zone": self.config.zone,
             "version": "v1",
             "slots": 8,
@@ -289,8 +290,8 @@
     async def open(self) -> None:
         """Listen, run tasks and write the worker's entry."""
         await self._runner.setup()
-        port = self._worker.config.port
-        await web.TCPSite(self._runner, "127.0.0.1", port).start()
+        config = self._worker.config
+        await web.TCPSite(self._runner, config.host, config.port).start()
         self._tasks.append(asyncio.create_task(self._worker.advance()))
         self._tasks.append(asyncio.create_task(self._worker.register()))
 
@@ -319,7 +320,7 @@
 def run() -> None:
     """Read the arguments and serve."""
     parser = argparse.ArgumentParser(description=__doc__)
-    for name in ("id", "pool", "zone", "rack", "store", "events"):
+    for name in ("id", "pool", "zone", "rack", "store", "events", "host"):
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--port", type=int, required=True)
     asyncio.run(serve(Config(**vars(parser.parse_args()))))
