Log who acknowledged an end of which its leader knows nothing

A run leaves the list of a live worker only by an end that someone has acknowledged. The line "run no longer listed" named the run alone, so that a worker restarted under its id, an end acknowledged by another leader and an end that its worker lost looked alike.

The line now names the start of the incarnation, the last number acknowledged to each incarnation of the worker, the processed and committed numbers, those of the answer and both clocks, and it is counted. New lines: "ends missing" for a gap in the numbers of an incarnation, with the counter ends_missing_total; "answer of another incarnation" with what the call carried, once for each start; "end of a dropped run" where such an end was ignored without a trace. "VM joined" and "VM answers" name start and clock. No decision changes, and a task that ends normally writes no line more than before.

The numbers before the first end that a leader sees of a worker older than its term may be an earlier leader's, so a gap there isn't logged.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -44,6 +44,8 @@
 
     def on_hold(self, machine: vm.Vm, reply: workers.HoldReply, now: float) -> None:
         """Apply the answer to a renewal, unless the VM is gone by now."""
+        if reply.start_ms and reply.start_ms != machine.entry.start_ms:
+            self._log_other_incarnation(machine, reply)
         if machine.gone:
             return
         self.latest_time = now
@@ -58,6 +60,7 @@
             return
         if machine.is_placeholder:
             return
+        machine.expected_clock = machine.compute_clock(reply.received)
         machine.update_clock(reply.clock, reply.received)
         self.suspects.on_vm_answered(machine.id)
         machine.last_answer = machine.last_contact = now
@@ -72,9 +75,17 @@
                 flight = transfer.ORDER_FLIGHT_SECONDS
                 lease = max(lease, self.times.max_lease + flight)
             machine.record_lease_deadline(reply.clock + lease)
-            self.log_event("VM answers", vm=machine.id, running=len(reply.running))
+            machine.knows_next_end = self._has_started_in_term(reply)
+            self.log_event(
+                "VM answers",
+                vm=machine.id,
+                running=len(reply.running),
+                start_ms=reply.start_ms,
+                clock=reply.clock,
+            )
         for end in reply.ended:
             if end.number > machine.processed_end:
+                self._check_end_number(machine, end.number)
                 self._apply_end(machine, end, now)
                 machine.processed_end = end.number
         if len(reply.ended) < MAX_ENDS_PER_REPLY:
@@ -124,6 +135,53 @@
 
     # -- internals
 
+    def _has_started_in_term(self, reply: workers.HoldReply) -> bool:
+        """Return whether a worker has certainly started after the takeover."""
+        started_at = reply.sent - reply.clock / (1 - vm.MAX_CLOCK_DRIFT)
+        return started_at > self._takeover_time
+
+    def _check_end_number(self, machine: vm.Vm, number: int) -> None:
+        """Log ends that the worker has forgotten before this leader processed them.
+
+        An incarnation numbers its ends from 1 without gaps. An earlier leader may have
+        processed those before the first one that a worker older than this term lists.
+        """
+        count = number - machine.processed_end - 1
+        if count and machine.knows_next_end:
+            self.log_event(
+                "ends missing",
+                vm=machine.id,
+                start_ms=machine.entry.start_ms,
+                processed_end=machine.processed_end,
+                first_end=number,
+                count=count,
+                acknowledged=self.renewals.get_acknowledged(machine.entry.id),
+            )
+        machine.knows_next_end = True
+
+    def _log_other_incarnation(self, machine: vm.Vm, reply: workers.HoldReply) -> None:
+        """Log the first answer to calls of a VM that another incarnation has given."""
+        if machine.other_start_ms == reply.start_ms:
+            return
+        machine.other_start_ms = reply.start_ms
+        if reply.start_ms < machine.min_start_ms:
+            called = "later"
+        else:
+            called = "earlier" if machine.entry.start_ms else "unknown"
+        sent = self.renewals.get_last(machine.entry.id)
+        self.log_event(
+            "answer of another incarnation",
+            vm=machine.id,
+            called=called,
+            start_ms=machine.entry.start_ms,
+            answered_start_ms=reply.start_ms,
+            clock=reply.clock,
+            expected_clock=round(machine.compute_clock(reply.received), 3),
+            acknowledged=sent.acknowledged,
+            lease=sent.deadline and round(sent.deadline, 3),
+            ends=len(reply.ended),
+        )
+
     def _on_other_incarnation(
         self, machine: vm.Vm, reply: workers.HoldReply, now: float
     ) -> None:
@@ -209,7 +267,17 @@
         if is_own_run:
             self.remove_run(run)
         elif end.run > self.run_number_base and end.task in self.run_numbers:
-            return  # a run of this leader that was already dropped as lapsed
+            # A run of this leader that was already dropped, for example as lapsed.
+            self.log_event(
+                "end of a dropped run",
+                job=end.task.job,
+                task=end.task[1:],
+                run=end.run,
+                how=end.end.value,
+                number=end.number,
+                vm=machine.id,
+            )
+            return
         state = self.jobs.get(end.task.job)
         if state is None or state.final is not None or not state.has_task(end.task):
             return
@@ -288,7 +356,7 @@
                     self.log_event("start did not take place", **view.describe_run(run))
                     self.remove_run(run)
             elif run.started_at < reply.sent:
-                self.log_event("run no longer listed", **view.describe_run(run))
+                self._log_unlisted(run, reply)
                 self.remove_run(run)
         orphaned = [e for e in listed.values() if not self._adopt(machine, e, now)]
         for entry in orphaned:
@@ -299,6 +367,28 @@
             for entry in orphaned
         }
 
+    def _log_unlisted(self, run: vm.Run, reply: workers.HoldReply) -> None:
+        """Log a run that has left the list of its VM without an end.
+
+        A worker forgets an end only once it is acknowledged, so the numbers tell who
+        may have done so.
+        """
+        machine = run.vm
+        numbers = [end.number for end in reply.ended] or [0]
+        self.log_event(
+            "run no longer listed",
+            age=self._compute_run_age(run),
+            start_ms=machine.entry.start_ms,
+            acknowledged=self.renewals.get_acknowledged(machine.entry.id),
+            processed_end=machine.processed_end,
+            committed_end=machine.committed_end,
+            first_end=numbers[0],
+            last_end=numbers[-1],
+            clock=reply.clock,
+            expected_clock=round(machine.expected_clock, 3),
+            **view.describe_run(run),
+        )
+
     def _log_orphan(self, machine: vm.Vm, entry: workers.Running) -> None:
         """Log an orphaned run; with a live run of its task, the task runs twice."""
         own_run = self.live.get(entry.task)
--- a/wigeonhitch/pool/dispatcher.py
+++ b/wigeonhitch/pool/dispatcher.py
@@ -5,7 +5,7 @@
 import anyio
 
 from wigeonhitch.platform import http, workers
-from wigeonhitch.pool import core, dependencies, message, vm
+from wigeonhitch.pool import core, dependencies, message, renewal, vm
 
 __all__ = [
     "OUTAGE_LEASE_SECONDS",
@@ -209,6 +209,8 @@
             wait = 0.0
         entry = machine.entry
         acknowledged = machine.acknowledged_end
+        sent = renewal.Renewal(machine.id, acknowledged, deadline)
+        self._pool.renewals.record(entry.id, sent)
         reply = await self._deps.workers.hold(
             entry.address,
             entry.id,
--- a/wigeonhitch/pool/roster.py
+++ b/wigeonhitch/pool/roster.py
@@ -71,7 +71,13 @@
             machine = self._add(vm.Vm(entry, now))
             machine.closed = id in self._closed_workers
             self._ledger.add_vm(id, entry.address, entry.start_ms)
-            self._log_event("VM joined", vm=id, rack=machine.rack)
+            self._log_event(
+                "VM joined",
+                vm=id,
+                rack=machine.rack,
+                start_ms=entry.start_ms,
+                clock=entry.clock,
+            )
             return False
         begins_to_leave = entry.leaving and not machine.entry.leaving
         if begins_to_leave:
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -96,6 +96,7 @@
         "VM crashed under a task",
         "run ended with its VM",
         "run lapsed",
+        "run no longer listed",
         "run failed",
         "run preempted",
         "job failed",
@@ -468,3 +469,9 @@
                 event=event,
                 reason=str(fields.get("reason", "")),
             )
+        if event == "ends missing":
+            self.deps.instruments.count(
+                "ends_missing_total",
+                "Ends that workers forgot before the pool's leader processed them.",
+                fields["count"],
+            )
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -15,6 +15,7 @@
     ledger,
     priority,
     quota,
+    renewal,
     roster,
     suspect,
     ticket,
@@ -89,6 +90,7 @@
         self.vms: dict[str, vm.Vm] = {}
         self.live: dict[model.Task, vm.Run] = {}
         self.transfers = transfer.Transfers(times.max_lease)
+        self.renewals = renewal.SentRenewals()
         self.ledger = ledger.Ledger(name, fence)
         self.roster = roster.Roster(name, self.vms, self.ledger, log_event)
         self.unresolved = self.roster.unresolved
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -236,11 +236,19 @@
         """This daemon's time from which on the last answer shows that it was alive."""
         self.reported_clock = 0.0
         """The worker's time of its last list of runs."""
+        self.expected_clock = 0.0
+        """The time that its clock had certainly reached by that list, as known before
+        it."""
+        self.other_start_ms = 0
+        """Start of the last other incarnation that has answered a call to this one."""
         self.is_silent = False
         """Whether the last call to it got no answer."""
         self.lease_deadline = 0.0
         self.processed_end = 0
         """Highest number of an end that was processed."""
+        self.knows_next_end = False
+        """Whether the next end must have the number after `processed_end`: the numbers
+        before the first end that this leader lists may be an earlier leader's."""
         self.committed_end = 0
         """Highest number of an end that is durable."""
         self.runs: dict[model.Task, Run] = {}
