Tell the later incarnation of a worker by its answers, not by its clock

An entry with a start far ahead, written late or by another process, ended a live VM; its tasks ran twice.

Entries and lists of runs of a later incarnation with a lower start were dropped as late, while it was sent starts and the number of the first one's last end. An equal start wasn't told apart at all.

Why it works: a start only identifies an incarnation. One that was known when a call was sent has ended if another one answers that call, since only one runs at a time and the calls of a leader to one worker follow each other. Until then an entry that names another incarnation, or a row at a takeover, only makes the worker contested: nothing is started, no lease extended and no end acknowledged there. The incarnations are called in turn, as their addresses may differ; the one that answers refutes or ends the others. If the entry names another pool, the worker isn't called, and what runs there ends with its leases. The worker's steady clock goes back only over a restart, which tells two incarnations with one start apart. Entries are taken in the order of their rows' versions.

Tests changed: the fixture `restart` also lets the later incarnation answer, as its entry proves nothing now, and all its tests run with a start ahead and one back; two tests of takeovers require the former VM until the answer; a delayed entry is one of an older version of its row. test_end_numbers.py: an answer of an unknown incarnation is that of a later one whatever its start. history.py calls the incarnations in turn.

--- a/wigeonhitch/platform/entries.py
+++ b/wigeonhitch/platform/entries.py
@@ -58,7 +58,9 @@
     ``clock`` is the worker's monotonic clock in seconds at the time of writing,
     or None. ``remaining`` is the minimum time in seconds until a leaving worker
     ends. ``start_ms`` is the Unix time in milliseconds of the worker's start, 0 where
-    workers don't report it.
+    workers don't report it. It only identifies an incarnation: a later one may report
+    an earlier time, or the same. ``restarts`` counts the restarts with the same time
+    that a leader has noticed.
     """
 
     id: str
@@ -71,10 +73,17 @@
     clock: float | None = None
     remaining: float | None = None
     start_ms: int = 0
+    restarts: int = 0
 
     @property
     def incarnation(self) -> str:
         """Name of this incarnation of the worker."""
+        name = self.reported_incarnation
+        return f"{name}.{self.restarts}" if self.restarts else name
+
+    @property
+    def reported_incarnation(self) -> str:
+        """Name of all incarnations of the worker that report the same start."""
         return name_incarnation(self.id, self.start_ms)
 
 
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -44,7 +44,8 @@
 
     def on_hold(self, machine: vm.Vm, reply: workers.HoldReply, now: float) -> None:
         """Apply the answer to a renewal, unless the VM is gone by now."""
-        if reply.start_ms and reply.start_ms != machine.entry.start_ms:
+        is_other = machine.is_of_other_incarnation(reply)
+        if is_other:
             self._log_other_incarnation(machine, reply)
         if machine.gone:
             return
@@ -55,11 +56,13 @@
             self.drop_vm(machine, vm.VmEnd.REPLACED)
         if reply.verdict is not workers.Verdict.DONE:
             return
-        if reply.start_ms and reply.start_ms != machine.entry.start_ms:
+        if is_other:
             self._on_other_incarnation(machine, reply, now)
             return
         if machine.is_placeholder:
             return
+        if machine.is_contested:
+            self._end_others(machine, reply.sent)
         machine.expected_clock = machine.compute_clock(reply.received)
         machine.update_clock(reply.clock, reply.received)
         self.suspects.on_vm_answered(machine.id)
@@ -164,10 +167,9 @@
         if machine.other_start_ms == reply.start_ms:
             return
         machine.other_start_ms = reply.start_ms
-        if reply.start_ms < machine.min_start_ms:
+        called = "earlier" if machine.entry.start_ms else "unknown"
+        if self.roster.has_ended(machine.entry.id, reply.start_ms):
             called = "later"
-        else:
-            called = "earlier" if machine.entry.start_ms else "unknown"
         sent = self.renewals.get_last(machine.entry.id)
         self.log_event(
             "answer of another incarnation",
@@ -187,28 +189,35 @@
     ) -> None:
         """Apply the answer of another incarnation of a worker than the one called.
 
-        The entry of a later one may be read after its first answer. Its resources
-        aren't known until then.
+        The one called was known before, so it has ended.
         """
-        if reply.start_ms < machine.min_start_ms:
-            return  # an answer that was delayed
+        worker = machine.entry.id
+        if self.roster.has_ended(worker, reply.start_ms):
+            return
         if machine.closed and not machine.runs:
             # The VM may have been moved to another pool, whose leader it belongs to.
+            self.roster.on_replaced(machine)
             self.drop_vm(machine, vm.VmEnd.REPLACED)
             return
-        self.on_worker(
-            machine.entry._replace(
-                start_ms=reply.start_ms,
-                clock=reply.clock,
-                leaving=False,
-                remaining=None,
-            ),
-            now,
-        )
-        successor = self.roster.find_by_worker(machine.entry.id)
-        if successor is not None:
-            successor.listed = False
-            successor.is_assumed = True
+        successor = self.roster.find_incarnation(worker, reply.start_ms)
+        if successor is None or successor is machine:
+            successor = self.roster.add_assumed(machine, reply, now)
+            successor.opens_at = self.transfers.compute_opening(worker)
+        self._end_others(successor, reply.sent)
+
+    def _end_others(self, machine: vm.Vm, sent: float) -> None:
+        """End the other incarnations of the worker of a VM that has answered a call.
+
+        Those that were known when the call was sent had started before, and only one
+        incarnation runs at a time. Which start they report proves nothing: clocks are
+        set back.
+        """
+        for other in self.roster.list_by_worker(machine.entry.id):
+            if other is machine or other.joined_at > sent:
+                continue
+            if not machine.is_assumed:
+                machine.listed = machine.listed or other.listed
+            self.replace_vm(other, machine)
 
     def _on_transferred_start(self, run: vm.Run, reply: workers.OrderReply) -> None:
         """Apply the answer to a start that was sent to an ended incarnation."""
--- a/wigeonhitch/pool/dispatcher.py
+++ b/wigeonhitch/pool/dispatcher.py
@@ -180,16 +180,17 @@
         elif reply.verdict is workers.Verdict.FENCED:
             self._pool.deposed = True
 
-    async def renew_until_gone(self, machine: vm.Vm) -> None:
-        """Renew a VM's leases and apply its answers until it is gone."""
+    async def renew_until_gone(self, worker: str) -> None:
+        """Renew a worker's leases and apply its answers while a VM of it is known."""
+        select = self._pool.roster.select_for_renewal
         try:
-            while not machine.gone and not self._pool.deposed:
+            while (machine := select(worker)) and not self._pool.deposed:
                 if self._may_order():
                     await self._renew_once(machine)
                 else:
                     await anyio.sleep(RETRY_DELAY_SECONDS / 2)
         finally:
-            self.renewing.discard(machine.entry.id)
+            self.renewing.discard(worker)
 
     async def _renew_once(self, machine: vm.Vm) -> None:
         now = http.read_clock()
@@ -201,14 +202,16 @@
         # A silent VM gets no new deadline: it may receive calls whose answers are
         # lost, and its leases would never certainly expire.
         deadline = None
-        if machine.knows_clock and not machine.is_silent:
+        may_be_replaced = machine.is_silent or machine.is_contested
+        if machine.knows_clock and not may_be_replaced:
             deadline = machine.compute_deadline(now, lease)
             machine.record_lease_deadline(deadline)
         wait = HOLD_WAIT_SECONDS if machine.runs else IDLE_WAIT_SECONDS
-        if machine.is_silent or not machine.answered:
+        if may_be_replaced or not machine.answered:
             wait = 0.0
         entry = machine.entry
-        acknowledged = machine.acknowledged_end
+        acknowledged = machine.compute_acknowledged_end(now)
+        machine.called_at = now
         sent = renewal.Renewal(machine.id, acknowledged, deadline)
         self._pool.renewals.record(entry.id, sent)
         reply = await self._deps.workers.hold(
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -209,9 +209,10 @@
 
     def _run_round(self, group: anyio.abc.TaskGroup) -> None:
         for machine in list(self.pool.vms.values()):
-            if machine.entry.id not in self._dispatcher.renewing:
-                self._dispatcher.renewing.add(machine.entry.id)
-                group.start_soon(self._dispatcher.renew_until_gone, machine)
+            worker = machine.entry.id
+            if worker not in self._dispatcher.renewing and not machine.is_suspended:
+                self._dispatcher.renewing.add(worker)
+                group.start_soon(self._dispatcher.renew_until_gone, worker)
         orders = self.planner.plan(http.read_clock(), time.time())
         triggers = (
             self.planner.unmet > 0,
--- a/wigeonhitch/pool/status.py
+++ b/wigeonhitch/pool/status.py
@@ -25,7 +25,7 @@
         for machine in pool.vms.values()
         if machine.listed and not machine.closed and not machine.entry.leaving
     )
-    empty = tuple(sorted(machine.id for machine in list_empty_vms(pool)))
+    empty = tuple(sorted(_get_name(machine) for machine in list_empty_vms(pool)))
     light = [machine for machine in pool.vms.values() if _is_light(machine)]
     waiting: collections.Counter[str] = collections.Counter()
     counts = _count_waiting(pool)
@@ -37,8 +37,8 @@
         _round_down(unmet),
         _round_down(idle),
         empty,
-        tuple(machine.id for machine in _sort_by_time_to_empty(pool, light)),
-        tuple(sorted(machine.id for machine in light if not machine.runs)),
+        tuple(_get_name(machine) for machine in _sort_by_time_to_empty(pool, light)),
+        tuple(sorted(_get_name(machine) for machine in light if not machine.runs)),
         _round_down(demanded.peak),
         _round_down(demanded.minimum),
         _round_down(compute_batch_capacity(pool)),
@@ -94,10 +94,15 @@
         for machine in pool.vms.values()
         if machine.closed
         and machine.reconciled
-        and not (machine.runs or machine.orphans)
+        and not (machine.is_contested or machine.runs or machine.orphans)
     ]
 
 
+def _get_name(machine: vm.Vm) -> str:
+    """Return the name by which the fleet's leader knows a worker."""
+    return machine.entry.reported_incarnation
+
+
 def _count_waiting(pool: view.PoolView) -> list[record.PathCount]:
     """Return the number of jobs without a started task, by queue and path."""
     counts = collections.Counter(
--- a/wigeonhitch/pool/tests/conftest.py
+++ b/wigeonhitch/pool/tests/conftest.py
@@ -59,9 +59,10 @@
         *,
         now=NOW,
         sent=None,
-        start_ms=0,
+        start_ms=None,
         clock=None,
     ):
+        start_ms = machine.entry.start_ms if start_ms is None else start_ms
         clock = CLOCK + now - NOW if clock is None else clock
         sent = now if sent is None else sent
         verdict = workers.Verdict.DONE
--- a/wigeonhitch/pool/tests/history.py
+++ b/wigeonhitch/pool/tests/history.py
@@ -173,8 +173,9 @@
                 self._send_start(order)
             else:
                 self.world.send_stop(self, order)
-        for machine in list(self.pool.vms.values()):
-            if self.next_hold.get(machine.entry.id, 0.0) <= now:
+        for worker in dict.fromkeys(known.entry.id for known in self.pool.vms.values()):
+            machine = self.pool.roster.select_for_renewal(worker)
+            if machine is not None and self.next_hold.get(worker, 0.0) <= now:
                 self._send_hold(machine)
         self._commit()
         if self.quotas is not None:
@@ -195,12 +196,13 @@
     def _send_hold(self, machine: Any) -> None:
         now = self.world.now
         deadline = None
-        if machine.knows_clock and not machine.is_silent:
+        if machine.knows_clock and not (machine.is_silent or machine.is_contested):
             deadline = machine.compute_deadline(now, dispatcher.WORKER_LEASE_SECONDS)
             machine.record_lease_deadline(deadline)
         self.next_hold[machine.entry.id] = now + 1.0
+        machine.called_at = now
         acknowledged = (
-            machine.acknowledged_end
+            machine.compute_acknowledged_end(now)
             if self.world.mechanisms.commit_before_acknowledging
             else machine.processed_end
         )
--- a/wigeonhitch/pool/tests/test_dispatcher.py
+++ b/wigeonhitch/pool/tests/test_dispatcher.py
@@ -128,8 +128,8 @@
     )
     owner = leader_record.Owner("p", "daemon", "life", 1, 10)
     leader = runner.Runner(owner, deps, clock())
-    machine = bench.add_vm(answers=False)
+    leader.pool.on_worker(bench.add_vm(answers=False).entry, clock())
     with anyio.move_on_after(0.7):
-        await leader._dispatcher.renew_until_gone(machine)
+        await leader._dispatcher.renew_until_gone("w1")
 
     assert 3 <= worker.renewals <= 5
--- a/wigeonhitch/pool/tests/test_end_numbers.py
+++ b/wigeonhitch/pool/tests/test_end_numbers.py
@@ -157,15 +157,28 @@
     assert fields["expected_clock"] == pytest.approx(CLOCK + 0.98)
 
 
-def test_answer_of_an_earlier_incarnation_is_logged_once(bench, lines, new_machine):
-    """Guards against a line per renewal of a worker whose time of day went back."""
+def test_answer_of_an_ended_incarnation_is_logged_once(bench, lines, machine):
+    """Guards against a line per renewal that is answered by what counts as ended."""
+    bench.answer(machine, now=NOW + 1, start_ms=SECOND_START, clock=NEW_CLOCK)
+    successor = bench.pool.roster.find_by_worker("w1")
+    lines.clear()
+
     for second in (2, 3):
-        bench.answer(new_machine, now=NOW + second, start_ms=FIRST_START)
+        bench.answer(successor, now=NOW + second, start_ms=FIRST_START)
 
     (fields,) = find_fields(lines, "answer of another incarnation")
     assert fields["called"] == "later"
 
 
+def test_restart_with_the_same_start_is_logged(bench, lines, machine):
+    """Guards against a restart without a trace, as the worker's clock was set back."""
+    bench.answer(machine, now=NOW + 1, clock=NEW_CLOCK)
+
+    (fields,) = find_fields(lines, "answer of another incarnation")
+    assert fields["called"] == "earlier"
+    assert fields["answered_start_ms"] == fields["start_ms"] == FIRST_START
+
+
 def test_end_of_a_lapsed_run_is_logged(bench, lines, machine, ended):
     """Guards against a task that is repeated although its end was received."""
     bench.add_job()
@@ -230,8 +243,9 @@
     owner = leader_record.Owner("p", "daemon", "life", 1, 10)
     leader = runner.Runner(owner, deps, clock() - 1)
     machine = bench.add_vm(start_ms=FIRST_START, clock=0.01, answers=False)
+    leader.pool.on_worker(machine.entry, clock())
     with anyio.move_on_after(0.05):
-        await leader._dispatcher.renew_until_gone(machine)
+        await leader._dispatcher.renew_until_gone(machine.entry.id)
 
     assert instruments.read("ends_missing_total", {}) == 2
     assert leader.pool.renewals.get_last(machine.entry.id).vm == machine.id
--- /dev/null
+++ b/wigeonhitch/pool/tests/test_incarnation_order.py
@@ -0,0 +1,206 @@
+"""Which incarnation of a worker is the later one, as the leader of its pool finds out.
+
+A worker reports the time of its start by a clock that may be set back, and an entry may
+be read late or come from another writer. Only an answer to a call is proof.
+"""
+
+import pytest
+
+from wigeonhitch.platform import workers
+
+NOW = 100.0
+CLOCK = 5000.0
+NEW_CLOCK = 0.5
+START = 60_000
+STARTS = pytest.mark.parametrize("start_ms", [0, 57_000, 61_000, 10**15])
+
+
+@pytest.fixture
+def machine(bench):
+    return bench.add_vm(start_ms=START)
+
+
+@pytest.fixture
+def run(bench, machine, listed):
+    """Run a task on the worker."""
+    bench.add_job()
+    (run,) = bench.start()
+    bench.answer(machine, [listed(run)])
+    return run
+
+
+@pytest.fixture
+def read_entry(bench, machine):
+    """Read an entry of the worker that differs from its first one; return its VM."""
+
+    def read(now=NOW + 1, **fields):
+        entry = machine.entry._replace(**fields)
+        bench.pool.on_worker(entry, now)
+        return bench.pool.vms.get(entry.incarnation)
+
+    return read
+
+
+@STARTS
+def test_entry_of_another_incarnation_ends_no_run(
+    bench, machine, run, read_entry, start_ms
+):
+    """Guards against two runs of a task, as a live worker is taken for restarted."""
+    other = read_entry(start_ms=start_ms)
+
+    assert other is not machine
+    assert bench.pool.live == {run.task: run}
+    assert not machine.is_open(NOW + 1)
+    assert not other.is_open(NOW + 1)
+
+
+@STARTS
+def test_incarnation_that_answers_afterwards_refutes_an_entry(
+    bench, machine, run, read_entry, start_ms, listed
+):
+    """Guards against a VM that isn't used any more because of an entry read late."""
+    other = read_entry(start_ms=start_ms)
+
+    bench.answer(machine, [listed(run)], now=NOW + 1.1)
+
+    assert other.gone
+    assert list(bench.pool.vms.values()) == [machine]
+    assert machine.is_open(NOW + 1.1)
+    assert read_entry(start_ms=start_ms) is None
+
+
+def test_answer_to_an_earlier_call_refutes_no_entry(bench, machine, run, read_entry):
+    """Guards against a restarted worker that is taken for one that ended before."""
+    other = read_entry(start_ms=57_000)
+
+    bench.answer(machine, now=NOW + 1.1, sent=NOW + 0.9)
+
+    assert not other.gone
+    assert not machine.gone
+    assert machine.is_contested
+
+
+def test_ends_in_a_late_answer_of_the_first_incarnation_count(
+    bench, machine, run, read_entry, ended
+):
+    """Guards against tasks that are run again after they were done."""
+    read_entry(start_ms=57_000)
+
+    bench.answer(machine, ended=[ended(1, run)], now=NOW + 1.1, sent=NOW + 0.9)
+
+    assert bench.pool.jobs["j"].is_done(run.task)
+
+
+def test_entries_that_alternate_end_no_run(bench, machine, run, read_entry):
+    """Guards against two runs of a task, as a late entry follows that of a live worker.
+
+    The worker's own entry is written again with its next heartbeat.
+    """
+    other = read_entry(start_ms=57_000)
+    read_entry(NOW + 2)
+
+    assert machine.listed
+    assert not other.listed
+    assert bench.pool.live == {run.task: run}
+
+
+def test_known_incarnations_are_called_in_turn(bench, machine, read_entry):
+    """Guards against a restarted worker that isn't called at its new address."""
+    other = read_entry(start_ms=57_000, address="w1:2")
+    called = []
+    for number in range(4):
+        selected = bench.pool.roster.select_for_renewal("w1")
+        selected.called_at = NOW + 1 + number
+        called.append(selected)
+
+    assert called == [other, machine, other, machine]
+
+
+def test_address_of_an_entry_at_which_another_worker_answers_ends_no_run(
+    bench, machine, run, read_entry
+):
+    """Guards against two runs of a task, as an entry names the address of another."""
+    other = read_entry(start_ms=57_000, address="w1:2")
+
+    bench.pool.on_hold(other, workers.HoldReply(workers.Verdict.GONE), NOW + 1.1)
+
+    assert other.gone
+    assert not machine.gone
+    assert bench.pool.live == {run.task: run}
+
+
+def test_worker_whose_entry_names_another_pool_keeps_its_runs_until_they_lapse(
+    bench, machine, run, read_entry
+):
+    """Guards against two runs of a task, as the entry may be read late.
+
+    A call to a worker that has joined another pool would carry this pool's token.
+    """
+    bench.pool._takeover_time = NOW - 60
+
+    read_entry(start_ms=57_000, pool="other")
+
+    assert bench.pool.roster.select_for_renewal("w1") is None
+    bench.pool.expire_leases(NOW + bench.pool.times.longest_lease)
+    assert run.task in bench.pool.live
+    bench.pool.expire_leases(NOW + bench.pool.times.longest_lease + 1)
+    assert run.task not in bench.pool.live
+
+
+def test_worker_is_used_again_after_an_entry_that_named_another_pool(
+    bench, machine, run, read_entry
+):
+    """Guards against a VM that is lost to its pool by an entry of another writer."""
+    read_entry(start_ms=57_000, pool="other")
+
+    read_entry(NOW + 1.5)
+
+    assert bench.pool.roster.select_for_renewal("w1") is machine
+    assert machine.is_open(NOW + 1.5)
+
+
+def test_two_incarnations_may_report_the_same_start(bench, machine, run, ended):
+    """Guards against tasks that are run again after they were done.
+
+    The worker's clock was set back to the time of its first start. Its steady clock,
+    which starts anew, shows the restart.
+    """
+    bench.answer(machine, ended=[ended(40, run)], now=NOW + 1)
+    bench.commit()
+
+    bench.answer(machine, now=NOW + 2, clock=NEW_CLOCK)
+    successor = bench.pool.roster.find_by_worker("w1")
+    bench.pool.on_worker(machine.entry._replace(clock=NEW_CLOCK), NOW + 2.1)
+    bench.commit()
+    bench.answer(successor, now=NOW + 2.2, clock=NEW_CLOCK + 0.2)
+    state = bench.add_job("second")
+    (run,) = bench.start(NOW + 2.2)
+    bench.answer(successor, ended=[ended(1, run)], now=NOW + 3, clock=NEW_CLOCK + 1)
+
+    assert machine.gone
+    assert run.vm is successor
+    assert state.is_done(run.task)
+    assert successor.processed_end == 1
+
+
+def test_row_of_a_second_incarnation_with_the_same_start_names_its_worker(make_bench):
+    """Guards against a takeover that calls a worker by the name of its incarnation."""
+    bench = make_bench(fence=50, epoch=2)
+
+    bench.pool.on_roster(f"w1@{START}.1", "w1:1", 30, NOW, start_ms=START)
+
+    assert bench.pool.roster.find_by_worker("w1").id == f"w1@{START}.1"
+
+
+def test_first_answer_at_a_takeover_tells_which_recorded_vm_is_left(make_bench):
+    """Guards against ended VMs that are waited for, and live ones that are dropped."""
+    bench = make_bench(fence=50, epoch=3)
+    for version, start_ms in enumerate((61_000, 57_000, 59_000), start=30):
+        name = f"w1@{start_ms}"
+        bench.pool.on_roster(name, "w1:1", version, NOW, start_ms=start_ms)
+
+    called = bench.pool.roster.select_for_renewal("w1")
+    bench.answer(called, start_ms=57_000, clock=NEW_CLOCK)
+
+    assert list(bench.pool.vms) == ["w1@57000"]
+    assert bench.pool.roster.unseen_ends == {"w1@61000", "w1@59000"}
--- a/wigeonhitch/pool/tests/test_restarted_worker.py
+++ b/wigeonhitch/pool/tests/test_restarted_worker.py
@@ -15,7 +15,7 @@
 
 NOW = 100.0
 CLOCK = 5000.0
-FIRST_START, SECOND_START = 1_000, 61_000
+FIRST_START = 60_000
 NEW_CLOCK = 0.5
 """Clock of the worker in its second incarnation, at `NOW`."""
 
@@ -23,35 +23,46 @@
 UNKNOWN = workers.Verdict.UNKNOWN
 
 
+@pytest.fixture(params=[61_000, 57_000], ids=["later", "earlier"])
+def second_start(request):
+    """Return the start that the second incarnation reports; clocks may be set back."""
+    return request.param
+
+
 @pytest.fixture
 def machine(bench):
     return bench.add_vm(start_ms=FIRST_START)
 
 
 @pytest.fixture
-def restart(bench, machine):
-    """Restart the worker; return the VM of its second incarnation."""
+def restart(bench, machine, second_start):
+    """Restart the worker; return the VM of its second incarnation.
+
+    Its entry is read, and it answers a renewal that was sent to the one before.
+    """
 
     def start_worker(now=NOW):
-        entry = machine.entry._replace(
-            start_ms=SECOND_START, clock=NEW_CLOCK + now - NOW
-        )
+        former = bench.pool.roster.find_by_worker(machine.entry.id)
+        clock = NEW_CLOCK + now - NOW
+        entry = machine.entry._replace(start_ms=second_start, clock=clock)
         bench.pool.on_worker(entry, now)
         successor = next(m for m in bench.pool.vms.values() if m.entry == entry)
         successor.recorded = True
+        if former is not None:
+            bench.answer(former, now=now, start_ms=second_start, clock=clock)
         return successor
 
     return start_worker
 
 
 @pytest.fixture
-def answer_again(bench):
+def answer_again(bench, second_start):
     """Let the second incarnation of the worker answer a renewal."""
 
     def answer(successor, running=(), ended=(), *, now=NOW):
         clock = NEW_CLOCK + now - NOW
         bench.answer(
-            successor, running, ended, now=now, start_ms=SECOND_START, clock=clock
+            successor, running, ended, now=now, start_ms=second_start, clock=clock
         )
 
     return answer
@@ -120,19 +131,21 @@
     (run,) = bench.start()
     bench.answer(machine, ended=[ended(40, run)], start_ms=FIRST_START)
     bench.commit()
-    assert machine.acknowledged_end == 40
+    assert machine.compute_acknowledged_end(NOW) == 40
 
     machine.is_silent = True
-    assert machine.acknowledged_end == 0
+    assert machine.compute_acknowledged_end(NOW) == 0
 
 
-def test_answer_of_the_second_incarnation_ends_the_first_one(bench, machine, listed):
+def test_answer_of_the_second_incarnation_ends_the_first_one(
+    bench, machine, listed, second_start
+):
     """Guards against runs that wait for their leases, as the entry is read later."""
     bench.add_job()
     (run,) = bench.start()
     bench.answer(machine, [listed(run)], start_ms=FIRST_START)
 
-    bench.answer(machine, now=NOW + 1, start_ms=SECOND_START, clock=NEW_CLOCK)
+    bench.answer(machine, now=NOW + 1, start_ms=second_start, clock=NEW_CLOCK)
 
     assert machine.gone
     assert run.task not in bench.pool.live
@@ -359,7 +372,7 @@
 
 @pytest.mark.parametrize("is_entry_first", [False, True])
 def test_row_of_the_first_incarnation_that_is_read_after_a_restart(
-    make_bench, is_entry_first
+    make_bench, is_entry_first, second_start
 ):
     """Guards against tasks of earlier leaders that are started beside a late start.
 
@@ -379,7 +392,7 @@
         room,
         ("a", "r1"),
         NEW_CLOCK,
-        start_ms=SECOND_START,
+        start_ms=second_start,
     )
     steps = [
         lambda: bench.pool.on_worker(entry, NOW),
@@ -387,6 +400,9 @@
     ]
     for step in steps if is_entry_first else reversed(steps):
         step()
+    assert bench.pool.unresolved == {id}
+
+    bench.answer(bench.pool.vms[id], start_ms=entry.start_ms, clock=NEW_CLOCK)
 
     assert list(bench.pool.vms) == [entry.incarnation]
     assert bench.pool.unresolved == {entry.incarnation}
@@ -398,6 +414,9 @@
     bench = make_bench(fence=50, epoch=2)
     bench.pool.on_roster("w1", "w1:1", 30, NOW)
     machine = bench.add_vm(start_ms=FIRST_START, answers=False)
+    assert bench.pool.unresolved == {"w1"}
+
+    bench.answer(bench.pool.vms["w1"], start_ms=FIRST_START)
 
     assert list(bench.pool.vms.values()) == [machine]
     assert bench.pool.unresolved == {machine.id}
@@ -435,7 +454,9 @@
 
 
 @pytest.mark.anyio
-async def test_second_start_is_renewed_after_the_last_call_to_the_first(bench):
+async def test_second_start_is_renewed_after_the_last_call_to_the_first(
+    bench, second_start
+):
     """Guards against ends of the second incarnation that the worker forgets.
 
     ``last_seen`` of a renewal of the first incarnation would acknowledge them.
@@ -454,7 +475,7 @@
         async with anyio.create_task_group() as group:
             leader._run_round(group)
             await anyio.sleep(0.02)
-            leader.pool.on_worker(entry._replace(start_ms=SECOND_START), clock())
+            leader.pool.on_worker(entry._replace(start_ms=second_start), clock())
             for _ in range(10):
                 leader._run_round(group)
                 await anyio.sleep(0.02)
@@ -510,16 +531,16 @@
 
 
 def test_answer_of_the_second_incarnation_to_a_placeholder_makes_it_known(
-    bench, pending, listed
+    bench, pending, listed, second_start
 ):
     """Guards against a run that nobody knows, as its worker's entry is read late."""
     placeholder = find_vm(bench)
     assert placeholder.is_placeholder
 
-    bench.answer(placeholder, now=NOW + 1, start_ms=SECOND_START, clock=NEW_CLOCK)
+    bench.answer(placeholder, now=NOW + 1, start_ms=second_start, clock=NEW_CLOCK)
 
     assert pending.vm is find_vm(bench)
-    assert pending.vm.entry.start_ms == SECOND_START
+    assert pending.vm.entry.start_ms == second_start
 
 
 def test_entry_and_answer_of_the_first_incarnation_do_not_end_a_placeholder(
@@ -599,21 +620,21 @@
     assert len(bench.plan(NOW + 1.5)) == 1
 
 
-def test_moved_vm_is_not_taken_back_by_its_former_pool(bench, machine):
+def test_moved_vm_is_not_taken_back_by_its_former_pool(bench, machine, second_start):
     """Guards against a leader whose fencing token stops that of the VM's new pool.
 
     The VM was drained for a move, and its worker has the same id in the new pool.
     """
     bench.pool.set_closed(frozenset({machine.id}), {})
 
-    bench.answer(machine, now=NOW + 2, start_ms=SECOND_START, clock=NEW_CLOCK)
+    bench.answer(machine, now=NOW + 2, start_ms=second_start, clock=NEW_CLOCK)
 
     assert find_vm(bench) is None
 
 
-def test_worker_whose_entry_names_another_pool_is_dropped(bench, machine):
+def test_worker_whose_entry_names_another_pool_is_dropped(bench, machine, second_start):
     """Guards against calls to a worker that never belonged to the pool."""
-    bench.answer(machine, now=NOW + 2, start_ms=SECOND_START, clock=NEW_CLOCK)
+    bench.answer(machine, now=NOW + 2, start_ms=second_start, clock=NEW_CLOCK)
     entry = find_vm(bench).entry._replace(pool="other")
 
     bench.pool.on_worker(entry, NOW + 2.1)
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -190,20 +190,17 @@
 
     def on_worker(self, entry: entries.WorkerEntry, now: float) -> None:
         """Apply a worker's entry; workers of other pools are ignored."""
-        known = self.roster.find_by_worker(entry.id)
-        if known is not None and entry.start_ms < known.min_start_ms:
-            return  # of an earlier incarnation, or by another writer
+        if self.roster.has_ended(entry.id, entry.start_ms):
+            return  # it was read late, or written by another process
+        known = self.roster.find_incarnation(entry.id, entry.start_ms)
         if known is not None and known.is_assumed and entry.pool != self.name:
             self._drop_unnamed(known, None)  # it never belonged to this pool
             return
-        is_known = entry.incarnation in self.vms
         if self.roster.on_worker(entry, now):
             self.must_scan = True
         machine = self.vms.get(entry.incarnation)
-        if machine is not None and not is_known and entry.start_ms:
+        if known is None and machine is not None and entry.start_ms:
             machine.opens_at = self.transfers.compute_opening(entry.id)
-        if known is not None and known.entry.start_ms < entry.start_ms:
-            self.replace_vm(known)
 
     def set_closed(
         self,
@@ -235,9 +232,7 @@
         self, id: str, address: str, version: int, now: float, start_ms: int = 0
     ) -> None:
         """Apply a roster row at the takeover: the VM may run tasks."""
-        former = self.roster.on_row(id, address, version, now, start_ms)
-        if former is not None:
-            self.replace_vm(former)
+        self.roster.on_row(id, address, version, now, start_ms)
 
     # -- commits
 
@@ -276,7 +271,7 @@
         for machine in list(self.vms.values()):
             if machine.is_placeholder:
                 if now >= machine.expires_at:
-                    self._drop_unnamed(machine, None)
+                    self._drop_unnamed(machine, self._find_other(machine))
                 continue
             # A VM that never answered may still have received a renewal of ours.
             lapsed = machine.is_lapsed(now, grace)
@@ -432,23 +427,23 @@
         queue = self.queues.get(state.job.queue)
         return queue.max_attempts if queue else state.job.attempts
 
-    def replace_vm(self, former: vm.Vm) -> None:
-        """Remove a VM of whose worker a later incarnation is known.
+    def replace_vm(self, former: vm.Vm, successor: vm.Vm) -> None:
+        """Remove a VM of whose worker a later incarnation has answered a call.
 
         Runs that the later one may be executing are transferred to it.
         """
-        successor = self.roster.find_by_worker(former.entry.id)
-        if successor is former:
-            successor = None  # the worker belongs to another pool now
-        elif former.id in self.unresolved:
+        if former.id in self.unresolved:
             self.unresolved.add(successor.id)
         self.log_event(
             "worker restarted",
             vm=former.id,
-            by=successor.id if successor else "",
+            by=successor.id,
+            answered=former.answered,
             processed_end=former.processed_end,
             runs=len(former.runs),
         )
+        if former.entry.start_ms != successor.entry.start_ms:
+            self.roster.on_replaced(former)
         if former.entry.start_ms:
             self.drop_vm(former, vm.VmEnd.REPLACED, successor)
         else:
@@ -460,8 +455,9 @@
         """Remove a VM that has ended, and with it all its runs.
 
         Runs that the next incarnation of its worker may be executing are transferred to
-        ``successor``, the VM of that one, or to a placeholder if it isn't known. A VM
-        that was replaced without a successor has a worker of another id or pool.
+        ``successor``, the VM of that one. Without it they are transferred to another
+        known incarnation, which may be the next one, or to a placeholder. A VM that was
+        replaced without a successor has a worker of another id or pool.
         """
         if machine.gone:
             return
@@ -502,12 +498,18 @@
             pending = [run for run in runs if run.may_reach_next_incarnation]
         else:
             pending = self.transfers.list_pending(runs, now)
+            successor = self._find_other(machine)
         if pending and successor is None:
             successor = self.roster.add_placeholder(machine, now)
         for run in pending:
             self.log_event("run transferred", to=successor.id, **describe_run(run))
             self.transfers.transfer(run, successor, now)
 
+    def _find_other(self, machine: vm.Vm) -> vm.Vm | None:
+        """Return the incarnation of a VM's worker that was learned last, but itself."""
+        known = self.roster.list_by_worker(machine.entry.id)
+        return next((other for other in reversed(known) if other is not machine), None)
+
     def _drop_unnamed(self, machine: vm.Vm, successor: vm.Vm | None) -> None:
         """Drop a VM of which no incarnation is known.
 
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -216,6 +216,12 @@
         self.opens_at = 0.0
         """This daemon's time from which tasks may be started on it."""
         self.listed = True
+        self.is_contested = False
+        """Whether another incarnation of its worker is known; one of them has ended."""
+        self.is_suspended = False
+        """Whether its worker's entry names another incarnation, in another pool."""
+        self.called_at = 0.0
+        """This daemon's time of the last renewal that was sent to it."""
         self.is_assumed = False
         """Whether it is known from an answer and its entry hasn't been read yet."""
         self.closed = False
@@ -275,20 +281,28 @@
         """Whether it stands for the next incarnation of a worker, which isn't known."""
         return self.follows_ms > 0
 
-    @property
-    def min_start_ms(self) -> int:
-        """Lowest start that this incarnation of the worker may have."""
-        return self.follows_ms + 1 if self.is_placeholder else self.entry.start_ms
+    def compute_acknowledged_end(self, now: float) -> int:
+        """Return the number up to which a renewal that is sent now acknowledges ends.
 
-    @property
-    def acknowledged_end(self) -> int:
-        """Number up to which the next renewal acknowledges ends.
+        A worker that reports its starts may have been restarted since its last answer,
+        and would forget ends of the new incarnation. So none is acknowledged after a
+        call without an answer, or while another incarnation is known.
+        """
+        if not self.entry.start_ms:
+            return self.committed_end
+        return 0 if self.is_silent or self.is_contested else self.committed_end
 
-        After a call without an answer a worker that reports its starts may have been
-        restarted. It would forget ends of the new incarnation, so none is acknowledged
-        until an answer shows which one it is.
+    def is_of_other_incarnation(self, reply: workers.HoldReply) -> bool:
+        """Return whether another incarnation of the worker has answered a renewal.
+
+        It may report the same start. Renewals of a worker follow each other, and its
+        clock never goes back within an incarnation.
         """
-        return 0 if self.is_silent and self.entry.start_ms else self.committed_end
+        if reply.verdict is not workers.Verdict.DONE:
+            return False
+        if reply.start_ms != self.entry.start_ms:
+            return True
+        return self.entry.start_ms > 0 and reply.clock < self.reported_clock
 
     @property
     def knows_clock(self) -> bool:
@@ -366,7 +380,7 @@
             self.listed
             and self.reconciled
             and self.recorded
-            and not (self.is_silent or self.orphans)
+            and not (self.is_silent or self.is_contested or self.orphans)
             and not (self.gone or self.closed or self.entry.leaving)
             and now >= self.opens_at
             and now - self.last_answer < STALE_AFTER_SECONDS
--- a/wigeonhitch/site/registry.py
+++ b/wigeonhitch/site/registry.py
@@ -25,10 +25,14 @@
 
 
 class RegisteredWorker(NamedTuple):
-    """A worker's entry, and the time on this daemon's clock at which it was read."""
+    """A worker's entry, and the time on this daemon's clock at which it was read.
+
+    ``version`` is that of its row.
+    """
 
     entry: entries.WorkerEntry
     read_at: float
+    version: int
 
 
 class WorkerRegistry:
@@ -61,7 +65,10 @@
         self._on_worker = on_worker
         self._on_removed = on_removed
         self.workers: dict[str, RegisteredWorker] = {}
-        """Last known incarnation of each worker, by its id."""
+        """Last version of each worker's entry, by the worker's id.
+
+        It may have been written late by an incarnation that has ended.
+        """
         self._instruments = instruments
         self._invalid_versions: dict[str, int] = {}
         """Version of each row that names no worker."""
@@ -119,9 +126,10 @@
             return
         self._invalid_versions.pop(row.key, None)
         known = self.workers.get(entry.id)
-        if known is not None and known.entry.start_ms > entry.start_ms:
-            return  # of an earlier incarnation, or by another writer
-        worker = self.workers[entry.id] = RegisteredWorker(entry, http.read_clock())
+        if known is not None and known.version > row.version:
+            return
+        worker = RegisteredWorker(entry, http.read_clock(), row.version)
+        self.workers[entry.id] = worker
         self._on_worker(worker)
 
     def _report_invalid(self, row: rows.Row, reason: str) -> None:
--- a/wigeonhitch/site/tests/test_registry.py
+++ b/wigeonhitch/site/tests/test_registry.py
@@ -30,21 +30,25 @@
     )
 
 
-def make_row(start_ms, **fields):
+def make_row(start_ms, *, version=1, **fields):
     entry = {"service": "p", "address": "w:1", "state": "ready", "capacity": {}}
     value = orjson.dumps(entry | {"born": start_ms} | fields)
-    return rows.Row(entries.WORKER_TABLE, "", "w", value, 1)
+    return rows.Row(entries.WORKER_TABLE, "", "w", value, version)
 
 
-def test_entry_of_an_earlier_incarnation_is_ignored(workers, applied):
+@pytest.mark.parametrize("starts", [(1_000, 61_000), (61_000, 1_000)])
+def test_older_version_of_an_entry_is_ignored(workers, applied, starts):
     """Guards against a VM that is dropped for an entry that is read late.
 
-    A snapshot may be answered after a change that the feed has told already.
+    A snapshot may be answered after a change that the feed has told already. The order
+    is that of the row's versions: a worker's clock may be set back over a restart.
     """
-    workers._apply_rows((make_row(SECOND_START), make_row(FIRST_START)))
+    former, later = starts
+    changed = (make_row(later, version=2), make_row(former, version=1))
+    workers._apply_rows(changed)
 
-    assert [worker.entry.start_ms for worker in applied] == [SECOND_START]
-    assert workers.workers["w"].entry.start_ms == SECOND_START
+    assert [worker.entry.start_ms for worker in applied] == [later]
+    assert workers.workers["w"].entry.start_ms == later
 
 
 @pytest.mark.parametrize("start_ms", ["61000", 1.5, True, None])
