Acknowledge no end that the next incarnation of a worker may have

Callers may see a task that is run again after it was done: a renewal acknowledges ends by the numbers of the incarnation that answered last, and the next one, which is there by the time it arrives, forgets ends of its own.

Cause: a renewal acknowledged nothing only after a call without an answer. A leader that was paused or without its lease after an answer sent the old number seconds later. So did one whose start was still on its way to the worker, which the next incarnation executes. If the entry of the next one was read while such a renewal was on its way, and it was lost afterwards, tasks were started there at once.

Why it works: ends are acknowledged within 1 s of an answer only, a fraction of the time in which a worker restarts and ends a task, and while no start is unconfirmed; a lost renewal keeps all other incarnations of the worker closed for as long as it may be on its way. Where workers report no starts, renewals are as before.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -123,8 +123,14 @@
 
     def on_renewal_lost(self, machine: vm.Vm, sent: float) -> None:
         """Record that a renewal which acknowledged ends got no answer."""
-        if machine.entry.start_ms:
-            self.transfers.on_renewal_lost(machine.entry.id, sent)
+        worker = machine.entry.id
+        if not machine.entry.start_ms:
+            return
+        self.transfers.on_renewal_lost(worker, sent)
+        opening = self.transfers.compute_opening(worker)
+        for other in self.roster.list_by_worker(worker):
+            if other is not machine:
+                other.opens_at = max(other.opens_at, opening)
 
     def on_stop(
         self, machine: vm.Vm, task: model.Task, number: int, reply: workers.OrderReply
--- a/wigeonhitch/pool/tests/test_incarnation_order.py
+++ b/wigeonhitch/pool/tests/test_incarnation_order.py
@@ -7,6 +7,7 @@
 import pytest
 
 from wigeonhitch.platform import workers
+from wigeonhitch.pool import vm
 
 NOW = 100.0
 CLOCK = 5000.0
@@ -204,3 +205,75 @@
 
     assert list(bench.pool.vms) == ["w1@57000"]
     assert bench.pool.roster.unseen_ends == {"w1@61000", "w1@59000"}
+
+
+# Acknowledgements that may reach the next incarnation.
+
+
+@pytest.fixture
+def commit_end(bench, machine, run, ended):
+    """Record an end of the first incarnation, which a renewal may acknowledge."""
+    bench.answer(machine, ended=[ended(40, run)])
+    bench.commit()
+    assert machine.compute_acknowledged_end(NOW) == 40
+
+
+def test_no_end_is_acknowledged_long_after_the_last_answer(machine, commit_end):
+    """Guards against ends that a restarted worker forgets before they are recorded.
+
+    A leader that was paused or without a lease may have called last before the restart.
+    """
+    later = NOW + vm.ACKNOWLEDGE_WITHIN_SECONDS + 0.1
+
+    assert machine.compute_acknowledged_end(later) == 0
+
+
+def test_no_end_is_acknowledged_while_an_entry_names_another_incarnation(
+    machine, commit_end, read_entry
+):
+    """Guards against ends that a restarted worker forgets before they are recorded."""
+    read_entry(NOW, start_ms=57_000)
+
+    assert machine.compute_acknowledged_end(NOW) == 0
+
+
+def test_no_end_is_acknowledged_while_the_next_incarnation_may_execute_a_start(
+    bench, machine, commit_end, listed
+):
+    """Guards against ends that a restarted worker forgets before they are recorded."""
+    bench.add_job("second")
+    (run,) = bench.start(answered=False)
+    assert machine.compute_acknowledged_end(NOW) == 0
+
+    bench.answer(machine, [listed(run)])
+    assert machine.compute_acknowledged_end(NOW) == 40
+
+
+def test_ends_are_acknowledged_at_any_time_where_workers_report_no_starts(bench, ended):
+    """Guards against renewals that change where each worker has an id of its own."""
+    machine = bench.add_vm()
+    bench.add_job()
+    (run,) = bench.start()
+    bench.answer(machine, ended=[ended(40, run)])
+    bench.commit()
+    machine.is_silent = True
+
+    assert machine.compute_acknowledged_end(NOW + 60) == 40
+
+
+def test_nothing_starts_while_a_renewal_that_was_on_its_way_is_lost(
+    bench, machine, read_entry
+):
+    """Guards against ends that a restarted worker forgets before they are recorded.
+
+    Its entry was read while a renewal with the numbers of the first one was on its way.
+    """
+    successor = read_entry(NOW, start_ms=57_000)
+    successor.recorded = True
+
+    bench.pool.on_renewal_lost(machine, NOW - 0.2)
+    bench.answer(machine, now=NOW + 0.1, start_ms=57_000, clock=NEW_CLOCK)
+    bench.answer(successor, now=NOW + 0.2, clock=NEW_CLOCK + 0.1)
+
+    assert not successor.is_open(NOW + 1.7)
+    assert successor.is_open(NOW + 1.8)
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -70,6 +70,10 @@
 MAX_FIRST_CLOCK_SECONDS = 0.1
 """Most that a worker's clock may show as the worker starts."""
 
+ACKNOWLEDGE_WITHIN_SECONDS = 1.0
+"""Seconds after an answer within which a renewal may acknowledge ends: afterwards the
+next incarnation of the worker may have ended a run by the time it receives it."""
+
 MAX_CLOCK_LEAD_SECONDS = 1.0
 """Time by which a worker's clock may be ahead of the last one that was received."""
 
@@ -286,11 +290,17 @@
 
         A worker that reports its starts may have been restarted since its last answer,
         and would forget ends of the new incarnation. So none is acknowledged after a
-        call without an answer, or while another incarnation is known.
+        call without an answer, long after an answer, or while the new incarnation may
+        execute a start that was sent to this one.
         """
         if not self.entry.start_ms:
             return self.committed_end
-        return 0 if self.is_silent or self.is_contested else self.committed_end
+        is_recent = now - self.last_answer <= ACKNOWLEDGE_WITHIN_SECONDS
+        if self.is_silent or self.is_contested or not is_recent:
+            return 0
+        if any(run.may_reach_next_incarnation for run in self.runs.values()):
+            return 0
+        return self.committed_end
 
     def is_of_other_incarnation(self, reply: workers.HoldReply) -> bool:
         """Return whether another incarnation of the worker has answered a renewal.
