End no incarnation of a worker because of another start under its id

What callers get: where workers keep their ids over a restart, a live VM was dropped by its pool's leader with all its runs, and its tasks were started a second time. A VM in maintenance could count as back while it was down, so that its wave exceeded its ceiling.

Cause: `has_replaced` took the higher of two starts for the later incarnation. The start is a time of day and may go back. The entry of an earlier incarnation with a higher start that is read late, or that of a foreign writer, ended the incarnation that was up.

Why it works: a list names a worker by its id only. A worker of another id ends the former one, and so does a VM that isn't up; all names that an earlier list has shown were known before that list was requested. A VM that is up under the same id proves nothing, and the pool's leader learns of the end from the worker's answers.

The last four incarnations that lists have shown are marked together once the VM is down. Without that limit, one that is never listed as down would cause a row for each restart (test_incarnations_replaced_long_ago_are_forgotten).

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -33,6 +33,11 @@
 GONE_AFTER_LISTS = 3
 """Minimum number of successive lists without it, since lists may fail for longer."""
 
+MAX_INCARNATIONS_PER_WORKER = 4
+"""Number of the last listed incarnations of a worker that are marked as ended once its
+VM is down. Which one is up isn't certain while entries arrive late; without a limit, a
+VM that is never listed as down would cause a row for each restart of its worker."""
+
 
 class Close(NamedTuple):
     """Close a worker: start no task there and drain it."""
@@ -124,6 +129,8 @@
         """Worker of each VM at its last order."""
         self._vm_by_worker: dict[str, str] = {}
         """VM of each worker that was listed as up, until the worker is marked ended."""
+        self._incarnations: dict[str, tuple[str, ...]] = {}
+        """Last listed incarnations of each worker that reports its start, by its id."""
         self.worker_starts: dict[str, int] = {}
         """Start of the last known incarnation of each worker that reports it."""
         self._unregistered: set[str] = set()
@@ -191,6 +198,7 @@
         starts = known_starts or {}
         for worker in self._unregistered - {vm.worker for vm in vms}:
             self.worker_starts.pop(worker, None)
+            self._incarnations.pop(worker, None)
         self._unregistered &= self.worker_starts.keys()
         self.vms = {}
         for vm in vms:
@@ -199,6 +207,7 @@
             if vm.state is fleet.VmState.UP and vm.worker:
                 if name != vm.worker:
                     self._vm_by_worker.pop(vm.worker, None)
+                    self._add_incarnation(vm.worker, name)
                 if name not in self.closings or not self.closings[name].ended:
                     self._vm_by_worker[name] = vm.id
         self.listed_at = now
@@ -222,6 +231,16 @@
             if now - moving.since > ARRIVAL_GRACE_SECONDS:
                 del self.arrived[id]
 
+    def _add_incarnation(self, worker: str, name: str) -> None:
+        """Add an incarnation as the last listed one of a worker; forget old ones."""
+        former = (
+            other for other in self._incarnations.get(worker, ()) if other != name
+        )
+        names = (*former, name)
+        for forgotten in names[:-MAX_INCARNATIONS_PER_WORKER]:
+            self._vm_by_worker.pop(forgotten, None)
+        self._incarnations[worker] = names[-MAX_INCARNATIONS_PER_WORKER:]
+
     def is_gone(self, vm: str) -> bool:
         """Return whether a VM is missing from enough lists to be gone for good."""
         if self._first_listed_at is None:
@@ -275,8 +294,11 @@
 
         A worker is one incarnation of its VM, named by its id and, where workers report
         it, by its start. Once the VM is listed as down, moving, under maintenance or
-        with another worker, the former worker never comes back. A VM missing from the
-        list proves nothing: a list that changes between its pages may leave one out.
+        with a worker of another id, the former worker never comes back: it was known
+        when the list was requested. A VM missing from the list proves nothing: a list
+        that changes between its pages may leave one out. Nor does another start under
+        the same id: its entry may have been written before that of the worker that is
+        up, and a mark on that one would have its tasks started elsewhere.
 
         Until the pool's leader learns of the end, it waits for the leases of all tasks
         that ran there; a leader that has just taken over waits for the longest lease
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -113,7 +113,8 @@
             continue
         if state.listed_at < since + RETURN_MARGIN_SECONDS:
             continue
-        # A repeated order may end a later worker than the one at the first order.
+        # A repeated order may end a later worker than the one at the first order. A VM
+        # whose worker keeps its id is back once the time of the maintenance has passed.
         first = progress.ordered.get(id, "")
         last = state.last_ordered_worker.get(id, first)
         changed = all(
--- a/wigeonhitch/platform/entries.py
+++ b/wigeonhitch/platform/entries.py
@@ -143,19 +143,18 @@
 
 
 def has_replaced(name: str, former: str) -> bool:
-    """Return whether the incarnation ``former`` has ended if ``name`` exists.
+    """Return whether the worker ``former`` has ended if its VM is up with ``name``.
 
-    That is the case for another worker of the same VM, and for a later incarnation of
-    the same one. A name without the time of the start proves nothing about the latter.
+    That is the case for a worker with another id. Two starts under one id prove
+    nothing: the time of day may go back between them, and the name may come from an
+    entry that was written late or by a foreign writer.
     """
-    id, start_ms = _split_incarnation(name)
-    former_id, former_start = _split_incarnation(former)
-    return id != former_id or bool(former_start and start_ms > former_start)
+    return _remove_start(name) != _remove_start(former)
 
 
-def _split_incarnation(name: str) -> tuple[str, int]:
+def _remove_start(name: str) -> str:
     id, separator, start_ms = name.rpartition("@")
-    return (id, int(start_ms)) if separator and start_ms.isdigit() else (name, 0)
+    return id if separator and start_ms.isdigit() else name
 
 
 def read_room(fields: dict[str, Any]) -> model.Room:
