Name a worker by its last entry, whatever the start in it

What callers get: a worker that was restarted under its id with its clock set back was never drained, moved or maintained, and once its VM was down, its tasks waited for their leases. If the incarnation before it had been marked as ended, the mark was on its name in the leader of the fleet for as long as it lived, and the row never went.

Cause: `FleetState.on_worker` kept the highest start, so that each entry of a later incarnation with a lower one was ignored. The start that a foreign writer had given far ahead was kept for good.

Evidence: before this change, test_worker_that_is_back_under_its_id_is_not_taken_for_ ended and test_second_crash_under_the_same_id_is_marked_too failed with a lower second start, and test_worker_is_named_by_the_entry_read_last with a foreign one.

Why it works: entries are read in the order of the store's versions. Only a call that was on its way when its worker ended, or a foreign writer, can write after the worker that is up, whose next entry comes within a heartbeat. Until then the VM has a name on which no order is given: the pool's leader doesn't show that worker as empty. An entry without a start says nothing about a worker whose start is known, as before.

Existing tests run for both orders of starts; no check is changed.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -132,7 +132,7 @@
         self._incarnations: dict[str, tuple[str, ...]] = {}
         """Last listed incarnations of each worker that reports its start, by its id."""
         self.worker_starts: dict[str, int] = {}
-        """Start of the last known incarnation of each worker that reports it."""
+        """Start in the last entry of each worker that reports it."""
         self._unregistered: set[str] = set()
         """Those of them whose entry was removed."""
         self._blocked_until: dict[str, float] = {}
@@ -173,8 +173,13 @@
         return now >= self._blocked_until.get(vm, 0.0)
 
     def on_worker(self, entry: entries.WorkerEntry) -> None:
-        """Record the start of a worker that reports it."""
-        if entry.start_ms > self.worker_starts.get(entry.id, 0):
+        """Record the start of a worker that reports it.
+
+        The entry read last counts, whatever its start: starts are times of day, which
+        may go back. One that was written late or by a foreign writer counts until the
+        next entry of the worker that is up.
+        """
+        if entry.start_ms:
             self.worker_starts[entry.id] = entry.start_ms
         self._unregistered.discard(entry.id)
 
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -668,18 +668,19 @@
     known.on_vms((vm,), now, dict(known.worker_starts))
 
 
-def test_worker_that_is_back_under_its_id_is_not_taken_for_ended(state):
+@pytest.mark.parametrize("starts", [(FIRST_START, SECOND_START), (SECOND_START, 1)])
+def test_worker_that_is_back_under_its_id_is_not_taken_for_ended(state, starts):
     """Guards against workers that are never used again after they were listed as down.
 
     The end was marked under the worker's id, and the mark stayed while a worker with
-    that id was up.
+    that id was up. With a clock that had gone back, the mark was on its name.
     """
-    first = register(state, "w", FIRST_START)
+    first = register(state, "w", starts[0])
     list_vm(state, NOW)
     list_vm(state, NOW + 1, state=fleet.VmState.DOWN)
     (ended,) = state.list_ended_workers()
     state.on_closing(ended, NOW + 1)
-    second = register(state, "w", SECOND_START)
+    second = register(state, "w", starts[1])
     list_vm(state, NOW + 5)
 
     assert ended.worker == first
@@ -688,9 +689,10 @@
     assert state.list_expired_closings(NOW + 10) == [first]
 
 
-def test_second_crash_under_the_same_id_is_marked_too(state):
+@pytest.mark.parametrize("starts", [(FIRST_START, SECOND_START), (SECOND_START, 1)])
+def test_second_crash_under_the_same_id_is_marked_too(state, starts):
     """Guards against tasks that wait for the leases of a worker that is down."""
-    for crash, start_ms in enumerate((FIRST_START, SECOND_START)):
+    for crash, start_ms in enumerate(starts):
         name = register(state, "w", start_ms)
         list_vm(state, NOW + 2 * crash)
         list_vm(state, NOW + 2 * crash + 1, state=fleet.VmState.DOWN)
@@ -720,7 +722,7 @@
     assert state.list_ended_workers() == []
 
 
-@pytest.mark.parametrize("starts", [(FIRST_START, SECOND_START)])
+@pytest.mark.parametrize("starts", [(FIRST_START, SECOND_START), (SECOND_START, 1)])
 def test_vm_that_is_not_up_has_lost_each_incarnation_listed_before(state, starts):
     """Guards against tasks that wait for leases of a worker that is down."""
     names = []
@@ -759,6 +761,22 @@
     assert [ended.worker for ended in state.list_ended_workers()] == [first]
 
 
+def test_worker_is_named_by_the_entry_read_last(state):
+    """Guards against a VM that is never drained, as its worker's entries are ignored.
+
+    A foreign writer gave a start far ahead; the worker writes its own again and again.
+    """
+    live = register(state, "w", FIRST_START)
+    register(state, "w", FAR_START)
+    register(state, "w", FIRST_START)
+    list_vm(state, NOW)
+    assert state.vms["c0"].worker == live
+
+    register(state, "w", 0)
+    list_vm(state, NOW + 1)
+    assert state.vms["c0"].worker == live
+
+
 def test_worker_whose_start_is_not_known_yet_is_not_taken_for_another(state):
     """Guards against a live worker that a new leader of the fleet marks as ended."""
     name = entries.name_incarnation("w", FIRST_START)
