Let the mark of an ended worker expire while its name is in use again

What callers get: a VM that was up got no tasks for as long as its worker lived. Its entries were ignored, as the worker's name was marked as ended and the mark stayed.

Cause: the row of an ended worker was kept while a listed VM had its name. A later incarnation has the same name if the time of day went back by just the time for which the worker was down, and it is given that name by a late entry of the former one, whose VM then also counted as drained.

No closing has that name, so no order is given about the VM. With the mark gone, an equal name is used again, and a second crash under it is marked too. A VM that is down keeps its name, and the mark stays as before. Names without a start are the bare id already.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -198,7 +198,9 @@
 
         The platform lists a worker by its id, which may stay the same over a restart.
         ``known_starts`` are the `worker_starts` as of the request: the incarnation of
-        that start has ended on a VM that the list doesn't show as up.
+        that start has ended on a VM that the list doesn't show as up. A VM that is up
+        with a worker marked as ended gets the bare id as its name: no order is given
+        about it, and the mark expires.
         """
         starts = known_starts or {}
         for worker in self._unregistered - {vm.worker for vm in vms}:
@@ -208,13 +210,13 @@
         self.vms = {}
         for vm in vms:
             name = entries.name_incarnation(vm.worker, starts.get(vm.worker, 0))
+            is_up = vm.state is fleet.VmState.UP and vm.worker != ""
+            if is_up and self._is_marked(name):
+                # Of a later incarnation, maybe with the same start.
+                name = vm.worker
             self.vms[vm.id] = vm._replace(worker=name)
-            if vm.state is fleet.VmState.UP and vm.worker:
-                if name != vm.worker:
-                    self._vm_by_worker.pop(vm.worker, None)
-                    self._add_incarnation(vm.worker, name)
-                if name not in self.closings or not self.closings[name].ended:
-                    self._vm_by_worker[name] = vm.id
+            if is_up:
+                self._record_up(vm, name)
         self.listed_at = now
         self._lists += 1
         self._last_listings.update(dict.fromkeys(self.vms, (now, self._lists)))
@@ -236,6 +238,18 @@
             if now - moving.since > ARRIVAL_GRACE_SECONDS:
                 del self.arrived[id]
 
+    def _is_marked(self, worker: str) -> bool:
+        """Return whether a worker is marked as ended."""
+        return worker in self.closings and self.closings[worker].ended
+
+    def _record_up(self, vm: fleet.Vm, name: str) -> None:
+        """Record under which name a VM that is listed with its worker's id is up."""
+        if name != vm.worker:
+            self._vm_by_worker.pop(vm.worker, None)
+            self._add_incarnation(vm.worker, name)
+        if not self._is_marked(name):
+            self._vm_by_worker[name] = vm.id
+
     def _add_incarnation(self, worker: str, name: str) -> None:
         """Add an incarnation as the last listed one of a worker; forget old ones."""
         former = (
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -746,6 +746,42 @@
     assert ended == set(names[-core.MAX_INCARNATIONS_PER_WORKER :])
 
 
+def test_mark_expires_while_the_worker_is_up_with_the_same_start(state):
+    """Guards against a live worker whose entries are ignored for as long as it lives.
+
+    The time of day went back by just the time for which the worker was down, so both
+    incarnations have one name, and the mark of the first was on the second.
+    """
+    name = register(state, "w", FIRST_START)
+    for crashed_at in (NOW, NOW + 20):
+        list_vm(state, crashed_at)
+        list_vm(state, crashed_at + 1, state=fleet.VmState.DOWN)
+        (ended,) = state.list_ended_workers()
+        assert ended.worker == name
+        state.on_closing(ended, crashed_at + 1)
+
+        register(state, "w", FIRST_START)
+        list_vm(state, crashed_at + 3)
+        assert state.list_ended_workers() == []
+        expired_at = crashed_at + 1 + core.CLOSING_RETENTION_SECONDS + 0.1
+        assert state.list_expired_closings(expired_at - 0.2) == []
+        assert state.list_expired_closings(expired_at) == [name]
+        state.on_reopened(name)
+
+
+def test_vm_that_is_up_is_not_taken_for_its_ended_worker(state):
+    """Guards against an order about a live worker that was never drained.
+
+    An entry of the former incarnation, which was drained and has ended, is read late.
+    """
+    first = register(state, "w", FIRST_START)
+    state.on_closing(record.Closing(first, "c0", 1, ended=True), NOW)
+    mark_empty(state, first)
+    list_vm(state, NOW + 1)
+
+    assert not state.is_empty(state.vms["c0"])
+
+
 def test_incarnation_that_becomes_known_after_the_request_is_not_marked(state):
     """Guards against a running worker that is taken for ended.
 
