Close no worker by its bare id where its incarnation has a name

What callers get: a VM of a wave counted as being drained for 5 s while nobody drained it, and the mark of an ended worker was overwritten by a closing, so that its late entry brought it back into the pool of open workers.

Cause: a VM has the bare id as its name until the start of its worker is known: the list was requested before the entry was read, or the known start is that of an incarnation that has ended. A wave closed it by that name, which no pool's leader knows, or by that of the ended one. If the VM was down in the next list, the bare id was marked as ended.

Why it works: a name that is an id with a known start isn't the name of an incarnation, and the VM is closed after the next list or entry. Where workers report no start, ids have no known start, and all is as before. A leader of the fleet that has read no entry yet can't tell the two cases apart and may still close a bare id; its row expires.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -247,7 +247,7 @@
         if name != vm.worker:
             self._vm_by_worker.pop(vm.worker, None)
             self._add_incarnation(vm.worker, name)
-        if not self._is_marked(name):
+        if self.is_identified(name) and not self._is_marked(name):
             self._vm_by_worker[name] = vm.id
 
     def _add_incarnation(self, worker: str, name: str) -> None:
@@ -260,6 +260,14 @@
             self._vm_by_worker.pop(forgotten, None)
         self._incarnations[worker] = names[-MAX_INCARNATIONS_PER_WORKER:]
 
+    def is_identified(self, worker: str) -> bool:
+        """Return whether a name tells the incarnation, where workers report starts.
+
+        A worker's bare id is the name of a VM from the list until the start is known.
+        The pool's leader has no worker of that name.
+        """
+        return worker not in self.worker_starts
+
     def is_gone(self, vm: str) -> bool:
         """Return whether a VM is missing from enough lists to be gone for good."""
         if self._first_listed_at is None:
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -833,6 +833,37 @@
     assert state.worker_starts == {}
 
 
+@pytest.mark.parametrize("is_marked", [False, True])
+def test_worker_is_closed_only_by_the_name_of_its_incarnation(state, is_marked):
+    """Guards against a VM that counts as drained for 5 s while nobody drains it.
+
+    The pool's leader knows no worker of the bare id. The list was requested before the
+    entry was read, or the entry is one of an incarnation that has ended.
+    """
+    start_wave(state, ["c0"])
+    first = register(state, "w", FIRST_START)
+    if is_marked:
+        state.on_closing(record.Closing(first, "c0", 1, ended=True), NOW)
+    state.on_vms(
+        (make_vm("c0", worker="w"),), NOW, state.worker_starts if is_marked else {}
+    )
+    assert select(wave.plan_waves(state, NOW, MAINTENANCE_S), core.Close) == []
+
+    second = register(state, "w", SECOND_START)
+    list_vm(state, NOW + 1)
+    (close,) = select(wave.plan_waves(state, NOW + 1, MAINTENANCE_S), core.Close)
+    assert close.closing.worker == second
+
+
+def test_bare_id_of_a_worker_that_reports_its_start_is_not_marked(state):
+    """Guards against rows under a name that no pool's leader knows."""
+    register(state, "w", FIRST_START)
+    state.on_vms((make_vm("c0", worker="w"),), NOW, {})
+    list_vm(state, NOW + 1, state=fleet.VmState.DOWN)
+
+    assert state.list_ended_workers() == []
+
+
 @pytest.mark.parametrize("start_ms", [SECOND_START, 1])
 def test_maintained_vm_is_back_under_the_id_of_its_worker(state, start_ms):
     """Guards against a wave that never ends, or that ends before the maintenance.
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -166,6 +166,8 @@
             continue
         if state.is_standby(vm.pool) or not vm.worker:
             continue
+        if not state.is_identified(vm.worker):
+            continue
         size = sum(1 for other in state.vms.values() if other.pool == vm.pool)
         unavailable = counts.get(vm.pool, state.count_unavailable(vm.pool))
         if unavailable >= max(1, size // POOL_SHARE_DIVISOR):
