Remove a closing by the bare id once the worker's start is known

Cause: a leader that has read no entry yet names a worker by its bare id, as it can't tell whether workers report their starts, and closes it by that name. The pool's leader has no such worker, and until the row expired, the VM counted as being drained.

Why it works: once a worker's start is known and the VM has its name, a closing by the bare id closes nothing, so it needs no retention. Ids without a known start are not concerned.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -371,13 +371,17 @@
         """Return ended workers whose rows have outlived the retention period.
 
         Without its VM's entry in the list, a worker has ended only if the VM is gone.
+        A closing by the bare id is of no use once the start of the worker is known.
         """
         live_workers = {vm.worker for vm in self.vms.values()}
         return [
             worker
             for worker, since in self.closed_since.items()
             if worker not in live_workers
-            and now - since > CLOSING_RETENTION_SECONDS
+            and (
+                now - since > CLOSING_RETENTION_SECONDS
+                or not self.is_identified(worker)
+            )
             and self._is_listed_or_gone(self.closings[worker].vm)
         ]
 
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -855,6 +855,23 @@
     assert close.closing.worker == second
 
 
+def test_closing_by_a_bare_id_ends_once_the_start_is_known(state):
+    """Guards against a wave that waits 5 s for each VM at a change of leaders.
+
+    The new leader has listed VMs before it has read their workers' entries.
+    """
+    start_wave(state, ["c0"])
+    list_vm(state, NOW)
+    (close,) = select(wave.plan_waves(state, NOW, MAINTENANCE_S), core.Close)
+    state.on_closing(close.closing, NOW)
+    assert state.list_expired_closings(NOW) == []
+
+    register(state, "w", FIRST_START)
+    assert state.list_expired_closings(NOW) == []
+    list_vm(state, NOW + 0.3)
+    assert state.list_expired_closings(NOW + 0.3) == ["w"]
+
+
 def test_bare_id_of_a_worker_that_reports_its_start_is_not_marked(state):
     """Guards against rows under a name that no pool's leader knows."""
     register(state, "w", FIRST_START)
