Restart workers of whole daemons with starts that go back or stay the same

What callers saw on the code before's change: accepted jobs that never run beside a restarted worker whose clock was set back.

The tests of the restarted worker also run with a start that is 5 s back, one that is the same, and two restarts within a second, the second with a start that is back; and with a second daemon that takes over. Each checks the starts after acknowledged ends and that all accepted jobs complete.

--- a/wigeonhitch/site/tests/test_restarted_worker.py
+++ b/wigeonhitch/site/tests/test_restarted_worker.py
@@ -49,6 +49,14 @@
 
 FIRST_START_MS = 1_800_000_000_000
 
+RESTARTS = {
+    "later": (5_000,),
+    "set-back": (-5_000,),  # the time of day went back over the restart
+    "equal": (0,),  # a coarse clock, or one that went back by as much as has passed
+    "twice-and-set-back": (5_000, -5_000),
+}
+"""Milliseconds from the first start to each further one, as the worker gives them."""
+
 BATCH = (model.Step(40, model.Room(TASK_MILLICORES, 10), 0.2),)
 
 
@@ -217,8 +225,8 @@
 
 
 @contextlib.asynccontextmanager
-async def run_with_restarts(site, calls, starts):
-    """Run a daemon while one of three workers is restarted under its id.
+async def run_with_restarts(site, calls, starts, names="a"):
+    """Run daemons while one of three workers is restarted under its id.
 
     The leader has processed the ends of two batches before; others go on.
 
@@ -228,42 +236,65 @@
         Time that each further incarnation gives for its start.
     """
     calls.add("w1", FIRST_START_MS)
-    async with site.run("a") as (daemon,):
-        before = await submit(daemon, ["a1", "a2"])
-        assert await find_incomplete(daemon, before) == []
+    async with site.run(names) as daemons:
+        leader = site.find_leader(daemons)
+        before = await submit(leader, ["a1", "a2"])
+        assert await find_incomplete(leader, before) == []
         await site.wait_for(lambda: calls.count_noted("w1") == 2 * BATCH[0].count)
         for id in ("w2", "w3"):
             calls.add(id, FIRST_START_MS)
-        during = await submit(daemon, ["b1", "b2", "b3"])
+        during = await submit(leader, ["b1", "b2", "b3"])
         for start_ms in starts:
             calls.crash("w1")
             await anyio.sleep(RESTART_SECONDS)
             calls.add("w1", start_ms)
             await anyio.sleep(RESTART_SECONDS)
-        yield daemon, during
+        yield daemons, during
+
+
+@pytest.fixture(params=RESTARTS.values(), ids=RESTARTS.keys())
+def starts(request):
+    """Return the time that each further incarnation gives for its start."""
+    return [FIRST_START_MS + offset for offset in request.param]
 
 
-async def test_done_tasks_of_a_restarted_worker_are_not_started_again(site, calls):
+async def test_done_tasks_of_a_restarted_worker_are_not_started_again(
+    site, calls, starts
+):
     """Guards against a second run of each task that ends on the next incarnation.
 
     As many ends as the leader had processed were ignored and acknowledged.
     """
-    starts = [FIRST_START_MS + 5_000]
-    async with run_with_restarts(site, calls, starts) as (daemon, ids):
+    async with run_with_restarts(site, calls, starts) as ((daemon,), ids):
         ids += await submit(daemon, [f"c{number}" for number in range(BATCHES)])
-        assert await find_incomplete(daemon, ids) == []
+        incomplete = await find_incomplete(daemon, ids)
 
-    assert find_violations(site) == []
+    assert (find_violations(site), incomplete) == ([], [])
     assert calls.workers["w1"].count_ends() >= 2 * BATCH[0].count
 
 
-async def test_jobs_run_on_a_restarted_worker_that_is_the_only_one_left(site, calls):
+async def test_jobs_run_on_a_restarted_worker_that_is_the_only_one_left(
+    site, calls, starts
+):
     """Guards against accepted jobs that never run beside an idle worker."""
-    starts = [FIRST_START_MS + 5_000]
-    async with run_with_restarts(site, calls, starts) as (daemon, ids):
+    async with run_with_restarts(site, calls, starts) as ((daemon,), ids):
         for id in ("w2", "w3"):
             calls.remove(id)
         ids += await submit(daemon, ["c1", "c2", "c3"])
-        assert await find_incomplete(daemon, ids) == []
+        incomplete = await find_incomplete(daemon, ids)
+
+    assert (find_violations(site), incomplete) == ([], [])
+
+
+async def test_next_leader_starts_no_done_task_of_a_restarted_worker(
+    site, calls, starts
+):
+    """Guards against ends that were acknowledged, but never recorded."""
+    async with run_with_restarts(site, calls, starts, "ab") as (daemons, ids):
+        leader = site.find_leader(daemons)
+        (other,) = [daemon for daemon in daemons if daemon is not leader]
+        ids += await submit(leader, [f"c{number}" for number in range(10)])
+        site.kill(leader)
+        incomplete = await find_incomplete(other, ids)
 
-    assert find_violations(site) == []
+    assert (find_violations(site), incomplete) == ([], [])
