Name the numbers of ends also for a start that didn't take place

A run that was transferred to the next incarnation of its worker, or whose start got no answer, counts as not started once a list lacks it. If it ran and its end was forgotten, that line is the only one of it, and it named the run alone. It has the same fields as "run no longer listed" now: start, acknowledged, processed and committed numbers, those of the answer and both clocks.

The expected clock is left out while a worker's clock isn't known. It was a figure near 0 then, so that each first answer after a takeover looked like that of a clock far ahead. No decision changes.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -63,7 +63,7 @@
             return
         if machine.is_contested:
             self._end_others(machine, reply.sent)
-        machine.expected_clock = machine.compute_clock(reply.received)
+        machine.expected_clock = _compute_expected_clock(machine, reply)
         machine.update_clock(reply.clock, reply.received)
         self.suspects.on_vm_answered(machine.id)
         machine.last_answer = machine.last_contact = now
@@ -184,7 +184,7 @@
             start_ms=machine.entry.start_ms,
             answered_start_ms=reply.start_ms,
             clock=reply.clock,
-            expected_clock=round(machine.compute_clock(reply.received), 3),
+            expected_clock=_compute_expected_clock(machine, reply),
             acknowledged=sent.acknowledged,
             lease=sent.deadline and round(sent.deadline, 3),
             ends=len(reply.ended),
@@ -368,10 +368,10 @@
                 self._update_running(run, entry, now)
             elif run.state in (vm.RunState.STARTING, vm.RunState.UNKNOWN):
                 if reply.clock > run.deadline:
-                    self.log_event("start did not take place", **view.describe_run(run))
+                    self._log_unlisted("start did not take place", run, reply)
                     self.remove_run(run)
             elif run.started_at < reply.sent:
-                self._log_unlisted(run, reply)
+                self._log_unlisted("run no longer listed", run, reply)
                 self.remove_run(run)
         orphaned = [e for e in listed.values() if not self._adopt(machine, e, now)]
         for entry in orphaned:
@@ -382,16 +382,16 @@
             for entry in orphaned
         }
 
-    def _log_unlisted(self, run: vm.Run, reply: workers.HoldReply) -> None:
-        """Log a run that has left the list of its VM without an end.
+    def _log_unlisted(self, event: str, run: vm.Run, reply: workers.HoldReply) -> None:
+        """Log a run that its VM doesn't list and of which no end has come.
 
         A worker forgets an end only once it is acknowledged, so the numbers tell who
-        may have done so.
+        may have done so, also for a run of which it isn't known whether it started.
         """
         machine = run.vm
         numbers = [end.number for end in reply.ended] or [0]
         self.log_event(
-            "run no longer listed",
+            event,
             age=self._compute_run_age(run),
             start_ms=machine.entry.start_ms,
             acknowledged=self.renewals.get_acknowledged(machine.entry.id),
@@ -400,7 +400,7 @@
             first_end=numbers[0],
             last_end=numbers[-1],
             clock=reply.clock,
-            expected_clock=round(machine.expected_clock, 3),
+            expected_clock=machine.expected_clock,
             **view.describe_run(run),
         )
 
@@ -458,3 +458,10 @@
         run.shows_run_time = not state.get_checkpoint(entry.task)
         state.record_checkpoint(entry.task, entry.checkpoint)
         return True
+
+
+def _compute_expected_clock(machine: vm.Vm, reply: workers.HoldReply) -> float | None:
+    """Return the time that a worker's clock has reached by an answer, if known."""
+    if not machine.knows_clock:
+        return None
+    return round(machine.compute_clock(reply.received), 3)
--- a/wigeonhitch/pool/tests/test_end_numbers.py
+++ b/wigeonhitch/pool/tests/test_end_numbers.py
@@ -85,6 +85,26 @@
     assert fields["expected_clock"] == pytest.approx(CLOCK + 0.98)
 
 
+def test_line_of_a_start_that_did_not_take_place_names_the_same(bench, lines, machine):
+    """Guards against a run whose end was forgotten and that counts as not started.
+
+    Its start got no answer, or was sent to the incarnation before.
+    """
+    bench.add_job()
+    (run,) = bench.start(answered=False)
+    bench.pool.on_start(run, workers.OrderReply(workers.Verdict.UNKNOWN), NOW)
+    sent = renewal.Renewal(machine.id, 40, CLOCK + 3.8)
+    bench.pool.renewals.record(machine.entry.id, sent)
+
+    bench.answer(machine, now=NOW + 2, start_ms=FIRST_START)
+
+    (fields,) = find_fields(lines, "start did not take place")
+    assert fields["job"] == "j"
+    assert fields["start_ms"] == FIRST_START
+    assert fields["acknowledged"] == {machine.id: 40}
+    assert (fields["first_end"], fields["last_end"]) == (0, 0)
+
+
 def test_listed_end_writes_no_line(bench, lines, machine, ended):
     """Guards against a line per task in the normal course."""
     bench.add_job()
@@ -129,6 +149,17 @@
     assert fields["count"] == 1
 
 
+def test_no_clock_is_expected_of_a_worker_whose_clock_is_not_known(bench, lines):
+    """Guards against a worker that seems restarted after each takeover."""
+    bench.pool.on_roster("w1@1000", "w1:1", 30, NOW, start_ms=FIRST_START)
+    (machine,) = bench.pool.vms.values()
+
+    bench.answer(machine, now=NOW + 1, start_ms=SECOND_START, clock=NEW_CLOCK)
+
+    (fields,) = find_fields(lines, "answer of another incarnation")
+    assert fields["expected_clock"] is None
+
+
 @pytest.mark.parametrize("is_gone", [False, True])
 def test_answer_of_a_later_incarnation_names_what_the_call_acknowledged(
     bench, lines, machine, is_gone
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -246,9 +246,9 @@
         """This daemon's time from which on the last answer shows that it was alive."""
         self.reported_clock = 0.0
         """The worker's time of its last list of runs."""
-        self.expected_clock = 0.0
+        self.expected_clock: float | None = None
         """The time that its clock had certainly reached by that list, as known before
-        it."""
+        it, for the log."""
         self.other_start_ms = 0
         """Start of the last other incarnation that has answered a call to this one."""
         self.is_silent = False
