Explain a task that ran again after it was done

Operators had no way from a job's id to the cause of a repeated task: the lines on the VM that ran it name no job, or another one.

`explain` prints, between the first and the last line of a job, also "worker restarted", "answer of another incarnation", "ends missing" and "run no longer listed" of the VMs that the job's lines name, for any incarnation of their workers and by the leader of any pool.

--- a/wigeonhitch/command/story.py
+++ b/wigeonhitch/command/story.py
@@ -30,6 +30,18 @@
 DAEMON_CHANGES = ("store path changed",)
 """Log texts of events that affect every job that a daemon handles at the time."""
 
+VM_CHANGES = (
+    "worker restarted",
+    "answer of another incarnation",
+    "ends missing",
+    "run no longer listed",
+)
+"""Log texts of events of a VM that tell why runs on it were lost, or repeated.
+
+A leader of another pool may have written them: it may acknowledge ends of a worker that
+has left its pool.
+"""
+
 HIDDEN_FIELDS = {"time", "level", "change", "daemon"}
 
 
@@ -47,7 +59,8 @@
 
     Lines on the job's pool stand between the first and the last of the job's
     own: who led it, what was lost meanwhile, what ran and waited. So do lines on the
-    way to the store of the daemons that wrote the job's lines.
+    way to the store of the daemons that wrote the job's lines, and those on restarts
+    and lost runs of the VMs that the job's lines name.
 
     Parameters
     ----------
@@ -91,13 +104,14 @@
 
 
 def find_story(lines: Iterable[Line], id: str) -> list[Line]:
-    """Return the lines about a job, its pool and its daemons meanwhile, by time."""
+    """Return the lines about a job, its pool, daemons and VMs meanwhile, by time."""
     ordered = sorted(lines, key=lambda line: line.time)
     own = [line for line in ordered if line.fields.get("job") == id]
     if not own:
         return []
     pools = {line.fields["pool"] for line in own if "pool" in line.fields}
     daemons = {line.daemon for line in own}
+    workers = set().union(*map(_list_workers, own))
     first, last = own[0].time, own[-1].time
     return [
         line
@@ -108,11 +122,21 @@
             and (
                 (line.change in POOL_CHANGES and line.fields.get("pool") in pools)
                 or (line.change in DAEMON_CHANGES and line.daemon in daemons)
+                or (line.change in VM_CHANGES and workers & _list_workers(line))
             )
         )
     ]
 
 
+def _list_workers(line: Line) -> set[str]:
+    """Return the ids of the workers of the VMs that a line names.
+
+    A VM whose worker reports its start is named by the worker's id and that time.
+    """
+    names = [line.fields.get(field) for field in ("vm", "by", "to")]
+    return {str(name).partition("@")[0] for name in names if name}
+
+
 def _read_texts(files: Sequence[str]) -> Iterator[str]:
     if not files:
         yield from sys.stdin
--- a/wigeonhitch/command/tests/test_story.py
+++ b/wigeonhitch/command/tests/test_story.py
@@ -113,6 +113,53 @@
     ]
 
 
+RESTART_LINES = [
+    line("10:00:01", "d2", "job started", job="j1", pool="p", vm="w1@1000"),
+    line("10:00:02", "d2", "worker restarted", pool="p", vm="w1@1000", by="w1@9000"),
+    line("10:00:02", "d2", "worker restarted", pool="p", vm="w7@1000", by="w7@9000"),
+    line("10:00:03", "d5", "answer of another incarnation", pool="q", vm="w1@1000"),
+    line("10:00:04", "d2", "ends missing", pool="p", vm="w1@9000", count=2),
+    line("10:00:04", "d2", "ends missing", pool="p", vm="w12@9000", count=2),
+    line("10:00:05", "d2", "run no longer listed", job="j9", pool="p", vm="w1@9000"),
+    line("10:00:05", "d2", "run no longer listed", job="j9", pool="p", vm="w2"),
+    line("10:00:06", "d2", "VM joined", pool="p", vm="w1@9000"),
+    line("10:00:07", "d2", "job complete", job="j1", pool="p"),
+    line("10:00:08", "d2", "ends missing", pool="p", vm="w1@9000", count=1),
+]
+
+
+def test_history_includes_restarts_and_lost_runs_of_the_vms_of_the_job():
+    """Guards against a repeated task of which the story shows no cause.
+
+    The lines may name another incarnation of the VM, and another pool. Those of other
+    VMs, of workers whose ids begin alike, and later ones belong to other stories.
+    """
+    history = story.find_story(story.read_lines(RESTART_LINES), "j1")
+
+    assert [(entry.time, entry.daemon, entry.change) for entry in history] == [
+        ("10:00:01", "d2", "job started"),
+        ("10:00:02", "d2", "worker restarted"),
+        ("10:00:03", "d5", "answer of another incarnation"),
+        ("10:00:04", "d2", "ends missing"),
+        ("10:00:05", "d2", "run no longer listed"),
+        ("10:00:07", "d2", "job complete"),
+    ]
+    assert all("w1@" in str(entry.fields.get("vm", "w1@")) for entry in history)
+
+
+def test_vm_that_takes_over_a_run_belongs_to_the_story():
+    """Guards against a story that ends with the first incarnation of a worker."""
+    lines = [
+        line("10:00:01", "d2", "run transferred", job="j1", vm="w1@1", to="w2@5"),
+        line("10:00:02", "d2", "ends missing", pool="p", vm="w2@5", count=1),
+        line("10:00:03", "d2", "job complete", job="j1", pool="p"),
+    ]
+
+    history = story.find_story(story.read_lines(lines), "j1")
+
+    assert [entry.change for entry in history][1] == "ends missing"
+
+
 def test_preempted_run_of_another_job_is_shown_with_that_job(tmp_path, capsys):
     """Guards against another job's stopped run being taken for this job's own."""
     path = tmp_path / "all.log"
