Restart the soak's workers under their ids

Former incarnations' entries arrive late, and foreign ones replace those of live workers until the next heartbeat.

The checks tell incarnations apart by the stand-ins' own count. New ones: ends that were acknowledged before any answer had listed them, starts of jobs that were shown as completed, and listed workers that stay idle while tasks wait that they could run.

Without the option ids, entries and random numbers are as before. The mechanism ignore_starts takes all incarnations of an id for the same one.

--- a/standins/soak/audit.py
+++ b/standins/soak/audit.py
@@ -4,11 +4,11 @@
 import itertools
 import math
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from standins import siteworker, taskhistory
-from standins.soak import caller, environment, fault, team, vmfleet
+from standins.soak import caller, environment, fault, restartaudit, team, vmfleet
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import http
 
@@ -50,7 +50,8 @@
     """Records of a run.
 
     No fault is injected and no job is submitted after ``settled_from``.
-    ``queue_pools`` are the pools in which the jobs of a queue may be.
+    ``queue_pools`` are the pools in which the jobs of a queue may be, and ``probes``
+    the jobs that need each worker of a pool.
     """
 
     jobs: list[caller.SubmittedJob]
@@ -61,6 +62,7 @@
     settled_from: float
     ended: float
     teams: team.Teams | None = None
+    probes: Sequence[restartaudit.Probe] = ()
 
     def is_disturbed(self, begin: float, end: float, target: str = "") -> bool:
         """Whether a fault affected a time span; ``target`` restricts the daemons."""
@@ -95,6 +97,9 @@
         *_check_finals(observed),
         *_check_keys(observed),
         *_check_ceilings(observed, jobs, get_size),
+        *restartaudit.check_forgotten(observed.vm_fleet.workers),
+        *restartaudit.check_completed(observed.calls, events),
+        *restartaudit.check_idle(observed.probes, observed.vm_fleet),
     ]
 
 
--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -49,6 +49,13 @@
 INVALID_KEY_SECONDS = 0.25
 """Interval of the submissions with keys that are revoked or were never valid."""
 
+PROBE_TASK_SECONDS = 1.5
+PROBE_MILLICORES = 500
+"""Duration and size of the tasks of a job that needs each VM of a pool."""
+
+PROBE_TASKS_PER_VM = 2
+"""Tasks of such a job: some wait for others, even where every VM has one."""
+
 QUERY_SECONDS = 0.7
 """Mean interval at which a caller queries its job."""
 
@@ -246,6 +253,20 @@
         self.jobs.append(job)
         return job
 
+    async def submit_probe(
+        self, queue: environment.Queue, vm_count: int
+    ) -> SubmittedJob:
+        """Submit a job that runs one task at a time on each VM of a pool."""
+        step = {"count": vm_count * PROBE_TASKS_PER_VM, "cpu": PROBE_MILLICORES}
+        step |= {"mem_mb": 64, "anti_affinity": 1}
+        step["estimate_ms"] = int(PROBE_TASK_SECONDS * 1000)
+        spec = json.dumps({"seconds": PROBE_TASK_SECONDS})
+        id = f"{self._rng.getrandbits(64):016x}"
+        job = SubmittedJob(id, queue, {"spec": spec, "steps": [step]})
+        self.jobs.append(job)
+        await self._submit(job)
+        return job
+
     def _assign(self, job: SubmittedJob, owner: team.Team) -> None:
         """Make a job one of a team, to be submitted with any of its valid keys."""
         job.team = owner.name
--- a/standins/soak/environment.py
+++ b/standins/soak/environment.py
@@ -13,7 +13,7 @@
 import orjson
 
 from standins.demo import process
-from standins.soak import application, relay, store, team, vmfleet
+from standins.soak import application, incarnation, relay, store, team, vmfleet
 from wigeonhitch.daemon import server
 from wigeonhitch.leadership import record
 from wigeonhitch.platform import entries, http, node
@@ -127,17 +127,30 @@
         Links to the workers, by VM.
     queue_pools : dict of str to set of str
         Pools that a configuration has assigned to each queue.
+    current_pools : dict of str to str
+        Pool that the newest configuration assigns to each queue.
     teams : team.Teams or None
         Teams of the configuration, if it has any.
+    restarts : incarnation.Restarts or None
+        Restarts of workers under their ids, if there are any.
     """
 
-    def __init__(self, rng: random.Random, teams: team.Teams | None = None) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        teams: team.Teams | None = None,
+        restarts_rng: random.Random | None = None,
+    ) -> None:
         self.teams = teams
         self.store = store.Store()
-        self.vm_fleet = vmfleet.VmFleet(self.store.rows, rng)
-        self.daemons: list[Daemon] = []
         self.links: dict[str, relay.Relay] = {}
+        self.restarts = (
+            incarnation.Restarts(restarts_rng, self.links) if restarts_rng else None
+        )
+        self.vm_fleet = vmfleet.VmFleet(self.store.rows, rng, self.restarts)
+        self.daemons: list[Daemon] = []
         self.queue_pools: dict[str, set[str]] = {}
+        self.current_pools: dict[str, str] = {}
 
     def write_catalogue(self, version: int, extra: int = 0) -> None:
         """Write a configuration; ``extra`` additional routes lead to the first pool.
@@ -150,6 +163,7 @@
         routes = []
         for queue, pool in reassigned:
             self.queue_pools.setdefault(queue.name, set()).add(pool)
+            self.current_pools[queue.name] = pool
             routes.append(_write_route(queue._replace(pool=pool)))
         for number in range(extra):
             extra_queue = Queue(f"more-{number}", f"more{number}.example", "/", "alpha")
@@ -191,12 +205,14 @@
     rng: random.Random,
     without: str = "",
     teams: team.Teams | None = None,
+    restarts_rng: random.Random | None = None,
 ) -> Any:
     """Run a site with ``count`` daemons; all of it stops at the end of the block.
 
-    ``without`` names a mechanism of `standins.soak.without` to disable.
+    ``without`` names a mechanism of `standins.soak.without` to disable. Workers are
+    restarted under their ids if ``restarts_rng`` is given.
     """
-    environment = Environment(rng, teams)
+    environment = Environment(rng, teams, restarts_rng)
     environment.write_catalogue(1)
     ports = process.Ports()
     program = (WITHOUT_MODULE, without) if without else (MODULE,)
@@ -240,6 +256,8 @@
 ) -> None:
     """Start the links, then the VMs, then the daemons."""
     links = [link for daemon in environment.daemons for link in daemon.relays]
+    if environment.restarts is not None:
+        links.extend(environment.restarts.spare_links.values())
     for link in (*environment.links.values(), *links):
         await group.start(link.run)
     for address in addresses:
@@ -263,6 +281,11 @@
             name = f"{pool}-{number}"
             link = relay.Relay("127.0.0.1", relay_port, "127.0.0.1", port)
             environment.links[name] = link
+            if environment.restarts is not None:
+                environment.restarts.spare_links[name] = spare = relay.Relay(
+                    "127.0.0.1", ports.allocate()[0], "127.0.0.1", port
+                )
+                spare.is_refusing = True
             workers[port] = vmfleet.Vm(name, pool, port, link.address)
             environment.vm_fleet.add(workers[port])
     return workers
--- a/standins/soak/fault.py
+++ b/standins/soak/fault.py
@@ -61,6 +61,9 @@
 TEAM_CHANGE_SHARES = (0.25, 0.5)
 """Part of a run in which the operator changes teams: with one team's burst."""
 
+WAVE_SECONDS = 20.0
+"""Time in which a wave of maintenance should complete."""
+
 WRITE_RETRY_SECONDS = 0.05
 """Interval at which the operator repeats a write that the store refuses."""
 
@@ -209,11 +212,15 @@
             self._site.write_catalogue(self._version, self._rng.randrange(20))
             return str(self._version)
         names = [vm.name for vm in self._site.vm_fleet.vms.values()]
-        self._waves += 1
         vms = sorted(self._rng.sample(names, 3))
-        self._site.order_wave(self._waves, vms, 20.0)
+        self.order_wave(vms)
         return ",".join(vms)
 
+    def order_wave(self, vms: list[str]) -> None:
+        """Order maintenance of VMs, one at a time."""
+        self._waves += 1
+        self._site.order_wave(self._waves, vms, WAVE_SECONDS)
+
     async def _inject_link_fault(self, fault: Fault) -> str:
         place, _, effect = fault.kind.partition(" ")
         if place == "store":
--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -4,6 +4,7 @@
 import random
 import sys
 import tempfile
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import anyio
@@ -12,7 +13,17 @@
 import yaml
 
 from standins.demo import process
-from standins.soak import audit, caller, environment, fault, leaderfault, team
+from standins.soak import (
+    audit,
+    caller,
+    environment,
+    fault,
+    incarnation,
+    leaderfault,
+    restartaudit,
+    restartfault,
+    team,
+)
 from wigeonhitch.platform import http
 
 __all__ = ["Result", "list_recorded_seeds", "run", "run_seed"]
@@ -39,6 +50,7 @@
     refused: int
     starts: int
     spans: list[fault.Span]
+    incarnations: Sequence[incarnation.Incarnation] = ()
 
 
 def run() -> None:
@@ -58,6 +70,8 @@
     without: str = "",
     leaders: bool = False,
     teams: bool = False,
+    restarts: bool = False,
+    restart_kinds: str = "",
     folder: str = "",
 ) -> int:
     """Run seeded faults and check the records of callers and workers.
@@ -82,6 +96,10 @@
         Run the faults that target leaders instead of all others.
     teams : bool
         Run teams with keys and ceilings, and change these.
+    restarts : bool
+        Run, besides the other faults, those that restart workers under their ids.
+    restart_kinds : str
+        Regular expression that the names of these faults match.
     folder : str
         Folder for the daemons' logs; a temporary one if empty.
     """
@@ -92,7 +110,17 @@
         log_folder = pathlib.Path(root) / str(seed)
         log_folder.mkdir(parents=True, exist_ok=True)
         result = anyio.run(
-            run_seed, seed, log_folder, seconds, daemons, rate, without, leaders, teams
+            run_seed,
+            seed,
+            log_folder,
+            seconds,
+            daemons,
+            rate,
+            without,
+            leaders,
+            teams,
+            restarts,
+            restart_kinds,
         )
         failed_count += bool(result.violations)
         print(describe(result, log_folder), flush=True)
@@ -116,6 +144,11 @@
         lines.append(f"  logs in {log_folder}")
         for span in sorted(result.spans):
             lines.append(f"  {span.begin:.2f}-{span.end:.2f} {span.kind} {span.target}")
+        lines.extend(
+            f"  {life.time:.2f} {life.worker} is {life.registered_id}, started at "
+            f"{life.start_ms}: {life.vm} at {life.address}"
+            for life in result.incarnations
+        )
     return "\n".join(lines)
 
 
@@ -128,6 +161,8 @@
     without: str = "",
     leaders: bool = False,
     teams: bool = False,
+    restarts: bool = False,
+    restart_kinds: str = "",
 ) -> Result:
     """Run one seed and check it."""
     rng = random.Random(seed)
@@ -136,33 +171,43 @@
     if teams:
         faults += fault.plan_team_changes(random.Random(seed), seconds)
         faults.sort()
+    restarts_rng = random.Random(seed) if restarts else None
+    if restarts_rng is not None:
+        restarts_plan = restartfault.plan(restarts_rng, seconds, restart_kinds)
+        faults = sorted([*faults, *restarts_plan])
     written = team.Teams() if teams else None
     limits = httpx.Limits(max_connections=MAX_CONNECTIONS, keepalive_expiry=60.0)
     async with (
         httpx.AsyncClient(limits=limits, trust_env=False) as client,
-        environment.open_environment(folder, daemons, rng, without, written) as site,
+        environment.open_environment(
+            folder, daemons, rng, without, written, restarts_rng
+        ) as site,
     ):
         await _wait_until_ready(site)
         callers = caller.Callers(site, rng, client)
-        injector = leaderfault.Injector(site, rng)
+        injector = restartfault.Injector(site, rng, restarts_rng)
+        probes: list[restartaudit.Probe] = []
         async with anyio.create_task_group() as group:
             group.start_soon(callers.run, rate, seconds)
             if leaders:
                 group.start_soon(callers.run_at_claims, seconds)
             await injector.run(faults)
-        observed = await _settle(
-            callers,
-            audit.Observations(
-                callers.jobs,
-                callers.calls,
-                injector.spans,
-                site.vm_fleet,
-                site.queue_pools,
-                settled_from=http.read_clock(),
-                ended=0.0,
-                teams=written,
-            ),
+        observed = audit.Observations(
+            callers.jobs,
+            callers.calls,
+            injector.spans,
+            site.vm_fleet,
+            site.queue_pools,
+            settled_from=http.read_clock(),
+            ended=0.0,
+            teams=written,
+            probes=probes,
         )
+        async with anyio.create_task_group() as group:
+            if restarts and not teams:
+                group.start_soon(_submit_probes, site, callers, probes)
+            observed = await _settle(callers, observed)
+            group.cancel_scope.cancel()
         return Result(
             seed,
             audit.check(observed),
@@ -171,9 +216,24 @@
             sum(1 for call in observed.calls if call.status in (429, 503)),
             sum(1 for event in site.vm_fleet.events if event.kind == "start"),
             observed.spans,
+            site.restarts.incarnations if site.restarts else (),
         )
 
 
+async def _submit_probes(
+    site: environment.Environment,
+    callers: caller.Callers,
+    probes: list[restartaudit.Probe],
+) -> None:
+    """Submit a job that needs all VMs of its pool to each queue, after the last fault.
+
+    Probes aren't submitted with teams, whose ceilings keep them waiting.
+    """
+    await anyio.sleep(audit.RECOVERY_SECONDS)
+    for queue in environment.QUEUES:
+        probes.append(await restartaudit.submit_probe(site, callers, queue))
+
+
 async def _wait_until_ready(site: environment.Environment) -> None:
     """Wait until every daemon answers that it is ready."""
     async with httpx.AsyncClient(trust_env=False) as client:
--- a/standins/soak/relay.py
+++ b/standins/soak/relay.py
@@ -45,12 +45,15 @@
         Applies to existing and new connections.
     answer_delays : dict of bytes to float
         Seconds by which an answer is delayed, by a substring of its request.
+    is_refusing : bool
+        Whether new connections are reset, as nobody listens at the address.
     """
 
     def __init__(self, host: str, port: int, target_host: str, target: int) -> None:
         self.address = f"{host}:{port}"
         self.state = Link.OPEN
         self.answer_delays: dict[bytes, float] = {}
+        self.is_refusing = False
         self._host = host
         self._port = port
         self._target = (target_host, target)
@@ -70,8 +73,7 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for number, client in self._clients.items():
-            raw = client.extra(anyio.abc.SocketAttribute.raw_socket)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            _reset_when_closed(client)
             self._scopes[number].cancel()
 
     def silence(self) -> None:
@@ -98,6 +100,9 @@
             with scope, contextlib.suppress(OSError, anyio.BrokenResourceError):
                 while self.state is Link.FULL:
                     await self._changed.wait()
+                if self.is_refusing:
+                    _reset_when_closed(client)
+                    return
                 server = await anyio.connect_tcp(*self._target)
                 async with anyio.create_task_group() as group:
                     group.start_soon(
@@ -150,3 +155,8 @@
             await self._changed.wait()
         if self.state is Link.SLOW:
             await anyio.sleep(DELAY_SECONDS)
+
+
+def _reset_when_closed(client: anyio.abc.SocketStream) -> None:
+    raw = client.extra(anyio.abc.SocketAttribute.raw_socket)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
--- a/standins/soak/vmfleet.py
+++ b/standins/soak/vmfleet.py
@@ -7,8 +7,7 @@
 import orjson
 
 from standins import rowstore, siteworker
-from standins.soak import store
-from wigeonhitch.jobs import model
+from standins.soak import incarnation, store
 from wigeonhitch.platform import entries, fleet, http, workers
 
 __all__ = [
@@ -84,26 +83,11 @@
     """A call that a worker carries out later without answering it."""
 
     due: float
-    worker: "Worker"
+    worker: incarnation.Worker
     path: str
     body: Any
 
 
-class Worker(siteworker.Worker):
-    """A worker whose runs end as their ``spec`` specifies."""
-
-    def crashes_under(self, order: workers.Start) -> bool:
-        """Return whether the run crashes the worker."""
-        return orjson.loads(order.spec).get("crash", False)
-
-    def draw_end(self, order: workers.Start) -> tuple[float, model.End]:
-        """Return after how many seconds a run ends, and its outcome."""
-        spec = orjson.loads(order.spec)
-        failed = self._rng.random() < spec.get("fail", 0.0)
-        outcome = model.End.FAILED if failed else model.End.DONE
-        return spec["seconds"], outcome
-
-
 class Vm:
     """VM at one address, with the current incarnation of its worker."""
 
@@ -113,7 +97,7 @@
         self.port = port
         self.address = address
         self.state = fleet.VmState.UP
-        self.worker: Worker | None = None
+        self.worker: incarnation.Worker | None = None
         self.returns_at: float | None = None
         self.leaves_at: float | None = None
         self.fence = 0
@@ -137,10 +121,21 @@
         Changes of the capacity of workers.
     outages : list of Outage
         Outages that tasks have caused.
+    restarts : incarnation.Restarts or None
+        Restarts of workers under their ids; None if each incarnation has a new one.
+    workers : list of incarnation.Worker
+        All incarnations, in order.
     """
 
-    def __init__(self, rows: rowstore.RowStore, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rows: rowstore.RowStore,
+        rng: random.Random,
+        restarts: incarnation.Restarts | None = None,
+    ) -> None:
         self.rows = rows
+        self.restarts = restarts
+        self.workers: list[incarnation.Worker] = []
         self.events: list[siteworker.Event] = []
         self.orders: list[Order] = []
         self.drained: dict[str, float] = {}
@@ -149,7 +144,6 @@
         self.vms: dict[str, Vm] = {}
         self._rng = rng
         self._delayed_calls: list[_DelayedCall] = []
-        self._incarnations = 0
         self._last_heartbeats: dict[str, float] = {}
         self._expiries: dict[str, float] = {}
 
@@ -181,6 +175,15 @@
             self._stop_worker(vm, now := http.read_clock())
             vm.returns_at = now + duration
 
+    def restart(self, vm: Vm, duration: float, **changes: bool) -> None:
+        """Crash a worker, which is later restarted under its id.
+
+        ``changes`` are those of `incarnation.Restarts.keep`.
+        """
+        if vm.worker is not None:
+            self.restarts.keep(vm.name, **changes)
+            self.crash(vm, duration)
+
     def resize(self, vm: Vm, share: float) -> None:
         """Change a VM's capacity to a share of its usual one, and write its entry."""
         vm.millicores = int(VM_MILLICORES * share)
@@ -202,7 +205,7 @@
 
     async def answer(self, vm: Vm, path: str, target: str, body: Any) -> store.Answer:
         """Answer a call to the worker at a VM's address."""
-        if vm.worker is None or vm.worker.id != target:
+        if vm.worker is None or vm.worker.registered_id != target:
             return store.Answer(421)
         if vm.is_late and path != "/v1/hold":
             due = http.read_clock() + self._rng.uniform(*CALL_DELAY_SECONDS)
@@ -214,7 +217,7 @@
 
     def list_vms(self) -> store.Answer:
         """Answer with the list of all VMs."""
-        vms = [_encode_vm(vm) for vm in self.vms.values()]
+        vms = [self._encode_vm(vm) for vm in self.vms.values()]
         return store.Answer(200, {"machines": vms})
 
     def order(self, path: str, holder: str, fence: int, body: Any) -> store.Answer:
@@ -242,10 +245,13 @@
     # -- worker incarnations
 
     def _start_worker(self, vm: Vm) -> None:
-        self._incarnations += 1
         drift = self._rng.choice((0.0, 0.02))
-        id = f"life{self._incarnations:04d}"
-        vm.worker = Worker(id, self.events, self._rng, drift=drift)
+        id = f"life{len(self.workers) + 1:04d}"
+        vm.worker = incarnation.Worker(id, self.events, self._rng, drift=drift)
+        self.workers.append(vm.worker)
+        if self.restarts is not None:
+            vm.address = self.restarts.begin(vm.name, vm.worker, http.read_clock())
+            self._last_heartbeats.pop(vm.worker.registered_id, None)
         vm.state = fleet.VmState.UP
         vm.returns_at = vm.leaves_at = None
         self._record_capacity(vm, http.read_clock())
@@ -260,9 +266,10 @@
                     siteworker.Event(now, kind, vm.worker.id, run.task, run.number)
                 )
         vm.worker.crash(now)
-        self._expiries[vm.worker.id] = (
-            self._last_heartbeats.get(vm.worker.id, now) + ENTRY_TTL_SECONDS
-        )
+        id = vm.worker.registered_id
+        self._expiries[id] = self._last_heartbeats.get(id, now) + ENTRY_TTL_SECONDS
+        if self.restarts is not None:
+            self.restarts.end(vm.name)
         vm.worker = vm.leaves_at = None
         vm.state = fleet.VmState.DOWN
 
@@ -277,7 +284,8 @@
             if len(vm.worker.runs) != run_count:
                 vm.runs_changed.set()
                 vm.runs_changed = anyio.Event()
-            if now - self._last_heartbeats.get(vm.worker.id, 0.0) > HEARTBEAT_SECONDS:
+            last_heartbeat = self._last_heartbeats.get(vm.worker.registered_id, 0.0)
+            if now - last_heartbeat > HEARTBEAT_SECONDS:
                 self._write_entry(vm, now)
             if vm.leaves_at is not None and now >= vm.leaves_at:
                 self._stop_worker(vm, now)
@@ -290,7 +298,10 @@
     def _write_entry(self, vm: Vm, now: float) -> None:
         if self.rows.is_down or vm.worker is None:
             return
-        self._last_heartbeats[vm.worker.id] = now
+        id = vm.worker.registered_id
+        self._last_heartbeats[id] = now
+        self._expiries.pop(id, None)
+        vm.worker.sequence += 1
         fields = {
             "service": vm.pool,
             "address": vm.address,
@@ -302,11 +313,16 @@
         }
         if vm.leaves_at is not None:
             fields["remaining_ms"] = int(DRAIN_SECONDS[0] * 1000)
-        self.rows.put(entries.WORKER_TABLE, "", vm.worker.id, orjson.dumps(fields))
+        if self.restarts is not None:
+            fields["sequence"] = vm.worker.sequence
+        fields.update(vm.worker.describe_start())
+        self.rows.put(entries.WORKER_TABLE, "", id, orjson.dumps(fields))
 
     # -- calls
 
-    def _carry_out(self, worker: Worker, path: str, body: Any) -> store.Answer:
+    def _carry_out(
+        self, worker: incarnation.Worker, path: str, body: Any
+    ) -> store.Answer:
         now = http.read_clock()
         task = workers.read_task(body["task"])
         run, fence = body["run"], body.get("fencing_token", 0)
@@ -327,7 +343,9 @@
             return store.Answer(0)
         return self._build_answer(worker, verdict)
 
-    async def _hold(self, vm: Vm, worker: Worker, body: Any) -> store.Answer:
+    async def _hold(
+        self, vm: Vm, worker: incarnation.Worker, body: Any
+    ) -> store.Answer:
         deadline = body.get("deadline_ms")
         fence, last_seen = body.get("fencing_token", 0), body["last_seen"]
         wait_until = http.read_clock() + body.get("wait_ms", 0) / 1000
@@ -345,38 +363,37 @@
                 return store.Answer(0)
         answer = self._build_answer(worker, verdict)
         if answer.status == 200:
-            answer.body["running"] = [_encode_run(run) for run in running]
-            answer.body["finished"] = [_encode_end(end) for end in ended]
+            answer.body["running"] = [incarnation.encode_run(run) for run in running]
+            answer.body["finished"] = [incarnation.encode_end(end) for end in ended]
+            answer.body.update(worker.describe_start())
         return answer
 
-    def _build_answer(self, worker: Worker, verdict: workers.Verdict) -> store.Answer:
+    def _build_answer(
+        self, worker: incarnation.Worker, verdict: workers.Verdict
+    ) -> store.Answer:
         body = {"clock_ms": int(worker.read_clock(http.read_clock()) * 1000)}
         if verdict is workers.Verdict.DONE:
             return store.Answer(200, body)
         reasons = {value: text for text, value in workers.VERDICTS_BY_REASON.items()}
         return store.Answer(409, {**body, "reason": reasons[verdict]})
 
+    def _encode_vm(self, vm: Vm) -> dict[str, Any]:
+        state, id = vm.state, ""
+        if vm.worker is not None:
+            id = vm.worker.registered_id
+        elif self.restarts is not None and vm.state is fleet.VmState.DOWN:
+            id = self.restarts.get_listed_id(vm.name)
+            state = fleet.VmState.UP if id else state
+        return {
+            "machine": vm.name,
+            "pool": vm.pool,
+            "state": state.value,
+            "zone": "dc",
+            "labels": ["kind", "r1"],
+            "capacity": _encode_capacity(vm),
+            "id": id,
+        }
+
 
 def _encode_capacity(vm: Vm) -> dict[str, int]:
     return {"cpu": vm.millicores, "mem_mb": 65536, "gpus": 0}
-
-
-def _encode_vm(vm: Vm) -> dict[str, Any]:
-    return {
-        "machine": vm.name,
-        "pool": vm.pool,
-        "state": vm.state.value,
-        "zone": "dc",
-        "labels": ["kind", "r1"],
-        "capacity": _encode_capacity(vm),
-        "id": vm.worker.id if vm.worker is not None else "",
-    }
-
-
-def _encode_run(run: workers.Running) -> list[Any]:
-    return [workers.write_task(run.task), run.run, run.checkpoint, run.work, run.load]
-
-
-def _encode_end(end: workers.Ended) -> list[Any]:
-    name = workers.write_task(end.task)
-    return [end.number, name, end.run, end.end.value, end.checkpoint]
--- a/standins/soak/without.py
+++ b/standins/soak/without.py
@@ -11,7 +11,7 @@
 
 from wigeonhitch.leadership import core as leadership
 from wigeonhitch.leadership import record, term
-from wigeonhitch.platform import entries
+from wigeonhitch.platform import entries, field
 from wigeonhitch.pool import core, ledger, quota, suspect, vm
 from wigeonhitch.site import acceptance, main, message
 
@@ -107,6 +107,11 @@
     quota.Quotas.admits = lambda self, team, room: True
 
 
+def ignore_starts() -> None:
+    """Take all incarnations of a worker that have one id for the same one."""
+    field.read_start = lambda fields: 0
+
+
 MECHANISMS: dict[str, Callable[[], None]] = {
     mechanism.__name__: mechanism
     for mechanism in (
@@ -122,6 +127,7 @@
         accept_without_condition,
         keep_crashing_tasks,
         ignore_ceilings,
+        ignore_starts,
     )
 }
 
