--- a/standins/tests/test_soak_restarts.py
+++ b/standins/tests/test_soak_restarts.py
@@ -222,9 +222,15 @@
 @pytest.mark.processes
 async def test_short_run_with_restarts_has_no_violation(tmp_path):
     """Guards against tasks that run twice, or are lost, as workers are restarted under
-    their ids, also by clocks that were set back."""
+    their ids by clocks that were set back."""
     result = await main.run_seed(
-        1, tmp_path, seconds=8.0, daemons=3, rate=4.0, restarts=True
+        79,
+        tmp_path,
+        seconds=5.0,
+        daemons=3,
+        rate=8.0,
+        restarts=True,
+        restart_kinds="set back|same time",
     )
 
     assert result.violations == []
