Test the soak's foreign entries and the tasks that its restarts spare

Each kind of foreign entry is written and replaced by the next heartbeat, and a worker isn't crashed if it runs a task under which two others have crashed.

--- a/standins/tests/test_soak_restarts.py
+++ b/standins/tests/test_soak_restarts.py
@@ -11,6 +11,7 @@
 from standins.soak import (
     caller,
     environment,
+    fault,
     incarnation,
     main,
     relay,
@@ -115,6 +116,68 @@
     assert not {"born", "sequence"} & set(fields)
 
 
+class Site:
+    """The parts of a site that faults of workers and entries need."""
+
+    def __init__(self, vm_fleet):
+        self.vm_fleet = vm_fleet
+        self.store = self
+        self.rows = vm_fleet.rows
+
+
+@pytest.fixture
+def injector(vm_fleet):
+    rng = random.Random(1)
+    return restartfault.Injector(Site(vm_fleet), rng, rng)
+
+
+@pytest.mark.parametrize(
+    ("kind", "is_expected"),
+    [
+        ("entry without start", lambda start, own: start is None),
+        ("entry with later start", lambda start, own: start > own),
+        ("entry with earlier start", lambda start, own: start < own),
+        ("entry with unreadable start", lambda start, own: start == str(own)),
+    ],
+)
+async def test_foreign_entry_stays_until_the_next_heartbeat(
+    vm_fleet, injector, kind, is_expected, monkeypatch
+):
+    """Guards against foreign entries that aren't written, or that stay for good."""
+    monkeypatch.setattr(vmfleet, "HEARTBEAT_SECONDS", 0.0)
+    vm = vm_fleet.vms["vm"]
+    id, own = vm.worker.registered_id, vm.worker.start_ms
+
+    await injector._inject(fault.Fault(0.0, kind, 0.5, 1.0))
+    foreign = read_entry(vm_fleet, id).get("born")
+    vm_fleet._advance(vm, 1e9)
+
+    assert is_expected(foreign, own)
+    assert read_entry(vm_fleet, id)["born"] == own
+
+
+@pytest.mark.parametrize(("crashes", "is_crashed"), [(1, True), (2, False)])
+async def test_task_is_spared_after_it_has_lost_two_workers(
+    vm_fleet, injector, crashes, is_crashed
+):
+    """Guards against tasks that are given up for the crashes of these faults."""
+    vm = vm_fleet.vms["vm"]
+    worker = vm.worker
+    vm_fleet.events.extend(
+        siteworker.Event(1.0, "end", f"v{number}", TASK, number, "crashed")
+        for number in range(crashes)
+    )
+    worker.runs[TASK] = siteworker._Run(TASK, 9, 1e9, model.End.DONE)
+    planned = fault.Fault(0.0, "worker restarts", 0.5, 0.0)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(injector._inject, planned)
+        await anyio.wait_all_tasks_blocked()
+        group.cancel_scope.cancel()
+
+    assert worker.alive is not is_crashed
+
+
 def make_worker(id="w"):
     worker = incarnation.Worker(id, [], random.Random(1))
     worker.reset_clock(0.0)
