Use a worker that reports the start of an incarnation that has ended

Callers would see jobs that never run beside an idle worker: one whose clock was set back over a second restart by as much as had passed since the first was ignored for good.

Cause: an ended incarnation is remembered by its start, and each answer with that start was taken for a late one.

Why it works: an ended incarnation can't answer a call that was sent after its successor had answered, so such an answer is that of a third one. Entries with the start stay ignored until then.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -174,7 +174,7 @@
             return
         machine.other_start_ms = reply.start_ms
         called = "earlier" if machine.entry.start_ms else "unknown"
-        if self.roster.has_ended(machine.entry.id, reply.start_ms):
+        if self.roster.has_ended(machine.entry.id, reply.start_ms, reply.sent):
             called = "later"
         sent = self.renewals.get_last(machine.entry.id)
         self.log_event(
@@ -198,11 +198,11 @@
         The one called was known before, so it has ended.
         """
         worker = machine.entry.id
-        if self.roster.has_ended(worker, reply.start_ms):
+        if self.roster.has_ended(worker, reply.start_ms, reply.sent):
             return
         if machine.closed and not machine.runs:
             # The VM may have been moved to another pool, whose leader it belongs to.
-            self.roster.on_replaced(machine)
+            self.roster.on_replaced(machine, now)
             self.drop_vm(machine, vm.VmEnd.REPLACED)
             return
         successor = self.roster.find_incarnation(worker, reply.start_ms)
--- a/wigeonhitch/pool/roster.py
+++ b/wigeonhitch/pool/roster.py
@@ -53,8 +53,9 @@
 
         The order of their starts isn't known until one of them answers a call.
         """
-        self._ended_incarnations: dict[tuple[str, int], None] = {}
-        """Worker and start of incarnations of which a later one has answered."""
+        self._ended_incarnations: dict[tuple[str, int], float] = {}
+        """Worker and start of incarnations of which a later one has answered, and this
+        daemon's time of that answer."""
         self._closed_workers: frozenset[str] = frozenset()
         self._ended_workers: Mapping[str, vm.VmEnd] = {}
 
@@ -83,21 +84,26 @@
         callable_vms = (machine for machine in known if not machine.is_suspended)
         return min(callable_vms, key=lambda machine: machine.called_at, default=None)
 
-    def has_ended(self, worker: str, start_ms: int) -> bool:
-        """Return whether an incarnation has ended, as a later one has answered."""
+    def has_ended(self, worker: str, start_ms: int, sent: float = 0.0) -> bool:
+        """Return whether an incarnation has ended, as a later one has answered.
+
+        With ``sent``, the time of a call that it seems to have answered: an ended one
+        can't answer a later call, so that is another one with the same start.
+        """
         if self.find_incarnation(worker, start_ms) is not None:
             return False
-        return (worker, start_ms) in self._ended_incarnations or any(
+        ended_at = self._ended_incarnations.get((worker, start_ms))
+        return (ended_at is not None and sent <= ended_at) or any(
             machine.is_placeholder and machine.follows_ms == start_ms
             for machine in self.list_by_worker(worker)
         )
 
-    def on_replaced(self, machine: vm.Vm) -> None:
+    def on_replaced(self, machine: vm.Vm, now: float) -> None:
         """Record that an incarnation has ended, as a later one has answered."""
         start_ms = machine.follows_ms or machine.entry.start_ms
         key = (machine.entry.id, start_ms)
         self._ended_incarnations.pop(key, None)
-        self._ended_incarnations[key] = None
+        self._ended_incarnations[key] = now
         if len(self._ended_incarnations) > MAX_ENDED_INCARNATIONS:
             del self._ended_incarnations[next(iter(self._ended_incarnations))]
 
--- a/wigeonhitch/pool/tests/test_end_numbers.py
+++ b/wigeonhitch/pool/tests/test_end_numbers.py
@@ -195,7 +195,7 @@
     lines.clear()
 
     for second in (2, 3):
-        bench.answer(successor, now=NOW + second, start_ms=FIRST_START)
+        bench.answer(successor, now=NOW + second, sent=NOW, start_ms=FIRST_START)
 
     (fields,) = find_fields(lines, "answer of another incarnation")
     assert fields["called"] == "later"
--- a/wigeonhitch/pool/tests/test_incarnation_order.py
+++ b/wigeonhitch/pool/tests/test_incarnation_order.py
@@ -184,6 +184,23 @@
     assert successor.processed_end == 1
 
 
+def test_third_incarnation_may_report_the_start_of_the_first(bench, machine, run):
+    """Guards against a worker that is never used again, as its clock was set back."""
+    bench.answer(machine, now=NOW + 1, start_ms=57_000, clock=NEW_CLOCK)
+    second = bench.pool.roster.find_by_worker("w1")
+
+    bench.answer(second, now=NOW + 2, start_ms=START, clock=NEW_CLOCK)
+    bench.pool.on_worker(machine.entry._replace(clock=NEW_CLOCK), NOW + 2.1)
+    third = bench.pool.roster.find_by_worker("w1")
+    bench.commit()
+    bench.answer(third, now=NOW + 2.2, clock=NEW_CLOCK + 0.2)
+
+    assert machine.gone
+    assert second.gone
+    assert list(bench.pool.vms.values()) == [third]
+    assert third.is_open(NOW + 2.2)
+
+
 def test_row_of_a_second_incarnation_with_the_same_start_names_its_worker(make_bench):
     """Guards against a takeover that calls a worker by the name of its incarnation."""
     bench = make_bench(fence=50, epoch=2)
--- a/wigeonhitch/pool/tests/test_restarted_worker.py
+++ b/wigeonhitch/pool/tests/test_restarted_worker.py
@@ -194,7 +194,8 @@
     successor = restart()
     answer_again(successor)
 
-    bench.answer(successor, ended=[ended(40, run)], now=NOW + 1, start_ms=FIRST_START)
+    end = ended(40, run)
+    bench.answer(successor, (), [end], now=NOW + 1, sent=NOW, start_ms=FIRST_START)
 
     assert successor.processed_end == 0
 
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -443,7 +443,7 @@
             runs=len(former.runs),
         )
         if former.entry.start_ms != successor.entry.start_ms:
-            self.roster.on_replaced(former)
+            self.roster.on_replaced(former, self.latest_time)
         if former.entry.start_ms:
             self.drop_vm(former, vm.VmEnd.REPLACED, successor)
         else:
