Let histories of a pool name it and send its entries

Several pools can share one counter of versions, and another module can supply entries, calls and answers to commits.

--- a/wigeonhitch/pool/tests/history.py
+++ b/wigeonhitch/pool/tests/history.py
@@ -9,8 +9,10 @@
 """
 
 import collections
+import functools
+import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 from standins import siteworker
@@ -52,6 +54,9 @@
     increasing_numbers: bool = True
     stop_at_lease_end: bool = True
     report_starts: bool = True
+    fresh_acknowledgements: bool = True
+    opaque_starts: bool = True
+    entries_prove_nothing: bool = True
 
 
 class Crashes(NamedTuple):
@@ -70,8 +75,10 @@
 class Store:
     """Rows in memory, with conditional transactions."""
 
-    def __init__(self) -> None:
+    def __init__(self, versions: Iterator[int] | None = None) -> None:
         self.version = 0
+        self._versions = versions or itertools.count(1)
+        """Versions of the next transactions; stores of several pools share them."""
         self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
 
     def commit(self, change: rows.Transaction) -> rows.Change:
@@ -79,12 +86,12 @@
         for condition in change.conditions:
             if self.get_version(condition.table, condition.key) != condition.version:
                 conflicts = tuple(
-                    rows.Row(c.table, POOL, c.key, *self.rows[c.table, c.key])
+                    rows.Row(c.table, c.part, c.key, *self.rows[c.table, c.key])
                     for c in change.conditions
                     if (c.table, c.key) in self.rows
                 )
                 return rows.Change(table.Outcome.NOT_DONE, 0, conflicts, "conflict")
-        self.version += 1
+        self.version = next(self._versions)
         for write in change.writes:
             if write.value is None:
                 self.rows.pop((write.table, write.key), None)
@@ -112,8 +119,8 @@
         self.lease_until = world.now + 2.0
         key = (leader_record.OWNER_TABLE, leader_record.OWNER_KEY)
         version = world.store.get_version(*key)
-        owner = rows.Condition(key[0], POOL, key[1], version)
-        write = rows.Write(key[0], POOL, key[1], f"{epoch}".encode())
+        owner = rows.Condition(key[0], world.name, key[1], version)
+        write = rows.Write(key[0], world.name, key[1], f"{epoch}".encode())
         change = world.store.commit(rows.Transaction((owner,), (write,)))
         fence = change.version
         if not world.mechanisms.fence:
@@ -126,9 +133,16 @@
             else 0.0
         )
         times = view.TimeBounds(longest, 0.0)
-        self.pool = core.Pool(POOL, fence, epoch, times, world.now, lambda *a, **k: 0)
+        self.pool = core.Pool(
+            world.name,
+            fence,
+            epoch,
+            times,
+            world.now,
+            functools.partial(world.log_event, epoch),
+        )
         self.pool.ledger.fence = change.version
-        self.pool.on_queues([model.Queue("q", "h", "/p/", POOL, max_attempts=3)])
+        self.pool.on_queues([model.Queue("q", "h", "/p/", world.name, max_attempts=3)])
         self._load()
         self.planner = planner.Planner(self.pool)
         self.quotas = world.connect_quotas(self) if world.connect_quotas else None
@@ -142,10 +156,8 @@
             self.pool.on_job(id, record.read_job(id, value), version, LOCATION)
         for id, value, version in store.list_rows(pool_record.PROGRESS_TABLE):
             self.pool.on_progress(id, value, version)
-        for worker in self.world.workers:
-            if worker.alive:
-                clock = worker.read_clock(max(0.0, now - 1.0))
-                self.pool.on_worker(self.world.make_entry(worker, clock), now)
+        for entry in self.world.list_entries():
+            self.pool.on_worker(entry, now)
         if not self.world.mechanisms.wait_after_takeover:
             return
         for id, value, version in store.list_rows(pool_record.ROSTER_TABLE):
@@ -173,14 +185,27 @@
                 self._send_start(order)
             else:
                 self.world.send_stop(self, order)
-        for worker in dict.fromkeys(known.entry.id for known in self.pool.vms.values()):
-            machine = self.pool.roster.select_for_renewal(worker)
-            if machine is not None and self.next_hold.get(worker, 0.0) <= now:
-                self._send_hold(machine)
+        for machine in self._select_for_renewal():
+            self._send_hold(machine)
         self._commit()
         if self.quotas is not None:
             self.quotas.act()
 
+    def _select_for_renewal(self) -> list[vm.Vm]:
+        """Return the VMs whose leases are to be renewed now, one of each worker."""
+        ids = dict.fromkeys(machine.entry.id for machine in self.pool.vms.values())
+        due = [id for id in ids if self.next_hold.get(id, 0.0) <= self.world.now]
+        selected = [self.pool.roster.select_for_renewal(id) for id in due]
+        return [machine for machine in selected if machine is not None]
+
+    def _compute_acknowledged_end(self, machine: vm.Vm) -> int:
+        """Return the number up to which a renewal acknowledges ends."""
+        if not self.world.mechanisms.commit_before_acknowledging:
+            return machine.processed_end
+        if not self.world.mechanisms.fresh_acknowledgements:
+            return machine.committed_end
+        return machine.compute_acknowledged_end(self.world.now)
+
     def _send_start(self, start: message.Start) -> None:
         run = start.run
         length = START_DEADLINE_SECONDS if self.world.mechanisms.own_deadline else 60.0
@@ -201,11 +226,7 @@
             machine.record_lease_deadline(deadline)
         self.next_hold[machine.entry.id] = now + 1.0
         machine.called_at = now
-        acknowledged = (
-            machine.compute_acknowledged_end(now)
-            if self.world.mechanisms.commit_before_acknowledging
-            else machine.processed_end
-        )
+        acknowledged = self._compute_acknowledged_end(machine)
         self.world.send_hold(self, machine, deadline, acknowledged)
 
     def _commit(self) -> None:
@@ -256,6 +277,8 @@
         self.now = 100.0
         self.events: list[siteworker.Event] = []
         self.store = Store()
+        self.job_prefix = "j"
+        """Beginning of the ids of jobs."""
         self.crashes = crashes or Crashes()
         self.guilty: set[str] = set()
         self._crashed: set[str] = set()
@@ -356,6 +379,18 @@
             worker = self.rng.choice(self.workers)
             self.silent[self._get_id(worker)] = self.now + self.rng.uniform(0.5, 8.0)
 
+    def list_entries(self) -> list[entries.WorkerEntry]:
+        """Return the workers' registrations, as a new leader reads them."""
+        then = max(0.0, self.now - 1.0)
+        return [
+            self.make_entry(worker, worker.read_clock(then))
+            for worker in self.workers
+            if worker.alive
+        ]
+
+    def log_event(self, epoch: int, event: str, **fields: Any) -> None:
+        """Receive a log line of the leader with number ``epoch``; left out here."""
+
     def make_entry(
         self, worker: siteworker.Worker, clock: float | None
     ) -> entries.WorkerEntry:
@@ -364,7 +399,7 @@
         rack = f"r{int(id[1:]) % 2}"
         start_ms = self._report_start(worker)
         return entries.WorkerEntry(
-            id, POOL, id, "", False, ROOM, (rack,), clock, start_ms=start_ms
+            id, self.name, id, "", False, ROOM, (rack,), clock, start_ms=start_ms
         )
 
     def _crash_some(self) -> None:
@@ -434,7 +469,7 @@
 
     def _submit(self) -> None:
         self._jobs += 1
-        id = f"j{self._jobs}"
+        id = f"{self.job_prefix}{self._jobs}"
         step = model.Step(self.rng.randint(1, 4), model.Room(STEP_CPU[0], 1000), 0.6)
         after = model.Step(1, model.Room(STEP_CPU[1], 1000), 0.6, after=(0,))
         steps = (step, after)[: self.rng.randint(1, 2)]
@@ -442,9 +477,13 @@
         if self.crashes.share and self.rng.random() < self.crashes.share:
             self.guilty.add(id)
             spec, steps = siteworker.CRASHING_SPEC, (step._replace(count=1),)
-        job = model.Job(id, "q", spec, steps, team=self.team)
-        row = record.write_job(job, POOL, self.now)
-        write = rows.Write("job", POOL, id, row)
+        self.add_job(model.Job(id, "q", spec, steps, team=self.team))
+
+    def add_job(self, job: model.Job) -> None:
+        """Write a job's row, and tell the leader of it."""
+        id = job.id
+        row = record.write_job(job, self.name, self.now)
+        write = rows.Write("job", self.name, id, row)
         change = self.store.commit(rows.Transaction((), (write,)))
         if self.leaders and self.leaders[-1].alive:
             leader = self.leaders[-1]
@@ -461,12 +500,18 @@
         self._queue.append((self.now + delay, self._count, action))
 
     def _send(
-        self, leader: Leader, worker_id: str, call: Any, answer: Any, gone: Any = None
+        self,
+        leader: Leader,
+        entry: entries.WorkerEntry,
+        call: Any,
+        answer: Any,
+        gone: Any = None,
     ) -> None:
         """Deliver a call and its answer, or None if the answer is lost.
 
         A newer incarnation of the VM answers ``gone``.
         """
+        worker_id = entry.id
         addressed = self._find_worker(worker_id)
         late = self.rng.random() < 0.04 * self.fault_rate
         lost = self.rng.random() < 0.04 * self.fault_rate
@@ -523,7 +568,7 @@
 
         self._send(
             leader,
-            machine.entry.id,
+            machine.entry,
             lambda worker: worker.start(order, self.now),
             answer,
             workers.Verdict.GONE,
@@ -540,7 +585,7 @@
 
         self._send(
             leader,
-            order.vm.entry.id,
+            order.vm.entry,
             lambda worker: worker.stop(order.task, order.number, fence, self.now),
             answer,
         )
@@ -566,7 +611,7 @@
 
         self._send(
             leader,
-            machine.entry.id,
+            machine.entry,
             lambda worker: worker.hold(fence, deadline, acknowledged, self.now),
             answer,
             (workers.Verdict.GONE, (), ()),
@@ -582,17 +627,18 @@
         def deliver() -> None:
             change = self.store.commit(batch.transaction)
             if not (late or lost):
-                answer(change)
-
-        def answer(change: rows.Change) -> None:
-            if leader.alive and self.now >= leader.paused_until:
-                leader.on_committed(batch, change)
-            else:
-                leader.committing = False
+                self.answer_commit(leader, batch, change)
 
         self.call_later(delay, deliver)
         if late or lost:
-            self.call_later(0.5, lambda: answer(unknown))
+            self.call_later(0.5, lambda: self.answer_commit(leader, batch, unknown))
+
+    def answer_commit(self, leader: Leader, batch: Any, change: rows.Change) -> None:
+        """Give a leader the answer to a commit; one that is paused loses it."""
+        if leader.alive and self.now >= leader.paused_until:
+            leader.on_committed(batch, change)
+        else:
+            leader.committing = False
 
 
 def check(events: list[siteworker.Event]) -> list[str]:
