--- a/standins/siteworker.py
+++ b/standins/siteworker.py
@@ -25,6 +25,7 @@
 
     ``kind`` is "start", "end", "noted" for an end that was acknowledged, or "noted
     late" if the worker's lease expired between the end and its acknowledgement.
+    Histories add "unrecorded" to a noted end that no leader has stored.
     """
 
     time: float
