--- a/wigeonhitch/pool/tests/restarthistory.py
+++ b/wigeonhitch/pool/tests/restarthistory.py
@@ -29,6 +29,9 @@
 MAX_CLOCK_STEP_MS = 10_000
 FIRST_START_MS = 1_000_000_000
 NO_FAULT_RATE = 1e-9
+MAX_READ_AGE_SECONDS = 2.0
+"""Age of the entries that a daemon knows when it takes over."""
+
 SETTLE_SECONDS = 15.0
 """Seconds after the last fault by which workers are back and silences are over."""
 
@@ -47,15 +50,21 @@
     removed_entries: float = 0.0
     stalls: float = 0.0
     late_entry_share: float = 0.0
+    old_read_share: float = 0.0
     second_takeover_share: float = 0.0
     starts: tuple[str, ...] = ("ahead", "back")
     foreign: tuple[str, ...] = ("ahead", "none", "address", "pool")
 
 
+EQUAL_STARTS = Faults(restarts=0.08, starts=("ahead", "equal"))
+"""Starts that tell nothing apart, as a clock was set back by just the time between."""
+
 KINDS = {
     "restarts": Faults(restarts=0.08, starts=("ahead",)),
     "clocks": Faults(restarts=0.08, late_entry_share=0.5, stalls=0.1),
-    "stalls": Faults(restarts=0.08, stalls=0.5, second_takeover_share=0.3),
+    "stalls": Faults(
+        restarts=0.08, stalls=0.5, second_takeover_share=0.3, old_read_share=0.5
+    ),
     "entries": Faults(
         restarts=0.04,
         late_entry_share=0.5,
@@ -71,6 +80,7 @@
         stalls=0.2,
         late_entry_share=0.5,
         second_takeover_share=0.2,
+        old_read_share=0.3,
     ),
 }
 
@@ -134,6 +144,8 @@
         self.store = history.Store(versions)
         self.job_prefix = f"{name}-"
         self.depositions = 0
+        self._read_at = 0.0
+        """Time of the entries that the last leader has read."""
         self._ends: dict[str, vm.VmEnd] = {}
         self._closed: set[str] = set()
         self._closings_version = 0
@@ -155,7 +167,7 @@
 
     def list_entries(self) -> list[entries.WorkerEntry]:
         """Return the workers' registrations, as a new leader reads them."""
-        return list(self.site.entries.values())
+        return list(self.site.read_entries(self._read_at).values())
 
     def make_entry(self, worker: Any, clock: float | None) -> entries.WorkerEntry:
         """Return the registration of a worker."""
@@ -176,6 +188,9 @@
             self.call_later(self.rng.uniform(0.1, 1.5), self._take_over)
 
     def _take_over(self) -> None:
+        self._read_at = self.now
+        if self.rng.random() < self.site.faults.old_read_share:
+            self._read_at -= self.rng.uniform(0.0, MAX_READ_AGE_SECONDS)
         super()._change_leader()
         if not self.mechanisms.opaque_starts:
             ignore_lower_starts(self.leaders[-1].pool)
@@ -186,6 +201,8 @@
             leader: self._feeds.get(leader, collections.deque())
             for leader in self.leaders
         }
+        for change in self.site.list_changes(self._read_at):
+            self._tell_leader(self.leaders[-1], change)
 
     def stall(self) -> None:
         """Let the leader stand still; it leads on, or finds that it has a successor."""
@@ -196,11 +213,15 @@
     def tell(self, action: Callable[[history.Leader], None]) -> None:
         """Tell all leaders in turn, each in the order of the store's changes."""
         for leader in self.leaders:
-            feed = self._feeds.setdefault(leader, collections.deque())
-            feed.append(action)
-            late = self.rng.random() < 0.1
-            delay = self.rng.uniform(0.3, 2.0) if late else self.rng.uniform(0.01, 0.1)
-            self.call_later(delay, lambda leader=leader: self._read_feed(leader))
+            self._tell_leader(leader, action)
+
+    def _tell_leader(
+        self, leader: history.Leader, action: Callable[[history.Leader], None]
+    ) -> None:
+        self._feeds.setdefault(leader, collections.deque()).append(action)
+        late = self.rng.random() < 0.1
+        delay = self.rng.uniform(0.3, 2.0) if late else self.rng.uniform(0.01, 0.1)
+        self.call_later(delay, lambda: self._read_feed(leader))
 
     def _read_feed(self, leader: history.Leader) -> None:
         if leader.paused_until > self.now:
@@ -324,6 +345,15 @@
             super().answer_commit(leader, batch, change)
 
 
+class _Change(NamedTuple):
+    """A change of a worker's entry, None if it was removed, and how it is told."""
+
+    time: float
+    id: str
+    entry: entries.WorkerEntry | None
+    action: Callable[[history.Leader], None]
+
+
 def ignore_lower_starts(pool: core.Pool) -> None:
     """Let a leader take the highest start for that of a worker's last incarnation."""
     on_worker, on_hold = pool.on_worker, pool.on_hold
@@ -382,7 +412,8 @@
         self.faults = faults
         self.events: list[siteworker.Event] = []
         self.trace: list[tuple[float, str, str, Any]] | None = [] if is_traced else None
-        self.entries: dict[str, entries.WorkerEntry] = {}
+        self._changes: list[_Change] = []
+        """All changes of the workers' entries so far."""
         self.workers: dict[str, Incarnation] = {}
         """Last incarnation of each worker, by its id."""
         self.faults_ended_at = 0.0
@@ -401,7 +432,7 @@
         for number, name in enumerate(names):
             self._add(f"w{number}", 0, FIRST_START_MS + number, name)
         for worker in self.workers.values():
-            self.entries[worker.worker_id] = self._make_entry(worker)
+            self._write_entry(self._make_entry(worker))
 
     @property
     def now(self) -> float:
@@ -537,14 +568,41 @@
             )
 
     def _write_entry(self, entry: entries.WorkerEntry) -> None:
-        self.entries[entry.id] = entry
-        for pool in self.pools.values():
-            pool.tell(lambda leader: leader.pool.on_worker(entry, leader.world.now))
+        self._change_entry(
+            entry.id,
+            entry,
+            lambda leader: leader.pool.on_worker(entry, leader.world.now),
+        )
 
     def _remove_entry(self, id: str) -> None:
-        if self.entries.pop(id, None) is not None:
-            for pool in self.pools.values():
-                pool.tell(lambda leader: leader.pool.on_worker_removed(id))
+        if id in self.read_entries(self.now):
+            self._change_entry(
+                id, None, lambda leader: leader.pool.on_worker_removed(id)
+            )
+
+    def _change_entry(
+        self,
+        id: str,
+        entry: entries.WorkerEntry | None,
+        action: Callable[[history.Leader], None],
+    ) -> None:
+        self._changes.append(_Change(self.now, id, entry, action))
+        for pool in self.pools.values():
+            pool.tell(action)
+
+    def read_entries(self, then: float) -> dict[str, entries.WorkerEntry]:
+        """Return the entries at a time."""
+        read: dict[str, entries.WorkerEntry] = {}
+        for change in self._changes:
+            if change.time <= then and change.entry is not None:
+                read[change.id] = change.entry
+            elif change.time <= then:
+                read.pop(change.id, None)
+        return read
+
+    def list_changes(self, after: float) -> list[Callable[[history.Leader], None]]:
+        """Return how to tell a leader of all changes of entries after a time."""
+        return [change.action for change in self._changes if change.time > after]
 
     def _expire(self, worker: Incarnation) -> None:
         """Remove the entry of a worker that is still down."""
