Leave what another pool has ordered on a worker to the leader of that pool

Callers see a task that is run again after it was done, and leaders of two pools that depose each other, where a worker comes back under its id in another pool, or where an entry of another process names the wrong pool until the next heartbeat.

Cause: a leader acknowledged each end that it had looked at, also those of jobs that it doesn't know, and the leader that has to record them never saw them. An incarnation that answered before its entry was read was called with this pool's token, though it may have joined another pool; it was recorded, and later leaders called it too. Once its entry named another pool, a start that it may have executed was taken for not executed.

Why it works: an end of a job that this pool doesn't know, and those after it, are not acknowledged while they are listed, and a run of such a job isn't stopped before the next heartbeat is due. A worker is called only while its entry names this pool, also by the next leader; what it may have executed waits for the longest lease.

--- a/wigeonhitch/pool/compaction.py
+++ b/wigeonhitch/pool/compaction.py
@@ -99,6 +99,10 @@
         )
         return self.is_waiting(id) or version < final
 
+    def knows(self, id: str) -> bool:
+        """Return whether a job is known to be final."""
+        return self.is_final(id, 0)
+
     def collect(self, store_time: float, retention: float) -> Work | None:
         """Return the next rows to write, all of one part, or None."""
         if self._finals:
--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -33,6 +33,11 @@
 lasting tasks are ready in well under a second and run for many."""
 
 
+FOREIGN_RUN_HOLD_SECONDS = 2.5
+"""Seconds, beyond the interval of repeated stops, for which a run of another pool's job
+isn't stopped: an entry by another process that names this pool is overwritten by the
+worker's next heartbeat, in 1.5 s."""
+
 ADOPTION_GRACE_SECONDS = 0.5
 """Seconds, beyond the time that a stop takes, after which an adopted run that is
 still listed is not being stopped: the last orders of an earlier leader are in
@@ -91,6 +96,7 @@
                 self._check_end_number(machine, end.number)
                 self._apply_end(machine, end, now)
                 machine.processed_end = end.number
+        self._find_foreign_end(machine, reply)
         if len(reply.ended) < MAX_ENDS_PER_REPLY:
             self._reconcile(machine, reply, now)
             self.suspects.on_vm_listed(machine.id)
@@ -144,6 +150,24 @@
 
     # -- internals
 
+    def _find_foreign_end(self, machine: vm.Vm, reply: workers.HoldReply) -> None:
+        """Find the first listed end that the leader of another pool has to record.
+
+        A worker may have been restarted into this pool while an order of its former
+        pool was on its way, or an entry by another process names the wrong pool.
+        """
+        number = min(
+            (end.number for end in reply.ended if not self._knows_job(end.task.job)),
+            default=0,
+        )
+        if number and not machine.foreign_end:
+            self.log_event("end of another pool's job", vm=machine.id, number=number)
+        machine.foreign_end = number if machine.entry.start_ms else 0
+
+    def _knows_job(self, id: str) -> bool:
+        """Return whether a job is or was one of this pool."""
+        return id in self.jobs or self.compactor.knows(id)
+
     def _has_started_in_term(self, reply: workers.HoldReply) -> bool:
         """Return whether a worker has certainly started after the takeover."""
         started_at = reply.sent - reply.clock / (1 - vm.MAX_CLOCK_DRIFT)
@@ -378,10 +402,17 @@
             if (entry.task, entry.run) not in machine.orphans:
                 self._log_orphan(machine, entry)
         machine.orphans = {
-            (entry.task, entry.run): machine.orphans.get((entry.task, entry.run), 0.0)
+            (entry.task, entry.run): machine.orphans.get(
+                (entry.task, entry.run), self._compute_stop_hold(entry, now)
+            )
             for entry in orphaned
         }
 
+    def _compute_stop_hold(self, entry: workers.Running, now: float) -> float:
+        """Return the time until which an orphaned run isn't stopped."""
+        is_foreign = not self._knows_job(entry.task.job)
+        return now + FOREIGN_RUN_HOLD_SECONDS if is_foreign else 0.0
+
     def _log_unlisted(self, event: str, run: vm.Run, reply: workers.HoldReply) -> None:
         """Log a run that its VM doesn't list and of which no end has come.
 
--- a/wigeonhitch/pool/dispatcher.py
+++ b/wigeonhitch/pool/dispatcher.py
@@ -137,7 +137,7 @@
 
     async def send_stop(self, order: message.Stop) -> None:
         """Send a stop."""
-        if not self._may_order():
+        if order.vm.is_suspended or not self._may_order():
             return
         entry = order.vm.entry
         reply = await self._deps.workers.stop(
@@ -163,7 +163,7 @@
     async def send_pace(self, order: message.Pace) -> None:
         """Send a change of pace."""
         run = order.run
-        if not self._may_order():
+        if run.vm.is_suspended or not self._may_order():
             return
         entry = run.vm.entry
         reply = await self._deps.workers.pace(
--- a/wigeonhitch/pool/roster.py
+++ b/wigeonhitch/pool/roster.py
@@ -53,6 +53,8 @@
 
         The order of their starts isn't known until one of them answers a call.
         """
+        self._elsewhere: set[str] = set()
+        """Workers whose entry names another pool."""
         self._ended_incarnations: dict[tuple[str, int], float] = {}
         """Worker and start of incarnations of which a later one has answered, and this
         daemon's time of that answer."""
@@ -112,10 +114,13 @@
 
         Workers of other pools are ignored, but that a worker may have left this one.
         """
-        machine = self.find_incarnation(entry.id, entry.start_ms)
         if entry.pool != self._name:
-            self._on_entry_of_other_pool(entry, machine)
+            self._on_entry_of_other_pool(entry)
             return False
+        self._elsewhere.discard(entry.id)
+        for known in self.list_by_worker(entry.id):
+            known.is_suspended = False
+        machine = self.find_incarnation(entry.id, entry.start_ms)
         if machine is not None:
             entry = entry._replace(restarts=machine.entry.restarts)
         id = entry.incarnation
@@ -130,7 +135,7 @@
             self._log_event("VM leaving", vm=id, remaining=entry.remaining)
         machine.entry = entry
         machine.listed = True
-        machine.is_assumed = machine.is_suspended = False
+        machine.is_assumed = False
         if entry.clock is not None:
             machine.update_clock(entry.clock, now)
         if machine.is_contested:
@@ -138,20 +143,18 @@
             self._unlist(other for other in others if other is not machine)
         return begins_to_leave
 
-    def _on_entry_of_other_pool(
-        self, entry: entries.WorkerEntry, machine: vm.Vm | None
-    ) -> None:
+    def _on_entry_of_other_pool(self, entry: entries.WorkerEntry) -> None:
         """Apply the entry of a worker in another pool, some of whose VMs may be known.
 
         Calls to an incarnation that has joined another pool would carry the fencing
-        token of this pool. Until the entry names the known one again, or its leases
-        have lapsed, it isn't called.
+        token of this pool. Until the entry names this pool again, or the leases have
+        lapsed, the worker isn't called.
         """
+        self._elsewhere.add(entry.id)
         known = self.list_by_worker(entry.id)
         self._unlist(known)
-        if machine is None:
-            for other in known:
-                other.is_suspended = True
+        for machine in known:
+            machine.is_suspended = True
 
     def _unlist(self, machines: Iterable[vm.Vm]) -> None:
         for machine in machines:
@@ -163,6 +166,7 @@
 
     def on_worker_removed(self, worker: str) -> None:
         """Record that a worker's entry was removed; its runs may go on."""
+        self._elsewhere.discard(worker)
         self._unlist(self.list_by_worker(worker))
 
     def on_row(
@@ -187,6 +191,7 @@
         self._vms[id] = machine
         # An entry is more likely than a row to be that of the current incarnation.
         self._vms_by_worker.setdefault(worker, []).insert(0, machine)
+        machine.is_suspended = worker in self._elsewhere
         self._update_contested(worker)
 
     def add_placeholder(self, former: vm.Vm, now: float) -> vm.Vm:
@@ -200,13 +205,15 @@
         machine = self._add(vm.Vm(entry, now))
         machine.listed = False
         machine.follows_ms = former.entry.start_ms
+        machine.is_suspended = former.entry.id in self._elsewhere
         self._ledger.add_vm(machine.id, entry.address)
         return machine
 
     def add_assumed(self, known: vm.Vm, reply: workers.HoldReply, now: float) -> vm.Vm:
         """Add the incarnation that has answered a call, before its entry is read.
 
-        Its resources aren't known until then, so no task is started on it.
+        Its resources and its pool aren't known until then: no task is started on it,
+        and it isn't called.
         """
         latest = self.find_incarnation(known.entry.id, reply.start_ms)
         entry = known.entry._replace(
@@ -218,7 +225,7 @@
         )
         machine = self._join(entry, now)
         machine.listed = False
-        machine.is_assumed = True
+        machine.is_assumed = machine.is_suspended = True
         return machine
 
     def _join(self, entry: entries.WorkerEntry, now: float) -> vm.Vm:
--- a/wigeonhitch/pool/tests/test_incarnation_order.py
+++ b/wigeonhitch/pool/tests/test_incarnation_order.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from wigeonhitch.jobs import model
 from wigeonhitch.platform import workers
-from wigeonhitch.pool import vm
+from wigeonhitch.pool import compaction, core, message, vm
 
 NOW = 100.0
 CLOCK = 5000.0
@@ -224,6 +225,123 @@
     assert bench.pool.roster.unseen_ends == {"w1@61000", "w1@59000"}
 
 
+# Workers that may be in another pool, whose leader gives orders with another token.
+
+
+@pytest.fixture
+def pending(bench, machine):
+    """Start a task without an answer."""
+    bench.add_job()
+    (run,) = bench.start(answered=False)
+    bench.pool.on_start(run, workers.OrderReply(workers.Verdict.UNKNOWN), NOW)
+    return run
+
+
+def test_incarnation_without_an_entry_is_not_called(bench, machine, pending):
+    """Guards against leaders of two pools that depose each other by their tokens."""
+    bench.answer(machine, now=NOW + 1, start_ms=57_000, clock=NEW_CLOCK)
+
+    assert pending.vm.id == "w1@57000"
+    assert bench.pool.roster.select_for_renewal("w1") is None
+
+
+def test_start_that_a_worker_in_another_pool_may_execute_is_not_repeated(
+    bench, machine, pending, read_entry
+):
+    """Guards against two runs of a task, as an order of the former pool is late."""
+    bench.answer(machine, now=NOW + 0.1, start_ms=57_000, clock=NEW_CLOCK)
+    bench.pool._takeover_time = NOW - 60
+
+    read_entry(start_ms=57_000, pool="other")
+
+    assert bench.pool.roster.select_for_renewal("w1") is None
+    bench.pool.expire_leases(NOW + bench.pool.times.max_lease)
+    assert pending.task in bench.pool.live
+    bench.pool.expire_leases(NOW + bench.pool.times.max_lease + 3)
+    assert pending.task not in bench.pool.live
+
+
+def test_pending_start_of_a_lost_vm_waits_for_a_worker_in_another_pool(
+    bench, machine, pending, read_entry
+):
+    """Guards against two runs of a task, as the next incarnation can't be asked."""
+    read_entry(NOW, start_ms=57_000, pool="other")
+    bench.pool.drop_vm(machine, vm.VmEnd.LOST)
+
+    bench.pool.expire_leases(NOW + bench.pool.times.max_lease)
+    assert pending.task in bench.pool.live
+    bench.pool.expire_leases(NOW + bench.pool.times.max_lease + 3)
+    assert pending.task not in bench.pool.live
+
+
+def test_recorded_vm_whose_worker_is_in_another_pool_is_not_called(make_bench):
+    """Guards against a new leader that acknowledges ends of another pool."""
+    bench = make_bench(fence=50, epoch=2)
+    machine = bench.add_vm(start_ms=START, answers=False)
+    bench = make_bench(fence=60, epoch=3)
+    bench.pool.on_worker(machine.entry._replace(pool="other"), NOW)
+
+    bench.pool.on_roster(machine.id, "w1:1", 55, NOW, start_ms=START)
+
+    assert bench.pool.roster.select_for_renewal("w1") is None
+    assert bench.pool.unresolved == {machine.id}
+
+
+def test_worker_whose_own_entry_names_another_pool_is_not_called(
+    bench, machine, run, read_entry
+):
+    """Guards against leaders of two pools that depose each other by their tokens."""
+    read_entry(pool="other")
+    assert bench.pool.roster.select_for_renewal("w1") is None
+
+    read_entry(NOW + 1.5)
+    assert bench.pool.roster.select_for_renewal("w1") is machine
+    assert machine.is_open(NOW + 1.5)
+
+
+@pytest.fixture
+def foreign():
+    """Return the end of a run of a job of another pool."""
+    task = model.Task("other", 0, 0, 0)
+    return workers.Ended(41, task, 7, model.End.DONE, "")
+
+
+def test_end_of_a_job_of_another_pool_is_not_acknowledged(
+    bench, machine, run, ended, foreign
+):
+    """Guards against an end that is forgotten before its pool's leader records it."""
+    own = [ended(40, run), ended(42, run)]
+    bench.answer(machine, ended=[own[0], foreign, own[1]])
+    bench.commit()
+    assert machine.processed_end == machine.committed_end == 42
+    assert machine.compute_acknowledged_end(NOW) == 40
+
+    bench.answer(machine, ended=[own[1]], now=NOW + 0.1)
+    assert machine.compute_acknowledged_end(NOW + 0.1) == 42
+
+
+def test_end_of_a_job_that_was_final_before_is_acknowledged(bench, machine, foreign):
+    """Guards against ends that are listed for good, as their job is forgotten."""
+    location = compaction.RowLocation("job00", "p.0")
+    bench.pool.compactor.on_final_row("other", location, 20, 1.0)
+
+    bench.answer(machine, ended=[foreign])
+    bench.commit()
+
+    assert machine.compute_acknowledged_end(NOW) == 41
+
+
+def test_run_of_a_job_of_another_pool_is_not_stopped_at_once(bench, machine):
+    """Guards against work that is lost, as an entry names the wrong pool once."""
+    entry = workers.Running(model.Task("other", 0, 0, 0), 7, "", 50, 0)
+    bench.answer(machine, [entry])
+    assert bench.plan(NOW + core.FOREIGN_RUN_HOLD_SECONDS) == []
+
+    bench.answer(machine, [entry], now=NOW + 3)
+    (stop,) = bench.plan(NOW + 4)
+    assert stop == message.Stop(machine, entry.task, 7)
+
+
 # Acknowledgements that may reach the next incarnation.
 
 
--- a/wigeonhitch/pool/transfer.py
+++ b/wigeonhitch/pool/transfer.py
@@ -77,9 +77,8 @@
         if successor.is_placeholder:
             expiry = run.started_at + ORDER_FLIGHT_SECONDS + FIRST_ANSWER_SECONDS
             successor.expires_at = max(successor.expires_at, expiry)
-        else:
-            lease = ORDER_FLIGHT_SECONDS + self._max_lease
-            successor.record_lease_deadline(successor.compute_clock(now) + lease)
+        lease = ORDER_FLIGHT_SECONDS + self._max_lease
+        successor.record_lease_deadline(successor.compute_clock(now) + lease)
 
     def forget(self, run: vm.Run) -> None:
         """Drop a run that is listed or has ended."""
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -193,9 +193,9 @@
         if self.roster.has_ended(entry.id, entry.start_ms):
             return  # it was read late, or written by another process
         known = self.roster.find_incarnation(entry.id, entry.start_ms)
-        if known is not None and known.is_assumed and entry.pool != self.name:
+        is_elsewhere = entry.pool != self.name
+        if known is not None and known.is_assumed and is_elsewhere and not known.runs:
             self._drop_unnamed(known, None)  # it never belonged to this pool
-            return
         if self.roster.on_worker(entry, now):
             self.must_scan = True
         machine = self.vms.get(entry.incarnation)
@@ -270,7 +270,9 @@
         grace = self.times.stop_grace + LAPSE_MARGIN_SECONDS
         for machine in list(self.vms.values()):
             if machine.is_placeholder:
-                if now >= machine.expires_at:
+                if now >= machine.expires_at and not machine.is_suspended:
+                    self._drop_unnamed(machine, self._find_other(machine))
+                if machine.is_suspended and machine.is_lapsed(now, grace):
                     self._drop_unnamed(machine, self._find_other(machine))
                 continue
             # A VM that never answered may still have received a renewal of ours.
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -223,7 +223,7 @@
         self.is_contested = False
         """Whether another incarnation of its worker is known; one of them has ended."""
         self.is_suspended = False
-        """Whether its worker's entry names another incarnation, in another pool."""
+        """Whether its worker may be in another pool, so that it isn't called."""
         self.called_at = 0.0
         """This daemon's time of the last renewal that was sent to it."""
         self.is_assumed = False
@@ -261,6 +261,9 @@
         before the first end that this leader lists may be an earlier leader's."""
         self.committed_end = 0
         """Highest number of an end that is durable."""
+        self.foreign_end = 0
+        """Lowest number of a listed end of a job that its pool doesn't know, 0 if there
+        is none."""
         self.runs: dict[model.Task, Run] = {}
         self.orphans: dict[tuple[model.Task, int], float] = {}
         """Listed runs that aren't wanted, and when their stop was ordered. Their
@@ -291,7 +294,8 @@
         A worker that reports its starts may have been restarted since its last answer,
         and would forget ends of the new incarnation. So none is acknowledged after a
         call without an answer, long after an answer, or while the new incarnation may
-        execute a start that was sent to this one.
+        execute a start that was sent to this one. Nor is an end of another pool's job,
+        which the leader of that pool has to record, or one after it.
         """
         if not self.entry.start_ms:
             return self.committed_end
@@ -300,6 +304,8 @@
             return 0
         if any(run.may_reach_next_incarnation for run in self.runs.values()):
             return 0
+        if self.foreign_end:
+            return min(self.committed_end, self.foreign_end - 1)
         return self.committed_end
 
     def is_of_other_incarnation(self, reply: workers.HoldReply) -> bool:
