Record that a task is done also by the end of a run that was dropped

Cause: an unanswered start counts as not executed once its worker's clock is past its deadline. If the worker is restarted before the order arrives, the next incarnation executes it, as its clock is young, and the end of that run was acknowledged and ignored.

Evidence: test_task_whose_dropped_run_was_done_is_not_run_again failed before. The line "end of a dropped run" with how=done showed it in the history.

Why it works: a task whose run ended as done is done, whoever had given the run up; a run that was started meanwhile is stopped. Only the end of a run that lapsed doesn't count, as before: its task may have run again by right.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -316,7 +316,9 @@
                 number=end.number,
                 vm=machine.id,
             )
-            return
+            has_lapsed = end.run in self.lapsed_runs.get(end.task, ())
+            if has_lapsed or end.end is not model.End.DONE:
+                return
         state = self.jobs.get(end.task.job)
         if state is None or state.final is not None or not state.has_task(end.task):
             return
@@ -347,6 +349,8 @@
 
     def _record_done(self, state: progress.Progress, task: model.Task) -> None:
         state.record_done(task)
+        if task in self.live:
+            self.must_scan = True  # it was started again, as this run was dropped
         if state.is_step_done(task.occurrence, task.step):
             self.estimates.on_step_done(state.job, task.step)
         state.started = True
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -125,6 +125,8 @@
         self._takeover_time = now
         self.run_number_base = (epoch - 1) * RUN_NUMBERS_PER_LEADER
         self.run_numbers: dict[model.Task, int] = {}
+        self.lapsed_runs: dict[model.Task, set[int]] = {}
+        """Numbers of the runs of each task that ended with their leases."""
 
     # -- rows
 
@@ -570,6 +572,7 @@
         self.log_event("leases lapsed", vm=machine.id, runs=len(machine.runs))
         self.suspects.on_leases_lapsed(machine, now)
         for run in list(machine.runs.values()):
+            self.lapsed_runs.setdefault(run.task, set()).add(run.number)
             self.log_event(
                 "run lapsed", age=self._compute_run_age(run), **describe_run(run)
             )
@@ -600,7 +603,8 @@
         self.quotas.forget_job(id)
         self.fair_queue.on_job_ended(id)
         self.relocated = {task for task in self.relocated if task.job != id}
-        for table in (self.run_numbers, self.not_before, self.failed_on):
+        tables = (self.run_numbers, self.not_before, self.failed_on, self.lapsed_runs)
+        for table in tables:
             for task in [task for task in table if task.job == id]:
                 del table[task]
 
