Keep the closing of a worker while an entry that is read late gives it another name

A worker that was being drained for a move or maintenance was reopened and got tasks, if an entry of an earlier incarnation was read late.

Evidence: test_closing_of_a_worker_outlasts_an_entry_that_is_read_late failed before for both starts.

Why it works: while a VM is up with the worker's id, the closing stays until another name under that id has lasted as long as an ended worker's row.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -131,6 +131,8 @@
         """VM of each worker that was listed as up, until the worker is marked ended."""
         self._incarnations: dict[str, tuple[str, ...]] = {}
         """Last listed incarnations of each worker that reports its start, by its id."""
+        self._named_since: dict[str, float] = {}
+        """Time since which each VM's worker has been listed by its present name."""
         self.worker_starts: dict[str, int] = {}
         """Start in the last entry of each worker that reports it."""
         self._unregistered: set[str] = set()
@@ -207,6 +209,7 @@
             self.worker_starts.pop(worker, None)
             self._incarnations.pop(worker, None)
         self._unregistered &= self.worker_starts.keys()
+        former_names = {vm.id: vm.worker for vm in self.vms.values()}
         self.vms = {}
         for vm in vms:
             name = entries.name_incarnation(vm.worker, starts.get(vm.worker, 0))
@@ -215,6 +218,8 @@
                 # Of a later incarnation, maybe with the same start.
                 name = vm.worker
             self.vms[vm.id] = vm._replace(worker=name)
+            if former_names.get(vm.id) != name:
+                self._named_since[vm.id] = now
             if is_up:
                 self._record_up(vm, name)
         self.listed_at = now
@@ -371,7 +376,9 @@
         """Return ended workers whose rows have outlived the retention period.
 
         Without its VM's entry in the list, a worker has ended only if the VM is gone.
-        A closing by the bare id is of no use once the start of the worker is known.
+        A closing by the bare id is of no use once the start of the worker is known. One
+        of a worker which may be up stays until another name under its id has lasted: an
+        entry that is read late gives the VM another name for a while.
         """
         live_workers = {vm.worker for vm in self.vms.values()}
         return [
@@ -383,7 +390,17 @@
                 or not self.is_identified(worker)
             )
             and self._is_listed_or_gone(self.closings[worker].vm)
+            and not self._may_be_up(self.closings[worker], now)
         ]
 
+    def _may_be_up(self, closing: record.Closing, now: float) -> bool:
+        """Return whether a closed worker may be up, though its VM has another name."""
+        vm = self.vms.get(closing.vm)
+        if closing.ended or vm is None or self._has_ended(closing):
+            return False
+        named_since = self._named_since.get(vm.id, 0.0)
+        is_recent = now - named_since <= CLOSING_RETENTION_SECONDS
+        return is_recent and self.is_identified(closing.worker)
+
     def _is_listed_or_gone(self, vm: str) -> bool:
         return vm in self.vms or self.is_gone(vm)
--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -921,3 +921,19 @@
 def test_worker_that_proves_the_end_of_another(name, former, replaced):
     """Guards against a live worker that is marked as ended, and one that never is."""
     assert entries.has_replaced(name, former) is replaced
+
+
+@pytest.mark.parametrize("read", [500, SECOND_START])
+def test_closing_of_a_worker_outlasts_an_entry_that_is_read_late(state, read):
+    """Guards against a worker that is reopened while it is being drained."""
+    live = register(state, "w", FIRST_START)
+    list_vm(state, NOW)
+    state.on_closing(record.Closing(live, "c0", 1), NOW)
+
+    register(state, "w", read)
+    list_vm(state, NOW + core.CLOSING_RETENTION_SECONDS + 1)
+    now = NOW + core.CLOSING_RETENTION_SECONDS + 2
+    assert state.list_expired_closings(now) == []
+
+    list_vm(state, now + core.CLOSING_RETENTION_SECONDS)
+    assert state.list_expired_closings(now + core.CLOSING_RETENTION_SECONDS) == [live]
