Pause between renewals that acknowledge less than is recorded

Cause: an end isn't acknowledged while the next incarnation of its worker may execute a start, and the commit that paces the renewals was done already.

Evidence: test_renewals_pause_while_an_end_is_not_acknowledged never ended before; it passes now.

--- a/wigeonhitch/pool/dispatcher.py
+++ b/wigeonhitch/pool/dispatcher.py
@@ -224,6 +224,7 @@
             timeout=wait + CALL_MARGIN_SECONDS,
         )
         machine.is_silent = reply.verdict is not workers.Verdict.DONE
+        processed = machine.processed_end
         if acknowledged and reply.verdict is workers.Verdict.UNKNOWN:
             self._pool.on_renewal_lost(machine, now)
         self._pool.on_hold(machine, reply, http.read_clock())
@@ -234,3 +235,6 @@
         for order in self._plan_paces(machine):
             await self.send_pace(order)
         await self._wait_until_committed(machine)
+        if acknowledged < machine.committed_end and machine.processed_end == processed:
+            # A worker that lists ends which aren't acknowledged answers at once.
+            await anyio.sleep(RETRY_DELAY_SECONDS)
--- a/wigeonhitch/pool/tests/test_dispatcher.py
+++ b/wigeonhitch/pool/tests/test_dispatcher.py
@@ -102,15 +102,18 @@
 class EndingWorker:
     """Lists one end that hasn't been committed with each renewal, at once."""
 
-    def __init__(self):
+    def __init__(self, start_ms=0):
         self.renewals = 0
+        self.start_ms = start_ms
 
     async def hold(self, address, worker, fence, deadline, last, *, wait, timeout):
         self.renewals += 1
+        await anyio.sleep(0)
         now = http.read_clock()
         task = model.Task("other", 0, 0, 0)
-        end = workers.Ended(1, task, 1, model.End.DONE, "")
-        return workers.HoldReply(workers.Verdict.DONE, now, now, now, (), (end,))
+        ends = (workers.Ended(1, task, 1, model.End.DONE, ""),)
+        done = workers.Verdict.DONE
+        return workers.HoldReply(done, now, now, now, (), ends, self.start_ms)
 
 
 @pytest.mark.anyio
@@ -133,3 +136,32 @@
         await leader._dispatcher.renew_until_gone("w1")
 
     assert 3 <= worker.renewals <= 5
+
+
+@pytest.mark.anyio
+async def test_renewals_pause_while_an_end_is_not_acknowledged(bench):
+    """Guards against hundreds of calls in a second to one worker.
+
+    It answers at once while it lists an end, which isn't acknowledged while the next
+    incarnation of the worker may execute a start.
+    """
+    worker = EndingWorker(start_ms=60_000)
+    clock = http.read_clock
+    deps = dependencies.Dependencies(
+        *(None, worker, None, metric.Instruments(), lambda: True, clock, clock),
+        *(60.0, view.TimeBounds(6.5, 0.2)),
+    )
+    owner = leader_record.Owner("p", "daemon", "life", 1, 10)
+    leader = runner.Runner(owner, deps, clock())
+    entry = bench.add_vm(answers=False, start_ms=60_000).entry
+    leader.pool.on_worker(entry, clock())
+    machine = leader.pool.roster.find_by_worker("w1")
+    machine.committed_end = 1
+    step = model.Step(1, model.Room(1000, 100), 1.0)
+    run = vm.Run(model.Task("j", 0, 0, 0), 1, machine, step, clock())
+    run.deadline = 1.2
+    machine.runs[run.task] = run
+    with anyio.move_on_after(0.5):
+        await leader._dispatcher.renew_until_gone("w1")
+
+    assert 3 <= worker.renewals <= 8
