--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -49,6 +49,8 @@
 
     def on_hold(self, machine: vm.Vm, reply: workers.HoldReply, now: float) -> None:
         """Apply the answer to a renewal, unless the VM is gone by now."""
+        if machine.is_unattributable(reply):
+            return
         is_other = machine.is_of_other_incarnation(reply)
         if is_other:
             self._log_other_incarnation(machine, reply)
@@ -69,11 +71,13 @@
         if machine.is_contested:
             self._end_others(machine, reply.sent)
         machine.expected_clock = _compute_expected_clock(machine, reply)
+        if machine.entry.start_ms and not machine.answered:
+            machine.reset_clock(reply.clock, reply.received)
         machine.update_clock(reply.clock, reply.received)
         self.suspects.on_vm_answered(machine.id)
         machine.last_answer = machine.last_contact = now
         machine.alive_at = reply.sent
-        machine.reported_clock = reply.clock
+        machine.reported_clock, machine.reported_at = reply.clock, reply.received
         if not machine.answered:
             machine.answered = True
             # An earlier leader may have granted the longest lease just before this.
@@ -224,9 +228,14 @@
         worker = machine.entry.id
         if self.roster.has_ended(worker, reply.start_ms, reply.sent):
             return
-        if machine.closed and not machine.runs:
+        is_pending = any(
+            run.may_reach_next_incarnation for run in machine.runs.values()
+        )
+        is_empty = machine.closed and not machine.runs
+        if is_empty or (machine.is_suspended and not is_pending):
             # The VM may have been moved to another pool, whose leader it belongs to.
-            self.roster.on_replaced(machine, now)
+            if reply.start_ms != machine.entry.start_ms:
+                self.roster.on_replaced(machine, now)
             self.drop_vm(machine, vm.VmEnd.REPLACED)
             return
         successor = self.roster.find_incarnation(worker, reply.start_ms)
@@ -407,14 +416,16 @@
                 self._log_orphan(machine, entry)
         machine.orphans = {
             (entry.task, entry.run): machine.orphans.get(
-                (entry.task, entry.run), self._compute_stop_hold(entry, now)
+                (entry.task, entry.run), self._compute_stop_hold(machine, entry, now)
             )
             for entry in orphaned
         }
 
-    def _compute_stop_hold(self, entry: workers.Running, now: float) -> float:
+    def _compute_stop_hold(
+        self, machine: vm.Vm, entry: workers.Running, now: float
+    ) -> float:
         """Return the time until which an orphaned run isn't stopped."""
-        is_foreign = not self._knows_job(entry.task.job)
+        is_foreign = machine.entry.start_ms and not self._knows_job(entry.task.job)
         return now + FOREIGN_RUN_HOLD_SECONDS if is_foreign else 0.0
 
     def _log_unlisted(self, event: str, run: vm.Run, reply: workers.HoldReply) -> None:
--- a/wigeonhitch/pool/roster.py
+++ b/wigeonhitch/pool/roster.py
@@ -136,7 +136,8 @@
         machine.entry = entry
         machine.listed = True
         machine.is_assumed = False
-        if entry.clock is not None:
+        # An entry may have been written by an earlier incarnation with the same start.
+        if entry.clock is not None and not (entry.start_ms and machine.answered):
             machine.update_clock(entry.clock, now)
         if machine.is_contested:
             others = self.list_by_worker(entry.id)
@@ -154,6 +155,8 @@
         known = self.list_by_worker(entry.id)
         self._unlist(known)
         for machine in known:
+            if not machine.is_suspended:
+                self._log_event("VM suspended", vm=machine.id, pool_of_entry=entry.pool)
             machine.is_suspended = True
 
     def _unlist(self, machines: Iterable[vm.Vm]) -> None:
@@ -199,6 +202,9 @@
 
         It is recorded, so that a later leader asks the worker too.
         """
+        for known in self.list_by_worker(former.entry.id):
+            if known.is_placeholder:
+                return known
         entry = former.entry._replace(
             start_ms=0, clock=None, leaving=False, remaining=None
         )
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -97,6 +97,8 @@
         "run ended with its VM",
         "run lapsed",
         "run no longer listed",
+        "worker restarted",
+        "answer of another incarnation",
         "run failed",
         "run preempted",
         "job failed",
--- a/wigeonhitch/pool/tests/test_incarnation_order.py
+++ b/wigeonhitch/pool/tests/test_incarnation_order.py
@@ -189,6 +189,7 @@
     """Guards against a worker that is never used again, as its clock was set back."""
     bench.answer(machine, now=NOW + 1, start_ms=57_000, clock=NEW_CLOCK)
     second = bench.pool.roster.find_by_worker("w1")
+    bench.pool.on_worker(second.entry, NOW + 1.5)
 
     bench.answer(second, now=NOW + 2, start_ms=START, clock=NEW_CLOCK)
     bench.pool.on_worker(machine.entry._replace(clock=NEW_CLOCK), NOW + 2.1)
@@ -225,6 +226,112 @@
     assert bench.pool.roster.unseen_ends == {"w1@61000", "w1@59000"}
 
 
+def test_restart_shortly_after_the_start_shows_by_the_time_since_the_last_list(
+    bench, listed
+):
+    """Guards against the ends of a young worker that count as those of the one before.
+
+    The new clock is past the last one that was listed, but not past the time since.
+    """
+    machine = bench.add_vm(start_ms=START, clock=1.0, answers=False)
+    bench.answer(machine, clock=1.0)
+
+    bench.answer(machine, now=NOW + 4, clock=1.5)
+
+    assert machine.gone
+    assert bench.pool.roster.find_by_worker("w1").id == f"w1@{START}.1"
+
+
+def test_late_entry_of_an_incarnation_with_the_same_start_sets_no_clock(
+    bench, machine, run
+):
+    """Guards against leases that the leader takes for shorter than the worker does."""
+    bench.answer(machine, now=NOW + 2, clock=NEW_CLOCK)
+    bench.pool.on_worker(machine.entry._replace(clock=NEW_CLOCK), NOW + 2)
+    successor = bench.pool.roster.find_by_worker("w1")
+    bench.answer(successor, now=NOW + 2.1, clock=NEW_CLOCK + 0.1)
+
+    bench.pool.on_worker(machine.entry._replace(clock=CLOCK + 2), NOW + 2.2)
+
+    assert successor.compute_clock(NOW + 2.2) < 1.0
+
+
+def test_closed_vm_whose_worker_reports_the_same_start_again_is_used(bench, machine):
+    """Guards against a worker whose entries are ignored for as long as it lives."""
+    bench.pool.set_closed(frozenset({machine.id}), {}, 1)
+    bench.answer(machine, now=NOW + 1, clock=NEW_CLOCK)
+    assert machine.gone
+
+    bench.pool.set_closed(frozenset(), {}, 2)
+    bench.pool.on_worker(machine.entry._replace(clock=NEW_CLOCK), NOW + 1.5)
+
+    assert bench.pool.roster.find_by_worker("w1") is not None
+
+
+def test_answer_that_names_no_incarnation_counts_for_nothing(bench, machine, run):
+    """Guards against runs that are dropped for an answer which can't be attributed."""
+    bench.answer(machine, now=NOW + 1, start_ms=0)
+
+    assert bench.pool.live == {run.task: run}
+    assert not machine.gone
+
+
+def test_vm_that_is_lost_leaves_it_open_what_the_next_one_runs(make_bench, listed):
+    """Guards against two runs of a task after a takeover.
+
+    The next incarnation is known from its entry and may execute a start of an earlier
+    leader; the first one is marked as ended before any has answered.
+    """
+    bench = make_bench(fence=50, epoch=2)
+    bench.pool.on_roster(f"w1@{START}", "w1:1", 30, NOW, start_ms=START)
+    state = bench.add_job(version=20)
+    second = bench.add_vm(start_ms=61_000, clock=NEW_CLOCK, answers=False)
+    bench.add_vm("w2")
+
+    ended = {f"w1@{START}": vm.VmEnd.LOST}
+    bench.pool.set_closed(frozenset(), ended, 5)
+
+    assert bench.pool.may_have_run(state)
+    bench.answer(second, clock=NEW_CLOCK)
+    assert not bench.pool.may_have_run(state)
+
+
+def test_pending_start_outlasts_an_entry_with_the_address_of_another_worker(
+    bench, machine, read_entry
+):
+    """Guards against two runs of a task, as the next incarnation isn't known yet."""
+    bench.add_job()
+    (run,) = bench.start(answered=False)
+    bench.pool.on_start(run, workers.OrderReply(workers.Verdict.UNKNOWN), NOW)
+    other = read_entry(NOW + 0.2, start_ms=57_000, address="w1:2")
+    bench.pool.drop_vm(machine, vm.VmEnd.LOST)
+
+    bench.pool.on_hold(other, workers.HoldReply(workers.Verdict.GONE), NOW + 0.3)
+
+    assert run.task in bench.pool.live
+
+
+def test_pending_start_outlasts_the_leases_of_the_first_incarnation(
+    bench, machine, read_entry
+):
+    """Guards against two runs of a task, as the next incarnation is silent for long.
+
+    It may execute a start that was sent to the first one, under a lease by its clock.
+    """
+    bench.add_job()
+    (run,) = bench.start(answered=False)
+    bench.pool.on_start(run, workers.OrderReply(workers.Verdict.UNKNOWN), NOW)
+    bench.pool._takeover_time = NOW - 60
+    other = read_entry(NOW + 0.5, start_ms=57_000, clock=NEW_CLOCK)
+
+    bench.pool.expire_leases(NOW + 8)
+    assert run.vm is other
+    assert run.task in bench.pool.live
+
+    bench.pool.expire_leases(NOW + 8 + bench.pool.times.max_lease + 3)
+    assert run.task not in bench.pool.live
+
+
 # Workers that may be in another pool, whose leader gives orders with another token.
 
 
@@ -372,6 +479,32 @@
     assert machine.compute_acknowledged_end(NOW) == 0
 
 
+def test_no_end_is_acknowledged_after_an_answer_that_has_waited(
+    bench, machine, commit_end
+):
+    """Guards against ends that a restarted worker forgets before they are recorded.
+
+    The leader was paused, and processes an answer from before the restart only now.
+    """
+    bench.answer(machine, now=NOW + 6, sent=NOW + 0.1)
+
+    assert machine.compute_acknowledged_end(NOW + 6) == 0
+
+
+def test_commit_for_a_former_vm_of_the_same_name_acknowledges_nothing(
+    bench, machine, run, ended
+):
+    """Guards against ends that a worker forgets before they are recorded."""
+    bench.answer(machine, ended=[ended(40, run)])
+    batch = bench.pool.ledger.collect(bench.pool.jobs, bench.pool.vms)
+    bench.pool.on_hold(machine, workers.HoldReply(workers.Verdict.GONE), NOW + 0.1)
+    again = bench.add_vm(start_ms=START)
+
+    bench.pool.on_ends_durable(batch.processed_ends)
+
+    assert again.compute_acknowledged_end(NOW) == 0
+
+
 def test_no_end_is_acknowledged_while_the_next_incarnation_may_execute_a_start(
     bench, machine, commit_end, listed
 ):
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -439,10 +439,9 @@
         if former.id in self.unresolved:
             self.unresolved.add(successor.id)
         self.log_event(
-            "worker restarted",
+            "worker restarted" if former.answered else "incarnation has ended",
             vm=former.id,
             by=successor.id,
-            answered=former.answered,
             processed_end=former.processed_end,
             runs=len(former.runs),
         )
@@ -459,9 +458,8 @@
         """Remove a VM that has ended, and with it all its runs.
 
         Runs that the next incarnation of its worker may be executing are transferred to
-        ``successor``, the VM of that one. Without it they are transferred to another
-        known incarnation, which may be the next one, or to a placeholder. A VM that was
-        replaced without a successor has a worker of another id or pool.
+        ``successor``, the VM of that one, or to a placeholder if it isn't known. A VM
+        that was replaced without a successor has a worker of another id or pool.
         """
         if machine.gone:
             return
@@ -470,6 +468,9 @@
                 self._drop_unnamed(machine, None)
             return
         machine.gone = True
+        other = self._find_other(machine)
+        if other is not None and machine.id in self.unresolved:
+            self.unresolved.add(other.id)  # it may execute a start by an earlier leader
         self.roster.on_ended(machine.id, end)
         self.log_event(
             "VM gone",
@@ -498,11 +499,10 @@
             return  # the next incarnation has another id, and refuses the orders
         now = self.latest_time
         runs = list(machine.runs.values())
-        if successor is not None:
+        if successor is not None or self._find_other(machine) is not None:
             pending = [run for run in runs if run.may_reach_next_incarnation]
         else:
             pending = self.transfers.list_pending(runs, now)
-            successor = self._find_other(machine)
         if pending and successor is None:
             successor = self.roster.add_placeholder(machine, now)
         for run in pending:
@@ -570,6 +570,12 @@
 
     def _remove_lapsed_runs(self, machine: vm.Vm, now: float) -> None:
         self.log_event("leases lapsed", vm=machine.id, runs=len(machine.runs))
+        other = self._find_other(machine)
+        if other is not None:
+            # The clock of the other incarnation isn't that of these leases.
+            for run in list(machine.runs.values()):
+                if run.may_reach_next_incarnation and not run.transferred_from:
+                    self.transfers.transfer(run, other, now)
         self.suspects.on_leases_lapsed(machine, now)
         for run in list(machine.runs.values()):
             self.lapsed_runs.setdefault(run.task, set()).add(run.number)
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -74,6 +74,13 @@
 """Seconds after an answer within which a renewal may acknowledge ends: afterwards the
 next incarnation of the worker may have ended a run by the time it receives it."""
 
+MAX_ANSWER_AGE_SECONDS = 2.0
+"""The same since the sending of the call, as the answer of a worker that has ended may
+have waited: a renewal waits up to 1.2 s, and is answered within 0.5 s."""
+
+CLOCK_ROUNDING_SECONDS = 0.01
+"""Seconds by which the times in two answers of a worker may be off by rounding."""
+
 MAX_CLOCK_LEAD_SECONDS = 1.0
 """Time by which a worker's clock may be ahead of the last one that was received."""
 
@@ -246,6 +253,8 @@
         """This daemon's time from which on the last answer shows that it was alive."""
         self.reported_clock = 0.0
         """The worker's time of its last list of runs."""
+        self.reported_at = 0.0
+        """This daemon's time at which that list was received."""
         self.expected_clock: float | None = None
         """The time that its clock had certainly reached by that list, as known before
         it, for the log."""
@@ -299,26 +308,41 @@
         """
         if not self.entry.start_ms:
             return self.committed_end
-        is_recent = now - self.last_answer <= ACKNOWLEDGE_WITHIN_SECONDS
+        is_recent = (
+            now - self.last_answer <= ACKNOWLEDGE_WITHIN_SECONDS
+            and now - self.alive_at <= MAX_ANSWER_AGE_SECONDS
+        )
         if self.is_silent or self.is_contested or not is_recent:
             return 0
         if any(run.may_reach_next_incarnation for run in self.runs.values()):
             return 0
-        if self.foreign_end:
-            return min(self.committed_end, self.foreign_end - 1)
-        return self.committed_end
+        # A commit that was on its way may be about an incarnation with the same name.
+        acknowledged = min(self.committed_end, self.processed_end)
+        return (
+            min(acknowledged, self.foreign_end - 1)
+            if self.foreign_end
+            else acknowledged
+        )
+
+    def is_unattributable(self, reply: workers.HoldReply) -> bool:
+        """Return whether an answer doesn't tell which incarnation has given it."""
+        is_answered = reply.verdict is workers.Verdict.DONE
+        return is_answered and self.entry.start_ms > 0 and not reply.start_ms
 
     def is_of_other_incarnation(self, reply: workers.HoldReply) -> bool:
         """Return whether another incarnation of the worker has answered a renewal.
 
-        It may report the same start. Renewals of a worker follow each other, and its
-        clock never goes back within an incarnation.
+        It may report the same start. A clock that shows less than the known incarnation
+        had certainly reached when the call was sent is that of a later one.
         """
         if reply.verdict is not workers.Verdict.DONE:
             return False
         if reply.start_ms != self.entry.start_ms:
             return True
-        return self.entry.start_ms > 0 and reply.clock < self.reported_clock
+        if not (self.entry.start_ms and self.answered):
+            return False
+        passed = max(0.0, reply.sent - self.reported_at) * (1 - MAX_CLOCK_DRIFT)
+        return reply.clock < self.reported_clock + passed - CLOCK_ROUNDING_SECONDS
 
     @property
     def knows_clock(self) -> bool:
@@ -336,6 +360,10 @@
         if clock and clock >= clock_now and received >= self._clock_received:
             self._clock, self._clock_received = clock, received
 
+    def reset_clock(self, clock: float, received: float) -> None:
+        """Set the clock by a worker's first answer, whatever entries have said."""
+        self._clock, self._clock_received = clock, received
+
     def is_own_clock(self, clock: float, received: float) -> bool:
         """Return whether a clock in an answer can't be that of a later incarnation.
 
