--- a/standins/soak/environment.py
+++ b/standins/soak/environment.py
@@ -129,6 +129,8 @@
         Pools that a configuration has assigned to each queue.
     current_pools : dict of str to str
         Pool that the newest configuration assigns to each queue.
+    waves : dict of int to list of str
+        VMs of each wave of maintenance.
     teams : team.Teams or None
         Teams of the configuration, if it has any.
     restarts : incarnation.Restarts or None
@@ -151,6 +153,7 @@
         self.daemons: list[Daemon] = []
         self.queue_pools: dict[str, set[str]] = {}
         self.current_pools: dict[str, str] = {}
+        self.waves: dict[int, list[str]] = {}
 
     def write_catalogue(self, version: int, extra: int = 0) -> None:
         """Write a configuration; ``extra`` additional routes lead to the first pool.
@@ -187,8 +190,17 @@
         value = self.store.rows.get(record.OWNER_TABLE, pool, record.OWNER_KEY)
         return record.read_owner(pool, value, 0).name if value else ""
 
+    def awaits_maintenance(self, vm: str) -> bool:
+        """Return whether a wave names a VM whose maintenance hasn't begun yet."""
+        begun = {(order.wave, order.vm) for order in self.vm_fleet.orders}
+        return any(
+            vm in vms and (number, vm) not in begun
+            for number, vms in self.waves.items()
+        )
+
     def order_wave(self, number: int, vms: list[str], duration: float) -> None:
         """Request maintenance of VMs, one at a time."""
+        self.waves[number] = vms
         fields = {"wave": number, "machines": vms, "duration_s": duration, "ceiling": 1}
         self.store.rows.put(
             entries.OPERATOR_TABLE,
--- a/standins/tests/test_soak_restarts.py
+++ b/standins/tests/test_soak_restarts.py
@@ -253,6 +253,23 @@
     assert restartaudit.check_idle([probe], vm_fleet) == []
 
 
+@pytest.mark.parametrize(
+    ("begun", "expected"), [((), True), ((1,), True), ((1, 2), False)]
+)
+def test_vm_awaits_each_maintenance_that_has_not_begun(begun, expected):
+    """Guards against findings by VMs that are closed for their maintenance, and against
+    VMs that are left out after it."""
+    site = environment.Environment(random.Random(1))
+    for number in (1, 2):
+        site.order_wave(number, ["a"], 20.0)
+    site.vm_fleet.orders.extend(
+        vmfleet.Order(1.0, "a", number, "x", 7) for number in begun
+    )
+
+    assert site.awaits_maintenance("a") is expected
+    assert not site.awaits_maintenance("b")
+
+
 def test_plan_is_reproducible_and_covers_every_kind():
     assert restartfault.plan(random.Random(3), 16) == restartfault.plan(
         random.Random(3), 16
