Say in plain terms what the tests of restarted workers guard against

The head of the file told the incident and a word of the platform's pages; the postmortem has the story.

--- a/wigeonhitch/site/tests/test_restarted_worker.py
+++ b/wigeonhitch/site/tests/test_restarted_worker.py
@@ -1,9 +1,8 @@
 """Guards against tasks that are done and start again, as their worker was restarted.
 
-In the incident, 41 tasks that had ended as done on one worker were started again on
-others by the same leader. A worker that is restarted under its id numbers its ends from
-1 again. The leader compared these numbers with those of the incarnation before: it
-ignored the ends, acknowledged them with its next renewal, and took their runs for gone.
+A worker that is restarted under its id numbers its ends from 1 again. A leader that
+compares these numbers with those of the incarnation before ignores the ends,
+acknowledges them with its next renewal, and takes their runs for gone.
 
 The workers answer with bodies as on the wire, and record their events themselves.
 """
@@ -33,7 +32,7 @@
 notice the silence of a worker."""
 
 FINISH_SECONDS = 14.0
-"""Time within which accepted jobs complete after the last fault (``finish_s``)."""
+"""Time within which accepted jobs complete after the last fault."""
 
 BATCH_INTERVAL_SECONDS = 0.1
 """Time between two batches: two of the three workers can't run all of them."""
