Read the waves of the fleet before its VMs, so that a finished wave is whole

Cause: a view of the fleet is read by one scan for each prefix, in the order pool/, vm/, wave/. The wave's end is committed right after the return of its last VM. If both fall between the scans of vm/ and wave/, the answer holds the old row of the VM and the new row of the wave.

Change: wave/ is scanned before vm/ and after pool/. An older wave row with newer VM rows shows a running wave whose VMs are all done, until the next poll. Changes that depend on a wave are conditional on its version.

Evidence: the new test lets the wave end before each of the scans of one request. With the former order the case before the last scan fails with status done and 3 of 4 VMs; with the new one all four pass, as do all tests of the fleet.

--- a/wigeonhitch/fleet/state.py
+++ b/wigeonhitch/fleet/state.py
@@ -31,8 +31,9 @@
 # Pools are read before VMs. A stop that is committed between the two reads then
 # leaves an old pool version, whose condition fails. In the reverse order it would
 # leave an old VM row with a new pool version, and the same budget would be used
-# twice.
-PREFIXES = ("pool/", "vm/", "wave/")
+# twice. Waves are read before VMs too, as a wave ends right after the return of its
+# last VM: in the reverse order it would be shown as done with a VM that isn't.
+PREFIXES = ("pool/", "wave/", "vm/")
 
 
 # Boot number of a VM that no planned stop has told to reboot.
--- a/wigeonhitch/fleet/tests/test_routes.py
+++ b/wigeonhitch/fleet/tests/test_routes.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wigeonhitch.fleet import observer, routes
+from wigeonhitch.fleet import observer, routes, state
 from wigeonhitch.operators import route
 
 pytestmark = pytest.mark.anyio
@@ -75,3 +75,40 @@
     assert len((await ask("GET", "/pools")).body["pools"]) == 2
     plan = (await ask("GET", "/waves/{wave}/plan", wave="w")).body
     assert plan["measures"]["rollout"] >= plan["bounds"]["rollout"] > 0
+
+
+@pytest.mark.parametrize("scans_before", range(len(state.PREFIXES) + 1))
+async def test_wave_isnt_shown_as_done_with_a_vm_that_isnt(world, ask, scans_before):
+    """Guards against a wave that is shown as done, and a VM of it as not returned.
+
+    The last VM returns and the wave ends between two scans of the request.
+    """
+    world.start("x")
+    for _ in range(100):
+        if sum("x" in row.done for row in world.vms().values()) == 3:
+            break
+        world.fake.advance(0.5)
+        for daemon in ("d1", "d2"):
+            world.confirm(daemon)
+        await ask.runner.step()
+    await ask("GET", "/waves/{wave}", wave="x")
+
+    async def complete_wave(_):
+        for _ in range(100):
+            world.fake.advance(0.5)
+            for daemon in ("d1", "d2"):
+                world.confirm(daemon)
+            await other_runner.step()
+            if world.store.read(["wave/x"])[0].value["status"] == "done":
+                return
+
+    other_runner = world.build("r2")
+    world.write(state.SIGNAL, {})
+    client = ask.runner.seen.platform.table
+    client.interrupt, client.trip = complete_wave, scans_before
+    body = (await ask("GET", "/waves/{wave}", wave="x")).body
+
+    assert world.store.read(["wave/x"])[0].value["status"] == "done"
+    assert (body["status"], body["done"]) != ("done", 3)
+    body = (await ask("GET", "/waves/{wave}", wave="x")).body
+    assert (body["status"], body["done"]) == ("done", 4)
