Count crashes of VMs whose end is told as planned

Cause: the fleet's leader closes a VM for a move just as a task is started there. The VM crashes under the answered start before the order, and as it is closed its end is told as ordered. Only starts without an answer were looked at then, so that nothing was counted, neither the crash nor that one may be missing. The same held for VMs that may have left by themselves when the crash is noticed, and for tasks that an earlier leader had started on a recorded VM.

Change: at a planned end each task that was sent there and wasn't seen at work is excused once, which is recorded and counts towards the limit, and counted from then on. So are tasks that an earlier leader may have started on the VM. Tasks that were seen at work aren't suspects of a planned end, as before.

Before: seven new cases of test_uncounted_crashes fail, each with six crashes.

--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -6,6 +6,8 @@
 - Each task on a crashed VM is a suspect; one that was seen at work there is excused
   once. Both is recorded in the job's progress, a crash under the name of the VM's
   incarnation, so that each counts once, and for later leaders too.
+- A VM that crashes between its closing and the order ends as planned. So a task that
+  wasn't seen at work on a VM with a planned end is excused once and then counted.
 - A suspect is assigned to a VM, and that is recorded before it is started there, so
   that a later leader knows which VM to ask for. So are tasks that an earlier leader may
   have started on a VM of which only the end is known; for these it is recorded that one
@@ -186,20 +188,21 @@
 
     def on_leases_lapsed(self, machine: vm.Vm, now: float) -> None:
         """Count a silent VM as crashed, until it answers."""
-        if not machine.may_leave_by(now):
-            tasks = self._count_all(machine)
-            self._doubtful.setdefault(machine.id, set()).update(tasks)
+        tasks = (
+            self._count_just_started(machine)
+            if machine.may_leave_by(now)
+            else self._count_all(machine)
+        )
+        self._doubtful.setdefault(machine.id, set()).update(tasks)
 
     def on_vm_ended(
         self, machine: vm.Vm, end: vm.VmEnd, now: float
     ) -> list[model.Task]:
         """Count the end of a VM; return the tasks that are to be given up."""
         if end is vm.VmEnd.ORDERED or machine.may_leave_by(now):
-            tasks = self._count_unanswered(machine) if end is vm.VmEnd.ORDERED else []
-            self._take_excused(machine.id)
-            self._release_vm(machine.id)
-            return [task for task in tasks if self.must_be_given_up(task)]
-        tasks = self._count_all(machine)
+            tasks = self._count_just_started(machine)
+        else:
+            tasks = self._count_all(machine)
         if end is vm.VmEnd.EXPIRED:
             tasks |= self._doubtful.setdefault(machine.id, set())
             self._doubtful[machine.id] = set(tasks)
@@ -220,7 +223,9 @@
         Return whether the task is to be given up.
         """
         id = self._get_assigned_vm(task)
-        if task in self._inherited and end is not vm.VmEnd.ORDERED:
+        if task in self._inherited and not (
+            end is vm.VmEnd.ORDERED and self._excuse(task, id)
+        ):
             self._count(task, id)
             self._doubtful.setdefault(id, set()).add(task)
         self.release(task)
@@ -436,18 +441,21 @@
         ]
         return counted
 
-    def _count_unanswered(self, machine: vm.Vm) -> list[model.Task]:
-        """Excuse or count the tasks that may have crashed a VM just before an order."""
-        tasks = [
+    def _count_just_started(self, machine: vm.Vm) -> set[model.Task]:
+        """Excuse or count the tasks that may have crashed a VM before its planned end.
+
+        Return the tasks that are counted.
+        """
+        started = [
             run.task
             for run in machine.runs.values()
-            if run.state in (vm.RunState.STARTING, vm.RunState.UNKNOWN)
-            and not _is_unsent(run)
+            if not _is_unsent(run) and not _was_seen_at_work(run)
         ]
-        for task in tasks:
-            if not self._excuse(task, machine.id):
-                self._count(task, machine.id)
-        return tasks
+        return {
+            task
+            for task in [*started, *self._list_inherited_on(machine.id)]
+            if not self._excuse(task, machine.id) and self._count(task, machine.id)
+        }
 
     def _was_test(self, task: model.Task, machine: vm.Vm) -> bool:
         """Return whether a VM crashed at the start of a test."""
--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -495,6 +495,75 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+@pytest.mark.parametrize(
+    "ordered", [{0, 1}, {0, 3}, {2, 3}, {0, 1, 2, 3, 4, 5}], ids=str
+)
+def test_crash_of_a_closed_vm_whose_end_is_told_as_ordered(succession, ordered):
+    """Guards against crashes that no count shows, as VMs were closed after the start.
+
+    The fleet's leader closes a VM for a move. It crashes under the answered start of a
+    task before the order, and its end is told as ordered.
+    """
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        id = runs[0].vm.id
+        way = vm.VmEnd.LOST
+        if len(succession.crashed) in ordered:
+            way = vm.VmEnd.ORDERED
+            succession.tell_closings([id])
+        succession.crash(id, way=way)
+        succession.bench.commit()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+def test_crash_under_the_start_of_an_earlier_leader_before_an_order(succession):
+    """Guards against crashes of recorded VMs that a successor takes for orders."""
+    succession.submit("bad")
+    succession.crash(succession.start()[0].vm.id)
+    succession.bench.commit()
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        succession.crash(runs[0].vm.id, seen=False, way=vm.VmEnd.ORDERED)
+        succession.lead()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+@pytest.mark.parametrize("is_noticed", [True, False])
+def test_crash_of_a_vm_that_may_have_left_when_it_is_noticed(
+    make_succession, is_noticed
+):
+    """Guards against crashes that count as a VM's announced end, which came later."""
+    succession = make_succession(8)
+    succession.submit("bad")
+    while len(succession.crashed) <= MAX_CRASHED_VMS and (runs := succession.start()):
+        machine = runs[0].vm
+        machine.entry = machine.entry._replace(leaving=True, remaining=0.0)
+        if is_noticed:
+            succession.crash(machine.id)
+        else:
+            succession.crashed.append(machine.id)
+            succession.unreachable.add(machine.id)
+            machine.is_silent = True
+        succession.bench.commit()
+
+    assert len(succession.crashed) <= MAX_CRASHED_VMS
+
+
+def test_ordered_end_under_a_task_that_was_seen_at_work(succession):
+    """Guards against a job that fails because its VMs are moved while it works."""
+    state = succession.submit("good")
+    for _ in range(2 * MAX_CRASHED_VMS):
+        (run,) = succession.start("good")
+        succession.work(0.5)
+        succession.tell_closings([run.vm.id])
+        succession.crash(run.vm.id, way=vm.VmEnd.ORDERED)
+        succession.bench.commit()
+
+    assert not state.is_suspect(run.task)
+    assert succession.get_final("good") is None
+
+
 # -- crashes that are counted for a task that didn't cause them
 
 
