Tell a VM that outlived its rack's silent one from a lost rack

Cause: a run that has worked for 2 s isn't counted if its VM seems to be lost with a whole rack, and VMs seemed lost together if their last answers were up to 3 s apart. So a VM that had been silent for the whole run passed for one that was lost with it.

Change: VMs are lost together only if neither has answered a call that was sent more than 2 s after the other's last answer. The time of the call replaces that of the answer, as a VM holds a call for 1.2 s at most and a slow daemon processes answers late.

Before: test_late_crash_beside_a_silent_vm_is_no_loss_of_power fails, six crashes. A new test guards the lower bound: a rack whose VMs' last answers are 1.75 s apart is lost as a whole; it fails with a bound of 1 s.

test_two_tasks_that_crash_both_vms_of_a_rack_after_some_seconds still fails: all VMs of the rack crash at once after equal times at work, as in the tests of a rack that loses power.

--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -65,9 +65,9 @@
 """Seconds of work after which the crashes under a lasting task are forgotten: it runs
 for long, and meets crashes that it doesn't cause."""
 
-MASS_LOSS_SECONDS = 3.0
-"""Seconds within which VMs that lose power together give their last answers: up to 1.7
-s apart, and more while this daemon is slow."""
+MASS_LOSS_SECONDS = 2.0
+"""Most seconds from the last answer of a VM to the last call that another one answers,
+if both lose power together: an idle VM answers every 1.2 s."""
 
 LOSS_RETENTION_SECONDS = 20.0
 """Seconds for which a lost VM is remembered: the loss of others at the same time may be
@@ -93,6 +93,7 @@
 
     vm: str
     last_contact: float
+    alive_at: float
     rack: str
     had_suspects: bool
     had_test: bool
@@ -426,6 +427,7 @@
         loss = _Loss(
             machine.id,
             lost_at,
+            machine.alive_at,
             machine.rack,
             had_suspects,
             any(self._tests.get(task) == machine.id for task in runs),
@@ -542,18 +544,22 @@
         ]
         if any(not peer.is_silent for peer in peers):
             return False
-        return any(
-            abs(peer.last_contact - lost_at) <= MASS_LOSS_SECONDS for peer in peers
-        ) or any(
+        return any(_is_lost_together(peer, machine) for peer in peers) or any(
             not loss.had_suspects and _is_lost_together(loss, machine)
             for loss in self._losses
         )
 
 
-def _is_lost_together(loss: _Loss, machine: vm.Vm) -> bool:
-    """Return whether a VM was lost at the same time as another one of its rack."""
-    passed = abs(loss.last_contact - machine.last_contact)
-    return loss.rack == machine.rack and passed <= MASS_LOSS_SECONDS
+def _is_lost_together(other: _Loss | vm.Vm, machine: vm.Vm) -> bool:
+    """Return whether a VM was lost at the same time as another one of its rack.
+
+    They weren't if one has answered a call that was sent long after the other's last
+    answer.
+    """
+    outlived = max(
+        other.alive_at - machine.last_contact, machine.alive_at - other.last_contact
+    )
+    return other.rack == machine.rack and outlived <= MASS_LOSS_SECONDS
 
 
 def _is_unsent(run: vm.Run) -> bool:
--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -611,6 +611,25 @@
     assert succession.get_final("good") is None
 
 
+def test_rack_whose_vms_answer_in_turn_is_a_loss_of_power(succession):
+    """Guards against a long job that fails as idle VMs of its rack answer less often.
+
+    The last answer of the idle one is 1.75 s older when both lose power.
+    """
+    succession.submit("good")
+    for _ in range(6):
+        if runs := succession.start("good"):
+            rack = runs[0].vm.rack
+            succession.work(2.0)
+            others = {id for id, other in succession.racks.items() if other == rack}
+            succession.unreachable = others - {runs[0].vm.id}
+            succession.work(1.75)
+            succession.unreachable.clear()
+            lose_rack(succession, rack)
+
+    assert succession.get_final("good") is None
+
+
 def test_rack_that_one_list_shows_as_lost_is_a_loss_of_power(make_succession):
     """Guards against a long job that fails as its rack is dropped VM by VM.
 
