Drain a VM whose maintenance order is repeated beside the others

Cause: a VM whose order got no answer, or whose answer could not be recorded, counts towards the ceiling of its wave until the order is repeated, for which its new worker has to be drained. Its closing shared the limits of the other VMs. With ceiling 1 and two other VMs being drained nothing was left for it, and these could not be maintained either, as the ceiling was reached: the wave waited for good.

Change: such a VM is closed whatever is drained beside it, and no longer counts among the VMs drained beyond the ceiling.

--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -85,6 +85,23 @@
     assert [order.vm for order in later] == ["a0"]
 
 
+def test_vm_whose_order_is_to_be_repeated_is_drained_beside_others(state):
+    """Guards against a wave that waits for good.
+
+    The answer to an order was lost and its VM is back. It counts towards the ceiling,
+    so nothing else can be maintained, and the others being drained left no room to
+    drain it: neither under the wave's limit nor under that of its pool.
+    """
+    start_wave(state, ["a0", "a1", "a2", "b0"], ceiling=1)
+    state.progress[1] = state.progress[1].order("a0", "an earlier worker")
+    close_workers(state, "a1", "a2", "b0")
+    mark_empty(state, "w-a1", "w-a2", "w-b0")
+
+    actions = wave.plan_waves(state, NOW, MAINTENANCE_S)
+
+    assert [action.closing.worker for action in select(actions, core.Close)] == ["w-a0"]
+
+
 def test_new_worker_alone_does_not_complete_maintenance(state):
     """A worker that crashes between the order and its answer is replaced too."""
     start_wave(state, ["a0"])
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -83,7 +83,8 @@
     unconfirmed = [
         vm for vm in listed if vm.id in down and vm.id not in progress.confirmed
     ]
-    actions.extend(_plan_closings(state, wave, waiting + unconfirmed, down, now))
+    actions.extend(_plan_repeated_closings(state, wave, unconfirmed))
+    actions.extend(_plan_closings(state, wave, waiting, down, now))
     return actions
 
 
@@ -148,6 +149,29 @@
     return orders
 
 
+def _plan_repeated_closings(
+    state: core.FleetState, wave: entries.WaveOrder, unconfirmed: list[fleet.Vm]
+) -> list[core.Close]:
+    """Close the present workers of VMs whose order is to be repeated.
+
+    Such a VM counts towards the ceiling, so no other one can be maintained in its
+    place: waiting for the others to be drained could last for good.
+    """
+    return [
+        core.Close(record.Closing(vm.worker, vm.id, wave.number))
+        for vm in unconfirmed
+        if _can_be_closed(state, vm)
+    ]
+
+
+def _can_be_closed(state: core.FleetState, vm: fleet.Vm) -> bool:
+    if vm.state is not fleet.VmState.UP or state.is_closing(vm.id):
+        return False
+    if state.is_standby(vm.pool) or not vm.worker:
+        return False
+    return state.is_identified(vm.worker)
+
+
 def _plan_closings(
     state: core.FleetState,
     wave: entries.WaveOrder,
@@ -162,11 +186,7 @@
     for vm in sorted(waiting, key=lambda vm: _sort_key(state, wave, vm, now)):
         if free <= 0:
             break
-        if vm.state is not fleet.VmState.UP or state.is_closing(vm.id):
-            continue
-        if state.is_standby(vm.pool) or not vm.worker:
-            continue
-        if not state.is_identified(vm.worker):
+        if not _can_be_closed(state, vm):
             continue
         size = sum(1 for other in state.vms.values() if other.pool == vm.pool)
         unavailable = counts.get(vm.pool, state.count_unavailable(vm.pool))
