Read the fleet's rows again after a commit without an answer

Cause: a commit of the fleet leader that got no answer counted as not done. It may have been applied, or may be applied seconds later, as only the owner's row was a condition of it. So the leader and its rows could differ for good:

- a closing was applied: nobody reopened the worker until the next leader;
- a closing was applied after it was repeated and the worker reopened: the same;
- a reopening was applied: a status from before showed the worker as empty, and its VM was moved while it could take tasks;
- the progress of a wave was applied after later progress, which it replaced for a successor;
- the time of an order was applied after a later one, from which a successor counts the gap between orders;
- the state of a wave, which had no condition, was applied after a later one: a completed wave is shown as running.

Change: one rule for all of them. After such an answer the leader writes and orders nothing more in the round. The next one rewrites a fence row, whose version is a condition of each commit, so that no earlier commit can be applied any more, and then reads the rows again. Versions of the written rows would not do, since the row of a worker that was closed and reopened is absent again. The fence is a row among the pool sizes, which each leader reads anyway; daemons of earlier versions read it as the size of a pool that doesn't exist. The state of a wave is in another part and its row is never removed, so its own version is its condition. A conflict deposes the leader only if the owner's row has changed.

--- a/wigeonhitch/maintenance/core.py
+++ b/wigeonhitch/maintenance/core.py
@@ -290,6 +290,11 @@
         self.waves[wave.number] = wave
         self.progress.setdefault(wave.number, record.WaveRecord())
 
+    def on_wave_record(self, number: int, stored: record.WaveRecord) -> None:
+        """Record the stored progress of a wave, which may lack what is known here."""
+        known = self.progress.get(number, record.WaveRecord())
+        self.progress[number] = stored.add_results(known)
+
     def on_closing(self, closing: record.Closing, now: float, version: int = 0) -> None:
         """Record that a worker is closed by a row of this version."""
         self.closings[closing.worker] = closing
--- a/wigeonhitch/maintenance/record.py
+++ b/wigeonhitch/maintenance/record.py
@@ -4,13 +4,18 @@
 
 import orjson
 
+from wigeonhitch.platform import rows
+
 __all__ = [
     "CLOSING_TABLE",
+    "FENCE_KEY",
+    "FENCE_VALUE",
     "HOME_TABLE",
     "ORDER_TABLE",
     "WAVE_TABLE",
     "Closing",
     "WaveRecord",
+    "expect_fence",
     "read_closing",
     "read_order",
     "read_wave",
@@ -24,6 +29,12 @@
 HOME_TABLE = "home"
 ORDER_TABLE = "order"
 
+FENCE_KEY = "~fence"
+"""Key of the row among the pool sizes that is rewritten to void unanswered commits. No
+pool has this name; daemons of earlier versions read it as the size of one."""
+
+FENCE_VALUE = b"0"
+
 
 class Closing(NamedTuple):
     """A worker that is closed for new tasks and drained, or has ended.
@@ -73,6 +84,16 @@
         ordered = {vm: worker for vm, worker in self.ordered.items() if vm not in vms}
         return WaveRecord(self.done | vms, ordered, self.confirmed - vms)
 
+    def add_results(self, known: "WaveRecord") -> "WaveRecord":
+        """Return the record with the orders that another one knows as carried out."""
+        confirmed = self.confirmed | (known.confirmed & self.ordered.keys())
+        return self._replace(confirmed=confirmed).finish(set(known.done))
+
+
+def expect_fence(pool: str, version: int) -> rows.Condition:
+    """Return the condition that no commit was voided since."""
+    return rows.Condition(HOME_TABLE, pool, FENCE_KEY, version)
+
 
 def write_closing(closing: Closing) -> bytes:
     """Encode a closed worker as a row value."""
--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -63,7 +63,14 @@
 
 
 class Runner:
-    """Leads moves and maintenance from the claim until it is given up or lost."""
+    """Leads moves and maintenance from the claim until it is given up or lost.
+
+    A commit without an answer may have been applied, or may be applied seconds later.
+    After it nothing is written or ordered until the fence row has been rewritten, whose
+    version is a condition of each commit, and all rows have been read again. The
+    versions of the written rows themselves wouldn't do: a closing that is applied late
+    finds its row absent again once the worker was closed and reopened.
+    """
 
     def __init__(
         self, owner: leader_record.Owner, deps: Dependencies, now: float
@@ -74,6 +81,11 @@
         max_moves = demand.compute_max_concurrent_moves(deps.orders_per_second)
         self.state = core.FleetState(now, max_moves)
         self.deposed = False
+        self._is_uncertain = False
+        """Whether the rows may differ from the state, or may still change."""
+        self._fence_version = 0
+        self._shown_versions: dict[int, int] = {}
+        """Version of each wave's row for operators."""
         self._scope = anyio.CancelScope()
         self._wake = anyio.Event()
 
@@ -100,24 +112,40 @@
     # -- rows
 
     async def _load(self) -> None:
+        await self._read_rows()
+        orders = await self._read_all(record.ORDER_TABLE, self.owner.pool)
+        self._apply_earlier_orders(orders)
+        log.log_change("fleet loaded", closings=len(self.state.closings))
+
+    async def _read_rows(self) -> None:
+        """Read all rows that the state depends on."""
         part = self.owner.pool
-        now = http.read_clock()
         closings = await self._read_all(record.CLOSING_TABLE, part)
-        for row in closings.rows:
-            closing = record.read_closing(row.key, row.value or b"")
-            self.state.on_closing(closing, now, row.version)
+        self._apply_closings(closings.rows)
         waves = await self._read_all(record.WAVE_TABLE, part)
         for row in waves.rows:
-            number = int(row.key)
-            self.state.progress[number] = record.read_wave(row.value or b"")
+            self.state.on_wave_record(int(row.key), record.read_wave(row.value or b""))
         homes = await self._read_all(record.HOME_TABLE, part)
         for row in homes.rows:
-            self.state.initial_sizes[row.key] = int(row.value or b"0")
-        self._apply_earlier_orders(await self._read_all(record.ORDER_TABLE, part))
+            if row.key == record.FENCE_KEY:
+                self._fence_version = row.version
+            else:
+                self.state.initial_sizes[row.key] = int(row.value or b"0")
         shown = await self._read_all(entries.STATUS_TABLE, "")
+        self.state.shown.clear()
+        self._shown_versions.clear()
         for row in shown.rows:
             self._apply_shown_status(row)
-        log.log_change("fleet loaded", closings=len(closings.rows))
+
+    def _apply_closings(self, closed: tuple[rows.Row, ...]) -> None:
+        """Set the closed workers as read; others are open."""
+        now = http.read_clock()
+        for worker in self.state.closings.keys() - {row.key for row in closed}:
+            self.state.on_reopened(worker)
+        for row in closed:
+            if row.version != self.state.closed_at_version.get(row.key):
+                closing = record.read_closing(row.key, row.value or b"")
+                self.state.on_closing(closing, now, row.version)
 
     def _apply_earlier_orders(self, read: rows.Range) -> None:
         """Block orders about VMs that an earlier leader may just have ordered about."""
@@ -130,6 +158,7 @@
         number = entries.read_wave_number(row.key)
         if number is not None and row.value is not None:
             self.state.shown[number] = entries.read_wave_status(row.value)
+            self._shown_versions[number] = row.version
 
     async def _read_all(self, name: str, part: str) -> rows.Range:
         while True:
@@ -172,18 +201,57 @@
 
     async def _commit(self, writes: list[rows.Write]) -> int:
         """Write rows as the fleet leader; return the store's version, 0 on failure."""
-        condition = leader_record.expect_owner(self.owner.pool, self.owner.version)
-        change = await self.deps.store.commit(
-            rows.Transaction((condition,), tuple(writes)), timeout=CALL_TIMEOUT_SECONDS
+        if self._is_uncertain:
+            return 0
+        conditions = (
+            leader_record.expect_owner(self.owner.pool, self.owner.version),
+            record.expect_fence(self.owner.pool, self._fence_version),
         )
-        if change.reason == "conflict":
-            log.log_change("fleet is led by another daemon")
-            self.deposed = True
+        change = await self._attempt(rows.Transaction(conditions, tuple(writes)))
         return change.version if change.outcome is table.Outcome.DONE else 0
 
+    async def _attempt(self, transaction: rows.Transaction) -> rows.Change:
+        """Commit once; record whether the rows are still known afterwards."""
+        change = await self.deps.store.commit(transaction, timeout=CALL_TIMEOUT_SECONDS)
+        if change.reason == "conflict":
+            self._on_conflict(transaction, change)
+        if change.outcome is table.Outcome.UNKNOWN or change.reason == "conflict":
+            if not self._is_uncertain:
+                log.log_change("fleet rows uncertain", reason=change.reason)
+            self._is_uncertain = True
+        return change
+
+    def _on_conflict(self, transaction: rows.Transaction, change: rows.Change) -> None:
+        """Record a change of owners, and the version of the fence."""
+        versions = {row[:3]: row.version for row in change.conflicts}
+        for condition in transaction.conditions:
+            version = versions.get(condition[:3], 0)
+            if condition.table == leader_record.OWNER_TABLE:
+                if version != self.owner.version:
+                    log.log_change("fleet is led by another daemon")
+                    self.deposed = True
+            elif condition.table == record.HOME_TABLE:
+                self._fence_version = version
+
+    async def _restore(self) -> bool:
+        """Void all unanswered commits, and read all rows; return whether done."""
+        condition = record.expect_fence(self.owner.pool, self._fence_version)
+        fence = rows.Write(*condition[:3], record.FENCE_VALUE)
+        owner = leader_record.expect_owner(self.owner.pool, self.owner.version)
+        change = await self._attempt(rows.Transaction((owner, condition), (fence,)))
+        if change.outcome is not table.Outcome.DONE:
+            return False
+        self._fence_version = change.version
+        await self._read_rows()
+        self._is_uncertain = False
+        log.log_change("fleet rows read again", closings=len(self.state.closings))
+        return True
+
     # -- rounds
 
     async def _run_round(self) -> None:
+        if self._is_uncertain and not await self._restore():
+            return
         self._apply_configuration()
         await self._list_vms()
         if not self.state.vms or not self.state.pools:
@@ -287,7 +355,8 @@
         if self.deposed or not self.deps.may_order():
             return
         is_order = isinstance(action, core.Maintain | core.Move)
-        if is_order and http.read_clock() > until.get(action.vm, 0.0):
+        is_late = is_order and http.read_clock() > until.get(action.vm, 0.0)
+        if is_order and (is_late or self._is_uncertain):
             self.state.on_order_abandoned(action.vm)
             return
         if isinstance(action, core.Open):
@@ -402,12 +471,19 @@
             self.state.on_move_refused(order.vm, order.pool)
 
     async def _show_wave(self, order: core.Show) -> None:
+        """Publish a wave's state, unless its row has changed.
+
+        The row is in another part than the owner, and is never removed, so its own
+        version prevents that an earlier state is applied late.
+        """
+        if self._is_uncertain:
+            return
         key = entries.get_wave_key(order.wave)
-        value = entries.write_wave_status(order.completed)
-        write = rows.Write(entries.STATUS_TABLE, "", key, value)
-        change = await self.deps.store.commit(
-            rows.Transaction((), (write,)), timeout=CALL_TIMEOUT_SECONDS
-        )
+        version = self._shown_versions.get(order.wave, 0)
+        condition = rows.Condition(entries.STATUS_TABLE, "", key, version)
+        write = rows.Write(*condition[:3], entries.write_wave_status(order.completed))
+        change = await self._attempt(rows.Transaction((condition,), (write,)))
         if change.outcome is table.Outcome.DONE:
             self.state.shown[order.wave] = order.completed
+            self._shown_versions[order.wave] = change.version
             log.log_change("wave shown", wave=order.wave, completed=order.completed)
