Close a worker again at once that is restarted while it is drained

Cause: a VM counted as drained while any of its workers' names was closed. A worker that was restarted under its id before its VM was listed as down has another name, which nobody closed until the former name's row had expired, 5 s after the closing: the VM took tasks again meanwhile, and a wave with little room waited for it. Where workers report no start, the former worker is marked as ended by the list that shows another one, so nothing changes there.

Change: a wave closes the present worker of a VM that is already drained for it, without the limits for further VMs, as the VM is counted under them already. The row of the former name stays as long as before, since an entry that is read late may give a VM a wrong name for a while. Moves are as before: a restarted VM that was to move is left to its pool.

Evidence: both cases of test_worker_that_is_restarted_while_it_is_drained_is_closed_again_at_once fail on the parent commit, where no closing is planned, and pass now.

--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -954,3 +954,27 @@
 
     list_vm(state, now + core.CLOSING_RETENTION_SECONDS)
     assert state.list_expired_closings(now + core.CLOSING_RETENTION_SECONDS) == [live]
+
+
+@pytest.mark.parametrize("others", [(), ("a1", "a2", "b0")])
+def test_worker_that_is_restarted_while_it_is_drained_is_closed_again_at_once(
+    state, others
+):
+    """Guards against a wave that waits 5 s for a VM that nobody drains.
+
+    The worker was back under its id before its VM was listed as down, and its former
+    incarnation's closing stays for that long. Others may be drained meanwhile.
+    """
+    start_wave(state, ["c0", *others], ceiling=1)
+    first = register(state, "w", FIRST_START)
+    list_vm(state, NOW)
+    state.on_closing(record.Closing(first, "c0", 1), NOW)
+    close_workers(state, *others)
+
+    second = register(state, "w", SECOND_START)
+    list_vm(state, NOW + 0.3)
+    (close,) = select(wave.plan_waves(state, NOW + 0.3, MAINTENANCE_S), core.Close)
+    assert close.closing.worker == second
+
+    state.on_closing(close.closing, NOW + 0.3)
+    assert select(wave.plan_waves(state, NOW + 0.4, MAINTENANCE_S), core.Close) == []
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -83,7 +83,8 @@
     unconfirmed = [
         vm for vm in listed if vm.id in down and vm.id not in progress.confirmed
     ]
-    actions.extend(_plan_repeated_closings(state, wave, unconfirmed))
+    restarted = [vm for vm in waiting if _is_drained_for(state, vm, wave)]
+    actions.extend(_plan_repeated_closings(state, wave, unconfirmed + restarted))
     actions.extend(_plan_closings(state, wave, waiting, down, now))
     return actions
 
@@ -150,22 +151,36 @@
 
 
 def _plan_repeated_closings(
-    state: core.FleetState, wave: entries.WaveOrder, unconfirmed: list[fleet.Vm]
+    state: core.FleetState, wave: entries.WaveOrder, counted: list[fleet.Vm]
 ) -> list[core.Close]:
-    """Close the present workers of VMs whose order is to be repeated.
+    """Close the present workers of VMs that already count as ordered or drained.
 
-    Such a VM counts towards the ceiling, so no other one can be maintained in its
-    place: waiting for the others to be drained could last for good.
+    A VM whose order is to be repeated counts towards the ceiling, so no other one can
+    be maintained in its place: waiting for the others to be drained could last for
+    good. One whose worker was restarted while it was closed counts as drained.
     """
     return [
         core.Close(record.Closing(vm.worker, vm.id, wave.number))
-        for vm in unconfirmed
+        for vm in counted
         if _can_be_closed(state, vm)
     ]
 
 
+def _is_drained_for(
+    state: core.FleetState, vm: fleet.Vm, wave: entries.WaveOrder
+) -> bool:
+    """Return whether a worker of a VM is closed for a wave and has not ended."""
+    return any(
+        closing.vm == vm.id and closing.wave == wave.number and not closing.ended
+        for closing in state.closings.values()
+    )
+
+
 def _can_be_closed(state: core.FleetState, vm: fleet.Vm) -> bool:
-    if vm.state is not fleet.VmState.UP or state.is_closing(vm.id):
+    """Return whether a VM's present worker can be closed and isn't yet."""
+    closing = state.closings.get(vm.worker)
+    is_closed = closing is not None and not closing.ended
+    if vm.state is not fleet.VmState.UP or is_closed:
         return False
     if state.is_standby(vm.pool) or not vm.worker:
         return False
@@ -186,7 +201,7 @@
     for vm in sorted(waiting, key=lambda vm: _sort_key(state, wave, vm, now)):
         if free <= 0:
             break
-        if not _can_be_closed(state, vm):
+        if state.is_closing(vm.id) or not _can_be_closed(state, vm):
             continue
         size = sum(1 for other in state.vms.values() if other.pool == vm.pool)
         unavailable = counts.get(vm.pool, state.count_unavailable(vm.pool))
