Reopen workers that are still closed for a completed wave

Cause: the leader knows the last VMs of a wave as done and stores that only with the wave's next order, of which there is none. A leader that is replaced after it has shown the wave as completed, and before it has reopened the last drained workers, leaves rows from which its successor doesn't see that they are done: these VMs stayed closed for good.

Change: a worker that is closed for a wave is reopened once the wave is shown as completed. Nothing is written more often.

The case was found by reading, not in a run.

--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -171,6 +171,21 @@
     assert opened.worker == "w-a0"
 
 
+def test_worker_still_closed_for_a_completed_wave_is_reopened(state):
+    """Guards against a VM that stays closed for good after a change of leaders.
+
+    The last VMs of a wave are known as done by the leader that completes it, and are
+    not stored as such. It was replaced before it reopened them.
+    """
+    start_wave(state, ["a0"])
+    close_workers(state, "a0")
+    assert select(wave.plan_waves(state, NOW, MAINTENANCE_S), core.Open) == []
+
+    state.shown[1] = True
+    (reopening,) = select(wave.plan_waves(state, NOW, MAINTENANCE_S), core.Open)
+    assert reopening.worker == "w-a0"
+
+
 def test_no_wave_is_completed_before_vms_are_listed(state):
     start_wave(state, ["a0"])
     state.vms = {}
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -46,13 +46,17 @@
 
 
 def _plan_reopenings(state: core.FleetState) -> list[core.Open]:
-    """Reopen workers that are closed although their VM's maintenance is done."""
+    """Reopen workers that are closed although their VM's maintenance is done.
+
+    The rows of a completed wave don't list the VMs that were done last.
+    """
     reopenings = []
     for worker, closing in state.closings.items():
         vm = state.vms.get(closing.vm)
         progress = state.progress.get(closing.wave, record.WaveRecord())
         is_running = vm is not None and vm.worker == worker
-        if is_running and not closing.ended and closing.vm in progress.done:
+        is_done = closing.vm in progress.done or state.shown.get(closing.wave, False)
+        if is_running and not closing.ended and is_done:
             reopenings.append(core.Open(worker))
     return reopenings
 
