Keep a start without an answer while the next incarnation may execute it

A task runs twice where workers are restarted under their ids: a start that got no answer is repeated elsewhere, and a restarted worker executes the delayed order beside or after the new run.

Cause: such a start counted as not executed once a list lacked it whose clock was past the start's deadline. The list is a proof for the incarnation that gave it. An order is on its way for up to 2 s, the deadline is 1.2 s from its sending, and the next incarnation's clock starts anew, so that the order isn't late there. The same held for a run that had been transferred once, for leases that lapse within the 2 s, and for a drained VM, which counted as empty.

Change: where a worker reports its start, a list that lacks the run counts only if its call was sent ORDER_FLIGHT_SECONDS or more after the start, or after the first list past the deadline if the call of the start hasn't ended. Until then the run stays with its VM, and is transferred like other orders on their way if the VM ends or another incarnation answers. Leases of a VM don't lapse while an incarnation that isn't known may execute a start. A VM isn't taken for crashed under a start that it has missed. Answered starts, and workers that report no starts, are treated as before.

A start without an answer delays its task by up to 1.4 s more by the intervals of the calls: 2 s instead of 1.2 s, and one renewal of 0.6 s.

--- a/wigeonhitch/pool/core.py
+++ b/wigeonhitch/pool/core.py
@@ -5,9 +5,10 @@
 
 - At most one run of a task at a time. A run whose start got no answer may begin
   until its start deadline on the worker's clock; it counts as not started only
-  when an answer with a later clock doesn't list it. A VM that doesn't answer
-  counts as empty only when its clock has certainly passed every deadline that
-  it was given.
+  when an answer with a later clock doesn't list it and, where workers are restarted
+  under their ids, when that answer's call was sent after the start can't be on its
+  way any more. A VM that doesn't answer counts as empty only when its clock has
+  certainly passed every deadline that it was given.
 - After a takeover, a task that an earlier leader may have started waits until
   every VM of the roster has answered under the new fencing token or, if it is
   unreachable, the longest lease has expired.
@@ -113,6 +114,11 @@
         if run.vm.runs.get(run.task) is not run:
             return
         verdict = reply.verdict
+        if verdict is workers.Verdict.UNKNOWN:
+            flight_ends_at = (reply.sent or now) + transfer.ORDER_FLIGHT_SECONDS
+            run.flight_ends_at = min(run.flight_ends_at, flight_ends_at)
+        elif verdict is workers.Verdict.DONE:
+            run.flight_ends_at = 0.0
         if run.transferred_from:
             self._on_transferred_start(run, reply)
         elif verdict is workers.Verdict.DONE:
@@ -404,9 +410,13 @@
             if entry is not None:
                 self._update_running(run, entry, now)
             elif run.state in (vm.RunState.STARTING, vm.RunState.UNKNOWN):
-                if reply.clock > run.deadline:
-                    self._log_unlisted("start did not take place", run, reply)
-                    self.remove_run(run)
+                if reply.clock <= run.deadline:
+                    continue
+                if transfer.may_be_on_its_way(run, reply.sent, now):
+                    run.is_past_deadline = True
+                    continue
+                self._log_unlisted("start did not take place", run, reply)
+                self.remove_run(run)
             elif run.started_at < reply.sent:
                 self._log_unlisted("run no longer listed", run, reply)
                 self.remove_run(run)
--- a/wigeonhitch/pool/transfer.py
+++ b/wigeonhitch/pool/transfer.py
@@ -10,12 +10,13 @@
 its way would have been executed, and the worker would have answered.
 """
 
+import math
 from collections.abc import Iterable
 
 from wigeonhitch.jobs import model
 from wigeonhitch.pool import vm
 
-__all__ = ["Transfers"]
+__all__ = ["ORDER_FLIGHT_SECONDS", "Transfers", "may_be_on_its_way"]
 
 ORDER_FLIGHT_SECONDS = 2.0
 """Seconds after which an order that was sent to one incarnation isn't executed by the
@@ -63,11 +64,10 @@
 
     def list_pending(self, runs: Iterable[vm.Run], now: float) -> list[vm.Run]:
         """Return the runs that an incarnation which isn't known yet may execute."""
-        seconds = ORDER_FLIGHT_SECONDS + FIRST_ANSWER_SECONDS
         return [
             run
             for run in runs
-            if run.may_reach_next_incarnation and now - run.started_at < seconds
+            if run.may_reach_next_incarnation and now < _compute_expiry(run)
         ]
 
     def transfer(self, run: vm.Run, successor: vm.Vm, now: float) -> None:
@@ -75,8 +75,7 @@
         run.transfer_to(successor)
         self.runs[run.task] = run
         if successor.is_placeholder:
-            expiry = run.started_at + ORDER_FLIGHT_SECONDS + FIRST_ANSWER_SECONDS
-            successor.expires_at = max(successor.expires_at, expiry)
+            successor.expires_at = max(successor.expires_at, _compute_expiry(run))
         lease = ORDER_FLIGHT_SECONDS + self._max_lease
         successor.record_lease_deadline(successor.compute_clock(now) + lease)
 
@@ -84,3 +83,34 @@
         """Drop a run that is listed or has ended."""
         if self.runs.get(run.task) is run:
             del self.runs[run.task]
+
+
+def may_be_on_its_way(run: vm.Run, sent: float, now: float) -> bool:
+    """Return whether a start that a list lacks may be executed after that list.
+
+    The worker may have been restarted after it gave the list, and the next incarnation
+    executes starts that are late by the clock of this one.
+
+    Parameters
+    ----------
+    run : vm.Run
+        Run whose start isn't known to have been executed.
+    sent : float
+        This daemon's time of the call that the list answers.
+    now : float
+        This daemon's time.
+    """
+    if not (run.vm.entry.start_ms and run.may_reach_next_incarnation):
+        return False
+    # The answer to the start may be pending, but the start has been sent by now.
+    run.flight_ends_at = min(run.flight_ends_at, now + ORDER_FLIGHT_SECONDS)
+    return sent < run.flight_ends_at
+
+
+def _compute_expiry(run: vm.Run) -> float:
+    """Return the time by which an incarnation that executes a start has answered."""
+    flight_ends_at = run.started_at + ORDER_FLIGHT_SECONDS
+    if run.flight_ends_at < math.inf:
+        # The start was sent some time after it was planned if the daemon was paused.
+        flight_ends_at = max(flight_ends_at, run.flight_ends_at)
+    return flight_ends_at + FIRST_ANSWER_SECONDS
--- a/wigeonhitch/pool/view.py
+++ b/wigeonhitch/pool/view.py
@@ -279,6 +279,7 @@
                 continue
             # A VM that never answered may still have received a renewal of ours.
             lapsed = machine.is_lapsed(now, grace)
+            lapsed = lapsed and not self._may_reach_unknown_incarnation(machine, now)
             if not machine.answered:
                 lapsed = lapsed and seconds_waited > longest + grace
             if lapsed and (machine.runs or machine.orphans):
@@ -479,7 +480,9 @@
             runs=len(machine.runs),
             reason=end.value,
         )
+        missed = machine.remove_missed_runs()
         exhausted = self.suspects.on_vm_ended(machine, end, self.latest_time)
+        machine.runs.update(missed)
         if successor is not None or end is not vm.VmEnd.REPLACED:
             self._transfer_runs(machine, successor)
         for run in list(machine.runs.values()):
@@ -509,6 +512,15 @@
             self.log_event("run transferred", to=successor.id, **describe_run(run))
             self.transfers.transfer(run, successor, now)
 
+    def _may_reach_unknown_incarnation(self, machine: vm.Vm, now: float) -> bool:
+        """Return whether an incarnation that isn't known may execute a VM's starts.
+
+        The leases of the known one don't tell when such a run ends.
+        """
+        if not machine.entry.start_ms or self._find_other(machine) is not None:
+            return False
+        return bool(self.transfers.list_pending(machine.runs.values(), now))
+
     def _find_other(self, machine: vm.Vm) -> vm.Vm | None:
         """Return the incarnation of a VM's worker that was learned last, but itself."""
         known = self.roster.list_by_worker(machine.entry.id)
@@ -576,7 +588,9 @@
             for run in list(machine.runs.values()):
                 if run.may_reach_next_incarnation and not run.transferred_from:
                     self.transfers.transfer(run, other, now)
+        missed = machine.remove_missed_runs()
         self.suspects.on_leases_lapsed(machine, now)
+        machine.runs.update(missed)
         for run in list(machine.runs.values()):
             self.lapsed_runs.setdefault(run.task, set()).add(run.number)
             self.log_event(
--- a/wigeonhitch/pool/vm.py
+++ b/wigeonhitch/pool/vm.py
@@ -100,8 +100,10 @@
         "transferred_from",
         "confirmed_from",
         "deadline",
+        "flight_ends_at",
         "is_confirmed",
         "is_degraded",
+        "is_past_deadline",
         "last_progress_clock",
         "listed_at",
         "listed_clock",
@@ -137,6 +139,12 @@
         self.room = step.reserved
         self.state = RunState.STARTING
         self.deadline = 0.0
+        self.flight_ends_at = math.inf
+        """This daemon's time from which no incarnation of the worker executes the start
+        any more, infinite while the start is unanswered."""
+        self.is_past_deadline = False
+        """Whether a list after the deadline lacks it: only the next incarnation of the
+        VM may execute the start."""
         self.started_at = now
         self.listed_at = now
         """This daemon's time of the last answer that lists it."""
@@ -191,6 +199,7 @@
         """
         is_answered = self.state in (RunState.RUNNING, RunState.STOPPING)
         self.deadline = 0.0 if is_answered else math.inf
+        self.is_past_deadline = False
         self.transferred_from = self.transferred_from or self.vm.id
         self.state = RunState.UNKNOWN
         self.vm.runs.pop(self.task, None)
@@ -405,6 +414,16 @@
         """Return whether all runs have certainly ended; ``grace`` is the stop time."""
         return self.compute_clock(now) > self.lease_deadline + grace
 
+    def remove_missed_runs(self) -> dict[model.Task, Run]:
+        """Remove and return the runs that this incarnation certainly hasn't executed.
+
+        They can't have crashed it.
+        """
+        missed = {task: run for task, run in self.runs.items() if run.is_past_deadline}
+        for task in missed:
+            del self.runs[task]
+        return missed
+
     def compute_free_room(self) -> model.Room:
         """Return the free room; runs that are being stopped still count as running."""
         return self.compute_room_beside(self.runs.values())
