Keep a pool's limit for VMs whose maintenance orders are to be repeated

Cause: VMs whose orders got no answer were drained again without the limits of their pool and its waiting work. With several of them at once, as after a takeover, all VMs of a pool were closed, so that none was left to which their lasting tasks could go, and the wave never went on (found by review: 3 of 3 and 6 of 6 VMs closed, not completed in 12 s; a third of the pool is the limit).

Change: such a VM shares the limit of its pool with the others, and waits for the pool's demand like them. Only the limit of the wave doesn't hold for it. If the ceiling is used up, and drained VMs that wait for it use up the pool's limit, one of these is opened again in its place. A VM that is restarted while it is drained counts as unavailable already and is closed again at once, as before.

Evidence: five cases of a pool of six, one of a pool of two and one of waiting work; all seven fail on the parent commit and pass now.

--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -102,6 +102,67 @@
     assert [action.closing.worker for action in select(actions, core.Close)] == ["w-a0"]
 
 
+@pytest.mark.parametrize(
+    ("ceiling", "count", "others"),
+    [(6, 1, ()), (6, 3, ()), (6, 6, ()), (6, 4, ("a4", "a5")), (4, 4, ("a4", "a5"))],
+)
+def test_vms_whose_orders_are_to_be_repeated_leave_the_pool_most_vms(
+    state, ceiling, count, others
+):
+    """Guards against a pool that is closed as a whole and can't be drained.
+
+    The answers to several orders were lost. The limit of a pool of six is two.
+    """
+    vms = [f"a{number}" for number in range(6)]
+    start_wave(state, vms, ceiling=ceiling)
+    close_workers(state, *others)
+    for id in vms[:count]:
+        state.progress[1] = state.progress[1].order(id, "an earlier worker")
+
+    for _ in range(3):
+        execute(state, wave.plan_waves(state, NOW, MAINTENANCE_S))
+
+    closed = set(state.closings)
+    assert len(closed) == 2
+    # The others are maintained once they are empty, if the ceiling leaves room.
+    assert len(closed & {f"w-{id}" for id in others}) == (
+        len(others) if ceiling > 4 else 0
+    )
+
+
+def execute(state, actions):
+    """Apply closings and reopenings to the state."""
+    for action in select(actions, core.Close):
+        state.on_closing(action.closing, NOW)
+    for action in select(actions, core.Open):
+        state.on_reopened(action.worker)
+
+
+def test_vm_of_a_small_pool_is_drained_in_place_of_another(state):
+    """Guards against a wave that waits for good in a pool of two VMs.
+
+    The other VM of the pool is drained and waits for room under the ceiling, which
+    the order to be repeated takes up.
+    """
+    state.on_vms((make_vm("a0"), make_vm("a1")), NOW)
+    start_wave(state, ["a0", "a1"], ceiling=1)
+    state.progress[1] = state.progress[1].order("a0", "an earlier worker")
+    close_workers(state, "a1")
+
+    execute(state, wave.plan_waves(state, NOW, MAINTENANCE_S))
+
+    assert set(state.closings) == {"w-a0"}
+
+
+def test_repeated_order_waits_for_demand_like_others(state):
+    """Guards against capacity that a wave takes away while work waits for it."""
+    start_wave(state, ["a0"])
+    state.progress[1] = state.progress[1].order("a0", "an earlier worker")
+    state.pool_statuses["a"] = state.pool_statuses["a"]._replace(unmet=1000)
+
+    assert select(wave.plan_waves(state, NOW, MAINTENANCE_S), core.Close) == []
+
+
 def test_new_worker_alone_does_not_complete_maintenance(state):
     """A worker that crashes between the order and its answer is replaced too."""
     start_wave(state, ["a0"])
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -87,9 +87,10 @@
     unconfirmed = [
         vm for vm in listed if vm.id in down and vm.id not in progress.confirmed
     ]
-    restarted = [vm for vm in waiting if _is_drained_for(state, vm, wave)]
-    actions.extend(_plan_repeated_closings(state, wave, unconfirmed + restarted))
-    actions.extend(_plan_closings(state, wave, waiting, down, now))
+    unavailable: dict[str, int] = {}
+    actions.extend(_plan_reclosings(state, wave, waiting + unconfirmed))
+    actions.extend(_plan_repeated_closings(state, wave, unconfirmed, unavailable, now))
+    actions.extend(_plan_closings(state, wave, waiting, down, unavailable, now))
     return actions
 
 
@@ -155,18 +156,69 @@
 
 
 def _plan_repeated_closings(
-    state: core.FleetState, wave: entries.WaveOrder, counted: list[fleet.Vm]
+    state: core.FleetState,
+    wave: entries.WaveOrder,
+    unconfirmed: list[fleet.Vm],
+    unavailable: dict[str, int],
+    now: float,
+) -> list[core.Close | core.Open]:
+    """Close the present workers of VMs whose order is to be repeated.
+
+    Such a VM counts towards the ceiling, so no other one can be maintained in its
+    place: waiting for the others to be drained could last for good. If those use up
+    the limit of its pool, one of them is opened again.
+
+    ``unavailable`` is the number of unavailable VMs by pool, which is brought up to
+    date.
+    """
+    drained = _list_drained(state, wave)
+    actions: list[core.Close | core.Open] = []
+    for vm in sorted(unconfirmed, key=lambda vm: _sort_key(state, wave, vm, now)):
+        if state.is_closing(vm.id) or not _can_be_closed(state, vm):
+            continue
+        if _must_wait_for_demand(state, wave, vm.pool, now):
+            continue
+        size, count = _measure_pool(state, vm.pool, unavailable)
+        if count >= _compute_pool_limit(size) and drained.get(vm.pool):
+            actions.append(core.Open(drained[vm.pool].pop().worker))
+            count -= 1
+        if count < _compute_pool_limit(size):
+            count += 1
+            actions.append(core.Close(record.Closing(vm.worker, vm.id, wave.number)))
+        unavailable[vm.pool] = count
+    return actions
+
+
+def _list_drained(
+    state: core.FleetState, wave: entries.WaveOrder
+) -> dict[str, list[record.Closing]]:
+    """Return the closings by pool that wait for room under a wave's ceiling."""
+    progress = state.progress[wave.number]
+    ordered = [id for id in wave.vms if id in progress.ordered]
+    if len(ordered) < wave.ceiling:
+        return {}
+    drained: dict[str, list[record.Closing]] = {}
+    for closing in state.closings.values():
+        vm = state.vms.get(closing.vm)
+        is_open_order = closing.vm in progress.ordered or closing.vm in progress.done
+        if closing.wave != wave.number or closing.ended or vm is None or is_open_order:
+            continue
+        if vm.worker == closing.worker:
+            drained.setdefault(vm.pool, []).append(closing)
+    return drained
+
+
+def _plan_reclosings(
+    state: core.FleetState, wave: entries.WaveOrder, listed: list[fleet.Vm]
 ) -> list[core.Close]:
-    """Close the present workers of VMs that already count as ordered or drained.
+    """Close the present workers of VMs that are drained under a former name.
 
-    A VM whose order is to be repeated counts towards the ceiling, so no other one can
-    be maintained in its place: waiting for the others to be drained could last for
-    good. One whose worker was restarted while it was closed counts as drained.
+    The worker was restarted while it was closed. The VM counts as drained already.
     """
     return [
         core.Close(record.Closing(vm.worker, vm.id, wave.number))
-        for vm in counted
-        if _can_be_closed(state, vm)
+        for vm in listed
+        if _is_drained_for(state, vm, wave) and _can_be_closed(state, vm)
     ]
 
 
@@ -196,29 +248,46 @@
     wave: entries.WaveOrder,
     waiting: list[fleet.Vm],
     down: list[str],
+    unavailable: dict[str, int],
     now: float,
 ) -> list[core.Close]:
     closing = [vm for vm in waiting if state.is_closing(vm.id)]
     free = wave.ceiling + EXTRA_DRAINS - len(down) - len(closing)
-    counts: dict[str, int] = {}
     actions = []
     for vm in sorted(waiting, key=lambda vm: _sort_key(state, wave, vm, now)):
         if free <= 0:
             break
         if state.is_closing(vm.id) or not _can_be_closed(state, vm):
             continue
-        size = sum(1 for other in state.vms.values() if other.pool == vm.pool)
-        unavailable = counts.get(vm.pool, state.count_unavailable(vm.pool))
-        if unavailable >= max(1, size // POOL_SHARE_DIVISOR):
+        size, count = _measure_pool(state, vm.pool, unavailable)
+        if count >= _compute_pool_limit(size):
             continue
-        if _has_unmet_demand(state, vm.pool) and not _is_urgent(state, wave, now):
+        if _must_wait_for_demand(state, wave, vm.pool, now):
             continue
-        counts[vm.pool] = unavailable + 1
+        unavailable[vm.pool] = count + 1
         free -= 1
         actions.append(core.Close(record.Closing(vm.worker, vm.id, wave.number)))
     return actions
 
 
+def _measure_pool(
+    state: core.FleetState, pool: str, unavailable: dict[str, int]
+) -> tuple[int, int]:
+    """Return a pool's size, and how many of its VMs are or will be unavailable."""
+    size = sum(1 for vm in state.vms.values() if vm.pool == pool)
+    return size, unavailable.get(pool, state.count_unavailable(pool))
+
+
+def _compute_pool_limit(size: int) -> int:
+    return max(1, size // POOL_SHARE_DIVISOR)
+
+
+def _must_wait_for_demand(
+    state: core.FleetState, wave: entries.WaveOrder, pool: str, now: float
+) -> bool:
+    return _has_unmet_demand(state, pool) and not _is_urgent(state, wave, now)
+
+
 def _sort_key(
     state: core.FleetState, wave: entries.WaveOrder, vm: fleet.Vm, now: float
 ) -> tuple[bool, int, str]:
