Read the fleet's tables side by side after a commit without an answer

The leader of the fleet writes and orders nothing until it has read four tables, one after the other.

Change: the tables are read side by side. They are consistent all the same, as no commit of this leader can be applied after its fence row is rewritten; the states of waves are in another part and have their own versions.

Evidence: the tests of unanswered commits pass.

--- a/wigeonhitch/maintenance/task.py
+++ b/wigeonhitch/maintenance/task.py
@@ -119,22 +119,30 @@
 
     async def _read_rows(self) -> None:
         """Read all rows that the state depends on."""
-        part = self.owner.pool
-        closings = await self._read_all(record.CLOSING_TABLE, part)
-        self._apply_closings(closings.rows)
-        waves = await self._read_all(record.WAVE_TABLE, part)
-        for row in waves.rows:
+        parts = dict.fromkeys(
+            (record.CLOSING_TABLE, record.WAVE_TABLE, record.HOME_TABLE),
+            self.owner.pool,
+        )
+        parts[entries.STATUS_TABLE] = ""
+        read: dict[str, tuple[rows.Row, ...]] = {}
+
+        async def read_table(name: str, part: str) -> None:
+            read[name] = (await self._read_all(name, part)).rows
+
+        async with anyio.create_task_group() as group:
+            for name, part in parts.items():
+                group.start_soon(read_table, name, part)
+        self._apply_closings(read[record.CLOSING_TABLE])
+        for row in read[record.WAVE_TABLE]:
             self.state.on_wave_record(int(row.key), record.read_wave(row.value or b""))
-        homes = await self._read_all(record.HOME_TABLE, part)
-        for row in homes.rows:
+        for row in read[record.HOME_TABLE]:
             if row.key == record.FENCE_KEY:
                 self._fence_version = row.version
             else:
                 self.state.initial_sizes[row.key] = int(row.value or b"0")
-        shown = await self._read_all(entries.STATUS_TABLE, "")
         self.state.shown.clear()
         self._shown_versions.clear()
-        for row in shown.rows:
+        for row in read[entries.STATUS_TABLE]:
             self._apply_shown_status(row)
 
     def _apply_closings(self, closed: tuple[rows.Row, ...]) -> None:
