Take a VM that never answered for alive from when it was known

Cause: whether two VMs of a rack were lost together goes by the last call that each has answered. A VM that never answered has none, and its time 0 lies before any loss.

Change: such a VM counts as alive from the time at which it was first known.

--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -427,7 +427,7 @@
         loss = _Loss(
             machine.id,
             lost_at,
-            machine.alive_at,
+            _get_alive_at(machine),
             machine.rack,
             had_suspects,
             any(self._tests.get(task) == machine.id for task in runs),
@@ -556,12 +556,21 @@
     They weren't if one has answered a call that was sent long after the other's last
     answer.
     """
+    other_alive_at = (
+        _get_alive_at(other) if isinstance(other, vm.Vm) else other.alive_at
+    )
     outlived = max(
-        other.alive_at - machine.last_contact, machine.alive_at - other.last_contact
+        other_alive_at - machine.last_contact,
+        _get_alive_at(machine) - other.last_contact,
     )
     return other.rack == machine.rack and outlived <= MASS_LOSS_SECONDS
 
 
+def _get_alive_at(machine: vm.Vm) -> float:
+    """Return the last time at which a VM was alive, or at which it was first known."""
+    return machine.alive_at or machine.last_contact
+
+
 def _is_unsent(run: vm.Run) -> bool:
     return run.state is vm.RunState.STARTING and not run.deadline
 
--- a/wigeonhitch/pool/tests/test_uncounted_crashes.py
+++ b/wigeonhitch/pool/tests/test_uncounted_crashes.py
@@ -388,6 +388,36 @@
     assert len(succession.crashed) <= MAX_CRASHED_VMS
 
 
+def test_vm_that_never_answered_is_no_loss_of_power(bench):
+    """Guards against a crash that is withdrawn for the loss of a VM that came later.
+
+    The last call that such a VM answered is unknown, and isn't a call before the crash.
+    """
+    bench.add_job("bad")
+    for id, now in (("w1", NOW), ("w2", NOW + 6)):
+        machine = bench.add_vm(id, answers=False)
+        machine.joined_at = machine.last_contact = now
+        runs = []
+        while not runs:  # a suspect is recorded for a VM before its start
+            now += 0.1
+            bench.answer(machine, now=now)
+            runs = bench.start(now)
+            bench.commit()
+        (run,) = runs
+        for _ in range(7):
+            now += 0.5
+            listed = workers.Running(run.task, run.number, "", 10.0, 100.0)
+            bench.answer(machine, [listed], now=now)
+        bench.pool.latest_time = now + 0.5
+        bench.pool.drop_vm(machine, vm.VmEnd.LOST)
+    crashes = bench.pool.suspects.count(run.task)
+    late = bench.add_vm("w3", answers=False)
+    late.joined_at = late.last_contact = bench.pool.latest_time = NOW + 18
+    bench.pool.drop_vm(late, vm.VmEnd.LOST)
+
+    assert crashes == bench.pool.suspects.count(run.task) == 1
+
+
 def test_end_of_an_earlier_run_keeps_the_assigned_vm(succession):
     """Guards against a late end of an earlier run that withdraws the recorded VM."""
     succession.submit("bad")
