Repeat maintenance orders while other VMs of the pool are down

Cause: VMs that are down counted in the pool's limit for VMs whose orders are to be repeated. With two of six VMs listed as down such a VM wasn't drained, and as it counts towards the wave's ceiling, no VM of any pool could be maintained with a ceiling of one, for as long as they were down (by review).

Change: only drained VMs count in that limit, and one VM of the pool is left open for the tasks that are drained.

Evidence: test_order_is_repeated_while_other_vms_are_down fails on the parent commit, where no closing is planned, and passes now; test_last_open_vm_of_a_pool_is_left_open guards the other side.

--- a/wigeonhitch/maintenance/tests/test_decisions.py
+++ b/wigeonhitch/maintenance/tests/test_decisions.py
@@ -154,6 +154,28 @@
     assert set(state.closings) == {"w-a0"}
 
 
+def test_order_is_repeated_while_other_vms_are_down(state):
+    """Guards against a ceiling that stays used as long as VMs of the pool are down."""
+    down = (make_vm(f"a{n}", state=fleet.VmState.DOWN) for n in (4, 5))
+    state.on_vms((*(make_vm(f"a{n}") for n in range(4)), *down), NOW)
+    start_wave(state, ["a0"], ceiling=1)
+    state.progress[1] = state.progress[1].order("a0", "an earlier worker")
+
+    actions = wave.plan_waves(state, NOW, MAINTENANCE_S)
+
+    assert [action.closing.worker for action in select(actions, core.Close)] == ["w-a0"]
+
+
+def test_last_open_vm_of_a_pool_is_left_open(state):
+    """Guards against a pool that has no VM for the tasks that are drained."""
+    down = (make_vm(f"a{n}", state=fleet.VmState.DOWN) for n in (1, 2))
+    state.on_vms((make_vm("a0"), *down), NOW)
+    start_wave(state, ["a0"], ceiling=1)
+    state.progress[1] = state.progress[1].order("a0", "an earlier worker")
+
+    assert select(wave.plan_waves(state, NOW, MAINTENANCE_S), core.Close) == []
+
+
 def test_repeated_order_waits_for_demand_like_others(state):
     """Guards against capacity that a wave takes away while work waits for it."""
     start_wave(state, ["a0"])
--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -166,7 +166,8 @@
 
     Such a VM counts towards the ceiling, so no other one can be maintained in its
     place: waiting for the others to be drained could last for good. If those use up
-    the limit of its pool, one of them is opened again.
+    the limit of its pool, one of them is opened again. VMs that are down don't count
+    in that limit, as they may stay down, but one VM of the pool is left open.
 
     ``unavailable`` is the number of unavailable VMs by pool, which is brought up to
     date.
@@ -179,16 +180,27 @@
         if _must_wait_for_demand(state, wave, vm.pool, now):
             continue
         size, count = _measure_pool(state, vm.pool, unavailable)
-        if count >= _compute_pool_limit(size) and drained.get(vm.pool):
+        down = _count_down(state, vm.pool)
+        limit = _compute_pool_limit(size)
+        if count - down >= limit and drained.get(vm.pool):
             actions.append(core.Open(drained[vm.pool].pop().worker))
             count -= 1
-        if count < _compute_pool_limit(size):
+        if count - down < limit and (count + 1 < size or size == 1):
             count += 1
             actions.append(core.Close(record.Closing(vm.worker, vm.id, wave.number)))
         unavailable[vm.pool] = count
     return actions
 
 
+def _count_down(state: core.FleetState, pool: str) -> int:
+    """Return how many VMs of a pool aren't up."""
+    return sum(
+        1
+        for vm in state.vms.values()
+        if vm.pool == pool and vm.state is not fleet.VmState.UP
+    )
+
+
 def _list_drained(
     state: core.FleetState, wave: entries.WaveOrder
 ) -> dict[str, list[record.Closing]]:
