Start the watch of a wave before the wave is resumed

Cause: test_wave_is_planned_paused_resumed_watched_and_ends resumes a wave and then starts the command that watches it. Beside plays (load 18) the command needed so long to start that the wave had ended before its first request: it reported done, 10 of 10, and printed no progress.

Change: the watch is started while the wave is paused, the test waits until it prints that, and then resumes the wave. The checks are the same, and there is one more, that the paused wave is shown.

--- a/wigeonhitch/daemon/tests/test_command.py
+++ b/wigeonhitch/daemon/tests/test_command.py
@@ -58,31 +58,51 @@
 
 
 @pytest.fixture(scope="module")
-def run(running):
-    """Return a function that runs the command and returns its exit code and output."""
+def start(running):
+    """Return a function that starts the command and returns its process."""
     urls = [
         f"http://127.0.0.1:{daemon.operators}" for daemon in running.daemons.values()
     ]
 
-    def run(*arguments, who="ana", daemon=""):
+    def start(*arguments, who="ana", daemon=""):
         environment = {
             "WIGEONHITCH_DAEMON": daemon or ",".join(urls),
             "WIGEONHITCH_OPERATOR": who,
             "WIGEONHITCH_SECRET": siteclient.SECRET,
         }
-        result = subprocess.run(
+        return subprocess.Popen(
             [sys.executable, "-m", "wigeonhitch.command.main", *arguments],
             env=os.environ | environment,
-            capture_output=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
             text=True,
-            timeout=COMMAND_TIMEOUT_SECONDS,
         )
-        assert "Traceback" not in result.stderr, result.stderr
-        return CommandResult(result.returncode, result.stdout, result.stderr)
+
+    return start
+
+
+@pytest.fixture(scope="module")
+def run(start):
+    """Return a function that runs the command and returns its exit code and output."""
+
+    def run(*arguments, **options):
+        with start(*arguments, **options) as process:
+            return finish(process)
 
     return run
 
 
+def finish(process):
+    """Wait for a command; return its exit code and output."""
+    try:
+        output, errors = process.communicate(timeout=COMMAND_TIMEOUT_SECONDS)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        raise
+    assert "Traceback" not in errors, errors
+    return CommandResult(process.returncode, output, errors)
+
+
 @pytest.fixture(scope="module")
 def in_force(running, run, fleet):
     """Put the example in force through the command only."""
@@ -123,7 +143,7 @@
     assert (result.exit, "submitted: 20" in result.output) == (Exit.DONE, True)
 
 
-def test_wave_is_planned_paused_resumed_watched_and_ends(run, in_force):
+def test_wave_is_planned_paused_resumed_watched_and_ends(run, start, in_force):
     result = run("wave", "plan", "monthly")
     assert (result.exit, "10m" in result.output) == (Exit.DONE, True)
     assert run("wave", "start", "monthly", who="eva").exit == Exit.REFUSED
@@ -133,8 +153,11 @@
     result = run("wave", "show", "monthly")
     assert "status: paused" in result.output
     assert "wave monthly is paused" in result.output
-    assert run("wave", "resume", "monthly").exit == Exit.DONE
-    result = run("wave", "watch", "monthly", "--period", "0.2")
+    # A command that is started after the wave is resumed may miss the whole wave.
+    with start("wave", "watch", "monthly", "--period", "0.2") as watching:
+        assert "monthly: paused" in watching.stderr.readline()
+        assert run("wave", "resume", "monthly").exit == Exit.DONE
+        result = finish(watching)
     assert (result.exit, "done: 10 of 10" in result.output) == (Exit.DONE, True)
     assert "of 10 done, active worker-" in result.errors
     result = run("wave", "abort", "monthly")
