Suspend VMs and pace renewals only where workers report their starts

Change: both depend on the start that a worker reports, as the other measures do. Elsewhere calls are as before these measures.

Evidence: the new test fails on the parent commit (no VM to renew) and passes now; the tests of the dispatcher and of the order of incarnations pass.

--- a/wigeonhitch/pool/dispatcher.py
+++ b/wigeonhitch/pool/dispatcher.py
@@ -235,6 +235,8 @@
         for order in self._plan_paces(machine):
             await self.send_pace(order)
         await self._wait_until_committed(machine)
-        if acknowledged < machine.committed_end and machine.processed_end == processed:
+        is_unacknowledged = acknowledged < machine.committed_end
+        is_repeated = is_unacknowledged and machine.processed_end == processed
+        if entry.start_ms and is_repeated:
             # A worker that lists ends which aren't acknowledged answers at once.
             await anyio.sleep(RETRY_DELAY_SECONDS)
--- a/wigeonhitch/pool/roster.py
+++ b/wigeonhitch/pool/roster.py
@@ -155,6 +155,8 @@
         known = self.list_by_worker(entry.id)
         self._unlist(known)
         for machine in known:
+            if not (machine.entry.start_ms or machine.is_placeholder):
+                continue  # without starts, a worker that is restarted has another id
             if not machine.is_suspended:
                 self._log_event("VM suspended", vm=machine.id, pool_of_entry=entry.pool)
             machine.is_suspended = True
@@ -194,7 +196,7 @@
         self._vms[id] = machine
         # An entry is more likely than a row to be that of the current incarnation.
         self._vms_by_worker.setdefault(worker, []).insert(0, machine)
-        machine.is_suspended = worker in self._elsewhere
+        machine.is_suspended = start_ms > 0 and worker in self._elsewhere
         self._update_contested(worker)
 
     def add_placeholder(self, former: vm.Vm, now: float) -> vm.Vm:
--- a/wigeonhitch/pool/tests/test_incarnation_order.py
+++ b/wigeonhitch/pool/tests/test_incarnation_order.py
@@ -149,6 +149,18 @@
     assert run.task not in bench.pool.live
 
 
+def test_vm_is_called_after_an_entry_of_another_pool_where_no_starts_are_reported(
+    bench,
+):
+    """Guards against leases that aren't renewed where each worker has its own id."""
+    machine = bench.add_vm("w2")
+
+    bench.pool.on_worker(machine.entry._replace(pool="other"), NOW)
+
+    assert not machine.listed
+    assert bench.pool.roster.select_for_renewal("w2") is machine
+
+
 def test_worker_is_used_again_after_an_entry_that_named_another_pool(
     bench, machine, run, read_entry
 ):
