Compare the times of two lost VMs without a check of their types

A function took a VM or the record of a lost one and asked which it was. It now takes the two times, and the record compares itself with a VM of its rack. A variable that was named after one of its two meanings is renamed. Behaviour is unchanged: the tests of crashes and of maintenance decisions pass.

--- a/wigeonhitch/maintenance/wave.py
+++ b/wigeonhitch/maintenance/wave.py
@@ -212,8 +212,8 @@
     drained: dict[str, list[record.Closing]] = {}
     for closing in state.closings.values():
         vm = state.vms.get(closing.vm)
-        is_open_order = closing.vm in progress.ordered or closing.vm in progress.done
-        if closing.wave != wave.number or closing.ended or vm is None or is_open_order:
+        has_order = closing.vm in progress.ordered or closing.vm in progress.done
+        if closing.wave != wave.number or closing.ended or vm is None or has_order:
             continue
         if vm.worker == closing.worker:
             drained.setdefault(vm.pool, []).append(closing)
--- a/wigeonhitch/pool/suspect.py
+++ b/wigeonhitch/pool/suspect.py
@@ -99,6 +99,12 @@
     had_test: bool
     proven: frozenset[model.Task]
 
+    def is_with(self, machine: vm.Vm) -> bool:
+        """Return whether a VM of the same rack was lost at the same time."""
+        return machine.rack == self.rack and _is_lost_together(
+            machine, self.last_contact, self.alive_at
+        )
+
 
 class Suspects:
     """Suspects among the tasks of one pool.
@@ -469,7 +475,7 @@
     def _withdraw_proven(self, machine: vm.Vm) -> None:
         """Withdraw what counted for VMs that were lost with the same rack before."""
         for loss in self._losses:
-            if not _is_lost_together(loss, machine):
+            if not loss.is_with(machine):
                 continue
             for task in loss.proven:
                 state = self._jobs.get(task.job)
@@ -544,26 +550,25 @@
         ]
         if any(not peer.is_silent for peer in peers):
             return False
-        return any(_is_lost_together(peer, machine) for peer in peers) or any(
-            not loss.had_suspects and _is_lost_together(loss, machine)
-            for loss in self._losses
+        return any(
+            _is_lost_together(machine, peer.last_contact, _get_alive_at(peer))
+            for peer in peers
+        ) or any(
+            not loss.had_suspects and loss.is_with(machine) for loss in self._losses
         )
 
 
-def _is_lost_together(other: _Loss | vm.Vm, machine: vm.Vm) -> bool:
+def _is_lost_together(machine: vm.Vm, last_contact: float, alive_at: float) -> bool:
     """Return whether a VM was lost at the same time as another one of its rack.
 
-    They weren't if one has answered a call that was sent long after the other's last
+    ``last_contact`` and ``alive_at`` are those of the other one. They weren't lost
+    together if one has answered a call that was sent long after the other's last
     answer.
     """
-    other_alive_at = (
-        _get_alive_at(other) if isinstance(other, vm.Vm) else other.alive_at
-    )
     outlived = max(
-        other_alive_at - machine.last_contact,
-        _get_alive_at(machine) - other.last_contact,
+        alive_at - machine.last_contact, _get_alive_at(machine) - last_contact
     )
-    return other.rack == machine.rack and outlived <= MASS_LOSS_SECONDS
+    return outlived <= MASS_LOSS_SECONDS
 
 
 def _get_alive_at(machine: vm.Vm) -> float:
