--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -d target/deps ] || exit 2
+PYTHONPATH="$PWD/target/deps:$PWD" PYTHONDONTWRITEBYTECODE=1 exec python3 -m review.8.case
