--- a/review/standins2/site.py
+++ b/review/standins2/site.py
@@ -302,6 +302,8 @@
         self.changed = asyncio.Event()
         self.alive = True
         self.hangs = False
+        self.born = 0
+        """Unix milliseconds of its start, 0 where workers don't report it."""
 
     def clock(self) -> float:
         """Return the worker's own steady clock."""
@@ -353,6 +355,8 @@
 
     def _reply(self, status: int = 200, **fields: object) -> web.Response:
         fields["clock_ms"] = int(self.clock() * 1000)
+        if self.born:
+            fields["born"] = self.born
         return web.json_response(fields, status=status)
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
@@ -617,6 +621,8 @@
             "labels": [machine.kind, machine.rack],
             "clock_ms": int(worker.clock() * 1000),
         }
+        if worker.born:
+            entry["born"] = worker.born
         self.store.put_json("servers", worker.id, entry)
 
     async def _beat(self) -> None:
