--- a/review/8/case.py
+++ b/review/8/case.py
@@ -19,7 +19,8 @@
 EARLY_JOBS = 5
 """Jobs of each queue that come one after the other while answers are lost."""
 
-EARLY_PAUSE_SECONDS = 0.4
+EARLY_AFTER_SECONDS = 1.2
+EARLY_PAUSE_SECONDS = 0.5
 BURST_JOBS = 8
 """Jobs of each queue that come together at the end of that time."""
 
@@ -64,6 +65,7 @@
         site.record.add("store loses answers", share=LOST_SHARE)
     began = site.record.now()
     users = []
+    await asyncio.sleep(EARLY_AFTER_SECONDS)
     for _ in range(EARLY_JOBS):
         await asyncio.sleep(EARLY_PAUSE_SECONDS)
         users.extend(asyncio.ensure_future(submit(pool)) for pool in POOLS)
