Log and count the attempts to write a pool's status

Change: a counter of the attempts by outcome, and a line with the number of waiting jobs for each attempt that wasn't answered with success.

--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -451,11 +451,31 @@
                 )
                 if change.outcome is table.Outcome.DONE:
                     published = status
+                self._record_status_write(status, change)
             self._wake_status = anyio.Event()
             await anyio.sleep(MIN_STATUS_INTERVAL_SECONDS)
             with anyio.move_on_after(STATUS_PERIOD_SECONDS):
                 await self._wake_status.wait()
 
+    def _record_status_write(
+        self, status: pool_record.PoolStatus, change: rows.Change
+    ) -> None:
+        """Count an attempt to write the status, and log it unless it was answered."""
+        self.deps.instruments.count(
+            "status_writes_total",
+            "Attempts to write the status of led pools, by outcome.",
+            outcome=change.reason
+            if change.reason == "conflict"
+            else change.outcome.value,
+        )
+        if change.outcome is not table.Outcome.DONE:
+            self._log_event(
+                "status not written",
+                outcome=change.outcome.value,
+                reason=change.reason,
+                waiting=sum(status.waiting.values()),
+            )
+
     # -- helpers
 
     def _wake(self) -> None:
