Expect the status row's own version when a pool's status is written

Cause: a write of the status depended on the leadership only. One that the store applied seconds late replaced a newer one of the same leader, which took the newer one for published. Change: each attempt expects the row's version, known from the takeover on. The version alone leaves an attempt valid whose figures have gone back meanwhile, so a status is written again after an attempt without an answer until one is confirmed; that voids all earlier attempts. The row's state and decisions move from the runner to the module publication. Related paths: all other rows of leaders, daemons and operators' commands are written under their own versions or voided; the status was the exception.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -31,6 +31,8 @@
         Transactions that were deferred; `apply_deferred` applies them.
     deferred_commits : int
         Number of the next transactions that are deferred, without an answer.
+    deferred_tables : set of str
+        Tables for which all transactions that write to them are deferred.
     allows_cross_part : bool
         Whether a transaction may span several parts; otherwise it is refused.
     """
@@ -39,6 +41,7 @@
         self.is_down = False
         self.lost_answers = 0
         self.deferred_commits = 0
+        self.deferred_tables: set[str] = set()
         self.allows_cross_part = True
         self.deferred: list[rows.Transaction] = []
         self.calls = 0
@@ -76,8 +79,9 @@
         parts = {item.part for item in (*change.conditions, *change.writes)}
         if len(parts) > 1 and not self.allows_cross_part:
             return rows.Change(NOT_DONE, reason="status 400")
-        if self.deferred_commits:
-            self.deferred_commits -= 1
+        is_deferred = any(w.table in self.deferred_tables for w in change.writes)
+        if self.deferred_commits or is_deferred:
+            self.deferred_commits = max(0, self.deferred_commits - 1)
             self.deferred.append(change)
             return rows.Change(UNKNOWN, reason="timeout")
         result = self._apply(change)
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -17,6 +17,7 @@
     load,
     message,
     planner,
+    publication,
     quota,
     source,
     vm,
@@ -135,6 +136,7 @@
         self._commits = log.OutageLogger("commit of ends")
         self._is_store_quick = True
         self._source = source.Source(self.pool, deps.store, self._wake)
+        self._publication = publication.Publication(owner, self._log_event)
         self._dispatcher = dispatcher.Dispatcher(
             self.pool,
             deps,
@@ -185,6 +187,7 @@
         """Lead until stopped or deposed."""
         with self._scope:
             after = await self._source.load()
+            self._publication.on_row(self._source.status_version)
             async with anyio.create_task_group() as group:
                 group.start_soon(self._source.follow, after)
                 group.start_soon(self._run_commits)
@@ -435,25 +438,20 @@
             )
 
     async def _publish_status(self) -> None:
-        published = None
         while True:
             status = self.planner.build_status(http.read_clock(), time.time())
-            if status != published and self.deps.may_order():
-                owner = leader_record.expect_owner(self.owner.pool, self.owner.version)
-                write = rows.Write(
-                    pool_record.STATUS_TABLE,
-                    self.owner.pool,
-                    pool_record.STATUS_TABLE,
-                    pool_record.write_status(status, time.time()),
-                )
+            transaction = self._publication.build_transaction(status, time.time())
+            must_repeat = False
+            if transaction is not None and self.deps.may_order():
                 change = await self.deps.store.commit(
-                    rows.Transaction((owner,), (write,)), timeout=COMMIT_TIMEOUT_SECONDS
+                    transaction, timeout=COMMIT_TIMEOUT_SECONDS
                 )
-                if change.outcome is table.Outcome.DONE:
-                    published = status
+                must_repeat = self._publication.on_result(status, change)
                 self._record_status_write(status, change)
             self._wake_status = anyio.Event()
             await anyio.sleep(MIN_STATUS_INTERVAL_SECONDS)
+            if must_repeat:
+                continue
             with anyio.move_on_after(STATUS_PERIOD_SECONDS):
                 await self._wake_status.wait()
 
--- a/wigeonhitch/pool/source.py
+++ b/wigeonhitch/pool/source.py
@@ -48,6 +48,11 @@
         The platform's store.
     wake : callable
         Called after new rows.
+
+    Attributes
+    ----------
+    status_version : int
+        Version of the row of the pool's status at the takeover, 0 if there was none.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         self._pool = pool
         self._store = store
         self._wake = wake
+        self.status_version = 0
         self._log_event = pool.log_event
         self._job_table = pool_record.get_job_table(pool.name)
         self._reads = anyio.CapacityLimiter(MAX_PARALLEL_READS)
@@ -90,7 +96,7 @@
         """Read the pool's rows; return the version from which to follow the jobs."""
         part = self._pool.name
         async with anyio.create_task_group() as group:
-            group.start_soon(self._load_lag)
+            group.start_soon(self._load_status)
             version = await self._load_jobs()
         progress = await self._read_all(pool_record.PROGRESS_TABLE, part)
         for row in progress.rows:
@@ -110,13 +116,13 @@
         self._log_event("pool loaded", jobs=len(self._pool.jobs), vms=len(roster.rows))
         return version
 
-    async def _load_lag(self) -> None:
-        """Read what teams have used in advance, as the former leader published it."""
+    async def _load_status(self) -> None:
+        """Read the former leader's status: its version, and the lag of teams."""
         status = await self._read_all(pool_record.STATUS_TABLE, self._pool.name)
-        value = next(
-            (row.value for row in status.rows if row.key == pool_record.STATUS_TABLE),
-            None,
-        )
+        value = None
+        for row in status.rows:
+            if row.key == pool_record.STATUS_TABLE:
+                value, self.status_version = row.value, row.version
         lag, is_readable = pool_record.read_lag(value, time.time())
         if not is_readable:
             self._log_event("lag of teams not readable", teams=len(lag))
