Log and count cancellations that find no job

Change: each outcome of a cancellation gets the line and the counter that cancellations of accepted jobs have.

--- a/wigeonhitch/site/handler.py
+++ b/wigeonhitch/site/handler.py
@@ -126,22 +126,23 @@
 
     async def cancel(self, queue: model.Queue, id: str) -> message.Answer:
         """Cancel a job by writing its row again with a cancellation mark."""
+        answer = await self._try_to_cancel(queue, id)
+        self._record_outcome("job cancelled by its caller", queue, id, answer)
+        return answer
+
+    async def _try_to_cancel(self, queue: model.Queue, id: str) -> message.Answer:
         deadline = http.read_clock() + acceptance.REQUEST_TIMEOUT_SECONDS
-        answer = message.Answer(message.Verdict.UNKNOWN)
         while http.read_clock() < deadline:
             lookup = await self._find(queue, id)
             if not isinstance(lookup, jobrows.StoredJob):
                 return lookup
             if lookup.parsed.job is None or lookup.parsed.cancelled:
-                answer = message.Answer(message.Verdict.ACCEPTED)
-                break
+                return message.Answer(message.Verdict.ACCEPTED)
             result = await self._mark_cancelled(lookup)
             if result.outcome is table.Outcome.DONE:
-                answer = message.Answer(message.Verdict.ACCEPTED)
-                break
+                return message.Answer(message.Verdict.ACCEPTED)
             await anyio.sleep(acceptance.RETRY_DELAY_SECONDS)
-        self._record_outcome("job cancelled by its caller", queue, id, answer)
-        return answer
+        return message.Answer(message.Verdict.UNKNOWN)
 
     async def count(self, queue: model.Queue) -> message.Answer:
         """Return how many accepted jobs have not started."""
