Remove expired rows of final jobs in batches, and while others are compacted

Cause: by the code, a row is removed only when no other waits to be compacted, one in each transaction, four a second at most. A pool that always completes jobs never removes any. Change: compaction and removal take turns, and a removal takes up to 20 expired rows of one part. Test: two tests of the compactor, both of which fail before. The test of an unanswered removal let its second row expire together with the first; both are then in one transaction now. It is replaced by two cases, with rows of one part and of two, that check the same and that a batch goes on without a row that is gone.

--- a/wigeonhitch/pool/compaction.py
+++ b/wigeonhitch/pool/compaction.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import itertools
 from typing import NamedTuple
 
 from wigeonhitch.jobs import model, progress, record
@@ -16,7 +17,11 @@
 __all__ = ["Compactor", "RowLocation"]
 
 MAX_ROWS_PER_TRANSACTION = 20
-"""Largest number of rows compacted in one transaction."""
+"""Largest number of rows compacted or removed in one transaction. A removal takes three
+of the 100 entries that the store allows."""
+
+MAX_SCANNED_ROWS = 1000
+"""Number of expired rows among which those of one part are looked for."""
 
 
 class RowLocation(NamedTuple):
@@ -64,6 +69,8 @@
         )
         self._compacted_versions: dict[str, int] = {}
         """Versions of rows that were compacted and haven't been read since."""
+        self._has_removed_last = False
+        """Whether the last work was a removal."""
 
     def add(
         self,
@@ -104,10 +111,17 @@
         return self.is_final(id, 0)
 
     def collect(self, store_time: float, retention: float) -> Work | None:
-        """Return the next rows to write, all of one part, or None."""
-        if self._finals:
-            return self._compact(store_time)
-        return self._remove(store_time - retention)
+        """Return the next rows to write, all of one part, or None.
+
+        Compaction and removal take turns, since a busy pool always has rows to compact.
+        """
+        removal = self._remove(store_time - retention)
+        self._has_removed_last = removal is not None and not (
+            self._finals and self._has_removed_last
+        )
+        if self._has_removed_last:
+            return removal
+        return self._compact(store_time) if self._finals else None
 
     def on_result(self, work: Work, change: rows.Change) -> tuple[str, ...]:
         """Apply an answer; return the jobs whose progress rows may be removed."""
@@ -143,16 +157,24 @@
         return Work(transaction, tuple(id for id, _ in chosen), False)
 
     def _remove(self, before: float) -> Work | None:
-        for id, row in self._compacted.items():
-            if row.finished >= before:
-                return None
-            condition = rows.Condition(*row.location, id, row.version)
-            removed = (
-                rows.Write(*row.location, id, None),
-                rows.Write(pool_record.HOLDER_TABLE, row.location.part, id, None),
+        conditions: list[rows.Condition] = []
+        removed: list[rows.Write] = []
+        location: RowLocation | None = None
+        for id, row in itertools.islice(self._compacted.items(), MAX_SCANNED_ROWS):
+            if row.finished >= before or len(conditions) == MAX_ROWS_PER_TRANSACTION:
+                break
+            location = location or row.location
+            if row.location != location:
+                continue
+            conditions.append(rows.Condition(*location, id, row.version))
+            removed.append(rows.Write(*location, id, None))
+            removed.append(
+                rows.Write(pool_record.HOLDER_TABLE, location.part, id, None)
             )
-            return Work(rows.Transaction((condition,), removed), (id,), True)
-        return None
+        if not conditions:
+            return None
+        ids = tuple(condition.key for condition in conditions)
+        return Work(rows.Transaction(tuple(conditions), tuple(removed)), ids, True)
 
     def _update_version(self, row: rows.Row) -> None:
         """Record the version of a row that was cancelled or compacted meanwhile."""
