Withdraw a job that is cancelled before it is accepted

Cause: 410 was told from a read while a write of the submission was under way. The store may apply it late, its daemon repeats it for up to 2.3 s, and a relay may deliver it late; a read shows nothing about these. Change: a cancellation that finds no job writes the holder row, whose absence every acceptance expects, marked as withdrawn, and a final job row beside it, by which the pool's leader removes both after the retention time. 410 is told once a row is there that no acceptance gets past. If an acceptance comes first, the same call cancels the job. A later submission is refused as not run, with that time as Retry-After. A daemon withdraws at most 1,000 jobs of a team in that time. Cost: one write more for a cancellation that finds no job, none for others.

--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -23,6 +23,7 @@
     "write_final",
     "write_job",
     "write_progress",
+    "write_withdrawn",
 ]
 
 STEP_FLAGS = ("checkpoint", "gang", "same_rack", "speculative", "lasting", "fills")
@@ -58,7 +59,8 @@
 
     ``finished`` is the store's time in seconds when the row was reduced to the final
     state, ``pool`` the pool that accepted the job. ``path`` is the path by which it was
-    submitted; rows of earlier versions have none.
+    submitted; rows of earlier versions have none. ``is_withdrawn`` means that the job
+    was cancelled before any daemon had accepted it, so that there never was one.
     """
 
     job: model.Job | None
@@ -68,6 +70,7 @@
     finished: float = 0.0
     pool: str = ""
     path: model.RoutePath = model.UNKNOWN_PATH
+    is_withdrawn: bool = False
 
 
 def write_job(
@@ -108,18 +111,35 @@
     return orjson.dumps(row)
 
 
+def write_withdrawn(pool: str, finished: float) -> bytes:
+    """Return the row of a submission that was cancelled before it was accepted.
+
+    Earlier versions take it for the final state of a cancelled job.
+    """
+    fields = orjson.loads(write_final(model.JobState.CANCELLED, pool, finished))
+    return orjson.dumps({**fields, "withdrawn": True})
+
+
 def read_job(id: str, value: bytes) -> JobRecord:
     """Read a job row.
 
     Raises
     ------
     ValueError, KeyError, TypeError
-        If the row wasn't written by `write_job` or `write_final`.
+        If the row wasn't written by `write_job`, `write_final` or `write_withdrawn`.
     """
     row = orjson.loads(value)
     if "final" in row:
         state = model.JobState(row["final"])
-        return JobRecord(None, 0.0, False, state, row["finished"], row["pool"])
+        return JobRecord(
+            None,
+            0.0,
+            False,
+            state,
+            row["finished"],
+            row["pool"],
+            is_withdrawn=row.get("withdrawn", False),
+        )
     times, first_due, interval = row.get("times", (0, 0.0, 0.0))
     steps = tuple(_read_step(fields) for fields in row["steps"])
     schedule = (times, first_due, interval)
--- a/wigeonhitch/platform/ingress.py
+++ b/wigeonhitch/platform/ingress.py
@@ -93,7 +93,7 @@
         if method == "GET":
             return await self._handler.show(queue, id)
         if method == "DELETE":
-            return await self._handler.cancel(queue, id)
+            return await self._handler.cancel(queue, id, team.name)
         if method != "POST" or not id or body is None:
             return message.Answer(message.Verdict.INVALID, reason="method, id or body")
         try:
--- a/wigeonhitch/platform/tests/test_site.py
+++ b/wigeonhitch/platform/tests/test_site.py
@@ -361,7 +361,7 @@
     async def show(self, queue, id):
         return self.answer
 
-    async def cancel(self, queue, id):
+    async def cancel(self, queue, id, team):
         return self.answer
 
     async def count(self, queue):
--- a/wigeonhitch/pool/record.py
+++ b/wigeonhitch/pool/record.py
@@ -14,15 +14,18 @@
     "JOB_TABLE",
     "PROGRESS_TABLE",
     "ROSTER_TABLE",
+    "Holder",
     "PathCount",
     "PoolStatus",
     "RosterRow",
     "list_job_parts",
     "get_job_part",
     "get_job_table",
+    "read_holder",
     "read_lag",
     "read_status",
     "read_roster",
+    "write_holder",
     "write_status",
     "write_roster",
 ]
@@ -62,6 +65,33 @@
     return [f"~job.{number}" for number in range(JOB_PARTS)]
 
 
+WITHDRAWN_SUFFIX = b"\0withdrawn"
+"""Added to the pool in the holder row of a withdrawn submission. Earlier versions take
+the whole for a pool, which holds no jobs."""
+
+
+class Holder(NamedTuple):
+    """Content of a holder row.
+
+    While the row exists, no acceptance of the job succeeds. ``is_withdrawn`` means that
+    the job was cancelled before one did.
+    """
+
+    pool: str
+    is_withdrawn: bool = False
+
+
+def write_holder(holder: Holder) -> bytes:
+    """Return a holder row."""
+    return holder.pool.encode() + (WITHDRAWN_SUFFIX if holder.is_withdrawn else b"")
+
+
+def read_holder(value: bytes) -> Holder:
+    """Read a holder row."""
+    pool = value.removesuffix(WITHDRAWN_SUFFIX)
+    return Holder(pool.decode(), pool != value)
+
+
 class PathCount(NamedTuple):
     """Number of jobs without a started task that a queue accepted by one path."""
 
--- a/wigeonhitch/site/acceptance.py
+++ b/wigeonhitch/site/acceptance.py
@@ -14,7 +14,7 @@
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import http, rows, table
 from wigeonhitch.pool import record as pool_record
-from wigeonhitch.site import jobrows, message
+from wigeonhitch.site import jobrows, message, withdrawal
 
 __all__ = ["REQUEST_TIMEOUT_SECONDS", "RETRY_DELAY_SECONDS", "Acceptance"]
 
@@ -32,6 +32,8 @@
     ----------
     store : rows.RowStore
         The platform's store.
+    withdrawals : withdrawal.Withdrawals
+        Refuses what was cancelled before.
     is_store_unreachable : callable
         Whether this daemon hasn't reached the store for some time. The caller is then
         answered at once, so that its next attempt reaches another daemon.
@@ -40,9 +42,11 @@
     def __init__(
         self,
         store: rows.RowStore,
+        withdrawals: withdrawal.Withdrawals,
         is_store_unreachable: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
+        self._withdrawals = withdrawals
         self._is_store_unreachable = is_store_unreachable
 
     async def accept(self, queue: model.Queue, job: model.Job) -> message.Answer:
@@ -54,6 +58,9 @@
             result = await self._commit(transaction)
             if result.outcome is table.Outcome.DONE:
                 return message.Answer(message.Verdict.ACCEPTED, reason=result.reason)
+            if result.reason == withdrawal.REASON:
+                # The row excludes that an earlier attempt was or will be applied.
+                return self._withdrawals.refuse_submission()
             may_be_written = may_be_written or result.outcome is table.Outcome.UNKNOWN
             if not may_be_written and result.reason != "conflict":
                 return message.refuse(result.reason)
@@ -75,7 +82,11 @@
         result = await self._store.commit(
             transaction, timeout=jobrows.CALL_TIMEOUT_SECONDS
         )
-        if any(row.value is not None for row in result.conflicts):
+        for row in result.conflicts:
+            if row.value is None:
+                continue
+            if pool_record.read_holder(row.value).is_withdrawn:
+                return result._replace(reason=withdrawal.REASON)
             return result._replace(outcome=table.Outcome.DONE, reason="known")
         return result
 
@@ -93,7 +104,9 @@
     return rows.Transaction(
         (no_holder,),
         (
-            rows.Write(*no_holder[:3], queue.pool.encode()),
+            rows.Write(
+                *no_holder[:3], pool_record.write_holder(pool_record.Holder(queue.pool))
+            ),
             rows.Write(pool_record.get_job_table(queue.pool), *location, value),
         ),
     )
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -121,6 +121,7 @@
             instruments,
             self._monitored_store.is_unreachable,
             self._configuration.get_currency,
+            settings.bounds.final_retention,
         )
 
     @property
--- a/wigeonhitch/site/handler.py
+++ b/wigeonhitch/site/handler.py
@@ -12,6 +12,7 @@
 
 from wigeonhitch.jobs import credential, model, progress, record
 from wigeonhitch.platform import http, rows, table
+from wigeonhitch.pool import record as pool_record
 from wigeonhitch.site import (
     acceptance,
     authorization,
@@ -20,6 +21,7 @@
     message,
     routes,
     waiting,
+    withdrawal,
 )
 from wigeonhitch.telemetry import log, metric
 
@@ -41,6 +43,8 @@
         timeout on each would take up most of the callers' time.
     get_currency : callable
         Returns how current the configuration in force is known to be.
+    final_retention : float
+        Seconds for which rows of final jobs are kept.
     """
 
     def __init__(
@@ -52,6 +56,7 @@
         get_currency: Callable[[], configuration.Currency] = lambda: (
             configuration.Currency.CONFIRMED
         ),
+        final_retention: float = 120.0,
     ) -> None:
         self._store = store
         self._get_currency = get_currency
@@ -62,7 +67,10 @@
         self._indexed: model.Catalogue | None = None
         self._index = routes.RouteIndex()
         self._waiting = waiting.WaitingJobCounter(store, self._get_routes)
-        self._acceptance = acceptance.Acceptance(store, is_store_unreachable)
+        self._withdrawals = withdrawal.Withdrawals(store, final_retention)
+        self._acceptance = acceptance.Acceptance(
+            store, self._withdrawals, is_store_unreachable
+        )
         self._authorizer = authorization.Authorizer(
             get_catalogue, get_currency, instruments
         )
@@ -122,25 +130,51 @@
                 return message.Answer(message.Verdict.FOUND, state)
         if isinstance(lookup, jobrows.StoredJob):
             return message.Answer(message.Verdict.FOUND, lookup.parsed.final)
+        if isinstance(lookup, jobrows.Absence):
+            return message.Answer(message.Verdict.MISSING)
         return lookup
 
-    async def cancel(self, queue: model.Queue, id: str) -> message.Answer:
-        """Cancel a job by writing its row again with a cancellation mark."""
-        answer = await self._try_to_cancel(queue, id)
+    async def cancel(
+        self, queue: model.Queue, id: str, team: str = ""
+    ) -> message.Answer:
+        """Cancel a job for a caller of a team.
+
+        An accepted job's row is written again with a cancellation mark. If there is no
+        job, a submission of it may be under way, so ``MISSING`` is answered only once
+        none can be accepted any more.
+        """
+        if jobrows.is_possible_id(id):
+            answer = await self._try_to_cancel(queue, id, team)
+        else:
+            answer = message.Answer(message.Verdict.MISSING, reason="impossible id")
         self._record_outcome("job cancelled by its caller", queue, id, answer)
         return answer
 
-    async def _try_to_cancel(self, queue: model.Queue, id: str) -> message.Answer:
+    async def _try_to_cancel(
+        self, queue: model.Queue, id: str, team: str
+    ) -> message.Answer:
         deadline = http.read_clock() + acceptance.REQUEST_TIMEOUT_SECONDS
         while http.read_clock() < deadline:
             lookup = await self._find(queue, id)
-            if not isinstance(lookup, jobrows.StoredJob):
+            if isinstance(lookup, message.Answer):
                 return lookup
-            if lookup.parsed.job is None or lookup.parsed.cancelled:
+            if isinstance(lookup, jobrows.Absence):
+                if lookup.is_lasting:
+                    return message.Answer(message.Verdict.MISSING)
+                refusal = self._withdrawals.check_limit(team)
+                if refusal is not None:
+                    return refusal
+                result = await self._withdrawals.withdraw(
+                    queue.pool, id, team, lookup.store_time
+                )
+                verdict = message.Verdict.MISSING
+            elif lookup.parsed.job is None or lookup.parsed.cancelled:
                 return message.Answer(message.Verdict.ACCEPTED)
-            result = await self._mark_cancelled(lookup)
+            else:
+                result = await self._mark_cancelled(lookup)
+                verdict = message.Verdict.ACCEPTED
             if result.outcome is table.Outcome.DONE:
-                return message.Answer(message.Verdict.ACCEPTED)
+                return message.Answer(verdict, reason=result.reason)
             await anyio.sleep(acceptance.RETRY_DELAY_SECONDS)
         return message.Answer(message.Verdict.UNKNOWN)
 
@@ -178,7 +212,7 @@
 
     async def _find(
         self, queue: model.Queue, id: str
-    ) -> jobrows.StoredJob | message.Answer:
+    ) -> jobrows.StoredJob | jobrows.Absence | message.Answer:
         """Find a job in its queue's pool, or else in the pool that holds it."""
         lookup = await self._jobs.find(queue.pool, id)
         if _is_absent(lookup):
@@ -187,12 +221,13 @@
             if holder.outcome is not table.Outcome.DONE:
                 return message.refuse(holder.reason)
             if not holder.rows:
-                return message.Answer(message.Verdict.MISSING)
-            lookup = await self._jobs.find((holder.rows[0].value or b"").decode(), id)
-        if isinstance(lookup, jobrows.StoredJob):
+                return jobrows.Absence(is_lasting=False, store_time=holder.store_time)
+            pool = pool_record.read_holder(holder.rows[0].value or b"").pool
+            lookup = await self._jobs.find(pool, id)
+        if isinstance(lookup, jobrows.StoredJob) and not lookup.parsed.is_withdrawn:
             return lookup
-        if _is_absent(lookup):
-            return message.Answer(message.Verdict.MISSING)
+        if isinstance(lookup, jobrows.StoredJob) or _is_absent(lookup):
+            return jobrows.Absence(is_lasting=True)
         return message.refuse(lookup.reason)
 
     def _refuse_path(self, path: str, reason: str) -> message.Answer:
@@ -221,7 +256,9 @@
         )
 
 
-def _is_unfinished(lookup: jobrows.StoredJob | message.Answer) -> bool:
+def _is_unfinished(
+    lookup: jobrows.StoredJob | jobrows.Absence | message.Answer,
+) -> bool:
     """Return whether a job was found whose own row isn't final."""
     return isinstance(lookup, jobrows.StoredJob) and lookup.parsed.final is None
 
--- a/wigeonhitch/site/jobrows.py
+++ b/wigeonhitch/site/jobrows.py
@@ -6,12 +6,27 @@
 from wigeonhitch.platform import rows, table
 from wigeonhitch.pool import record as pool_record
 
-__all__ = ["CALL_TIMEOUT_SECONDS", "JobReader", "StoredJob"]
+__all__ = [
+    "CALL_TIMEOUT_SECONDS",
+    "Absence",
+    "JobReader",
+    "StoredJob",
+    "is_possible_id",
+]
 
 CALL_TIMEOUT_SECONDS = 0.9
 """Timeout of one store call; it usually takes 4 ms, 0.25 s if the store is slow."""
 
 
+MAX_KEY_BYTES = 200
+"""Maximum size of a row's key, as the platform documents."""
+
+
+def is_possible_id(id: str) -> bool:
+    """Return whether a job can have an id, which is the key of its rows."""
+    return 0 < len(id.encode()) <= MAX_KEY_BYTES
+
+
 class StoredJob(NamedTuple):
     """A job's row and its decoded content."""
 
@@ -19,6 +34,18 @@
     parsed: record.JobRecord
 
 
+class Absence(NamedTuple):
+    """There is no job of an id.
+
+    ``is_lasting`` means that a row prevents its acceptance; otherwise a submission that
+    is under way may still be accepted. ``store_time`` is the store's clock in seconds
+    at the read.
+    """
+
+    is_lasting: bool
+    store_time: float = 0.0
+
+
 class JobReader:
     """Reads one job at a time.
 
--- a/wigeonhitch/site/message.py
+++ b/wigeonhitch/site/message.py
@@ -69,8 +69,8 @@
         """Return a job's state."""
         ...
 
-    async def cancel(self, queue: model.Queue, id: str) -> Answer:
-        """Cancel a job."""
+    async def cancel(self, queue: model.Queue, id: str, team: str = "") -> Answer:
+        """Cancel a job for a caller of a team."""
         ...
 
     async def count(self, queue: model.Queue) -> Answer:
--- a/wigeonhitch/site/tests/history.py
+++ b/wigeonhitch/site/tests/history.py
@@ -19,7 +19,14 @@
 from wigeonhitch.platform import http, rows, table
 from wigeonhitch.pool import compaction
 from wigeonhitch.pool import record as pool_record
-from wigeonhitch.site import acceptance, configuration, handler, jobrows, message
+from wigeonhitch.site import (
+    acceptance,
+    configuration,
+    handler,
+    jobrows,
+    message,
+    withdrawal,
+)
 from wigeonhitch.telemetry import log, metric
 
 DAEMON_COUNT = 4
@@ -314,6 +321,10 @@
                     compactor.on_final_row(
                         row.key, location, row.version, fields["finished"]
                     )
+                    if row.key in unfinished_ids - completion_times.keys():
+                        # A compaction by the leader before has just been applied.
+                        unfinished_ids.discard(row.key)
+                        removable_ids.add(row.key)
                     continue
                 completes_at = completion_times.setdefault(
                     row.key, self.now + rng.uniform(0.5, 8.0)
@@ -324,7 +335,8 @@
                         cancelled_at = row.version if fields.get("cancelled") else 0
                         state = progress.resolve_final_state(*final, cancelled_at)
                         compactor.add(row.key, location, state, row.version, final[1])
-            batch = compactor.collect(self.now, RETENTION_SECONDS)
+            store_time = self.now + simulation.STORE_CLOCK_OFFSET_SECONDS
+            batch = compactor.collect(store_time, RETENTION_SECONDS)
             if batch is not None:
                 change = await client.commit(batch.transaction, timeout=1.0)
                 removable_ids.update(compactor.on_result(batch, change))
@@ -405,6 +417,7 @@
         handler.RequestHandler._find,
     )
     original_remove = compaction.Compactor._remove
+    original_read_holder = pool_record.read_holder
 
     def build_unconditionally(*args: Any) -> rows.Transaction:
         return original_build(*args)._replace(conditions=())
@@ -425,9 +438,19 @@
         transaction = batch.transaction._replace(writes=batch.transaction.writes[:1])
         return batch._replace(transaction=transaction)
 
+    async def withdraw_nothing(*args: Any) -> rows.Change:
+        return rows.Change(table.Outcome.DONE)
+
+    def read_pool_only(value: bytes) -> pool_record.Holder:
+        return original_read_holder(value)._replace(is_withdrawn=False)
+
     if mechanism == "condition":
         patch(acceptance, "_build_transaction", build_unconditionally)
     elif mechanism == "holder":
         patch(handler.RequestHandler, "_find", find_in_pool)
     elif mechanism == "removal":
         patch(compaction.Compactor, "_remove", remove_own_row_only)
+    elif mechanism == "withdrawal":
+        patch(withdrawal.Withdrawals, "withdraw", withdraw_nothing)
+    elif mechanism == "refusal":
+        patch(pool_record, "read_holder", read_pool_only)
--- a/wigeonhitch/site/tests/test_history.py
+++ b/wigeonhitch/site/tests/test_history.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from wigeonhitch.site.tests import history
+from wigeonhitch.site import message
+from wigeonhitch.site.tests import history, withdrawalhistory
 
 SEEDS = [*range(30), 24263]
 """The last seed failed when a job ended and was cancelled while its state was read."""
@@ -37,3 +38,34 @@
     worlds = (history.World(seed, disabled=mechanism) for seed in range(MAX_SEEDS))
 
     assert any(world.run(HISTORY_SECONDS) for world in worlds)
+
+
+@pytest.mark.parametrize("seed", range(MAX_SEEDS))
+def test_a_job_is_not_accepted_after_its_cancellation_was_acknowledged(seed):
+    """Guards against jobs that run after their caller was told that there are none.
+
+    The caller had left its submission, which was applied after the cancellation.
+    """
+    world = withdrawalhistory.World(seed)
+
+    assert world.run(HISTORY_SECONDS) == []
+
+
+def test_callers_that_leave_meet_accepted_jobs_and_others():
+    """Guards against histories in which each submission is settled the same way."""
+    world = withdrawalhistory.World(1)
+    world.run(HISTORY_SECONDS)
+
+    assert {job.told for job in world.leaving} == {
+        message.Verdict.ACCEPTED,
+        message.Verdict.MISSING,
+    }
+
+
+@pytest.mark.parametrize("mechanism", ["withdrawal", "refusal", "condition", "removal"])
+def test_a_history_of_cancellations_fails_without(mechanism):
+    worlds = (
+        withdrawalhistory.World(seed, disabled=mechanism) for seed in range(MAX_SEEDS)
+    )
+
+    assert any(world.run(HISTORY_SECONDS) for world in worlds)
--- a/wigeonhitch/site/tests/test_withdrawal.py
+++ b/wigeonhitch/site/tests/test_withdrawal.py
@@ -1,15 +1,27 @@
-"""Cancelling a job that no daemon has accepted yet."""
+"""Guards against jobs that run after their caller was told that there are none.
+
+A submission got no answer, its caller cancelled the job at another daemon and was told
+that there is no such job. The submission was accepted seconds later, and the job ran
+until somebody cancelled it again, for which nobody had a reason.
+"""
 
 import pytest
 
 from standins import rowstore
-from wigeonhitch.jobs import model
-from wigeonhitch.site import handler, message
+from wigeonhitch.jobs import model, record
+from wigeonhitch.platform import rows, table
+from wigeonhitch.pool import compaction, core, view
+from wigeonhitch.pool import record as pool_record
+from wigeonhitch.site import handler, message, withdrawal
 from wigeonhitch.telemetry import metric
 
 pytestmark = pytest.mark.anyio
 
 QUEUE = model.Queue("q", "h", "/q/", "p")
+MOVED_QUEUE = QUEUE._replace(pool="other")
+JOB = model.Job("j", "q", "", (model.Step(1, model.Room(1000, 10)),))
+PART = pool_record.get_job_part("j")
+RETENTION_SECONDS = 120.0
 
 
 class Site:
@@ -18,11 +30,31 @@
     def __init__(self):
         self.store = rowstore.RowStore()
         self.instruments = metric.Instruments()
+        self.daemon = self.make_handler()
 
     def make_handler(self):
         catalogue = model.Catalogue(1, (QUEUE,), ())
         return handler.RequestHandler(self.store, lambda: catalogue, self.instruments)
 
+    def read_job(self, pool="p"):
+        """Return the content of the job's row in a pool, or None without one."""
+        value = self.store.get(pool_record.get_job_table(pool), PART, "j")
+        return record.read_job("j", value) if value else None
+
+    async def submit_late(self):
+        """Submit the job without an answer; the store may apply each attempt later."""
+        self.store.deferred_commits = 1000
+        answer = await self.make_handler().submit(QUEUE, JOB)
+        self.store.deferred_commits = 0
+        assert answer.verdict is message.Verdict.UNKNOWN
+
+    async def cancel(self, queue=QUEUE, id="j", team=""):
+        """Return the verdict on a cancellation at another daemon."""
+        return (await self.daemon.cancel(queue, id, team)).verdict
+
+    async def show(self, queue=QUEUE):
+        return await self.daemon.show(queue, "j")
+
 
 @pytest.fixture
 def site():
@@ -31,7 +63,157 @@
 
 async def test_a_cancellation_that_finds_no_job_is_counted(site):
     """Guards against calls that an operator finds neither in logs nor in metrics."""
-    answer = await site.make_handler().cancel(QUEUE, "j")
-
-    assert answer.verdict is message.Verdict.MISSING
+    assert await site.cancel() is message.Verdict.MISSING
     assert site.instruments.read("requests_total", {"verdict": "missing"}) == 1
+
+
+@pytest.mark.parametrize("queue", [QUEUE, MOVED_QUEUE], ids=["", "moved"])
+async def test_a_submission_is_not_accepted_after_its_cancellation(site, queue):
+    """The store applies each attempt after the caller was told that there is no job."""
+    await site.submit_late()
+
+    assert await site.cancel(queue) is message.Verdict.MISSING
+    changes = site.store.apply_deferred()
+
+    assert all(change.reason == "conflict" for change in changes)
+    assert (await site.show(queue)).verdict is message.Verdict.MISSING
+    assert (await site.show()).verdict is message.Verdict.MISSING
+
+
+async def test_an_attempt_that_is_repeated_after_the_cancellation_is_refused(site):
+    """The daemon repeats the write of a submission whose caller has left."""
+    site.store.deferred_commits = 1
+    commit = site.store.commit
+
+    async def cancel_after(change, *, timeout):
+        result = await commit(change, timeout=timeout)
+        site.store.commit = commit
+        assert await site.cancel() is message.Verdict.MISSING
+        return result
+
+    site.store.commit = cancel_after
+    answer = await site.make_handler().submit(QUEUE, JOB)
+
+    assert answer.verdict is message.Verdict.NOT_RUN
+    assert answer.reason == withdrawal.REASON
+    assert not any(change.outcome is table.Outcome.DONE
+                   for change in site.store.apply_deferred())  # fmt: skip
+
+
+async def test_a_submission_of_a_withdrawn_job_is_told_when_its_id_is_free(site):
+    """Guards against callers that repeat every second what is refused for minutes."""
+    await site.cancel()
+    answer = await site.daemon.submit(QUEUE, JOB)
+
+    assert answer.verdict is message.Verdict.NOT_RUN
+    assert answer.retry_after == RETENTION_SECONDS
+
+
+async def test_a_job_that_is_accepted_during_its_cancellation_is_cancelled(site):
+    """Guards against the answer that there is no job beside an accepted one.
+
+    The submission is applied between the reads of the cancellation and its write.
+    """
+    await site.submit_late()
+    commit = site.store.commit
+
+    async def accept_before(change, *, timeout):
+        site.store.commit = commit
+        site.store.apply_deferred()
+        return await commit(change, timeout=timeout)
+
+    site.store.commit = accept_before
+
+    assert await site.cancel() is message.Verdict.ACCEPTED
+    assert site.read_job().cancelled
+    assert (await site.show()).state is model.JobState.CANCELLED
+
+
+async def test_a_withdrawal_without_an_answer_is_told_once_it_is_found(site):
+    site.store.lost_answers = 1
+
+    assert await site.cancel() is message.Verdict.MISSING
+    assert (await site.daemon.submit(QUEUE, JOB)).verdict is message.Verdict.NOT_RUN
+
+
+async def test_a_cancellation_is_not_confirmed_before_it_is_written(site):
+    """Guards against the answer that there is no job while the write may be void."""
+    site.store.deferred_commits = 1000
+    assert await site.cancel() is message.Verdict.UNKNOWN
+    site.store.deferred_commits = 0
+    answer = await site.daemon.submit(QUEUE, JOB)
+    site.store.apply_deferred()
+
+    assert answer.verdict is message.Verdict.ACCEPTED
+    assert (await site.show()).state is model.JobState.QUEUED
+
+
+@pytest.mark.parametrize("queue", [QUEUE, MOVED_QUEUE], ids=["", "moved"])
+async def test_a_repeated_cancellation_writes_nothing(site, queue):
+    await site.cancel()
+    version = site.store.version
+
+    assert await site.cancel(queue) is message.Verdict.MISSING
+    assert site.store.version == version
+
+
+@pytest.mark.parametrize("id", ["", "i" * 201, "é" * 101])
+async def test_an_id_that_no_job_can_have_is_not_withdrawn(site, id):
+    """Guards against rows that the store refuses, or that belong to no job."""
+    assert await site.cancel(id=id) is message.Verdict.MISSING
+    assert site.store.version == 0
+
+
+async def test_the_pools_leader_removes_a_withdrawn_job(site):
+    """Guards against rows of cancellations that stay, and an id that is never free."""
+    await site.cancel()
+    times = view.TimeBounds(6.5, 1.0)
+    leader = core.Pool("p", 1, 1, times, 0.0, lambda *args, **kwargs: None)
+    location = compaction.RowLocation(pool_record.get_job_table("p"), PART)
+    row = site.read_job()
+    leader.on_job("j", row, site.store.version, location)
+    assert not leader.jobs
+
+    now = row.finished + RETENTION_SECONDS
+    assert leader.compactor.collect(now - 1.0, RETENTION_SECONDS) is None
+    removal = leader.compactor.collect(now + 1.0, RETENTION_SECONDS).transaction
+    await site.store.commit(removal, timeout=1.0)
+
+    assert site.read_job() is None
+    answer = await site.daemon.submit(QUEUE, JOB)
+    assert answer.verdict is message.Verdict.ACCEPTED
+
+
+async def test_one_team_can_not_fill_the_store_with_withdrawals(site, monkeypatch):
+    """Guards against a caller that cancels invented ids.
+
+    Its team is refused until the rows of its earliest cancellation are removed; others
+    aren't, and neither are cancellations of accepted jobs.
+    """
+    monkeypatch.setattr(withdrawal, "MAX_WITHDRAWALS", 3)
+    await site.daemon.submit(QUEUE, JOB)
+    for number in range(3):
+        assert await site.cancel(id=f"x{number}", team="a") is message.Verdict.MISSING
+    version = site.store.version
+    refusal = await site.daemon.cancel(QUEUE, "x3", "a")
+
+    assert refusal.verdict is message.Verdict.NOT_RUN
+    assert 0 < refusal.retry_after <= RETENTION_SECONDS
+    assert site.store.version == version
+    assert await site.cancel(id="x3", team="b") is message.Verdict.MISSING
+    assert await site.cancel(team="a") is message.Verdict.ACCEPTED
+
+
+async def test_an_earlier_version_takes_a_withdrawn_job_for_a_cancelled_one(site):
+    """Guards against a daemon of the version before that accepts or runs the job."""
+    await site.submit_late()
+    await site.cancel()
+    holder = site.store.get(pool_record.HOLDER_TABLE, PART, "j")
+    former_acceptance = rows.Condition(pool_record.HOLDER_TABLE, PART, "j", 0)
+    write = rows.Write(pool_record.get_job_table("p"), PART, "j", b"{}")
+    transaction = rows.Transaction((former_acceptance,), (write,))
+    result = await site.store.commit(transaction, timeout=1.0)
+
+    assert result.reason == "conflict"
+    assert holder.decode() not in ("p", "other")
+    assert site.read_job().final is model.JobState.CANCELLED
--- /dev/null
+++ b/wigeonhitch/site/withdrawal.py
@@ -0,0 +1,93 @@
+"""Withdraws jobs that are cancelled before a daemon has accepted them.
+
+A read that finds no job doesn't show that there will be none: the store may apply the
+write of a submission seconds late, the daemon that received it may repeat the write,
+and a relay may deliver it late. All of these expect that the job has no holder row. A
+withdrawal writes that row, so that none of them succeeds afterwards, and beside it a
+final job row, by which the leader of the queue's pool removes both after the retention
+time of final jobs.
+"""
+
+import collections
+
+from wigeonhitch.jobs import record
+from wigeonhitch.platform import http, rows, table
+from wigeonhitch.pool import record as pool_record
+from wigeonhitch.site import jobrows, message
+
+__all__ = ["REASON", "Withdrawals"]
+
+REASON = "withdrawn"
+"""Reason of the answers to callers whose job was withdrawn."""
+
+MAX_WITHDRAWALS = 1000
+"""Number of withdrawals that a daemon makes for one team within the retention time.
+Callers choose the ids, and each withdrawal leaves two rows in the store for that
+time."""
+
+
+class Withdrawals:
+    """Writes the rows of withdrawn jobs, a limited number for each team.
+
+    Parameters
+    ----------
+    store : rows.RowStore
+        The platform's store.
+    retention : float
+        Seconds for which the rows are kept.
+    """
+
+    def __init__(self, store: rows.RowStore, retention: float) -> None:
+        self._store = store
+        self._retention = retention
+        self._written: dict[str, collections.deque[float]] = {}
+        """Times of the last withdrawals of each team."""
+
+    def check_limit(self, team: str) -> message.Answer | None:
+        """Return the refusal of a team that has reached its limit, else None."""
+        times = self._written.get(team, ())
+        if len(times) < MAX_WITHDRAWALS:
+            return None
+        delay = times[0] + self._retention - http.read_clock()
+        if delay <= 0:
+            return None
+        refusal = message.refuse("too many cancellations of unknown jobs")
+        return refusal._replace(retry_after=delay)
+
+    def refuse_submission(self) -> message.Answer:
+        """Return the answer to a submission of a withdrawn job.
+
+        The id may be submitted again once the rows are removed.
+        """
+        return message.refuse(REASON)._replace(retry_after=self._retention)
+
+    async def withdraw(
+        self, pool: str, id: str, team: str, store_time: float
+    ) -> rows.Change:
+        """Make one attempt to withdraw a job, at a time of the store's clock."""
+        location = (pool_record.get_job_part(id), id)
+        holder = (pool_record.HOLDER_TABLE, *location)
+        transaction = rows.Transaction(
+            (rows.Condition(*holder, 0),),
+            (
+                rows.Write(
+                    *holder, pool_record.write_holder(pool_record.Holder(pool, True))
+                ),
+                rows.Write(
+                    pool_record.get_job_table(pool),
+                    *location,
+                    record.write_withdrawn(pool, store_time),
+                ),
+            ),
+        )
+        result = await self._store.commit(
+            transaction, timeout=jobrows.CALL_TIMEOUT_SECONDS
+        )
+        if result.outcome is not table.Outcome.NOT_DONE:
+            times = self._written.setdefault(
+                team, collections.deque(maxlen=MAX_WITHDRAWALS)
+            )
+            times.append(http.read_clock())
+        if result.outcome is table.Outcome.DONE:
+            return result._replace(reason=REASON)
+        return result
