Read the former pool of a queue that has just moved with each count

Cause: besides the present pool a count read only pools in which the last scan of all statuses, made every 10 s, had found jobs of the queue. Change: a daemon that applies a move reads the former pool with each count for 20 s, in which two scans are made. Before: test_waiting_jobs_are_counted_at_once_after_their_queue_has_moved fails (0 of 10). After: it passes, with the other tests of counts and of the desk. Cost: one read more for a count within 20 s of a move, none otherwise; a second test holds that.

--- a/wigeonhitch/site/routes.py
+++ b/wigeonhitch/site/routes.py
@@ -39,6 +39,10 @@
                 return queue
         return None
 
+    def get_pool(self, path: model.RoutePath) -> str:
+        """Return the pool of the queue with a path."""
+        return self._queues[path.host][path.prefix].pool
+
     def is_name_of_another(self, name: str, path: model.RoutePath) -> bool:
         """Return whether a queue with another path has a name."""
         return bool(self._paths_by_name.get(name, set()) - {path})
--- a/wigeonhitch/site/tests/test_waiting.py
+++ b/wigeonhitch/site/tests/test_waiting.py
@@ -6,10 +6,10 @@
 
 from standins import rowstore
 from wigeonhitch.jobs import model, record
-from wigeonhitch.platform import entries
+from wigeonhitch.platform import entries, http
 from wigeonhitch.pool import compaction, core, demand, status, view
 from wigeonhitch.pool import record as pool_record
-from wigeonhitch.site import handler
+from wigeonhitch.site import handler, waiting
 from wigeonhitch.site.tests import conftest
 from wigeonhitch.telemetry import metric
 
@@ -219,6 +219,50 @@
     assert (queue.name, counts) == ("renamed", [4, 4])
 
 
+async def test_waiting_jobs_are_counted_at_once_after_their_queue_has_moved(
+    shared, monkeypatch
+):
+    """Guards against a moved queue with ten waiting jobs that shows none for 10 s.
+
+    The daemon had looked through all pools before the jobs came, and looked only at the
+    queue's new pool until it did so again.
+    """
+    queues, now = (QUEUE,), http.read_clock()
+    monkeypatch.setattr(http, "read_clock", lambda: now)
+    shared.publish("p", "other")
+    request_handler = handler.RequestHandler(
+        shared.store, lambda: model.Catalogue(1, queues, ()), metric.Instruments()
+    )
+    assert await count(request_handler, QUEUE) == 0
+    await shared.submit(QUEUE, 10)
+    shared.publish("p")
+    queues = (MOVED_QUEUE,)
+    request_handler.on_catalogue()
+
+    assert await count(request_handler, MOVED_QUEUE) == 10
+
+
+async def test_a_former_pool_without_jobs_is_not_read_for_long(shared, monkeypatch):
+    """Guards against counts that cost a read more for each pool that a queue had."""
+    queues, now = (QUEUE,), http.read_clock()
+    monkeypatch.setattr(http, "read_clock", lambda: now)
+    shared.publish("p", "other")
+    request_handler = handler.RequestHandler(
+        shared.store, lambda: model.Catalogue(1, queues, ()), metric.Instruments()
+    )
+    request_handler.on_catalogue()
+    queues = (MOVED_QUEUE,)
+    now += waiting.FORMER_POOL_SECONDS
+    request_handler.on_catalogue()
+    now += waiting.FORMER_POOL_SECONDS + 0.1
+    await count(request_handler, MOVED_QUEUE)
+    calls = shared.store.calls
+
+    await count(request_handler, MOVED_QUEUE)
+
+    assert shared.store.calls == calls + 1
+
+
 class CountedRoutes(tuple):
     """Counts how often all routes are gone through."""
 
--- a/wigeonhitch/site/waiting.py
+++ b/wigeonhitch/site/waiting.py
@@ -19,6 +19,11 @@
 SCAN_PERIOD_SECONDS = 10.0
 """Interval of scans for jobs that wait in former pools of their queue."""
 
+FORMER_POOL_SECONDS = 2 * SCAN_PERIOD_SECONDS
+"""Seconds for which the former pool of a queue is read with each count, whether the
+last scan found jobs of the queue there or not. Daemons that learn of the move later
+accept jobs there for some seconds more, which a scan within that time finds."""
+
 
 class WaitingJobCounter:
     """Reads the status of a queue's pool and of the other pools that hold its jobs.
@@ -45,16 +50,25 @@
         self._names_by_path: dict[model.RoutePath, set[str]] = {}
         """Names that the route of each path had in the configurations seen so far.
         Only jobs of rows without a path are counted by them."""
+        self._pools_by_path: dict[model.RoutePath, str] = {}
+        """Pool of each path in the last configuration that had the path."""
+        self._former_pools: dict[model.RoutePath, dict[str, float]] = {}
+        """Pools that a path had before, with the time at which that was replaced."""
         self._scanned_at: float | None = None
 
     def on_catalogue(self) -> None:
-        """Take note of the names in the configuration in force."""
+        """Take note of the names and pools in the configuration in force."""
         index = self._get_routes()
         if index is self._noted:
             return
         self._noted = index
         for path, name in index.names_by_path.items():
             self._names_by_path.setdefault(path, set()).add(name)
+            pool = index.get_pool(path)
+            former = self._pools_by_path.setdefault(path, pool)
+            if former != pool:
+                self._pools_by_path[path] = pool
+                self._former_pools.setdefault(path, {})[former] = http.read_clock()
 
     async def count(self, queue: model.Queue) -> int | rows.Range:
         """Return how many jobs wait, or the failed read of a pool's status."""
@@ -66,7 +80,8 @@
             if self._count_in_status(status, queue)
         )
         total = 0
-        for pool in dict.fromkeys((queue.pool, *holding_pools)):
+        former_pools = self._list_former_pools(queue)
+        for pool in dict.fromkeys((queue.pool, *former_pools, *holding_pools)):
             result = await self._read_status(pool)
             if result.outcome is not table.Outcome.DONE:
                 return result
@@ -75,6 +90,14 @@
                 total += self._count_in_status(status, queue)
         return total
 
+    def _list_former_pools(self, queue: model.Queue) -> list[str]:
+        """Return the pools from which a queue has moved of late."""
+        pools = self._former_pools.get(queue.path, {})
+        since = http.read_clock() - FORMER_POOL_SECONDS
+        for pool in [pool for pool, left_at in pools.items() if left_at < since]:
+            del pools[pool]
+        return list(pools)
+
     def _count_in_status(
         self, status: pool_record.PoolStatus, queue: model.Queue
     ) -> int:
