Never call a cancellation refused that may be written

One that the store had refused at each attempt was answered 504. Cause: the answer was that of the last call alone. Change: 504 as soon as one attempt has got no answer, 503 with the store's reason where each was refused. The attempts move from the request handler to the module cancellation, and finding a job to the reader of its rows, where the handler and the cancellation share it. Before: the three tests of it fail.

--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -23,7 +23,6 @@
     "write_final",
     "write_job",
     "write_progress",
-    "write_withdrawn",
 ]
 
 STEP_FLAGS = ("checkpoint", "gang", "same_rack", "speculative", "lasting", "fills")
@@ -105,19 +104,18 @@
     return orjson.dumps(row)
 
 
-def write_final(state: model.JobState, pool: str, finished: float) -> bytes:
-    """Return the row that replaces the job's row once the job is final."""
-    row = {"pool": pool, "final": state.value, "finished": round(finished, 3)}
-    return orjson.dumps(row)
-
-
-def write_withdrawn(pool: str, finished: float) -> bytes:
-    """Return the row of a submission that was cancelled before it was accepted.
+def write_final(
+    state: model.JobState, pool: str, finished: float, *, is_withdrawn: bool = False
+) -> bytes:
+    """Return the row that replaces the job's row once the job is final.
 
-    Earlier versions take it for the final state of a cancelled job.
+    Earlier versions don't read that a job is withdrawn, and show its state.
     """
-    fields = orjson.loads(write_final(model.JobState.CANCELLED, pool, finished))
-    return orjson.dumps({**fields, "withdrawn": True})
+    row: dict[str, Any] = {"pool": pool, "final": state.value}
+    row["finished"] = round(finished, 3)
+    if is_withdrawn:
+        row["withdrawn"] = True
+    return orjson.dumps(row)
 
 
 def read_job(id: str, value: bytes) -> JobRecord:
@@ -126,20 +124,13 @@
     Raises
     ------
     ValueError, KeyError, TypeError
-        If the row wasn't written by `write_job`, `write_final` or `write_withdrawn`.
+        If the row wasn't written by `write_job` or `write_final`.
     """
     row = orjson.loads(value)
     if "final" in row:
         state = model.JobState(row["final"])
-        return JobRecord(
-            None,
-            0.0,
-            False,
-            state,
-            row["finished"],
-            row["pool"],
-            is_withdrawn=row.get("withdrawn", False),
-        )
+        stored = JobRecord(None, 0.0, False, state, row["finished"], row["pool"])
+        return stored._replace(is_withdrawn=row.get("withdrawn", False))
     times, first_due, interval = row.get("times", (0, 0.0, 0.0))
     steps = tuple(_read_step(fields) for fields in row["steps"])
     schedule = (times, first_due, interval)
--- a/wigeonhitch/site/handler.py
+++ b/wigeonhitch/site/handler.py
@@ -8,14 +8,12 @@
 
 from collections.abc import Callable
 
-import anyio
-
 from wigeonhitch.jobs import credential, model, progress, record
 from wigeonhitch.platform import http, rows, table
-from wigeonhitch.pool import record as pool_record
 from wigeonhitch.site import (
     acceptance,
     authorization,
+    cancellation,
     configuration,
     jobrows,
     message,
@@ -67,10 +65,11 @@
         self._indexed: model.Catalogue | None = None
         self._index = routes.RouteIndex()
         self._waiting = waiting.WaitingJobCounter(store, self._get_routes)
-        self._withdrawals = withdrawal.Withdrawals(store, final_retention)
+        withdrawals = withdrawal.Withdrawals(store, final_retention)
         self._acceptance = acceptance.Acceptance(
-            store, self._withdrawals, is_store_unreachable
+            store, withdrawals, is_store_unreachable
         )
+        self._cancellation = cancellation.Cancellation(store, withdrawals)
         self._authorizer = authorization.Authorizer(
             get_catalogue, get_currency, instruments
         )
@@ -115,7 +114,7 @@
 
     async def show(self, queue: model.Queue, id: str) -> message.Answer:
         """Return a job's state."""
-        lookup = await self._find(queue, id)
+        lookup = await self._jobs.locate(queue.pool, id)
         while _is_unfinished(lookup):
             progress_range = await self._jobs.read_progress(lookup.parsed.pool, id)
             if progress_range.outcome is not table.Outcome.DONE:
@@ -125,59 +124,26 @@
                 return message.Answer(message.Verdict.FOUND, state)
             # The progress that was read is valid only if the row hasn't changed since.
             previous_version = lookup.row.version
-            lookup = await self._find(queue, id)
+            lookup = await self._jobs.locate(queue.pool, id)
             if _is_unfinished(lookup) and lookup.row.version == previous_version:
                 return message.Answer(message.Verdict.FOUND, state)
         if isinstance(lookup, jobrows.StoredJob):
             return message.Answer(message.Verdict.FOUND, lookup.parsed.final)
         if isinstance(lookup, jobrows.Absence):
             return message.Answer(message.Verdict.MISSING)
-        return lookup
+        return message.refuse(lookup.reason)
 
     async def cancel(
         self, queue: model.Queue, id: str, team: str = ""
     ) -> message.Answer:
-        """Cancel a job for a caller of a team.
-
-        An accepted job's row is written again with a cancellation mark. If there is no
-        job, a submission of it may be under way, so ``MISSING`` is answered only once
-        none can be accepted any more.
-        """
+        """Cancel a job for a caller of a team, also one that isn't accepted yet."""
         if jobrows.is_possible_id(id):
-            answer = await self._try_to_cancel(queue, id, team)
+            answer = await self._cancellation.cancel(queue, id, team)
         else:
             answer = message.Answer(message.Verdict.MISSING, reason="impossible id")
         self._record_outcome("job cancelled by its caller", queue, id, answer)
         return answer
 
-    async def _try_to_cancel(
-        self, queue: model.Queue, id: str, team: str
-    ) -> message.Answer:
-        deadline = http.read_clock() + acceptance.REQUEST_TIMEOUT_SECONDS
-        while http.read_clock() < deadline:
-            lookup = await self._find(queue, id)
-            if isinstance(lookup, message.Answer):
-                return lookup
-            if isinstance(lookup, jobrows.Absence):
-                if lookup.is_lasting:
-                    return message.Answer(message.Verdict.MISSING)
-                refusal = self._withdrawals.check_limit(team)
-                if refusal is not None:
-                    return refusal
-                result = await self._withdrawals.withdraw(
-                    queue.pool, id, team, lookup.store_time
-                )
-                verdict = message.Verdict.MISSING
-            elif lookup.parsed.job is None or lookup.parsed.cancelled:
-                return message.Answer(message.Verdict.ACCEPTED)
-            else:
-                result = await self._mark_cancelled(lookup)
-                verdict = message.Verdict.ACCEPTED
-            if result.outcome is table.Outcome.DONE:
-                return message.Answer(verdict, reason=result.reason)
-            await anyio.sleep(acceptance.RETRY_DELAY_SECONDS)
-        return message.Answer(message.Verdict.UNKNOWN)
-
     async def count(self, queue: model.Queue) -> message.Answer:
         """Return how many accepted jobs have not started."""
         count = await self._waiting.count(queue)
@@ -193,43 +159,6 @@
             self._indexed = catalogue
         return self._index
 
-    async def _mark_cancelled(self, stored: jobrows.StoredJob) -> rows.Change:
-        row = stored.row
-        parsed = stored.parsed
-        value = record.write_job(
-            parsed.job,
-            parsed.pool,
-            parsed.accepted,
-            cancelled=True,
-            path=parsed.path,
-        )
-        condition = rows.Condition(row.table, row.part, row.key, row.version)
-        write = rows.Write(row.table, row.part, row.key, value)
-        return await self._store.commit(
-            rows.Transaction((condition,), (write,)),
-            timeout=jobrows.CALL_TIMEOUT_SECONDS,
-        )
-
-    async def _find(
-        self, queue: model.Queue, id: str
-    ) -> jobrows.StoredJob | jobrows.Absence | message.Answer:
-        """Find a job in its queue's pool, or else in the pool that holds it."""
-        lookup = await self._jobs.find(queue.pool, id)
-        if _is_absent(lookup):
-            # The queue may have had another pool when the job was accepted.
-            holder = await self._jobs.read_holder(id)
-            if holder.outcome is not table.Outcome.DONE:
-                return message.refuse(holder.reason)
-            if not holder.rows:
-                return jobrows.Absence(is_lasting=False, store_time=holder.store_time)
-            pool = pool_record.read_holder(holder.rows[0].value or b"").pool
-            lookup = await self._jobs.find(pool, id)
-        if isinstance(lookup, jobrows.StoredJob) and not lookup.parsed.is_withdrawn:
-            return lookup
-        if isinstance(lookup, jobrows.StoredJob) or _is_absent(lookup):
-            return jobrows.Absence(is_lasting=True)
-        return message.refuse(lookup.reason)
-
     def _refuse_path(self, path: str, reason: str) -> message.Answer:
         log.log_change("request refused", job=path.rpartition("/")[2], reason=reason)
         return message.refuse(reason)
@@ -257,19 +186,12 @@
 
 
 def _is_unfinished(
-    lookup: jobrows.StoredJob | jobrows.Absence | message.Answer,
+    lookup: jobrows.StoredJob | jobrows.Absence | rows.Range,
 ) -> bool:
     """Return whether a job was found whose own row isn't final."""
     return isinstance(lookup, jobrows.StoredJob) and lookup.parsed.final is None
 
 
-def _is_absent(lookup: jobrows.StoredJob | rows.Range) -> bool:
-    """Return whether a read has shown that there is no row."""
-    if isinstance(lookup, jobrows.StoredJob):
-        return False
-    return lookup.outcome is table.Outcome.DONE
-
-
 def _derive_state(
     stored: jobrows.StoredJob, progress_rows: tuple[rows.Row, ...]
 ) -> model.JobState:
--- a/wigeonhitch/site/jobrows.py
+++ b/wigeonhitch/site/jobrows.py
@@ -37,12 +37,12 @@
 class Absence(NamedTuple):
     """There is no job of an id.
 
-    ``is_lasting`` means that a row prevents its acceptance; otherwise a submission that
+    ``is_settled`` means that a row prevents its acceptance; otherwise a submission that
     is under way may still be accepted. ``store_time`` is the store's clock in seconds
     at the read.
     """
 
-    is_lasting: bool
+    is_settled: bool
     store_time: float = 0.0
 
 
@@ -80,6 +80,27 @@
         row = result.rows[0]
         return StoredJob(row, record.read_job(id, row.value or b""))
 
+    async def locate(self, pool: str, id: str) -> StoredJob | Absence | rows.Range:
+        """Find a job in its queue's pool, or else in the pool that holds it.
+
+        A range is a read that has failed.
+        """
+        lookup = await self.find(pool, id)
+        if _is_empty(lookup):
+            # The queue may have had another pool when the job was accepted.
+            holder_range = await self.read_holder(id)
+            if holder_range.outcome is not table.Outcome.DONE:
+                return holder_range
+            if not holder_range.rows:
+                return Absence(is_settled=False, store_time=holder_range.store_time)
+            holder = pool_record.read_holder(holder_range.rows[0].value or b"")
+            lookup = await self.find(holder.pool, id)
+        if _is_empty(lookup):
+            return Absence(is_settled=True)
+        if isinstance(lookup, StoredJob) and lookup.parsed.is_withdrawn:
+            return Absence(is_settled=True)
+        return lookup
+
     async def _read_row(self, table_name: str, part: str, id: str) -> rows.Range:
         return await self._store.read(
             table_name,
@@ -89,3 +110,8 @@
             limit=1,
             timeout=CALL_TIMEOUT_SECONDS,
         )
+
+
+def _is_empty(lookup: StoredJob | rows.Range) -> bool:
+    """Return whether a read has shown that there is no row."""
+    return isinstance(lookup, rows.Range) and lookup.outcome is table.Outcome.DONE
--- a/wigeonhitch/site/tests/history.py
+++ b/wigeonhitch/site/tests/history.py
@@ -21,6 +21,7 @@
 from wigeonhitch.pool import record as pool_record
 from wigeonhitch.site import (
     acceptance,
+    cancellation,
     configuration,
     handler,
     jobrows,
@@ -130,7 +131,7 @@
                 stack.enter_context(mock.patch.object(target, name, value))
 
             patch(acceptance, "anyio", self)
-            patch(handler, "anyio", self)
+            patch(cancellation, "anyio", self)
             patch(http, "read_clock", lambda: self.read_clock(self._current))
             patch(log, "log_change", lambda *args, **kwargs: None)
             if self.disabled:
@@ -412,24 +413,22 @@
 
 def disable_mechanism(mechanism: str, patch: Any) -> None:
     """Disable one mechanism."""
-    original_build, original_find = (
-        acceptance._build_transaction,
-        handler.RequestHandler._find,
-    )
+    original_build = acceptance._build_transaction
+    original_locate = jobrows.JobReader.locate
     original_remove = compaction.Compactor._remove
     original_read_holder = pool_record.read_holder
 
     def build_unconditionally(*args: Any) -> rows.Transaction:
         return original_build(*args)._replace(conditions=())
 
-    async def find_in_pool(self: Any, queue: model.Queue, id: str) -> Any:
-        lookup = await self._jobs.find(queue.pool, id)
+    async def locate_in_pool(self: Any, pool: str, id: str) -> Any:
+        lookup = await self.find(pool, id)
         if (
             isinstance(lookup, jobrows.StoredJob)
             or lookup.outcome is not table.Outcome.DONE
         ):
-            return await original_find(self, queue, id)
-        return message.Answer(message.Verdict.MISSING)
+            return await original_locate(self, pool, id)
+        return jobrows.Absence(is_settled=True)
 
     def remove_own_row_only(self: Any, before: float) -> Any:
         batch = original_remove(self, before)
@@ -447,7 +446,7 @@
     if mechanism == "condition":
         patch(acceptance, "_build_transaction", build_unconditionally)
     elif mechanism == "holder":
-        patch(handler.RequestHandler, "_find", find_in_pool)
+        patch(jobrows.JobReader, "locate", locate_in_pool)
     elif mechanism == "removal":
         patch(compaction.Compactor, "_remove", remove_own_row_only)
     elif mechanism == "withdrawal":
--- a/wigeonhitch/site/tests/test_withdrawal.py
+++ b/wigeonhitch/site/tests/test_withdrawal.py
@@ -217,3 +217,39 @@
     assert result.reason == "conflict"
     assert holder.decode() not in ("p", "other")
     assert site.read_job().final is model.JobState.CANCELLED
+
+
+@pytest.mark.parametrize("is_accepted", [True, False], ids=["accepted", "unknown"])
+async def test_a_cancellation_that_may_be_written_is_not_told_to_be_refused(
+    site, is_accepted
+):
+    """Guards against the answer that nothing was cancelled after an attempt was made.
+
+    The store leaves the write without an answer, and is down when it is to be repeated.
+    """
+    if is_accepted:
+        await site.daemon.submit(QUEUE, JOB)
+    site.store.lost_answers = 1
+    commit = site.store.commit
+
+    async def fail_after(change, *, timeout):
+        result = await commit(change, timeout=timeout)
+        site.store.is_down = True
+        return result
+
+    site.store.commit = fail_after
+
+    assert await site.cancel() is message.Verdict.UNKNOWN
+
+
+async def test_a_cancellation_is_refused_if_the_store_refuses_each_attempt(site):
+    """Guards against a caller that is told that its job may have been cancelled."""
+
+    async def refuse(change, *, timeout):
+        return rows.Change(table.Outcome.NOT_DONE, reason="busy")
+
+    site.store.commit = refuse
+    answer = await site.daemon.cancel(QUEUE, "j")
+
+    assert (answer.verdict, answer.reason) == (message.Verdict.NOT_RUN, "busy")
+    assert answer.retry_after > 0
--- a/wigeonhitch/site/withdrawal.py
+++ b/wigeonhitch/site/withdrawal.py
@@ -10,7 +10,7 @@
 
 import collections
 
-from wigeonhitch.jobs import record
+from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import http, rows, table
 from wigeonhitch.pool import record as pool_record
 from wigeonhitch.site import jobrows, message
@@ -76,7 +76,9 @@
                 rows.Write(
                     pool_record.get_job_table(pool),
                     *location,
-                    record.write_withdrawn(pool, store_time),
+                    record.write_final(
+                        model.JobState.CANCELLED, pool, store_time, is_withdrawn=True
+                    ),
                 ),
             ),
         )
