--- a/standins/soak/audit.py
+++ b/standins/soak/audit.py
@@ -8,7 +8,15 @@
 from typing import NamedTuple
 
 from standins import siteworker, taskhistory
-from standins.soak import caller, environment, fault, restartaudit, team, vmfleet
+from standins.soak import (
+    caller,
+    environment,
+    fault,
+    latewrite,
+    restartaudit,
+    team,
+    vmfleet,
+)
 from wigeonhitch.jobs import model
 from wigeonhitch.platform import http
 
@@ -63,6 +71,8 @@
     ended: float
     teams: team.Teams | None = None
     probes: Sequence[restartaudit.Probe] = ()
+    counts: Sequence[latewrite.Count] = ()
+    unacknowledged: Sequence[caller.SubmittedJob] = ()
 
     def is_disturbed(self, begin: float, end: float, target: str = "") -> bool:
         """Whether a fault affected a time span; ``target`` restricts the daemons."""
@@ -100,6 +110,9 @@
         *restartaudit.check_forgotten(observed.vm_fleet.workers),
         *restartaudit.check_completed(observed.calls, events),
         *restartaudit.check_idle(observed.probes, observed.vm_fleet),
+        *latewrite.check_counts(observed.counts, observed.jobs),
+        *latewrite.check_missing(observed.calls, observed.jobs),
+        *(f"not acknowledged: cancellation of {j.id}" for j in observed.unacknowledged),
     ]
 
 
@@ -367,7 +380,7 @@
         if count >= environment.MAX_ATTEMPTS
     }
     for job in observed.jobs:
-        if not job.accepted:
+        if not job.accepted and not job.cancelled:
             continue
         name = f"{job.id} of {job.queue.name}"
         if job.cancelled:
--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -93,6 +93,10 @@
         self.final = ""
         self.crashes_vms = False
         """Whether its task crashes each worker that starts it."""
+        self.is_blocked = False
+        """Whether no worker may run it."""
+        self.was_told_missing = False
+        """Whether its cancellation was acknowledged as that of an unknown job."""
         self.team = ""
         self.key = ""
         """Key that it is submitted with."""
@@ -219,9 +223,53 @@
         call = await self._call("DELETE", job)
         if call.status in (200, 410) and job.cancelled is None:
             job.cancelled = call.ended
+            job.was_told_missing = call.status == 410
         return call
 
-    def _make_job(self, queue: environment.Queue, is_lasting: bool) -> SubmittedJob:
+    def make_leaving_job(self, queue: environment.Queue) -> SubmittedJob:
+        """Make a job that its caller is going to cancel; half of these last."""
+        is_lasting = self._rng.random() < 0.5
+        return self._make_job(queue, is_lasting, crashing_share=0.0)
+
+    def make_blocked_job(self, queue: environment.Queue) -> SubmittedJob:
+        """Make a job that no worker may run."""
+        step = {"count": 1, "cpu": 500, "mem_mb": 64, "requires": "no worker"}
+        id = f"{self._rng.getrandbits(64):016x}"
+        job = SubmittedJob(id, queue, {"spec": "{}", "steps": [step]})
+        job.is_blocked = True
+        self.jobs.append(job)
+        return job
+
+    async def submit_once(self, job: SubmittedJob, patience: float) -> None:
+        """Submit a job, and leave after some seconds without an answer."""
+        job.submissions += 1
+        call = await self._call("POST", job, timeout=patience)
+        if call.status == 200:
+            job.accepted = call.ended
+        job.refusals += int(call.status in (429, 503))
+
+    async def count(
+        self, queue: environment.Queue, daemon: environment.Daemon
+    ) -> tuple[int, int]:
+        """Return the status of a daemon's answer, and the count of waiting jobs."""
+        try:
+            reply = await self._client.get(
+                f"http://{daemon.callers}{queue.prefix}",
+                headers={"Host": queue.host},
+                timeout=TIMEOUT_SECONDS,
+            )
+        except httpx.TransportError:
+            return 0, 0
+        if reply.status_code != 200:
+            return reply.status_code, 0
+        return 200, reply.json()["pending"]
+
+    def _make_job(
+        self,
+        queue: environment.Queue,
+        is_lasting: bool,
+        crashing_share: float = CRASHING_SHARE,
+    ) -> SubmittedJob:
         id = f"{self._rng.getrandbits(64):016x}"
         if is_lasting:
             step = {"count": 3, "cpu": 500, "mem_mb": 64, "perpetual": True}
@@ -236,7 +284,7 @@
         seconds = 1e6 if is_lasting else self._rng.uniform(*TASK_SECONDS)
         fail = self._rng.choice((0.0, 0.0, 0.1))
         fields = {"seconds": round(seconds, 3), "fail": 0.0 if is_lasting else fail}
-        crashes = not is_lasting and self._rng.random() < CRASHING_SHARE
+        crashes = not is_lasting and self._rng.random() < crashing_share
         if crashes:
             fields["crash"] = True
             steps = [{**steps[0], "count": 1}]
@@ -264,7 +312,7 @@
         id = f"{self._rng.getrandbits(64):016x}"
         job = SubmittedJob(id, queue, {"spec": spec, "steps": [step]})
         self.jobs.append(job)
-        await self._submit(job)
+        await self.submit(job)
         return job
 
     def _assign(self, job: SubmittedJob, owner: team.Team) -> None:
@@ -274,7 +322,7 @@
 
     async def _run_job(self, job: SubmittedJob) -> None:
         """Submit a job, possibly cancel it, and query it until it is final."""
-        if not await self._submit(job):
+        if not await self.submit(job):
             return
         if not job.is_lasting and self._rng.random() < 0.15:
             await anyio.sleep(self._rng.uniform(0, 1.0))
@@ -283,7 +331,8 @@
             await anyio.sleep(QUERY_SECONDS * self._rng.uniform(0.5, 1.5))
             await self.query(job)
 
-    async def _submit(self, job: SubmittedJob) -> bool:
+    async def submit(self, job: SubmittedJob) -> bool:
+        """Submit a job until it is accepted, a few times; return whether it was."""
         for _ in range(MAX_SUBMISSIONS):
             job.submissions += 1
             call = await self._call("POST", job, job.key)
@@ -303,7 +352,13 @@
         if owner is not None:
             self._assign(job, owner)
 
-    async def _call(self, method: str, job: SubmittedJob, key: str = "") -> Call:
+    async def _call(
+        self,
+        method: str,
+        job: SubmittedJob,
+        key: str = "",
+        timeout: float = TIMEOUT_SECONDS,
+    ) -> Call:
         """Call any daemon, with a valid key of the job's team by default."""
         if not key and self._site.teams is not None:
             self._renew_key(job)
@@ -321,7 +376,7 @@
                 path,
                 headers=headers,
                 json=job.body if method == "POST" else None,
-                timeout=TIMEOUT_SECONDS,
+                timeout=timeout,
             )
             status, has_retry_after = reply.status_code, "retry-after" in reply.headers
             body = reply.json() if reply.content else None
--- a/standins/soak/fault.py
+++ b/standins/soak/fault.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "KINDS",
+    "LATE_KIND",
     "PLANNED",
     "Fault",
     "Injector",
@@ -21,6 +22,7 @@
 ]
 
 CAPACITY_KIND = "worker shrinks"
+LATE_KIND = "share of writes late"
 TEAM_KINDS = ("key revoked", "ceiling lowered")
 PLANNED = frozenset(
     {
@@ -145,6 +147,9 @@
             target = await self._inject_daemon_fault(fault)
         elif kind in STORE_KINDS:
             target = await self._inject_store_fault(fault)
+        elif kind == LATE_KIND:
+            await self._site.store.delay_writes(self._rng, fault.duration)
+            target = "store"
         elif kind in TEAM_KINDS:
             target = await self._change_teams(kind)
         elif kind in OPERATOR_KINDS:
--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -19,6 +19,7 @@
     environment,
     fault,
     incarnation,
+    latewrite,
     leaderfault,
     restartaudit,
     restartfault,
@@ -72,6 +73,7 @@
     teams: bool = False,
     restarts: bool = False,
     restart_kinds: str = "",
+    late: bool = False,
     folder: str = "",
 ) -> int:
     """Run seeded faults and check the records of callers and workers.
@@ -100,6 +102,9 @@
         Run, besides the other faults, those that restart workers under their ids.
     restart_kinds : str
         Regular expression that the names of these faults match.
+    late : bool
+        Let the store apply writes late, besides the other faults, while callers leave
+        and cancel and ask for counts of waiting jobs.
     folder : str
         Folder for the daemons' logs; a temporary one if empty.
     """
@@ -121,6 +126,7 @@
             teams,
             restarts,
             restart_kinds,
+            late,
         )
         failed_count += bool(result.violations)
         print(describe(result, log_folder), flush=True)
@@ -163,6 +169,7 @@
     teams: bool = False,
     restarts: bool = False,
     restart_kinds: str = "",
+    late: bool = False,
 ) -> Result:
     """Run one seed and check it."""
     rng = random.Random(seed)
@@ -175,6 +182,8 @@
     if restarts_rng is not None:
         restarts_plan = restartfault.plan(restarts_rng, seconds, restart_kinds)
         faults = sorted([*faults, *restarts_plan])
+    if late:
+        faults = sorted([*faults, *latewrite.plan(random.Random(seed), seconds)])
     written = team.Teams() if teams else None
     limits = httpx.Limits(max_connections=MAX_CONNECTIONS, keepalive_expiry=60.0)
     async with (
@@ -187,8 +196,11 @@
         callers = caller.Callers(site, rng, client)
         injector = restartfault.Injector(site, rng, restarts_rng)
         probes: list[restartaudit.Probe] = []
+        leaving = latewrite.LeavingCallers(site, callers, random.Random(seed))
         async with anyio.create_task_group() as group:
             group.start_soon(callers.run, rate, seconds)
+            if late:
+                group.start_soon(leaving.run, seconds)
             if leaders:
                 group.start_soon(callers.run_at_claims, seconds)
             await injector.run(faults)
@@ -208,6 +220,13 @@
                 group.start_soon(_submit_probes, site, callers, probes)
             observed = await _settle(callers, observed)
             group.cancel_scope.cancel()
+        if late:
+            injector.spans.append(await leaving.finish())
+            observed = observed._replace(
+                ended=http.read_clock(),
+                counts=leaving.counts,
+                unacknowledged=leaving.unacknowledged,
+            )
         return Result(
             seed,
             audit.check(observed),
@@ -268,6 +287,7 @@
             if job.accepted
             and not job.final
             and not job.is_lasting
+            and not job.is_blocked
             and not job.cancelled
         ]
         now = http.read_clock()
--- a/standins/soak/store.py
+++ b/standins/soak/store.py
@@ -1,19 +1,29 @@
 """HTTP interface of the store, answered from `standins.rowstore`."""
 
 import base64
+import random
 from typing import Any, NamedTuple
 
 import anyio
 
 from standins import rowstore
 from wigeonhitch.leadership import core, record
-from wigeonhitch.platform import rows, table
+from wigeonhitch.platform import http, rows, table
 
 __all__ = ["Answer", "Store"]
 
 TRANSACTION_SECONDS = 0.004
 """Duration of a transaction; one over several parts takes twice as long."""
 
+LATE_SHARE = 0.35
+"""Share of the writes that are applied late while answers are lost."""
+
+LATE_SECONDS = (1.0, 6.0)
+"""Range of the time after which they are applied."""
+
+POLL_SECONDS = 0.02
+"""Interval of checks whether a late write is due."""
+
 TIMEOUT_SECONDS = 1.0
 """Not used by the in-process store, which never waits for a network."""
 
@@ -42,6 +52,31 @@
         self.rows = rowstore.RowStore()
         self.delay = 0.0
         self.last_leader_pool = ""
+        self._late_rngs: list[random.Random] = []
+        """One for each call of `delay_writes` that delays writes."""
+        self._late_writes: list[tuple[float, rows.Transaction]] = []
+
+    async def delay_writes(self, rng: random.Random, seconds: float) -> None:
+        """Apply a share of the writes late and without an answer, for a time.
+
+        Return once all of them are applied, if their conditions still hold.
+        """
+        end = http.read_clock() + seconds
+        self._late_rngs.append(rng)
+        while http.read_clock() < end:
+            await anyio.sleep(POLL_SECONDS)
+            await self._apply_due_writes()
+        self._late_rngs.remove(rng)
+        while self._late_writes:
+            await anyio.sleep(POLL_SECONDS)
+            await self._apply_due_writes()
+
+    async def _apply_due_writes(self) -> None:
+        now = http.read_clock()
+        due = [item for item in self._late_writes if item[0] <= now]
+        self._late_writes = [item for item in self._late_writes if item[0] > now]
+        for _, change in sorted(due, key=lambda item: item[0]):
+            await self.rows.commit(change, timeout=TIMEOUT_SECONDS)
 
     async def answer(self, path: str, query: dict[str, str], body: Any) -> Answer:
         """Answer one call."""
@@ -75,6 +110,10 @@
         spans_parts = body.get("across", False)
         if not spans_parts and len({item.part for item in (*conditions, *writes)}) > 1:
             return Answer(400)
+        if self._late_rngs and self._late_rngs[0].random() < LATE_SHARE:
+            delay = self._late_rngs[0].uniform(*LATE_SECONDS)
+            self._late_writes.append((http.read_clock() + delay, change))
+            return Answer(0)
         await anyio.sleep(TRANSACTION_SECONDS * (2 if spans_parts else 1))
         result = await self.rows.commit(change, timeout=TIMEOUT_SECONDS)
         if result.outcome is table.Outcome.UNKNOWN:
--- a/standins/soak/without.py
+++ b/standins/soak/without.py
@@ -11,9 +11,9 @@
 
 from wigeonhitch.leadership import core as leadership
 from wigeonhitch.leadership import record, term
-from wigeonhitch.platform import entries, field
-from wigeonhitch.pool import core, ledger, quota, suspect, vm
-from wigeonhitch.site import acceptance, main, message
+from wigeonhitch.platform import entries, field, rows, table
+from wigeonhitch.pool import core, ledger, publication, quota, suspect, vm
+from wigeonhitch.site import acceptance, main, message, withdrawal
 
 __all__ = ["MECHANISMS", "run"]
 
@@ -97,6 +97,28 @@
     acceptance._build_transaction = build_transaction
 
 
+def replace_any_status() -> None:
+    """Write the status of a pool on whatever version of its row."""
+    original = publication.Publication.build_transaction
+
+    def build_transaction(self: Any, *arguments: Any) -> Any:
+        transaction = original(self, *arguments)
+        if transaction is None:
+            return None
+        return transaction._replace(conditions=transaction.conditions[:1])
+
+    publication.Publication.build_transaction = build_transaction
+
+
+def withdraw_nothing() -> None:
+    """Tell callers from a read that there is no job."""
+
+    async def withdraw(self: Any, *arguments: Any) -> rows.Change:
+        return rows.Change(table.Outcome.DONE)
+
+    withdrawal.Withdrawals.withdraw = withdraw
+
+
 def keep_crashing_tasks() -> None:
     """Never give up a task that crashes its VMs."""
     suspect.MAX_TEST_CRASHES = suspect.MAX_CRASHES = sys.maxsize
@@ -125,6 +147,8 @@
         claim_by_owner_alone,
         order_after_the_end,
         accept_without_condition,
+        replace_any_status,
+        withdraw_nothing,
         keep_crashing_tasks,
         ignore_ceilings,
         ignore_starts,
