Let tests share the steps that they repeat

The test of an earlier version checks late attempts themselves and not a transaction made like theirs; the one of a repeated attempt checks the repeated cancellation besides.

--- a/standins/tests/test_soak_late.py
+++ b/standins/tests/test_soak_late.py
@@ -5,16 +5,14 @@
 import pytest
 
 from standins.soak import audit, caller, environment, latewrite, main, store, vmfleet
-from wigeonhitch.platform import rows
 
 pytestmark = pytest.mark.anyio
 
 QUEUE = environment.QUEUES[0]
-STEP = {"count": 1, "cpu": 500}
 
 
 def make_job(id="00000000000000aa", **fields):
-    job = caller.SubmittedJob(id, QUEUE, {"spec": "", "steps": [STEP]})
+    job = caller.SubmittedJob(id, QUEUE, {"spec": "", "steps": [{"count": 1}]})
     for name, value in fields.items():
         setattr(job, name, value)
     return job
@@ -68,10 +66,8 @@
     fleet = vmfleet.VmFleet(None, random.Random(1))
     observed = audit.Observations([job], [], [], fleet, {}, 10.0, 100.0)
     assert audit.check(observed) == []
-    audit_running = [("task", job.id)]
-
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(audit, "_list_running", lambda *args: audit_running)
+        patch.setattr(audit, "_list_running", lambda *args: [job.id])
         violations = audit.check(observed)
 
     assert any("still runs" in line for line in violations)
@@ -93,9 +89,7 @@
     assert writes.rows.get("t", "p", "k") is None
     await writes.delay_writes(rng, 0.0)
 
-    assert writes.rows.get("t", "p", "k") == b"x"
-    found = await writes.rows.read("t", "p", timeout=1.0)
-    assert found.rows == (rows.Row("t", "p", "k", b"x", 1),)
+    assert (writes.rows.get("t", "p", "k"), writes.rows.version) == (b"x", 1)
 
 
 @pytest.mark.processes
--- a/wigeonhitch/leadership/tests/conftest.py
+++ b/wigeonhitch/leadership/tests/conftest.py
@@ -1,9 +1,10 @@
-"""Leader electors on an in-process store, for the tests of their tasks."""
+"""Leader electors on an in-process store, and histories without a mechanism."""
 
 import pytest
 
 from standins import rowstore
 from wigeonhitch.leadership import core, record, task
+from wigeonhitch.leadership.tests import history
 from wigeonhitch.platform import http
 
 
@@ -53,3 +54,17 @@
         lambda _: 1.0,
     )
     return elector, events
+
+
+@pytest.fixture(
+    params=[
+        ("member_row_condition", "expiry_confirmation"),
+        ("lapse_ends_leadership",),
+        ("lease_check",),
+        ("term_end",),
+    ],
+    ids="-".join,
+)
+def mechanisms_in_force(request):
+    """Return the mechanisms of a history without some of them."""
+    return history.Mechanisms()._replace(**dict.fromkeys(request.param, False))
--- a/wigeonhitch/leadership/tests/test_candidates.py
+++ b/wigeonhitch/leadership/tests/test_candidates.py
@@ -58,21 +58,7 @@
     assert max(world.unled.values()) <= MAX_UNLED_SECONDS
 
 
-@pytest.mark.parametrize(
-    "mechanisms",
-    [
-        ("member_row_condition", "expiry_confirmation"),
-        ("lapse_ends_leadership",),
-        ("lease_check",),
-        ("term_end",),
-    ],
-    ids="-".join,
-)
-def test_history_with_few_candidates_fails_without_mechanism(mechanisms):
-    mechanisms_in_force = history.Mechanisms()._replace(
-        **dict.fromkeys(mechanisms, False)
-    )
-
+def test_history_with_few_candidates_fails_without_mechanism(mechanisms_in_force):
     assert any(play(seed, mechanisms_in_force).violations for seed in range(MAX_SEEDS))
 
 
--- a/wigeonhitch/leadership/tests/test_claims.py
+++ b/wigeonhitch/leadership/tests/test_claims.py
@@ -213,6 +213,16 @@
     assert events == []
 
 
+async def remove_leader_unnoticed(store, elector):
+    """Remove the member row of a pool's leader after the elector has read it."""
+    conftest.put_owner(store, record.Owner("p", "b", "life-b", 2, 0))
+    member = record.write_member(record.Member("b", "life-b", 1.0))
+    store.put(record.MEMBER_TABLE, "b", "b", member)
+    await elector._read_members()
+    await elector._read_owner("p")
+    store.put(record.MEMBER_TABLE, "b", "b", None)
+
+
 async def test_pool_whose_leader_was_removed_unnoticed_is_claimed(
     store, lapsed_elector
 ):
@@ -221,12 +231,7 @@
     The feed's history was dropped before this daemon received the removal.
     """
     elector, events = lapsed_elector
-    conftest.put_owner(store, record.Owner("p", "b", "life-b", 2, 0))
-    member = record.write_member(record.Member("b", "life-b", 1.0))
-    store.put(record.MEMBER_TABLE, "b", "b", member)
-    await elector._read_members()
-    await elector._read_owner("p")
-    store.put(record.MEMBER_TABLE, "b", "b", None)
+    await remove_leader_unnoticed(store, elector)
 
     for _ in range(2):
         await elector._claim("p")
@@ -252,12 +257,7 @@
 async def test_member_listed_without_value_is_dropped(store, lapsed_elector):
     """A store may list a removed row without a value, or leave it out."""
     elector, events = lapsed_elector
-    conftest.put_owner(store, record.Owner("p", "b", "life-b", 2, 0))
-    member = record.write_member(record.Member("b", "life-b", 1.0))
-    store.put(record.MEMBER_TABLE, "b", "b", member)
-    await elector._read_members()
-    await elector._read_owner("p")
-    store.put(record.MEMBER_TABLE, "b", "b", None)
+    await remove_leader_unnoticed(store, elector)
     removed_row = rows.Row(record.MEMBER_TABLE, "b", "b", None, store.version)
     original_commit = store.commit
 
--- a/wigeonhitch/leadership/tests/test_history.py
+++ b/wigeonhitch/leadership/tests/test_history.py
@@ -45,19 +45,5 @@
     assert world.now - world.changed_at > history.STABLE_SECONDS
 
 
-@pytest.mark.parametrize(
-    "mechanisms",
-    [
-        ("member_row_condition", "expiry_confirmation"),
-        ("lapse_ends_leadership",),
-        ("lease_check",),
-        ("term_end",),
-    ],
-    ids="-".join,
-)
-def test_history_fails_without_mechanism(mechanisms):
-    mechanisms_in_force = history.Mechanisms()._replace(
-        **dict.fromkeys(mechanisms, False)
-    )
-
+def test_history_fails_without_mechanism(mechanisms_in_force):
     assert any(play(seed, mechanisms_in_force).violations for seed in range(MAX_SEEDS))
--- a/wigeonhitch/pool/tests/test_core.py
+++ b/wigeonhitch/pool/tests/test_core.py
@@ -16,18 +16,21 @@
     bench.pool.on_start(run, reply, now)
 
 
+def fail_run(bench, ended, machine, number):
+    """Start a task on a VM, and let the VM list its failure as an end's number."""
+    now = NOW + number
+    machine.last_answer = now
+    (run,) = bench.start(now)
+    bench.answer(machine, ended=[ended(number, run, model.End.FAILED)], now=now + 0.5)
+
+
 def test_job_keeps_its_max_attempts_when_its_queue_is_removed(bench, ended):
     machine = bench.add_vm()
     state = bench.add_job(attempts=2)
     bench.pool.on_queues([])
     finals = []
     for number in (1, 2):
-        now = NOW + number
-        machine.last_answer = now
-        (run,) = bench.start(now)
-        bench.answer(
-            machine, ended=[ended(number, run, model.End.FAILED)], now=now + 0.5
-        )
+        fail_run(bench, ended, machine, number)
         finals.append(state.final)
 
     assert finals == [None, model.JobState.FAILED]
@@ -264,12 +267,7 @@
     machine = bench.add_vm()
     state = bench.add_job()
     for number in (1, 2):
-        now = NOW + number
-        machine.last_answer = now
-        (run,) = bench.start(now)
-        bench.answer(
-            machine, ended=[ended(number, run, model.End.FAILED)], now=now + 0.5
-        )
+        fail_run(bench, ended, machine, number)
 
     assert state.final is model.JobState.FAILED
     assert bench.plan(NOW + 3) == []
--- a/wigeonhitch/pool/tests/test_ledger.py
+++ b/wigeonhitch/pool/tests/test_ledger.py
@@ -195,6 +195,20 @@
     )
 
 
+async def add_and_remove(stored_ledger, store):
+    """Write a VM's roster row, and drop the VM without writing that."""
+    stored_ledger.add_vm("w1", "w1:1")
+    await commit(stored_ledger, store)
+    stored_ledger.remove_vm("w1")
+
+
+async def remove_without_answer(stored_ledger, store):
+    """Write a VM's roster row, and remove it without an answer."""
+    await add_and_remove(stored_ledger, store)
+    store.lost_answers = 1
+    await commit(stored_ledger, store)
+
+
 @pytest.mark.anyio
 async def test_late_removal_keeps_the_row_of_a_returned_vm(stored_ledger, store):
     """Guards against two concurrent runs of a task after a takeover.
@@ -204,9 +218,7 @@
     know the VM and restarted its tasks elsewhere. Rows must be replaced and removed at
     their last known version, not only under the owner row.
     """
-    stored_ledger.add_vm("w1", "w1:1")
-    await commit(stored_ledger, store)
-    stored_ledger.remove_vm("w1")
+    await add_and_remove(stored_ledger, store)
     store.deferred_commits = 1
     await commit(stored_ledger, store)
     await commit(stored_ledger, store)
@@ -221,9 +233,7 @@
 @pytest.mark.anyio
 async def test_vm_back_before_its_row_is_removed_is_written_again(stored_ledger, store):
     """Guards against a VM that is never used: its row was about to be removed."""
-    stored_ledger.add_vm("w1", "w1:1")
-    await commit(stored_ledger, store)
-    stored_ledger.remove_vm("w1")
+    await add_and_remove(stored_ledger, store)
     stored_ledger.add_vm("w1", "w1:2")
 
     batch = collect(stored_ledger, {})
@@ -263,11 +273,7 @@
 async def test_unanswered_removal_of_a_roster_row_blocks_no_later_write(
     stored_ledger, store
 ):
-    stored_ledger.add_vm("w1", "w1:1")
-    await commit(stored_ledger, store)
-    stored_ledger.remove_vm("w1")
-    store.lost_answers = 1
-    await commit(stored_ledger, store)
+    await remove_without_answer(stored_ledger, store)
 
     await commit(stored_ledger, store)
 
@@ -277,11 +283,7 @@
 
 @pytest.mark.anyio
 async def test_vm_back_after_an_unanswered_removal_is_written(stored_ledger, store):
-    stored_ledger.add_vm("w1", "w1:1")
-    await commit(stored_ledger, store)
-    stored_ledger.remove_vm("w1")
-    store.lost_answers = 1
-    await commit(stored_ledger, store)
+    await remove_without_answer(stored_ledger, store)
     stored_ledger.add_vm("w1", "w1:1")
 
     assert not (await commit(stored_ledger, store)).done
@@ -295,9 +297,7 @@
 ):
     """An addition, a removal and a progress write were applied but not answered."""
     jobs = {"j": make_state(model.Step(1))}
-    stored_ledger.add_vm("w1", "w1:1")
-    await commit(stored_ledger, store)
-    stored_ledger.remove_vm("w1")
+    await add_and_remove(stored_ledger, store)
     stored_ledger.add_vm("w2", "w2:1")
     stored_ledger.mark_dirty("j")
     store.lost_answers = 1
@@ -388,9 +388,7 @@
 
 @pytest.mark.anyio
 async def test_vm_back_while_its_row_is_removed_is_written(stored_ledger, store):
-    stored_ledger.add_vm("w1", "w1:1")
-    await commit(stored_ledger, store)
-    stored_ledger.remove_vm("w1")
+    await add_and_remove(stored_ledger, store)
     batch = collect(stored_ledger, {})
     stored_ledger.add_vm("w1", "w1:1")
     stored_ledger.on_result(batch, await store.commit(batch.transaction, timeout=1.0))
@@ -405,11 +403,7 @@
 
     How the store handles the removal of a row that doesn't exist is unspecified.
     """
-    stored_ledger.add_vm("w1", "w1:1")
-    await commit(stored_ledger, store)
-    stored_ledger.remove_vm("w1")
-    store.lost_answers = 1
-    await commit(stored_ledger, store)
+    await remove_without_answer(stored_ledger, store)
     stored_ledger.add_vm("w1", "w1:1")
     batch = collect(stored_ledger, {})
     stored_ledger.remove_vm("w1")
--- a/wigeonhitch/site/tests/test_late_status.py
+++ b/wigeonhitch/site/tests/test_late_status.py
@@ -59,16 +59,13 @@
         await anyio.sleep(PUBLISHING_SECONDS)
         return [change.outcome is table.Outcome.DONE for change in changes]
 
-    def answer_again(self):
-        self.site.store.deferred_tables.clear()
-
 
 async def test_a_late_write_does_not_replace_a_newer_count(site):
     async with site.run("a") as (daemon,):
         callers = Callers(site, daemon)
         await callers.submit("j0")
         await callers.lose_status_writes()
-        callers.answer_again()
+        site.store.deferred_tables.clear()
         await callers.submit("j1", "j2", "j3")
         await callers.wait_for_count(4)
 
@@ -90,7 +87,7 @@
         await callers.cancel("j1")
         await callers.lose_status_writes()
         await callers.submit("j2")
-        callers.answer_again()
+        site.store.deferred_tables.clear()
         await anyio.sleep(PUBLISHING_SECONDS)
 
         assert not any(await callers.apply_late_writes())
@@ -104,7 +101,7 @@
         await callers.submit("j0")
         await callers.lose_status_writes()
         site.store.apply_deferred()
-        callers.answer_again()
+        site.store.deferred_tables.clear()
         await callers.submit("j1", "j2")
         await callers.wait_for_count(3)
 
@@ -118,7 +115,7 @@
         await callers.lose_status_writes()
         site.kill(leader)
         leader._runners.clear()
-        callers.answer_again()
+        site.store.deferred_tables.clear()
         await site.wait_for(lambda: site.find_leader(daemons) is other)
         await callers.submit("j1")
         await callers.wait_for_count(2)
--- a/wigeonhitch/site/tests/test_waiting.py
+++ b/wigeonhitch/site/tests/test_waiting.py
@@ -219,6 +219,25 @@
     assert (queue.name, counts) == ("renamed", [4, 4])
 
 
+class MovingQueue:
+    """A daemon whose queue moves to another pool, on a clock that is set."""
+
+    def __init__(self, shared, monkeypatch):
+        self.queue, self.now = QUEUE, 1000.0
+        monkeypatch.setattr(http, "read_clock", lambda: self.now)
+        shared.publish("p", "other")
+        self.handler = handler.RequestHandler(
+            shared.store,
+            lambda: model.Catalogue(1, (self.queue,), ()),
+            metric.Instruments(),
+        )
+
+    def move(self):
+        self.handler.on_catalogue()
+        self.queue = MOVED_QUEUE
+        self.handler.on_catalogue()
+
+
 async def test_waiting_jobs_are_counted_at_once_after_their_queue_has_moved(
     shared, monkeypatch
 ):
@@ -227,38 +246,24 @@
     The daemon had looked through all pools before the jobs came, and looked only at the
     queue's new pool until it did so again.
     """
-    queues, now = (QUEUE,), http.read_clock()
-    monkeypatch.setattr(http, "read_clock", lambda: now)
-    shared.publish("p", "other")
-    request_handler = handler.RequestHandler(
-        shared.store, lambda: model.Catalogue(1, queues, ()), metric.Instruments()
-    )
-    assert await count(request_handler, QUEUE) == 0
+    moving = MovingQueue(shared, monkeypatch)
+    assert await count(moving.handler, QUEUE) == 0
     await shared.submit(QUEUE, 10)
     shared.publish("p")
-    queues = (MOVED_QUEUE,)
-    request_handler.on_catalogue()
+    moving.move()
 
-    assert await count(request_handler, MOVED_QUEUE) == 10
+    assert await count(moving.handler, MOVED_QUEUE) == 10
 
 
 async def test_a_former_pool_without_jobs_is_not_read_for_long(shared, monkeypatch):
     """Guards against counts that cost a read more for each pool that a queue had."""
-    queues, now = (QUEUE,), http.read_clock()
-    monkeypatch.setattr(http, "read_clock", lambda: now)
-    shared.publish("p", "other")
-    request_handler = handler.RequestHandler(
-        shared.store, lambda: model.Catalogue(1, queues, ()), metric.Instruments()
-    )
-    request_handler.on_catalogue()
-    queues = (MOVED_QUEUE,)
-    now += waiting.FORMER_POOL_SECONDS
-    request_handler.on_catalogue()
-    now += waiting.FORMER_POOL_SECONDS + 0.1
-    await count(request_handler, MOVED_QUEUE)
+    moving = MovingQueue(shared, monkeypatch)
+    moving.move()
+    moving.now += waiting.FORMER_POOL_SECONDS + 0.1
+    await count(moving.handler, MOVED_QUEUE)
     calls = shared.store.calls
 
-    await count(request_handler, MOVED_QUEUE)
+    await count(moving.handler, MOVED_QUEUE)
 
     assert shared.store.calls == calls + 1
 
--- a/wigeonhitch/site/tests/test_withdrawal.py
+++ b/wigeonhitch/site/tests/test_withdrawal.py
@@ -41,6 +41,21 @@
         value = self.store.get(pool_record.get_job_table(pool), PART, "j")
         return record.read_job("j", value) if value else None
 
+    def act_around_commit(self, *, before=None, after=None):
+        """Await a function before or after the next transaction is applied."""
+        commit = self.store.commit
+
+        async def commit_once(change, *, timeout):
+            self.store.commit = commit
+            if before is not None:
+                await before()
+            result = await commit(change, timeout=timeout)
+            if after is not None:
+                await after()
+            return result
+
+        self.store.commit = commit_once
+
     async def submit_late(self):
         """Submit the job without an answer; the store may apply each attempt later."""
         self.store.deferred_commits = 1000
@@ -48,6 +63,12 @@
         self.store.deferred_commits = 0
         assert answer.verdict is message.Verdict.UNKNOWN
 
+    async def apply_late(self):
+        return self.store.apply_deferred()
+
+    async def lose_store(self):
+        self.store.is_down = True
+
     async def cancel(self, queue=QUEUE, id="j", team=""):
         """Return the verdict on a cancellation at another daemon."""
         return (await self.daemon.cancel(queue, id, team)).verdict
@@ -83,21 +104,13 @@
 async def test_an_attempt_that_is_repeated_after_the_cancellation_is_refused(site):
     """The daemon repeats the write of a submission whose caller has left."""
     site.store.deferred_commits = 1
-    commit = site.store.commit
-
-    async def cancel_after(change, *, timeout):
-        result = await commit(change, timeout=timeout)
-        site.store.commit = commit
-        assert await site.cancel() is message.Verdict.MISSING
-        return result
-
-    site.store.commit = cancel_after
+    site.act_around_commit(after=site.cancel)
     answer = await site.make_handler().submit(QUEUE, JOB)
 
     assert answer.verdict is message.Verdict.NOT_RUN
     assert answer.reason == withdrawal.REASON
-    assert not any(change.outcome is table.Outcome.DONE
-                   for change in site.store.apply_deferred())  # fmt: skip
+    assert [change.reason for change in site.store.apply_deferred()] == ["conflict"]
+    assert await site.cancel() is message.Verdict.MISSING
 
 
 async def test_a_submission_of_a_withdrawn_job_is_told_when_its_id_is_free(site):
@@ -115,14 +128,7 @@
     The submission is applied between the reads of the cancellation and its write.
     """
     await site.submit_late()
-    commit = site.store.commit
-
-    async def accept_before(change, *, timeout):
-        site.store.commit = commit
-        site.store.apply_deferred()
-        return await commit(change, timeout=timeout)
-
-    site.store.commit = accept_before
+    site.act_around_commit(before=site.apply_late)
 
     assert await site.cancel() is message.Verdict.ACCEPTED
     assert site.read_job().cancelled
@@ -209,12 +215,8 @@
     await site.submit_late()
     await site.cancel()
     holder = site.store.get(pool_record.HOLDER_TABLE, PART, "j")
-    former_acceptance = rows.Condition(pool_record.HOLDER_TABLE, PART, "j", 0)
-    write = rows.Write(pool_record.get_job_table("p"), PART, "j", b"{}")
-    transaction = rows.Transaction((former_acceptance,), (write,))
-    result = await site.store.commit(transaction, timeout=1.0)
 
-    assert result.reason == "conflict"
+    assert all(change.reason == "conflict" for change in site.store.apply_deferred())
     assert holder.decode() not in ("p", "other")
     assert site.read_job().final is model.JobState.CANCELLED
 
@@ -230,14 +232,7 @@
     if is_accepted:
         await site.daemon.submit(QUEUE, JOB)
     site.store.lost_answers = 1
-    commit = site.store.commit
-
-    async def fail_after(change, *, timeout):
-        result = await commit(change, timeout=timeout)
-        site.store.is_down = True
-        return result
-
-    site.store.commit = fail_after
+    site.act_around_commit(after=site.lose_store)
 
     assert await site.cancel() is message.Verdict.UNKNOWN
 
--- a/wigeonhitch/site/tests/withdrawalhistory.py
+++ b/wigeonhitch/site/tests/withdrawalhistory.py
@@ -33,10 +33,8 @@
 class LeavingJob(history.Job):
     """A job whose caller leaves before it is answered."""
 
-    def __init__(self, id: str) -> None:
-        super().__init__(id)
-        self.told: message.Verdict | None = None
-        """Answer that has acknowledged the cancellation."""
+    told: message.Verdict | None = None
+    """Answer that has acknowledged the cancellation."""
 
 
 class World(history.World):
@@ -66,8 +64,7 @@
     async def _submit_once(
         self, daemon: history.DaemonIncarnation, job: LeavingJob
     ) -> None:
-        queue = daemon.handler.find_queue("h", f"/q/{job.id}")
-        if isinstance(queue, message.Answer):
+        if (queue := find_queue(daemon)) is None:
             return
         job.attempts += 1
         submitted = model.Job(job.id, queue.name, "", history.STEPS)
@@ -80,10 +77,9 @@
         self, daemon: history.DaemonIncarnation, job: LeavingJob
     ) -> None:
         job.is_cancelled = True
-        self.call_later(self._leaving_rng.uniform(*RETRY_SECONDS),
-                        lambda: self._repeat_unless_told(job))  # fmt: skip
-        queue = daemon.handler.find_queue("h", f"/q/{job.id}")
-        if isinstance(queue, message.Answer):
+        retry_in = self._leaving_rng.uniform(*RETRY_SECONDS)
+        self.call_later(retry_in, lambda: self._repeat_unless_told(job))
+        if (queue := find_queue(daemon)) is None:
             return
         verdict = (await daemon.handler.cancel(queue, job.id)).verdict
         if verdict not in ACKNOWLEDGED or job.told is not None:
@@ -103,8 +99,7 @@
     async def _show_cancelled(
         self, daemon: history.DaemonIncarnation, job: LeavingJob
     ) -> None:
-        queue = daemon.handler.find_queue("h", f"/q/{job.id}")
-        if isinstance(queue, message.Answer):
+        if (queue := find_queue(daemon)) is None:
             return
         answer = await daemon.handler.show(queue, job.id)
         if job.told is message.Verdict.MISSING and answer.state is not None:
@@ -140,13 +135,19 @@
 
     def _check_all_found(self) -> None:
         super()._check_all_found()
-        if isinstance(self._daemons[0].handler.find_queue("h", "/q/"), message.Answer):
+        if find_queue(self._daemons[0]) is None:
             return  # the newest configuration has dropped the queue
         for job in self.leaving:
             if job.told is None:
                 self._report(f"{job.id}: its cancellation was never acknowledged")
 
 
+def find_queue(daemon: history.DaemonIncarnation) -> model.Queue | None:
+    """Return the queue as a daemon knows it, None if it was dropped."""
+    queue = daemon.handler.find_queue("h", "/q/")
+    return None if isinstance(queue, message.Answer) else queue
+
+
 def is_withdrawn(row: rows.Row) -> bool:
     """Return whether a row is that of a withdrawn job."""
     if row.table != pool_record.HOLDER_TABLE or row.value is None:
