Wait for the leader's state in the test of a closing without an answer

The test's store applies a commit 2 ms before it answers, and the test stopped the runner as soon as the row was gone, so that the answer was sometimes lost with the runner.

The check is as strict: row and state have to be empty within the same 8 s, and it still fails if a commit without an answer doesn't make the rows uncertain.

--- a/wigeonhitch/maintenance/tests/test_unanswered.py
+++ b/wigeonhitch/maintenance/tests/test_unanswered.py
@@ -240,9 +240,11 @@
         await wait_until(lambda: read_closings(store))
         request_vms(store, 0)
         await wait_until(lambda: not read_closings(store))
+        # The store applies a commit 2 ms before the runner gets the answer.
+        await wait_until(lambda: not runner.state.closings)
         runner.stop()
 
-    assert runner.state.closings == {}
+    assert read_closings(store) == runner.state.closings == {}
 
 
 @pytest.mark.anyio
