Pass the options of a soak's run as one tuple

The options are a NamedTuple now, and the plan of faults and the summary are functions of their own.

--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -27,7 +27,7 @@
 )
 from wigeonhitch.platform import http
 
-__all__ = ["Result", "list_recorded_seeds", "run", "run_seed"]
+__all__ = ["Options", "Result", "list_recorded_seeds", "run", "run_seed"]
 
 SEEDS_FILE = pathlib.Path(__file__).with_name("seeds.yaml")
 
@@ -41,6 +41,20 @@
 """Connections of the callers; each is kept until the daemon's process exits."""
 
 
+class Options(NamedTuple):
+    """What is run with each seed; `soak` describes the fields."""
+
+    seconds: float = 16.0
+    daemons: int = 3
+    rate: float = 4.0
+    without: str = ""
+    leaders: bool = False
+    teams: bool = False
+    restarts: bool = False
+    restart_kinds: str = ""
+    late: bool = False
+
+
 class Result(NamedTuple):
     """Results of one seed."""
 
@@ -108,26 +122,24 @@
     folder : str
         Folder for the daemons' logs; a temporary one if empty.
     """
+    options = Options(
+        seconds=seconds,
+        daemons=daemons,
+        rate=rate,
+        without=without,
+        leaders=leaders,
+        teams=teams,
+        restarts=restarts,
+        restart_kinds=restart_kinds,
+        late=late,
+    )
     selected = list_recorded_seeds(teams) if kept else range(first, first + seeds)
     root = folder or tempfile.mkdtemp(prefix="soak-")
     failed_count = 0
     for seed in selected:
         log_folder = pathlib.Path(root) / str(seed)
         log_folder.mkdir(parents=True, exist_ok=True)
-        result = anyio.run(
-            run_seed,
-            seed,
-            log_folder,
-            seconds,
-            daemons,
-            rate,
-            without,
-            leaders,
-            teams,
-            restarts,
-            restart_kinds,
-            late,
-        )
+        result = anyio.run(run_seed, seed, log_folder, options)
         failed_count += bool(result.violations)
         print(describe(result, log_folder), flush=True)
     print(f"{len(selected)} seeds, {failed_count} with a broken promise")
@@ -158,52 +170,31 @@
     return "\n".join(lines)
 
 
-async def run_seed(
-    seed: int,
-    folder: pathlib.Path,
-    seconds: float,
-    daemons: int,
-    rate: float,
-    without: str = "",
-    leaders: bool = False,
-    teams: bool = False,
-    restarts: bool = False,
-    restart_kinds: str = "",
-    late: bool = False,
-) -> Result:
+async def run_seed(seed: int, folder: pathlib.Path, options: Options) -> Result:
     """Run one seed and check it."""
     rng = random.Random(seed)
-    plan = leaderfault.plan if leaders else fault.plan
-    faults = plan(random.Random(seed), seconds)
-    if teams:
-        faults += fault.plan_team_changes(random.Random(seed), seconds)
-        faults.sort()
-    restarts_rng = random.Random(seed) if restarts else None
-    if restarts_rng is not None:
-        restarts_plan = restartfault.plan(restarts_rng, seconds, restart_kinds)
-        faults = sorted([*faults, *restarts_plan])
-    if late:
-        faults = sorted([*faults, *latewrite.plan(random.Random(seed), seconds)])
-    written = team.Teams() if teams else None
+    restarts_rng = random.Random(seed) if options.restarts else None
+    faults = _plan_faults(seed, options, restarts_rng)
+    teams = team.Teams() if options.teams else None
     limits = httpx.Limits(max_connections=MAX_CONNECTIONS, keepalive_expiry=60.0)
     async with (
         httpx.AsyncClient(limits=limits, trust_env=False) as client,
         environment.open_environment(
-            folder, daemons, rng, without, written, restarts_rng
+            folder, options.daemons, rng, options.without, teams, restarts_rng
         ) as site,
     ):
         await _wait_until_ready(site)
         callers = caller.Callers(site, rng, client)
         injector = restartfault.Injector(site, rng, restarts_rng)
-        probes: list[restartaudit.Probe] = []
         leaving = latewrite.LeavingCallers(site, callers, random.Random(seed))
         async with anyio.create_task_group() as group:
-            group.start_soon(callers.run, rate, seconds)
-            if late:
-                group.start_soon(leaving.run, seconds)
-            if leaders:
-                group.start_soon(callers.run_at_claims, seconds)
+            group.start_soon(callers.run, options.rate, options.seconds)
+            if options.late:
+                group.start_soon(leaving.run, options.seconds)
+            if options.leaders:
+                group.start_soon(callers.run_at_claims, options.seconds)
             await injector.run(faults)
+        probes: list[restartaudit.Probe] = []
         observed = audit.Observations(
             callers.jobs,
             callers.calls,
@@ -212,31 +203,55 @@
             site.queue_pools,
             settled_from=http.read_clock(),
             ended=0.0,
-            teams=written,
+            teams=teams,
             probes=probes,
         )
         async with anyio.create_task_group() as group:
-            if restarts and not teams:
+            if options.restarts and not options.teams:
                 group.start_soon(_submit_probes, site, callers, probes)
             observed = await _settle(callers, observed)
             group.cancel_scope.cancel()
-        if late:
+        if options.late:
             injector.spans.append(await leaving.finish())
             observed = observed._replace(
                 ended=http.read_clock(),
                 counts=leaving.counts,
                 unacknowledged=leaving.unacknowledged,
             )
-        return Result(
-            seed,
-            audit.check(observed),
-            len(observed.jobs),
-            len(observed.calls),
-            sum(1 for call in observed.calls if call.status in (429, 503)),
-            sum(1 for event in site.vm_fleet.events if event.kind == "start"),
-            observed.spans,
-            site.restarts.incarnations if site.restarts else (),
+        return _summarize(seed, site, observed)
+
+
+def _plan_faults(
+    seed: int, options: Options, restarts_rng: random.Random | None
+) -> list[fault.Fault]:
+    """Return the faults of a run, each kind drawn from a generator of its own."""
+    plan = leaderfault.plan if options.leaders else fault.plan
+    faults = plan(random.Random(seed), options.seconds)
+    if options.teams:
+        faults += fault.plan_team_changes(random.Random(seed), options.seconds)
+    if restarts_rng is not None:
+        faults += restartfault.plan(
+            restarts_rng, options.seconds, options.restart_kinds
         )
+    if options.late:
+        faults += latewrite.plan(random.Random(seed), options.seconds)
+    return sorted(faults)
+
+
+def _summarize(
+    seed: int, site: environment.Environment, observed: audit.Observations
+) -> Result:
+    """Check what was observed and return the results."""
+    return Result(
+        seed,
+        audit.check(observed),
+        len(observed.jobs),
+        len(observed.calls),
+        sum(1 for call in observed.calls if call.status in (429, 503)),
+        sum(1 for event in site.vm_fleet.events if event.kind == "start"),
+        observed.spans,
+        site.restarts.incarnations if site.restarts else (),
+    )
 
 
 async def _submit_probes(
--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -25,6 +25,8 @@
 
 pytestmark = pytest.mark.anyio
 
+SHORT_RUN = main.Options(seconds=8.0)
+
 JOB = "00000000000000aa"
 FIRST = model.Task(JOB, 0, 0, 0)
 SECOND = model.Task(JOB, 0, 1, 0)
@@ -507,7 +509,7 @@
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", [1])
 async def test_short_run_has_no_violation(seed, tmp_path):
-    result = await main.run_seed(seed, tmp_path, seconds=8.0, daemons=3, rate=4.0)
+    result = await main.run_seed(seed, tmp_path, SHORT_RUN)
 
     assert result.violations == []
     assert result.starts > 20
@@ -515,9 +517,7 @@
 
 @pytest.mark.processes
 async def test_short_run_with_leader_faults_has_no_violation(tmp_path):
-    result = await main.run_seed(
-        1, tmp_path, seconds=8.0, daemons=3, rate=4.0, leaders=True
-    )
+    result = await main.run_seed(1, tmp_path, SHORT_RUN._replace(leaders=True))
 
     assert result.violations == []
     assert result.spans != []
@@ -527,9 +527,7 @@
 @pytest.mark.processes
 async def test_short_run_with_teams_has_no_violation(tmp_path):
     """Guards against a plan that leaves out a kind of change of the teams."""
-    result = await main.run_seed(
-        1, tmp_path, seconds=8.0, daemons=3, rate=4.0, teams=True
-    )
+    result = await main.run_seed(1, tmp_path, SHORT_RUN._replace(teams=True))
 
     assert result.violations == []
     assert {span.kind for span in result.spans} >= set(fault.TEAM_KINDS)
--- a/standins/tests/test_soak_late.py
+++ b/standins/tests/test_soak_late.py
@@ -95,9 +95,8 @@
 @pytest.mark.processes
 async def test_short_run_with_late_writes_has_no_violation(tmp_path):
     """Guards against old counts and against jobs that run after 410."""
-    result = await main.run_seed(
-        1, tmp_path, seconds=8.0, daemons=3, rate=4.0, late=True
-    )
+    options = main.Options(seconds=8.0, late=True)
+    result = await main.run_seed(1, tmp_path, options)
 
     assert result.violations == []
     kinds = [span.kind for span in result.spans]
--- a/standins/tests/test_soak_restarts.py
+++ b/standins/tests/test_soak_restarts.py
@@ -303,15 +303,10 @@
 async def test_short_run_with_restarts_has_no_violation(tmp_path):
     """Guards against tasks that run twice, or are lost, as workers are restarted under
     their ids by clocks that were set back."""
-    result = await main.run_seed(
-        79,
-        tmp_path,
-        seconds=5.0,
-        daemons=3,
-        rate=8.0,
-        restarts=True,
-        restart_kinds="set back|same time",
+    options = main.Options(
+        seconds=5.0, rate=8.0, restarts=True, restart_kinds="set back|same time"
     )
+    result = await main.run_seed(79, tmp_path, options)
 
     assert result.violations == []
     assert {span.kind for span in result.spans} & set(restartfault.KINDS)
