Take the settings of long property tests from the fixed profile

Four tests repeated three settings that conftest.py loads for all tests, and that their own inherit.

--- a/wigeonhitch/configuration/tests/test_acceptance.py
+++ b/wigeonhitch/configuration/tests/test_acceptance.py
@@ -250,9 +250,6 @@
         settings=hypothesis.settings(
             max_examples=200,
             stateful_step_count=60,
-            derandomize=True,
-            deadline=None,
-            database=None,
         ),
     )
 
--- a/wigeonhitch/configuration/tests/test_distribution.py
+++ b/wigeonhitch/configuration/tests/test_distribution.py
@@ -222,9 +222,6 @@
         settings=hypothesis.settings(
             max_examples=300,
             stateful_step_count=50,
-            derandomize=True,
-            deadline=None,
-            database=None,
         ),
     )
 
--- a/wigeonhitch/idempotency/tests/test_interleavings.py
+++ b/wigeonhitch/idempotency/tests/test_interleavings.py
@@ -11,9 +11,6 @@
     settings = hypothesis.settings(
         max_examples=examples,
         stateful_step_count=40,
-        derandomize=True,
-        deadline=None,
-        database=None,
         report_multiple_bugs=False,
         phases=[hypothesis.Phase.generate],
         suppress_health_check=list(hypothesis.HealthCheck),
