Check the plans of the soak's faults by one test

Three tests of two files checked the same of three plans: reproducible, and with each kind of fault among 60 seeds. One test does so for each plan now; seeds, lengths and expected kinds are the same. The tests of both files that start no processes pass.

--- a/standins/tests/test_soak.py
+++ b/standins/tests/test_soak.py
@@ -17,6 +17,7 @@
     leaderfault,
     main,
     relay,
+    restartfault,
     store,
     team,
     vmfleet,
@@ -370,26 +371,21 @@
     assert [count(), count(stop), count(elsewhere), count(kill)] == [1, 1, 1, 0]
 
 
-def test_plan_is_reproducible_and_covers_every_kind():
-    assert fault.plan(random.Random(3), 16) == fault.plan(random.Random(3), 16)
-    kinds = {
-        planned.kind
-        for seed in range(60)
-        for planned in fault.plan(random.Random(seed), 16)
-    }
-    assert kinds == {*fault.KINDS, fault.CAPACITY_KIND}
-
-
-def test_leader_plan_is_reproducible_and_covers_every_kind():
-    assert leaderfault.plan(random.Random(3), 16) == leaderfault.plan(
-        random.Random(3), 16
-    )
+@pytest.mark.parametrize(
+    ("plan", "expected"),
+    [
+        (fault.plan, {*fault.KINDS, fault.CAPACITY_KIND}),
+        (leaderfault.plan, set(leaderfault.KINDS)),
+        (restartfault.plan, set(restartfault.KINDS)),
+    ],
+    ids=["all", "leaders", "restarts"],
+)
+def test_plan_is_reproducible_and_covers_every_kind(plan, expected):
+    assert plan(random.Random(3), 16) == plan(random.Random(3), 16)
     kinds = {
-        planned.kind
-        for seed in range(60)
-        for planned in leaderfault.plan(random.Random(seed), 16)
+        planned.kind for seed in range(60) for planned in plan(random.Random(seed), 16)
     }
-    assert kinds == set(leaderfault.KINDS)
+    assert kinds == expected
 
 
 def make_transaction(*parts, **fields):
--- a/standins/tests/test_soak_restarts.py
+++ b/standins/tests/test_soak_restarts.py
@@ -270,18 +270,6 @@
     assert not site.awaits_maintenance("b")
 
 
-def test_plan_is_reproducible_and_covers_every_kind():
-    assert restartfault.plan(random.Random(3), 16) == restartfault.plan(
-        random.Random(3), 16
-    )
-    kinds = {
-        planned.kind
-        for seed in range(60)
-        for planned in restartfault.plan(random.Random(seed), 16)
-    }
-    assert kinds == set(restartfault.KINDS)
-
-
 async def test_refusing_link_resets_new_connections():
     """Guards against a worker that is gone and whose address still takes calls."""
     ports = process.Ports()
