Show what a withdrawal doesn't settle, and that its limit can be exceeded

Found by reading the whole change again. A cancellation that finds the rows of an earlier one answers 410 from them, and they may be removed at once: a submission of the same id between the two, which is applied late, is then accepted, and its job runs. And a withdrawal is counted after its write, so that ten at one time pass a limit of three. Callers haven't been seen to meet either.

--- a/wigeonhitch/site/cancellation.py
+++ b/wigeonhitch/site/cancellation.py
@@ -34,7 +34,8 @@
     async def cancel(self, queue: model.Queue, id: str, team: str) -> message.Answer:
         """Cancel a job for a caller of a team.
 
-        ``MISSING`` is answered only once no submission of it can be accepted any more.
+        ``MISSING`` is answered only if a row is known that prevents the acceptance of
+        each submission. One that an earlier cancellation has written isn't renewed.
         """
         deadline = http.read_clock() + acceptance.REQUEST_TIMEOUT_SECONDS
         refusal = message.refuse("timeout")
--- a/wigeonhitch/site/withdrawal.py
+++ b/wigeonhitch/site/withdrawal.py
@@ -21,9 +21,9 @@
 """Reason of the answers to callers whose job was withdrawn."""
 
 MAX_WITHDRAWALS = 1000
-"""Number of withdrawals that a daemon makes for one team within the retention time.
-Callers choose the ids, and each withdrawal leaves two rows in the store for that
-time."""
+"""Number of withdrawals of one team within the retention time after which a daemon
+refuses further ones. Callers choose the ids, and each withdrawal leaves two rows in
+the store for that time."""
 
 
 class Withdrawals:
