Count a withdrawal before it is written

Callers of one team could write more rows of cancelled unknown jobs than the limit allows: each withdrawal was counted after its commit had been answered, so all cancellations that were under way at the same time passed the check. It is now counted in the same step as the check, before the write, and no longer counts if the store refuses the write.

Before: test_withdrawals_at_the_same_time_count_towards_the_limit fails in each run, as ten of ten cancellations are written with a limit of three.

--- a/wigeonhitch/site/withdrawal.py
+++ b/wigeonhitch/site/withdrawal.py
@@ -40,12 +40,12 @@
     def __init__(self, store: rows.RowStore, retention: float) -> None:
         self._store = store
         self._retention = retention
-        self._written: dict[str, collections.deque[float]] = {}
-        """Times of the last withdrawals of each team."""
+        self._times_by_team: dict[str, collections.deque[float]] = {}
+        """Times of the last withdrawals of each team, those under way included."""
 
     def check_limit(self, team: str) -> message.Answer | None:
         """Return the refusal of a team that has reached its limit, else None."""
-        times = self._written.get(team, ())
+        times = self._times_by_team.get(team, ())
         if len(times) < MAX_WITHDRAWALS:
             return None
         delay = times[0] + self._retention - http.read_clock()
@@ -82,14 +82,17 @@
                 ),
             ),
         )
+        # Counted before the write, so that those at the same time count as well.
+        times = self._times_by_team.setdefault(
+            team, collections.deque(maxlen=MAX_WITHDRAWALS)
+        )
+        now = http.read_clock()
+        times.append(now)
         result = await self._store.commit(
             transaction, timeout=jobrows.CALL_TIMEOUT_SECONDS
         )
-        if result.outcome is not table.Outcome.NOT_DONE:
-            times = self._written.setdefault(
-                team, collections.deque(maxlen=MAX_WITHDRAWALS)
-            )
-            times.append(http.read_clock())
+        if result.outcome is table.Outcome.NOT_DONE:
+            times.remove(now)
         if result.outcome is table.Outcome.DONE:
             return result._replace(reason=REASON)
         return result
