Never remove the row of a job that was accepted anew under its id

A leader that removes the row of a final job without an answer repeats the attempt. If the row is gone by then and its id was accepted again, the refusal lists the open job's row. Its version was taken for that of the final row, so the next attempt removed an accepted job and its holder row. No caller has reported it; an id that was withdrawn may be submitted again after the retention time, which makes the case more likely than it was.

The compactor now reads what the refusal lists, and forgets a row that isn't that of a final job.

Before: test_an_unanswered_removal_is_not_repeated_on_a_new_job fails, as the row of the open job is None after the third attempt.

--- a/wigeonhitch/pool/compaction.py
+++ b/wigeonhitch/pool/compaction.py
@@ -177,7 +177,7 @@
         return Work(rows.Transaction(tuple(conditions), tuple(removed)), ids, True)
 
     def _update_version(self, row: rows.Row) -> None:
-        """Record the version of a row that was cancelled or compacted meanwhile."""
+        """Apply a row that was written meanwhile."""
         final = self._finals.get(row.key)
         if final is not None:
             is_cancelled = row.value is not None and record.is_cancelled(row.value)
@@ -186,5 +186,10 @@
             )
             self._finals[row.key] = final._replace(state=state, version=row.version)
         compacted = self._compacted.get(row.key)
-        if compacted is not None:
+        if compacted is None or row.version == compacted.version:
+            return
+        if row.value is not None and record.read_final(row.value) is not None:
             self._compacted[row.key] = compacted._replace(version=row.version)
+        else:
+            # Its removal was applied without an answer, and its id was accepted anew.
+            del self._compacted[row.key]
--- a/wigeonhitch/pool/tests/test_compaction.py
+++ b/wigeonhitch/pool/tests/test_compaction.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from standins import rowstore
 from wigeonhitch.jobs import model, record
 from wigeonhitch.platform import rows, table
 from wigeonhitch.pool import compaction
@@ -128,6 +129,34 @@
     assert compactor.collect(200.0, RETENTION).ids == ("b",)
 
 
+@pytest.mark.anyio
+async def test_an_unanswered_removal_is_not_repeated_on_a_new_job():
+    """Guards against the removal of an open job that was accepted under the same id.
+
+    The first attempt is applied without an answer, and the id is submitted again.
+    """
+    job = model.Job("a", "q", "", (model.Step(1),))
+    store = rowstore.RowStore()
+    store.put(*LOCATION, "a", record.write_final(model.JobState.CANCELLED, "p", 10.0))
+    compactor = compaction.Compactor("p")
+    compactor.on_final_row("a", LOCATION, store.version, 10.0)
+
+    async def remove():
+        work = compactor.collect(200.0, RETENTION)
+        if work is not None:
+            change = await store.commit(work.transaction, timeout=1.0)
+            compactor.on_result(work, change)
+
+    store.lost_answers = 1
+    await remove()
+    accepted = record.write_job(job, "p", 1.0)
+    store.put(*LOCATION, "a", accepted)
+    await remove()
+    await remove()
+
+    assert store.get(*LOCATION, "a") == accepted
+
+
 def test_row_that_is_gone_leaves_nothing_to_compact(compactor):
     conflict = rows.Change(table.Outcome.NOT_DONE, 0, (), "conflict")
 
