Renew rows that settle a cancellation before they are removed

What callers see: a job runs although its cancellation was acknowledged. A cancellation that is repeated is answered 410 from the row of the first one, or 200 from the row of a job that has ended. A submission of the same id between the two that the store applies after the removal is accepted.

Cause: an answer was given from a row that is about to go. A cancellation now renews such a row once half of the retention time has passed. The renewal expects the row's version, so a removal by a leader that hasn't seen it is refused; the refusal tells the leader the new time of expiry, which it had kept before. Renewed rows expire behind others, and renewals count towards the limit of withdrawals. Rows that are removed between two reads of a cancellation no longer count as ones that prevent an acceptance.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -35,6 +35,8 @@
         Tables for which all transactions that write to them are deferred.
     allows_cross_part : bool
         Whether a transaction may span several parts; otherwise it is refused.
+    clock_offset : float
+        Seconds by which the store's clock has been set ahead.
     """
 
     def __init__(self) -> None:
@@ -43,6 +45,7 @@
         self.deferred_commits = 0
         self.deferred_tables: set[str] = set()
         self.allows_cross_part = True
+        self.clock_offset = 0.0
         self.deferred: list[rows.Transaction] = []
         self.calls = 0
         self.version = 0
@@ -111,7 +114,7 @@
             if (name, of) == (table, part) and key >= first and (not last or key < last)
         )
         selected = tuple(rows_in_range[:limit] if limit else rows_in_range)
-        return rows.Range(DONE, selected, self.version, "", *read_times())
+        return rows.Range(DONE, selected, self.version, "", *self._read_times())
 
     async def follow(
         self, table: str, after: int, *, wait: float, timeout: float
@@ -127,7 +130,8 @@
             while not self._list_changes(table, after):
                 await self._changed.wait()
         changes = tuple(self._list_changes(table, after))
-        return rows.Feed(DONE, changes, self.version, False, "", *read_times())
+        times = self._read_times()
+        return rows.Feed(DONE, changes, self.version, False, "", *times)
 
     async def list_parts(self, table: str, *, timeout: float) -> rows.Parts:
         """Return the parts of a table."""
@@ -161,7 +165,11 @@
             self._changes.append(row)
         self._changed.set()
         self._changed = anyio.Event()
-        return rows.Change(DONE, self.version, (), "", *read_times())
+        return rows.Change(DONE, self.version, (), "", *self._read_times())
+
+    def _read_times(self) -> tuple[float, float, float]:
+        store_time, sent, answered = read_times()
+        return store_time + self.clock_offset, sent, answered
 
     def _list_conflicts(self, change: rows.Transaction) -> tuple[rows.Row, ...]:
         keys = [condition[:3] for condition in change.conditions]
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -172,6 +172,11 @@
     return model.JobState(final) if final else None
 
 
+def read_finished(value: bytes) -> float | None:
+    """Return the time in the row of a final job, or None for that of an open one."""
+    return orjson.loads(value).get("finished")
+
+
 def has_given_up(value: bytes) -> bool:
     """Return whether a progress row names tasks that are never started again."""
     return bool(orjson.loads(value).get("given_up"))
--- a/wigeonhitch/pool/compaction.py
+++ b/wigeonhitch/pool/compaction.py
@@ -91,7 +91,11 @@
         self, id: str, location: RowLocation, version: int, finished: float
     ) -> None:
         """Record a compacted row that was read."""
+        known = self._compacted.get(id)
         self._compacted[id] = _CompactedRow(location, version, finished)
+        if known is not None and known.finished != finished:
+            # Others expire before a row that was renewed.
+            self._compacted.move_to_end(id)
         self._compacted_versions.pop(id, None)
 
     def is_waiting(self, id: str) -> bool:
@@ -188,8 +192,9 @@
         compacted = self._compacted.get(row.key)
         if compacted is None or row.version == compacted.version:
             return
-        if row.value is not None and record.read_final(row.value) is not None:
-            self._compacted[row.key] = compacted._replace(version=row.version)
+        finished = record.read_finished(row.value or b"{}")
+        if finished is not None:
+            self.on_final_row(row.key, compacted.location, row.version, finished)
         else:
             # Its removal was applied without an answer, and its id was accepted anew.
             del self._compacted[row.key]
--- a/wigeonhitch/site/cancellation.py
+++ b/wigeonhitch/site/cancellation.py
@@ -1,7 +1,9 @@
 """Cancels a job durably, whether it was accepted or not.
 
 The row of an accepted job is written again with a cancellation mark. If there is no
-job, a submission of it may be under way, so the job is withdrawn.
+job, a submission of it may be under way, so the job is withdrawn. The row of a job that
+is final or withdrawn prevents a new acceptance of its id only until it is removed, so
+it is renewed if that is near.
 """
 
 import anyio
@@ -21,7 +23,7 @@
     store : rows.RowStore
         The platform's store.
     withdrawals : withdrawal.Withdrawals
-        Withdraws jobs that weren't accepted.
+        Withdraws jobs that weren't accepted, and renews rows.
     """
 
     def __init__(
@@ -34,8 +36,8 @@
     async def cancel(self, queue: model.Queue, id: str, team: str) -> message.Answer:
         """Cancel a job for a caller of a team.
 
-        ``MISSING`` is answered only if a row is known that prevents the acceptance of
-        each submission. One that an earlier cancellation has written isn't renewed.
+        ``MISSING`` and ``ACCEPTED`` are answered only if a row is known by which no
+        submission that was sent before makes a job that runs.
         """
         deadline = http.read_clock() + acceptance.REQUEST_TIMEOUT_SECONDS
         refusal = message.refuse("timeout")
@@ -45,17 +47,19 @@
             if isinstance(lookup, rows.Range):
                 refusal = message.refuse(lookup.reason)
                 break
-            answer = _answer_from(lookup)
-            if answer is not None:
-                return answer
-            if isinstance(lookup, jobrows.StoredJob):
-                verdict = message.Verdict.ACCEPTED
-                result = await self._mark_cancelled(lookup)
+            is_absent = isinstance(lookup, jobrows.Absence)
+            verdict = message.Verdict.MISSING if is_absent else message.Verdict.ACCEPTED
+            stored = lookup.withdrawn if is_absent else lookup
+            if stored is not None and self._is_settled(stored):
+                return message.Answer(verdict)
+            if stored is not None and stored.parsed.job is not None:
+                result = await self._mark_cancelled(stored)
             elif over_limit := self._withdrawals.check_limit(team):
                 refusal = over_limit
                 break
+            elif stored is not None:
+                result = await self._withdrawals.renew(stored, team)
             else:
-                verdict = message.Verdict.MISSING
                 result = await self._withdrawals.withdraw(
                     queue.pool, id, team, lookup.store_time
                 )
@@ -68,6 +72,12 @@
             return refusal._replace(verdict=message.Verdict.UNKNOWN)
         return refusal
 
+    def _is_settled(self, stored: jobrows.StoredJob) -> bool:
+        """Return whether nothing has to be written."""
+        if stored.parsed.job is not None:
+            return stored.parsed.cancelled
+        return not self._withdrawals.is_removed_soon(stored)
+
     async def _mark_cancelled(self, stored: jobrows.StoredJob) -> rows.Change:
         row = stored.row
         parsed = stored.parsed
@@ -84,12 +94,3 @@
             rows.Transaction((condition,), (write,)),
             timeout=jobrows.CALL_TIMEOUT_SECONDS,
         )
-
-
-def _answer_from(lookup: jobrows.StoredJob | jobrows.Absence) -> message.Answer | None:
-    """Return the answer if nothing has to be written, else None."""
-    if isinstance(lookup, jobrows.Absence):
-        return message.Answer(message.Verdict.MISSING) if lookup.is_settled else None
-    if lookup.parsed.job is None or lookup.parsed.cancelled:
-        return message.Answer(message.Verdict.ACCEPTED)
-    return None
--- a/wigeonhitch/site/jobrows.py
+++ b/wigeonhitch/site/jobrows.py
@@ -28,22 +28,25 @@
 
 
 class StoredJob(NamedTuple):
-    """A job's row and its decoded content."""
+    """A job's row and its decoded content, at a time of the store's clock in seconds.
+
+    Until the row of a final job is removed, its id isn't accepted again.
+    """
 
     row: rows.Row
     parsed: record.JobRecord
+    store_time: float
 
 
 class Absence(NamedTuple):
-    """There is no job of an id.
+    """There is no job of an id, at a time of the store's clock in seconds.
 
-    ``is_settled`` means that a row prevents its acceptance; otherwise a submission that
-    is under way may still be accepted. ``store_time`` is the store's clock in seconds
-    at the read.
+    ``withdrawn`` is the row that prevents its acceptance. Without one, a submission
+    that is under way may still be accepted.
     """
 
-    is_settled: bool
-    store_time: float = 0.0
+    store_time: float
+    withdrawn: StoredJob | None = None
 
 
 class JobReader:
@@ -78,7 +81,8 @@
         if result.outcome is not table.Outcome.DONE or not result.rows:
             return result
         row = result.rows[0]
-        return StoredJob(row, record.read_job(id, row.value or b""))
+        parsed = record.read_job(id, row.value or b"")
+        return StoredJob(row, parsed, result.store_time)
 
     async def locate(self, pool: str, id: str) -> StoredJob | Absence | rows.Range:
         """Find a job in its queue's pool, or else in the pool that holds it.
@@ -92,13 +96,14 @@
             if holder_range.outcome is not table.Outcome.DONE:
                 return holder_range
             if not holder_range.rows:
-                return Absence(is_settled=False, store_time=holder_range.store_time)
+                return Absence(holder_range.store_time)
             holder = pool_record.read_holder(holder_range.rows[0].value or b"")
             lookup = await self.find(holder.pool, id)
         if _is_empty(lookup):
-            return Absence(is_settled=True)
+            # Both rows have been removed since, so that none prevents an acceptance.
+            return Absence(lookup.store_time)
         if isinstance(lookup, StoredJob) and lookup.parsed.is_withdrawn:
-            return Absence(is_settled=True)
+            return Absence(lookup.store_time, lookup)
         return lookup
 
     async def _read_row(self, table_name: str, part: str, id: str) -> rows.Range:
--- a/wigeonhitch/site/tests/history.py
+++ b/wigeonhitch/site/tests/history.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import math
 import random
 from collections.abc import Iterator
 from typing import Any, NamedTuple
@@ -14,7 +15,7 @@
 
 import orjson
 
-from wigeonhitch.jobs import model, progress
+from wigeonhitch.jobs import model, progress, record
 from wigeonhitch.leadership.tests import simulation
 from wigeonhitch.platform import http, rows, table
 from wigeonhitch.pool import compaction
@@ -84,6 +85,7 @@
             simulation.StoreClient(),
             lambda: self.follower.catalogue,
             metric.Instruments(),
+            final_retention=RETENTION_SECONDS,
         )
 
 
@@ -428,7 +430,9 @@
             or lookup.outcome is not table.Outcome.DONE
         ):
             return await original_locate(self, pool, id)
-        return jobrows.Absence(is_settled=True)
+        final = record.JobRecord(None, 0.0, False, finished=math.inf)
+        row = rows.Row("", "", id, None, 0)
+        return jobrows.Absence(0.0, jobrows.StoredJob(row, final, 0.0))
 
     def remove_own_row_only(self: Any, before: float) -> Any:
         batch = original_remove(self, before)
@@ -451,5 +455,7 @@
         patch(compaction.Compactor, "_remove", remove_own_row_only)
     elif mechanism == "withdrawal":
         patch(withdrawal.Withdrawals, "withdraw", withdraw_nothing)
+    elif mechanism == "renewal":
+        patch(withdrawal.Withdrawals, "is_removed_soon", lambda self, final: False)
     elif mechanism == "refusal":
         patch(pool_record, "read_holder", read_pool_only)
--- a/wigeonhitch/site/tests/test_history.py
+++ b/wigeonhitch/site/tests/test_history.py
@@ -17,6 +17,9 @@
 
 HISTORY_SECONDS = 20.0
 
+CANCELLATION_SECONDS = 40.0
+"""Length of histories in which rows are removed before the faults end."""
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_job_stays_in_one_pool_and_is_found_there(seed):
@@ -44,11 +47,12 @@
 def test_a_job_is_not_accepted_after_its_cancellation_was_acknowledged(seed):
     """Guards against jobs that run after their caller was told that there are none.
 
-    The caller had left its submission, which was applied after the cancellation.
+    The caller had left its submission, which was applied after the cancellation, or
+    after the removal of the rows by which that was acknowledged.
     """
     world = withdrawalhistory.World(seed)
 
-    assert world.run(HISTORY_SECONDS) == []
+    assert world.run(CANCELLATION_SECONDS) == []
 
 
 def test_callers_that_leave_meet_accepted_jobs_and_others():
@@ -62,10 +66,12 @@
     }
 
 
-@pytest.mark.parametrize("mechanism", ["withdrawal", "refusal", "condition", "removal"])
+@pytest.mark.parametrize(
+    "mechanism", ["withdrawal", "renewal", "refusal", "condition", "removal"]
+)
 def test_a_history_of_cancellations_fails_without(mechanism):
     worlds = (
         withdrawalhistory.World(seed, disabled=mechanism) for seed in range(MAX_SEEDS)
     )
 
-    assert any(world.run(HISTORY_SECONDS) for world in worlds)
+    assert any(world.run(CANCELLATION_SECONDS) for world in worlds)
--- a/wigeonhitch/site/tests/test_withdrawal.py
+++ b/wigeonhitch/site/tests/test_withdrawal.py
@@ -13,7 +13,7 @@
 from wigeonhitch.platform import rows, table
 from wigeonhitch.pool import compaction, core, view
 from wigeonhitch.pool import record as pool_record
-from wigeonhitch.site import handler, message, withdrawal
+from wigeonhitch.site import handler, jobrows, message, withdrawal
 from wigeonhitch.telemetry import metric
 
 pytestmark = pytest.mark.anyio
@@ -197,23 +197,100 @@
     assert answer.verdict is message.Verdict.ACCEPTED
 
 
-async def test_a_repeated_cancellation_settles_submissions_since_the_first(site):
+async def remove_expired(site, leader):
+    """Let a leader remove the rows that it knows to be expired, in two attempts."""
+    for _ in range(2):
+        store_time = rowstore.read_times()[0] + site.store.clock_offset
+        removal = leader.compactor.collect(store_time, RETENTION_SECONDS)
+        if removal is not None:
+            change = await site.store.commit(removal.transaction, timeout=1.0)
+            leader.compactor.on_result(removal, change)
+
+
+@pytest.mark.parametrize("age", [0.0, 59.0, 61.0, 119.0])
+@pytest.mark.parametrize("first", ["withdrawn", "completed"])
+async def test_a_repeated_cancellation_settles_submissions_since_the_first(
+    site, first, age
+):
     """Guards against a job that runs after its second cancellation was acknowledged.
 
-    The second one finds the row of the first, which is removed before the submission
-    between them is applied.
+    The second one finds the row of the first, or that of a job that has ended. The row
+    was removed before the submission between them was applied, as the leader knew when
+    it expires from before the second.
     """
-    await site.cancel()
+    if first == "withdrawn":
+        await site.cancel()
+    else:
+        await site.daemon.submit(QUEUE, JOB)
+        store_time = rowstore.read_times()[0]
+        final = record.write_final(model.JobState.COMPLETED, "p", store_time)
+        site.store.put(pool_record.get_job_table("p"), PART, "j", final)
+    leader = make_leader(site)
+    site.store.clock_offset = age
     await site.submit_late()
-    assert await site.cancel() is message.Verdict.MISSING
+    is_withdrawn = first == "withdrawn"
+    expected = message.Verdict.MISSING if is_withdrawn else message.Verdict.ACCEPTED
+    assert await site.cancel() is expected
 
-    now = site.read_job().finished + RETENTION_SECONDS + 1.0
-    removal = make_leader(site).compactor.collect(now, RETENTION_SECONDS)
-    if removal is not None:
-        await site.store.commit(removal.transaction, timeout=1.0)
+    for _ in range(4):
+        site.store.clock_offset += RETENTION_SECONDS / 8
+        await remove_expired(site, leader)
     changes = site.store.apply_deferred()
 
     assert all(change.reason == "conflict" for change in changes)
+    assert site.read_job().is_withdrawn == is_withdrawn
+
+
+async def test_a_cancellation_that_is_renewed_does_not_keep_others(site):
+    """Guards against a caller that keeps all rows by repeating one cancellation."""
+    await site.cancel()
+    leader = make_leader(site)
+    location = compaction.RowLocation(pool_record.get_job_table("p"), PART)
+    renewed = site.read_job()
+    other = renewed._replace(finished=renewed.finished + 1.0)
+    leader.on_job("other", other, site.store.version, location)
+    later = renewed._replace(finished=renewed.finished + 119.0)
+    leader.on_job("j", later, site.store.version + 1, location)
+
+    work = leader.compactor.collect(other.finished + 121.0, RETENTION_SECONDS)
+
+    assert work.ids == ("other",)
+
+
+async def test_renewals_count_towards_the_limit(site, monkeypatch):
+    """Guards against a caller that keeps any number of rows by renewing them."""
+    monkeypatch.setattr(withdrawal, "MAX_WITHDRAWALS", 2)
+    await site.cancel(team="a")
+    site.store.clock_offset = 61.0
+    assert await site.cancel(team="a") is message.Verdict.MISSING
+    site.store.clock_offset = 122.0
+
+    assert await site.cancel(team="a") is message.Verdict.NOT_RUN
+
+
+async def test_rows_that_are_removed_during_a_cancellation_settle_nothing(
+    site, monkeypatch
+):
+    """Guards against 410 without a row that prevents a late acceptance.
+
+    The rows of a moved queue's job are removed between two reads of the cancellation.
+    """
+    await site.daemon.submit(QUEUE, JOB)
+    await site.submit_late()
+    read_holder = jobrows.JobReader.read_holder
+
+    async def read_and_remove(reader, id):
+        holder_range = await read_holder(reader, id)
+        for table_name in (pool_record.HOLDER_TABLE, pool_record.get_job_table("p")):
+            site.store.put(table_name, PART, "j", None)
+        monkeypatch.undo()
+        return holder_range
+
+    monkeypatch.setattr(jobrows.JobReader, "read_holder", read_and_remove)
+    assert await site.cancel(MOVED_QUEUE) is message.Verdict.MISSING
+
+    changes = site.store.apply_deferred()
+    assert all(change.reason == "conflict" for change in changes)
 
 
 async def test_one_team_can_not_fill_the_store_with_withdrawals(site, monkeypatch):
--- a/wigeonhitch/site/tests/withdrawalhistory.py
+++ b/wigeonhitch/site/tests/withdrawalhistory.py
@@ -3,7 +3,8 @@
 Beside the jobs of `history`, each of some callers leaves its submission, cancels the
 job at any daemon until that is acknowledged, and asks for its state. Attempts of the
 submission are delivered after that too: by the daemon that repeats its write, by a
-store that applies one late, and by a repeated request that was on its way.
+store that applies one late, and by a repeated request that was on its way. Half of the
+callers submit and cancel the job a second time, about when its rows are removed.
 """
 
 import random
@@ -27,6 +28,9 @@
 MAX_STRAY_SECONDS = 4.0
 """Maximum time by which a repeated submission arrives after the caller has left."""
 
+SECOND_SECONDS = (0.5 * history.RETENTION_SECONDS, 1.1 * history.RETENTION_SECONDS)
+"""Range of the time between an acknowledged cancellation and the second submission."""
+
 ACKNOWLEDGED = (message.Verdict.ACCEPTED, message.Verdict.MISSING)
 
 
@@ -34,7 +38,10 @@
     """A job whose caller leaves before it is answered."""
 
     told: message.Verdict | None = None
-    """Answer that has acknowledged the cancellation."""
+    """Answer that has acknowledged the last cancellation."""
+
+    is_second: bool = False
+    """Whether it was submitted a second time."""
 
 
 class World(history.World):
@@ -45,6 +52,7 @@
         self.leaving = [LeavingJob(f"l{number}") for number in range(LEAVING_CALLERS)]
         self.jobs.update({job.id: job for job in self.leaving})
         self._leaving_rng = random.Random(seed)
+        self._removed_ids: set[str] = set()
 
     def _start_caller(self, job: history.Job) -> Any:
         if not isinstance(job, LeavingJob):
@@ -70,7 +78,9 @@
         submitted = model.Job(job.id, queue.name, "", history.STEPS)
         verdict = (await daemon.handler.submit(queue, submitted)).verdict
         job.verdicts.append(verdict)
-        job.is_accepted = job.is_accepted or verdict is message.Verdict.ACCEPTED
+        # A second submission may find the row of the first one, which is removed later.
+        if verdict is message.Verdict.ACCEPTED and not job.is_second:
+            job.is_accepted = True
         self._check_agreement(job)
 
     async def _withdraw(
@@ -91,6 +101,18 @@
         for _ in range(3):
             delay = self._leaving_rng.uniform(0.0, 10.0)
             self.call_later(delay, lambda: self._call(self._show_cancelled, job))
+        if self._leaving_rng.random() < 0.5 and not job.is_second:
+            delay = self._leaving_rng.uniform(*SECOND_SECONDS)
+            self.call_later(delay, lambda: self._start_again(job))
+
+    def _start_again(self, job: LeavingJob) -> None:
+        if not self._has_faults:
+            return
+        job.is_second = True
+        job.told, job.is_accepted = None, False
+        patience = self._leaving_rng.uniform(*PATIENCE_SECONDS)
+        self._call(self._submit_once, job)
+        self.call_later(patience, lambda: self._call(self._withdraw, job))
 
     def _repeat_unless_told(self, job: LeavingJob) -> None:
         if job.told is None:
@@ -116,9 +138,19 @@
         ]
         for row in written:
             self._check_row(row)
+            if row.table == pool_record.HOLDER_TABLE:
+                self._take_holder(row)
         if not any(is_withdrawn(row) for row in written):
             super().on_commit(process, call)
 
+    def _take_holder(self, row: rows.Row) -> None:
+        """Forget the pools of a job whose rows were removed, once it is there again."""
+        if row.value is None:
+            self._removed_ids.add(row.key)
+        elif row.key in self._removed_ids:
+            self._removed_ids.discard(row.key)
+            self.jobs[row.key].pools.clear()
+
     def _check_row(self, row: rows.Row) -> None:
         job = self.jobs.get(row.key)
         if not isinstance(job, LeavingJob) or job.told is None:
@@ -150,6 +182,9 @@
 
 def is_withdrawn(row: rows.Row) -> bool:
     """Return whether a row is that of a withdrawn job."""
-    if row.table != pool_record.HOLDER_TABLE or row.value is None:
+    if row.value is None:
         return False
-    return pool_record.WITHDRAWN_SUFFIX in row.value
+    if history.find_pool(row):
+        return record.read_job(row.key, row.value).is_withdrawn
+    is_holder = row.table == pool_record.HOLDER_TABLE
+    return is_holder and pool_record.read_holder(row.value).is_withdrawn
--- a/wigeonhitch/site/withdrawal.py
+++ b/wigeonhitch/site/withdrawal.py
@@ -5,7 +5,8 @@
 and a relay may deliver it late. All of these expect that the job has no holder row. A
 withdrawal writes that row, so that none of them succeeds afterwards, and beside it a
 final job row, by which the leader of the queue's pool removes both after the retention
-time of final jobs.
+time of final jobs. A cancellation that finds such a row, or that of a job that has
+ended, renews it if it is removed soon.
 """
 
 import collections
@@ -23,7 +24,12 @@
 MAX_WITHDRAWALS = 1000
 """Number of withdrawals of one team within the retention time after which a daemon
 refuses further ones. Callers choose the ids, and each withdrawal leaves two rows in
-the store for that time."""
+the store for that time. Renewals count, since they keep the rows as long again."""
+
+RENEWED_SHARE = 0.5
+"""Share of the retention time that has passed when a cancellation renews a row. So no
+submission is accepted that the store applies within the other part after the answer to
+a cancellation, and repeated cancellations in quick succession cost no write."""
 
 
 class Withdrawals:
@@ -61,6 +67,11 @@
         """
         return message.refuse(REASON)._replace(retry_after=self._retention)
 
+    def is_removed_soon(self, final: jobrows.StoredJob) -> bool:
+        """Return whether the row of a final job has to be renewed."""
+        age = final.store_time - final.parsed.finished
+        return age >= RENEWED_SHARE * self._retention
+
     async def withdraw(
         self, pool: str, id: str, team: str, store_time: float
     ) -> rows.Change:
@@ -82,17 +93,40 @@
                 ),
             ),
         )
-        # Counted before the write, so that those at the same time count as well.
+        return await self._commit(transaction, team, REASON)
+
+    async def renew(self, final: jobrows.StoredJob, team: str) -> rows.Change:
+        """Make one attempt to keep a final job's row for the retention time from now.
+
+        The job's holder row is removed with it, and under its version.
+        """
+        row, parsed = final.row, final.parsed
+        value = record.write_final(
+            parsed.final,
+            parsed.pool,
+            final.store_time,
+            is_withdrawn=parsed.is_withdrawn,
+        )
+        transaction = rows.Transaction(
+            (rows.Condition(*row[:3], row.version),), (rows.Write(*row[:3], value),)
+        )
+        return await self._commit(transaction, team, "renewed")
+
+    async def _commit(
+        self, transaction: rows.Transaction, team: str, reason: str
+    ) -> rows.Change:
+        """Make one attempt that counts for a team, with a reason if it is done."""
         times = self._times_by_team.setdefault(
             team, collections.deque(maxlen=MAX_WITHDRAWALS)
         )
+        # Counted before the write, so that those at the same time count as well.
         now = http.read_clock()
         times.append(now)
         result = await self._store.commit(
             transaction, timeout=jobrows.CALL_TIMEOUT_SECONDS
         )
-        if result.outcome is table.Outcome.NOT_DONE:
+        if result.outcome is table.Outcome.NOT_DONE and now in times:
             times.remove(now)
         if result.outcome is table.Outcome.DONE:
-            return result._replace(reason=REASON)
+            return result._replace(reason=reason)
         return result
