Let a daemon that has just started look for moved jobs every 2 s

What callers see: a daemon that was started after a queue had moved shows none of the jobs that wait in the queue's former pool, for up to 10 s. Daemons that haven't applied the move yet accept jobs there; the new one doesn't know the former pool, and finds it by a scan of all pools every 10 s only.

For its first 20 s, in which every daemon applies a move, a daemon scans every 2 s, the age that a count may have. A daemon that isn't asked for counts makes no scans, as before.

Before: the new test fails, the count is 0 of 10. After: it passes, with the 15 other tests of the module.

--- a/wigeonhitch/site/tests/test_waiting.py
+++ b/wigeonhitch/site/tests/test_waiting.py
@@ -268,6 +268,24 @@
     assert shared.store.calls == calls + 1
 
 
+async def test_a_daemon_that_starts_after_a_move_counts_jobs_that_come_later(
+    shared, monkeypatch
+):
+    """Guards against a new daemon that misses jobs of a former pool for 10 s.
+
+    It doesn't know of the former pool, and the daemons that haven't applied the move
+    accept jobs there after its first count.
+    """
+    moving = MovingQueue(shared, monkeypatch)
+    moving.queue = MOVED_QUEUE
+    assert await count(moving.handler, MOVED_QUEUE) == 0
+    await shared.submit(QUEUE, 10)
+    shared.publish("p")
+    moving.now += 2.0
+
+    assert await count(moving.handler, MOVED_QUEUE) == 10
+
+
 class CountedRoutes(tuple):
     """Counts how often all routes are gone through."""
 
--- a/wigeonhitch/site/waiting.py
+++ b/wigeonhitch/site/waiting.py
@@ -19,6 +19,10 @@
 SCAN_PERIOD_SECONDS = 10.0
 """Interval of scans for jobs that wait in former pools of their queue."""
 
+FIRST_SCANS_PERIOD_SECONDS = 2.0
+"""The same for a daemon that has started within the last `FORMER_POOL_SECONDS`, as it
+doesn't know which queues have just moved. A count may be 2 s old."""
+
 FORMER_POOL_SECONDS = 2 * SCAN_PERIOD_SECONDS
 """Seconds for which the former pool of a queue is read with each count, whether the
 last scan found jobs of the queue there or not. Daemons that learn of the move later
@@ -54,6 +58,7 @@
         """Pool of each path in the last configuration that had the path."""
         self._former_pools: dict[model.RoutePath, dict[str, float]] = {}
         """Pools that a path had before, with the time at which that was replaced."""
+        self._started_at = http.read_clock()
         self._scanned_at: float | None = None
 
     def on_catalogue(self) -> None:
@@ -124,10 +129,9 @@
     async def _scan_statuses(self) -> None:
         """Read the status of each pool, unless the last scan is recent."""
         now = http.read_clock()
-        if (
-            self._scanned_at is not None
-            and now - self._scanned_at < SCAN_PERIOD_SECONDS
-        ):
+        is_new = now - self._started_at < FORMER_POOL_SECONDS
+        period = FIRST_SCANS_PERIOD_SECONDS if is_new else SCAN_PERIOD_SECONDS
+        if self._scanned_at is not None and now - self._scanned_at < period:
             return
         pools = await self._store.list_parts(
             pool_record.STATUS_TABLE, timeout=jobrows.CALL_TIMEOUT_SECONDS
