Keep the row of a job's progress within the store's limit

What callers see: a job of 4,800 tasks that save checkpoints stops its whole pool for good. Its row of progress outgrows the largest size that the store accepts, the store refuses the transaction with the rows of all other jobs, and the leader repeats it unchanged. No end is recorded or acknowledged any more; 55 of 117 jobs stand still beside idle workers.

Cause: the row held a checkpoint and the failed runs of each task that ever had some, and its size was never looked at.

Checkpoints and failed runs of tasks that are done are left out. A row that would still be too large is written in another form: ranges of complete occurrences, tasks grouped by run and by VM, and as many checkpoints as fit. Rows that fit keep their form. A transaction takes no further job once its values come to 600 KB, since the store takes 1 MB. A row above half of the limit is logged and counted as "large progress".

Ruled out: several rows a job, which a successor would have to read whole in any mixture, for checkpoints that can be lost without harm to the result.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -5,6 +5,7 @@
 and an expired history.
 """
 
+import math
 import time
 
 import anyio
@@ -35,6 +36,10 @@
         Tables for which all transactions that write to them are deferred.
     allows_cross_part : bool
         Whether a transaction may span several parts; otherwise it is refused.
+    max_row_bytes : float
+        Largest size of a value, in bytes; a transaction with a larger one is refused.
+    max_call_bytes : float
+        Largest size of all values of a transaction.
     clock_offset : float
         Seconds by which the store's clock has been set ahead.
     """
@@ -45,6 +50,8 @@
         self.deferred_commits = 0
         self.deferred_tables: set[str] = set()
         self.allows_cross_part = True
+        self.max_row_bytes = math.inf
+        self.max_call_bytes = math.inf
         self.clock_offset = 0.0
         self.deferred: list[rows.Transaction] = []
         self.calls = 0
@@ -82,6 +89,11 @@
         parts = {item.part for item in (*change.conditions, *change.writes)}
         if len(parts) > 1 and not self.allows_cross_part:
             return rows.Change(NOT_DONE, reason="status 400")
+        sizes = [len(write.value or b"") for write in change.writes]
+        if max(sizes, default=0) > self.max_row_bytes:
+            return rows.Change(NOT_DONE, reason="status 400")
+        if sum(sizes) > self.max_call_bytes:
+            return rows.Change(NOT_DONE, reason="status 400")
         is_deferred = any(w.table in self.deferred_tables for w in change.writes)
         if self.deferred_commits or is_deferred:
             self.deferred_commits = max(0, self.deferred_commits - 1)
--- a/wigeonhitch/jobs/record.py
+++ b/wigeonhitch/jobs/record.py
@@ -3,9 +3,12 @@
 Each job has two rows. ``job`` holds the submission; it is written at acceptance and
 at cancellation, and some time after the job is final it is replaced by the bare
 final state. ``progress`` holds what the leader has recorded; it is written with each
-batch of ended runs and holds the final state too.
+batch of ended runs and holds the final state too. A ``progress`` row that would be
+larger than the store accepts is written in another form, with tasks grouped by what is
+recorded of them, and without what a successor can do without.
 """
 
+import math
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
@@ -48,6 +51,8 @@
         "uncounted",
         "assigned",
         "given_up",
+        "complete",
+        "grouped",
     }
 )
 """Fields of a progress row that this version reads."""
@@ -148,24 +153,118 @@
     return orjson.loads(value).get("cancelled", False)
 
 
-def write_progress(state: progress.Progress) -> bytes:
-    """Return the progress row of a job; once it is final, only its final state."""
+def write_progress(state: progress.Progress, max_bytes: float = math.inf) -> bytes:
+    """Return the progress row of a job; once it is final, only its final state.
+
+    Parameters
+    ----------
+    state : progress.Progress
+        The progress.
+    max_bytes : float
+        Largest size of a row that the store accepts, in bytes.
+    """
     if state.final is not None:
         return orjson.dumps({"final": state.final.value})
-    done = _write_sets(state.done)
-    failed = {_write_task(t): sorted(runs) for t, runs in state.failed_runs.items()}
-    saved = {_write_task(t): text for t, text in state.checkpoints.items()}
-    row = {"started": state.started, "done": done, "failed": failed, "saved": saved}
+    failed = _keep_undone(state, state.failed_runs)
+    saved = _keep_undone(state, state.checkpoints)
+    row: dict[str, Any] = {"started": state.started, "done": _write_sets(state.done)}
+    row["failed"] = {_write_task(t): sorted(runs) for t, runs in failed.items()}
+    row["saved"] = {_write_task(t): text for t, text in saved.items()}
     crashed = {_write_task(t): sorted(vms) for t, vms in state.crashed_vms.items()}
     assigned = {_write_task(t): vm for t, vm in state.assigned_vms.items()}
     tested = {_write_task(t): sorted(vms) for t, vms in state.test_crashes.items()}
     row.update(crashed=crashed, assigned=assigned, tested=tested)
     row["uncounted"] = _write_tasks(state.maybe_uncounted)
     row["given_up"] = _write_tasks(state.given_up)
+    value = _dump_progress(state, row)
+    if len(value) <= max_bytes:
+        return value
+    return _write_large(state, row, max_bytes)
+
+
+def _write_large(
+    state: progress.Progress, row: dict[str, Any], max_bytes: float
+) -> bytes:
+    """Return a progress row of bounded size.
+
+    A successor can do without checkpoints, of which as many are kept as fit, and if
+    need be without what is recorded of crashes.
+    """
+    complete, partly_done = _split_done(state)
+    failed = _keep_undone(state, state.failed_runs)
+    grouped = {
+        "crashed": _group(state.crashed_vms),
+        "assigned": _group({t: [vm] for t, vm in state.assigned_vms.items()}),
+        "tested": _group(state.test_crashes),
+        "failed": _group({t: map(str, runs) for t, runs in failed.items()}),
+    }
+    kept = ("started", "uncounted", "given_up")
+    large = {name: row[name] for name in kept}
+    large |= {"done": _write_sets(partly_done), "complete": complete}
+    value = _dump_progress(state, large | {"grouped": grouped})
+    for name in ("tested", "assigned", "crashed"):
+        if len(value) <= max_bytes:
+            break
+        del grouped[name]
+        value = _dump_progress(state, large | {"grouped": grouped})
+    saved: dict[str, str] = {}
+    free = max_bytes - len(value) - len(b',"saved":{}')
+    for key, text in row["saved"].items():
+        free -= len(orjson.dumps({key: text}))
+        if free < 0:
+            break
+        saved[key] = text
+    return _dump_progress(state, large | {"grouped": grouped, "saved": saved})
+
+
+def _dump_progress(state: progress.Progress, row: dict[str, Any]) -> bytes:
     known = {key: part for key, part in row.items() if part}
     return orjson.dumps(state.unknown_fields | known)
 
 
+def _keep_undone(
+    state: progress.Progress, values: dict[model.Task, Any]
+) -> dict[model.Task, Any]:
+    """Return what is recorded of tasks that may run again."""
+    done = state.done
+    if not done:
+        return values
+    return {
+        task: value
+        for task, value in values.items()
+        if task.index not in done.get((task.occurrence, task.step), ())
+    }
+
+
+def _split_done(
+    state: progress.Progress,
+) -> tuple[list[tuple[int, int]], dict[tuple[int, int], set[int]]]:
+    """Return ranges of complete occurrences, and the completed tasks of others."""
+    steps = range(len(state.job.steps))
+    complete = {
+        occurrence
+        for occurrence in {occurrence for occurrence, _ in state.done}
+        if all(state.is_step_done(occurrence, step) for step in steps)
+    }
+    ranges: list[tuple[int, int]] = []
+    for occurrence in sorted(complete):
+        if ranges and ranges[-1][1] == occurrence - 1:
+            ranges[-1] = (ranges[-1][0], occurrence)
+        else:
+            ranges.append((occurrence, occurrence))
+    partly = {key: done for key, done in state.done.items() if key[0] not in complete}
+    return ranges, partly
+
+
+def _group(names: dict[model.Task, Iterable[str]]) -> dict[str, dict[str, str]]:
+    """Return the tasks by each name that is recorded of them."""
+    tasks: dict[str, list[model.Task]] = {}
+    for task, recorded in names.items():
+        for name in recorded:
+            tasks.setdefault(name, []).append(task)
+    return {name: _write_tasks(group) for name, group in sorted(tasks.items())}
+
+
 def read_final(value: bytes) -> model.JobState | None:
     """Return the final state in a progress row, or None while the job is open."""
     final = orjson.loads(value).get("final")
@@ -205,6 +304,27 @@
     state.given_up.update(_read_tasks(state.job.id, row.get("given_up", {})))
     for key, vm in row.get("assigned", {}).items():
         state.assigned_vms[_read_task(state.job.id, key)] = vm
+    for first, last in row.get("complete", ()):
+        for occurrence in range(first, last + 1):
+            for number, step in enumerate(state.job.steps):
+                state.done[occurrence, number] = set(range(step.count))
+    grouped = row.get("grouped", {})
+    for run, task in _read_groups(state, grouped, "failed"):
+        state.failed_runs.setdefault(task, set()).add(int(run))
+    for vm, task in _read_groups(state, grouped, "crashed"):
+        state.crashed_vms.setdefault(task, set()).add(vm)
+    for vm, task in _read_groups(state, grouped, "tested"):
+        state.test_crashes.setdefault(task, set()).add(vm)
+    for vm, task in _read_groups(state, grouped, "assigned"):
+        state.assigned_vms[task] = vm
+
+
+def _read_groups(
+    state: progress.Progress, grouped: dict[str, Any], kind: str
+) -> Iterator[tuple[str, model.Task]]:
+    for name, sets in grouped.get(kind, {}).items():
+        for task in _read_tasks(state.job.id, sets):
+            yield name, task
 
 
 def _write_step(step: model.Step) -> dict[str, Any]:
--- a/wigeonhitch/pool/dependencies.py
+++ b/wigeonhitch/pool/dependencies.py
@@ -1,5 +1,6 @@
 """Dependencies of a pool's leader."""
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -15,7 +16,8 @@
 
     ``may_order`` returns whether an order may be given now, ``get_last_renewal`` the
     time of the last renewal of the leader's lease, and ``get_store_time`` the store's
-    clock in seconds. Rows of final jobs are kept for ``final_retention`` seconds.
+    clock in seconds. Rows of final jobs are kept for ``final_retention`` seconds. The
+    store accepts rows of at most ``max_row_bytes`` bytes.
     """
 
     store: rows.RowStore
@@ -27,3 +29,4 @@
     get_store_time: Callable[[], float]
     final_retention: float
     times: view.TimeBounds
+    max_row_bytes: float = math.inf
--- a/wigeonhitch/pool/ledger.py
+++ b/wigeonhitch/pool/ledger.py
@@ -9,6 +9,8 @@
 of ends that may be acknowledged to the workers after the commit.
 """
 
+import itertools
+import math
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -26,6 +28,10 @@
 MAX_JOBS_PER_BATCH = 20
 """Largest number of jobs in a transaction; each row takes 2 entries."""
 
+MAX_VALUE_BYTES = 600_000
+"""Size in bytes of the values in a transaction from which no further job is added. The
+store accepts 1 MB, encoded, which takes a third more."""
+
 MAX_ROWS_PER_KIND = 16
 """Largest number of added roster rows, of removed ones and of removed progress rows in
 a transaction, as far as entries are left."""
@@ -43,6 +49,9 @@
     processed_ends: dict[str, int]
     crash_revisions: dict[str, int] = {}
     """Revision of the crashes and assigned VMs that each job's row holds."""
+    large_rows: dict[str, int] = {}
+    """Jobs whose row exceeds half of the largest size for the first time, and its size
+    in bytes."""
 
 
 class Result(NamedTuple):
@@ -63,11 +72,17 @@
         The pool; also the part that holds its rows.
     fence : int
         Version of the owner row on which all writes are conditional.
+
+    Attributes
+    ----------
+    max_row_bytes : float
+        Largest size of a row that the store accepts, in bytes.
     """
 
     def __init__(self, pool: str, fence: int) -> None:
         self.pool = pool
         self.fence = fence
+        self.max_row_bytes = math.inf
         self.versions: dict[str, int] = {}
         """Versions of progress rows, for jobs that have one."""
         self._dirty: dict[str, None] = {}
@@ -80,6 +95,8 @@
         self._roster: dict[str, int] = {}
         """Versions of roster rows, for VMs that have one."""
         self._dropped: dict[str, None] = {}
+        self._large: set[str] = set()
+        """Jobs whose row has exceeded half of the largest size."""
 
     @property
     def has_work(self) -> bool:
@@ -125,9 +142,17 @@
         """Return the next batch of pending writes."""
         builder = _Builder(self.pool, self.fence)
         self._dirty = {id: None for id in self._dirty if id in jobs}
-        chosen = list(self._dirty)[:MAX_JOBS_PER_BATCH]
-        for id in chosen:
-            builder.put_progress(jobs[id], self.versions.get(id, 0))
+        chosen = []
+        large_rows: dict[str, int] = {}
+        for id in itertools.islice(self._dirty, MAX_JOBS_PER_BATCH):
+            if builder.value_bytes >= MAX_VALUE_BYTES:
+                break
+            value = record.write_progress(jobs[id], self.max_row_bytes)
+            builder.put_progress(id, value, self.versions.get(id, 0))
+            chosen.append(id)
+            if len(value) > self.max_row_bytes / 2 and id not in self._large:
+                large_rows[id] = len(value)
+        self._large = {id for id in self._large if id in jobs} | large_rows.keys()
         final_jobs = [id for id in chosen if jobs[id].final is not None]
         added = tuple(self._added_vms)[: builder.count_free()]
         for id in added:
@@ -159,6 +184,7 @@
             dropped,
             processed_ends,
             {id: jobs[id].crash_revision for id in chosen if jobs[id].crash_revision},
+            large_rows,
         )
 
     def on_result(self, batch: Batch, change: rows.Change) -> Result:
@@ -249,11 +275,11 @@
         self._pool = pool
         self._conditions = [leader.expect_owner(pool, fence)]
         self.writes: list[rows.Write] = []
+        self.value_bytes = 0
 
-    def put_progress(self, state: progress.Progress, version: int) -> None:
-        id = state.job.id
+    def put_progress(self, id: str, value: bytes, version: int) -> None:
         self._expect(pool_record.PROGRESS_TABLE, id, version)
-        self._put(pool_record.PROGRESS_TABLE, id, record.write_progress(state))
+        self._put(pool_record.PROGRESS_TABLE, id, value)
 
     def put_vm(self, id: str, row: pool_record.RosterRow, version: int) -> None:
         # Conditional on its own version: an attempt that is applied late must not undo
@@ -277,4 +303,5 @@
         self._conditions.append(rows.Condition(table, self._pool, key, version))
 
     def _put(self, table: str, key: str, value: bytes) -> None:
+        self.value_bytes += len(value)
         self.writes.append(rows.Write(table, self._pool, key, value))
--- a/wigeonhitch/pool/reporter.py
+++ b/wigeonhitch/pool/reporter.py
@@ -24,6 +24,7 @@
         "run preempted",
         "job failed",
         "task given up",
+        "large progress",
     }
 )
 """Log events that are also counted: some lines are left out in a burst."""
--- a/wigeonhitch/pool/runner.py
+++ b/wigeonhitch/pool/runner.py
@@ -107,6 +107,7 @@
         self.pool = core.Pool(
             owner.pool, owner.version, owner.epoch, deps.times, now, self._log_event
         )
+        self.pool.ledger.max_row_bytes = deps.max_row_bytes
         self.planner = planner.Planner(self.pool)
         self._scope = anyio.CancelScope()
         self._wake_round = anyio.Event()
@@ -281,6 +282,8 @@
             self.pool.on_ends_durable(batch.processed_ends)
             self._announce_commit()
             return True
+        for id, size in batch.large_rows.items():
+            self._log_event("large progress", job=id, bytes=size)
         change = await self.deps.store.commit(
             batch.transaction, timeout=COMMIT_TIMEOUT_SECONDS
         )
--- a/wigeonhitch/pool/tests/test_ledger.py
+++ b/wigeonhitch/pool/tests/test_ledger.py
@@ -429,3 +429,34 @@
     writer.on_result(first, rows.Change(table.Outcome.DONE, 20))
 
     assert writer.collect({}, {}).removed_vms == ("w1@1",)
+
+
+@pytest.mark.anyio
+async def test_a_job_of_many_tasks_does_not_keep_others_from_being_recorded(
+    stored_ledger, store, make_state
+):
+    """Guards against a row that the store refuses, with those of all other jobs.
+
+    The leader repeated the transaction unchanged, and no end of the pool was recorded.
+    """
+    store.max_row_bytes, store.max_call_bytes = 65536, 750_000
+    stored_ledger.max_row_bytes = store.max_row_bytes
+    step = model.Step(model.MAX_OPEN_TASKS, checkpoint=True)
+    jobs = {}
+    for number in range(20):
+        state = make_state(step if number < 19 else model.Step(1))
+        for index in range(state.job.steps[0].count):
+            task = model.Task(state.job.id, 0, 0, index)
+            state.record_checkpoint(task, "00000bb87a21d94b")
+        jobs[f"j{number}"] = state
+        stored_ledger.mark_dirty(f"j{number}")
+    large = {}
+    for _ in range(3):
+        batch = collect(stored_ledger, jobs)
+        large |= batch.large_rows
+        change = await store.commit(batch.transaction, timeout=1.0)
+        stored_ledger.on_result(batch, change)
+
+    assert not stored_ledger.has_work
+    assert large.keys() == jobs.keys() - {"j19"}
+    assert stored_ledger.versions.keys() == jobs.keys()
--- a/wigeonhitch/site/daemon.py
+++ b/wigeonhitch/site/daemon.py
@@ -310,4 +310,5 @@
                 bounds.move_seconds,
                 bounds.longest_lease,
             ),
+            self.settings.rates.row_bytes,
         )
