Give the clock of a daemon to its request handler in histories

The counter of waiting jobs reads the clock when a daemon starts, since a new daemon scans more often. In histories the handler of a restarted daemon is made outside any process, so that the simulated clock belongs to none, and all 72 tests of histories of jobs fail with an AttributeError.

The handler is now made under the clock of its own daemon. Only the histories change, and no check of theirs.

--- a/wigeonhitch/site/tests/history.py
+++ b/wigeonhitch/site/tests/history.py
@@ -81,12 +81,14 @@
         )
         for value in configurations:
             self.follower._apply_catalogue(value)
-        self.handler = handler.RequestHandler(
-            simulation.StoreClient(),
-            lambda: self.follower.catalogue,
-            metric.Instruments(),
-            final_retention=RETENTION_SECONDS,
-        )
+        clock = mock.patch.object(http, "read_clock", lambda: world.read_clock(self))
+        with clock:
+            self.handler = handler.RequestHandler(
+                simulation.StoreClient(),
+                lambda: self.follower.catalogue,
+                metric.Instruments(),
+                final_retention=RETENTION_SECONDS,
+            )
 
 
 class World(simulation.Schedule):
