Look for failed tests beside the printed list of known failures

test_sigterm_ends_test_run_without_failing_tests runs pytest on a file of its own and expects no "failed" in its output. Each run prints KNOWN-RED.txt too, and since an entry says that a job "is failed", the test fails on every run. The output is now looked at without that list; what is expected of the rest is the same.

--- a/standins/tests/test_demoprocess.py
+++ b/standins/tests/test_demoprocess.py
@@ -96,6 +96,8 @@
         running.send_signal(signal.SIGTERM)
         output, _ = running.communicate(timeout=TIMEOUT_SECONDS)
     assert running.returncode == pytest.ExitCode.INTERRUPTED, output
-    assert "failed" not in output
+    # The known failures are printed in each run.
+    known_failures = ROOT.joinpath("KNOWN-RED.txt").read_text(encoding="utf-8")
+    assert "failed" not in output.replace(known_failures, "")
     assert tmp_path.joinpath("stopped").exists()
     assert not tmp_path.joinpath("next").exists()
